--- /dev/null
+++ b/src/hickorybeam/backends/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP towards engines and plain services."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hickorybeam/control/__init__.py
@@ -0,0 +1,3 @@
+"""Per-data-centre leases and orders to engines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hickorybeam/dispatch/__init__.py
@@ -0,0 +1,3 @@
+"""Carries out the decisions of policy/ for each call."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hickorybeam/front/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP towards callers and operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hickorybeam/kernel/__init__.py
@@ -0,0 +1,8 @@
+"""Micro-kernel: services that find each other by name, in supervised tasks."""
+
+from __future__ import annotations
+
+from hickorybeam.kernel.kernel import Kernel, KernelError, Service, Started
+from hickorybeam.kernel.mailbox import Mailbox, Reply
+
+__all__ = ("Kernel", "KernelError", "Mailbox", "Reply", "Service", "Started")
--- /dev/null
+++ b/src/hickorybeam/model/__init__.py
@@ -0,0 +1,58 @@
+"""Frozen data classes that every part shares; nothing here does I/O."""
+
+from __future__ import annotations
+
+from hickorybeam.model.answers import AnswerChunk, AnswerEnd, AnswerHead, AnswerPart, Usage
+from hickorybeam.model.calls import Call, CallKind, Header
+from hickorybeam.model.config import (
+    BackendKind,
+    BackendServer,
+    ClientAccount,
+    ClientKey,
+    ConfigObject,
+    ModelService,
+    ObjectKind,
+    ObjectRef,
+    PlainService,
+    Region,
+    ResidencyRule,
+    key_digest,
+    ref_of,
+)
+from hickorybeam.model.fleet import EntryVm, LoadReport, RegionLoad, VmId, VmState
+from hickorybeam.model.state import ConfigState, Versioned
+from hickorybeam.model.ticket import ChangeTicket
+
+__all__ = (
+    # what operators configure
+    "BackendKind",
+    "BackendServer",
+    "ChangeTicket",
+    "ClientAccount",
+    "ClientKey",
+    "ConfigObject",
+    "ConfigState",
+    "ModelService",
+    "ObjectKind",
+    "ObjectRef",
+    "PlainService",
+    "Region",
+    "ResidencyRule",
+    "Versioned",
+    "key_digest",
+    "ref_of",
+    # what runs
+    "AnswerChunk",
+    "AnswerEnd",
+    "AnswerHead",
+    "AnswerPart",
+    "Call",
+    "CallKind",
+    "EntryVm",
+    "Header",
+    "LoadReport",
+    "RegionLoad",
+    "Usage",
+    "VmId",
+    "VmState",
+)
--- /dev/null
+++ b/src/hickorybeam/model/answers.py
@@ -0,0 +1,52 @@
+"""The parts of an answer, in the order in which they reach the caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hickorybeam.model.calls import Header
+
+__all__ = ("AnswerChunk", "AnswerEnd", "AnswerHead", "AnswerPart", "Usage")
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens that a request really took, as the engine counts them."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+    @property
+    def total(self) -> int:
+        """Tokens to settle against the account."""
+        return self.prompt_tokens + self.completion_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers; always the first part."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerChunk:
+    """Bytes of the body as the backend server sent them; ``tokens`` counts those within."""
+
+    data: bytes
+    tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The proper end; an answer without it was cut off and is an error to the caller."""
+
+    usage: Usage | None = None
+    backend: str = ""
+    region: str = ""
+
+
+AnswerPart = AnswerHead | AnswerChunk | AnswerEnd
--- /dev/null
+++ b/src/hickorybeam/model/config.py
@@ -0,0 +1,178 @@
+"""Objects that operators set by change ticket."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = (
+    "BackendKind",
+    "BackendServer",
+    "ClientAccount",
+    "ClientKey",
+    "ConfigObject",
+    "ModelService",
+    "ObjectKind",
+    "ObjectRef",
+    "PlainService",
+    "Region",
+    "ResidencyRule",
+    "key_digest",
+    "ref_of",
+)
+
+
+class ObjectKind(Enum):
+    """The kinds of object; the value is the ticket's field that holds them."""
+
+    REGION = "regions"
+    RESIDENCY = "residency_rules"
+    ACCOUNT = "accounts"
+    KEY = "keys"
+    MODEL = "models"
+    SERVICE = "services"
+    BACKEND = "backends"
+
+
+class BackendKind(Enum):
+    """What a backend server speaks."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Region:
+    """A region and what serving there costs.
+
+    ``cost`` is the price of a thousand tokens in the operator's currency.
+    """
+
+    name: str
+    data_centres: tuple[str, ...]
+    cost: float = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResidencyRule:
+    """The regions in which data under this rule may be processed."""
+
+    name: str
+    regions: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClientAccount:
+    """A tenant of the gateway.
+
+    ``rate`` is tokens a second and ``burst`` tokens, both summed over all entry VMs.
+    ``residency`` names a rule; ``None`` lets every region serve the account. An empty
+    ``models`` or ``services`` allows all.
+    """
+
+    name: str
+    rate: float
+    burst: float
+    weight: float = 1.0
+    priority: int = 0
+    residency: str | None = None
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClientKey:
+    """A caller's key; only its digest is ever kept.
+
+    ``name`` is the digest given by :func:`key_digest`; a deleted key is a withdrawn one.
+    """
+
+    name: str
+    account: str
+    operator: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModelService:
+    """A model that engines serve, and the regions in which it is placed.
+
+    ``adapter_of`` names the base model when this is an adapter. ``min_engines`` is kept for
+    each region of the placement; ``weight_bytes`` is what loading it takes from the store.
+    """
+
+    name: str
+    regions: tuple[str, ...]
+    adapter_of: str | None = None
+    version: str = "1"
+    min_engines: int = 1
+    weight_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlainService:
+    """A plain HTTP service beside the engines.
+
+    ``non_idempotent`` lists methods that may run at most once. ``cost`` is what one call
+    takes from the account, in tokens.
+    """
+
+    name: str
+    regions: tuple[str, ...]
+    non_idempotent: tuple[str, ...] = ("POST", "PATCH")
+    cost: int = 1
+    timeout_ms: int = 10_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BackendServer:
+    """One backend server as its operator declares it.
+
+    ``serves`` names models (engine) or services (plain). ``slots`` is how many requests it
+    takes at once and ``tokens_per_s`` its rated output. ``leaving`` asks for no new work.
+    """
+
+    name: str
+    kind: BackendKind
+    region: str
+    data_centre: str
+    host: str
+    port: int
+    serves: tuple[str, ...] = ()
+    slots: int = 16
+    tokens_per_s: float = 1_000.0
+    checks_fencing: bool = False
+    leaving: bool = False
+
+
+ConfigObject = (
+    Region | ResidencyRule | ClientAccount | ClientKey | ModelService | PlainService | BackendServer
+)
+
+_KINDS: dict[type, ObjectKind] = {
+    Region: ObjectKind.REGION,
+    ResidencyRule: ObjectKind.RESIDENCY,
+    ClientAccount: ObjectKind.ACCOUNT,
+    ClientKey: ObjectKind.KEY,
+    ModelService: ObjectKind.MODEL,
+    PlainService: ObjectKind.SERVICE,
+    BackendServer: ObjectKind.BACKEND,
+}
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ObjectRef:
+    """The name of one object, whether it exists or was deleted."""
+
+    kind: str
+    name: str
+
+
+def ref_of(obj: ConfigObject) -> ObjectRef:
+    """Return the reference of an object."""
+    return ObjectRef(_KINDS[type(obj)].value, obj.name)
+
+
+def key_digest(secret: str) -> str:
+    """Return the digest under which a caller's key is configured."""
+    return hashlib.sha256(secret.encode()).hexdigest()
--- /dev/null
+++ b/src/hickorybeam/model/ticket.py
@@ -0,0 +1,55 @@
+"""The change ticket: a number and the whole new state of each object it touches."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hickorybeam.model.config import (
+    BackendServer,
+    ClientAccount,
+    ClientKey,
+    ModelService,
+    ObjectRef,
+    PlainService,
+    Region,
+    ResidencyRule,
+    ref_of,
+)
+
+if TYPE_CHECKING:
+    from hickorybeam.model.config import ConfigObject
+
+__all__ = ("ChangeTicket",)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeTicket:
+    """One numbered change; a later number wins for each object."""
+
+    number: int
+    regions: tuple[Region, ...] = ()
+    residency_rules: tuple[ResidencyRule, ...] = ()
+    accounts: tuple[ClientAccount, ...] = ()
+    keys: tuple[ClientKey, ...] = ()
+    models: tuple[ModelService, ...] = ()
+    services: tuple[PlainService, ...] = ()
+    backends: tuple[BackendServer, ...] = ()
+    deleted: tuple[ObjectRef, ...] = ()
+    note: str = ""
+
+    def objects(self) -> tuple[ConfigObject, ...]:
+        """Return every object that the ticket sets."""
+        return (
+            *self.regions,
+            *self.residency_rules,
+            *self.accounts,
+            *self.keys,
+            *self.models,
+            *self.services,
+            *self.backends,
+        )
+
+    def touched(self) -> tuple[ObjectRef, ...]:
+        """Return every object that the ticket sets or deletes."""
+        return (*(ref_of(obj) for obj in self.objects()), *self.deleted)
--- /dev/null
+++ b/src/hickorybeam/settings/types.py
@@ -0,0 +1,155 @@
+"""The settings of one daemon. Every field has a default or is required; times are in ms."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+__all__ = (
+    "BackendSettings",
+    "ConfigSettings",
+    "ControlSettings",
+    "FrontSettings",
+    "LoadSettings",
+    "LogSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "Settings",
+    "ShareSettings",
+    "TlsSettings",
+    "VmSettings",
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmSettings:
+    """Who this entry VM is and where it listens; port 0 takes a free one."""
+
+    name: str
+    region: str
+    data_centre: str
+    host: str = "127.0.0.1"
+    http_port: int = 0
+    peer_port: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSettings:
+    """How to reach the platform's key-value service; ``prefix`` is ours within it."""
+
+    urls: tuple[str, ...]
+    prefix: str = "/hickorybeam/"
+    timeout_ms: int = 2_000
+    lease_ms: int = 10_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TlsSettings:
+    """Mutual authentication between VMs; ``plain`` must be said to go without."""
+
+    plain: bool = False
+    ca_file: str = ""
+    cert_file: str = ""
+    key_file: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSettings:
+    """Talk between entry VMs."""
+
+    seeds: tuple[str, ...] = ()
+    heartbeat_ms: int = 500
+    silent_after_ms: int = 2_000
+    call_timeout_ms: int = 1_000
+    tls: TlsSettings = field(default_factory=TlsSettings)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigSettings:
+    """Change tickets.
+
+    ``stale_after_ms`` bounds how long a VM serves that can learn of no withdrawn key, from
+    platform or peer; 0 lets it serve for ever.
+    """
+
+    read_back_ms: int = 2_000
+    snapshot_every: int = 200
+    stale_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FrontSettings:
+    """Limits towards callers."""
+
+    max_body_bytes: int = 2_000_000
+    max_header_bytes: int = 32_768
+    max_connections_per_address: int = 256
+    idle_ms: int = 75_000
+    body_timeout_ms: int = 10_000
+    memory_bytes: int = 256_000_000
+    entries_valid_ms: int = 10_000
+    default_deadline_ms: int = 60_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BackendSettings:
+    """Limits towards backend servers."""
+
+    connect_timeout_ms: int = 1_000
+    first_byte_ms: int = 30_000
+    between_ms: int = 5_000
+    report_every_ms: int = 500
+    idle_ms: int = 15_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShareSettings:
+    """Shares of each account's rate and burst."""
+
+    groups: int = 16
+    floor: float = 0.05
+    rebalance_ms: int = 2_000
+    loan_ms: int = 2_000
+    loan_margin_ms: int = 1_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadSettings:
+    """The policy profile: ``cheap`` weighs cost and the worst-served, ``fast`` tail latency."""
+
+    profile: str = "cheap"
+    max_wait_ms: int = 10_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ControlSettings:
+    """Orders to engines."""
+
+    enabled: bool = True
+    lease_ms: int = 6_000
+    order_timeout_ms: int = 1_500
+    reconcile_ms: int = 1_000
+    weight_store_bytes_per_s: float = 100_000_000.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LogSettings:
+    """``format`` is ``text`` or ``json`` (one object per line)."""
+
+    format: str = "text"
+    level: str = "info"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """Everything one daemon is told at its start."""
+
+    vm: VmSettings
+    platform: PlatformSettings
+    peers: PeerSettings = field(default_factory=PeerSettings)
+    config: ConfigSettings = field(default_factory=ConfigSettings)
+    front: FrontSettings = field(default_factory=FrontSettings)
+    backends: BackendSettings = field(default_factory=BackendSettings)
+    shares: ShareSettings = field(default_factory=ShareSettings)
+    load: LoadSettings = field(default_factory=LoadSettings)
+    control: ControlSettings = field(default_factory=ControlSettings)
+    log: LogSettings = field(default_factory=LogSettings)
--- /dev/null
+++ b/src/hickorybeam/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins for the platform, engines and plain services."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,78 @@
+"""Run the behave features, one process for each folder of ``tests/``, and add up the counts.
+
+Folders run side by side because each owns its ports and clocks; the sum is printed in one
+line that CI reads. Arguments name folders (``tickets``) or paths to features.
+"""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TESTS = ROOT / "tests"
+WORKERS = 4
+SUMMARY = re.compile(
+    r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?(?:, (\d+) skipped)?", re.M
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one behave process reported."""
+
+    name: str
+    passed: int
+    failed: int
+    skipped: int
+    output: str
+
+
+def suites(args: list[str]) -> list[Path]:
+    """Return the folders or features to run."""
+    if args:
+        return [path if (path := Path(arg)).exists() else TESTS / arg for arg in args]
+    return sorted({path.parent for path in TESTS.rglob("*.feature")})
+
+
+def run_suite(path: Path) -> Outcome:
+    """Run one folder and read its counts; a crash counts as one failure."""
+    cmd = [sys.executable, "-m", "behave", str(path)]
+    done = subprocess.run(cmd, cwd=ROOT, capture_output=True, text=True, check=False)
+    output = done.stdout + done.stderr
+    name = str(path.resolve().relative_to(TESTS))
+    found = SUMMARY.search(output)
+    if found is None:
+        return Outcome(name, 0, 1, 0, output)
+    passed, failed, errors, skipped = (int(group or 0) for group in found.groups())
+    failed += errors
+    if done.returncode and not failed:
+        failed = 1
+    return Outcome(name, passed, failed, skipped, output)
+
+
+def main(args: list[str]) -> int:
+    """Run every suite and print the closing line."""
+    with ThreadPoolExecutor(WORKERS) as pool:
+        outcomes = list(pool.map(run_suite, suites(args)))
+    for outcome in outcomes:
+        print(f"{outcome.name}: {outcome.passed} passed, {outcome.failed} failed")
+        if outcome.failed:
+            print(outcome.output)
+    known_red = ROOT / "KNOWN-RED.txt"
+    if known_red.exists():
+        print(f"passed over, known red:\n{known_red.read_text()}")
+    passed, failed, skipped = (
+        sum(getattr(outcome, field) for outcome in outcomes)
+        for field in ("passed", "failed", "skipped")
+    )
+    print(f"{passed} passed, {failed} failed, {skipped} skipped")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
