--- a/src/hickorybeam/settings/__init__.py
+++ b/src/hickorybeam/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hickorybeam.settings.load import load_file, load_settings
 from hickorybeam.settings.types import (
     BackendSettings,
     ConfigSettings,
@@ -30,4 +31,6 @@
     "ShareSettings",
     "TlsSettings",
     "VmSettings",
+    "load_file",
+    "load_settings",
 )
--- /dev/null
+++ b/src/hickorybeam/settings/checks.py
@@ -0,0 +1,109 @@
+"""Faults in settings that types alone cannot show."""
+
+from __future__ import annotations
+
+from dataclasses import fields, is_dataclass
+from typing import TYPE_CHECKING
+
+from hickorybeam.decode import Fault
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hickorybeam.settings.types import Settings
+
+__all__ = ("check_settings",)
+
+PROFILES = ("cheap", "fast")
+LOG_FORMATS = ("text", "json")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+MAX_PORT = 65_535
+
+# 0 has a meaning for these ("no bound"); for every other duration or size it is a fault.
+ZERO_ALLOWED = frozenset({"config.stale_after_ms"})
+
+
+def check_settings(cfg: Settings) -> tuple[Fault, ...]:
+    """Return every fault of value or combination."""
+    return (
+        *_positive(cfg, ""),
+        *_choices(cfg),
+        *_ports(cfg),
+        *_transport(cfg),
+        *_timing(cfg),
+    )
+
+
+def _positive(section: object, key: str) -> Iterator[Fault]:
+    for field in fields(section):  # type: ignore[arg-type]
+        value = getattr(section, field.name)
+        path = f"{key}.{field.name}" if key else field.name
+        if is_dataclass(value):
+            yield from _positive(value, path)
+        elif field.name.endswith(("_ms", "_bytes", "_per_s")) and path not in ZERO_ALLOWED:
+            if value <= 0:
+                yield Fault(path, "a number above 0", repr(value))
+        elif field.name.endswith("_ms") and value < 0:
+            yield Fault(path, "0 or a number above it", repr(value))
+
+
+def _choices(cfg: Settings) -> Iterator[Fault]:
+    for key, value, allowed in (
+        ("load.profile", cfg.load.profile, PROFILES),
+        ("log.format", cfg.log.format, LOG_FORMATS),
+        ("log.level", cfg.log.level, LOG_LEVELS),
+    ):
+        if value not in allowed:
+            yield Fault(key, "one of " + ", ".join(map(repr, allowed)), repr(value))
+    for key, name in (
+        ("vm.name", cfg.vm.name),
+        ("vm.region", cfg.vm.region),
+        ("vm.data_centre", cfg.vm.data_centre),
+    ):
+        if not name:
+            yield Fault(key, "a name", repr(name))
+    if not cfg.platform.urls:
+        yield Fault("platform.urls", "at least one address", "an empty list")
+    if not 0 < cfg.shares.floor < 1:
+        yield Fault("shares.floor", "a fraction between 0 and 1", repr(cfg.shares.floor))
+    if cfg.shares.groups < 1:
+        yield Fault("shares.groups", "a whole number above 0", repr(cfg.shares.groups))
+
+
+def _ports(cfg: Settings) -> Iterator[Fault]:
+    for name in ("http_port", "peer_port"):
+        port = getattr(cfg.vm, name)
+        if not 0 <= port <= MAX_PORT:
+            yield Fault(f"vm.{name}", f"a port from 0 to {MAX_PORT}", repr(port))
+    if cfg.vm.http_port and cfg.vm.http_port == cfg.vm.peer_port:
+        yield Fault("vm.peer_port", "a port other than vm.http_port", repr(cfg.vm.peer_port))
+
+
+def _transport(cfg: Settings) -> Iterator[Fault]:
+    tls = cfg.peers.tls
+    files = {"ca_file": tls.ca_file, "cert_file": tls.cert_file, "key_file": tls.key_file}
+    if tls.plain:
+        for name, value in files.items():
+            if value:
+                yield Fault(f"peers.tls.{name}", "nothing, as peers.tls.plain is true", repr(value))
+        return
+    for name, value in files.items():
+        if not value:
+            yield Fault(f"peers.tls.{name}", "a file, or peers.tls.plain set to true", "nothing")
+
+
+def _timing(cfg: Settings) -> Iterator[Fault]:
+    # A peer that misses one heartbeat is not silent: two must fit into the limit.
+    if cfg.peers.silent_after_ms < 2 * cfg.peers.heartbeat_ms:
+        yield Fault(
+            "peers.silent_after_ms",
+            f"at least twice peers.heartbeat_ms ({2 * cfg.peers.heartbeat_ms})",
+            repr(cfg.peers.silent_after_ms),
+        )
+    # A holder must be able to fail one order and still know whether its lease holds.
+    if cfg.control.lease_ms < 2 * cfg.control.order_timeout_ms:
+        yield Fault(
+            "control.lease_ms",
+            f"at least twice control.order_timeout_ms ({2 * cfg.control.order_timeout_ms})",
+            repr(cfg.control.lease_ms),
+        )
--- /dev/null
+++ b/src/hickorybeam/settings/load.py
@@ -0,0 +1,54 @@
+"""Read settings and other operator files written in JSON with comments."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, TypeVar
+
+import json5
+
+from hickorybeam.decode import Fault, decode
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.settings.checks import check_settings
+from hickorybeam.settings.types import Settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ("load_file", "load_settings")
+
+T = TypeVar("T")
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read and check a settings file.
+
+    :param path: a file in JSON with comments.
+    :return: the settings; raises ``SETTINGS_INVALID`` with every fault at once.
+    """
+    return load_file(Settings, path, kind=ErrorKind.SETTINGS_INVALID, check=check_settings)
+
+
+def load_file(
+    cls: type[T],
+    path: str | Path,
+    *,
+    kind: ErrorKind,
+    check: Callable[[T], tuple[Fault, ...]] = lambda _: (),
+) -> T:
+    """Read a file in JSON with comments into a data class.
+
+    :param kind: the error kind raised when the file has faults.
+    :param check: finds faults that types cannot show.
+    """
+    try:
+        raw = json5.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as exc:
+        raise GatewayError(kind, f"{path}: {exc}", faults=(f"{path}: {exc}",)) from exc
+    value, faults = decode(cls, raw)
+    if value is not None:
+        faults = check(value)
+    if value is None or faults:
+        texts = tuple(f"{path}: {fault}" for fault in faults)
+        raise GatewayError(kind, f"{len(texts)} faults: " + "; ".join(texts), faults=texts)
+    return value
--- /dev/null
+++ b/tests/settings/load.feature
@@ -0,0 +1,40 @@
+Feature: settings in JSON with comments, every fault named at once
+
+  Background:
+    Given a settings file
+      """
+      {
+        // one entry VM
+        vm: {name: "dk-1", region: "dakar-plateau", data_centre: "dk-a"},
+        platform: {urls: ["http://127.0.0.1:2379"]},
+        peers: {tls: {plain: true}},
+      }
+      """
+
+  Scenario: comments are allowed and defaults filled in
+    Then the settings load with "vm.name" as "dk-1"
+    And the settings load with "config.read_back_ms" as "2000"
+
+  Scenario Outline: a fault names the file, the key, what was expected and what was found
+    When the settings file has "<old>" replaced by "<new>"
+    Then loading the settings reports exactly "<fault>"
+
+    Examples:
+      | old            | new                       | fault                                                                                   |
+      | name: "dk-1"   | name: 7                   | vm.name: expected a string, found 7                                                     |
+      | name: "dk-1",  |                           | vm.name: expected a string, found nothing                                               |
+      | name: "dk-1"   | name: "dk-1", regoin: "x" | vm.regoin: expected a known key (did you mean 'region'?), found 'regoin'                |
+      | name: "dk-1"   | name: "dk-1", http_port: 70000 | vm.http_port: expected a port from 0 to 65535, found 70000                         |
+      | name: "dk-1"   | name: "dk-1", http_port: true  | vm.http_port: expected a whole number, found True                                  |
+      | plain: true    | plain: true, ca_file: "a" | peers.tls.ca_file: expected nothing, as peers.tls.plain is true, found 'a'              |
+      | peers: {       | load: {profile: "best"}, peers: { | load.profile: expected one of 'cheap', 'fast', found 'best'                     |
+      | peers: {       | peers: {heartbeat_ms: 1500, | peers.silent_after_ms: expected at least twice peers.heartbeat_ms (3000), found 2000  |
+      | peers: {       | front: {idle_ms: 0}, peers: { | front.idle_ms: expected a number above 0, found 0                                   |
+
+  Scenario: several faults come in one report
+    When the settings file has "name: "dk-1", region: "dakar-plateau"" replaced by "regoin: 3"
+    Then loading the settings reports 3 faults
+
+  Scenario: a file that is not JSON is one clear fault
+    When the settings file has "{" replaced by "["
+    Then loading the settings reports 1 faults
