--- a/src/hickorybeam/kernel/kernel.py
+++ b/src/hickorybeam/kernel/kernel.py
@@ -28,7 +28,7 @@
 
 
 class Started:
-    """Handed to a service's ``run``; called once when the service is ready for neighbours."""
+    """Handed to a service's ``main``; called once when the service is ready for neighbours."""
 
     def __init__(self) -> None:
         self.event = anyio.Event()
@@ -51,7 +51,7 @@
     def bind(self, kernel: Kernel) -> None:
         """Look up neighbours; called once for every service before any starts."""
 
-    async def run(self, started: Started) -> None:
+    async def main(self, started: Started) -> None:
         """Serve until cancelled; call ``started()`` when ready."""
         started()
         await anyio.sleep_forever()
@@ -132,7 +132,7 @@
                 while True:
                     begun = self.clock.now()
                     try:
-                        await service.run(started)
+                        await service.main(started)
                     except Exception as exc:
                         if not started.event.is_set():
                             raise
--- a/tests/steps/kernel/kernel_steps.py
+++ b/tests/steps/kernel/kernel_steps.py
@@ -14,7 +14,7 @@
         crashes = 0
         starts = 0
 
-        async def run(self, started):
+        async def main(self, started):
             self.starts += 1
             events.append(f"start {self.name}")
             started()
