--- /dev/null
+++ b/tests/steps/dispatch/fakes.py
@@ -0,0 +1,311 @@
+"""Small fakes at the ports of dispatch: one class for each neighbour."""
+
+from __future__ import annotations
+
+import anyio
+
+from hickorybeam.clock import ManualClock
+from hickorybeam.dispatch import DispatchService
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.kernel import Kernel, Service
+from hickorybeam.model import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    BackendKind,
+    BackendServer,
+    Call,
+    CallKind,
+    ClientAccount,
+    ClientKey,
+    ConfigState,
+    EntryVm,
+    ModelService,
+    PlainService,
+    Region,
+    ResidencyRule,
+    Usage,
+    Versioned,
+    VmId,
+    ref_of,
+)
+from hickorybeam.settings import LoadSettings, PlatformSettings, Settings, VmSettings
+from hickorybeam.telemetry import Counters
+
+HERE = "dakar-plateau"
+THERE = "thies-nord"
+BUDGET = 1_000
+
+
+def engine(name, *, region=HERE, **more):
+    return BackendServer(
+        name=name,
+        kind=BackendKind.ENGINE,
+        region=region,
+        data_centre=region,
+        host="127.0.0.1",
+        port=1,
+        serves=("guide", "orders"),
+        **more,
+    )
+
+
+def vm_in(region, name):
+    return EntryVm(
+        id=VmId(name, "1"),
+        region=region,
+        data_centre=region,
+        host="127.0.0.1",
+        http_port=1,
+        peer_port=2,
+    )
+
+
+def state_of(objects, *, position, deleted=()):
+    table = {ref_of(obj): Versioned(position, obj) for obj in objects}
+    table |= {ref_of(obj): Versioned(position, None) for obj in deleted}
+    return ConfigState(position=position, head_ticket=position, objects=table)
+
+
+def base_objects(engines):
+    return [
+        Region(name=HERE, data_centres=(HERE,)),
+        Region(name=THERE, data_centres=(THERE,)),
+        ResidencyRule(name="here-only", regions=(HERE,)),
+        ResidencyRule(name="there-only", regions=(THERE,)),
+        ClientAccount(name="family", rate=100, burst=1_000),
+        ClientAccount(name="bound", rate=100, burst=1_000, residency="here-only"),
+        ClientAccount(name="abroad", rate=100, burst=1_000, residency="there-only"),
+        ClientAccount(name="lost-rule", rate=100, burst=1_000, residency="nowhere"),
+        ClientKey(name="digest", account="family"),
+        ModelService(name="guide", regions=(HERE, THERE)),
+        PlainService(name="orders", regions=(HERE,)),
+        *engines,
+    ]
+
+
+class FakeConfig(Service):
+    name = "config"
+
+    def __init__(self, state):
+        self.state = state
+        self.event = anyio.Event()
+
+    def current(self):
+        return self.state
+
+    def age_ms(self):
+        return 0
+
+    async def wait_for(self, position, *, timeout_ms):
+        raise GatewayError(ErrorKind.CONFIG_BEHIND)
+
+    async def changed(self, position):
+        while self.state.position <= position:
+            await self.event.wait()
+        return self.state
+
+    async def submit(self, ticket):
+        raise NotImplementedError
+
+    def set(self, state):
+        self.state = state
+        self.event.set()
+        self.event = anyio.Event()
+
+
+class FakeMembers(Service):
+    name = "members"
+
+    def __init__(self):
+        self.others = []
+        self.loads = ()
+        self.reported = ()
+
+    @property
+    def me(self):
+        return vm_in(HERE, "vm-here")
+
+    def vms(self):
+        return (self.me, *self.others)
+
+    def find(self, vm):
+        return next((found for found in self.vms() if found.id == vm), None)
+
+    def region_loads(self):
+        return self.loads
+
+    def report_load(self, loads):
+        self.reported = loads
+
+    def publish(self, name, note):
+        pass
+
+    def heard(self, name, listener):
+        pass
+
+    def leave(self):
+        pass
+
+
+class FakeBudget(Service):
+    name = "budget"
+
+    def __init__(self):
+        self.left = BUDGET
+        self.takes = 0
+
+    async def take(self, account, tokens):
+        self.takes += 1
+        if tokens > self.left:
+            raise GatewayError(ErrorKind.RATE_LIMITED, retry_after_ms=500)
+        self.left -= tokens
+
+    def settle(self, account, taken, used):
+        self.left += taken - used
+
+
+class FakeBackends(Service):
+    """Answers each call by the plan of its backend server.
+
+    A plan is one of ``ok``, ``hang`` (head, one chunk of 3 tokens, then silence), ``mute``
+    (nothing at all), ``cut`` (stops without its end), ``refuse`` (ran: no) or ``fail``
+    (ran: unknown).
+    """
+
+    name = "backends"
+
+    def __init__(self):
+        self.plans = {}
+        self.reports = {}
+        self.ran = []
+        self.cancelled = []
+
+    def report(self, backend):
+        return self.reports.get(backend)
+
+    async def run(self, call, backend):
+        plan = self.plans.get(backend.name, "ok")
+        self.ran.append(backend.name)
+        done = False
+        try:
+            if plan == "mute":
+                await anyio.sleep_forever()
+            if plan == "refuse":
+                raise GatewayError(ErrorKind.BACKEND_REFUSED)
+            if plan == "fail":
+                raise GatewayError(ErrorKind.BACKEND_FAILED)
+            yield AnswerHead(200)
+            yield AnswerChunk(b"abc", 3)
+            if plan == "hang":
+                await anyio.sleep_forever()
+            if plan != "cut":
+                yield AnswerEnd(Usage(call.prompt_tokens, 5), backend.name, backend.region)
+            done = True
+        finally:
+            if not done:
+                self.cancelled.append(backend.name)
+
+
+class FakePeers(Service):
+    name = "peers"
+
+    def __init__(self):
+        self.forwarded = []
+        self.fault = None
+
+    async def forward(self, call, vm):
+        self.forwarded.append((call, vm))
+        if self.fault is not None:
+            raise self.fault
+        yield AnswerHead(200)
+        yield AnswerEnd(Usage(call.prompt_tokens, 5), "far", vm.region)
+
+    async def ask(self, vm, topic, request, *, timeout_ms=None):
+        raise NotImplementedError
+
+    def serve(self, topic, handler):
+        pass
+
+
+class Gateway:
+    """A dispatch service among fakes, running in a kernel on a manual clock."""
+
+    def __init__(self, *, engines=(), load=None):
+        self.clock = ManualClock()
+        self.engines = list(engines)
+        self.config = FakeConfig(state_of(base_objects(self.engines), position=1))
+        self.members = FakeMembers()
+        self.budget = FakeBudget()
+        self.backends = FakeBackends()
+        self.peers = FakePeers()
+        self.counters = Counters()
+        self.kernel = Kernel(self.clock)
+        cfg = Settings(
+            vm=VmSettings(name="vm-here", region=HERE, data_centre=HERE),
+            platform=PlatformSettings(urls=()),
+            load=load or LoadSettings(),
+        )
+        self.dispatch = DispatchService(cfg=cfg, clock=self.clock, counters=self.counters)
+        for service in (self.config, self.members, self.budget, self.backends, self.peers):
+            self.kernel.add(service)
+        self.kernel.add(self.dispatch)
+
+    async def __aenter__(self):
+        ready = anyio.Event()
+        self.tg = anyio.create_task_group()
+        await self.tg.__aenter__()
+        self.tg.start_soon(lambda: self.kernel.run(ready=ready.set))
+        await ready.wait()
+        await anyio.wait_all_tasks_blocked()
+        return self
+
+    async def __aexit__(self, *exc):
+        self.tg.cancel_scope.cancel()
+        return await self.tg.__aexit__(*exc)
+
+
+class Caller:
+    """Sends one call in its own task and keeps what it received."""
+
+    def __init__(self, gateway, call):
+        self.gateway = gateway
+        self.call = call
+        self.parts = []
+        self.fault = None
+        self.done = False
+        self.scope = anyio.CancelScope()
+
+    async def run(self):
+        with self.scope:
+            answer = self.gateway.dispatch.run(self.call)
+            try:
+                async for part in answer:
+                    self.parts.append(part)
+            except GatewayError as exc:
+                self.fault = exc
+            finally:
+                await answer.aclose()
+            self.done = True
+
+    @property
+    def outcome(self):
+        if self.fault is not None:
+            return self.fault.kind.value
+        if self.parts and isinstance(self.parts[-1], AnswerEnd):
+            return "whole"
+        return "cut" if self.done else "running"
+
+
+def call_of(account="family", **more):
+    values = {
+        "request_id": "r1",
+        "key_digest": "digest",
+        "kind": CallKind.CHAT,
+        "served": "guide",
+        "prompt_tokens": 10,
+        "max_tokens": 90,
+        "cost": 100,
+        "deadline_ms": 5_000,
+    }
+    return Call(account=account, **(values | more))
