--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -41,7 +41,7 @@
 
 def run_suite(path: Path) -> Outcome:
     """Run one folder and read its counts; a crash counts as one failure."""
-    cmd = [sys.executable, "-m", "behave", str(path)]
+    cmd = [sys.executable, "-m", "behave", "--format=progress3", str(path)]
     done = subprocess.run(cmd, cwd=ROOT, capture_output=True, text=True, check=False)
     output = done.stdout + done.stderr
     name = str(path.resolve().relative_to(TESTS))
