--- /dev/null
+++ b/src/hickorybeam/httpserve.py
@@ -0,0 +1,130 @@
+"""Runs an ASGI app under uvicorn inside a running event loop, with no signal handlers."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import uvicorn
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+__all__ = ("Listener", "listening")
+
+BACKLOG = 2_048
+# Above every pooled connection's idle age in ``BackendSettings``: the end that reuses a
+# connection must give it up first, or a request meets a connection that closes under it.
+DEFAULT_KEEP_ALIVE_MS = 75_000
+MS_PER_SECOND = 1000
+
+
+class _Server(uvicorn.Server):
+    """uvicorn's server without signal handlers and with an event for its start."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.up = anyio.Event()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the daemon: several servers live in one process."""
+        yield
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets=sockets)
+        self.up.set()
+
+
+class Listener:
+    """A server that listens: its real port and the ways to end it."""
+
+    def __init__(self, server: _Server, host: str, port: int) -> None:
+        self._server = server
+        self.host = host
+        self.port = port
+
+    @property
+    def url(self) -> str:
+        """The address to call."""
+        return f"http://{self.host}:{self.port}"
+
+    @property
+    def connections(self) -> int:
+        """How many connections are open now."""
+        return len(self._server.server_state.connections)
+
+    def finish(self) -> None:
+        """Stop accepting; open requests finish and their connections close."""
+        self._server.should_exit = True
+
+    def abort(self) -> None:
+        """Stop at once and cut every open connection."""
+        self._server.should_exit = True
+        self._server.force_exit = True
+        for conn in tuple(self._server.server_state.connections):
+            transport = getattr(conn, "transport", None)
+            if transport is not None:
+                transport.abort()
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Return a bound TCP socket; port 0 takes a free one."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+@contextlib.asynccontextmanager
+async def listening(
+    app: Any,
+    *,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    http: Any = "httptools",
+    keep_alive_ms: int = DEFAULT_KEEP_ALIVE_MS,
+) -> AsyncIterator[Listener]:
+    """Serve an app until the block ends; then every open connection is cut.
+
+    :param app: the ASGI app.
+    :param http: uvicorn's protocol class or its name.
+    :param keep_alive_ms: how long a connection may idle between requests.
+    """
+    config = uvicorn.Config(
+        app,
+        http=http,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        log_level="critical",
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        backlog=BACKLOG,
+        timeout_keep_alive=max(1, keep_alive_ms // MS_PER_SECOND),
+        timeout_graceful_shutdown=None,
+    )
+    sock = bind(host, port)
+    server = _Server(config)
+    listener = Listener(server, host, sock.getsockname()[1])
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_serve, server, sock)
+        try:
+            await server.up.wait()
+            yield listener
+        finally:
+            listener.abort()
+
+
+async def _serve(server: _Server, sock: socket.socket) -> None:
+    # Shielded, because a cancelled uvicorn leaves its sockets open: the port would stay
+    # taken after a restart. ``abort`` or ``finish`` ends it within one tick of 0.1 s.
+    with anyio.CancelScope(shield=True):
+        await server.serve(sockets=[sock])
--- /dev/null
+++ b/src/hickorybeam/standins/http.py
@@ -0,0 +1,128 @@
+"""Small helpers that the HTTP stand-ins share: bodies, JSON answers and fault switches."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, MutableMapping
+
+    Scope = MutableMapping[str, Any]
+    Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+    Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+__all__ = ("CutOffError", "Exchange", "Fault", "FaultKind", "Faults")
+
+
+class CutOffError(Exception):
+    """Raised inside an app to make the server drop the connection in mid-answer."""
+
+
+class FaultKind(Enum):
+    """What a stand-in can be told to do wrong."""
+
+    NONE = "none"
+    SLOW = "slow"
+    FAIL = "fail"
+    SILENT = "silent"
+    CUT = "cut"
+    REFUSE = "refuse"
+    LATE = "late"
+    ACCEPT_SILENT = "accept_silent"
+    CROSSED = "crossed"
+    DUPLICATE = "duplicate"
+    SHORT = "short"
+    NO_END = "no_end"
+    GARBLED = "garbled"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """One fault switch.
+
+    ``after`` counts tokens or bytes before it strikes, ``ms`` is how late, ``factor`` how
+    slow, ``status`` what a failure answers, and ``count`` how many answers it strikes.
+    """
+
+    kind: FaultKind = FaultKind.NONE
+    after: int = 0
+    ms: int = 0
+    factor: float = 1.0
+    status: int = 500
+    count: int = 1_000_000_000
+
+
+class Faults:
+    """The switch of one stand-in; taking it counts down."""
+
+    def __init__(self) -> None:
+        self._fault = Fault()
+        self._left = 0
+
+    @property
+    def current(self) -> Fault:
+        """The switch as it stands, not counted down."""
+        return self._fault if self._left > 0 else Fault()
+
+    def set(self, fault: Fault) -> None:
+        """Turn the switch."""
+        self._fault = fault
+        self._left = fault.count
+
+    def take(self) -> Fault:
+        """Return the fault for one answer."""
+        if self._left <= 0:
+            return Fault()
+        self._left -= 1
+        return self._fault
+
+
+class Exchange:
+    """One request and its answer, over the ASGI calls."""
+
+    def __init__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query = dict(parse_qsl(scope["query_string"].decode()))
+        self.headers = {name.decode(): value.decode("latin-1") for name, value in scope["headers"]}
+        self._receive = receive
+        self._send = send
+
+    async def body(self) -> bytes:
+        """Read the whole body."""
+        parts = []
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise CutOffError
+            parts.append(message.get("body", b""))
+            if not message.get("more_body"):
+                return b"".join(parts)
+
+    async def gone(self) -> None:
+        """Wait until the other end has closed its connection."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        raw = [(name.encode(), value.encode("latin-1")) for name, value in headers.items()]
+        await self._send({"type": "http.response.start", "status": status, "headers": raw})
+
+    async def write(self, data: bytes, *, more: bool = True) -> None:
+        """Send a part of the body."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": more})
+
+    async def json(
+        self, status: int, value: object, *, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole JSON answer."""
+        data = msgspec.json.encode(value)
+        head = {"content-type": "application/json", "content-length": str(len(data))}
+        await self.start(status, head | (headers or {}))
+        await self.write(data, more=False)
