--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -13,6 +13,7 @@
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "RouteSettings",
     "Settings",
     "ShareSettings",
     "TlsSettings",
@@ -52,6 +53,17 @@
     key_file: str = ""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouteSettings:
+    """Reach a peer's advertised address by another one, as behind address translation.
+
+    Both are ``host:port``.
+    """
+
+    address: str
+    via: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerSettings:
     """Talk between entry VMs."""
@@ -61,6 +73,7 @@
     silent_after_ms: int = 2_000
     call_timeout_ms: int = 1_000
     tls: TlsSettings = field(default_factory=TlsSettings)
+    routes: tuple[RouteSettings, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
