peers: typed requests and forwarded calls over grpclib and MessagePack

Frozen data classes travel by msgspec; answers.Header is imported at run time, since msgspec resolves field types when it first encodes. An answer ends with an end marker, so a cut stream is STREAM_BROKEN.

--- a/src/hickorybeam/model/answers.py
+++ b/src/hickorybeam/model/answers.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from hickorybeam.model.calls import Header
+# Needed at run time: msgspec reads the field types when it encodes.
+from hickorybeam.model.calls import Header  # noqa: TC001
 
 __all__ = ("AnswerChunk", "AnswerEnd", "AnswerHead", "AnswerPart", "Usage")
 
--- a/src/hickorybeam/peers/__init__.py
+++ b/src/hickorybeam/peers/__init__.py
@@ -1,3 +1,8 @@
-"""Between entry VMs: membership, exchange, forwarding, token loans."""
+"""Entry VMs among themselves: typed requests, forwarded calls, membership."""
 
 from __future__ import annotations
+
+from hickorybeam.peers.codec import pack, unpack
+from hickorybeam.peers.service import PeersService
+
+__all__ = ("PeersService", "pack", "unpack")
--- /dev/null
+++ b/src/hickorybeam/peers/client.py
@@ -0,0 +1,168 @@
+"""Calls to peers over one channel: what is sent, what comes back, and what a failure means.
+
+A failure before the request's body went out means that nothing ran. After that the peer may
+have acted, and only its own word says otherwise.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import h2.exceptions
+import msgspec
+from grpclib.const import Cardinality
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from hickorybeam.clock import MS_PER_SECOND
+from hickorybeam.errors import ErrorKind, GatewayError, Ran
+from hickorybeam.model import AnswerEnd
+from hickorybeam.peers.wire import (
+    ASK_METHOD,
+    FORWARD_METHOD,
+    Answered,
+    Ask,
+    Forward,
+    Parts,
+    to_error,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Iterator
+
+    from hickorybeam.model import AnswerPart
+    from hickorybeam.peers.links import Address, Links, PeerChannel
+
+__all__ = ("PeerClient",)
+
+# grpclib reports a connection that ends inside a message by an assertion.
+TRANSPORT_ERRORS = (
+    OSError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    AssertionError,
+    h2.exceptions.ProtocolError,
+    msgspec.DecodeError,
+)
+
+
+class Progress:
+    """How far one call got; ``sent`` from the moment its body may have reached the peer."""
+
+    __slots__ = ("answered", "heard_before", "sent")
+
+    def __init__(self, channel: PeerChannel) -> None:
+        self.sent = False
+        self.answered = False
+        self.heard_before = channel.heard_bytes()
+
+    @property
+    def ran(self) -> Ran:
+        """What a failure now says about the work."""
+        return Ran.UNKNOWN if self.sent else Ran.NO
+
+
+class PeerClient:
+    """Sends calls through the links and turns every failure into a ``GatewayError``."""
+
+    def __init__(self, links: Links) -> None:
+        self._links = links
+
+    async def ask(self, address: Address, request: Ask, *, timeout_ms: int) -> bytes:
+        """Send one request and return the reply's body.
+
+        :param timeout_ms: for the whole call, connecting included.
+        """
+        with self._links.channel(address) as channel, self._failures(address, channel) as progress:
+            call = channel.request(
+                ASK_METHOD,
+                Cardinality.UNARY_UNARY,
+                Ask,
+                Answered,
+                timeout=timeout_ms / MS_PER_SECOND,
+            )
+            async with call as stream:
+                await stream.send_request()
+                progress.sent = True
+                await stream.send_message(request, end=True)
+                reply: Answered | None = await stream.recv_message()
+        if reply is None:
+            raise _unreachable(address, "no reply", progress.ran)
+        if reply.error is not None:
+            raise to_error(reply.error)
+        return reply.body
+
+    async def forward(self, address: Address, request: Forward) -> AsyncGenerator[AnswerPart, None]:
+        """Send a call and yield the answer's parts; closing the iterator cancels it there."""
+        ended = False
+        with self._links.channel(address) as channel, self._failures(address, channel) as progress:
+            call = channel.request(FORWARD_METHOD, Cardinality.UNARY_STREAM, Forward, Parts)
+            async with call as stream:
+                await stream.send_request()
+                progress.sent = True
+                await stream.send_message(request, end=True)
+                async for parts in stream:
+                    progress.answered = True
+                    for part in _in_order(parts):
+                        ended = isinstance(part, AnswerEnd)
+                        yield part
+                    if parts.error is not None:
+                        raise to_error(parts.error)
+                    if ended:
+                        break
+        if not ended:
+            # The peer's process can end a stream in good form without the answer's end, for
+            # example when its handler dies; the caller would take half an answer for whole.
+            raise GatewayError(ErrorKind.STREAM_BROKEN, "the peer's stream has no end marker")
+
+    @contextmanager
+    def _failures(self, address: Address, channel: PeerChannel) -> Iterator[Progress]:
+        progress = Progress(channel)
+        with _absorb_cancellations():
+            try:
+                yield progress
+            except GatewayError:
+                raise
+            except ssl.SSLCertVerificationError as exc:
+                raise GatewayError(ErrorKind.PEER_REFUSED, str(address), ran=Ran.NO) from exc
+            except TimeoutError as exc:
+                if channel.heard_bytes() == progress.heard_before:
+                    self._links.retire(address, channel)
+                raise _unreachable(address, "timeout", progress.ran) from exc
+            except TRANSPORT_ERRORS as exc:
+                if progress.answered:
+                    raise GatewayError(ErrorKind.STREAM_BROKEN, str(address)) from exc
+                raise _unreachable(address, type(exc).__name__, progress.ran) from exc
+
+
+def _in_order(parts: Parts) -> Iterator[AnswerPart]:
+    if parts.head is not None:
+        yield parts.head
+    yield from parts.chunks
+    if parts.end is not None:
+        yield parts.end
+
+
+def _unreachable(address: Address, why: str, ran: Ran) -> GatewayError:
+    return GatewayError(ErrorKind.PEER_UNREACHABLE, f"{address}: {why}", ran=ran)
+
+
+@contextmanager
+def _absorb_cancellations() -> Iterator[None]:
+    """Take back the task cancellations by which grpclib wakes a call that has failed.
+
+    It cancels the task, swallows the cancellation and raises its own error, but leaves the
+    task's count of cancellations raised; an outer timeout or task group would later read
+    that as a cancellation of its own and end the service without an error.
+    """
+    task = asyncio.current_task()
+    before = task.cancelling() if task is not None else 0
+    try:
+        yield
+    except GatewayError:
+        while task is not None and task.cancelling() > before:
+            task.uncancel()
+        raise
--- /dev/null
+++ b/src/hickorybeam/peers/server.py
@@ -0,0 +1,95 @@
+"""The listening side: grpclib calls in, handlers of the service out."""
+
+from __future__ import annotations
+
+import logging
+from contextlib import aclosing
+from typing import TYPE_CHECKING, Any, Protocol
+
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Server
+
+from hickorybeam.peers.codec import MessagePackCodec
+from hickorybeam.peers.links import AbortableProtocol, keep_alive
+from hickorybeam.peers.wire import ASK_METHOD, FORWARD_METHOD, Answered, Ask, Forward, Parts
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import AsyncGenerator
+
+__all__ = ("PeerServer", "Receiver")
+
+# The library logs a line for every call that its sender cancelled, which is daily business.
+logging.getLogger("grpclib.server").setLevel(logging.WARNING)
+
+
+class Receiver(Protocol):
+    """What answers the calls; errors are part of its answers."""
+
+    async def on_ask(self, ask: Ask, certificate: dict[str, Any] | None) -> Answered:
+        """Answer one request."""
+        ...
+
+    def on_forward(
+        self, forward: Forward, certificate: dict[str, Any] | None
+    ) -> AsyncGenerator[Parts, None]:
+        """Run a forwarded call; cancelled when the sender goes away."""
+        ...
+
+
+class PeerServer(Server):  # type: ignore[misc]
+    """grpclib's server over our codec, on one port."""
+
+    def __init__(self, receiver: Receiver, *, silent_after_ms: int) -> None:
+        self._receiver = receiver
+        self._protocols: list[AbortableProtocol] = []
+        super().__init__([self], codec=MessagePackCodec(), config=keep_alive(silent_after_ms))
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods, as grpclib asks for them."""
+        return {
+            ASK_METHOD: Handler(self._ask, Cardinality.UNARY_UNARY, Ask, Answered),
+            FORWARD_METHOD: Handler(self._forward, Cardinality.UNARY_STREAM, Forward, Parts),
+        }
+
+    async def listen(self, host: str, port: int, *, tls: ssl.SSLContext | None) -> int:
+        """Start listening.
+
+        :return: the real port, where 0 was asked for.
+        """
+        await self.start(host, port, ssl=tls, reuse_address=True)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def sweep(self) -> None:
+        """End connections whose close hangs; called now and then."""
+        for protocol in self._protocols:
+            protocol.abort_if_closing()
+        self._protocols = [
+            protocol
+            for protocol in self._protocols
+            if protocol.transport is None or not protocol.transport.is_closing()
+        ]
+
+    def abort(self) -> None:
+        """Stop listening and end every connection at once."""
+        self.close()
+        for protocol in self._protocols:
+            if protocol.transport is not None:
+                protocol.transport.abort()  # type: ignore[attr-defined]
+        self._protocols.clear()
+
+    def _protocol_factory(self) -> AbortableProtocol:
+        plain: Any = super()._protocol_factory()
+        protocol = AbortableProtocol(plain.handler, plain.config, plain.h2_config)
+        self._protocols.append(protocol)
+        return protocol
+
+    async def _ask(self, stream: Any) -> None:
+        ask: Ask = await stream.recv_message()
+        await stream.send_message(await self._receiver.on_ask(ask, stream.peer.cert()))
+
+    async def _forward(self, stream: Any) -> None:
+        forward: Forward = await stream.recv_message()
+        async with aclosing(self._receiver.on_forward(forward, stream.peer.cert())) as answer:
+            async for parts in answer:
+                await stream.send_message(parts)
--- /dev/null
+++ b/src/hickorybeam/peers/service.py
@@ -0,0 +1,211 @@
+"""The service ``peers``: typed requests and forwarded calls between entry VMs."""
+
+from __future__ import annotations
+
+from contextlib import aclosing, asynccontextmanager, contextmanager
+from typing import TYPE_CHECKING, Any, ClassVar, TypeVar
+
+import msgspec
+from absl import logging
+
+from hickorybeam import ports
+from hickorybeam.errors import ErrorKind, GatewayError, Ran
+from hickorybeam.kernel import Service
+from hickorybeam.model import AnswerChunk, AnswerHead
+from hickorybeam.peers.admission import check_addressee, check_call, mark_hop
+from hickorybeam.peers.client import PeerClient
+from hickorybeam.peers.codec import pack, unpack
+from hickorybeam.peers.links import Address, Links
+from hickorybeam.peers.server import PeerServer
+from hickorybeam.peers.wire import Answered, Ask, Forward, Parts, to_wire
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Iterator
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.model import AnswerPart, Call, EntryVm, VmId
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("PeersService",)
+
+Q = TypeVar("Q")
+R = TypeVar("R")
+T = TypeVar("T")
+
+SWEEP_MS = 500
+# How long a receiver that is behind the sender's log position may take to catch up before it
+# refuses: one fetch from a peer, with the call's own deadline still mostly ahead.
+CATCH_UP_MS = 500
+
+
+class PeersService(Service):
+    """Listens for peers and speaks to them; implements ``ports.Peers``."""
+
+    name: ClassVar[str] = ports.PEERS
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._handlers: dict[str, Callable[[VmId, bytes], Awaitable[bytes]]] = {}
+        self._calls = counters.counter("peer_calls", "Calls to peers", ("topic", "outcome"))
+        self._refused = counters.counter("peer_refusals", "Calls of peers refused", ("kind",))
+        self._channels = counters.gauge("peer_channels", "Open channels to peers")
+        self._routes = {
+            Address.parse(route.address): Address.parse(route.via) for route in cfg.peers.routes
+        }
+        self._links: Links | None = None
+        self._client: PeerClient | None = None
+        self._kernel: Kernel | None = None
+        self.port = 0
+
+    def bind(self, kernel: Kernel) -> None:
+        """Keep the kernel; neighbours are found when the first call needs them."""
+        self._kernel = kernel
+
+    async def main(self, started: Started) -> None:
+        """Listen until cancelled."""
+        silent_ms = self._cfg.peers.silent_after_ms
+        self._links = Links(clock=self._clock, tls=None, silent_after_ms=silent_ms)
+        self._client = PeerClient(self._links)
+        server = PeerServer(self, silent_after_ms=silent_ms)
+        vm = self._cfg.vm
+        try:
+            self.port = await server.listen(vm.host, self.port or vm.peer_port, tls=None)
+            started()
+            while True:
+                await self._clock.sleep(SWEEP_MS)
+                self._links.sweep()
+                server.sweep()
+                self._channels.set(len(self._links))
+        finally:
+            self._links.close()
+            server.abort()
+
+    def serve(self, topic: ports.Topic[Q, R], handler: Callable[[VmId, Q], Awaitable[R]]) -> None:
+        """Answer a topic's requests from peers."""
+
+        async def answer(sender: VmId, body: bytes) -> bytes:
+            try:
+                request = unpack(topic.request, body)
+            except msgspec.DecodeError as exc:
+                raise GatewayError(ErrorKind.BAD_REQUEST, topic.name) from exc
+            return pack(await handler(sender, request))
+
+        if topic.name in self._handlers:
+            raise ValueError(f"topic {topic.name!r} is served twice")
+        self._handlers[topic.name] = answer
+
+    async def ask(
+        self, vm: EntryVm, topic: ports.Topic[Q, R], request: Q, *, timeout_ms: int | None = None
+    ) -> R:
+        """Send one typed request to a peer and return its reply."""
+        ask = Ask(sender=self._me(), to=vm.id, topic=topic.name, body=pack(request))
+        timeout_ms = self._cfg.peers.call_timeout_ms if timeout_ms is None else timeout_ms
+        with self._counted(topic.name):
+            body = await self._ready().ask(self._address(vm), ask, timeout_ms=timeout_ms)
+            try:
+                return unpack(topic.reply, body)
+            except msgspec.DecodeError as exc:
+                raise GatewayError(ErrorKind.INTERNAL, f"reply to {topic.name}") from exc
+
+    async def forward(self, call: Call, vm: EntryVm) -> AsyncGenerator[AnswerPart, None]:
+        """Run a call at another VM, one hop at most, and yield the answer's parts."""
+        if call.hops:
+            raise GatewayError(ErrorKind.HOP_LIMIT, ran=Ran.NO)
+        forward = Forward(sender=self._me(), to=vm.id, call=call)
+        with self._counted("forward"):
+            async with aclosing(self._ready().forward(self._address(vm), forward)) as parts:
+                async for part in parts:
+                    yield part
+
+    async def on_ask(self, ask: Ask, certificate: dict[str, Any] | None) -> Answered:
+        """Answer one request of a peer."""
+        try:
+            self._check_peer(ask.sender, ask.to, certificate)
+            handler = self._handlers.get(ask.topic)
+            if handler is None:
+                raise GatewayError(ErrorKind.BAD_REQUEST, f"no topic {ask.topic!r}")
+            return Answered(body=await handler(ask.sender, ask.body))
+        except Exception as exc:
+            return Answered(error=to_wire(self._refusal(exc)))
+
+    async def on_forward(
+        self, forward: Forward, certificate: dict[str, Any] | None
+    ) -> AsyncGenerator[Parts, None]:
+        """Run a forwarded call here or refuse it."""
+        try:
+            self._check_peer(forward.sender, forward.to, certificate)
+            call = await self._admitted(forward.call)
+            dispatch = self._find(ports.DISPATCH, ports.Dispatch)  # type: ignore[type-abstract]
+            async with closing_iterator(dispatch.run(call)) as parts:
+                async for part in parts:
+                    yield _message(part)
+        except Exception as exc:
+            yield Parts(error=to_wire(self._refusal(exc)))
+
+    async def _admitted(self, call: Call) -> Call:
+        config = self._find(ports.CONFIG, ports.ConfigView)  # type: ignore[type-abstract]
+        state = config.current()
+        if state.position < call.position:
+            state = await config.wait_for(call.position, timeout_ms=CATCH_UP_MS)
+        check_call(call, state, self._cfg.vm.region)
+        return mark_hop(call)
+
+    def _check_peer(self, sender: VmId, to: VmId, certificate: dict[str, Any] | None) -> None:
+        check_addressee(to, self._me())
+
+    def _refusal(self, exc: Exception) -> GatewayError:
+        if not isinstance(exc, GatewayError):
+            logging.exception("a peer's call failed: %s", type(exc).__name__)
+            exc = GatewayError(ErrorKind.INTERNAL, type(exc).__name__)
+        self._refused.labels(exc.kind.value).inc()
+        return exc
+
+    def _find(self, name: str, kind: type[Q]) -> Q:
+        if self._kernel is None:
+            raise GatewayError(ErrorKind.NOT_READY, "not bound")
+        return self._kernel.find(name, kind)
+
+    def _address(self, vm: EntryVm) -> Address:
+        advertised = Address(vm.host, vm.peer_port)
+        return self._routes.get(advertised, advertised)
+
+    def _me(self) -> VmId:
+        return self._find(ports.MEMBERS, ports.Members).me.id  # type: ignore[type-abstract]
+
+    def _ready(self) -> PeerClient:
+        if self._client is None:
+            raise GatewayError(ErrorKind.NOT_READY, "peers have not started", ran=Ran.NO)
+        return self._client
+
+    @contextmanager
+    def _counted(self, topic: str) -> Iterator[None]:
+        try:
+            yield
+        except GatewayError as exc:
+            self._calls.labels(topic, exc.kind.value).inc()
+            raise
+        self._calls.labels(topic, "ok").inc()
+
+
+@asynccontextmanager
+async def closing_iterator(parts: AsyncIterator[T]) -> AsyncGenerator[AsyncIterator[T], None]:
+    """Close an iterator on leaving, if it is a generator; closing cancels the call behind it."""
+    try:
+        yield parts
+    finally:
+        close = getattr(parts, "aclose", None)
+        if close is not None:
+            await close()
+
+
+def _message(part: AnswerPart) -> Parts:
+    match part:
+        case AnswerHead():
+            return Parts(head=part)
+        case AnswerChunk():
+            return Parts(chunks=(part,))
+        case _:
+            return Parts(end=part)
--- /dev/null
+++ b/tests/steps/peers/transport_steps.py
@@ -0,0 +1,322 @@
+from __future__ import annotations
+
+from contextlib import aclosing
+from dataclasses import dataclass, replace
+
+import anyio
+from behave import given, then, when
+
+from hickorybeam.errors import ErrorKind, GatewayError, Ran
+from hickorybeam.model import (
+    AnswerChunk,
+    AnswerEnd,
+    ClientKey,
+    ObjectKind,
+    ObjectRef,
+    Region,
+    Versioned,
+    VmId,
+)
+from hickorybeam.peers.links import Address
+from hickorybeam.peers.wire import Forward
+from hickorybeam.ports import Topic
+from support.peer_nodes import Node, collect, home_state, make_call, make_state
+
+
+@dataclass(frozen=True, slots=True)
+class Words:
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Other:
+    number: int
+
+
+ECHO = Topic("echo", Words, Words)
+
+
+def enter(context, manager):
+    return context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+
+
+@given("two peer nodes")
+def step_two_nodes(context):
+    async def echo(sender: VmId, words: Words) -> Words:
+        return Words(f"{sender.name} said {words.text}")
+
+    context.handler = echo
+    context.a = enter(context, context.call(lambda: Node("vm-a")).running())
+    context.b = context.call(lambda: Node("vm-b", "thies"))
+
+    async def handle(sender, words):
+        return await context.handler(sender, words)
+
+    context.b.peers.serve(ECHO, handle)
+    context.b_running = context.b.running()
+    enter(context, context.b_running)
+
+
+@given("peer node B answers the topic with error {kind} and ran {ran}")
+def step_topic_error(context, kind, ran):
+    async def refuse(sender, words):
+        raise GatewayError(ErrorKind(kind), ran=Ran(ran), retry_after_ms=70)
+
+    context.handler = refuse
+
+
+@given("peer node B {fault}")
+def step_fault(context, fault):
+    async def hang(sender, words):
+        await anyio.sleep_forever()
+
+    async def crash(sender, words):
+        raise RuntimeError("a fault in a handler")
+
+    async def other(sender, words):
+        return Other(3)
+
+    async def stop():
+        context.b.kernel.stop()
+        while context.b.kernel.restarts == {} and await listens(context.b.peers.port):
+            await anyio.sleep(0.005)
+
+    match fault:
+        case "has stopped listening":
+            context.call(stop)
+        case "has restarted at the same port":
+            context.old_vm = context.b.vm
+            context.b.members.vm = replace(context.b.vm, id=VmId("vm-b", "2"))
+        case "never answers the topic":
+            context.handler = hang
+        case "does not know the topic":
+            context.b.peers._handlers.clear()
+        case "crashes in the topic's handler":
+            context.handler = crash
+        case "answers with another type":
+            context.handler = other
+        case _:
+            raise AssertionError(fault)
+
+
+async def listens(port):
+    try:
+        await (await anyio.connect_tcp("127.0.0.1", port)).aclose()
+    except OSError:
+        return False
+    return True
+
+
+@when('peer node A asks B to echo "{text}"')
+def step_ask(context, text):
+    async def ask():
+        vm = getattr(context, "old_vm", context.b.vm)
+        try:
+            context.reply = await context.a.peers.ask(vm, ECHO, Words(text), timeout_ms=300)
+        except GatewayError as exc:
+            context.error = exc
+
+    context.call(ask)
+
+
+@then('the peer reply is "{text}"')
+def step_reply(context, text):
+    assert context.reply == Words(text), context.reply
+
+
+@then("the peer call fails with {kind}, ran {ran}, retry after {ms:d}")
+def step_fails_retry(context, kind, ran, ms):
+    assert context.error.retry_after_ms == ms
+    step_fails(context, kind, ran)
+
+
+@then("the peer call fails with {kind}, ran {ran}")
+def step_fails(context, kind, ran):
+    exc = context.error
+    assert (exc.kind.value, exc.ran.value) == (kind, ran), repr(exc)
+
+
+@given('peer node B\'s dispatch will "{plan}"')
+def step_plan(context, plan):
+    context.b.dispatch.plan = plan
+
+
+@given("peer node B's dispatch yields {count:d} chunks of {size:d} bytes")
+def step_chunks(context, count, size):
+    context.b.dispatch.chunks = (b"x" * size,) * count
+
+
+@when("peer node A forwards a call to B")
+def step_forward(context):
+    forward(context, make_call())
+
+
+@when("peer node A forwards a call with hops {hops:d} to B")
+def step_forward_hops(context, hops):
+    forward(context, make_call(hops=hops))
+
+
+@when("peer node A forwards a call at position {position:d} to B")
+def step_forward_position(context, position):
+    forward(context, make_call(position=position))
+
+
+def forward(context, call):
+    async def run():
+        return await collect(context.a.peers.forward(call, context.b.vm))
+
+    context.parts, context.error = context.call(run)
+
+
+@when("a peer sends node B a call that says hops {said:d}")
+def step_forged(context, said):
+    async def run():
+        address = Address("127.0.0.1", context.b.peers.port)
+        message = Forward(sender=context.a.vm.id, to=context.b.vm.id, call=make_call(hops=said))
+        return await collect(context.a.peers._client.forward(address, message))
+
+    context.parts, context.error = context.call(run)
+
+
+def body(parts):
+    return ",".join(part.data.decode() for part in parts if isinstance(part, AnswerChunk))
+
+
+@then('the forwarded answer is "{chunks}" with its end')
+def step_whole(context, chunks):
+    assert context.error is None, context.error
+    assert body(context.parts) == chunks
+    assert isinstance(context.parts[-1], AnswerEnd)
+    assert context.parts[-1].usage.total == 7
+
+
+@then('the forwarded answer is "" and fails with {kind}, ran {ran}')
+def step_refused(context, kind, ran):
+    assert context.parts == [], context.parts
+    step_fails(context, kind, ran)
+
+
+@then('the forwarded answer is "{chunks}" and fails with {kind}, ran {ran}')
+def step_broken(context, chunks, kind, ran):
+    assert body(context.parts) == chunks, context.parts
+    assert not any(isinstance(part, AnswerEnd) for part in context.parts)
+    step_fails(context, kind, ran)
+
+
+@then("peer node B ran {count:d} forwarded call with hops {hops:d}")
+def step_ran_hops(context, count, hops):
+    assert [call.hops for call in context.b.dispatch.calls] == [hops] * count
+
+
+@then("peer node B ran {count:d} forwarded calls")
+def step_ran(context, count):
+    assert len(context.b.dispatch.calls) == count
+
+
+@when("peer node A forwards a call to B and B dies after the first chunk")
+def step_dies(context):
+    async def run():
+        got = []
+        try:
+            async with aclosing(context.a.peers.forward(make_call(), context.b.vm)) as parts:
+                async for part in parts:
+                    got.append(part)
+                    if isinstance(part, AnswerChunk):
+                        context.b.kernel.stop()
+        except GatewayError as exc:
+            return got, exc
+        return got, None
+
+    context.parts, context.error = context.call(run)
+
+
+@when("peer node A forwards a call to B and closes it after the first chunk")
+def step_closes(context):
+    async def run():
+        async with aclosing(context.a.peers.forward(make_call(), context.b.vm)) as parts:
+            async for part in parts:
+                if isinstance(part, AnswerChunk):
+                    return
+
+    context.call(run)
+
+
+@then("peer node B's dispatch was closed")
+def step_closed(context):
+    async def wait():
+        with anyio.fail_after(2):
+            await context.b.dispatch.closed.wait()
+
+    context.call(wait)
+
+
+@when("peer node A forwards a call to B and reads only the first chunk")
+def step_reads_one(context):
+    async def run():
+        context.answer = context.a.peers.forward(make_call(), context.b.vm)
+        async for part in context.answer:
+            if isinstance(part, AnswerChunk):
+                break
+        before = -1
+        while context.b.dispatch.produced > before:
+            before = context.b.dispatch.produced
+            await anyio.sleep(0.05)
+
+    context.call(run)
+
+
+@then("peer node B's dispatch has produced fewer than {count:d} chunks")
+def step_produced(context, count):
+    assert 0 < context.b.dispatch.produced < count, context.b.dispatch.produced
+
+
+@then("the rest of the forwarded answer comes whole with {count:d} chunks")
+def step_rest(context, count):
+    parts, error = context.call(collect, context.answer)
+    assert error is None, error
+    assert sum(isinstance(part, AnswerChunk) for part in parts) == count - 1
+    assert isinstance(parts[-1], AnswerEnd)
+
+
+@when("peer node A forwards {count:d} calls to B at once")
+def step_many(context, count):
+    async def run():
+        async with anyio.create_task_group() as tg:
+            for _ in range(count):
+                tg.start_soon(collect, context.a.peers.forward(make_call(), context.b.vm))
+            with anyio.move_on_after(5):
+                while context.b.dispatch.produced < count:
+                    await anyio.sleep(0.01)
+            context.at_once = context.b.dispatch.produced
+            tg.cancel_scope.cancel()
+
+    context.call(run)
+
+
+@then("peer node B runs {count:d} forwarded calls at once")
+def step_at_once(context, count):
+    assert context.at_once == count, context.at_once
+
+
+@given("peer node B's view {view}")
+def step_view(context, view):
+    withdrawn = ObjectRef(ObjectKind.KEY.value, "d")
+    full = home_state(position=5)
+    match view:
+        case "stays behind":
+            fetched = None
+        case "catches up to residency elsewhere":
+            fetched = home_state(allowed=("dakar",), position=5)
+        case "catches up to no such account":
+            fetched = make_state(Region(name="thies", data_centres=()), position=5)
+        case "catches up to no such residency rule":
+            kept = {ref: v for ref, v in full.objects.items() if ref.name != "home"}
+            fetched = replace(full, objects=kept)
+        case "catches up to a withdrawn key":
+            fetched = replace(full, objects={**full.objects, withdrawn: Versioned(2, None)})
+        case "catches up to the same":
+            key = ClientKey(name="d", account="tour")
+            fetched = replace(full, objects={**full.objects, withdrawn: Versioned(2, key)})
+        case _:
+            raise AssertionError(view)
+    context.b.config.fetched = fetched
