peers: membership by heartbeats on a ring, delegates between data centres

Each VM works out whom it heartbeats from its own view: successor and the VMs 2, 4, 8... places on; one delegate for each data centre pair. Heartbeats carry what the peer was not told yet. An unanswered peer is accused only after others were asked.

--- a/src/hickorybeam/peers/__init__.py
+++ b/src/hickorybeam/peers/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hickorybeam.peers.codec import pack, unpack
+from hickorybeam.peers.members import MembersService
 from hickorybeam.peers.service import PeersService
 
-__all__ = ("PeersService", "pack", "unpack")
+__all__ = ("MembersService", "PeersService", "pack", "unpack")
--- /dev/null
+++ b/src/hickorybeam/peers/changes.py
@@ -0,0 +1,61 @@
+"""What changed since a peer was last told: heartbeats carry only that.
+
+Whole state on every heartbeat would cost bytes in proportion to the fleet twice a second
+from every VM. Each change of an item takes the next local sequence number; a peer that
+acknowledged a number is told what came after it, and never what it told us itself.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterator
+
+    from hickorybeam.model import VmId
+
+__all__ = ("Changes",)
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Changed(Generic[T]):
+    """One item's latest value and the peer that told us, if any."""
+
+    seq: int
+    value: T
+    source: VmId | None
+
+
+class Changes(Generic[T]):
+    """The latest value of each item, ordered by when it changed here."""
+
+    def __init__(self) -> None:
+        self.seq = 0
+        self._items: OrderedDict[Hashable, Changed[T]] = OrderedDict()
+
+    def put(self, key: Hashable, value: T, *, source: VmId | None = None) -> None:
+        """Note that an item changed."""
+        self.seq += 1
+        self._items[key] = Changed(self.seq, value, source)
+        self._items.move_to_end(key)
+
+    def drop(self, key: Hashable) -> None:
+        """Forget an item without telling anyone."""
+        self._items.pop(key, None)
+
+    def get(self, key: Hashable) -> T | None:
+        """Return an item's value."""
+        found = self._items.get(key)
+        return None if found is None else found.value
+
+    def since(self, seq: int, *, to: VmId | None = None) -> Iterator[T]:
+        """Yield what changed after a sequence number, latest first, but for ``to``'s own news."""
+        for item in reversed(self._items.values()):
+            if item.seq <= seq:
+                return
+            if to is None or item.source != to:
+                yield item.value
--- /dev/null
+++ b/src/hickorybeam/peers/heartbeat.py
@@ -0,0 +1,95 @@
+"""The messages of membership; field names are short, since they travel with every heartbeat."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+# Needed at run time: msgspec reads the field types when it encodes.
+from hickorybeam.model import EntryVm  # noqa: TC001
+from hickorybeam.peers.view import MemberRecord  # noqa: TC001
+from hickorybeam.ports import Topic
+
+__all__ = (
+    "HEARTBEAT",
+    "PROBE",
+    "WHO",
+    "Heartbeat",
+    "Here",
+    "LoadNews",
+    "Probe",
+    "Probed",
+    "Who",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadNews:
+    """What one region forecasts for one model or service.
+
+    ``stamp`` is the wall time at the VM that made it; the later one wins.
+    """
+
+    region: str
+    served: str
+    wait_ms: float
+    free_tokens: float
+    stamp: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Heartbeat:
+    """Both request and reply: what the other side has not been told yet.
+
+    ``have`` is the other side's sequence number up to which the sender knows its news, and
+    ``seq`` the sender's own when it wrote this. Two VMs that meet for the first time compare
+    ``digest``, the fingerprint of the sender's view, before they send each other all of it:
+    such a message is not ``whole``, and a reply says in ``same`` that the views are equal.
+    ``data_centre`` is the sender's. ``members`` are records, ``notes`` the sender's own notes,
+    ``loads`` forecasts of regions, ``contacts`` how often its data centre has heard from each
+    other one.
+    """
+
+    have: int
+    seq: int
+    digest: int
+    data_centre: str
+    whole: bool = True
+    same: bool = False
+    members: tuple[MemberRecord, ...] = ()
+    notes: dict[str, bytes] = field(default_factory=dict)
+    loads: tuple[LoadNews, ...] = ()
+    contacts: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Who:
+    """Asks who listens at an address, before the asker has settled its own incarnation."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Here:
+    """Who listens, and what it knows of the asker's name."""
+
+    me: MemberRecord
+    you: MemberRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks a peer to try a suspect."""
+
+    suspect: EntryVm
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """Whether the suspect answered."""
+
+    reached: bool
+
+
+HEARTBEAT = Topic("heartbeat", Heartbeat, Heartbeat)
+PROBE = Topic("probe", Probe, Probed)
+WHO = Topic("who", Who, Here)
--- /dev/null
+++ b/src/hickorybeam/peers/members.py
@@ -0,0 +1,571 @@
+"""The service ``members``: who is in the fleet, by heartbeats, with the platform's list as a hint.
+
+Each VM works out from its own view whom to heartbeat (``ring``), tells only what changed
+(``exchange``) and accuses no one alone (``suspicion``). Nothing is elected, and nothing waits
+for the platform.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+from typing import TYPE_CHECKING, ClassVar, Protocol, runtime_checkable
+
+import anyio
+from absl import logging
+
+from hickorybeam import ports
+from hickorybeam.errors import GatewayError, Ran
+from hickorybeam.kernel import Service
+from hickorybeam.model import EntryVm, VmId, VmState
+from hickorybeam.peers import ring
+from hickorybeam.peers.exchange import Exchange
+from hickorybeam.peers.heartbeat import HEARTBEAT, PROBE, WHO, Heartbeat, Here, Probe, Probed, Who
+from hickorybeam.peers.links import Address
+from hickorybeam.peers.registry import Registry
+from hickorybeam.peers.suspicion import Suspect, Verdict, judge
+from hickorybeam.platform import Platform
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from anyio.abc import TaskGroup
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.model import RegionLoad
+    from hickorybeam.peers.exchange import News
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("MembersService", "new_incarnation")
+
+# Counted in heartbeats.
+FINGER_EVERY = 2
+WIDE_EVERY = 2
+TRY_EVERY = 10
+TIDY_EVERY = 20
+# The list is read by one VM of each data centre, and by any that is alone in its own.
+LIST_EVERY = 20
+# News that should not wait goes out at once, but several pieces in a row go together.
+PUSH_SPACING_MS = 50
+JITTER = 0.1
+VMS_ASKED_ABOUT_SUSPECT = 3
+VMS_TRIED_AT_JOIN = 6
+JOIN_TIMEOUT_MS = 2_000
+LEAVE_TIMEOUT_MS = 1_000
+# After this many silent times a data centre counts as cut off. Contacts reach its VMs through
+# the ring within a few heartbeats, which has to fit in with room.
+CUT_OFF_TIMES = 4
+# A deputy takes over a delegate's duty after this many silent times without news, each next
+# one after as many again.
+DEPUTY_TIMES = 2
+
+
+@runtime_checkable
+class Listener(Protocol):
+    """What membership needs of the service ``peers`` beyond its port."""
+
+    port: int
+
+
+def new_incarnation(wall_ms: int, *, after: str = "") -> str:
+    """Return an incarnation that sorts after those of earlier lives.
+
+    :param after: an incarnation of this VM's name that was seen; clocks of machines differ, and
+        a life that sorts before its predecessor would be taken for the dead one.
+    """
+    start = wall_ms
+    if after:
+        start = max(start, int(after.split("-")[0], 16) + 1)
+    return f"{start:012x}-{random.getrandbits(32):08x}"
+
+
+class MembersService(Service):
+    """Keeps the view of the fleet; implements ``ports.Members``."""
+
+    name: ClassVar[str] = ports.MEMBERS
+    needs: ClassVar[tuple[str, ...]] = (ports.PLATFORM, ports.PEERS)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        vm = cfg.vm
+        self._cfg = cfg
+        self._clock = clock
+        self._random = random.Random(vm.name)
+        me = EntryVm(
+            id=VmId(vm.name, new_incarnation(clock.wall())),
+            region=vm.region,
+            data_centre=vm.data_centre,
+            host=vm.host,
+            http_port=vm.http_port,
+            peer_port=vm.peer_port,
+            state=VmState.JOINING,
+        )
+        self._exchange = Exchange(me, now_ms=clock.now(), wall_ms=clock.wall())
+        self._listeners: dict[str, list[Callable[[EntryVm, bytes], None]]] = {}
+        self._suspects: dict[VmId, Suspect] = {}
+        self._unreachable: set[VmId] = set()
+        self._busy: set[VmId] = set()
+        self._asking: set[VmId] = set()
+        self._wide_tries: dict[str, int] = {}
+        self._candidates: list[EntryVm] = []
+        self._ticks = 0
+        self._push = anyio.Event()
+        self._cached: tuple[int, tuple[EntryVm, ...]] = (-1, ())
+        self._tasks: TaskGroup | None = None
+        self._alive = counters.gauge("members_alive", "VMs believed alive", ("scope",))
+        self._beats = counters.counter("heartbeats", "Heartbeats sent", ("outcome",))
+        self._verdicts = counters.counter("suspicions", "Verdicts on silent peers", ("verdict",))
+
+    def bind(self, kernel: Kernel) -> None:
+        """Find peers and platform."""
+        self._peers = kernel.find(ports.PEERS, ports.Peers)  # type: ignore[type-abstract]
+        self._listener = kernel.find(ports.PEERS, Listener)  # type: ignore[type-abstract]
+        self._registry = Registry(
+            platform=kernel.find(ports.PLATFORM, Platform),  # type: ignore[type-abstract]
+            clock=self._clock,
+            me=lambda: self.me,
+            lease_ms=self._cfg.platform.lease_ms,
+        )
+        self._peers.serve(HEARTBEAT, self._on_heartbeat)
+        self._peers.serve(PROBE, self._on_probe)
+        self._peers.serve(WHO, self._on_who)
+
+    @property
+    def me(self) -> EntryVm:
+        """The VM of this process."""
+        return self._exchange.me
+
+    @property
+    def lease(self) -> int | None:
+        """The platform lease of this VM's entry, while there is one."""
+        return self._registry.lease
+
+    def vms(self) -> tuple[EntryVm, ...]:
+        """Return the VMs believed alive, this one included, whatever their state."""
+        if self._cached[0] != self._exchange.generation:
+            self._cached = (self._exchange.generation, self._believed_alive())
+        return self._cached[1]
+
+    def find(self, vm: VmId) -> EntryVm | None:
+        """Return a VM of exactly this incarnation, if believed alive.
+
+        VMs of a data centre that is cut off from here are found: they may well be alive.
+        """
+        record = self._exchange.roster.get(vm.name)
+        return record.vm if record and record.alive and record.vm.id == vm else None
+
+    def region_loads(self) -> tuple[RegionLoad, ...]:
+        """Return the latest summary of every other region."""
+        return self._exchange.loads(self._clock.now())
+
+    def report_load(self, loads: tuple[RegionLoad, ...]) -> None:
+        """Set what this VM tells others of its region."""
+        for load in loads:
+            self._exchange.report(load, wall_ms=self._clock.wall())
+
+    def publish(self, name: str, note: bytes, *, urgent: bool = False) -> None:
+        """Set a small note that rides on the heartbeats to the peers that lack it.
+
+        :param urgent: do not wait for the next heartbeat.
+        """
+        if self._exchange.publish(name, note, urgent=urgent) and urgent:
+            self._push.set()
+
+    def heard(self, name: str, listener: Callable[[EntryVm, bytes], None]) -> None:
+        """Call a listener with each peer's note of this name as heartbeats bring it."""
+        self._listeners.setdefault(name, []).append(listener)
+
+    def listening(self, *, http_port: int) -> None:
+        """Announce that callers are served on this port."""
+        state = VmState.SERVING if self.me.state is VmState.JOINING else self.me.state
+        self._announce(replace(self.me, http_port=http_port, state=state))
+
+    def leave(self) -> None:
+        """Announce that this VM is shutting down."""
+        if self.me.state is not VmState.LEAVING:
+            self._announce(replace(self.me, state=VmState.LEAVING))
+
+    def status(self) -> dict[str, object]:
+        """Return the view for operators."""
+        now = self._clock.now()
+        return {
+            "me": self.me.id.name,
+            "superseded": self._exchange.superseded,
+            "cut_off": sorted(self._cut_off()),
+            "vms": [
+                {
+                    "name": record.vm.id.name,
+                    "incarnation": record.vm.id.incarnation,
+                    "data_centre": record.vm.data_centre,
+                    "state": record.vm.state.value,
+                    "alive": record.alive,
+                    "heard_ms_ago": now - suspect.heard_ms if suspect else None,
+                }
+                for record in self._exchange.roster
+                for suspect in (self._suspects.get(record.vm.id),)
+            ],
+        }
+
+    async def main(self, started: Started) -> None:
+        """Join, then heartbeat until cancelled."""
+        await self._join()
+        started()
+        async with anyio.create_task_group() as tg:
+            self._tasks = tg
+            tg.start_soon(self._registry.run)
+            tg.start_soon(self._push_news)
+            while True:
+                self._tick()
+                await self._clock.sleep(self._interval())
+
+    async def drain(self) -> None:
+        """Say the last word to the neighbours and leave the platform's list."""
+        self._exchange.announce(
+            replace(self.me, state=VmState.LEAVING), wall_ms=self._clock.wall(), gone=True
+        )
+        with anyio.move_on_after(LEAVE_TIMEOUT_MS / 1000):
+            async with anyio.create_task_group() as tg:
+                for vm in self._neighbours():
+                    tg.start_soon(self._beat, vm)
+                tg.start_soon(self._end_listing)
+
+    # Joining.
+
+    async def _join(self) -> None:
+        """Learn from the list and the seeds who is there and what life of ours they knew."""
+        with anyio.move_on_after(JOIN_TIMEOUT_MS / 1000):
+            await self._read_list()
+        known = [vm.id.incarnation for vm in self._candidates if vm.id.name == self.me.id.name]
+        here: list[Here] = []
+        async with anyio.create_task_group() as tg:
+            for vm in self._to_try(VMS_TRIED_AT_JOIN):
+                tg.start_soon(self._who, vm, here)
+        known += [answer.you.vm.id.incarnation for answer in here if answer.you is not None]
+        latest = max(known, default="")
+        me = replace(self.me, peer_port=self._listener.port)
+        if latest >= me.id.incarnation:
+            incarnation = new_incarnation(self._clock.wall(), after=latest)
+            me = replace(me, id=VmId(me.id.name, incarnation))
+        self._exchange.announce(me, wall_ms=self._clock.wall())
+        for answer in here:
+            self._exchange.meet(answer.me)
+
+    async def _read_list(self) -> None:
+        try:
+            listed = await self._registry.listed()
+        except GatewayError as exc:
+            logging.info("the list of VMs cannot be read: %s", exc.kind.value)
+            return
+        self._candidates = list(listed)
+
+    def _to_try(self, count: int) -> list[EntryVm]:
+        """Return VMs to try that are not in the view, own data centre first, then seeds."""
+        unknown = [
+            vm
+            for vm in self._candidates
+            if vm.id.name != self.me.id.name and not self._is_alive(vm.id.name)
+        ]
+        self._random.shuffle(unknown)
+        unknown.sort(key=lambda vm: vm.data_centre != self.me.data_centre)
+        seeds = [_seed(address) for address in self._cfg.peers.seeds]
+        self._random.shuffle(seeds)
+        half = count // 2
+        return unknown[: count - min(half, len(seeds))] + seeds[: max(half, count - len(unknown))]
+
+    async def _who(self, vm: EntryVm, here: list[Here]) -> None:
+        # Whoever listens there may answer: the list may still name an earlier life.
+        anyone = replace(vm, id=VmId(vm.id.name, ""))
+        try:
+            here.append(await self._peers.ask(anyone, WHO, Who(self.me.id.name)))
+        except GatewayError:
+            return
+
+    async def _on_who(self, sender: VmId, who: Who) -> Here:
+        return Here(self._exchange.mine, self._exchange.roster.get(who.name))
+
+    async def _try_unknown(self) -> None:
+        here: list[Here] = []
+        for vm in self._to_try(2):
+            await self._who(vm, here)
+        for answer in here:
+            if answer.me.vm.id.name != self.me.id.name:
+                self._exchange.meet(answer.me)
+                await self._beat(answer.me.vm)
+
+    # Heartbeats.
+
+    def _interval(self) -> float:
+        return self._cfg.peers.heartbeat_ms * (1 + self._random.uniform(-JITTER, JITTER))
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        local = self._fingers()
+        if local:
+            self._spawn(local[0])
+        if len(local) > 1 and self._ticks % FINGER_EVERY == 0:
+            self._spawn(local[1 + self._ticks // FINGER_EVERY % (len(local) - 1)])
+        if self._ticks % WIDE_EVERY == 0:
+            for vm in self._wide_targets():
+                self._spawn(vm)
+        if self._ticks % TRY_EVERY == 0:
+            self._start(self._try_departed)
+        if self._ticks % LIST_EVERY == 0 or (not local and self._ticks % TRY_EVERY == 0):
+            self._start(self._look_around)
+        if self._ticks % TIDY_EVERY == 0:
+            self._tidy()
+        self._cached = (-1, ())
+
+    def _spawn(self, vm: EntryVm) -> None:
+        self._start(self._beat, vm)
+
+    def _start(self, func: Callable[..., object], *args: object) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(func, *args)  # type: ignore[arg-type]
+
+    async def _beat(self, vm: EntryVm) -> bool:
+        """Exchange heartbeats with a peer.
+
+        :return: whether it answered.
+        """
+        if vm.id in self._busy:
+            return False
+        self._busy.add(vm.id)
+        request = self._exchange.request(vm)
+        try:
+            reply = await self._peers.ask(vm, HEARTBEAT, request, timeout_ms=self._patience(vm))
+        except GatewayError as exc:
+            self._beats.labels(exc.kind.value).inc()
+            self._missed(vm, exc)
+            return False
+        finally:
+            self._busy.discard(vm.id)
+        self._beats.labels("ok").inc()
+        self._heard_from(vm.id)
+        self._wide_tries.pop(vm.data_centre, None)
+        news = self._exchange.on_reply(
+            vm.id, request, reply, now_ms=self._clock.now(), wall_ms=self._clock.wall()
+        )
+        self._spread(vm.id, news)
+        return True
+
+    async def _on_heartbeat(self, sender: VmId, beat: Heartbeat) -> Heartbeat:
+        self._heard_from(sender)
+        reply, news = self._exchange.on_request(
+            sender, beat, now_ms=self._clock.now(), wall_ms=self._clock.wall()
+        )
+        self._spread(sender, news)
+        return reply
+
+    def _patience(self, vm: EntryVm) -> int:
+        if vm.data_centre != self.me.data_centre:
+            return self._cfg.peers.call_timeout_ms
+        return min(self._cfg.peers.call_timeout_ms, self._cfg.peers.silent_after_ms // 2)
+
+    def _heard_from(self, vm: VmId) -> None:
+        self._unreachable.discard(vm)
+        suspect = self._suspects.setdefault(vm, Suspect(self._clock.now()))
+        suspect.heard(self._clock.now())
+
+    def _spread(self, sender: VmId, news: News) -> None:
+        if news.members:
+            self._push.set()
+        record = self._exchange.roster.get(sender.name)
+        if record is None:
+            return
+        for note in news.notes:
+            for listener in self._listeners.get(note.name, ()):
+                listener(record.vm, note.data)
+
+    async def _push_news(self) -> None:
+        """Tell neighbours at once what should not wait for their turn."""
+        while True:
+            await self._push.wait()
+            self._push = anyio.Event()
+            for vm in self._neighbours():
+                if self._exchange.owes(vm.id):
+                    self._spawn(vm)
+            await self._clock.sleep(PUSH_SPACING_MS)
+
+    # Whom to talk to.
+
+    def _alive_in(self, data_centre: str) -> dict[str, EntryVm]:
+        return {
+            record.vm.id.name: record.vm
+            for record in self._exchange.roster
+            if record.alive and record.vm.data_centre == data_centre
+        }
+
+    def _fingers(self) -> list[EntryVm]:
+        local = self._alive_in(self.me.data_centre)
+        return [local[name] for name in ring.fingers(self.me.id.name, local)]
+
+    def _neighbours(self) -> list[EntryVm]:
+        return [*self._fingers(), *self._wide_targets(push=True)]
+
+    def _wide_targets(self, *, push: bool = False) -> list[EntryVm]:
+        """Return the peers in other data centres towards which this VM speaks now."""
+        here = self.me.data_centre
+        now = self._clock.now()
+        local = self._alive_in(here)
+        period = self._cfg.peers.heartbeat_ms * WIDE_EVERY
+        others = {record.vm.data_centre for record in self._exchange.roster if record.alive}
+        targets = []
+        for there in sorted(others - {here}):
+            silent_ms = self._exchange.silent_for(there, now)
+            if not self._is_delegate(local, there, silent_ms):
+                continue
+            if not push and silent_ms < period * (1 - 2 * JITTER):
+                continue
+            far = self._alive_in(there)
+            order = ring.delegates(far, of=there, towards=here)
+            targets.append(far[order[self._wide_tries.get(there, 0) % len(order)]])
+        return targets
+
+    def _is_delegate(self, local: Iterable[str], there: str, silent_ms: int) -> bool:
+        order = ring.delegates(local, of=self.me.data_centre, towards=there)
+        deputy_ms = self._cfg.peers.silent_after_ms * DEPUTY_TIMES
+        return self.me.id.name in order[: 1 + silent_ms // deputy_ms]
+
+    # Failures.
+
+    def _missed(self, vm: EntryVm, exc: GatewayError) -> None:
+        if vm.data_centre != self.me.data_centre:
+            self._wide_tries[vm.data_centre] = self._wide_tries.get(vm.data_centre, 0) + 1
+            return
+        if self.find(vm.id) is None:
+            return
+        suspect = self._suspects.setdefault(vm.id, Suspect(self._clock.now()))
+        refused = _is_refused(exc)
+        silent_ms = self._cfg.peers.silent_after_ms
+        if suspect.failed(self._clock.now(), refused=refused, silent_after_ms=silent_ms):
+            self._start(self._ask_others, vm)
+
+    async def _ask_others(self, vm: EntryVm) -> None:
+        """Ask others whether they reach a suspect, and accuse it if they do not either."""
+        if vm.id in self._asking:
+            return
+        self._asking.add(vm.id)
+        reached: list[bool | None] = []
+        try:
+            async with anyio.create_task_group() as tg:
+                for other in self._others_to_ask(vm):
+                    tg.start_soon(self._ask_other, other, vm, reached)
+        finally:
+            self._asking.discard(vm.id)
+        verdict = judge(reached)
+        self._verdicts.labels(verdict.value).inc()
+        match verdict:
+            case Verdict.SILENT:
+                if self._exchange.accuse(vm.id, wall_ms=self._clock.wall()):
+                    logging.info("VM %s is silent", vm.id.name)
+                    self._push.set()
+            case Verdict.UNCONFIRMED:
+                self._unreachable.add(vm.id)
+            case Verdict.REACHED_BY_OTHERS:
+                self._suspects[vm.id] = Suspect(self._clock.now())
+        self._cached = (-1, ())
+
+    def _others_to_ask(self, suspect: EntryVm) -> list[EntryVm]:
+        others = [vm for vm in self._believed_alive() if vm.id not in (self.me.id, suspect.id)]
+        self._random.shuffle(others)
+        others.sort(key=lambda vm: vm.data_centre != self.me.data_centre)
+        return others[:VMS_ASKED_ABOUT_SUSPECT]
+
+    async def _ask_other(
+        self, other: EntryVm, suspect: EntryVm, reached: list[bool | None]
+    ) -> None:
+        timeout_ms = 2 * self._patience(other)
+        try:
+            probed = await self._peers.ask(other, PROBE, Probe(suspect), timeout_ms=timeout_ms)
+        except GatewayError:
+            reached.append(None)
+            return
+        reached.append(probed.reached)
+
+    async def _on_probe(self, sender: VmId, probe: Probe) -> Probed:
+        try:
+            request = Who(self.me.id.name)
+            timeout_ms = self._patience(probe.suspect)
+            await self._peers.ask(probe.suspect, WHO, request, timeout_ms=timeout_ms)
+        except GatewayError:
+            return Probed(reached=False)
+        return Probed(reached=True)
+
+    async def _try_departed(self) -> None:
+        """Try a VM that fell silent, in case a partition that made both sides accuse is over."""
+        silent = [
+            record.vm
+            for record in self._exchange.roster
+            if record.silent and not record.gone and record.vm.data_centre == self.me.data_centre
+        ]
+        if silent:
+            await self._beat(self._random.choice(silent))
+
+    async def _look_around(self) -> None:
+        """Read the list for VMs that the view lacks, as when two halves never met."""
+        local = self._alive_in(self.me.data_centre)
+        reader = ring.delegates(local, of=self.me.data_centre, towards="list")[0]
+        if reader == self.me.id.name or len(local) == 1:
+            await self._read_list()
+            await self._try_unknown()
+
+    # The view.
+
+    def _is_alive(self, name: str) -> bool:
+        record = self._exchange.roster.get(name)
+        return record is not None and record.alive
+
+    def _believed_alive(self) -> tuple[EntryVm, ...]:
+        cut_off = self._cut_off()
+        return tuple(
+            record.vm
+            for record in self._exchange.roster
+            if record.alive
+            and record.vm.id not in self._unreachable
+            and record.vm.data_centre not in cut_off
+        )
+
+    def _cut_off(self) -> frozenset[str]:
+        now = self._clock.now()
+        limit_ms = self._cfg.peers.silent_after_ms * CUT_OFF_TIMES
+        others = {record.vm.data_centre for record in self._exchange.roster}
+        others.discard(self.me.data_centre)
+        return frozenset(name for name in others if self._exchange.silent_for(name, now) > limit_ms)
+
+    def _announce(self, me: EntryVm) -> None:
+        self._exchange.announce(me, wall_ms=self._clock.wall())
+        self._push.set()
+        self._registry.changed()
+
+    def _tidy(self) -> None:
+        self._exchange.tidy(self._clock.wall())
+        self._suspects = {vm: s for vm, s in self._suspects.items() if self.find(vm)}
+        self._unreachable = {vm for vm in self._unreachable if self.find(vm)}
+        self._alive.labels("fleet").set(len(self.vms()))
+        self._alive.labels("data_centre").set(len(self._alive_in(self.me.data_centre)))
+
+    async def _end_listing(self) -> None:
+        try:
+            await self._registry.end()
+        except GatewayError as exc:
+            logging.info("the entry stays listed until its lease lapses: %s", exc.kind.value)
+
+
+def _is_refused(exc: GatewayError) -> bool:
+    """Whether the peer's machine said that this process is not there."""
+    if isinstance(exc.__cause__, ConnectionRefusedError):
+        return True
+    return exc.__cause__ is None and exc.ran is Ran.NO
+
+
+def _seed(text: str) -> EntryVm:
+    address = Address.parse(text)
+    return EntryVm(
+        id=VmId("", ""),
+        region="",
+        data_centre="",
+        host=address.host,
+        http_port=0,
+        peer_port=address.port,
+    )
--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -119,14 +119,21 @@
         """Set what this VM tells others of its region."""
         ...
 
-    def publish(self, name: str, note: bytes) -> None:
-        """Set a small note that rides on every heartbeat of this VM."""
+    def publish(self, name: str, note: bytes, *, urgent: bool = False) -> None:
+        """Set a small note that heartbeats bring to the peers of this VM that lack it.
+
+        :param urgent: do not wait for the next heartbeat; for notes that change seldom.
+        """
         ...
 
     def heard(self, name: str, listener: Callable[[EntryVm, bytes], None]) -> None:
         """Call a listener with each peer's note of this name as heartbeats bring it."""
         ...
 
+    def listening(self, *, http_port: int) -> None:
+        """Announce that callers are served on this port, which ends the joining state."""
+        ...
+
     def leave(self) -> None:
         """Announce that this VM is shutting down."""
         ...
--- a/tests/steps/dispatch/fakes.py
+++ b/tests/steps/dispatch/fakes.py
@@ -138,9 +138,12 @@
     def report_load(self, loads):
         self.reported = loads
 
-    def publish(self, name, note):
+    def publish(self, name, note, *, urgent=False):
         pass
 
+    def listening(self, *, http_port):
+        raise AssertionError("not for dispatch")
+
     def heard(self, name, listener):
         pass
 
--- /dev/null
+++ b/tests/steps/peers/membership_steps.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+from behave import given, then, when
+
+from hickorybeam.model import RegionLoad
+from support.fleet import fleet, until
+
+
+def start(context, sizes, **kwargs):
+    if not hasattr(context, "fleet"):
+        manager = context.portal.wrap_async_context_manager(fleet())
+        context.fleet = context.stack.enter_context(manager)
+    context.fleet.table.update(getattr(context, "platform_fault", {}))
+
+    async def run():
+        for data_centre, count in sizes.items():
+            for number in range(1, count + 1):
+                await context.fleet.add(f"{data_centre}.{number}", data_centre, **kwargs)
+
+    context.call(run)
+
+
+def of(context, data_centre):
+    return [
+        member
+        for name, member in context.fleet.members.items()
+        if name.startswith(data_centre + ".")
+    ]
+
+
+@given("the fleet's platform is out")
+def step_out(context):
+    context.platform_fault = {"out": True}
+
+
+@given('a fleet with {count:d} VMs in "{one}" and {other_count:d} VMs in "{other}"')
+def step_fleet(context, count, one, other_count, other):
+    start(context, {one: count, other: other_count})
+    context.call(until, context.fleet.agree)
+
+
+@given(
+    'a fleet with {count:d} VMs in "{one}" and {other_count:d} VMs in "{other}" that know one seed'
+)
+def step_fleet_seed(context, count, one, other_count, other):
+    start(context, {one: 1})
+    seed = of(context, one)[0]
+
+    async def run():
+        names = [f"{one}.{n}" for n in range(2, count + 1)]
+        names += [f"{other}.{n}" for n in range(1, other_count + 1)]
+        for name in names:
+            await context.fleet.add(
+                name, name.rpartition(".")[0], seeds=(f"127.0.0.1:{seed.peers.port}",)
+            )
+
+    context.call(run)
+
+
+@then("every VM of the fleet sees exactly the running VMs")
+def step_agree(context):
+    try:
+        context.took_ms = context.call(until, context.fleet.agree)
+    except AssertionError as exc:
+        raise AssertionError(f"{exc}: {context.fleet.views()}") from exc
+
+
+@when('fleet VM "{name}" crashes')
+def step_crash(context, name):
+    context.old = context.call(context.fleet.kill, name)
+
+
+@when('fleet VM "{name}" stops')
+def step_stop(context, name):
+    context.old = context.call(context.fleet.stop, name)
+
+
+@then("the platform's list names exactly the running VMs")
+def step_list(context):
+    wanted = {f"vms/{name}" for name in context.fleet.members}
+    assert set(context.fleet.table["keys"]) == wanted, context.fleet.table["keys"]
+
+
+@when('fleet VM "{name}" crashes and restarts at once at the same address')
+def step_restart(context, name):
+    async def run():
+        context.old = await context.fleet.kill(name)
+        port = context.old.peers.port
+        await context.fleet.add(name, context.old.cfg.vm.data_centre, port=port)
+
+    context.call(run)
+
+
+@then("no VM of the fleet finds the old incarnation")
+def step_no_old(context):
+    assert all(
+        member.members.find(context.old.id) is None for member in context.fleet.members.values()
+    )
+
+
+@when('the VMs of "{data_centre}" are replaced one by one')
+def step_replace(context, data_centre):
+    async def run():
+        for number, member in enumerate(of(context, data_centre)):
+            await context.fleet.add(f"{data_centre}.new{number}", data_centre)
+            await context.fleet.stop(member.id.name)
+
+    context.call(run)
+
+
+@when('fleet VM "{name}" publishes an urgent note')
+def step_note(context, name):
+    context.heard = {}
+
+    def listen(member):
+        def listener(vm, data):
+            context.heard.setdefault(member.id.name, []).append((vm.id.name, data))
+
+        member.members.heard("position", listener)
+
+    async def run():
+        for member in context.fleet.members.values():
+            listen(member)
+        context.fleet.members[name].members.publish("position", b"7", urgent=True)
+
+    context.publisher = name
+    context.call(run)
+
+
+@then('every other VM of "{data_centre}" hears the note')
+def step_heard(context, data_centre):
+    names = {member.id.name for member in of(context, data_centre)} - {context.publisher}
+    context.call(until, lambda: names <= set(context.heard))
+    assert all(context.heard[name] == [(context.publisher, b"7")] for name in names)
+
+
+@when('every VM of "{data_centre}" reports a wait of {ms:d} ms')
+def step_report(context, data_centre, ms):
+    region = data_centre.rpartition("-")[0]
+    load = RegionLoad(region=region, served="m", wait_ms=ms, free_tokens=5, at_ms=0)
+
+    async def run():
+        for member in of(context, data_centre):
+            member.members.report_load((load,))
+
+    context.call(run)
+
+
+@then('every VM of "{data_centre}" sees a wait of {ms:d} ms for region "{region}"')
+def step_sees_load(context, data_centre, ms, region):
+    def seen():
+        return all(
+            [(load.region, load.wait_ms) for load in member.members.region_loads()]
+            == [(region, ms)]
+            for member in of(context, data_centre)
+        )
+
+    context.call(until, seen)
+
+
+@then('no VM of "{data_centre}" sees a forecast of its own region')
+def step_no_own(context, data_centre):
+    assert not any(member.members.region_loads() for member in of(context, data_centre))
