--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -91,7 +91,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FrontSettings:
-    """Limits towards callers."""
+    """Limits towards callers.
+
+    ``operator_keys`` are digests of keys that may call the operator interface whatever the
+    tickets say: the first ticket is submitted with one, and so is the ticket that mends a
+    configuration without operators.
+    """
+
+    operator_keys: tuple[str, ...] = ()
 
     max_body_bytes: int = 2_000_000
     max_header_bytes: int = 32_768
--- a/src/hickorybeam/standins/relay.py
+++ b/src/hickorybeam/standins/relay.py
@@ -17,10 +17,13 @@
     from collections.abc import AsyncIterator
 
     from anyio.abc import ByteStream, TaskGroup
+    from anyio.streams.memory import MemoryObjectSendStream
 
 __all__ = ("Link", "LinkState", "serve")
 
 HOST = "127.0.0.1"
+MS_PER_SECOND = 1000
+PIECES_IN_FLIGHT = 256
 
 
 class LinkState(Enum):
@@ -95,20 +98,33 @@
                 await anyio.aclose_forcefully(far)
 
     async def _copy(self, source: ByteStream, sink: ByteStream, tg: TaskGroup) -> None:
+        send, receive = anyio.create_memory_object_stream[tuple[float, bytes]](PIECES_IN_FLIGHT)
         try:
-            async for data in source:
-                while self._state is LinkState.SILENT or source not in self._open:
-                    if self._state is LinkState.CUT:
-                        break
-                    await self._changed.wait()
-                if self.delay_ms:
-                    await anyio.sleep(self.delay_ms / 1000)
-                self.bytes_passed += len(data)
-                await sink.send(data)
-            await sink.send_eof()
-        except (anyio.ClosedResourceError, anyio.BrokenResourceError, OSError):
+            async with anyio.create_task_group() as pair:
+                pair.start_soon(self._read, source, send)
+                async with receive:
+                    async for due, data in receive:
+                        await anyio.sleep_until(due)
+                        await self._wait_for_pass(source)
+                        self.bytes_passed += len(data)
+                        await sink.send(data)
+                    await sink.send_eof()
+        except* (anyio.ClosedResourceError, anyio.BrokenResourceError, OSError):
             tg.cancel_scope.cancel()
 
+    async def _read(
+        self, source: ByteStream, send: MemoryObjectSendStream[tuple[float, bytes]]
+    ) -> None:
+        async with send:
+            async for data in source:
+                await send.send((anyio.current_time() + self.delay_ms / MS_PER_SECOND, data))
+
+    async def _wait_for_pass(self, source: ByteStream) -> None:
+        while self._state is LinkState.SILENT or source not in self._open:
+            if self._state is LinkState.CUT:
+                raise anyio.BrokenResourceError
+            await self._changed.wait()
+
 
 @asynccontextmanager
 async def serve(
