--- /dev/null
+++ b/tests/steps/loadgen/loadgen_steps.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from hickorybeam.loadgen import Outcome, Plan, Stream, arrivals, make_report
+
+
+@given('a load plan with accounts "{accounts}" for {seconds:d} s')
+def step_plan(context, accounts, seconds):
+    streams = []
+    for item in accounts.split(", "):
+        name, _, per_s = item.partition(" at ")
+        rate = float(per_s.removesuffix("/s"))
+        streams.append(Stream(account=name, key=name, urls=("u1", "u2"), per_s=rate))
+    context.plan = Plan(model="m", streams=tuple(streams), duration_ms=seconds * 1000)
+
+
+def of(plan, account):
+    return [item for item in arrivals(plan) if item.account == account]
+
+
+@then("the load plan drawn twice is the same")
+def step_same(context):
+    assert arrivals(context.plan) == arrivals(context.plan)
+
+
+@then('raising "{account}" to {rate:d} per second leaves the arrivals of "{other}" as they were')
+def step_raise(context, account, rate, other):
+    streams = tuple(
+        replace(s, per_s=rate) if s.account == account else s for s in context.plan.streams
+    )
+    raised = replace(context.plan, streams=streams)
+    assert of(raised, other) == of(context.plan, other)
+    assert len(of(raised, account)) > len(of(context.plan, account))
+
+
+@then('the arrivals of "{account}" are within {share:d}% of {count:d}')
+def step_count(context, account, share, count):
+    assert abs(len(of(context.plan, account)) - count) <= count * share / 100
+
+
+@given("load outcomes")
+def step_outcomes(context):
+    context.outcomes = [
+        Outcome(
+            account=row["account"],
+            long=False,
+            code=row["code"],
+            region=row["region"],
+            first_ms=float(row["first_ms"]),
+            tokens=int(row["tokens"]),
+        )
+        for row in context.table
+    ]
+
+
+def pairs(text):
+    return dict(item.split("=") for item in text.split(", "))
+
+
+@when('the load report is made with homes "{homes}" and costs "{costs}"')
+def step_report(context, homes, costs):
+    prices = {name: float(value) for name, value in pairs(costs).items()}
+    context.report = make_report(context.outcomes, homes=pairs(homes), costs=prices)
+
+
+@then('the load report says worst served "{account}" at {share:g}')
+def step_worst(context, account, share):
+    worst = context.report.worst
+    assert (worst.account, round(worst.served, 3)) == (account, share), worst
+
+
+@then("the load report says elsewhere {share:g} and cost {cost:g}")
+def step_cost(context, share, cost):
+    report = context.report
+    assert (round(report.elsewhere, 3), round(report.cost, 4)) == (share, cost), report
+
+
+@then('the load report says account "{account}" was refused "{code}" {count:d} time')
+def step_refused(context, account, code, count):
+    row = next(row for row in context.report.rows if row.account == account)
+    assert row.refused == {code: count}, row
+
+
+@then('the load report says the first token of "{account}" at 95 in 100 took {ms:d} ms')
+def step_first(context, account, ms):
+    row = next(row for row in context.report.rows if row.account == account)
+    assert abs(row.first_p95 - ms) < 1, row
