--- a/src/hickorybeam/platform/__init__.py
+++ b/src/hickorybeam/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hickorybeam.platform.etcd import EtcdPlatform
 from hickorybeam.platform.port import (
     MAX_VALUE_BYTES,
     Compare,
@@ -19,6 +20,7 @@
     "MAX_VALUE_BYTES",
     "Compare",
     "Delete",
+    "EtcdPlatform",
     "KeyValue",
     "Platform",
     "Put",
--- /dev/null
+++ b/src/hickorybeam/platform/etcd.py
@@ -0,0 +1,367 @@
+"""The platform port over etcd v3's JSON mapping."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, TypeVar
+
+import anyio
+import httpcore
+import msgspec
+
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.kernel import Service, Started
+from hickorybeam.platform import wire
+from hickorybeam.platform.port import (
+    MAX_VALUE_BYTES,
+    Compare,
+    Delete,
+    KeyValue,
+    Put,
+    ReadResult,
+    TxnResult,
+    WatchBatch,
+    Write,
+)
+from hickorybeam.platform.retry import RetryBudget, backoff_ms
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("EtcdPlatform",)
+
+T = TypeVar("T")
+
+HTTP_OK = 200
+MS_PER_SECOND = 1000
+READ_ATTEMPTS = 3
+MAX_CONNECTIONS = 16
+# Below the usual idle limit of servers (5 s), so that we close an idle connection first: a
+# write that meets the server's close would have an unknown outcome.
+IDLE_EXPIRY_S = 4.0
+# The longest line of a watch: one transaction of several values, in base64.
+MAX_WATCH_LINE_BYTES = 16_000_000
+# Refused before it was proposed to the service's own replicas, so nothing was written.
+NO_LEADER = "no leader"
+
+
+class CallKind(Enum):
+    """How the service counts a call."""
+
+    READ = "read"
+    TXN = "txn"
+    LEASE = "lease"
+    WATCH = "watch"
+
+
+class _NotSentError(Exception):
+    """No byte of the request can have reached the service."""
+
+
+class _NoAnswerError(Exception):
+    """The request may have reached the service; no whole answer came."""
+
+
+@dataclass(frozen=True, slots=True)
+class _RefusalError(Exception):
+    code: int
+    text: str
+
+
+class _Connections:
+    """A pool that is given up as a whole once one of its connections fell silent.
+
+    A firewall that lost track of one connection lost track of its neighbours too: each would
+    cost another timeout. The pool closes when the calls that still use it have ended.
+    """
+
+    def __init__(self) -> None:
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_EXPIRY_S
+        )
+        self.users = 0
+        self.retired = False
+
+    async def release(self) -> None:
+        """End one use and close the pool after the last one."""
+        self.users -= 1
+        if self.retired and not self.users:
+            with anyio.CancelScope(shield=True):
+                await self.pool.aclose()
+
+
+class EtcdPlatform(Service):
+    """Calls the platform's key-value service.
+
+    A write is sent at most once: when its answer is lost, ``PLATFORM_UNKNOWN`` is raised and
+    the owner of the key reads back. Only a write of which no byte can have left is tried at
+    the next address. Reads are retried, within a budget.
+    """
+
+    name = "platform"
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._cfg = cfg.platform
+        self._clock = clock
+        self._urls = tuple(url.rstrip("/") for url in cfg.platform.urls)
+        self._current = 0
+        self._connections = _Connections()
+        self._budget = RetryBudget()
+        self._rng = random.Random()
+        self._calls = counters.counter(
+            "platform_calls", "Calls made of the platform", ("kind", "outcome")
+        )
+        self._retries = counters.retries
+        timeout_s = cfg.platform.timeout_ms / MS_PER_SECOND
+        self._timeouts = {
+            "connect": timeout_s / 2,
+            "pool": timeout_s / 2,
+            "write": timeout_s,
+            "read": timeout_s,
+        }
+
+    async def run(self, started: Started) -> None:
+        """Hold the connections until cancelled."""
+        started()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._connections.pool.aclose()
+
+    async def read(self, key: str, *, limit: int = 0) -> ReadResult:
+        """Read one key."""
+        return await self._range(wire.RangeRequest(key=self._absolute(key)))
+
+    async def read_prefix(self, prefix: str, *, start: str = "", limit: int = 0) -> ReadResult:
+        """Read the keys under a prefix, from ``start`` on, at most ``limit`` (0: all)."""
+        request = wire.RangeRequest(
+            key=self._absolute(max(prefix, start)),
+            range_end=wire.prefix_end(self._absolute(prefix)),
+            limit=str(limit),
+        )
+        return await self._range(request)
+
+    async def txn(self, compares: tuple[Compare, ...], writes: tuple[Write, ...]) -> TxnResult:
+        """Apply all writes if every comparison holds, else none."""
+        request = wire.TxnRequest(
+            compare=tuple(self._compare(each) for each in compares),
+            success=tuple(self._operation(each) for each in writes),
+        )
+        reply = await self._call(CallKind.TXN, wire.TXN, request, wire.TxnReply, write=True)
+        return TxnResult(reply.succeeded, int(reply.header.revision))
+
+    async def grant(self, ttl_ms: int) -> int:
+        """Create a lease; the service counts it in whole seconds, rounded up here."""
+        request = wire.LeaseGrantRequest(ttl=str(math.ceil(ttl_ms / MS_PER_SECOND)))
+        reply = await self._call(
+            CallKind.LEASE, wire.LEASE_GRANT, request, wire.LeaseGrantReply, write=True
+        )
+        return int(reply.id)
+
+    async def keep_alive(self, lease: int) -> int:
+        """Renew a lease and return its time to live in ms, or raise ``LEASE_LOST``."""
+        request = wire.LeaseRequest(id=str(lease))
+        reply = await self._call(
+            CallKind.LEASE, wire.LEASE_KEEP_ALIVE, request, wire.KeepAliveReply, write=False
+        )
+        ttl_s = int(reply.result.ttl)
+        if ttl_s <= 0:
+            raise GatewayError(ErrorKind.LEASE_LOST)
+        return ttl_s * MS_PER_SECOND
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease; its keys are removed. One that lapsed before is no fault."""
+        request = wire.LeaseRequest(id=str(lease))
+        try:
+            await self._call(
+                CallKind.LEASE, wire.LEASE_REVOKE, request, wire.StatusReply, write=True
+            )
+        except GatewayError as exc:
+            if exc.kind is not ErrorKind.LEASE_LOST:
+                raise
+
+    async def watch(self, prefix: str, *, after: int) -> AsyncIterator[WatchBatch]:
+        """Yield changes after a revision, over a connection of its own."""
+        start = self._absolute(prefix)
+        create = wire.WatchCreate(
+            key=start,
+            range_end=wire.prefix_end(start),
+            start_revision=str(after + 1),
+            progress_notify=True,
+        )
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            lines = self._watch_lines(pool, wire.WatchRequest(create=create))
+            async for line in lines:
+                batch = self._batch(msgspec.json.decode(line, type=wire.WatchReply))
+                if batch is not None:
+                    yield batch
+
+    async def _watch_lines(
+        self, pool: httpcore.AsyncConnectionPool, request: wire.WatchRequest
+    ) -> AsyncIterator[bytes]:
+        # No read timeout: nothing may change for hours. A watch that went silent shows in the
+        # read that its owner pairs with it.
+        extensions = {"timeout": {**self._timeouts, "read": None}}
+        try:
+            async with pool.stream(
+                "POST",
+                self._urls[self._current] + wire.WATCH,
+                headers=[("content-type", "application/json")],
+                content=msgspec.json.encode(request),
+                extensions=extensions,
+            ) as response:
+                if response.status != HTTP_OK:
+                    raise GatewayError(ErrorKind.PLATFORM_OUT, f"status {response.status}")
+                self._count(CallKind.WATCH, "ok")
+                rest = b""
+                async for chunk in response.aiter_stream():
+                    *lines, rest = (rest + chunk).split(b"\n")
+                    if len(rest) > MAX_WATCH_LINE_BYTES:
+                        raise GatewayError(ErrorKind.PLATFORM_OUT, "a watch line has no end")
+                    for line in lines:
+                        if line.strip():
+                            yield line
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as exc:
+            self._next_url()
+            self._count(CallKind.WATCH, "out")
+            raise GatewayError(ErrorKind.PLATFORM_OUT, f"watch: {type(exc).__name__}") from exc
+        raise GatewayError(ErrorKind.PLATFORM_OUT, "the watch ended")
+
+    def _batch(self, reply: wire.WatchReply) -> WatchBatch | None:
+        result = reply.result
+        if result is None:
+            text = reply.error.message if reply.error else ""
+            raise GatewayError(ErrorKind.PLATFORM_OUT, f"watch: {text}")
+        if int(result.compact_revision):
+            raise GatewayError(ErrorKind.WATCH_COMPACTED, f"at {result.compact_revision}")
+        if result.canceled:
+            raise GatewayError(ErrorKind.PLATFORM_OUT, "the watch was cancelled")
+        if result.created:
+            return None
+        puts = tuple(self._relative(event.kv) for event in result.events if event.type == "PUT")
+        deletes = tuple(
+            self._relative(event.kv).key for event in result.events if event.type == "DELETE"
+        )
+        return WatchBatch(int(result.header.revision), puts, deletes)
+
+    async def _range(self, request: wire.RangeRequest) -> ReadResult:
+        reply = await self._call(CallKind.READ, wire.RANGE, request, wire.RangeReply, write=False)
+        items = tuple(self._relative(item) for item in reply.kvs)
+        return ReadResult(int(reply.header.revision), items)
+
+    async def _call(
+        self, kind: CallKind, path: str, request: wire.Message, reply: type[T], *, write: bool
+    ) -> T:
+        body = msgspec.json.encode(request)
+        attempts = len(self._urls) if write else max(READ_ATTEMPTS, len(self._urls))
+        self._budget.earn()
+        for attempt in range(1, attempts + 1):
+            try:
+                raw = await self._post(path, body)
+            except (_NotSentError, _NoAnswerError) as exc:
+                self._next_url()
+                if write and isinstance(exc, _NoAnswerError):
+                    self._count(kind, "unknown")
+                    raise GatewayError(ErrorKind.PLATFORM_UNKNOWN, str(exc)) from exc
+                if attempt == attempts or not self._budget.spend():
+                    break
+                self._retries.labels(f"platform_{kind.value}").inc()
+                await self._clock.sleep(backoff_ms(attempt, self._rng))
+            except _RefusalError as exc:
+                self._count(kind, "refused")
+                raise self._refused(exc, write=write) from exc
+            else:
+                self._count(kind, "ok")
+                return msgspec.json.decode(raw, type=reply)
+        self._count(kind, "out")
+        raise GatewayError(ErrorKind.PLATFORM_OUT, "no address of the platform answers")
+
+    async def _post(self, path: str, body: bytes) -> bytes:
+        connections = self._connections
+        connections.users += 1
+        try:
+            # The library's limits hold for each step; this one holds for the whole call.
+            with anyio.fail_after(2 * self._cfg.timeout_ms / MS_PER_SECOND):
+                response = await connections.pool.request(
+                    "POST",
+                    self._urls[self._current] + path,
+                    headers=[("content-type", "application/json")],
+                    content=body,
+                    extensions={"timeout": self._timeouts},
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as exc:
+            raise _NotSentError(type(exc).__name__) from exc
+        except (TimeoutError, httpcore.TimeoutException) as exc:
+            self._retire(connections)
+            raise _NoAnswerError("no answer in time") from exc
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            self._retire(connections)
+            raise _NoAnswerError(type(exc).__name__) from exc
+        finally:
+            await connections.release()
+        if response.status != HTTP_OK:
+            raise _refusal(response.status, response.content)
+        return response.content
+
+    def _refused(self, refusal: _RefusalError, *, write: bool) -> GatewayError:
+        match refusal.code:
+            case wire.CODE_NOT_FOUND:
+                return GatewayError(ErrorKind.LEASE_LOST, refusal.text)
+            case wire.CODE_INVALID if "too large" in refusal.text:
+                return GatewayError(ErrorKind.VALUE_TOO_LARGE, refusal.text)
+            case wire.CODE_INVALID | wire.CODE_TOO_MANY:
+                return GatewayError(ErrorKind.PLATFORM_OUT, refusal.text)
+            case wire.CODE_UNAVAILABLE if NO_LEADER in refusal.text or not write:
+                return GatewayError(ErrorKind.PLATFORM_OUT, refusal.text)
+        # Any other error of a write may come after it was proposed and may yet take effect.
+        kind = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
+        return GatewayError(kind, refusal.text)
+
+    def _retire(self, connections: _Connections) -> None:
+        connections.retired = True
+        if self._connections is connections:
+            self._connections = _Connections()
+
+    def _next_url(self) -> None:
+        self._current = (self._current + 1) % len(self._urls)
+
+    def _count(self, kind: CallKind, outcome: str) -> None:
+        self._calls.labels(kind.value, outcome).inc()
+
+    def _absolute(self, key: str) -> bytes:
+        return (self._cfg.prefix + key).encode()
+
+    def _relative(self, item: wire.KeyValueMessage) -> KeyValue:
+        key = item.key.decode().removeprefix(self._cfg.prefix)
+        return KeyValue(key, item.value, int(item.mod_revision), int(item.lease))
+
+    def _compare(self, compare: Compare) -> wire.CompareMessage:
+        return wire.CompareMessage(
+            key=self._absolute(compare.key), mod_revision=str(compare.mod_revision), target="MOD"
+        )
+
+    def _operation(self, write: Write) -> wire.Operation:
+        match write:
+            case Put(value=value) if len(value) > MAX_VALUE_BYTES:
+                raise GatewayError(ErrorKind.VALUE_TOO_LARGE, f"{len(value)} bytes")
+            case Put(key=key, value=value, lease=lease):
+                put = wire.PutRequest(key=self._absolute(key), value=value, lease=str(lease))
+                return wire.Operation(put=put)
+            case Delete(key=key):
+                return wire.Operation(delete=wire.DeleteRequest(key=self._absolute(key)))
+
+
+def _refusal(status: int, body: bytes) -> _RefusalError:
+    try:
+        reply = msgspec.json.decode(body, type=wire.StatusReply)
+    except msgspec.DecodeError:
+        return _RefusalError(0, f"status {status}")
+    return _RefusalError(reply.code, reply.message or reply.error)
--- /dev/null
+++ b/tests/steps/platform/contract_steps.py
@@ -0,0 +1,304 @@
+from __future__ import annotations
+
+import anyio
+from behave import given, then, when
+
+from hickorybeam.clock import SystemClock
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.platform import Compare, Delete, EtcdPlatform, Put
+from hickorybeam.settings import PlatformSettings, Settings, VmSettings
+from hickorybeam.standins import platform as standin
+from hickorybeam.telemetry import Counters
+
+TIMEOUT_MS = 400
+UNREACHABLE = "http://127.0.0.1:9"
+
+
+class ShiftedClock(SystemClock):
+    """The machine's clock, which a test can move ahead."""
+
+    ahead = 0
+
+    def now(self):
+        return super().now() + self.ahead
+
+
+def etcd_client(*urls, prefix="/hickorybeam/"):
+    cfg = Settings(
+        vm=VmSettings(name="vm", region="r", data_centre="d"),
+        platform=PlatformSettings(urls=urls, timeout_ms=TIMEOUT_MS, prefix=prefix),
+    )
+    return EtcdPlatform(cfg=cfg, clock=SystemClock(), counters=Counters())
+
+
+def serve(context, clock=None):
+    served = context.stack.enter_context(
+        context.portal.wrap_async_context_manager(standin.serve(clock=clock))
+    )
+    context.served = served
+    return served
+
+
+@given('platform "{impl}"')
+def step_platform(context, impl):
+    context.impl = impl
+    context.clock = ShiftedClock()
+    if impl == "memory":
+        context.stand_in = context.call(standin.PlatformStandIn, context.clock)
+        context.client = standin.MemoryPlatform(context.stand_in)
+    else:
+        context.stand_in = serve(context, context.clock).stand_in
+        context.client = context.call(etcd_client, context.served.url)
+
+
+@given('a second platform client with prefix "{prefix}"')
+def step_second(context, prefix):
+    if context.impl == "memory":
+        context.second = standin.MemoryPlatform(context.stand_in, prefix=prefix)
+    else:
+        context.second = context.call(lambda: etcd_client(context.served.url, prefix=prefix))
+
+
+@then("the second platform client finds nothing")
+def step_second_nothing(context):
+    assert context.call(context.second.read_prefix, "").items == ()
+
+
+def puts(text, lease=0):
+    pairs = [pair.strip().split("=") for pair in text.split(",") if pair.strip()]
+    return tuple(Put(key, value.encode(), lease) for key, value in pairs)
+
+
+def shown(items):
+    return ", ".join(f"{item.key}={item.value.decode()}" for item in items)
+
+
+def revision_of(context, key):
+    found = context.call(context.client.read, key).items
+    return found[0].mod_revision if found else 0
+
+
+@given('platform txn puts "{text}" if "{key}" is at {revision:d}')
+@when('platform txn puts "{text}" if "{key}" is at {revision:d}')
+def step_put_at(context, text, key, revision):
+    context.done = context.call(context.client.txn, (Compare(key, revision),), puts(text))
+
+
+@when('platform txn puts "{text}" if "{key}" is unchanged')
+def step_put(context, text, key):
+    step_put_at(context, text, key, revision_of(context, key))
+
+
+@when('platform txn deletes "{gone}" if "{key}" is unchanged')
+def step_delete(context, gone, key):
+    compares = (Compare(key, revision_of(context, key)),)
+    context.done = context.call(context.client.txn, compares, (Delete(gone),))
+
+
+@then("the platform txn is done")
+def step_done(context):
+    assert context.done.done
+
+
+@then("the platform txn is not done")
+def step_not_done(context):
+    assert not context.done.done
+
+
+@then('platform keys under "{prefix}" are "{text}"')
+@then('platform keys under "" are "{text}"')
+@then('platform keys under "" are ""')
+def step_keys(context, prefix="", text=""):
+    found = context.call(context.client.read_prefix, prefix)
+    assert shown(found.items) == text, found
+
+
+@then('platform keys under "" from "{start}" on are "{text}"')
+def step_keys_from(context, start, text):
+    found = context.call(lambda: context.client.read_prefix("", start=start))
+    assert shown(found.items) == text, found
+
+
+@then('at most {limit:d} platform key under "" is "{text}"')
+def step_keys_limit(context, limit, text):
+    found = context.call(lambda: context.client.read_prefix("", limit=limit))
+    assert shown(found.items) == text, found
+
+
+@given('a platform lease of {ttl:d} ms with key "{text}"')
+def step_lease(context, ttl, text):
+    context.lease = context.call(context.client.grant, ttl)
+    context.call(context.client.txn, (), puts(text, context.lease))
+
+
+@when("{ms:d} ms pass on the platform")
+def step_pass(context, ms):
+    context.clock.ahead += ms
+
+
+@then("renewing the platform lease gives {ttl:d} ms")
+def step_renew(context, ttl):
+    assert context.call(context.client.keep_alive, context.lease) == ttl
+
+
+@when('the platform lease ends by "{end}"')
+def step_lease_end(context, end):
+    match end:
+        case "time":
+            context.clock.ahead += 3_001
+        case "lapse":
+            context.call(context.stand_in.lapse, context.lease)
+        case "revoke":
+            context.call(context.client.revoke, context.lease)
+
+
+def outcome(context, fn, *args):
+    try:
+        context.call(fn, *args)
+    except GatewayError as exc:
+        return exc.kind.value
+    return "done"
+
+
+@then('renewing the platform lease fails with "{kind}"')
+def step_renew_fails(context, kind):
+    assert outcome(context, context.client.keep_alive, context.lease) == kind
+
+
+@then('writing under the platform lease fails with "{kind}"')
+def step_lease_write_fails(context, kind):
+    assert outcome(context, context.client.txn, (), puts("k=v", context.lease)) == kind
+
+
+@when('the platform fault is "{fault}"')
+def step_fault(context, fault):
+    faults = context.stand_in.faults
+    context.write_value = None
+    match fault:
+        case "none":
+            pass
+        case "out":
+            context.call(faults.set_out, True)
+        case "unreachable":
+            context.healthy = getattr(context, "healthy", context.client)
+            context.client = context.call(etcd_client, UNREACHABLE)
+        case "lose answer":
+            faults.lose_answers = 1
+        case "drop":
+            faults.drop_requests = 1
+        case "slow":
+            faults.slow_ms = 50
+        case "too large":
+            context.write_value = b"x" * 1_000_001
+        case _:
+            raise AssertionError(fault)
+
+
+@when("the platform faults are over")
+def step_faults_over(context):
+    context.call(context.stand_in.faults.set_out, False)
+    context.stand_in.faults.drop_requests = 0
+    context.stand_in.faults.lose_answers = 0
+    context.client = getattr(context, "healthy", context.client)
+
+
+@then('a platform write of "{text}" ends with "{kind}"')
+def step_write_ends(context, text, kind):
+    writes = puts(text)
+    if context.write_value is not None:
+        writes = (Put(writes[0].key, context.write_value),)
+    assert outcome(context, context.client.txn, (), writes) == kind
+
+
+@then('a platform read of "{key}" ends with "{kind}"')
+def step_read_ends(context, key, kind):
+    found = outcome(context, context.client.read, key)
+    assert found == kind, found
+
+
+@then("the platform saw {count:d} writes")
+def step_saw(context, count):
+    assert context.stand_in.calls["txn"] == count, context.stand_in.calls
+
+
+class Watcher:
+    """Collects what one watch yields."""
+
+    def __init__(self, client, after):
+        self.client, self.after = client, after
+        self.seen, self.kind = [], ""
+
+    async def run(self, count, timeout_s):
+        with anyio.move_on_after(timeout_s):
+            try:
+                async for batch in self.client.watch("", after=self.after):
+                    parts = [f"{kv.key}={kv.value.decode()}" for kv in batch.puts]
+                    parts += [f"-{key}" for key in batch.deletes]
+                    self.seen.append(" ".join(parts))
+                    if len(self.seen) == count:
+                        return
+            except GatewayError as exc:
+                self.kind = exc.kind.value
+
+
+def start_watch(context, after, count, timeout_s=3.0):
+    watcher = Watcher(context.client, after)
+    watcher.done = context.portal.start_task_soon(watcher.run, count, timeout_s)
+    return watcher
+
+
+@given("a platform watch from now on")
+def step_watch(context):
+    after = context.call(context.client.read, "a").revision
+    context.watcher = start_watch(context, after, 2)
+    calls = context.stand_in.calls
+
+    async def opened():
+        while not calls["watch"]:
+            await anyio.sleep(0.005)
+
+    context.call(opened)
+
+
+@then('the platform watch yields "{text}"')
+def step_watch_yields(context, text):
+    context.watcher.done.result()
+    assert "; ".join(context.watcher.seen) == text, context.watcher.seen
+
+
+@then('a platform watch from the start yields "{text}"')
+def step_watch_start(context, text):
+    watcher = start_watch(context, 1, text.count(";") + 1)
+    watcher.done.result()
+    assert "; ".join(watcher.seen) == text, watcher.seen
+
+
+@when("the platform history is compacted")
+def step_compact(context):
+    context.call(context.stand_in.store.compact)
+
+
+@then('a platform watch from the start fails with "{kind}"')
+def step_watch_start_fails(context, kind):
+    watcher = start_watch(context, 1, 1)
+    watcher.done.result()
+    assert (watcher.kind, watcher.seen) == (kind, [])
+
+
+@when("the platform watches go silent")
+def step_silence(context):
+    context.call(context.stand_in.faults.silence_watches)
+
+
+@then("the platform watch yields nothing within {ms:d} ms")
+def step_watch_nothing(context, ms):
+    context.call(anyio.sleep, ms / 1000)
+    assert context.watcher.seen == []
+    assert not context.watcher.done.done()
+
+
+@then('the platform watch fails with "{kind}"')
+def step_watch_fails(context, kind):
+    context.watcher.done.result()
+    assert context.watcher.kind == kind, context.watcher.kind
+    assert ErrorKind(kind)
