--- a/src/hickorybeam/platform/etcd.py
+++ b/src/hickorybeam/platform/etcd.py
@@ -127,7 +127,7 @@
             "read": timeout_s,
         }
 
-    async def run(self, started: Started) -> None:
+    async def main(self, started: Started) -> None:
         """Hold the connections until cancelled."""
         started()
         try:
--- a/src/hickorybeam/standins/memory.py
+++ b/src/hickorybeam/standins/memory.py
@@ -148,7 +148,7 @@
         self.faults = stand_in.new_faults()
         self._prefix = prefix
 
-    async def run(self, started: Started) -> None:
+    async def main(self, started: Started) -> None:
         """Keep the leases of the stand-in."""
         started()
         await self.stand_in.run()
--- a/src/hickorybeam/standins/platform.py
+++ b/src/hickorybeam/standins/platform.py
@@ -11,29 +11,28 @@
 import math
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
-import uvicorn
 
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.httpserve import listening
 from hickorybeam.platform import Compare, Delete, Put, Write, wire
+from hickorybeam.standins.http import CutOffError, Exchange
 from hickorybeam.standins.memory import Faults, MemoryPlatform, PlatformStandIn
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator
 
     from hickorybeam.platform import ReadResult, WatchBatch
+    from hickorybeam.standins.http import Receive, Scope, Send
 
-    Receive = Callable[[], Awaitable[dict[str, Any]]]
-    Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 __all__ = ("Faults", "MemoryPlatform", "PlatformApp", "PlatformStandIn", "ServedPlatform", "serve")
 
 MS_PER_SECOND = 1000
-START_POLL_MS = 5
 
 
 class FaultOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,10 +62,6 @@
 }
 
 
-class _ConnectionCutError(Exception):
-    """Ends the connection in the middle of an answer."""
-
-
 class PlatformApp:
     """ASGI application over one :class:`PlatformStandIn`."""
 
@@ -80,47 +75,46 @@
             return self.stand_in.faults
         return self._links.setdefault(name, self.stand_in.new_faults())
 
-    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         if scope["type"] != "http":
             return
-        body = await _body(receive)
-        name, _, rest = scope["path"].partition("/v3/")
+        exchange = Exchange(scope, receive, send)
+        body = await exchange.body()
+        name, _, rest = exchange.path.partition("/v3/")
         path = f"/v3/{rest}"
         try:
-            if scope["path"] == "/standin/faults":
+            if exchange.path == "/standin/faults":
                 self._switch(msgspec.json.decode(body, type=FaultOrder))
-                await _answer(send, 200, b"{}")
-            elif scope["path"] == "/standin/calls":
-                await _answer(send, 200, msgspec.json.encode(dict(self.stand_in.calls)))
+                await exchange.json(200, {})
+            elif exchange.path == "/standin/calls":
+                await exchange.json(200, dict(self.stand_in.calls))
             elif path == wire.WATCH:
-                await self._watch(self._faults(name), body, receive, send)
+                await self._watch(self._faults(name), body, exchange)
             else:
-                await self._unary(self._faults(name), path, body, receive, send)
-        except _ConnectionCutError:
-            await _cut(send)
+                await self._unary(self._faults(name), path, body, exchange)
         except GatewayError as exc:
             failure = _FAILURES[exc.kind]
             reply = wire.StatusReply(
                 code=failure.code, message=failure.text, error=f"etcdserver: {failure.text}"
             )
-            await _answer(send, failure.status, msgspec.json.encode(reply))
+            await exchange.json(failure.status, reply)
         except msgspec.MsgspecError as exc:
             reply = wire.StatusReply(code=wire.CODE_INVALID, message=str(exc))
-            await _answer(send, 400, msgspec.json.encode(reply))
+            await exchange.json(400, reply)
 
     def _faults(self, name: str) -> tuple[Faults, ...]:
         link = name.strip("/")
         return (self.stand_in.faults, self.link(link)) if link else (self.stand_in.faults,)
 
     async def _unary(
-        self, faults: tuple[Faults, ...], path: str, body: bytes, receive: Receive, send: Send
+        self, faults: tuple[Faults, ...], path: str, body: bytes, exchange: Exchange
     ) -> None:
         for switch in faults:
             if switch.out:
                 raise GatewayError(ErrorKind.PLATFORM_OUT)
             if switch.take_dropped_request():
-                await _until_disconnect(receive)
+                await exchange.gone()
                 return
             await self.stand_in.clock.sleep(switch.slow_ms)
         self.stand_in.expire()
@@ -128,10 +122,11 @@
         if writes:
             self.stand_in.notify()
             if any(switch.take_lost_answer() for switch in faults):
-                raise _ConnectionCutError
-        raw = msgspec.json.encode(reply)
-        self.stand_in.bytes_sent += len(raw)
-        await _answer(send, 200, raw)
+                # More bytes are promised than come, so the connection closes unanswered.
+                await exchange.start(200, {"content-length": "2"})
+                raise CutOffError
+        self.stand_in.bytes_sent += len(msgspec.json.encode(reply))
+        await exchange.json(200, reply)
 
     def _handle(self, path: str, body: bytes) -> tuple[wire.Message, bool]:
         store, now = self.stand_in.store, self.stand_in.clock.now()
@@ -175,40 +170,38 @@
         done = self.stand_in.store.txn(compares, tuple(_write(each) for each in request.success))
         return wire.TxnReply(header=wire.Header(revision=str(done.revision)), succeeded=done.done)
 
-    async def _watch(
-        self, faults: tuple[Faults, ...], body: bytes, receive: Receive, send: Send
-    ) -> None:
+    async def _watch(self, faults: tuple[Faults, ...], body: bytes, exchange: Exchange) -> None:
         create = msgspec.json.decode(body, type=wire.WatchRequest).create
         prefix, after = _prefix_of(create.range_end), int(create.start_revision) - 1
         self.stand_in.count("watch")
-        await send({"type": "http.response.start", "status": 200, "headers": []})
-        await self._send_result(send, wire.WatchResult(header=self._header(), created=True))
+        await exchange.start(200, {"content-type": "application/json"})
+        await self._send_result(exchange, wire.WatchResult(header=self._header(), created=True))
         async with anyio.create_task_group() as tg:
 
             async def relay() -> None:
                 try:
                     async for batch in self.stand_in.watch(prefix, after, faults):
-                        await self._send_result(send, _watch_result(batch))
+                        await self._send_result(exchange, _watch_result(batch))
                 except GatewayError as exc:
                     if exc.kind is ErrorKind.WATCH_COMPACTED:
                         compacted = str(self.stand_in.store.compacted)
                         await self._send_result(
-                            send,
+                            exchange,
                             wire.WatchResult(
                                 header=self._header(), canceled=True, compact_revision=compacted
                             ),
                         )
-                await send({"type": "http.response.body", "body": b""})
+                await exchange.write(b"", more=False)
                 tg.cancel_scope.cancel()
 
             tg.start_soon(relay)
-            await _until_disconnect(receive)
+            await exchange.gone()
             tg.cancel_scope.cancel()
 
-    async def _send_result(self, send: Send, result: wire.WatchResult) -> None:
+    async def _send_result(self, exchange: Exchange, result: wire.WatchResult) -> None:
         line = msgspec.json.encode(wire.WatchReply(result=result)) + b"\n"
         self.stand_in.bytes_sent += len(line)
-        await send({"type": "http.response.body", "body": line, "more_body": True})
+        await exchange.write(line)
 
     def _header(self) -> wire.Header:
         return wire.Header(revision=str(self.stand_in.store.revision))
@@ -253,54 +246,10 @@
     """Serve a stand-in on loopback until the context ends."""
     stand_in = PlatformStandIn(clock or SystemClock())
     app = PlatformApp(stand_in)
-    config = uvicorn.Config(
-        app,
-        host="127.0.0.1",
-        port=port,
-        log_level="critical",
-        lifespan="off",
-        timeout_graceful_shutdown=1,
-    )
-    server = uvicorn.Server(config)
-    async with anyio.create_task_group() as tg:
-        tg.start_soon(server._serve)  # without the library's own signal handlers
-        while not server.started:
-            await SystemClock().sleep(START_POLL_MS)
+    async with listening(app, port=port) as listener, anyio.create_task_group() as tg:
         tg.start_soon(stand_in.run)
-        bound = server.servers[0].sockets[0].getsockname()[1]
-        try:
-            yield ServedPlatform(bound, app)
-        finally:
-            server.should_exit = True
-            server.force_exit = True
-            tg.cancel_scope.cancel()
-
-
-async def _body(receive: Receive) -> bytes:
-    body = bytearray()
-    while True:
-        message = await receive()
-        body += message.get("body", b"")
-        if not message.get("more_body"):
-            return bytes(body)
-
-
-async def _until_disconnect(receive: Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
-async def _answer(send: Send, status: int, body: bytes) -> None:
-    headers = [(b"content-type", b"application/json"), (b"content-length", b"%d" % len(body))]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": body})
-
-
-async def _cut(send: Send) -> None:
-    """Promise more bytes than come, which makes the server close the connection."""
-    headers = [(b"content-length", b"2")]
-    await send({"type": "http.response.start", "status": 200, "headers": headers})
-    await send({"type": "http.response.body", "body": b"{", "more_body": False})
+        yield ServedPlatform(listener.port, app)
+        tg.cancel_scope.cancel()
 
 
 def _prefix_of(range_end: bytes) -> str:
--- a/tests/platform/etcd.feature
+++ b/tests/platform/etcd.feature
@@ -17,9 +17,9 @@
   Scenario: a connection that fell silent is never used again
     # The caller sees one lost read at most: the first request on the silent connection times
     # out, the pool with all its connections is given up, and the retry opens a new one.
-    Given an etcd client behind a gate
+    Given an etcd client behind a relay
     And the etcd client has read once
-    When the gate swallows all bytes of the open connections
+    When the relay swallows all bytes of the open connections
     Then the etcd client reads again over a new connection
 
   Scenario: the next address is tried when one refuses connections
--- a/tests/steps/platform/etcd_steps.py
+++ b/tests/steps/platform/etcd_steps.py
@@ -1,11 +1,11 @@
 from __future__ import annotations
 
-import anyio
 import httpcore
 from behave import given, then, when
 
 from hickorybeam.platform import Compare, Put
 from hickorybeam.platform.retry import RetryBudget
+from hickorybeam.standins import relay
 from steps.platform.contract_steps import UNREACHABLE, etcd_client, serve
 
 
@@ -30,61 +30,31 @@
     assert part in context.raw, context.raw
 
 
-class Gate:
-    """Relays TCP bytes until it is told to swallow those of the connections then open."""
-
-    def __init__(self, port):
-        self.port, self.opened, self.swallowing = port, 0, set()
-
-    async def handle(self, stream):
-        self.opened += 1
-        me = self.opened
-        far = await anyio.connect_tcp("127.0.0.1", self.port)
-        async with far, anyio.create_task_group() as tg:
-            tg.start_soon(self.relay, me, stream, far)
-            tg.start_soon(self.relay, me, far, stream)
-
-    async def relay(self, me, source, target):
-        try:
-            async for data in source:
-                if me not in self.swallowing:
-                    await target.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            pass
-
-
-@given("an etcd client behind a gate")
-def step_gate(context):
+@given("an etcd client behind a relay")
+def step_relay(context):
     served = serve(context)
-    context.gate = Gate(served.port)
-
-    async def listen():
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        context.gate_port = listener.listeners[0].extra(anyio.abc.SocketAttribute.local_port)
-        return listener
-
-    listener = context.call(listen)
-    task = context.portal.start_task_soon(listener.serve, context.gate.handle)
-    context.stack.callback(task.cancel)
-    context.client = context.call(etcd_client, f"http://127.0.0.1:{context.gate_port}")
+    context.link = context.stack.enter_context(
+        context.portal.wrap_async_context_manager(relay.serve("127.0.0.1", served.port))
+    )
+    context.client = context.call(etcd_client, f"http://{context.link.address}")
 
 
 @given("the etcd client has read once")
 def step_read_once(context):
     context.call(context.client.read, "a")
-    context.call(context.client.read, "a")
-    assert context.gate.opened == 1
+    context.passed = context.link.bytes_passed
+    assert context.passed > 0
 
 
-@when("the gate swallows all bytes of the open connections")
+@when("the relay swallows all bytes of the open connections")
 def step_swallow(context):
-    context.gate.swallowing = set(range(1, context.gate.opened + 1))
+    context.call(context.link.drop_bytes_of_open)
 
 
 @then("the etcd client reads again over a new connection")
 def step_reads_again(context):
     assert context.call(context.client.read, "a").items == ()
-    assert context.gate.opened == 2
+    assert context.link.bytes_passed > context.passed
 
 
 @given("an etcd client whose first address refuses connections")
