--- /dev/null
+++ b/tests/steps/peers/decision_steps.py
@@ -0,0 +1,365 @@
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import given as forall
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from hickorybeam.model import EntryVm, RegionLoad, VmId, VmState
+from hickorybeam.peers import ring
+from hickorybeam.peers.exchange import Exchange
+from hickorybeam.peers.members import new_incarnation
+from hickorybeam.peers.suspicion import Suspect, judge
+from hickorybeam.peers.view import MemberRecord, Roster
+from hickorybeam.policy.entries import entry_order
+
+FIXED = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=300,
+    stateful_step_count=60,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def make_vm(name, incarnation="1", data_centre="dakar-1", state=VmState.SERVING):
+    return EntryVm(
+        id=VmId(name, incarnation),
+        region=data_centre.rpartition("-")[0],
+        data_centre=data_centre,
+        host="127.0.0.1",
+        http_port=1,
+        peer_port=2,
+        state=state,
+    )
+
+
+records = st.builds(
+    MemberRecord,
+    vm=st.builds(
+        make_vm,
+        st.sampled_from("ab"),
+        st.sampled_from("123"),
+        state=st.sampled_from(VmState),
+    ),
+    version=st.integers(1, 3),
+    silent=st.booleans(),
+    gone=st.booleans(),
+    at_ms=st.integers(0, 2),
+)
+
+
+def merged(*parts):
+    roster = Roster()
+    for part in parts:
+        for record in part:
+            roster.merge(record)
+    return {record.vm.id.name: record for record in roster}, roster.digest
+
+
+@then("merging member records is commutative, associative and idempotent")
+def step_merge(context):
+    @FIXED
+    @forall(st.lists(records, max_size=5), st.lists(records, max_size=5), st.randoms())
+    def check(one, other, order):
+        shuffled = [*one, *other, *one]
+        order.shuffle(shuffled)
+        assert merged(one, other) == merged(other, one) == merged(shuffled)
+        joined = merged(one)[0].values()
+        assert merged(joined, other) == merged(one, other)
+
+    check()
+
+
+class Gossip(RuleBasedStateMachine):
+    """Four VM names in two data centres; the machine plays the network and the processes."""
+
+    NAMES = ("a1", "a2", "b1", "b2")
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1_000
+        self.late = []
+        self.highest = {}
+
+    @initialize()
+    def start(self):
+        self.nodes = {name: self.make(name, 1) for name in self.NAMES}
+
+    def make(self, name, life):
+        vm = make_vm(name, f"{life:03d}", data_centre="dc-" + name[0])
+        return Exchange(vm, now_ms=self.now, wall_ms=self.now)
+
+    def send(self, source, to, *, lose_reply=False):
+        sender, receiver = self.nodes[source], self.nodes[to]
+        request = sender.request(receiver.me)
+        reply, _ = receiver.on_request(sender.me.id, request, now_ms=self.now, wall_ms=self.now)
+        if not lose_reply:
+            sender.on_reply(receiver.me.id, request, reply, now_ms=self.now, wall_ms=self.now)
+
+    @rule(source=st.sampled_from(NAMES), to=st.sampled_from(NAMES), lose=st.booleans())
+    def beat(self, source, to, lose):
+        self.now += 10
+        if source != to:
+            self.send(source, to, lose_reply=lose)
+
+    @rule(source=st.sampled_from(NAMES), to=st.sampled_from(NAMES))
+    def hold_back(self, source, to):
+        if source != to:
+            request = self.nodes[source].request(self.nodes[to].me)
+            self.late.append((self.nodes[source].me.id, to, request))
+
+    @rule(which=st.randoms())
+    def deliver_late(self, which):
+        if self.late:
+            sender, to, request = which.choice(self.late)
+            self.nodes[to].on_request(sender, request, now_ms=self.now, wall_ms=self.now)
+
+    @rule(by=st.sampled_from(NAMES), name=st.sampled_from(NAMES))
+    def accuse(self, by, name):
+        record = self.nodes[by].roster.get(name)
+        if record is not None and by != name:
+            self.nodes[by].accuse(record.vm.id, wall_ms=self.now)
+
+    @rule(name=st.sampled_from(NAMES), says_so=st.booleans())
+    def restart(self, name, says_so):
+        node = self.nodes[name]
+        if says_so:
+            node.announce(node.me, wall_ms=self.now, gone=True)
+            self.send(name, self.NAMES[self.NAMES.index(name) - 1], lose_reply=True)
+        self.nodes[name] = self.make(name, int(node.me.id.incarnation) + 1)
+
+    @rule(name=st.sampled_from(NAMES))
+    def leave_later(self, name):
+        node = self.nodes[name]
+        node.announce(replace(node.me, state=VmState.LEAVING), wall_ms=self.now)
+
+    @invariant()
+    def never_back(self):
+        for holder, node in getattr(self, "nodes", {}).items():
+            for record in node.roster:
+                key = (holder, node.me.id.incarnation, record.vm.id.name)
+                rank = (record.vm.id.incarnation, record.gone, record.version, record.silent)
+                assert rank >= self.highest.get(key, rank), (key, rank)
+                self.highest[key] = rank
+
+    def teardown(self):
+        if not hasattr(self, "nodes"):
+            return
+        # A note, an accusation and its refutation each cross the four VMs once.
+        for _ in range(6):
+            for source in self.NAMES:
+                for to in self.NAMES:
+                    if source != to:
+                        self.send(source, to)
+        wanted = {node.me.id for node in self.nodes.values()}
+        for node in self.nodes.values():
+            alive = {record.vm.id for record in node.roster if record.alive}
+            assert alive == wanted, (node.me.id, alive ^ wanted)
+            others = [other.me.id for other in self.nodes.values() if other is not node]
+            assert not any(map(node.owes, others)), node.me.id
+        assert len({node.roster.digest for node in self.nodes.values()}) == 1
+
+
+@then("views under lost, late and repeated heartbeats never go back and end up equal")
+def step_gossip(context):
+    run_state_machine_as_test(Gossip, settings=FIXED)
+
+
+@given("a ring of {size:d} VMs")
+def step_ring(context, size):
+    context.names = [f"vm-{number}" for number in range(size)]
+
+
+@then("each VM of the ring has at most {most:d} partners")
+def step_partners(context, most):
+    assert all(len(ring.fingers(name, context.names)) <= most for name in context.names)
+
+
+@then("news crosses the ring in at most {hops:d} steps")
+def step_hops(context, hops):
+    partners = {name: ring.fingers(name, context.names) for name in context.names}
+    for start in context.names[:20]:
+        reached, steps = {start}, 0
+        while len(reached) < len(context.names):
+            reached |= {partner for name in reached for partner in partners[name]}
+            steps += 1
+        assert steps <= hops, (start, steps)
+
+
+@when("one VM of the ring is lost")
+def step_lost(context):
+    context.before = {name: ring.fingers(name, context.names)[:2] for name in context.names}
+    context.names = context.names[1:]
+
+
+@then("at most {most:d} of 43 VMs have a new successor or first finger")
+def step_moved(context, most):
+    moved = sum(
+        ring.fingers(name, context.names)[:2] != context.before[name] for name in context.names
+    )
+    assert 0 < moved <= most, moved
+
+
+def delegate_of(names, there):
+    return ring.delegates(names, of="here", towards=there)[0]
+
+
+@then("delegates towards {count:d} data centres are at least {least:d} different VMs")
+def step_delegates(context, count, least):
+    found = {delegate_of(context.names, f"dc-{number}") for number in range(count)}
+    assert len(found) >= least, found
+
+
+@then("losing a delegate promotes its deputy and leaves the other delegates")
+def step_deputy(context):
+    centres = [f"dc-{number}" for number in range(8)]
+    first, second = ring.delegates(context.names, of="here", towards=centres[0])[:2]
+    before = {there: delegate_of(context.names, there) for there in centres}
+    left = [name for name in context.names if name != first]
+    after = {there: delegate_of(left, there) for there in centres}
+    assert after[centres[0]] == second
+    assert all(after[there] == before[there] for there in centres if before[there] != first)
+
+
+ANSWERS = {"yes": True, "no": False, "none": None}
+
+
+@then('a suspect reached as "{answers}" by those asked is judged "{verdict}"')
+def step_judge(context, answers, verdict):
+    given_answers = [ANSWERS[answer] for answer in answers.split(",")]
+    assert judge(given_answers).value == verdict
+
+
+@then('a suspect reached as "" by those asked is judged "{verdict}"')
+def step_judge_none(context, verdict):
+    assert judge([]).value == verdict
+
+
+@then("a peer last heard {age:d} ms ago and {how} has others asked {asked}")
+def step_asked(context, age, how, asked):
+    suspect = Suspect(heard_ms=1_000)
+    found = suspect.failed(1_000 + age, refused=how == "refusing", silent_after_ms=2_000)
+    assert found == (asked == "yes")
+
+
+@given("entry VMs in dakar-1, dakar-2 and thies-1, one of each leaving and one joining")
+def step_entry_vms(context):
+    context.vms = [
+        make_vm(f"{centre}.{number}", data_centre=centre, state=state)
+        for centre in ("thies-1", "dakar-2", "dakar-1")
+        for number, state in enumerate(
+            (VmState.LEAVING, VmState.SERVING, VmState.SERVING, VmState.JOINING)
+        )
+    ]
+
+
+@then('a caller in "{centre}" allowed "{allowed}" is told VMs of "{order}"')
+def step_told(context, centre, allowed, order):
+    regions = None if allowed == "unknown" else frozenset(allowed.split(","))
+    told = entry_order(
+        context.vms, region="dakar", data_centre=centre, allowed=regions, spread="tour"
+    )
+    assert [vm.data_centre for vm in told] == [
+        name for name in order.split(",") for _ in range(2)
+    ], told
+    assert all(vm.state is VmState.SERVING for vm in told)
+
+
+@then('a caller in "{centre}" allowed "{allowed}" is told VMs of ""')
+def step_told_none(context, centre, allowed):
+    regions = None if allowed == "unknown" else frozenset(allowed.split(","))
+    assert (
+        entry_order(context.vms, region="dakar", data_centre=centre, allowed=regions, spread="tour")
+        == ()
+    )
+
+
+@given("entry VMs of one data centre of {count:d}")
+def step_one_centre(context, count):
+    context.vms = [make_vm(f"vm-{number}") for number in range(count)]
+
+
+def heads(vms):
+    return {
+        caller: entry_order(
+            vms,
+            region="dakar",
+            data_centre="dakar-1",
+            allowed=frozenset({"dakar"}),
+            spread=f"tour/10.0.0.{caller}",
+        )[0].id.name
+        for caller in range(400)
+    }
+
+
+@when("the VM at the head of some callers' lists dies")
+def step_head_dies(context):
+    context.heads = heads(context.vms)
+    context.dead = context.heads[0]
+    context.after = heads([vm for vm in context.vms if vm.id.name != context.dead])
+
+
+@then("its callers spread over the other {count:d} VMs, none with more than twice its part")
+def step_spread(context, count):
+    moved = [caller for caller, head in context.heads.items() if head == context.dead]
+    arrivals = Counter(context.after[caller] for caller in moved)
+    assert len(arrivals) == count, arrivals
+    assert max(arrivals.values()) <= 2 * len(moved) / count, arrivals
+
+
+@then("no other caller's first VM changes")
+def step_kept(context):
+    assert all(
+        context.after[caller] == head
+        for caller, head in context.heads.items()
+        if head != context.dead
+    )
+
+
+@given("a VM that reports its region's wait as {wait:d} ms")
+def step_reports(context, wait):
+    context.exchange = Exchange(make_vm("a"), now_ms=0, wall_ms=0)
+    context.far = make_vm("z", data_centre="thies-1")
+    report(context, wait, 0)
+    assert told_loads(context, 0)
+
+
+def report(context, wait, at_ms):
+    load = RegionLoad(region="dakar", served="m", wait_ms=wait, free_tokens=9, at_ms=0)
+    context.exchange.report(load, wall_ms=at_ms)
+
+
+def told_loads(context, at_ms):
+    request = context.exchange.request(context.far)
+    far = getattr(context, "far_exchange", None) or Exchange(context.far, now_ms=0, wall_ms=0)
+    context.far_exchange = far
+    reply, _ = far.on_request(context.exchange.me.id, request, now_ms=at_ms, wall_ms=at_ms)
+    context.exchange.on_reply(context.far.id, request, reply, now_ms=at_ms, wall_ms=at_ms)
+    return request.loads
+
+
+@then("after these reports its delegate tells of")
+def step_told_loads(context):
+    # The first meeting ends with both knowing each other's whole view.
+    told_loads(context, 1)
+    for row in context.table:
+        report(context, float(row["wait_ms"]), int(row["at_ms"]))
+        told = told_loads(context, int(row["at_ms"]))
+        assert bool(told) == (row["told"] == "yes"), (row, told)
+
+
+@then("an incarnation made after {seen} sorts after it")
+def step_incarnation(context, seen):
+    assert new_incarnation(5, after=seen) > seen
