backends: engines and plain services over httpcore, with resume, cancel and load reports

One request per connection at a time; a late or cancelled one closes its connection. Calls that may not be repeated always open a new one.

--- a/src/hickorybeam/backends/__init__.py
+++ b/src/hickorybeam/backends/__init__.py
@@ -1,3 +1,7 @@
 """HTTP towards engines and plain services."""
 
 from __future__ import annotations
+
+from hickorybeam.backends.service import BackendsService
+
+__all__ = ("BackendsService",)
--- /dev/null
+++ b/src/hickorybeam/backends/caller.py
@@ -0,0 +1,113 @@
+"""What every call to a backend server shares: open, send, map each fault to its error kind."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hickorybeam.backends.exchange import Exchange, ExchangeError
+from hickorybeam.errors import ErrorKind, GatewayError, Ran
+
+if TYPE_CHECKING:
+    from hickorybeam.backends.headers import RawHeaders
+    from hickorybeam.backends.pool import ConnectionPool
+    from hickorybeam.model import BackendServer, Call
+    from hickorybeam.settings import BackendSettings
+    from hickorybeam.watchdog import Watchdog
+
+__all__ = ("Caller", "Outgoing", "fault", "lost")
+
+UNAVAILABLE = 503
+TOO_MANY = 429
+NOT_RUN = "no"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Outgoing:
+    """One HTTP request as it goes to a backend server."""
+
+    method: str
+    target: bytes
+    headers: RawHeaders
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Opens exchanges with backend servers."""
+
+    cfg: BackendSettings
+    pool: ConnectionPool
+    watchdog: Watchdog
+
+    async def open(
+        self,
+        call: Call,
+        backend: BackendServer,
+        request: Outgoing,
+        *,
+        first_byte_ms: int,
+        fresh: bool = False,
+    ) -> Exchange:
+        """Send a request and read the head of its answer.
+
+        :raises GatewayError: ``BACKEND_REFUSED`` when nothing was sent or the backend server
+            says that it ran nothing.
+        :raises ExchangeError: any other fault; the request may have run.
+        """
+        conn = await self.pool.take(backend, fresh=fresh or not call.idempotent)
+        exchange = Exchange(self.pool, self.watchdog, conn, backend, between_ms=self.cfg.between_ms)
+        try:
+            await exchange.send(
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                first_byte_ms=first_byte_ms,
+            )
+            check_echo(exchange, call, backend)
+            check_refusal(exchange, backend)
+        except BaseException:
+            await exchange.close()
+            raise
+        return exchange
+
+
+def check_echo(exchange: Exchange, call: Call, backend: BackendServer) -> None:
+    """Refuse an answer that names another request.
+
+    A backend server whose answers are crossed would show one caller another's content; the
+    echoed request id is the only sign of it.
+    """
+    echoed = exchange.header(b"x-request-id")
+    if echoed and echoed != call.request_id:
+        raise fault(call, backend, ErrorKind.BACKEND_FAILED, "answered another request")
+
+
+def check_refusal(exchange: Exchange, backend: BackendServer) -> None:
+    """Raise ``BACKEND_REFUSED`` when the backend server says that it ran nothing."""
+    if exchange.status in (UNAVAILABLE, TOO_MANY) and exchange.header(b"x-ran") == NOT_RUN:
+        raise GatewayError(ErrorKind.BACKEND_REFUSED, f"{backend.name} takes no work")
+
+
+def lost(call: Call, backend: BackendServer, exc: ExchangeError, *, begun: bool) -> GatewayError:
+    """Return the error for an answer that did not come whole.
+
+    :param begun: whether the caller already has a part of the answer.
+    """
+    if exc.silent:
+        kind = ErrorKind.BACKEND_SILENT
+    else:
+        kind = ErrorKind.STREAM_BROKEN if begun else ErrorKind.BACKEND_FAILED
+    return fault(call, backend, kind, str(exc))
+
+
+def fault(call: Call, backend: BackendServer, kind: ErrorKind, detail: str) -> GatewayError:
+    """Return an error of a call that may have run.
+
+    A call that may not be repeated becomes ``BACKEND_UNKNOWN``, whose answer tells the caller
+    not to repeat it.
+    """
+    if not call.idempotent:
+        kind = ErrorKind.BACKEND_UNKNOWN
+    return GatewayError(kind, f"{backend.name}: {detail}", ran=Ran.UNKNOWN)
--- /dev/null
+++ b/src/hickorybeam/backends/cancels.py
@@ -0,0 +1,75 @@
+"""Tells engines to stop streams that nobody reads any more."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hickorybeam.backends.caller import Caller, Outgoing
+from hickorybeam.backends.exchange import ExchangeError
+from hickorybeam.errors import GatewayError
+from hickorybeam.kernel import Mailbox
+from hickorybeam.model import Call, CallKind
+
+if TYPE_CHECKING:
+    from prometheus_client import Counter
+
+    from hickorybeam.model import BackendServer
+
+__all__ = ("Cancel", "Canceller")
+
+CANCEL_TIMEOUT_MS = 1_000
+MAX_WAITING = 4_096
+MAX_ANSWER_BYTES = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """One stream to stop."""
+
+    backend: BackendServer
+    stream_id: str
+
+
+class Canceller:
+    """A task that owns the cancel calls, so that closing an answer never waits for one.
+
+    A cancel that is lost costs the engine the rest of one answer, so it is not repeated.
+    """
+
+    def __init__(self, caller: Caller, *, sent: Counter) -> None:
+        self._caller = caller
+        self._sent = sent
+        self._mailbox: Mailbox[Cancel] = Mailbox(size=MAX_WAITING)
+
+    def post(self, backend: BackendServer, stream_id: str) -> None:
+        """Ask for a stream to be stopped."""
+        if not self._mailbox.post(Cancel(backend, stream_id)):
+            self._sent.labels("dropped").inc()
+
+    async def run(self) -> None:
+        """Send cancels until cancelled; several of these run side by side."""
+        async for cancel in self._mailbox:
+            await self._send(cancel)
+
+    async def _send(self, cancel: Cancel) -> None:
+        backend = cancel.backend
+        call = Call(request_id="cancel", account="", key_digest="", kind=CallKind.PLAIN, served="")
+        request = Outgoing(
+            method="DELETE",
+            target=f"/streams/{cancel.stream_id}".encode(),
+            headers=[(b"host", f"{backend.host}:{backend.port}".encode())],
+        )
+        try:
+            exchange = await self._caller.open(
+                call, backend, request, first_byte_ms=CANCEL_TIMEOUT_MS
+            )
+            try:
+                exchange.expect()
+                await exchange.read(MAX_ANSWER_BYTES)
+            finally:
+                await exchange.close()
+        except (ExchangeError, GatewayError):
+            self._sent.labels("failed").inc()
+        else:
+            self._sent.labels("sent").inc()
--- /dev/null
+++ b/src/hickorybeam/backends/headers.py
@@ -0,0 +1,105 @@
+"""Which headers go on to a backend server and which come back (RFC 9110, section 7.6)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hickorybeam.model import Call, Header
+
+__all__ = ("engine_headers", "forwarded", "plain_headers", "returned")
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authentication-info",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# What proves who the caller is stops at the entry VM, or a backend server could act as the
+# caller towards us or others.
+CREDENTIALS = frozenset(
+    ("authorization", "x-api-key", "api-key", "cookie", "idempotency-key", "x-auth-token")
+)
+# Headers by which the gateway itself speaks to backend servers; a caller must not set them.
+OURS = frozenset(
+    ("x-request-id", "x-account", "x-priority", "x-deadline-ms", "x-prefix", "x-ran", "x-stream-id")
+)
+OUR_PREFIX = "x-hickorybeam-"
+# Set anew for each connection, since the body is sent whole and to another host.
+PER_CONNECTION = frozenset(("host", "content-length", "expect", "via", "max-forwards"))
+
+NOT_FORWARDED = HOP_BY_HOP | CREDENTIALS | OURS | PER_CONNECTION
+NOT_RETURNED = HOP_BY_HOP | OURS | frozenset(("via",))
+ENGINE_TAKES = frozenset(("content-type", "accept", "user-agent"))
+VIA = (b"via", b"1.1 hickorybeam")
+
+
+def forwarded(headers: Iterable[Header]) -> tuple[Header, ...]:
+    """Return the caller's headers that a backend server may see."""
+    headers = tuple(headers)
+    named = named_in_connection(headers)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if (low := name.lower()) not in NOT_FORWARDED
+        and low not in named
+        and not low.startswith(OUR_PREFIX)
+    )
+
+
+def returned(raw: Iterable[tuple[bytes, bytes]]) -> tuple[Header, ...]:
+    """Return a backend server's headers that the caller may see."""
+    headers = [(name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw]
+    named = named_in_connection(headers)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in NOT_RETURNED and name not in named and not name.startswith(OUR_PREFIX)
+    )
+
+
+def named_in_connection(headers: Iterable[Header]) -> frozenset[str]:
+    """Return the names that a ``Connection`` header declares to be for this hop only."""
+    return frozenset(
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for option in value.split(",")
+    )
+
+
+def engine_headers(call: Call, host: bytes) -> RawHeaders:
+    """Return the headers of a call to an engine."""
+    taken = [header for header in forwarded(call.headers) if header[0].lower() in ENGINE_TAKES]
+    raw = common_headers(call, host, tuple(taken))
+    raw.append((b"x-priority", b"%d" % call.priority))
+    if call.prefix:
+        raw.append((b"x-prefix", call.prefix.encode()))
+    return raw
+
+
+def plain_headers(call: Call, host: bytes) -> RawHeaders:
+    """Return the headers of a call to a plain service."""
+    return [*common_headers(call, host, forwarded(call.headers)), VIA]
+
+
+def common_headers(call: Call, host: bytes, kept: tuple[Header, ...]) -> RawHeaders:
+    """Return what every backend server is told."""
+    raw = [(b"host", host)]
+    raw.extend((name.encode("latin-1"), value.encode("latin-1")) for name, value in kept)
+    raw.append((b"x-request-id", call.request_id.encode()))
+    raw.append((b"x-account", call.account.encode()))
+    raw.append((b"x-deadline-ms", b"%d" % call.deadline_ms))
+    return raw
--- /dev/null
+++ b/src/hickorybeam/backends/pool.py
@@ -0,0 +1,128 @@
+"""Connections to backend servers: one request at a time on each, reused while young."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+
+from hickorybeam.errors import ErrorKind, GatewayError
+
+if TYPE_CHECKING:
+    import socket
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.model import BackendServer
+
+__all__ = ("Connection", "ConnectionPool")
+
+MS_PER_SECOND = 1000
+REAP_EVERY_MS = 1_000
+IDLE_PER_SERVER = 64
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One open connection and whom it leads to."""
+
+    address: Address
+    http: httpcore.AsyncHTTP11Connection
+    socket: socket.socket
+    idle_since_ms: int = 0
+    reused: bool = field(default=False)
+
+    async def close(self) -> None:
+        """Close it, also when the task is being cancelled."""
+        with anyio.CancelScope(shield=True):
+            await self.http.aclose()
+
+
+class ConnectionPool:
+    """Idle connections by address, the youngest reused first.
+
+    A connection that idles longer than ``idle_ms`` is closed and never reused: something
+    between the two ends may have forgotten it, and a request sent on it would wait for its
+    whole limit. Younger ones are checked for a close from the other end.
+    """
+
+    def __init__(self, clock: Clock, *, connect_timeout_ms: int, idle_ms: int) -> None:
+        self._clock = clock
+        self._connect_timeout_s = connect_timeout_ms / MS_PER_SECOND
+        self._idle_ms = idle_ms
+        self._idle: dict[Address, deque[Connection]] = {}
+        self._network = httpcore.AnyIOBackend()
+        self.opened = 0
+
+    def idle(self, backend: BackendServer) -> int:
+        """Return how many connections to a backend server are idle."""
+        return len(self._idle.get((backend.host, backend.port), ()))
+
+    async def take(self, backend: BackendServer, *, fresh: bool) -> Connection:
+        """Return a connection that nobody else uses.
+
+        :param fresh: never reuse; for calls that may not be repeated, since the other end may
+            close an idle connection just as the call is sent, and whether it ran would then
+            be unknown; and after silence, since the idle ones may be as lost.
+        :raises GatewayError: ``BACKEND_REFUSED`` when it cannot be opened.
+        """
+        address = (backend.host, backend.port)
+        if not fresh:
+            conn = await self._take_idle(address)
+            if conn is not None:
+                return conn
+        return await self._open(address, backend.name)
+
+    def give_back(self, conn: Connection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        idle = self._idle.setdefault(conn.address, deque(maxlen=IDLE_PER_SERVER))
+        conn.idle_since_ms = self._clock.now()
+        conn.reused = True
+        idle.append(conn)
+
+    async def forget(self, backend: BackendServer) -> None:
+        """Close every idle connection to a backend server that fell silent on one."""
+        for conn in self._idle.pop((backend.host, backend.port), ()):
+            await conn.close()
+
+    async def run(self) -> None:
+        """Close connections that idled for too long, until cancelled; then close all."""
+        try:
+            while True:
+                await self._clock.sleep(REAP_EVERY_MS)
+                await self._reap()
+        finally:
+            for idle in self._idle.values():
+                for conn in idle:
+                    await conn.close()
+
+    async def _take_idle(self, address: Address) -> Connection | None:
+        idle = self._idle.get(address)
+        oldest = self._clock.now() - self._idle_ms
+        while idle:
+            conn = idle.pop()
+            if conn.idle_since_ms >= oldest and not conn.http.has_expired():
+                return conn
+            await conn.close()
+        return None
+
+    async def _open(self, address: Address, name: str) -> Connection:
+        host, port = address
+        try:
+            stream = await self._network.connect_tcp(host, port, timeout=self._connect_timeout_s)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            raise GatewayError(ErrorKind.BACKEND_REFUSED, f"{name}: no connection") from exc
+        self.opened += 1
+        origin = httpcore.Origin(b"http", host.encode(), port)
+        http = httpcore.AsyncHTTP11Connection(origin, stream)
+        return Connection(address, http, stream.get_extra_info("socket"))
+
+    async def _reap(self) -> None:
+        oldest = self._clock.now() - self._idle_ms
+        for idle in tuple(self._idle.values()):
+            while idle and idle[0].idle_since_ms < oldest:
+                await idle.popleft().close()
--- /dev/null
+++ b/src/hickorybeam/backends/reports.py
@@ -0,0 +1,123 @@
+"""Polls the load reports of the engines in this VM's region."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+
+from hickorybeam.backends.caller import Caller, Outgoing
+from hickorybeam.backends.exchange import ExchangeError
+from hickorybeam.errors import GatewayError
+from hickorybeam.model import BackendKind, Call, CallKind, LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from prometheus_client import Counter
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.model import BackendServer
+
+__all__ = ("ReportPoller",)
+
+# Bounds what polling costs: beyond this the pause for each engine grows with their number.
+MAX_POLLS_PER_S = 20
+POLL_TIMEOUT_MS = 1_000
+MS_PER_SECOND = 1000
+# A report older than this many pauses says nothing of the load now.
+STALE_PAUSES = 6
+MAX_REPORT_BYTES = 100_000
+OK = 200
+
+
+class _Load(msgspec.Struct):
+    running: int = 0
+    waiting: int = 0
+    tokens_in_flight: int = 0
+    lag_ms: int = 0
+    cached_prefixes: tuple[str, ...] = ()
+    leaving: bool = False
+
+
+class ReportPoller:
+    """Holds the last report of each engine and a task that polls it."""
+
+    def __init__(
+        self, caller: Caller, clock: Clock, *, region: str, every_ms: int, failures: Counter
+    ) -> None:
+        self._caller = caller
+        self._clock = clock
+        self._region = region
+        self._every_ms = every_ms
+        self._failures = failures
+        self._reports: dict[str, LoadReport] = {}
+        self._polled: dict[BackendServer, anyio.CancelScope] = {}
+
+    def report(self, backend: str) -> LoadReport | None:
+        """Return the last report, ``None`` when there is none or it is stale."""
+        found = self._reports.get(backend)
+        if found is None or self._clock.now() - found.at_ms > STALE_PAUSES * self._pause_ms():
+            return None
+        return found
+
+    def follow(self, backends: Iterable[BackendServer], tg: anyio.abc.TaskGroup) -> None:
+        """Poll exactly the engines of this region among these backend servers."""
+        wanted = {
+            backend
+            for backend in backends
+            if backend.kind is BackendKind.ENGINE and backend.region == self._region
+        }
+        for backend in tuple(self._polled):
+            if backend not in wanted:
+                self._polled.pop(backend).cancel()
+                self._reports.pop(backend.name, None)
+        for backend in wanted - self._polled.keys():
+            scope = anyio.CancelScope()
+            self._polled[backend] = scope
+            tg.start_soon(self._poll_for_ever, backend, scope)
+
+    def _pause_ms(self) -> int:
+        return max(self._every_ms, len(self._polled) * MS_PER_SECOND // MAX_POLLS_PER_S)
+
+    async def _poll_for_ever(self, backend: BackendServer, scope: anyio.CancelScope) -> None:
+        with scope:
+            # Spread by name, so that many engines are not asked in one burst.
+            offset = zlib.crc32(backend.name.encode()) % self._every_ms
+            await self._poll(backend)
+            await self._clock.sleep(offset)
+            while True:
+                await self._poll(backend)
+                await self._clock.sleep(self._pause_ms())
+
+    async def _poll(self, backend: BackendServer) -> None:
+        call = Call(request_id="load", account="", key_digest="", kind=CallKind.PLAIN, served="")
+        host = f"{backend.host}:{backend.port}".encode()
+        request = Outgoing(method="GET", target=b"/load", headers=[(b"host", host)])
+        try:
+            exchange = await self._caller.open(
+                call, backend, request, first_byte_ms=POLL_TIMEOUT_MS
+            )
+            try:
+                exchange.expect()
+                raw = await exchange.read(MAX_REPORT_BYTES)
+            finally:
+                await exchange.close()
+            if exchange.status != OK:
+                raise ValueError("not a report")
+            load = msgspec.json.decode(raw, type=_Load)
+        except (ExchangeError, GatewayError, ValueError):
+            self._failures.inc()
+            return
+        self._reports[backend.name] = LoadReport(
+            backend=backend.name,
+            at_ms=self._clock.now(),
+            running=load.running,
+            waiting=load.waiting,
+            tokens_in_flight=load.tokens_in_flight,
+            lag_ms=load.lag_ms,
+            cached_prefixes=load.cached_prefixes,
+            leaving=load.leaving,
+        )
--- /dev/null
+++ b/src/hickorybeam/backends/sse.py
@@ -0,0 +1,130 @@
+"""Server-sent events of a model's answer: whole events, their count, usage and the end."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+import msgspec
+
+from hickorybeam.model import Usage
+
+__all__ = ("Pieces", "SseReader", "usage_of")
+
+EVENT_END = b"\n\n"
+DONE = (b"data: [DONE]\n\n", b"data:[DONE]\n\n")
+NO_CHOICES = re.compile(rb'"choices":\s*\[\]')
+EVENT_ID = re.compile(rb"^id:\s*(\d+)", re.M)
+# An engine that never ends an event would otherwise fill the VM's memory.
+MAX_EVENT_BYTES = 1_000_000
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Frame(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Pieces:
+    """What one read brought: bytes to relay and how many events they hold."""
+
+    data: bytes
+    events: int
+
+
+class SseReader:
+    """Cuts a byte stream at event borders.
+
+    Only whole events go on, so that the position in the stream is always known and a resume
+    brings each token once. The bytes are relayed as they came; nothing is parsed for each
+    token, since parsing was most of the relay's cost.
+
+    :param strip_usage: drop the usage event, which the gateway asks for and the caller did not.
+    """
+
+    def __init__(self, *, strip_usage: bool) -> None:
+        self.position = 0
+        self.done = False
+        self.usage: Usage | None = None
+        self._strip_usage = strip_usage
+        self._rest = b""
+        self._resuming = False
+
+    def resume(self) -> None:
+        """Forget a half-read event; the next events come from a new connection."""
+        self._rest = b""
+        self._resuming = True
+
+    def feed(self, data: bytes) -> Pieces | None:
+        """Take bytes and return the whole events within.
+
+        :return: ``None`` while no event is complete.
+        :raises ValueError: an event is too long, or events are missing after a resume.
+        """
+        if b"\r" in data:
+            data = data.replace(b"\r", b"")
+        if self._rest:
+            data = self._rest + data
+        end = data.rfind(EVENT_END)
+        if end < 0:
+            if len(data) > MAX_EVENT_BYTES:
+                raise ValueError("event too long")
+            self._rest = data
+            return None
+        end += len(EVENT_END)
+        self._rest = data[end:]
+        return self._count(data[:end])
+
+    def _count(self, data: bytes) -> Pieces | None:
+        if self._resuming:
+            data = self._without_repeats(data)
+            self._resuming = False
+        events = data.count(b"\ndata:") + data.startswith(b"data:")
+        if data.endswith(DONE):
+            self.done = True
+            events -= 1
+        self.position += events
+        if NO_CHOICES.search(data):
+            data, events = self._take_usage(data, events)
+        return Pieces(data, events)
+
+    def _without_repeats(self, data: bytes) -> bytes:
+        # A resumed stream may start before the asked position; its event ids tell. Events
+        # that the caller already has are dropped, and a hole means tokens were lost.
+        kept = []
+        wanted = self.position
+        for event in data.split(EVENT_END)[:-1]:
+            found = EVENT_ID.search(event)
+            if found is not None:
+                number = int(found[1])
+                if number < self.position:
+                    continue
+                if number != wanted:
+                    raise ValueError("tokens are missing after a resume")
+                wanted += 1
+            kept.append(event + EVENT_END)
+        return b"".join(kept)
+
+    def _take_usage(self, data: bytes, events: int) -> tuple[bytes, int]:
+        kept = []
+        for event in data.split(EVENT_END)[:-1]:
+            if NO_CHOICES.search(event):
+                self.usage = usage_of(event.partition(b"data:")[2]) or self.usage
+                events -= 1
+                if self._strip_usage:
+                    continue
+            kept.append(event + EVENT_END)
+        return b"".join(kept), events
+
+
+def usage_of(frame: bytes) -> Usage | None:
+    """Return the usage that a JSON answer or event carries, if any.
+
+    :raises ValueError: the JSON is malformed.
+    """
+    found = msgspec.json.decode(frame, type=_Frame).usage
+    return None if found is None else Usage(found.prompt_tokens, found.completion_tokens)
--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -8,11 +8,15 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-__all__ = ("Listener", "listening")
+__all__ = ("CONNECTION", "HttpProtocol", "Listener", "listening")
+
+# The key in an ASGI scope's ``extensions`` under which an app finds its connection.
+CONNECTION = "hickorybeam.connection"
 
 BACKLOG = 2_048
 # Above every pooled connection's idle age in ``BackendSettings``: the end that reuses a
@@ -21,6 +25,19 @@
 MS_PER_SECOND = 1000
 
 
+class HttpProtocol(HttpToolsProtocol):
+    """uvicorn's protocol; each request's scope leads to its connection."""
+
+    def on_message_begin(self) -> None:
+        """Start a request's scope."""
+        super().on_message_begin()
+        self.scope["extensions"] = {CONNECTION: self}  # type: ignore[dict-item]
+
+    def abort(self) -> None:
+        """Drop the connection without a clean end."""
+        self.transport.abort()
+
+
 class _Server(uvicorn.Server):
     """uvicorn's server without signal handlers and with an event for its start."""
 
@@ -65,9 +82,8 @@
         self._server.should_exit = True
         self._server.force_exit = True
         for conn in tuple(self._server.server_state.connections):
-            transport = getattr(conn, "transport", None)
-            if transport is not None:
-                transport.abort()
+            if isinstance(conn, HttpProtocol):
+                conn.abort()
 
 
 def bind(host: str, port: int) -> socket.socket:
@@ -88,13 +104,13 @@
     *,
     host: str = "127.0.0.1",
     port: int = 0,
-    http: Any = "httptools",
+    http: type[HttpProtocol] = HttpProtocol,
     keep_alive_ms: int = DEFAULT_KEEP_ALIVE_MS,
 ) -> AsyncIterator[Listener]:
     """Serve an app until the block ends; then every open connection is cut.
 
     :param app: the ASGI app.
-    :param http: uvicorn's protocol class or its name.
+    :param http: the protocol class of each connection.
     :param keep_alive_ms: how long a connection may idle between requests.
     """
     config = uvicorn.Config(
--- a/src/hickorybeam/standins/engine.py
+++ b/src/hickorybeam/standins/engine.py
@@ -19,7 +19,7 @@
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.httpserve import Listener, listening
 from hickorybeam.standins.batch import Batch, EngineShape, Stream, token_text
-from hickorybeam.standins.http import CutOffError, Exchange, Fault, FaultKind, Faults
+from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -241,7 +241,8 @@
             await exchange.write(data[: len(data) // 2])
             if fault.kind is FaultKind.SILENT:
                 await exchange.gone()
-            raise CutOffError
+            exchange.cut()
+            return
         await exchange.write(data, more=False)
 
     async def _resume(self, exchange: Exchange, stream_id: str) -> None:
@@ -281,7 +282,8 @@
             if position >= writer.stream.max_tokens:
                 break
             if writer.stream.cancelled:
-                raise CutOffError
+                writer.exchange.cut()
+                return
             if position == writer.stream.produced:
                 await writer.stream.changed.wait()
         await writer.finish()
@@ -293,7 +295,7 @@
             case FaultKind.NO_END:
                 await exchange.write(b"", more=False)
             case _:
-                raise CutOffError
+                exchange.cut()
 
     async def _load(self, exchange: Exchange) -> None:
         load = asdict(self.batch.load())
@@ -329,7 +331,8 @@
             await exchange.gone()
             return
         if fault.kind is FaultKind.CUT:
-            raise CutOffError
+            exchange.cut()
+            return
         await exchange.json(200, self.state())
 
 
--- a/src/hickorybeam/standins/http.py
+++ b/src/hickorybeam/standins/http.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from hickorybeam.httpserve import CONNECTION
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, MutableMapping
 
@@ -20,7 +22,7 @@
 
 
 class CutOffError(Exception):
-    """Raised inside an app to make the server drop the connection in mid-answer."""
+    """The other end closed its connection before the request was whole."""
 
 
 class FaultKind(Enum):
@@ -90,6 +92,7 @@
         self.path: str = scope["path"]
         self.query = dict(parse_qsl(scope["query_string"].decode()))
         self.headers = {name.decode(): value.decode("latin-1") for name, value in scope["headers"]}
+        self._conn = scope["extensions"][CONNECTION]
         self._receive = receive
         self._send = send
 
@@ -109,6 +112,10 @@
         while (await self._receive())["type"] != "http.disconnect":
             pass
 
+    def cut(self) -> None:
+        """Drop the connection in mid-answer."""
+        self._conn.abort()
+
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers."""
         raw = [(name.encode(), value.encode("latin-1")) for name, value in headers.items()]
--- a/src/hickorybeam/standins/plain.py
+++ b/src/hickorybeam/standins/plain.py
@@ -18,7 +18,7 @@
 
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.httpserve import Listener, listening
-from hickorybeam.standins.http import CutOffError, Exchange, Fault, FaultKind, Faults
+from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -83,7 +83,8 @@
             await exchange.gone()
             return
         if fault.kind is FaultKind.CUT and not fault.after:
-            raise CutOffError
+            exchange.cut()
+            return
         echoed = "another" if fault.kind is FaultKind.CROSSED else request_id
         await self._answer(exchange, body, fault, {"x-request-id": echoed})
 
@@ -137,7 +138,7 @@
         if fault.kind is FaultKind.SILENT:
             await exchange.gone()
             return
-        raise CutOffError
+        exchange.cut()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/backends/plain.feature
@@ -0,0 +1,72 @@
+Feature: plain services are passed through, and their calls are not repeated
+
+  Background:
+    Given a backends rig
+
+  Scenario Outline: each method and status passes through
+    When the backends rig sends "<method>" "<path>" to the plain service
+    Then the plain answer at the backends rig has status <status> and <size> bytes
+
+    Examples:
+      | method | path                    | status | size   |
+      | GET    | /bytes?count=10         | 200    | 10     |
+      | GET    | /bytes?count=300000     | 200    | 300000 |
+      | GET    | /bytes?count=9&length=0 | 200    | 9      |
+      | HEAD   | /bytes?count=10         | 200    | 0      |
+      | GET    | /empty                  | 204    | 0      |
+      | DELETE | /empty                  | 204    | 0      |
+      | GET    | /unchanged              | 304    | 0      |
+      | GET    | /nowhere                | 404    | 24     |
+
+  Scenario Outline: a call that may not be repeated is unknown once it was sent
+    # The service takes the booking and its answer is lost. The caller is told that the
+    # outcome is unknown and not to repeat it; the service ran it once.
+    Given the backends rig's plain service has fault "<fault>"
+    When the backends rig books once
+    Then the backends rig's caller got error "<kind>" with ran "<ran>"
+    And the backends rig's plain service ran it <runs> times
+
+    Examples:
+      | fault         | kind            | ran     | runs |
+      | accept_silent | backend_unknown | unknown | 1    |
+      | cut           | backend_unknown | unknown | 1    |
+      | crossed       | backend_unknown | unknown | 1    |
+      | refuse        | backend_refused | no      | 0    |
+
+  Scenario Outline: an answer that ends early is an error
+    Given the backends rig's plain service has fault "<fault>" after 5 bytes
+    When the backends rig sends "GET" "<path>" to the plain service
+    Then the backends rig's caller got error "<kind>" with ran "unknown"
+
+    Examples:
+      | fault  | path                     | kind           |
+      | cut    | /bytes?count=10          | stream_broken  |
+      | cut    | /bytes?count=10&length=0 | stream_broken  |
+      | silent | /bytes?count=10          | backend_silent |
+
+  Scenario: a call that may not be repeated never goes on a used connection
+    When the backends rig sends "GET" "/bytes?count=1" to the plain service
+    And the backends rig books once
+    Then the plain answer at the backends rig has status 201 and 8 bytes
+    And the backends rig opened 2 connections for calls
+
+  Scenario: headers for one hop and credentials stop at the gateway
+    When the backends rig sends the plain service headers
+      | name                | value        |
+      | Authorization       | Bearer s     |
+      | X-Api-Key           | s            |
+      | Cookie              | s            |
+      | Idempotency-Key     | s            |
+      | Proxy-Authorization | s            |
+      | X-Account           | forged       |
+      | Connection          | X-Own, close |
+      | X-Own               | 1            |
+      | TE                  | trailers     |
+      | Upgrade             | h2c          |
+      | X-Kept              | yes          |
+    Then the plain service at the backends rig saw exactly the caller's headers "x-kept"
+    And the plain service at the backends rig saw account "family"
+
+  Scenario: headers for one hop do not come back either
+    When the backends rig sends "GET" "/hints" to the plain service
+    Then the plain answer at the backends rig has header "x-kept" and not "x-hint keep-alive connection"
