peers: mutual TLS, a development authority, and drain of forwarded calls

A certificate names the fleet or one VM in a URI. A caller checks it before a call's body goes out; the receiver checks that it names the sender. Handshakes that asyncio ends unseen are counted through the context's object class. drain() waits for forwarded calls that run.

--- a/src/hickorybeam/peers/__init__.py
+++ b/src/hickorybeam/peers/__init__.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from hickorybeam.peers.authority import Issued, make_authority, make_certificate
 from hickorybeam.peers.codec import pack, unpack
 from hickorybeam.peers.members import MembersService
 from hickorybeam.peers.service import PeersService
 
-__all__ = ("MembersService", "PeersService", "pack", "unpack")
+__all__ = (
+    "Issued",
+    "MembersService",
+    "PeersService",
+    "make_authority",
+    "make_certificate",
+    "pack",
+    "unpack",
+)
--- a/src/hickorybeam/peers/client.py
+++ b/src/hickorybeam/peers/client.py
@@ -9,8 +9,9 @@
 import asyncio
 import ssl
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import anyio
 import h2.exceptions
 import msgspec
 from grpclib.const import Cardinality
@@ -19,6 +20,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError, Ran
 from hickorybeam.model import AnswerEnd
+from hickorybeam.peers.tls import check_certificate
 from hickorybeam.peers.wire import (
     ASK_METHOD,
     FORWARD_METHOD,
@@ -32,7 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Iterator
 
-    from hickorybeam.model import AnswerPart
+    from hickorybeam.model import AnswerPart, VmId
     from hickorybeam.peers.links import Address, Links, PeerChannel
 
 __all__ = ("PeerClient",)
@@ -66,10 +68,17 @@
 
 
 class PeerClient:
-    """Sends calls through the links and turns every failure into a ``GatewayError``."""
+    """Sends calls through the links and turns every failure into a ``GatewayError``.
 
-    def __init__(self, links: Links) -> None:
+    :param connect_timeout_ms: how long a forwarded call may take to get a connection; it has
+        no timeout of its own after that, since an answer may stream for long.
+    :param authenticate: whether peers must show a certificate that names them.
+    """
+
+    def __init__(self, links: Links, *, connect_timeout_ms: int, authenticate: bool) -> None:
         self._links = links
+        self._connect_timeout_ms = connect_timeout_ms
+        self._authenticate = authenticate
 
     async def ask(self, address: Address, request: Ask, *, timeout_ms: int) -> bytes:
         """Send one request and return the reply's body.
@@ -86,6 +95,7 @@
             )
             async with call as stream:
                 await stream.send_request()
+                self._check_peer(stream, request.to)
                 progress.sent = True
                 await stream.send_message(request, end=True)
                 reply: Answered | None = await stream.recv_message()
@@ -101,7 +111,9 @@
         with self._links.channel(address) as channel, self._failures(address, channel) as progress:
             call = channel.request(FORWARD_METHOD, Cardinality.UNARY_STREAM, Forward, Parts)
             async with call as stream:
-                await stream.send_request()
+                with anyio.fail_after(self._connect_timeout_ms / MS_PER_SECOND):
+                    await stream.send_request()
+                self._check_peer(stream, request.to)
                 progress.sent = True
                 await stream.send_message(request, end=True)
                 async for parts in stream:
@@ -118,6 +130,12 @@
             # example when its handler dies; the caller would take half an answer for whole.
             raise GatewayError(ErrorKind.STREAM_BROKEN, "the peer's stream has no end marker")
 
+    def _check_peer(self, stream: Any, to: VmId) -> None:
+        # Before the body goes out: a peer of the same authority may still be another VM, and
+        # a call's content is for the VM that was chosen.
+        if self._authenticate:
+            check_certificate(stream.peer.cert(), to.name)
+
     @contextmanager
     def _failures(self, address: Address, channel: PeerChannel) -> Iterator[Progress]:
         progress = Progress(channel)
--- a/src/hickorybeam/peers/service.py
+++ b/src/hickorybeam/peers/service.py
@@ -17,6 +17,7 @@
 from hickorybeam.peers.codec import pack, unpack
 from hickorybeam.peers.links import Address, Links
 from hickorybeam.peers.server import PeerServer
+from hickorybeam.peers.tls import check_certificate, client_context, server_context
 from hickorybeam.peers.wire import Answered, Ask, Forward, Parts, to_wire
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
 T = TypeVar("T")
 
 SWEEP_MS = 500
+DRAIN_POLL_MS = 20
 # How long a receiver that is behind the sender's log position may take to catch up before it
 # refuses: one fetch from a peer, with the call's own deadline still mostly ahead.
 CATCH_UP_MS = 500
@@ -58,6 +60,8 @@
         self._links: Links | None = None
         self._client: PeerClient | None = None
         self._kernel: Kernel | None = None
+        self._draining = False
+        self._running = 0
         self.port = 0
 
     def bind(self, kernel: Kernel) -> None:
@@ -67,12 +71,18 @@
     async def main(self, started: Started) -> None:
         """Listen until cancelled."""
         silent_ms = self._cfg.peers.silent_after_ms
-        self._links = Links(clock=self._clock, tls=None, silent_after_ms=silent_ms)
-        self._client = PeerClient(self._links)
+        tls = client_context(self._cfg.peers.tls)
+        listening_tls = server_context(self._cfg.peers.tls, self._handshake_refused)
+        self._links = Links(clock=self._clock, tls=tls, silent_after_ms=silent_ms)
+        self._client = PeerClient(
+            self._links,
+            connect_timeout_ms=self._cfg.peers.call_timeout_ms,
+            authenticate=tls is not None,
+        )
         server = PeerServer(self, silent_after_ms=silent_ms)
         vm = self._cfg.vm
         try:
-            self.port = await server.listen(vm.host, self.port or vm.peer_port, tls=None)
+            self.port = await server.listen(vm.host, self.port or vm.peer_port, tls=listening_tls)
             started()
             while True:
                 await self._clock.sleep(SWEEP_MS)
@@ -83,6 +93,15 @@
             self._links.close()
             server.abort()
 
+    async def drain(self) -> None:
+        """Refuse new forwarded calls and wait for those that run here.
+
+        Requests of the other topics are still answered: neighbours settle by them.
+        """
+        self._draining = True
+        while self._running:
+            await self._clock.sleep(DRAIN_POLL_MS)
+
     def serve(self, topic: ports.Topic[Q, R], handler: Callable[[VmId, Q], Awaitable[R]]) -> None:
         """Answer a topic's requests from peers."""
 
@@ -135,8 +154,11 @@
         self, forward: Forward, certificate: dict[str, Any] | None
     ) -> AsyncGenerator[Parts, None]:
         """Run a forwarded call here or refuse it."""
+        self._running += 1
         try:
             self._check_peer(forward.sender, forward.to, certificate)
+            if self._draining:
+                raise GatewayError(ErrorKind.DRAINING)
             call = await self._admitted(forward.call)
             dispatch = self._find(ports.DISPATCH, ports.Dispatch)  # type: ignore[type-abstract]
             async with closing_iterator(dispatch.run(call)) as parts:
@@ -144,6 +166,8 @@
                     yield _message(part)
         except Exception as exc:
             yield Parts(error=to_wire(self._refusal(exc)))
+        finally:
+            self._running -= 1
 
     async def _admitted(self, call: Call) -> Call:
         config = self._find(ports.CONFIG, ports.ConfigView)  # type: ignore[type-abstract]
@@ -154,8 +178,13 @@
         return mark_hop(call)
 
     def _check_peer(self, sender: VmId, to: VmId, certificate: dict[str, Any] | None) -> None:
+        if not self._cfg.peers.tls.plain:
+            check_certificate(certificate, sender.name)
         check_addressee(to, self._me())
 
+    def _handshake_refused(self) -> None:
+        self._refused.labels(ErrorKind.PEER_REFUSED.value).inc()
+
     def _refusal(self, exc: Exception) -> GatewayError:
         if not isinstance(exc, GatewayError):
             logging.exception("a peer's call failed: %s", type(exc).__name__)
--- a/tests/peers/transport.feature
+++ b/tests/peers/transport.feature
@@ -128,3 +128,12 @@
     And peer node B's view catches up to the same
     When peer node A forwards a call at position 5 to B
     Then the forwarded answer is "one,two,three" with its end
+
+  Scenario: A VM that shuts down finishes the forwarded calls that run
+    # The caller's answer streams from a VM that is asked to stop. It gets the whole answer;
+    # a call that arrives meanwhile is refused as not run, so that it goes elsewhere.
+    Given two peer nodes
+    And peer node B's dispatch waits before its second chunk
+    When peer node A forwards a call to B, B is drained, and A forwards another call
+    Then the second forwarded call is refused as draining, ran no
+    And the first forwarded answer is "one,two,three" with its end
--- a/tests/steps/peers/transport_steps.py
+++ b/tests/steps/peers/transport_steps.py
@@ -19,13 +19,7 @@
 )
 from hickorybeam.peers.links import Address
 from hickorybeam.peers.wire import Forward
-from hickorybeam.ports import Topic
-from support.peer_nodes import Node, collect, home_state, make_call, make_state
-
-
-@dataclass(frozen=True, slots=True)
-class Words:
-    text: str
+from support.peer_nodes import ECHO, Node, Words, collect, enter, home_state, make_call, make_state
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +27,6 @@
     number: int
 
 
-ECHO = Topic("echo", Words, Words)
-
-
-def enter(context, manager):
-    return context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
-
-
 @given("two peer nodes")
 def step_two_nodes(context):
     async def echo(sender: VmId, words: Words) -> Words:
@@ -222,7 +209,7 @@
                 async for part in parts:
                     got.append(part)
                     if isinstance(part, AnswerChunk):
-                        context.b.kernel.stop()
+                        context.b.kill()
         except GatewayError as exc:
             return got, exc
         return got, None
@@ -320,3 +307,40 @@
         case _:
             raise AssertionError(view)
     context.b.config.fetched = fetched
+
+
+@given("peer node B's dispatch waits before its second chunk")
+def step_waits(context):
+    context.b.dispatch.go = context.call(anyio.Event)
+
+
+@when("peer node A forwards a call to B, B is drained, and A forwards another call")
+def step_drained(context):
+    async def first():
+        context.parts, context.error = await collect(
+            context.a.peers.forward(make_call(), context.b.vm)
+        )
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(first)
+            while not context.b.dispatch.produced:
+                await anyio.sleep(0.01)
+            tg.start_soon(context.b.peers.drain)
+            await anyio.wait_all_tasks_blocked()
+            context.second = await collect(context.a.peers.forward(make_call(), context.b.vm))
+            context.b.dispatch.go.set()
+
+    context.call(run)
+
+
+@then("the second forwarded call is refused as draining, ran no")
+def step_draining(context):
+    parts, error = context.second
+    assert parts == []
+    assert (error.kind, error.ran) == (ErrorKind.DRAINING, Ran.NO)
+
+
+@then('the first forwarded answer is "{chunks}" with its end')
+def step_first_whole(context, chunks):
+    step_whole(context, chunks)
--- a/tests/support/peer_nodes.py
+++ b/tests/support/peer_nodes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import anyio
 
@@ -27,6 +27,7 @@
     ref_of,
 )
 from hickorybeam.peers import PeersService
+from hickorybeam.ports import Topic
 from hickorybeam.settings import PeerSettings, PlatformSettings, Settings, TlsSettings, VmSettings
 from hickorybeam.telemetry import Counters
 
@@ -126,6 +127,8 @@
         self.produced = 0
         self.closed = anyio.Event()
         self.plan = "whole"
+        self.go = anyio.Event()
+        self.go.set()
         self.chunks = (b"one", b"two", b"three")
 
     async def run(self, call):
@@ -141,7 +144,7 @@
             for data in self.chunks:
                 self.produced += 1
                 yield AnswerChunk(data, tokens=1)
-                await anyio.lowlevel.checkpoint()
+                await self.go.wait()
                 if self.plan == "stall":
                     await anyio.sleep_forever()
                 if self.plan == "crash":
@@ -194,14 +197,19 @@
     @asynccontextmanager
     async def running(self):
         ready = anyio.Event()
+        scope = anyio.CancelScope()
+        self.kill = scope.cancel
+
+        async def run():
+            with scope:
+                await self.kernel.run(ready=ready.set)
+
         async with anyio.create_task_group() as tg:
-            tg.start_soon(lambda: self.kernel.run(ready=ready.set))
+            tg.start_soon(run)
             await ready.wait()
             self.members.vm = self.at(self.peers.port)
-            try:
-                yield self
-            finally:
-                self.kernel.stop()
+            yield self
+            self.kill()
 
 
 async def collect(parts):
@@ -213,3 +221,15 @@
     except GatewayError as exc:
         return got, exc
     return got, None
+
+
+@dataclass(frozen=True, slots=True)
+class Words:
+    text: str
+
+
+ECHO = Topic("echo", Words, Words)
+
+
+def enter(context, manager):
+    return context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
