shares: token bucket, ledger of fractions, loans and the service budget

Rate and burst must hold summed over all VMs while no request asks the platform. Fractions of each account are kept in ledger groups at the platform and acted on after they were read back; loans cover what fractions lag behind. take returns an admission number that settle names, as a refund may not exceed the room the bucket had since that admission.

Fractions in transit cost about a tenth of the rate until receivers were told to read at once.

--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -136,12 +136,18 @@
 class Budget(Protocol):
     """Rate and burst of each account, summed over all VMs (service ``budget``)."""
 
-    async def take(self, account: str, tokens: int) -> None:
-        """Spend tokens, from the own share or a loan, or raise ``RATE_LIMITED``."""
+    async def take(self, account: str, tokens: int) -> int:
+        """Spend tokens, from the own share or a loan, or raise ``RATE_LIMITED``.
+
+        :return: the number of this admission, for ``settle``.
+        """
         ...
 
-    def settle(self, account: str, taken: int, used: int) -> None:
-        """Give back what a finished request did not use, or take what it used beyond."""
+    def settle(self, account: str, taken: int, used: int, *, admission: int = 0) -> None:
+        """Give back what a finished request did not use, or take what it used beyond.
+
+        :param admission: what ``take`` returned; without it less may come back.
+        """
         ...
 
 
--- /dev/null
+++ b/src/hickorybeam/shares/service.py
@@ -0,0 +1,405 @@
+"""The service ``budget``: rate and burst of each account, summed over all VMs."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, ClassVar, Final, TypeVar
+
+import anyio
+from absl import logging
+
+from hickorybeam import ports
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.kernel import Mailbox, Reply, Service
+from hickorybeam.model import VmId, VmState
+from hickorybeam.platform.port import Platform
+from hickorybeam.policy.rebalance import Demand, plan_gifts
+from hickorybeam.policy.shares import PARTS, GroupLedger, Holder, group_of
+from hickorybeam.shares.accounts import AccountBuckets
+from hickorybeam.shares.ledger import Fleet, LedgerKeeper
+from hickorybeam.shares.lending import Lending, Source
+from hickorybeam.shares.messages import (
+    LOANS,
+    MOVED,
+    STANDING,
+    Moved,
+    StandingReply,
+    StandingRequest,
+)
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.model import ClientAccount, ConfigState, EntryVm
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("BudgetService",)
+
+Q = TypeVar("Q")
+R = TypeVar("R")
+
+# Rounds of asking and looking again before a request is refused: the second catches tokens
+# that another request of this VM took between the answer and the look.
+BORROW_TRIES: Final = 2
+
+# A VM whose fractions are in doubt asks at most this often, however many requests wait.
+CONFIRM_EVERY_MS: Final = 250
+
+RETRY_UNCONFIRMED_MS: Final = 500
+MAX_MESSAGES: Final = 1_000
+DRAIN_POLL_MS: Final = 50
+STATUS_ACCOUNTS: Final = 50
+
+
+@dataclass(frozen=True, slots=True)
+class _Round:
+    """Asks the main task for a round; a request that waits for it brings a reply."""
+
+    reply: Reply[None] | None = None
+
+
+class BudgetService(Service):
+    """Spends tokens of accounts from the fractions that this VM holds, or from loans.
+
+    Neighbours ``members`` and ``peers`` are optional: a lone VM holds everything itself.
+    """
+
+    name: ClassVar[str] = ports.BUDGET
+    needs: ClassVar[tuple[str, ...]] = (ports.PLATFORM, ports.CONFIG)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._counters = counters
+        self._books = AccountBuckets(cfg.shares)
+        self._lending = Lending(
+            clock=clock,
+            counters=counters,
+            books=self._books,
+            sources=self._sources,
+            may_spend=self._may_spend,
+        )
+        self._messages: Mailbox[_Round] = Mailbox(size=MAX_MESSAGES)
+        self._members: ports.Members | None = None
+        self._peers: ports.Peers | None = None
+        self._applied: ConfigState | None = None
+        self._last_confirm = -CONFIRM_EVERY_MS
+        self._draining = False
+        self._platform_fault = ""
+        self._confirmed = counters.gauge("share_confirmed", "Whether own fractions may be spent")
+        self._open_loans = counters.gauge("share_loans_open", "Loans granted and not closed")
+
+    def bind(self, kernel: Kernel) -> None:
+        """Look up neighbours."""
+        self._platform = kernel.find(ports.PLATFORM, Platform)  # type: ignore[type-abstract]
+        self._config = kernel.find(ports.CONFIG, ports.ConfigView)  # type: ignore[type-abstract]
+        if kernel.has(ports.MEMBERS):
+            self._members = kernel.find(ports.MEMBERS, ports.Members)  # type: ignore[type-abstract]
+        if kernel.has(ports.PEERS):
+            self._peers = kernel.find(ports.PEERS, ports.Peers)  # type: ignore[type-abstract]
+            self._peers.serve(LOANS, self._lending.answer)
+            self._peers.serve(MOVED, self._answer_moved)
+            self._peers.serve(STANDING, self._answer_standing)
+        self._lending.connect(self._peers)
+
+    async def main(self, started: Started) -> None:
+        """Keep the ledger, lend and borrow until cancelled."""
+        self._keeper = LedgerKeeper(
+            cfg=self._cfg,
+            clock=self._clock,
+            counters=self._counters,
+            me=self._me(),
+            book=self._book,
+            levels=lambda: self._books.levels(self._clock.now()),
+        )
+        self._keeper.connect(self._platform)
+        await self._round()
+        started()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._lending.serve_wants)
+            tg.start_soon(self._post_rounds)
+            async for message in self._messages:
+                await self._handle(message)
+
+    async def drain(self) -> None:
+        """Repay loans, wait for those granted, hand the fractions on."""
+        self._draining = True
+        self._lending.lending = False
+        for account in self._books.borrower.accounts():
+            self._books.borrower.give_back(account)
+        await self._lending.report_closed()
+        # Fractions that carry open loans cannot be handed on: the loan's tokens would be
+        # spent by its borrower and once more by the new holder.
+        while self._books.lender.open_count():
+            await self._clock.sleep(DRAIN_POLL_MS)
+            self._books.lender.expire(self._books.buckets, self._clock.now())
+        try:
+            await self._keeper.release_all(self._fleet())
+        except GatewayError as exc:
+            logging.warning("fractions were not released: %s", exc)
+
+    async def take(self, account: str, tokens: int) -> int:
+        """Spend tokens, from the own share or a loan, or raise ``RATE_LIMITED``."""
+        self._follow_config()
+        terms = self._terms(account)
+        if tokens > terms.burst:
+            raise GatewayError(ErrorKind.COST_OVER_BURST, f"cost {tokens}, burst {terms.burst:.0f}")
+        admission = self._spend(account, tokens)
+        if admission is not None:
+            return admission
+        if not self._may_spend():
+            await self._ask_for_round()
+        for _ in range(BORROW_TRIES):
+            admission = self._spend(account, tokens)
+            if admission is not None:
+                return admission
+            if not await self._lending.borrow(account, tokens):
+                break
+        admission = self._spend(account, tokens)
+        if admission is not None:
+            return admission
+        raise self._refusal(account, tokens)
+
+    def settle(self, account: str, taken: int, used: int, *, admission: int = 0) -> None:
+        """Give back what a finished request did not use, or take what it used beyond."""
+        self._books.settle(account, taken, used, self._clock.now(), admission)
+
+    def status(self) -> dict[str, object]:
+        """Tell operators what this VM holds, of the accounts that it spent most of."""
+        now = self._clock.now()
+        names = sorted(
+            self._books.buckets, key=lambda name: self._books.spent.rate(name, now), reverse=True
+        )
+        return {
+            "confirmed": self._may_spend(),
+            "accounts": {name: self._account_status(name, now) for name in names[:STATUS_ACCOUNTS]},
+        }
+
+    def _account_status(self, account: str, now: int) -> dict[str, float]:
+        bucket = self._books.buckets[account]
+        return {
+            "fraction": self._keeper.acting(account) / PARTS,
+            "tokens": round(bucket.level(now)),
+            "lent": round(bucket.lent),
+            "borrowed": round(self._books.borrower.available(account, now)),
+            "spent_per_s": round(self._books.spent.rate(account, now)),
+        }
+
+    def _spend(self, account: str, tokens: int) -> int | None:
+        now = self._clock.now()
+        return self._books.spend(account, tokens, now, own=self._may_spend())
+
+    def _available(self, account: str) -> float:
+        return self._books.available(account, self._clock.now(), own=self._may_spend())
+
+    def _may_spend(self) -> bool:
+        return self._keeper.standing.may_spend(self._clock.now())
+
+    def _terms(self, account: str) -> ClientAccount:
+        terms = self._books.accounts.get(account)
+        if terms is None:
+            raise GatewayError(ErrorKind.NOT_READY, f"account {account!r} is not configured")
+        return terms
+
+    def _refusal(self, account: str, tokens: int) -> GatewayError:
+        if not self._may_spend():
+            # Not the account's doing: its fraction here may have passed to another VM.
+            return GatewayError(
+                ErrorKind.NOT_READY,
+                "this VM's share of the account is not confirmed",
+                retry_after_ms=RETRY_UNCONFIRMED_MS,
+            )
+        missing = tokens - self._available(account)
+        rate = max(self._terms(account).rate, 1e-9)
+        wait = min(int(missing / rate * 1000) + 1, 3_600_000)
+        return GatewayError(ErrorKind.RATE_LIMITED, retry_after_ms=max(1, wait))
+
+    async def _ask_for_round(self) -> None:
+        reply: Reply[None] = Reply()
+        if self._messages.post(_Round(reply)):
+            await reply.wait()
+
+    async def _post_rounds(self) -> None:
+        while True:
+            await self._clock.sleep(self._cfg.shares.rebalance_ms)
+            self._messages.post(_Round())
+
+    async def _handle(self, message: _Round) -> None:
+        recently = self._clock.now() - self._last_confirm < CONFIRM_EVERY_MS
+        needless = message.reply is not None and (self._may_spend() or recently)
+        try:
+            if not needless:
+                await self._round()
+        finally:
+            if message.reply is not None:
+                message.reply.set(None)
+
+    async def _round(self) -> None:
+        """Renew the lease, read the ledger, write what is due; else ask the neighbours."""
+        self._follow_config()
+        if self._lending.borrowed_lately():
+            self._keeper.hurry()
+        try:
+            await self._keeper.renew()
+            await self._keeper.read()
+            if not self._draining:
+                await self._keeper.write(self._books.accounts, self._fleet(), self._gifts)
+        except GatewayError as exc:
+            self._note_platform(exc.kind.value)
+        else:
+            self._note_platform("")
+        # A lease that ends before the round after next is as good as gone: asked only then,
+        # the neighbours' promise would come after a gap in which requests are refused.
+        soon = self._clock.now() + 2 * self._cfg.shares.rebalance_ms
+        if not self._keeper.standing.lease_holds(soon):
+            await self._ask_neighbours()
+        await self._tell_moved(self._keeper.receivers())
+        await self._lending.report_closed()
+        self._last_confirm = self._clock.now()
+        self._confirmed.set(self._may_spend())
+        self._open_loans.set(self._books.lender.open_count())
+
+    def _note_platform(self, fault: str) -> None:
+        """Log when the platform's state changes, not at every round of an outage."""
+        if fault == self._platform_fault:
+            return
+        self._platform_fault = fault
+        if fault:
+            logging.warning("no round of shares with the platform: %s", fault)
+        else:
+            logging.info("shares are in touch with the platform")
+
+    async def _ask_neighbours(self) -> None:
+        """With the platform out of reach, ask this data centre's VMs to take nothing over.
+
+        One that took over stops this VM at once. One answer of the others is enough: they
+        hear each other, and none takes over from a VM that it hears. With no answer at all
+        this VM may be the one that is cut off, and stops.
+        """
+        if not self._keeper.has_read:
+            return
+        sent = self._clock.now()
+        promise_ms = 3 * self._cfg.shares.rebalance_ms
+        neighbours = self._keeper.neighbours()
+        if not neighbours:
+            self._keeper.standing.promised(sent, promise_ms)
+            return
+        replies = await self._ask_each(neighbours, STANDING, StandingRequest(promise_ms))
+        if any(reply.taken for reply in replies):
+            self._keeper.taken()
+        elif replies:
+            self._keeper.standing.promised(sent, promise_ms)
+
+    async def _ask_each(self, vms: set[VmId], topic: ports.Topic[Q, R], request: Q) -> list[R]:
+        """Ask several VMs at once and return the replies of those that answer."""
+        replies: list[R] = []
+        if self._peers is None or self._members is None:
+            return replies
+        peers = self._peers
+
+        async def ask(vm: EntryVm) -> None:
+            try:
+                replies.append(await peers.ask(vm, topic, request))
+            except GatewayError as exc:
+                logging.debug("no answer on %s from %s: %s", topic.name, vm.id.name, exc)
+
+        async with anyio.create_task_group() as tg:
+            for vm_id in vms:
+                vm = self._members.find(vm_id)
+                if vm is not None:
+                    tg.start_soon(ask, vm)
+        return replies
+
+    async def _answer_standing(self, sender: VmId, request: StandingRequest) -> StandingReply:
+        return StandingReply(taken=not self._keeper.promise(sender, request.promise_ms))
+
+    async def _tell_moved(self, vms: set[VmId]) -> None:
+        """Have the receivers of fractions read at once.
+
+        Until they read, neither side acts on what was moved, and the account's rate falls
+        short by that much; unheard, they read it within a few rounds all the same.
+        """
+        await self._ask_each(vms, MOVED, Moved())
+
+    async def _answer_moved(self, sender: VmId, request: Moved) -> Moved:
+        self._keeper.hurry()
+        self._messages.post(_Round())
+        return request
+
+    def _follow_config(self) -> None:
+        state = self._config.current()
+        if state is not self._applied:
+            self._applied = state
+            self._books.apply_accounts(state.accounts)
+            self._resize()
+
+    def _resize(self) -> None:
+        self._books.apply_parts(self._keeper.acting, self._keeper.first_parts, self._clock.now())
+
+    def _book(self, moved: dict[str, float]) -> None:
+        """Follow the ledger: tokens go before the bucket shrinks, and come after it grew."""
+        now = self._clock.now()
+        self._books.move({name: one for name, one in moved.items() if one < 0}, now)
+        self._resize()
+        self._books.move({name: one for name, one in moved.items() if one > 0}, now)
+
+    def _gifts(self, number: int, ledger: GroupLedger, planned: tuple[Holder, ...]) -> GroupLedger:
+        now = self._clock.now()
+        demands = {
+            name: self._demand(account, planned, now)
+            for name, account in self._books.accounts.items()
+            if group_of(name, self._cfg.shares.groups) == number
+        }
+        return plan_gifts(ledger, self._keeper.me, planned, demands, floor=self._cfg.shares.floor)
+
+    def _demand(self, account: ClientAccount, planned: tuple[Holder, ...], now: int) -> Demand:
+        lent = {
+            holder: rate
+            for holder in planned
+            if (rate := self._lending.lent.rate((account.name, holder.vm), now)) > 0
+        }
+        bucket = self._books.buckets.get(account.name)
+        return Demand(
+            rate=account.rate,
+            own=self._books.spent.rate(account.name, now),
+            level=bucket.level(now) if bucket else 0.0,
+            lent=lent,
+            keep=self._books.lent_parts(account.name),
+        )
+
+    def _sources(self, account: str) -> list[Source]:
+        """Return who may lend of an account; every known VM while the ledger is unread."""
+        if self._members is None:
+            return []
+        if not self._keeper.has_read:
+            return [
+                self._source(vm, 1) for vm in self._members.vms() if vm.id != self._keeper.me.vm
+            ]
+        found: list[Source] = []
+        for holder, parts in self._keeper.holders_of(account).items():
+            vm = self._members.find(holder.vm)
+            if vm is not None and parts and holder.vm != self._keeper.me.vm:
+                found.append(self._source(vm, parts))
+        return found
+
+    def _source(self, vm: EntryVm, parts: int) -> Source:
+        return Source(vm, parts, near=vm.data_centre == self._cfg.vm.data_centre)
+
+    def _fleet(self) -> Fleet:
+        if self._members is None:
+            return Fleet(())
+        return Fleet(
+            tuple(
+                Holder(vm.id, vm.data_centre)
+                for vm in self._members.vms()
+                if vm.state is not VmState.LEAVING
+            )
+        )
+
+    def _me(self) -> Holder:
+        if self._members is not None:
+            return Holder(self._members.me.id, self._members.me.data_centre)
+        vm = VmId(self._cfg.vm.name, secrets.token_hex(8))
+        return Holder(vm, self._cfg.vm.data_centre)
--- /dev/null
+++ b/tests/shares/budget.feature
@@ -0,0 +1,133 @@
+Feature: rate and burst of an account hold over all VMs, and no request inside them is refused
+
+  Scenario: a lone VM spends the burst, refuses, and goes on as tokens arrive
+    Given a lone budget VM and an account of rate 1000 and burst 2000
+    When budget VM "a0" takes 2000 tokens
+    Then the budget admits it
+    When budget VM "a0" takes 500 tokens
+    Then the budget refuses it as "rate_limited", to be tried again after 501 ms
+    When 500 ms pass in the budget fleet
+    And budget VM "a0" takes 500 tokens
+    Then the budget admits it
+    When budget VM "a0" takes 2001 tokens
+    Then the budget refuses it as "cost_over_burst"
+
+  Scenario: tokens that a request did not use come back, those used beyond are paid first
+    Given a lone budget VM and an account of rate 1000 and burst 2000
+    When budget VM "a0" takes 2000 tokens
+    And its request settles with 500 tokens used
+    And budget VM "a0" takes 1500 tokens
+    Then the budget admits it
+    When its request settles with 2500 tokens used
+    And 1000 ms pass in the budget fleet
+    And budget VM "a0" takes 100 tokens
+    Then the budget refuses it as "rate_limited", to be tried again after 101 ms
+
+  Scenario Outline: all of an account's traffic at one VM, then at another, is served inside its rate
+    # The caller sees no refusal. Fractions stand evenly on all VMs, the traffic comes in at
+    # one: it borrows from the others within the request, and their fractions then follow.
+    Given a budget fleet of <fleet> and an account of rate 1000 and burst 2000
+    When 95 tokens are taken every 100 ms for 20000 ms at budget VM "a0"
+    And 95 tokens are taken every 100 ms for 20000 ms at budget VM "<next>"
+    Then the budget refused 0 requests
+    And the budget fleet kept within rate and burst
+
+    Examples:
+      | fleet                     | next |
+      | a0 a1 a2                  | a1   |
+      | a0 a1 a2 b0 b1 b2 c0 c1 c2 | b1   |
+
+  Scenario: a data centre that is cut off spends its own fractions and no more
+    # Callers on both sides send far too much. Neither side hears the other, leases lapse at
+    # the platform, and the sum over both sides still stays within the account's.
+    Given a budget fleet of a0 a1 b0 b1 and an account of rate 1000 and burst 2000
+    When data centre "b" is cut off from the budget fleet
+    And 300 tokens are taken every 100 ms for 30000 ms at budget VMs "a0 b0 b1"
+    Then budget VM "b0" served at least 5000 tokens
+    And the budget fleet kept within rate and burst
+
+  Scenario: a dead VM's fractions pass to its own data centre only, once its lease lapsed
+    # The VM dies with its fractions. A neighbour takes them over after the lease; a VM of
+    # another data centre may not, since from there a cut-off VM looks the same as a dead one.
+    Given a budget fleet of a0 a1 b0 and an account of rate 1000 and burst 2000
+    When budget VM "a1" crashes
+    And 5000 ms pass in the budget fleet
+    Then data centre "a" acts on less than the fractions that its ledger names
+    When 20000 ms pass in the budget fleet
+    Then budget VM "a1" holds nothing in the ledger
+    And data centre "a" acts on all the fractions that its ledger names
+
+  Scenario: no other data centre takes over from one whose VMs all died
+    Given a budget fleet of a0 a1 b0 and an account of rate 1000 and burst 2000
+    When budget VM "b0" crashes
+    And 60000 ms pass in the budget fleet
+    Then budget VM "b0" still holds its part in the ledger
+
+  Scenario: a VM that was paused past its lease asks before it spends again
+    # The VM stands still while its lease lapses and a neighbour takes its fractions over.
+    # On waking, its first request waits for the ledger and is served from what is left to
+    # it; without the question both VMs would spend the same fraction.
+    Given a budget fleet of a0 a1 and an account of rate 1000 and burst 2000
+    When budget VM "a1" is paused for 30000 ms
+    And 200 tokens are taken every 100 ms for 10000 ms at budget VMs "a0 a1"
+    Then the budget fleet kept within rate and burst
+
+  Scenario: a VM paused past its lease, with the platform out, is told by its neighbour
+    Given a budget fleet of a0 a1 and an account of rate 1000 and burst 2000
+    When budget VM "a1" is paused for 30000 ms
+    And the platform is out for the budget fleet
+    And 200 tokens are taken every 100 ms for 10000 ms at budget VMs "a0 a1"
+    Then the budget fleet kept within rate and burst
+    And the budget fleet served at least 9000 tokens
+
+  Scenario: with the platform out and no neighbour that answers, a VM stops
+    # Cut off from everything, it cannot tell whether a neighbour took its fractions over.
+    # The caller is sent elsewhere, as not run.
+    Given a budget fleet of a0 a1 and an account of rate 1000 and burst 2000
+    When the platform is out for the budget fleet
+    And budget VM "a1" crashes
+    And 30000 ms pass in the budget fleet
+    And budget VM "a0" takes 10 tokens
+    Then the budget refuses it as "not_ready"
+
+  Scenario Outline: a write to the ledger whose answer is lost gives nothing out twice
+    # The caller sees nothing. The giver has shrunk already; it does not grow back on what it
+    # reads next, as its write may land still later, after which another VM has that part.
+    Given a budget fleet of a0 b0 and an account of rate 1000 and burst 2000
+    When the next ledger write of budget VM "a0" <fate>
+    And 300 tokens are taken every 100 ms for 6000 ms at budget VMs "a0 b0"
+    And writes of budget VM "a0" that were under way land
+    And 300 tokens are taken every 100 ms for 10000 ms at budget VMs "a0 b0"
+    Then the budget fleet kept within rate and burst
+
+    Examples:
+      | fate             |
+      | loses its answer |
+      | lands late       |
+
+  Scenario Outline: messages between VMs get lost or come twice
+    Given a budget fleet of a0 a1 b0 b1 and an account of rate 1000 and burst 2000
+    When peers of budget VM "a0" <fault>
+    And 150 tokens are taken every 100 ms for 20000 ms at budget VMs "a0 b0"
+    Then the budget fleet kept within rate and burst
+
+    Examples:
+      | fault                    |
+      | lose their replies       |
+      | get its requests twice   |
+
+  Scenario: a lowered rate is in force on every VM that has the change ticket
+    Given a budget fleet of a0 a1 b0 and an account of rate 1000 and burst 2000
+    When 150 tokens are taken every 100 ms for 3000 ms at budget VMs "a0 b0"
+    And a change ticket sets the account to rate 100 and burst 200
+    And 50 tokens are taken every 100 ms for 10000 ms at budget VMs "a0 a1 b0"
+    Then since the change ticket the budget fleet kept within rate 100 and burst 200
+
+  Scenario: a VM that shuts down repays its loans and hands its fractions on
+    Given a budget fleet of a0 a1 b0 and an account of rate 1000 and burst 2000
+    When 95 tokens are taken every 100 ms for 5000 ms at budget VM "a0"
+    And budget VM "a0" shuts down
+    Then budget VM "a0" holds nothing in the ledger
+    When 95 tokens are taken every 100 ms for 20000 ms at budget VM "b0"
+    Then the budget refused 0 requests
+    And the budget fleet kept within rate and burst
--- /dev/null
+++ b/tests/steps/shares/budget_steps.py
@@ -0,0 +1,252 @@
+from __future__ import annotations
+
+import msgspec
+from behave import given, then, when
+from tests.steps.shares import fakes
+
+from hickorybeam.errors import GatewayError
+from hickorybeam.policy.shares import PARTS, GroupLedger
+
+NAME = "acme"
+SETTLE_MS = 30_000
+
+
+@given("a lone budget VM and an account of rate {rate:d} and burst {burst:d}")
+def step_lone(context, rate, burst):
+    begin(context, ["a0"], rate, burst, lone=True)
+
+
+@given("a budget fleet of {names} and an account of rate {rate:d} and burst {burst:d}")
+def step_fleet(context, names, rate, burst):
+    begin(context, names.split(), rate, burst, lone=False)
+
+
+def begin(context, names, rate, burst, *, lone):
+    context.rate, context.burst = rate, burst
+    context.refused = 0
+
+    async def build():
+        return fakes.Fleet([fakes.account(NAME, rate, burst)], lone=lone)
+
+    context.fleet = context.call(build)
+    context.stack.enter_context(context.portal.wrap_async_context_manager(context.fleet))
+
+    async def start():
+        for name in names:
+            await context.fleet.start(name, name[0])
+        await context.fleet.run(SETTLE_MS)
+
+    context.call(start)
+
+
+@when('budget VM "{name}" takes {tokens:d} tokens')
+def step_take(context, name, tokens):
+    context.tokens, context.at = tokens, name
+    context.outcome = context.call(context.fleet.take, name, NAME, tokens)
+
+
+@when("its request settles with {used:d} tokens used")
+def step_settle(context, used):
+    budget = context.fleet.nodes[context.at].budget
+
+    def settle():
+        budget.settle(NAME, context.tokens, used, admission=context.outcome)
+
+    context.call(settle)
+
+
+@then("the budget admits it")
+def step_admits(context):
+    assert isinstance(context.outcome, int), context.outcome
+
+
+@then('the budget refuses it as "{kind}"')
+def step_refuses(context, kind):
+    assert isinstance(context.outcome, GatewayError), context.outcome
+    assert context.outcome.kind.value == kind, context.outcome
+
+
+@then('the budget refuses it as "{kind}", to be tried again after {wait:d} ms')
+def step_refuses_for(context, kind, wait):
+    step_refuses(context, kind)
+    assert context.outcome.retry_after_ms == wait, context.outcome.retry_after_ms
+
+
+@when("{ms:d} ms pass in the budget fleet")
+def step_pass(context, ms):
+    context.call(context.fleet.run, ms)
+
+
+@when('{tokens:d} tokens are taken every {every:d} ms for {ms:d} ms at budget VM "{name}"')
+def step_traffic_one(context, tokens, every, ms, name):
+    traffic(context, tokens, every, ms, [name])
+
+
+@when('{tokens:d} tokens are taken every {every:d} ms for {ms:d} ms at budget VMs "{names}"')
+def step_traffic(context, tokens, every, ms, names):
+    traffic(context, tokens, every, ms, names.split())
+
+
+def traffic(context, tokens, every, ms, names):
+    async def send():
+        fleet = context.fleet
+        end = fleet.clock.now() + ms
+        due = fleet.clock.now()
+        while due < end:
+            await fleet.run(max(0, due - fleet.clock.now()))
+            for name in names:
+                outcome = await fleet.take(name, NAME, tokens)
+                context.refused += isinstance(outcome, GatewayError)
+            due += every
+
+    context.call(send)
+
+
+@then("the budget refused {count:d} requests")
+def step_refused(context, count):
+    assert context.refused == count, context.refused
+
+
+@then("the budget fleet kept within rate and burst")
+def step_kept(context):
+    kept(context.fleet.spent, context.rate, context.burst)
+
+
+def kept(spent, rate, burst):
+    assert spent, "nothing was spent, so nothing was shown"
+    excess = fakes.overspent([(at, tokens) for at, _, _, tokens in spent], rate, burst)
+    assert excess <= 1e-6, excess
+
+
+@when('data centre "{name}" is cut off from the budget fleet')
+def step_cut(context, name):
+    context.fleet.cut_off(name)
+
+
+@when("the platform is out for the budget fleet")
+def step_out(context):
+    for node in context.fleet.nodes.values():
+        node.platform.out = True
+
+
+@then('budget VM "{name}" served at least {tokens:d} tokens')
+def step_served(context, name, tokens):
+    served = sum(each for _, vm, _, each in context.fleet.spent if vm == name)
+    assert served >= tokens, served
+
+
+@then("the budget fleet served at least {tokens:d} tokens")
+def step_fleet_served(context, tokens):
+    served = sum(each for _, _, _, each in context.fleet.spent)
+    assert served >= tokens, served
+
+
+@when('budget VM "{name}" crashes')
+def step_crash(context, name):
+    context.call(context.fleet.nodes[name].crash)
+
+
+@when('budget VM "{name}" is paused for {ms:d} ms')
+def step_pause(context, name, ms):
+    async def pause():
+        context.fleet.nodes[name].pause()
+        await context.fleet.run(ms)
+        context.fleet.nodes[name].resume()
+
+    context.call(pause)
+
+
+@when('budget VM "{name}" shuts down')
+def step_drain(context, name):
+    async def drain():
+        node = context.fleet.nodes[name]
+        ended = []
+
+        async def run():
+            await node.budget.drain()
+            ended.append(True)
+
+        context.fleet.tg.start_soon(run)
+        while not ended:
+            await context.fleet.run(100)
+        node.crash()
+
+    context.call(drain)
+
+
+@when('the next ledger write of budget VM "{name}" {fate}')
+def step_write_fate(context, name, fate):
+    """Make the VM borrow and lend first, so that it has something to write."""
+    platform = context.fleet.nodes[name].platform
+    match fate:
+        case "loses its answer":
+            platform.lose_answer = True
+        case "lands late":
+            platform.delay_write = True
+
+
+@when('writes of budget VM "{name}" that were under way land')
+def step_land(context, name):
+    platform = context.fleet.nodes[name].platform
+    assert not platform.lose_answer and not platform.delay_write, "no ledger write was made"
+    context.call(platform.land_late)
+
+
+@when('peers of budget VM "{name}" {fault}')
+def step_peer_fault(context, name, fault):
+    peers = context.fleet.nodes[name].peers
+    match fault:
+        case "lose their replies":
+            peers.lose_reply = True
+        case "get its requests twice":
+            peers.duplicate = True
+
+
+@when("a change ticket sets the account to rate {rate:d} and burst {burst:d}")
+def step_ticket(context, rate, burst):
+    context.changed_ms = context.fleet.clock.now()
+    for node in context.fleet.nodes.values():
+        node.config.set([fakes.account(NAME, rate, burst)])
+
+
+@then("since the change ticket the budget fleet kept within rate {rate:d} and burst {burst:d}")
+def step_kept_since(context, rate, burst):
+    kept([one for one in context.fleet.spent if one[0] >= context.changed_ms], rate, burst)
+
+
+def in_ledger(context, name):
+    return sum(
+        entry.parts.get(NAME, 0)
+        for key, item in context.fleet.store.items.items()
+        if "/group/" in key
+        for entry in msgspec.msgpack.decode(item.value, type=GroupLedger).entries
+        if entry.holder.vm.name.startswith(name)
+    )
+
+
+@then('budget VM "{name}" holds nothing in the ledger')
+def step_holds_nothing(context, name):
+    assert in_ledger(context, name) == 0
+
+
+@then('budget VM "{name}" still holds its part in the ledger')
+def step_holds_part(context, name):
+    assert in_ledger(context, name) > 0
+
+
+def acting(context, data_centre):
+    return sum(
+        node.budget.status()["accounts"][NAME]["fraction"] * PARTS
+        for name, node in context.fleet.nodes.items()
+        if name.startswith(data_centre) and node.running
+    )
+
+
+@then('data centre "{name}" acts on less than the fractions that its ledger names')
+def step_acts_on_less(context, name):
+    assert acting(context, name) < in_ledger(context, name) - 1
+
+
+@then('data centre "{name}" acts on all the fractions that its ledger names')
+def step_acts_on_all(context, name):
+    assert abs(acting(context, name) - in_ledger(context, name)) <= 1
--- /dev/null
+++ b/tests/steps/shares/fakes.py
@@ -0,0 +1,435 @@
+"""Budget services of several VMs in one process, with fakes at their ports."""
+
+from __future__ import annotations
+
+import heapq
+
+import anyio
+import anyio.lowlevel
+
+from hickorybeam import ports
+from hickorybeam.clock import ManualClock
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.kernel import Started
+from hickorybeam.model import (
+    ClientAccount,
+    ConfigState,
+    EntryVm,
+    Region,
+    Versioned,
+    VmId,
+    VmState,
+    ref_of,
+)
+from hickorybeam.platform.port import KeyValue, Put, ReadResult, TxnResult
+from hickorybeam.settings import PlatformSettings, Settings, ShareSettings, VmSettings
+from hickorybeam.shares import BudgetService
+from hickorybeam.telemetry import Counters
+
+NEAR_MS = 1
+FAR_MS = 80
+
+
+async def settle():
+    """Let every task that can run do so; far cheaper than waiting until all are blocked."""
+    for _ in range(30):
+        await anyio.lowlevel.checkpoint()
+
+
+class QuickClock(ManualClock):
+    """A clock set by hand that is cheap to advance in small steps."""
+
+    async def advance(self, ms):
+        end = self._now + ms
+        while self._sleepers and self._sleepers[0][0] <= end:
+            due, _, event = heapq.heappop(self._sleepers)
+            self._now = max(self._now, due)
+            event.set()
+            await settle()
+        self._now = end
+        await settle()
+
+
+class Store:
+    """The platform's store with its leases; ``calls`` counts what it is asked."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.revision = 1
+        self.items = {}
+        self.leases = {}
+        self.next_lease = 1
+        self.calls = 0
+        self.writes = 0
+
+    def expire(self):
+        for lease in [one for one, (_, end) in self.leases.items() if self.clock.now() >= end]:
+            self.end(lease)
+
+    def end(self, lease):
+        self.leases.pop(lease, None)
+        gone = [key for key, item in self.items.items() if item.lease == lease]
+        for key in gone:
+            del self.items[key]
+        self.revision += bool(gone)
+
+    def txn(self, compares, writes):
+        for one in compares:
+            item = self.items.get(one.key)
+            if (item.mod_revision if item else 0) != one.mod_revision:
+                return TxnResult(False, self.revision)
+        self.revision += 1
+        for write in writes:
+            if isinstance(write, Put):
+                item = KeyValue(write.key, write.value, self.revision, write.lease)
+                self.items[write.key] = item
+            else:
+                self.items.pop(write.key, None)
+        return TxnResult(True, self.revision)
+
+
+class FakePlatform:
+    """One VM's way to the store. ``late`` holds writes whose answers were lost on the way."""
+
+    def __init__(self, store, node):
+        self.store = store
+        self.node = node
+        self.out = False
+        self.lose_answer = False
+        self.delay_write = False
+        self.late = []
+
+    async def _enter(self, write=False):
+        await anyio.lowlevel.checkpoint()
+        await self.node.awake()
+        self.store.expire()
+        self.store.calls += 1
+        self.store.writes += write
+        if self.out:
+            raise GatewayError(ErrorKind.PLATFORM_OUT)
+
+    async def read(self, key, *, limit=0):
+        await self._enter()
+        item = self.store.items.get(key)
+        return ReadResult(self.store.revision, (item,) if item else ())
+
+    async def read_prefix(self, prefix, *, start="", limit=0):
+        await self._enter()
+        found = tuple(
+            item for key, item in sorted(self.store.items.items()) if key.startswith(prefix)
+        )
+        return ReadResult(self.store.revision, found)
+
+    async def txn(self, compares, writes):
+        await self._enter(write=True)
+        if self.delay_write:
+            self.delay_write = False
+            self.late.append((compares, writes))
+            raise GatewayError(ErrorKind.PLATFORM_UNKNOWN)
+        result = self.store.txn(compares, writes)
+        if self.lose_answer:
+            self.lose_answer = False
+            raise GatewayError(ErrorKind.PLATFORM_UNKNOWN)
+        await self.node.awake()
+        return result
+
+    def land_late(self):
+        for compares, writes in self.late:
+            self.store.txn(compares, writes)
+        self.late.clear()
+
+    async def grant(self, ttl_ms):
+        await self._enter(write=True)
+        lease = self.store.next_lease
+        self.store.next_lease += 1
+        self.store.leases[lease] = (ttl_ms, self.store.clock.now() + ttl_ms)
+        return lease
+
+    async def keep_alive(self, lease):
+        await self._enter(write=True)
+        if lease not in self.store.leases:
+            raise GatewayError(ErrorKind.LEASE_LOST)
+        ttl, _ = self.store.leases[lease]
+        self.store.leases[lease] = (ttl, self.store.clock.now() + ttl)
+        return ttl
+
+    async def revoke(self, lease):
+        await self._enter(write=True)
+        self.store.end(lease)
+
+    def watch(self, prefix, *, after):
+        raise NotImplementedError
+
+
+class FakeConfig:
+    """The change tickets in force on one VM."""
+
+    def __init__(self, accounts):
+        self.set(accounts)
+
+    def set(self, accounts):
+        objects = [*accounts, Region(name="r", data_centres=("dc0",))]
+        self.state = ConfigState(
+            position=1, objects={ref_of(obj): Versioned(1, obj) for obj in objects}
+        )
+
+    def current(self):
+        return self.state
+
+    def age_ms(self):
+        return 0
+
+    async def wait_for(self, position, *, timeout_ms):
+        return self.state
+
+    async def changed(self, position):
+        await anyio.sleep_forever()
+
+    async def submit(self, ticket):
+        raise NotImplementedError
+
+
+class FakeMembers:
+    """Every running VM that this one's data centre can hear."""
+
+    def __init__(self, fleet, node):
+        self.fleet = fleet
+        self.node = node
+
+    @property
+    def me(self):
+        return self.node.vm
+
+    def vms(self):
+        return tuple(
+            one.vm
+            for one in self.fleet.nodes.values()
+            if one.running and not one.paused and self.fleet.linked(self.node, one)
+        )
+
+    def find(self, vm):
+        return next((one for one in self.vms() if one.id == vm), None)
+
+    def region_loads(self):
+        return ()
+
+    def report_load(self, loads):
+        pass
+
+    def publish(self, name, note):
+        pass
+
+    def heard(self, name, listener):
+        pass
+
+    def leave(self):
+        pass
+
+
+class FakePeers:
+    """Asks handlers of other VMs, after the link's delay."""
+
+    def __init__(self, fleet, node):
+        self.fleet = fleet
+        self.node = node
+        self.handlers = {}
+        self.asked = 0
+        self.lose_reply = False
+        self.duplicate = False
+
+    def serve(self, topic, handler):
+        self.handlers[topic.name] = handler
+
+    def forward(self, call, vm):
+        raise NotImplementedError
+
+    async def ask(self, vm, topic, request, *, timeout_ms=None):
+        self.asked += 1
+        other = self.fleet.nodes.get(vm.id.name)
+        if other is None or not other.running or not self.fleet.linked(self.node, other):
+            raise GatewayError(ErrorKind.PEER_UNREACHABLE)
+        delay = NEAR_MS if vm.data_centre == self.node.vm.data_centre else FAR_MS
+        await self.fleet.clock.sleep(delay)
+        if other.paused or not other.running:
+            raise GatewayError(ErrorKind.PEER_UNREACHABLE)
+        handler = other.peers.handlers[topic.name]
+        reply = await handler(self.node.vm.id, request)
+        if self.duplicate:
+            await handler(self.node.vm.id, request)
+        await self.fleet.clock.sleep(delay)
+        if self.lose_reply or not self.fleet.linked(self.node, other):
+            raise GatewayError(ErrorKind.PEER_UNREACHABLE)
+        return reply
+
+
+class NodeClock:
+    """The fleet's clock as a VM sees it that may be paused."""
+
+    def __init__(self, clock, node):
+        self.clock = clock
+        self.node = node
+
+    def now(self):
+        return self.clock.now()
+
+    def wall(self):
+        return self.clock.wall()
+
+    async def sleep(self, ms):
+        await self.clock.sleep(ms)
+        await self.node.awake()
+
+
+class Node:
+    """One VM: the service under test and its fakes."""
+
+    def __init__(self, fleet, name, data_centre, incarnation="1"):
+        self.fleet = fleet
+        self.vm = EntryVm(
+            id=VmId(name, incarnation),
+            region=data_centre,
+            data_centre=data_centre,
+            host="127.0.0.1",
+            http_port=1,
+            peer_port=1,
+            state=VmState.SERVING,
+        )
+        self.running = False
+        self.paused = False
+        self._resumed = anyio.Event()
+        self.platform = FakePlatform(fleet.store, self)
+        self.config = FakeConfig(fleet.accounts)
+        self.members = FakeMembers(fleet, self)
+        self.peers = FakePeers(fleet, self)
+        cfg = Settings(
+            vm=VmSettings(name=name, region=data_centre, data_centre=data_centre),
+            platform=PlatformSettings(urls=("http://127.0.0.1:1",)),
+            shares=fleet.shares,
+        )
+        self.counters = Counters()
+        clock = NodeClock(fleet.clock, self)
+        self.budget = BudgetService(cfg=cfg, clock=clock, counters=self.counters)
+        self.scope = anyio.CancelScope()
+
+    def find(self, name, kind):
+        return getattr(self, name)
+
+    def has(self, name):
+        return name != ports.MEMBERS or not self.fleet.lone
+
+    async def awake(self):
+        while self.paused:
+            await self._resumed.wait()
+
+    def pause(self):
+        self.paused = True
+
+    def resume(self):
+        self.paused = False
+        self._resumed.set()
+        self._resumed = anyio.Event()
+
+    async def run(self):
+        self.running = True
+        self.budget.bind(self)
+        with self.scope:
+            await self.budget.main(Started())
+        self.running = False
+
+    def crash(self):
+        self.running = False
+        self.scope.cancel()
+
+
+class Fleet:
+    """VMs by name, the links between their data centres, and every token they spent."""
+
+    def __init__(self, accounts, *, shares=None, lone=False):
+        self.clock = QuickClock()
+        self.store = Store(self.clock)
+        self.accounts = accounts
+        self.shares = shares or ShareSettings(groups=4)
+        self.lone = lone
+        self.nodes = {}
+        self.cut = set()
+        self.spent = []
+        self.tg = None
+
+    async def __aenter__(self):
+        self.tg = anyio.create_task_group()
+        await self.tg.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc):
+        self.tg.cancel_scope.cancel()
+        return await self.tg.__aexit__(*exc)
+
+    def linked(self, one, other):
+        ends = {one.vm.data_centre, other.vm.data_centre}
+        return len(ends) == 1 or not ends & self.cut
+
+    def cut_off(self, data_centre, *, platform=True):
+        self.cut.add(data_centre)
+        for node in self.nodes.values():
+            if node.vm.data_centre == data_centre:
+                node.platform.out = platform
+
+    def heal(self, data_centre):
+        self.cut.discard(data_centre)
+        for node in self.nodes.values():
+            if node.vm.data_centre == data_centre:
+                node.platform.out = False
+
+    async def start(self, name, data_centre, incarnation="1"):
+        node = Node(self, name, data_centre, incarnation)
+        self.nodes[name] = node
+        self.tg.start_soon(node.run)
+        await settle()
+        return node
+
+    async def take(self, name, account, tokens):
+        """Spend at one VM; the clock goes on while the request waits for loans."""
+        outcome = []
+
+        async def ask():
+            try:
+                admission = await self.nodes[name].budget.take(account, tokens)
+                self.spent.append((self.clock.now(), name, account, tokens))
+                outcome.append(admission)
+            except GatewayError as exc:
+                outcome.append(exc)
+
+        self.tg.start_soon(ask)
+        await settle()
+        for _ in range(200):
+            if outcome:
+                return outcome[0]
+            await self.clock.advance(10)
+        raise AssertionError("take never ended")
+
+    async def run(self, ms):
+        step = 100
+        while ms > 0:
+            await self.clock.advance(min(step, ms))
+            ms -= step
+
+
+def account(name, rate=1_000.0, burst=2_000.0):
+    return ClientAccount(name=name, rate=rate, burst=burst)
+
+
+def overspent(spent, rate, burst):
+    """Return the worst excess over burst + rate * T over all windows; 0 when all are kept.
+
+    Independent of the code under test: spends are ``(time, tokens)`` in order, and for each
+    end of a window the worst start is kept as in a maximum subarray.
+    """
+    worst = running = 0.0
+    last = None
+    for at, tokens in spent:
+        if last is not None:
+            running = max(0.0, running - rate * (at - last) / 1000)
+        running += tokens
+        last = at
+        worst = max(worst, running - burst)
+    return worst
