peers: partitions, wrong lists, and a VM that nobody can connect to

A VM that reaches others while nobody can connect to it was accused: the VMs asked did not reach it either. Those it heartbeats are asked now, and its heartbeats count.

--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -51,6 +51,7 @@
 PUSH_SPACING_MS = 50
 JITTER = 0.1
 VMS_ASKED_ABOUT_SUSPECT = 3
+HEARD_LATELY = 2.5
 VMS_TRIED_AT_JOIN = 6
 JOIN_TIMEOUT_MS = 2_000
 LEAVE_TIMEOUT_MS = 1_000
@@ -467,9 +468,13 @@
         self._cached = (-1, ())
 
     def _others_to_ask(self, suspect: EntryVm) -> list[EntryVm]:
-        others = [vm for vm in self._believed_alive() if vm.id not in (self.me.id, suspect.id)]
-        self._random.shuffle(others)
-        others.sort(key=lambda vm: vm.data_centre != self.me.data_centre)
+        """Return whom the suspect heartbeats: they know best, even if nobody can reach it."""
+        local = self._alive_in(self.me.data_centre)
+        names = ring.fingers(suspect.id.name, local)
+        others = [local[name] for name in names if name != self.me.id.name]
+        if not others:
+            others = [vm for vm in self.vms() if vm.data_centre != self.me.data_centre]
+            self._random.shuffle(others)
         return others[:VMS_ASKED_ABOUT_SUSPECT]
 
     async def _ask_other(
@@ -489,9 +494,16 @@
             timeout_ms = self._patience(probe.suspect)
             await self._peers.ask(probe.suspect, WHO, request, timeout_ms=timeout_ms)
         except GatewayError:
-            return Probed(reached=False)
+            # Nobody may be able to connect to a VM that still reaches others: then its
+            # heartbeats prove it alive, and to accuse it would start a quarrel without end.
+            return Probed(reached=self._heard_lately(probe.suspect.id))
         return Probed(reached=True)
 
+    def _heard_lately(self, vm: VmId) -> bool:
+        suspect = self._suspects.get(vm)
+        limit_ms = HEARD_LATELY * self._cfg.peers.heartbeat_ms
+        return suspect is not None and self._clock.now() - suspect.heard_ms <= limit_ms
+
     async def _try_departed(self) -> None:
         """Try a VM that fell silent, in case a partition that made both sides accuse is over."""
         silent = [
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -45,3 +45,91 @@
     When every VM of "dakar-1" reports a wait of 70 ms
     Then every VM of "thies-1" sees a wait of 70 ms for region "dakar"
     And no VM of "dakar-1" sees a forecast of its own region
+
+  Scenario Outline: The platform's list is lagging or wrong
+    # The list still names dead VMs and earlier lives, lacks running ones, or holds nonsense.
+    # It only says whom to try: the view must not change by it.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When the platform's list <fault>
+    And a VM "dakar-1.late" joins the fleet in "dakar-1"
+    Then every VM of the fleet sees exactly the running VMs
+
+    Examples:
+      | fault                             |
+      | names VMs that are long gone      |
+      | names earlier lives of all VMs    |
+      | names only one VM                 |
+      | holds an entry that is not a VM   |
+
+  Scenario: The platform goes out
+    # No lease can be renewed and no list read. The VMs keep what they know and their
+    # heartbeats: a crash is still noticed and nobody else is lost.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When the fleet's platform goes out
+    And fleet VM "dakar-1.2" crashes
+    Then every VM of the fleet sees exactly the running VMs
+
+  Scenario: Half of a fleet that never met
+    # Both data centres' VMs started while the platform was out, with no seeds: each is
+    # alone. Once the list can be read they find each other.
+    Given the fleet's platform is out
+    And VMs started alone in "dakar-1" and "thies-1"
+    When the fleet's platform is back
+    Then every VM of the fleet sees exactly the running VMs
+
+  Scenario: One VM cannot connect to another, which is well
+    # A firewall rule or routing fault between just two VMs, one way. Others reach the VM, so
+    # it must stay in everyone's view.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When fleet VM "dakar-1.1" can no longer connect to "dakar-1.2"
+    Then for 1200 ms every VM of the fleet sees exactly the running VMs
+
+  Scenario: A VM that can connect to nobody but is reached by all
+    # One-way partition: its own heartbeats fail and nobody answers its questions. It must
+    # accuse no one: nothing is lost from any view.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When fleet VM "dakar-1.1" can no longer connect to anyone
+    Then for 1200 ms the other VMs of the fleet see exactly the running VMs
+    And no VM of the fleet was accused
+
+  Scenario: A VM that nobody can connect to but which reaches all
+    # The other half of a one-way partition. Its heartbeats are signs of life.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When nobody can connect to fleet VM "dakar-1.1" any longer
+    Then for 1200 ms the other VMs of the fleet see exactly the running VMs
+
+  Scenario: A VM goes silent without its connections closing
+    # The VM is stopped, or its switch port is dead: nothing refuses, nothing answers.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When fleet VM "dakar-1.1" is cut off silently both ways
+    Then the other VMs of the fleet no longer see it
+    When the cut-off VM is connected again
+    Then every VM of the fleet sees exactly the running VMs
+
+  Scenario: Data centres lose each other and meet again
+    # Each side goes on with its own VMs and names only these to callers. After the partition
+    # the same VMs, with the same incarnations, are in both views again: their idempotency
+    # keys and shares are still good.
+    Given a fleet with 3 VMs in "dakar-1" and 3 VMs in "thies-1"
+    When the fleet's data centres lose each other
+    Then the VMs of "dakar-1" see exactly their own VMs
+    And the VMs of "thies-1" see exactly their own VMs
+    And a VM of "dakar-1" still finds the incarnations of "thies-1"
+    When the fleet's data centres meet again
+    Then every VM of the fleet sees exactly the running VMs
+
+  Scenario: The delegate between two data centres dies
+    # The one VM that speaks for its data centre is gone. The next in line takes over before
+    # the other side counts as cut off.
+    Given a fleet with 4 VMs in "dakar-1" and 3 VMs in "thies-1"
+    When the delegate of "dakar-1" towards "thies-1" crashes
+    Then for 2500 ms the VMs of "thies-1" see the VMs of "dakar-1" that run
+    And every VM of the fleet sees exactly the running VMs
+
+  Scenario: A VM whose name was taken by a later process
+    # A VM paused so long that it was replaced under its name comes back. It must not fight
+    # for the name.
+    Given a fleet with 3 VMs in "dakar-1" and 1 VMs in "thies-1"
+    When a later process takes the name of "dakar-1.2"
+    Then the old process of "dakar-1.2" counts as superseded
+    And every VM of the fleet sees the later process only
--- a/tests/steps/peers/membership_steps.py
+++ b/tests/steps/peers/membership_steps.py
@@ -3,29 +3,7 @@
 from behave import given, then, when
 
 from hickorybeam.model import RegionLoad
-from support.fleet import fleet, until
-
-
-def start(context, sizes, **kwargs):
-    if not hasattr(context, "fleet"):
-        manager = context.portal.wrap_async_context_manager(fleet())
-        context.fleet = context.stack.enter_context(manager)
-    context.fleet.table.update(getattr(context, "platform_fault", {}))
-
-    async def run():
-        for data_centre, count in sizes.items():
-            for number in range(1, count + 1):
-                await context.fleet.add(f"{data_centre}.{number}", data_centre, **kwargs)
-
-    context.call(run)
-
-
-def of(context, data_centre):
-    return [
-        member
-        for name, member in context.fleet.members.items()
-        if name.startswith(data_centre + ".")
-    ]
+from support.fleet import of, start, until
 
 
 @given("the fleet's platform is out")
--- /dev/null
+++ b/tests/steps/peers/partition_steps.py
@@ -0,0 +1,205 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import anyio
+from behave import given, then, when
+
+from hickorybeam.model import EntryVm, VmId
+from hickorybeam.peers import pack, ring
+from hickorybeam.standins.relay import LinkState
+from support.fleet import of, start, until
+
+POLL_S = 0.02
+
+
+def member(context, name):
+    return context.fleet.members[name]
+
+
+def others(context, name):
+    return [found for found in context.fleet.members.values() if found.id.name != name]
+
+
+def gone_vm(number, incarnation):
+    return EntryVm(
+        id=VmId(f"dakar-1.{number}", incarnation),
+        region="dakar",
+        data_centre="dakar-1",
+        host="127.0.0.1",
+        http_port=1,
+        peer_port=1,
+    )
+
+
+@when("the platform's list {fault}")
+def step_list_fault(context, fault):
+    running = [found.members.me for found in context.fleet.members.values()]
+    match fault:
+        case "names VMs that are long gone":
+            vms = [*running, *(gone_vm(number, "000-1") for number in range(50, 60))]
+        case "names earlier lives of all VMs":
+            vms = [replace(vm, id=VmId(vm.id.name, "000000000001-1")) for vm in running]
+        case "names only one VM":
+            vms = running[:1]
+        case "holds an entry that is not a VM":
+            vms = running[:1]
+        case _:
+            raise AssertionError(fault)
+    table = {"vms/" + vm.id.name: (pack(vm), 1) for vm in vms}
+    if fault == "holds an entry that is not a VM":
+        table["vms/nonsense"] = (b"\xc1", 1)
+    context.fleet.table["wrong list"] = table
+
+
+@when('a VM "{name}" joins the fleet in "{data_centre}"')
+def step_joins(context, name, data_centre):
+    context.call(context.fleet.add, name, data_centre)
+
+
+@when("the fleet's platform goes out")
+def step_goes_out(context):
+    context.fleet.table["out"] = True
+
+
+@when("the fleet's platform is back")
+def step_back(context):
+    context.fleet.table["out"] = False
+
+
+@given('VMs started alone in "{one}" and "{other}"')
+def step_alone(context, one, other):
+    start(context, {one: 2, other: 2})
+    assert all(len(found.sees()) == 1 for found in context.fleet.members.values())
+
+
+@when('fleet VM "{name}" can no longer connect to "{other}"')
+def step_one_link(context, name, other):
+    context.call(context.fleet.cut, [member(context, name)], [member(context, other)])
+
+
+@when('fleet VM "{name}" can no longer connect to anyone')
+def step_deaf(context, name):
+    context.apart = name
+    context.call(context.fleet.cut, [member(context, name)], others(context, name))
+
+
+@when('nobody can connect to fleet VM "{name}" any longer')
+def step_unreachable(context, name):
+    context.apart = name
+    context.call(context.fleet.cut, others(context, name), [member(context, name)])
+
+
+@when('fleet VM "{name}" is cut off silently both ways')
+def step_silent(context, name):
+    context.apart = name
+
+    async def run():
+        rest = others(context, name)
+        alone = [member(context, name)]
+        await context.fleet.cut(rest, alone, state=LinkState.SILENT)
+        await context.fleet.cut(alone, rest, state=LinkState.SILENT)
+
+    context.call(run)
+
+
+@when("the cut-off VM is connected again")
+def step_connected(context):
+    context.call(context.fleet.heal)
+
+
+def keeps(context, check, ms):
+    async def run():
+        end = anyio.current_time() + ms / 1000
+        while anyio.current_time() < end:
+            assert check(), context.fleet.views()
+            await anyio.sleep(POLL_S)
+
+    context.call(run)
+
+
+@then("for {ms:d} ms every VM of the fleet sees exactly the running VMs")
+def step_keeps(context, ms):
+    keeps(context, context.fleet.agree, ms)
+
+
+@then("for {ms:d} ms the other VMs of the fleet see exactly the running VMs")
+def step_keeps_others(context, ms):
+    ids = {found.id for found in context.fleet.members.values()}
+    rest = others(context, context.apart)
+    keeps(context, lambda: all(found.sees() == ids for found in rest), ms)
+
+
+@then("no VM of the fleet was accused")
+def step_not_accused(context):
+    for found in context.fleet.members.values():
+        assert b'suspicions_total{verdict="silent"}' not in found.counters.text()
+        assert all(record.alive for record in found.members._exchange.roster)
+
+
+@then("the other VMs of the fleet no longer see it")
+def step_not_seen(context):
+    rest = others(context, context.apart)
+    ids = {found.id for found in rest}
+    context.took_ms = context.call(until, lambda: all(found.sees() == ids for found in rest))
+
+
+@when("the fleet's data centres lose each other")
+def step_lose(context):
+    async def run():
+        one, other = of(context, "dakar-1"), of(context, "thies-1")
+        await context.fleet.cut(one, other)
+        await context.fleet.cut(other, one)
+
+    context.call(run)
+
+
+@when("the fleet's data centres meet again")
+def step_meet(context):
+    context.call(context.fleet.heal)
+
+
+@then('the VMs of "{data_centre}" see exactly their own VMs')
+def step_own_only(context, data_centre):
+    own = of(context, data_centre)
+    ids = {found.id for found in own}
+    context.call(until, lambda: all(found.sees() == ids for found in own))
+
+
+@then('a VM of "{one}" still finds the incarnations of "{other}"')
+def step_still_finds(context, one, other):
+    finder = of(context, one)[0].members
+    assert all(finder.find(found.id) is not None for found in of(context, other))
+
+
+@when('the delegate of "{one}" towards "{other}" crashes')
+def step_delegate(context, one, other):
+    names = [found.id.name for found in of(context, one)]
+    delegate = ring.delegates(names, of=one, towards=other)[0]
+    context.call(context.fleet.kill, delegate)
+
+
+@then('for {ms:d} ms the VMs of "{one}" see the VMs of "{other}" that run')
+def step_keep_seeing(context, ms, one, other):
+    ids = {found.id for found in of(context, other)}
+    keeps(context, lambda: all(ids <= found.sees() for found in of(context, one)), ms)
+
+
+@when('a later process takes the name of "{name}"')
+def step_takes(context, name):
+    context.old = context.fleet.members.pop(name)
+    context.call(context.fleet.add, name, context.old.cfg.vm.data_centre)
+
+
+@then('the old process of "{name}" counts as superseded')
+def step_superseded(context, name):
+    def superseded():
+        return context.old.members.status()["superseded"]
+
+    context.call(until, superseded)
+
+
+@then("every VM of the fleet sees the later process only")
+def step_later_only(context):
+    context.call(until, context.fleet.agree)
+    context.call(context.old.scope.cancel)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 
 import anyio
 
@@ -10,9 +10,11 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.kernel import Kernel, Service
 from hickorybeam.peers import MembersService, PeersService
-from hickorybeam.peers.codec import pack
+from hickorybeam.peers.links import Address
 from hickorybeam.platform import KeyValue, ReadResult, TxnResult
 from hickorybeam.settings import PeerSettings, PlatformSettings, Settings, TlsSettings, VmSettings
+from hickorybeam.standins import relay
+from hickorybeam.standins.relay import LinkState
 from hickorybeam.telemetry import Counters
 
 HEARTBEAT_MS = 40
@@ -111,10 +113,11 @@
 
 
 class Fleet:
-    """Members by name, and the platform's table they share."""
+    """Members by name, the platform's table they share, and relays between some of them."""
 
     def __init__(self, tg):
         self.tg = tg
+        self.links = []
         self.table = {}
         self.members = {}
 
@@ -138,6 +141,22 @@
         await member.ended.wait()
         return member
 
+    async def cut(self, sources, targets, *, state=LinkState.CUT):
+        """Let connections from some members to others pass through relays in this state."""
+        for source in sources:
+            for target in targets:
+                if source is target:
+                    continue
+                port = target.peers.port
+                link = await self.tg.start(hold_relay, port)
+                await link.set(state)
+                source.peers._routes[Address("127.0.0.1", port)] = Address("127.0.0.1", link.port)
+                self.links.append(link)
+
+    async def heal(self):
+        for link in self.links:
+            await link.set(LinkState.PASS)
+
     def agree(self):
         ids = {member.id for member in self.members.values()}
         return all(member.sees() == ids for member in self.members.values())
@@ -159,14 +178,38 @@
     return round((anyio.current_time() - began) * 1000)
 
 
+async def hold_relay(port, *, task_status):
+    async with relay.serve("127.0.0.1", port) as link:
+        task_status.started(link)
+        await anyio.sleep_forever()
+
+
 @asynccontextmanager
 async def fleet():
-    async with AsyncExitStack() as stack:
-        tg = await stack.enter_async_context(anyio.create_task_group())
-        made = Fleet(tg)
-        yield made
+    async with anyio.create_task_group() as tg:
+        yield Fleet(tg)
         tg.cancel_scope.cancel()
 
 
-def listed(vm):
-    return pack(vm)
+def start(context, sizes, **kwargs):
+    """Start members of a scenario's fleet, numbered from 1 in each data centre."""
+    if not hasattr(context, "fleet"):
+        manager = context.portal.wrap_async_context_manager(fleet())
+        context.fleet = context.stack.enter_context(manager)
+    context.fleet.table.update(getattr(context, "platform_fault", {}))
+
+    async def run():
+        for data_centre, count in sizes.items():
+            for number in range(1, count + 1):
+                await context.fleet.add(f"{data_centre}.{number}", data_centre, **kwargs)
+
+    context.call(run)
+
+
+def of(context, data_centre):
+    """Return the members of one data centre."""
+    return [
+        member
+        for name, member in context.fleet.members.items()
+        if name.startswith(data_centre + ".")
+    ]
