front: callers' and operators' HTTP interface under uvicorn

Residency, keys and draining are decided on the headers, before the body is read. Every way in which a caller can hold a connection without doing its part has a limit: silent before a request, a head or body that trickles in, an answer that is not read. Refusals are one JSON shape; a broken stream ends in an error event and never in an end mark.

The front sets max_tokens where a caller sets none: otherwise an engine could produce more than was charged on admission. Bodies and query strings that contain the key are refused, since they would carry it to a backend server.

--- /dev/null
+++ b/src/hickorybeam/front/gate.py
@@ -0,0 +1,138 @@
+"""What every handler may use, and the checks that come before any body is read."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hickorybeam.errors import ErrorKind, GatewayError, Retry, answer_for
+from hickorybeam.front.identity import Identity, identify, is_operator, secret_of
+from hickorybeam.model import VmState
+from hickorybeam.policy.entries import entry_order
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.front.memory import MemoryGate
+    from hickorybeam.front.request import Request
+    from hickorybeam.kernel import Kernel
+    from hickorybeam.model import EntryVm
+    from hickorybeam.ports import ConfigView, Dispatch, Members, Once
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("REDIRECTED", "Gate")
+
+# A caller that follows the entries of a refusal says so with this header.
+REDIRECTED = b"x-hickorybeam-redirected"
+# How many other VMs a refusal names; a caller needs one, and two more in case it fails.
+NAMED_ENTRIES = 3
+
+
+@dataclass(slots=True, kw_only=True)
+class Gate:
+    """The front's neighbours and state."""
+
+    cfg: Settings
+    clock: Clock
+    counters: Counters
+    kernel: Kernel
+    config: ConfigView
+    dispatch: Dispatch
+    members: Members | None
+    once: Once | None
+    memory: MemoryGate
+    draining: bool = False
+
+    def secret(self, req: Request) -> str:
+        """Return the key that came with a request."""
+        return secret_of(req.header(b"authorization"), req.header(b"x-api-key"))
+
+    def operator(self, req: Request) -> None:
+        """Let operators pass.
+
+        :raises GatewayError: ``KEY_MISSING`` or ``OPERATOR_ONLY``.
+        """
+        secret = self.secret(req)
+        if not is_operator(self.config.current(), secret, self.cfg.front.operator_keys):
+            raise GatewayError(ErrorKind.OPERATOR_ONLY)
+
+    def identity(self, req: Request) -> Identity:
+        """Authenticate a caller by the configuration in force.
+
+        :raises GatewayError: the key is no good, or this VM knows too little to tell.
+        """
+        secret = self.secret(req)
+        state = self.config.current()
+        if not state.position:
+            raise self.elsewhere(ErrorKind.NOT_READY)
+        stale_after = self.cfg.config.stale_after_ms
+        if stale_after and self.config.age_ms() > stale_after:
+            # A key withdrawn meanwhile would go on working here; the setting bounds how long.
+            raise self.elsewhere(ErrorKind.CONFIG_STALE)
+        return identify(state, secret)
+
+    def admit(self, req: Request) -> Identity:
+        """Let a caller's work in, on its headers alone, before its body is read.
+
+        :raises GatewayError: as ``identity``, or ``DRAINING``, ``RESIDENCY``,
+            ``RESIDENCY_UNKNOWN`` or ``HOP_LIMIT``.
+        """
+        identity = self.identity(req)
+        if identity.allowed is None:
+            raise GatewayError(ErrorKind.RESIDENCY_UNKNOWN)
+        if self.cfg.vm.region not in identity.allowed:
+            raise self.misdirected(req, identity)
+        if self.draining:
+            raise self.elsewhere(ErrorKind.DRAINING, identity.allowed)
+        return identity
+
+    def misdirected(self, req: Request, identity: Identity) -> GatewayError:
+        """Return the refusal of a caller whose data this region must not see.
+
+        Two VMs with opposite views of a residency rule could send a caller to and fro for
+        ever. A caller that was redirected once is therefore refused for good.
+        """
+        if req.header(REDIRECTED):
+            return GatewayError(ErrorKind.HOP_LIMIT, "redirected to a VM that may not serve it")
+        return self.elsewhere(ErrorKind.RESIDENCY, identity.allowed)
+
+    def elsewhere(self, kind: ErrorKind, allowed: frozenset[str] | None = None) -> GatewayError:
+        """Return a refusal that names other VMs."""
+        return GatewayError(kind, entries=self.others(allowed))
+
+    def named(self, exc: GatewayError, allowed: frozenset[str] | None) -> GatewayError:
+        """Add other VMs to a refusal that sends the caller elsewhere and names none."""
+        if answer_for(exc.kind).retry is Retry.ELSEWHERE and not exc.entries:
+            exc.entries = self.others(allowed)
+        return exc
+
+    def others(self, allowed: frozenset[str] | None) -> tuple[str, ...]:
+        """Return addresses of other serving VMs, in any region if ``allowed`` is unknown."""
+        if self.members is None:
+            return ()
+        me = self.members.me
+        vms = [vm for vm in self.members.vms() if vm.id != me.id]
+        regions = frozenset(vm.region for vm in vms) if allowed is None else allowed
+        found = self.order(vms, regions, spread=me.id.name)
+        return tuple(vm.http_address for vm in found[:NAMED_ENTRIES])
+
+    def order(
+        self, vms: list[EntryVm], allowed: frozenset[str], *, spread: str
+    ) -> tuple[EntryVm, ...]:
+        """Return serving VMs of these regions, best first."""
+        vm = self.cfg.vm
+        return entry_order(
+            vms, region=vm.region, data_centre=vm.data_centre, allowed=allowed, spread=spread
+        )
+
+    def entries(self, identity: Identity, *, address: str) -> tuple[EntryVm, ...]:
+        """Return the VMs that a caller should use, this one included unless it drains."""
+        if self.members is None or identity.allowed is None:
+            return ()
+        me = self.members.me.id
+        vms = [
+            vm
+            for vm in self.members.vms()
+            if vm.state is VmState.SERVING and not (self.draining and vm.id == me)
+        ]
+        return self.order(vms, identity.allowed, spread=f"{identity.account.name} {address}")
--- /dev/null
+++ b/src/hickorybeam/front/operators.py
@@ -0,0 +1,114 @@
+"""Handlers of the operator API; each needs an operator's key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from hickorybeam.decode import decode
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.model import ChangeTicket
+from hickorybeam.ports import TicketLog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorybeam.front.gate import Gate
+    from hickorybeam.front.request import Request
+    from hickorybeam.model import ConfigState
+
+__all__ = ("drain", "metrics", "state", "status", "submit", "tickets")
+
+MAX_TICKET_BYTES = 4_000_000
+MOST_TICKETS = 1_000
+DEFAULT_TICKETS = 100
+EXPOSITION = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+async def submit(gate: Gate, req: Request) -> None:
+    """``POST /v1/tickets``: accept a change ticket."""
+    gate.operator(req)
+    raw = await req.body(gate.memory, limit=MAX_TICKET_BYTES)
+    try:
+        value = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise GatewayError(ErrorKind.BAD_REQUEST, "the ticket is not valid JSON") from exc
+    ticket, faults = decode(ChangeTicket, value)
+    if ticket is None:
+        raise GatewayError(ErrorKind.TICKET_INVALID, faults=tuple(map(str, faults)))
+    position = await gate.config.submit(ticket)
+    await req.json(200, {"number": ticket.number, "position": position})
+
+
+async def tickets(gate: Gate, req: Request) -> None:
+    """``GET /v1/tickets?from=POSITION&limit=N``: accepted tickets in order."""
+    gate.operator(req)
+    query = dict(parse_qsl(req.query.decode("latin-1")))
+    start = number(query, "from", 0)
+    limit = min(MOST_TICKETS, number(query, "limit", DEFAULT_TICKETS))
+    if not isinstance(gate.config, TicketLog):
+        raise GatewayError(ErrorKind.NOT_READY, "this VM keeps no log")
+    found = await gate.config.log(start, limit)
+    listed = [
+        {"position": position, "number": ticket.number, "note": ticket.note, "ticket": ticket}
+        for position, ticket in found
+    ]
+    await req.json(200, {"position": gate.config.current().position, "tickets": listed})
+
+
+async def state(gate: Gate, req: Request) -> None:
+    """``GET /v1/state``: every object in force here, with the ticket that set it."""
+    gate.operator(req)
+    await req.json(200, state_json(gate.config.current()))
+
+
+async def status(gate: Gate, req: Request) -> None:
+    """``GET /v1/status``: what this VM and each of its services tell of themselves."""
+    gate.operator(req)
+    services: dict[str, object] = {}
+    for service in gate.kernel.services():
+        tell: Callable[[], dict[str, object]] | None = getattr(service, "status", None)
+        if tell is not None:
+            services[service.name] = tell()
+    vm = gate.cfg.vm
+    told = {
+        "vm": {"name": vm.name, "region": vm.region, "data_centre": vm.data_centre},
+        "position": gate.config.current().position,
+        "age_ms": gate.config.age_ms(),
+        "restarts": gate.kernel.restarts,
+        "services": services,
+    }
+    await req.json(200, told)
+
+
+async def drain(gate: Gate, req: Request) -> None:
+    """``POST /v1/drain``: shut this VM down without cutting anything off."""
+    gate.operator(req)
+    await req.json(202, {"status": "draining"})
+    gate.kernel.stop()
+
+
+async def metrics(gate: Gate, req: Request) -> None:
+    """``GET /metrics``: counters; they name accounts, so they are for operators."""
+    gate.operator(req)
+    await req.whole(200, gate.counters.text(), (b"content-type", EXPOSITION))
+
+
+def state_json(config: ConfigState) -> dict[str, Any]:
+    """Return a state as the operator API shows it."""
+    objects = [
+        {"kind": ref.kind, "name": ref.name, "ticket": entry.ticket, "value": entry.value}
+        for ref, entry in sorted(config.objects.items())
+    ]
+    head = {"position": config.position, "head_ticket": config.head_ticket}
+    return head | {"objects": objects}
+
+
+def number(query: dict[str, str], name: str, default: int) -> int:
+    """Return a number of the query string."""
+    value = query.get(name, str(default))
+    if not value.isdecimal():
+        raise GatewayError(ErrorKind.BAD_REQUEST, f"{name} must be a number")
+    return int(value)
--- /dev/null
+++ b/src/hickorybeam/front/refusals.py
@@ -0,0 +1,115 @@
+"""The one JSON shape of every refusal."""
+
+from __future__ import annotations
+
+import http
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hickorybeam.errors import GatewayError, Retry, answer_for
+
+if TYPE_CHECKING:
+    from hickorybeam.errors import ErrorKind
+
+__all__ = ("error_event", "raw_refusal", "refusal_body", "refusal_headers")
+
+MS_PER_SECOND = 1000
+DEFAULT_RETRY_AFTER_MS = 1_000
+FIRST_SERVER_ERROR = 500
+TYPES = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    429: "rate_limit_error",
+}
+
+
+class _Error(msgspec.Struct):
+    message: str
+    type: str
+    param: str | None
+    code: str
+    ran: str
+    retry: str
+    retry_after_ms: int | None
+    entries: tuple[str, ...]
+    faults: tuple[str, ...]
+
+
+class _Refusal(msgspec.Struct):
+    error: _Error
+
+
+def refusal_body(exc: GatewayError, *, param: str | None = None) -> bytes:
+    """Return the JSON of a refusal.
+
+    :param param: the field of the request that is at fault, as the published API has it.
+    """
+    answer = answer_for(exc.kind)
+    message = f"{answer.text}: {exc.detail}" if exc.detail else answer.text
+    error = _Error(
+        message=message,
+        type=error_type(answer.status),
+        param=param,
+        code=exc.kind.value,
+        ran=exc.ran.value,
+        retry=answer.retry.value,
+        retry_after_ms=retry_after_ms(exc),
+        entries=exc.entries,
+        faults=exc.faults,
+    )
+    return msgspec.json.encode(_Refusal(error))
+
+
+def error_type(status: int) -> str:
+    """Return the published API's name for an error of this status."""
+    if status >= FIRST_SERVER_ERROR:
+        return "server_error"
+    return TYPES.get(status, "invalid_request_error")
+
+
+def retry_after_ms(exc: GatewayError) -> int | None:
+    """Return when a retry makes sense, if it ever does."""
+    if answer_for(exc.kind).retry is Retry.NEVER:
+        return None
+    if exc.retry_after_ms is not None:
+        return exc.retry_after_ms
+    return DEFAULT_RETRY_AFTER_MS if answer_for(exc.kind).retry is Retry.LATER else 0
+
+
+def refusal_headers(exc: GatewayError) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a refusal beside its length.
+
+    Client libraries of the published API repeat any 5xx by themselves; ``x-should-retry``
+    stops them where a retry is useless here or could run the work twice.
+    """
+    retry = answer_for(exc.kind).retry
+    again = b"true" if retry is Retry.LATER else b"false"
+    headers = [(b"content-type", b"application/json"), (b"x-should-retry", again)]
+    after = retry_after_ms(exc)
+    if after is not None and retry is Retry.LATER:
+        headers.append((b"retry-after", b"%d" % -(-after // MS_PER_SECOND)))
+    return headers
+
+
+def error_event(exc: GatewayError) -> bytes:
+    """Return the server-sent event that ends a stream which cannot go on."""
+    return b"event: error\ndata: " + refusal_body(exc) + b"\n\n"
+
+
+def raw_refusal(exc: GatewayError) -> bytes:
+    """Return a whole HTTP answer, for connections on which no request could be read."""
+    body = refusal_body(exc)
+    status = answer_for(exc.kind).status
+    lines = [b"HTTP/1.1 %d %s" % (status, http.HTTPStatus(status).phrase.encode())]
+    lines.extend(b"%s: %s" % header for header in refusal_headers(exc))
+    lines.append(b"content-length: %d" % len(body))
+    lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def refusal_status(kind: ErrorKind) -> int:
+    """Return the HTTP status of a kind."""
+    return answer_for(kind).status
--- /dev/null
+++ b/src/hickorybeam/front/relay.py
@@ -0,0 +1,92 @@
+"""From the parts of an answer to the caller's connection."""
+
+from __future__ import annotations
+
+from contextlib import aclosing
+from typing import TYPE_CHECKING, cast
+
+import anyio
+
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.front.refusals import error_event
+from hickorybeam.front.request import CallerGoneError
+from hickorybeam.model import AnswerChunk, AnswerEnd, AnswerHead
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, AsyncIterator
+
+    from hickorybeam.front.request import Request
+    from hickorybeam.model import AnswerPart
+
+__all__ = ("relay",)
+
+EVENT_STREAM = "text/event-stream"
+# Proxies between us and the caller would otherwise collect the tokens of a stream.
+NOT_BUFFERED = ((b"cache-control", b"no-store"), (b"x-accel-buffering", b"no"))
+
+
+async def relay(req: Request, parts: AsyncIterator[AnswerPart]) -> None:
+    """Send an answer; the answer is closed, and so cancelled, when the caller leaves.
+
+    :raises GatewayError: the answer was refused before its head.
+    :raises CallerGoneError: the caller left.
+    """
+    with anyio.CancelScope() as scope:
+        req.conn.on_lost(scope.cancel)
+        try:
+            async with aclosing(cast("AsyncGenerator[AnswerPart, None]", parts)):
+                await send_parts(req, parts)
+            return
+        finally:
+            req.conn.forget_lost(scope.cancel)
+    raise CallerGoneError
+
+
+async def send_parts(req: Request, parts: AsyncIterator[AnswerPart]) -> None:
+    """Send head, chunks and end; a broken answer never looks like a whole one."""
+    streamed = False
+    ended = False
+    try:
+        async for part in parts:
+            match part:
+                case AnswerChunk():
+                    await req.write(part.data)
+                case AnswerHead():
+                    streamed = is_stream(part)
+                    await req.start(part.status, head_headers(part, streamed=streamed))
+                case AnswerEnd():
+                    ended = True
+                    await req.write(b"", more=False)
+        if not ended:
+            raise GatewayError(ErrorKind.STREAM_BROKEN)
+    except GatewayError as exc:
+        if not req.answered:
+            raise
+        await break_off(req, exc, streamed=streamed)
+        raise
+
+
+async def break_off(req: Request, exc: GatewayError, *, streamed: bool) -> None:
+    """End an answer that has begun so that the caller sees it is not whole.
+
+    A stream gets an error event and no end mark. Any other body is cut without its last
+    chunk or the rest of its length, which every HTTP client reports as an error.
+    """
+    if streamed:
+        await req.write(error_event(exc))
+    req.conn.end()
+
+
+def is_stream(head: AnswerHead) -> bool:
+    """Whether an answer is a stream of server-sent events."""
+    return any(
+        name == "content-type" and value.startswith(EVENT_STREAM) for name, value in head.headers
+    )
+
+
+def head_headers(head: AnswerHead, *, streamed: bool) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer's head."""
+    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in head.headers]
+    if streamed:
+        headers.extend(NOT_BUFFERED)
+    return headers
--- /dev/null
+++ b/src/hickorybeam/front/service.py
@@ -0,0 +1,147 @@
+"""The service ``front``: the HTTP server that callers and operators speak to."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+import secrets
+from typing import TYPE_CHECKING, ClassVar
+
+import anyio
+
+from hickorybeam.front import routes
+from hickorybeam.front.gate import Gate
+from hickorybeam.front.memory import MemoryGate
+from hickorybeam.front.protocol import CallerProtocol, Guard
+from hickorybeam.front.request import Request
+from hickorybeam.httpserve import listening
+from hickorybeam.kernel import Service
+from hickorybeam.ports import (
+    CONFIG,
+    DISPATCH,
+    FRONT,
+    MEMBERS,
+    ONCE,
+    ConfigView,
+    Dispatch,
+    Members,
+    Once,
+)
+from hickorybeam.watchdog import Watchdog
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.errors import ErrorKind
+    from hickorybeam.front.request import Receive, Scope, Send
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("FrontService",)
+
+TICK_MS = 100
+DRAIN_POLL_MS = 20
+# Callers hold lists of VMs and connections that still lead here; for this long they get a
+# refusal that names other VMs, where a closed port would tell them nothing.
+DRAIN_LINGER_MS = 500
+ID_BYTES = 6
+
+
+class FrontService(Service):
+    """Serves callers and operators until cancelled."""
+
+    name: ClassVar[str] = FRONT
+    needs: ClassVar[tuple[str, ...]] = (CONFIG, DISPATCH)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._counters = counters
+        self._watchdog = Watchdog(clock, tick_ms=TICK_MS)
+        self._guard = Guard(cfg.front, self._watchdog, self._count_refusal)
+        self._memory = MemoryGate(cfg.front.memory_bytes)
+        self._prefix = secrets.token_hex(ID_BYTES)
+        self._numbers = itertools.count(1)
+        self._in_flight = 0
+        self._port = 0
+        open_connections = counters.gauge("caller_connections", "Open connections of callers")
+        open_connections.set_function(lambda: len(self._guard.conns))
+        in_flight = counters.gauge("requests_in_flight", "Requests being answered")
+        in_flight.set_function(lambda: self._in_flight)
+        held = counters.gauge("request_memory_bytes", "Memory reserved for requests")
+        held.set_function(lambda: self._memory.used)
+
+    @property
+    def port(self) -> int:
+        """The port it really listens on, 0 before it does."""
+        return self._port
+
+    def bind(self, kernel: Kernel) -> None:
+        """Look up neighbours; without members there are no other VMs to name."""
+        members = once = None
+        if kernel.has(MEMBERS):
+            members = kernel.find(MEMBERS, Members)  # type: ignore[type-abstract]
+        if kernel.has(ONCE):
+            once = kernel.find(ONCE, Once)  # type: ignore[type-abstract]
+        self._gate = Gate(
+            cfg=self._cfg,
+            clock=self._clock,
+            counters=self._counters,
+            kernel=kernel,
+            config=kernel.find(CONFIG, ConfigView),  # type: ignore[type-abstract]
+            dispatch=kernel.find(DISPATCH, Dispatch),  # type: ignore[type-abstract]
+            members=members,
+            once=once,
+            memory=self._memory,
+        )
+
+    async def main(self, started: Started) -> None:
+        """Listen until cancelled."""
+        vm = self._cfg.vm
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._watchdog.run)
+            protocol = functools.partial(CallerProtocol, guard=self._guard)
+            async with listening(
+                self,
+                host=vm.host,
+                port=self._port or vm.http_port,
+                http=protocol,
+                keep_alive_ms=self._cfg.front.idle_ms,
+            ) as listener:
+                self._port = listener.port
+                if self._gate.members is not None:
+                    self._gate.members.listening(http_port=listener.port)
+                started()
+                await anyio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Refuse new work and wait for what is in flight."""
+        self._gate.draining = True
+        if self._gate.members is not None:
+            self._gate.members.leave()
+        await self._clock.sleep(DRAIN_LINGER_MS)
+        # An answer that is written but not yet taken by its caller would be cut off too.
+        while self._in_flight or self._guard.unflushed():
+            await self._clock.sleep(DRAIN_POLL_MS)
+
+    def status(self) -> dict[str, object]:
+        """Tell of connections, requests and memory."""
+        return {
+            "connections": len(self._guard.conns),
+            "in_flight": self._in_flight,
+            "memory_bytes": self._memory.used,
+            "draining": self._gate.draining,
+        }
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request as an ASGI app."""
+        request_id = f"{self._prefix}{next(self._numbers):x}"
+        req = Request(scope, receive, send, request_id=request_id)
+        self._in_flight += 1
+        try:
+            await routes.answer(self._gate, req)
+        finally:
+            self._in_flight -= 1
+
+    def _count_refusal(self, kind: ErrorKind) -> None:
+        self._counters.refusals.labels(kind.value).inc()
--- /dev/null
+++ b/src/hickorybeam/front/work.py
@@ -0,0 +1,179 @@
+"""Handlers that run work at backend servers: model calls and plain services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.front.bodies import BodyError, read_body
+from hickorybeam.front.memory import REQUEST_BYTES
+from hickorybeam.front.relay import relay
+from hickorybeam.model import Call, CallKind
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from hickorybeam.front.gate import Gate
+    from hickorybeam.front.identity import Identity
+    from hickorybeam.front.request import Request
+    from hickorybeam.model import AnswerPart, ClientAccount, Header
+
+__all__ = ("chat", "completion", "plain_service")
+
+IDEMPOTENCY_KEY = b"idempotency-key"
+DEADLINE = b"x-hickorybeam-deadline-ms"
+SERVICES_PREFIX = "/v1/services/"
+MAX_IDEMPOTENCY_KEY = 255
+CHARS_PER_TOKEN = 4
+
+
+async def chat(gate: Gate, req: Request) -> None:
+    """``POST /v1/chat/completions``."""
+    await model_call(gate, req, CallKind.CHAT)
+
+
+async def completion(gate: Gate, req: Request) -> None:
+    """``POST /v1/completions``."""
+    await model_call(gate, req, CallKind.COMPLETION)
+
+
+async def model_call(gate: Gate, req: Request, kind: CallKind) -> None:
+    """Run a chat or text completion."""
+    identity = gate.admit(req)
+    raw = await read_work(gate, req, identity)
+    try:
+        body = read_body(kind, raw)
+    except BodyError as exc:
+        req.param = exc.param
+        raise
+    check_model(gate, identity.account, body.model)
+    call = Call(
+        request_id=req.id,
+        account=identity.account.name,
+        key_digest=identity.digest,
+        kind=kind,
+        served=body.model,
+        headers=text_headers(gate, req),
+        body=body.raw,
+        stream=body.stream,
+        idempotency_key=idempotency_key(req),
+        priority=identity.account.priority,
+        prompt_tokens=body.prompt_tokens,
+        max_tokens=body.max_tokens,
+        cost=body.cost,
+        prefix=body.prefix,
+        deadline_ms=deadline_ms(gate, req),
+        position=gate.config.current().position,
+    )
+    await run(gate, req, call, identity)
+
+
+async def plain_service(gate: Gate, req: Request) -> None:
+    """Any method of ``/v1/services/{service}/{path}``."""
+    identity = gate.admit(req)
+    name, path = split_target(req)
+    state = gate.config.current()
+    service = state.services.get(name)
+    allowed = identity.account.services
+    if service is None or (allowed and name not in allowed):
+        raise GatewayError(ErrorKind.SERVICE_UNKNOWN)
+    body = await read_work(gate, req, identity)
+    call = Call(
+        request_id=req.id,
+        account=identity.account.name,
+        key_digest=identity.digest,
+        kind=CallKind.PLAIN,
+        served=name,
+        method=req.method,
+        path=path,
+        headers=text_headers(gate, req),
+        body=body,
+        idempotent=req.method not in service.non_idempotent,
+        idempotency_key=idempotency_key(req),
+        priority=identity.account.priority,
+        cost=service.cost,
+        deadline_ms=deadline_ms(gate, req),
+        position=state.position,
+    )
+    await run(gate, req, call, identity)
+
+
+async def read_work(gate: Gate, req: Request, identity: Identity) -> bytes:
+    """Read the body of work, after every check that the headers allow."""
+    try:
+        gate.memory.reserve(REQUEST_BYTES)
+        req.held_bytes += REQUEST_BYTES
+        body = await req.body(gate.memory, limit=gate.cfg.front.max_body_bytes)
+    except GatewayError as exc:
+        raise gate.named(exc, identity.allowed) from exc
+    if gate.secret(req).encode("latin-1") in body or gate.secret(req).encode() in req.query:
+        # A key in the body or query would reach the backend server with the rest of it.
+        raise GatewayError(ErrorKind.BAD_REQUEST, "the key must be sent in a header only")
+    return body
+
+
+async def run(gate: Gate, req: Request, call: Call, identity: Identity) -> None:
+    """Run a call and send its answer."""
+    parts = start(gate, call)
+    try:
+        await relay(req, parts)
+    except GatewayError as exc:
+        # Whoever ran the call has counted its refusal.
+        req.counted = True
+        raise gate.named(exc, identity.allowed) from exc
+
+
+def start(gate: Gate, call: Call) -> AsyncIterator[AnswerPart]:
+    """Hand a call to the service that runs it."""
+    if not call.idempotency_key:
+        return gate.dispatch.run(call)
+    if gate.once is None:
+        raise GatewayError(ErrorKind.IDEMPOTENCY_INVALID, "this VM takes no idempotency keys")
+    return gate.once.run(call)
+
+
+def check_model(gate: Gate, account: ClientAccount, model: str) -> None:
+    """Refuse a model that does not exist or that the account may not use."""
+    if model not in gate.config.current().models or (
+        account.models and model not in account.models
+    ):
+        raise GatewayError(ErrorKind.MODEL_UNKNOWN)
+
+
+def split_target(req: Request) -> tuple[str, str]:
+    """Return the service's name and the rest of the target with its query, as sent."""
+    rest = req.raw_path.decode("ascii").removeprefix(SERVICES_PREFIX)
+    name, _, path = rest.partition("/")
+    if not name:
+        raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
+    query = f"?{req.query.decode('ascii')}" if req.query else ""
+    return name, f"/{path}{query}"
+
+
+def text_headers(gate: Gate, req: Request) -> tuple[Header, ...]:
+    """Return the caller's headers without any that carry its key, whatever their name."""
+    secret = gate.secret(req).encode("latin-1")
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in req.raw_headers
+        if secret not in value
+    )
+
+
+def idempotency_key(req: Request) -> str:
+    """Return the idempotency key that came with a request, if any."""
+    key = req.header(IDEMPOTENCY_KEY)
+    if len(key) > MAX_IDEMPOTENCY_KEY:
+        raise GatewayError(ErrorKind.IDEMPOTENCY_INVALID, "the key is too long")
+    return key
+
+
+def deadline_ms(gate: Gate, req: Request) -> int:
+    """Return how long the caller waits, bounded by the settings."""
+    longest = gate.cfg.front.default_deadline_ms
+    wanted = req.header(DEADLINE)
+    if not wanted:
+        return longest
+    if not wanted.isdecimal() or not int(wanted):
+        raise GatewayError(ErrorKind.BAD_REQUEST, "the deadline must be a number of milliseconds")
+    return min(longest, int(wanted))
--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -4,14 +4,14 @@
 
 import contextlib
 import socket
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import anyio
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
 __all__ = ("CONNECTION", "HttpProtocol", "Listener", "listening")
 
@@ -104,7 +104,7 @@
     *,
     host: str = "127.0.0.1",
     port: int = 0,
-    http: type[HttpProtocol] = HttpProtocol,
+    http: Callable[..., HttpProtocol] = HttpProtocol,
     keep_alive_ms: int = DEFAULT_KEEP_ALIVE_MS,
 ) -> AsyncIterator[Listener]:
     """Serve an app until the block ends; then every open connection is cut.
@@ -115,7 +115,7 @@
     """
     config = uvicorn.Config(
         app,
-        http=http,
+        http=cast("type[HttpProtocol]", http),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/src/hickorybeam/kernel/kernel.py
+++ b/src/hickorybeam/kernel/kernel.py
@@ -94,6 +94,10 @@
         """Whether a service of this name is registered."""
         return name in self._services
 
+    def services(self) -> tuple[Service, ...]:
+        """Return every registered service."""
+        return tuple(self._services.values())
+
     def stop(self) -> None:
         """Ask ``run`` to drain and return."""
         self._stop.set()
--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -42,6 +42,7 @@
     "Members",
     "Once",
     "Peers",
+    "TicketLog",
     "Topic",
 )
 
@@ -94,6 +95,15 @@
         ...
 
 
+@runtime_checkable
+class TicketLog(Protocol):
+    """The log of accepted change tickets (offered by service ``config``)."""
+
+    async def log(self, start: int, limit: int) -> tuple[tuple[int, ChangeTicket], ...]:
+        """Return tickets past a position, each with its own, in order."""
+        ...
+
+
 @runtime_checkable
 class Members(Protocol):
     """Who is in the fleet, as far as this VM knows (service ``members``)."""
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -105,6 +105,7 @@
     max_connections_per_address: int = 256
     idle_ms: int = 75_000
     body_timeout_ms: int = 10_000
+    stall_ms: int = 15_000
     memory_bytes: int = 256_000_000
     entries_valid_ms: int = 10_000
     default_deadline_ms: int = 60_000
--- a/src/hickorybeam/standins/engine.py
+++ b/src/hickorybeam/standins/engine.py
@@ -52,6 +52,7 @@
     """What reached the engine, for tests to read."""
 
     headers: deque[dict[str, str]] = field(default_factory=lambda: deque(maxlen=KEPT_REQUESTS))
+    prompts: deque[str] = field(default_factory=lambda: deque(maxlen=KEPT_REQUESTS))
     executions: Counter[str] = field(default_factory=Counter)
     orders: list[Order] = field(default_factory=list)
     refused_orders: list[Order] = field(default_factory=list)
@@ -157,6 +158,7 @@
         """Return what reached the engine."""
         return {
             "requests": list(self.seen.headers),
+            "prompts": list(self.seen.prompts),
             "executions": dict(self.seen.executions),
             "cancels": list(self.batch.cancels),
             "orders": [asdict(order) for order in self.seen.orders],
@@ -168,6 +170,7 @@
         request_id = exchange.headers.get("x-request-id", "")
         self.seen.headers.append(exchange.headers)
         body = msgspec.json.decode(await exchange.body())
+        self.seen.prompts.append(prompt_of(body))
         fault = self.faults.take()
         if await self._fail_early(exchange, fault):
             return
--- /dev/null
+++ b/tests/front/callers.feature
@@ -0,0 +1,103 @@
+Feature: what callers send is checked before it costs anything
+
+  Background:
+    Given a front rig
+
+  Scenario Outline: requests that are refused
+    When the front gets "<method>" "<path>" with key "<key>" and body "<body>"
+    Then the front answers <status> with code "<code>" and ran "no"
+    And the front counted a refusal "<code>"
+
+    Examples: keys and paths
+      | method | path                     | key       | body | status | code               |
+      | POST   | /v1/chat/completions     |           | {}   | 401    | key_missing        |
+      | POST   | /v1/chat/completions     | sk-wrong  | {}   | 401    | key_unknown        |
+      | GET    | /v1/models               |           |      | 401    | key_missing        |
+      | GET    | /v1/entries              | sk-wrong  |      | 401    | key_unknown        |
+      | GET    | /nowhere                 | sk-family |      | 404    | route_unknown      |
+      | GET    | /v1/services/            | sk-family |      | 404    | route_unknown      |
+      | GET    | /v1/chat/completions     | sk-family |      | 405    | method_not_allowed |
+      | TRACE  | /v1/services/bookings/x  | sk-family |      | 405    | method_not_allowed |
+      | GET    | /v1/services/nothing/x   | sk-family |      | 404    | service_unknown    |
+      | GET    | /v1/state                | sk-family |      | 403    | operator_only      |
+      | POST   | /v1/drain                | sk-family |      | 403    | operator_only      |
+      | GET    | /metrics                 | sk-family |      | 403    | operator_only      |
+      | GET    | /metrics                 |           |      | 401    | key_missing        |
+
+    Examples: bodies
+      | method | path                 | key       | body                                                        | status | code          |
+      | POST   | /v1/chat/completions | sk-family |                                                             | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {                                                           | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | []                                                          | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small"}                                           | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[]}                             | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":"hi"}                           | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":5,"messages":[{}]}                                 | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[{}],"max_tokens":0}            | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[{}],"max_tokens":"x"}          | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[{}],"n":99}                    | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[{}],"n":-1}                    | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[{}],"n":2,"stream":true}       | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[{}],"stream_options":4}        | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"small","messages":[{"content":"sk-family"}]}      | 400    | bad_request   |
+      | POST   | /v1/chat/completions | sk-family | {"model":"other","messages":[{}]}                           | 404    | model_unknown |
+      | POST   | /v1/completions      | sk-family | {"model":"small","prompt":5}                                | 400    | bad_request   |
+      | POST   | /v1/completions      | sk-family | {"model":"small","prompt":[]}                               | 400    | bad_request   |
+      | GET    | /v1/services/bookings/x?key=sk-family | sk-family |                                            | 400    | bad_request   |
+      | POST   | /v1/idempotency-keys | sk-family | {"count":0}                                                 | 400    | bad_request   |
+      | POST   | /v1/idempotency-keys | sk-family | {"count":"x"}                                               | 400    | bad_request   |
+      | POST   | /v1/tickets          | sk-operator | {                                                         | 400    | bad_request   |
+      | POST   | /v1/tickets          | sk-operator | {"number":"x","other":1}                                  | 422    | ticket_invalid |
+      | GET    | /v1/tickets?from=x   | sk-operator |                                                           | 400    | bad_request   |
+
+  Scenario: a refusal names the field at fault and every refusal has a request id
+    When the front gets "POST" "/v1/chat/completions" with key "sk-family" and body "{"model":"small","messages":[{}],"max_tokens":"x"}"
+    Then the front's refusal names field "max_tokens"
+    And the front's answer has a request id
+
+  Scenario Outline: bytes that are not a request
+    # A caller sends what no HTTP library would. It gets the refusal as JSON and a closed
+    # connection, and the front goes on.
+    When the front gets raw bytes "<what>"
+    Then the front answers raw with status <status> and code "<code>"
+    And the front counted a refusal "<code>"
+
+    Examples:
+      | what                | status | code                 |
+      | not http            | 400    | bad_request          |
+      | two lengths         | 400    | bad_request          |
+      | length and chunked  | 400    | bad_request          |
+      | large header        | 431    | headers_too_large    |
+      | many headers        | 431    | headers_too_large    |
+      | large target        | 431    | headers_too_large    |
+      | large length        | 413    | body_too_large       |
+      | large chunked body  | 413    | body_too_large       |
+      | half a head         | 408    | caller_timeout       |
+      | half a body         | 408    | caller_timeout       |
+      | bad deadline        | 400    | bad_request          |
+      | long idempotency    | 400    | idempotency_invalid  |
+
+  Scenario: one address cannot take all connections
+    When the front has 8 open connections from one address
+    Then the front refuses one more with "too_many_connections"
+
+  Scenario: a caller that sends nothing is let go
+    When a caller connects to the front and stays silent
+    Then the front closes the connection after 1500 to 2300 ms
+
+  Scenario: bodies in flight cannot fill the VM
+    # Six callers hold open streams; memory for a seventh is not there. It is told that it
+    # was not run and which other VMs there are.
+    Given the front rig's engine gives its first token late
+    When 6 callers hold streams open at the front
+    And the front gets a chat call
+    Then the front answers 503 with code "vm_full" and ran "no"
+    And the front's refusal names entries "http://127.0.0.1:8002 http://127.0.0.1:8003"
+
+  Scenario: the key and forged headers do not pass the front
+    When the front gets a plain call with forged headers
+    Then the plain service behind the front saw no key and no forged header
+
+  Scenario: the front sets a limit on tokens where the caller sets none
+    When the front gets a chat call without a limit
+    Then the call behind the front has a limit in its body and its cost
--- a/tests/steps/backends/rig.py
+++ b/tests/steps/backends/rig.py
@@ -71,6 +71,9 @@
     async def submit(self, ticket):
         return self.state.position
 
+    async def log(self, start, limit):
+        return ()
+
 
 @dataclass
 class Got:
