--- a/src/hickorybeam/settings/__init__.py
+++ b/src/hickorybeam/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hickorybeam.settings.load import load_file, load_settings
 from hickorybeam.settings.types import (
     BackendSettings,
     ConfigSettings,
@@ -11,6 +12,7 @@
     LogSettings,
     PeerSettings,
     PlatformSettings,
+    RouteSettings,
     Settings,
     ShareSettings,
     TlsSettings,
@@ -26,8 +28,11 @@
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "RouteSettings",
     "Settings",
     "ShareSettings",
     "TlsSettings",
     "VmSettings",
+    "load_file",
+    "load_settings",
 )
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -13,6 +13,7 @@
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "RouteSettings",
     "Settings",
     "ShareSettings",
     "TlsSettings",
@@ -52,6 +53,17 @@
     key_file: str = ""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouteSettings:
+    """Reach a peer's advertised address by another one, as behind address translation.
+
+    Both are ``host:port``.
+    """
+
+    address: str
+    via: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerSettings:
     """Talk between entry VMs."""
@@ -61,6 +73,7 @@
     silent_after_ms: int = 2_000
     call_timeout_ms: int = 1_000
     tls: TlsSettings = field(default_factory=TlsSettings)
+    routes: tuple[RouteSettings, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,7 +91,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FrontSettings:
-    """Limits towards callers."""
+    """Limits towards callers.
+
+    ``operator_keys`` are digests of keys that may call the operator interface whatever the
+    tickets say: the first ticket is submitted with one, and so is the ticket that mends a
+    configuration without operators.
+    """
+
+    operator_keys: tuple[str, ...] = ()
 
     max_body_bytes: int = 2_000_000
     max_header_bytes: int = 32_768
--- a/tests/steps/dispatch/fakes.py
+++ b/tests/steps/dispatch/fakes.py
@@ -141,6 +141,9 @@
     def publish(self, name, note, *, urgent=False):
         pass
 
+    def listening(self, *, http_port):
+        raise AssertionError("not for dispatch")
+
     def heard(self, name, listener):
         pass
 
--- /dev/null
+++ b/tests/steps/platform/etcd_steps.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import httpcore
+from behave import given, then, when
+
+from hickorybeam.platform import Compare, Put
+from hickorybeam.platform.retry import RetryBudget
+from hickorybeam.standins import relay
+from steps.platform.contract_steps import UNREACHABLE, etcd_client, serve
+
+
+@given("a served stand-in platform")
+def step_served(context):
+    serve(context)
+
+
+@when("the raw platform calls \"POST {path}\" with '{body}'")
+def step_raw(context, path, body):
+    async def call():
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = context.served.url + path
+            response = await pool.request("POST", url, content=body.encode())
+            return response.content.decode()
+
+    context.raw = context.call(call)
+
+
+@then("the raw platform answer holds '{part}'")
+def step_raw_holds(context, part):
+    assert part in context.raw, context.raw
+
+
+@given("an etcd client behind a relay")
+def step_relay(context):
+    served = serve(context)
+    context.link = context.stack.enter_context(
+        context.portal.wrap_async_context_manager(relay.serve("127.0.0.1", served.port))
+    )
+    context.client = context.call(etcd_client, f"http://{context.link.address}")
+
+
+@given("the etcd client has read once")
+def step_read_once(context):
+    context.call(context.client.read, "a")
+    context.passed = context.link.bytes_passed
+    assert context.passed > 0
+
+
+@when("the relay swallows all bytes of the open connections")
+def step_swallow(context):
+    context.call(context.link.drop_bytes_of_open)
+
+
+@then("the etcd client reads again over a new connection")
+def step_reads_again(context):
+    assert context.call(context.client.read, "a").items == ()
+    assert context.link.bytes_passed > context.passed
+
+
+@given("an etcd client whose first address refuses connections")
+def step_two_urls(context):
+    served = serve(context)
+    context.client = context.call(etcd_client, UNREACHABLE, served.url)
+
+
+@then("the etcd client writes and reads")
+def step_writes_reads(context):
+    assert context.call(context.client.txn, (Compare("a", 0),), (Put("a", b"1"),)).done
+    assert context.call(context.client.read, "a").items[0].value == b"1"
+
+
+@given("a retry budget of {burst:g} earned at {share:g} a call")
+def step_budget(context, burst, share):
+    context.budget = RetryBudget(share=share, burst=burst)
+
+
+@then("{count:d} retries are granted and the next is not")
+def step_budget_spent(context, count):
+    assert [context.budget.spend() for _ in range(count + 1)] == [True] * count + [False]
+
+
+@then("after {calls:d} more calls 1 retry is granted")
+def step_budget_earned(context, calls):
+    for _ in range(calls):
+        context.budget.earn()
+    assert [context.budget.spend() for _ in range(2)] == [True, False]
