--- a/src/hickorybeam/dispatch/spend.py
+++ b/src/hickorybeam/dispatch/spend.py
@@ -23,6 +23,7 @@
         self._call = call
         self._budget = budget
         self._taken = 0
+        self._admission = 0
         self._used: int | None = None
         self._streamed = 0
         self._began = False
@@ -31,7 +32,7 @@
         """Take the call's estimated cost, or raise ``RATE_LIMITED``."""
         if self._call.hops:
             return
-        await self._budget.take(self._call.account, self._call.cost)
+        self._admission = await self._budget.take(self._call.account, self._call.cost)
         self._taken = self._call.cost
 
     def saw(self, part: AnswerPart) -> None:
@@ -61,5 +62,7 @@
     def settle(self) -> None:
         """Give back what was not used; safe to call twice."""
         if self._taken:
-            self._budget.settle(self._call.account, self._taken, self.used)
+            self._budget.settle(
+                self._call.account, self._taken, self.used, admission=self._admission
+            )
             self._taken = 0
--- a/tests/steps/dispatch/fakes.py
+++ b/tests/steps/dispatch/fakes.py
@@ -141,9 +141,6 @@
     def publish(self, name, note, *, urgent=False):
         pass
 
-    def listening(self, *, http_port):
-        raise AssertionError("not for dispatch")
-
     def heard(self, name, listener):
         pass
 
@@ -166,8 +163,10 @@
         if tokens > self.left:
             raise GatewayError(ErrorKind.RATE_LIMITED, retry_after_ms=500)
         self.left -= tokens
+        return self.takes
 
-    def settle(self, account, taken, used):
+    def settle(self, account, taken, used, *, admission=0):
+        assert 0 < admission <= self.takes
         self.left += taken - used
 
 
