Change tickets: checks, log, acceptance, spreading, ConfigService

A ticket is accepted by one transaction that compares the log's head; every VM applies the log in order and whole. Two VMs in each data centre watch, the rest learn from peers; each watch is paired with a read-back; the age of a confirmation travels with it, so VMs cut off together grow stale together.

--- a/src/hickorybeam/standins/memory.py
+++ b/src/hickorybeam/standins/memory.py
@@ -38,8 +38,9 @@
 
     ``out`` refuses every call with nothing written. ``slow_ms`` delays each. The next
     ``lose_answers`` writes take effect and their answers are lost; the next ``drop_requests``
-    calls are lost before they take effect. :meth:`silence_watches` makes the watches that are
-    open now say nothing more, for good, while new ones work.
+    calls, or ``drop_writes`` writes, are lost before they take effect. ``out_after_lost`` takes
+    the platform out with the first answer that is lost. :meth:`silence_watches` makes the
+    watches that are open now say nothing more, for good, while new ones work.
     """
 
     def __init__(self, wake: Callable[[], None]) -> None:
@@ -48,6 +49,8 @@
         self.slow_ms = 0
         self.lose_answers = 0
         self.drop_requests = 0
+        self.drop_writes = 0
+        self.out_after_lost = False
         self.silenced = 0
 
     def set_out(self, out: bool) -> None:
@@ -64,10 +67,15 @@
         """Whether the answer of this write is lost."""
         lost = self.lose_answers > 0
         self.lose_answers -= lost
+        if lost and self.out_after_lost:
+            self.set_out(True)
         return lost
 
-    def take_dropped_request(self) -> bool:
+    def take_dropped_request(self, *, write: bool) -> bool:
         """Whether this call is lost before it takes effect."""
+        if write and self.drop_writes > 0:
+            self.drop_writes -= 1
+            return True
         lost = self.drop_requests > 0
         self.drop_requests -= lost
         return lost
@@ -81,6 +89,7 @@
         self.store = Store()
         self.calls: Counter[str] = Counter()
         self.bytes_sent = 0
+        self.open_watches = 0
         self.faults = self.new_faults()
         self._changed = anyio.Event()
 
@@ -121,6 +130,17 @@
     ) -> AsyncIterator[WatchBatch]:
         """Yield changes after a revision, or go silent or break as the faults say."""
         silenced = [switch.silenced for switch in faults]
+        self.open_watches += 1
+        try:
+            async for batch in self._changes(prefix, after, faults, silenced):
+                self.bytes_sent += sum(len(item.value) for item in batch.puts)
+                yield batch
+        finally:
+            self.open_watches -= 1
+
+    async def _changes(
+        self, prefix: str, after: int, faults: tuple[Faults, ...], silenced: list[int]
+    ) -> AsyncIterator[WatchBatch]:
         while True:
             if any(switch.out for switch in faults):
                 raise GatewayError(ErrorKind.PLATFORM_OUT, "the watch broke")
@@ -128,7 +148,6 @@
             for batch in self.store.changes_after(after, prefix):
                 if silenced != [switch.silenced for switch in faults]:
                     await anyio.sleep_forever()
-                self.bytes_sent += sum(len(item.value) for item in batch.puts)
                 yield batch
                 after = batch.revision
             await changed.wait()
@@ -214,7 +233,7 @@
         for switch in (self.stand_in.faults, self.faults):
             if switch.out:
                 raise GatewayError(ErrorKind.PLATFORM_OUT, "the stand-in is out")
-            if switch.take_dropped_request():
+            if switch.take_dropped_request(write=write):
                 raise self._lost(write=write)
             if switch.slow_ms:
                 await self.stand_in.clock.sleep(switch.slow_ms)
--- a/src/hickorybeam/standins/platform.py
+++ b/src/hickorybeam/standins/platform.py
@@ -55,6 +55,7 @@
     text: str
 
 
+_READS = (wire.RANGE, wire.LEASE_KEEP_ALIVE)
 _FAILURES = {
     ErrorKind.VALUE_TOO_LARGE: _Failure(400, wire.CODE_INVALID, "request is too large"),
     ErrorKind.LEASE_LOST: _Failure(404, wire.CODE_NOT_FOUND, "requested lease not found"),
@@ -113,7 +114,7 @@
         for switch in faults:
             if switch.out:
                 raise GatewayError(ErrorKind.PLATFORM_OUT)
-            if switch.take_dropped_request():
+            if switch.take_dropped_request(write=path not in _READS):
                 await exchange.gone()
                 return
             await self.stand_in.clock.sleep(switch.slow_ms)
--- /dev/null
+++ b/src/hickorybeam/tickets/checks.py
@@ -0,0 +1,213 @@
+"""Checks of a change ticket against the state it would be applied to: pure, all faults at once."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from hickorybeam.model import (
+    BackendKind,
+    BackendServer,
+    ChangeTicket,
+    ClientAccount,
+    ClientKey,
+    ConfigObject,
+    ConfigState,
+    ModelService,
+    ObjectKind,
+    ObjectRef,
+    PlainService,
+    Region,
+    ResidencyRule,
+    ref_of,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ("MAX_NUMBER", "MAX_TICKET_BYTES", "find_faults")
+
+# Numbers travel in JSON, whose readers hold integers exactly only up to this bound.
+MAX_NUMBER = 2**53 - 1
+# The platform's values hold a megabyte; the rest is the entry's own framing.
+MAX_TICKET_BYTES = 900_000
+MAX_PORT = 65_535
+MAX_NOTE = 1_000
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+_MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@-]{0,127}")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_METHOD = re.compile(r"[A-Z]{1,20}")
+_KINDS = frozenset(kind.value for kind in ObjectKind)
+
+
+def find_faults(before: ConfigState, after: ConfigState, ticket: ChangeTicket) -> tuple[str, ...]:
+    """Return every fault of a ticket, each naming its object.
+
+    :param before: the state that the ticket would be applied to.
+    :param after: the state that it would give.
+    """
+    return (
+        *_ticket_faults(before, ticket),
+        *(fault for obj in ticket.objects() for fault in _object_faults(obj)),
+        *_reference_faults(after, ticket),
+    )
+
+
+def _ticket_faults(before: ConfigState, ticket: ChangeTicket) -> Iterator[str]:
+    if not 1 <= ticket.number <= MAX_NUMBER:
+        yield f"number: expected 1 to {MAX_NUMBER}, found {ticket.number}"
+    if len(ticket.note) > MAX_NOTE:
+        yield f"note: at most {MAX_NOTE} characters, found {len(ticket.note)}"
+    if not ticket.touched():
+        yield "the ticket touches no object"
+    for ref, count in Counter(ticket.touched()).items():
+        if count > 1:
+            yield f"{_show(ref)}: stands {count} times in the ticket"
+    for ref in ticket.deleted:
+        if ref.kind not in _KINDS:
+            yield f"deleted: unknown kind {ref.kind!r}"
+        elif ref not in before.objects:
+            yield f"{_show(ref)}: deleted, but it never existed"
+
+
+def _object_faults(obj: ConfigObject) -> Iterator[str]:
+    where = _show(ref_of(obj))
+    yield from (f"{where}: {fault}" for fault in _name_faults(obj))
+    yield from (f"{where}: {fault}" for fault in _field_faults(obj))
+
+
+def _name_faults(obj: ConfigObject) -> Iterator[str]:
+    match obj:
+        case ClientKey():
+            if not _DIGEST.fullmatch(obj.name):
+                yield "name: expected the key's SHA-256 digest in lower-case hex"
+        case ModelService():
+            if not _MODEL_NAME.fullmatch(obj.name):
+                yield "name: expected 1 to 128 of letters, digits and ._:/@-"
+        case _:
+            if not _NAME.fullmatch(obj.name):
+                yield "name: expected 1 to 128 of letters, digits and ._-"
+
+
+def _field_faults(obj: ConfigObject) -> Iterator[str]:
+    match obj:
+        case Region():
+            yield from _not_below(0, cost=obj.cost)
+            yield from _not_empty(data_centres=obj.data_centres)
+            yield from (
+                f"data_centres: {name!r} is no name"
+                for name in obj.data_centres
+                if not _NAME.fullmatch(name)
+            )
+        case ResidencyRule():
+            yield from _not_empty(regions=obj.regions)
+        case ClientAccount():
+            yield from _not_below(0, rate=obj.rate, burst=obj.burst)
+            yield from _above(0, weight=obj.weight)
+        case ModelService():
+            yield from _not_empty(regions=obj.regions)
+            yield from _not_below(0, min_engines=obj.min_engines, weight_bytes=obj.weight_bytes)
+        case PlainService():
+            yield from _not_empty(regions=obj.regions)
+            yield from _not_below(0, cost=obj.cost)
+            yield from _above(0, timeout_ms=obj.timeout_ms)
+            yield from (
+                f"non_idempotent: {method!r} is no method in capitals"
+                for method in obj.non_idempotent
+                if not _METHOD.fullmatch(method)
+            )
+        case BackendServer():
+            yield from _above(0, slots=obj.slots, tokens_per_s=obj.tokens_per_s)
+            if not 1 <= obj.port <= MAX_PORT:
+                yield f"port: expected 1 to {MAX_PORT}, found {obj.port}"
+            if not _is_ip(obj.host):
+                yield f"host: expected an IP number, found {obj.host!r}"
+
+
+def _reference_faults(after: ConfigState, ticket: ChangeTicket) -> Iterator[str]:
+    deleted = frozenset(ticket.deleted)
+    for ref, entry in after.objects.items():
+        if entry.value is None:
+            continue
+        for target in _targets(entry.value):
+            found = after.objects.get(target)
+            if found is not None and found.value is not None:
+                continue
+            if target in deleted:
+                yield f"{_show(target)}: deleted, but {_show(ref)} refers to it"
+            else:
+                yield f"{_show(ref)}: refers to {_show(target)}, which does not exist"
+        yield from (f"{_show(ref)}: {fault}" for fault in _relation_faults(after, entry.value))
+
+
+def _targets(obj: ConfigObject) -> Iterator[ObjectRef]:
+    match obj:
+        case ResidencyRule():
+            yield from _refs(ObjectKind.REGION, *obj.regions)
+        case ClientAccount():
+            if obj.residency is not None:
+                yield from _refs(ObjectKind.RESIDENCY, obj.residency)
+            yield from _refs(ObjectKind.MODEL, *obj.models)
+            yield from _refs(ObjectKind.SERVICE, *obj.services)
+        case ClientKey():
+            yield from _refs(ObjectKind.ACCOUNT, obj.account)
+        case ModelService():
+            yield from _refs(ObjectKind.REGION, *obj.regions)
+            if obj.adapter_of is not None:
+                yield from _refs(ObjectKind.MODEL, obj.adapter_of)
+        case PlainService():
+            yield from _refs(ObjectKind.REGION, *obj.regions)
+        case BackendServer():
+            yield from _refs(ObjectKind.REGION, obj.region)
+            engine = obj.kind is BackendKind.ENGINE
+            yield from _refs(ObjectKind.MODEL if engine else ObjectKind.SERVICE, *obj.serves)
+
+
+def _relation_faults(after: ConfigState, obj: ConfigObject) -> Iterator[str]:
+    match obj:
+        case BackendServer():
+            region = after.regions.get(obj.region)
+            if region is not None and obj.data_centre not in region.data_centres:
+                yield f"data centre {obj.data_centre!r} is not in region {obj.region!r}"
+        case ModelService(adapter_of=str(base)):
+            found = after.models.get(base)
+            if found is not None and found.adapter_of is not None:
+                yield f"adapter_of: {base!r} is an adapter itself"
+
+
+def _refs(kind: ObjectKind, *names: str) -> Iterator[ObjectRef]:
+    return (ObjectRef(kind.value, name) for name in names)
+
+
+def _not_below(least: float, **fields: float) -> Iterator[str]:
+    for name, value in fields.items():
+        if not (math.isfinite(value) and value >= least):
+            yield f"{name}: expected a finite number of at least {least}, found {value}"
+
+
+def _above(bound: float, **fields: float) -> Iterator[str]:
+    for name, value in fields.items():
+        if not (math.isfinite(value) and value > bound):
+            yield f"{name}: expected a finite number above {bound}, found {value}"
+
+
+def _not_empty(**fields: tuple[str, ...]) -> Iterator[str]:
+    for name, value in fields.items():
+        if not value:
+            yield f"{name}: expected at least one"
+
+
+def _is_ip(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _show(ref: ObjectRef) -> str:
+    return f"{ref.kind} {ref.name!r}"
--- /dev/null
+++ b/src/hickorybeam/tickets/codec.py
@@ -0,0 +1,151 @@
+"""How the log and its snapshots are written: JSON, readable with the platform's own tools."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hickorybeam.model import (
+    BackendServer,
+    ChangeTicket,
+    ClientAccount,
+    ClientKey,
+    ConfigObject,
+    ConfigState,
+    ModelService,
+    ObjectKind,
+    ObjectRef,
+    PlainService,
+    Region,
+    ResidencyRule,
+    Versioned,
+)
+from hickorybeam.tickets.apply import LogState, UsedNumber
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = (
+    "PART_BYTES",
+    "Head",
+    "LogEntry",
+    "Snapshot",
+    "SnapshotHead",
+    "decode_snapshot",
+    "encode_snapshot",
+)
+
+# Below the platform's limit of a megabyte for one value.
+PART_BYTES = 800_000
+
+_NULL = msgspec.Raw(b"null")
+_CLASSES: dict[str, type[ConfigObject]] = {
+    ObjectKind.REGION.value: Region,
+    ObjectKind.RESIDENCY.value: ResidencyRule,
+    ObjectKind.ACCOUNT.value: ClientAccount,
+    ObjectKind.KEY.value: ClientKey,
+    ObjectKind.MODEL.value: ModelService,
+    ObjectKind.SERVICE.value: PlainService,
+    ObjectKind.BACKEND.value: BackendServer,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The log's last position and the number of the ticket there."""
+
+    position: int = 0
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """A ticket at its position."""
+
+    position: int
+    ticket: ChangeTicket
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SnapshotHead:
+    """Names the state at one position and in how many parts it is written."""
+
+    position: int
+    head_ticket: int
+    floor: int
+    parts: int
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The state at one position, in parts that fit a value of the platform."""
+
+    head: SnapshotHead
+    parts: tuple[bytes, ...]
+
+
+class _Item(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One object with its number, or one used number; a deleted object's value is null.
+
+    A struct of the library, since it decodes a raw field in no other class.
+    """
+
+    ticket: int
+    ref: ObjectRef | None = None
+    value: msgspec.Raw = _NULL
+    used: UsedNumber | None = None
+
+
+def encode_snapshot(state: LogState) -> Snapshot:
+    """Write a state in parts; equal states give equal bytes."""
+    parts = tuple(_pack(_items(state)))
+    head = SnapshotHead(
+        position=state.position,
+        head_ticket=state.config.head_ticket,
+        floor=state.floor,
+        parts=len(parts),
+    )
+    return Snapshot(head, parts)
+
+
+def decode_snapshot(snapshot: Snapshot) -> LogState:
+    """Read a state back."""
+    objects: dict[ObjectRef, Versioned[ConfigObject]] = {}
+    used: dict[int, UsedNumber] = {}
+    for part in snapshot.parts:
+        for item in msgspec.json.decode(part, type=tuple[_Item, ...]):
+            if item.used is not None:
+                used[item.ticket] = item.used
+            if item.ref is not None:
+                objects[item.ref] = Versioned(item.ticket, _value(item.ref, item.value))
+    head = snapshot.head
+    config = ConfigState(position=head.position, head_ticket=head.head_ticket, objects=objects)
+    return LogState(config=config, used=used, floor=head.floor)
+
+
+def _value(ref: ObjectRef, raw: msgspec.Raw) -> ConfigObject | None:
+    if raw == _NULL:
+        return None
+    return msgspec.json.decode(raw, type=_CLASSES[ref.kind])
+
+
+def _items(state: LogState) -> Iterator[bytes]:
+    for ref, entry in sorted(state.config.objects.items(), key=lambda pair: pair[0]):
+        value = msgspec.Raw(msgspec.json.encode(entry.value))
+        yield msgspec.json.encode(_Item(entry.ticket, ref, value))
+    for number, known in sorted(state.used.items()):
+        yield msgspec.json.encode(_Item(number, used=known))
+
+
+def _pack(items: Iterator[bytes]) -> Iterator[bytes]:
+    part: list[bytes] = []
+    size = 0
+    for item in items:
+        if part and size + len(item) > PART_BYTES:
+            yield b"[" + b",".join(part) + b"]"
+            part, size = [], 0
+        part.append(item)
+        size += len(item) + 1
+    yield b"[" + b",".join(part) + b"]"
