--- a/src/hickorybeam/tickets/service.py
+++ b/src/hickorybeam/tickets/service.py
@@ -159,9 +159,15 @@
             self._rejected.labels(exc.kind.value).inc()
             raise
 
-    def history(self, *, after: int = 0, limit: int = REPLY_ENTRIES) -> tuple[LogEntry, ...]:
-        """Return tickets in force that this VM still holds, after a position."""
-        return tuple(entry for entry in self._recent if entry.position > after)[:limit]
+    async def log(self, start: int, limit: int) -> tuple[tuple[int, ChangeTicket], ...]:
+        """Return tickets after a position, in order; the oldest are in snapshots only."""
+        entries = self._held_after(start)
+        if start < self._state.position and (not entries or entries[0].position > start + 1):
+            entries = (await self._log.entries(start)).entries or entries
+        return tuple((entry.position, entry.ticket) for entry in entries[:limit])
+
+    def _held_after(self, position: int) -> tuple[LogEntry, ...]:
+        return tuple(entry for entry in self._recent if entry.position > position)
 
     def status(self) -> dict[str, object]:
         """Return what an operator wants to see of this service."""
@@ -237,7 +243,7 @@
         self._changed.set()
         self._changed = anyio.Event()
         if self._members is not None:
-            self._members.publish(NOTE, msgspec.msgpack.encode(Note(state.position)))
+            self._members.publish(NOTE, msgspec.msgpack.encode(Note(state.position)), urgent=True)
 
     async def _learn(self, entries: tuple[LogEntry, ...]) -> None:
         taken: Reply[None] = Reply()
@@ -393,7 +399,7 @@
             return FetchReply(state.position, age_ms)
         if not self._recent or self._recent[0].position > request.after + 1:
             return FetchReply(state.position, age_ms, whole=True)
-        entries = self.history(after=request.after)
+        entries = self._held_after(request.after)[:REPLY_ENTRIES]
         last = entries[-1].position
         # A reply that is cut short confirms nothing beyond its own end.
         return FetchReply(last, age_ms if last == state.position else NEVER_MS, entries)
--- a/tests/steps/tickets/config_steps.py
+++ b/tests/steps/tickets/config_steps.py
@@ -317,3 +317,10 @@
     keys = [item.key for item in store.read_prefix("").items]
     context.call(store.txn, (), tuple(Delete(key) for key in keys))
     context.call(context.fleet.stand_in.notify)
+
+
+@then('VM "{vm}" lists {count:d} tickets after {start:d} and none twice')
+def step_lists(context, vm, count, start):
+    listed = context.call(context.fleet.nodes[vm].config.log, start, count)
+    assert [position for position, _ in listed] == list(range(start + 1, start + count + 1))
+    assert [ticket for _, ticket in listed] == context.sent[start : start + count]
--- a/tests/steps/tickets/fakes.py
+++ b/tests/steps/tickets/fakes.py
@@ -54,9 +54,12 @@
     def report_load(self, loads):
         pass
 
-    def publish(self, name, note):
+    def publish(self, name, note, *, urgent=False):
         self.notes[name] = note
 
+    def listening(self, *, http_port):
+        pass
+
     def heard(self, name, listener):
         self.listeners[name] = listener
 
--- a/tests/tickets/config.feature
+++ b/tests/tickets/config.feature
@@ -151,6 +151,7 @@
     And VM "c1" joins the config fleet
     And VM "c1" submits the 2nd of those tickets again
     Then the ticket is accepted at position 2
+    And VM "b1" lists 5 tickets after 28 and none twice
 
   Scenario: a watch that fell silent is found by the read-back
     When the watches of all VMs go silent
