--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 TESTS = ROOT / "tests"
 WORKERS = 4
+SUITE_LIMIT_S = 300
 SUMMARY = re.compile(
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?(?:, (\d+) skipped)?", re.M
 )
@@ -42,9 +43,15 @@
 def run_suite(path: Path) -> Outcome:
     """Run one folder and read its counts; a crash counts as one failure."""
     cmd = [sys.executable, "-m", "behave", "--format=progress3", str(path)]
-    done = subprocess.run(cmd, cwd=ROOT, capture_output=True, text=True, check=False)
-    output = done.stdout + done.stderr
     name = str(path.resolve().relative_to(TESTS))
+    try:
+        done = subprocess.run(
+            cmd, cwd=ROOT, capture_output=True, text=True, check=False, timeout=SUITE_LIMIT_S
+        )
+    except subprocess.TimeoutExpired as exc:
+        output = f"ended after {SUITE_LIMIT_S} s:\n{exc.stdout!r}"
+        return Outcome(name, 0, 1, 0, output)
+    output = done.stdout + done.stderr
     found = SUMMARY.search(output)
     if found is None:
         return Outcome(name, 0, 1, 0, output)
