--- a/src/hickorybeam/peers/client.py
+++ b/src/hickorybeam/peers/client.py
@@ -86,19 +86,16 @@
         :param timeout_ms: for the whole call, connecting included.
         """
         with self._links.channel(address) as channel, self._failures(address, channel) as progress:
-            call = channel.request(
-                ASK_METHOD,
-                Cardinality.UNARY_UNARY,
-                Ask,
-                Answered,
-                timeout=timeout_ms / MS_PER_SECOND,
-            )
-            async with call as stream:
-                await stream.send_request()
-                self._check_peer(stream, request.to)
-                progress.sent = True
-                await stream.send_message(request, end=True)
-                reply: Answered | None = await stream.recv_message()
+            # grpclib's own timeout would put a header on the wire whose value differs each time
+            # and pushes the constant ones out of the compression table.
+            call = channel.request(ASK_METHOD, Cardinality.UNARY_UNARY, Ask, Answered)
+            with anyio.fail_after(timeout_ms / MS_PER_SECOND):
+                async with call as stream:
+                    await stream.send_request()
+                    self._check_peer(stream, request.to)
+                    progress.sent = True
+                    await stream.send_message(request, end=True)
+                    reply: Answered | None = await stream.recv_message()
         if reply is None:
             raise _unreachable(address, "no reply", progress.ran)
         if reply.error is not None:
--- a/src/hickorybeam/peers/links.py
+++ b/src/hickorybeam/peers/links.py
@@ -27,7 +27,8 @@
 
 __all__ = ("AbortableProtocol", "Address", "Links", "PeerChannel", "keep_alive")
 
-IDLE_MS = 60_000
+# Longer than a VM's round of its heartbeat partners; a VM that joins meets others in passing.
+IDLE_MS = 20_000
 # h2 announces at most 100 streams for a connection; the calls beyond take another channel,
 # since grpclib would let them wait without a word.
 MAX_CALLS_PER_CHANNEL = 90
--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -49,6 +49,9 @@
 LIST_EVERY = 20
 # News that should not wait goes out at once, but several pieces in a row go together.
 PUSH_SPACING_MS = 50
+# Three partners each reach a data centre in about as many steps as all of them would, with half
+# the messages; whoever is missed hears by the usual heartbeats.
+PUSH_FANOUT = 3
 JITTER = 0.1
 VMS_ASKED_ABOUT_SUSPECT = 3
 HEARD_LATELY = 2.5
@@ -382,11 +385,14 @@
         """Tell neighbours at once what should not wait for their turn."""
         while True:
             await self._push.wait()
+            # Some of the neighbours hear it from others meanwhile, and more news may come.
+            await self._clock.sleep(self._random.uniform(0, 2 * PUSH_SPACING_MS))
             self._push = anyio.Event()
-            for vm in self._neighbours():
+            local = [vm for vm in self._fingers() if self._exchange.owes(vm.id)]
+            self._random.shuffle(local)
+            for vm in (*local[:PUSH_FANOUT], *self._wide_targets(push=True)):
                 if self._exchange.owes(vm.id):
                     self._spawn(vm)
-            await self._clock.sleep(PUSH_SPACING_MS)
 
     # Whom to talk to.
 
--- a/src/hickorybeam/peers/service.py
+++ b/src/hickorybeam/peers/service.py
@@ -60,6 +60,7 @@
         self._links: Links | None = None
         self._client: PeerClient | None = None
         self._kernel: Kernel | None = None
+        self._found: dict[str, object] = {}
         self._draining = False
         self._running = 0
         self.port = 0
@@ -193,9 +194,13 @@
         return exc
 
     def _find(self, name: str, kind: type[Q]) -> Q:
-        if self._kernel is None:
-            raise GatewayError(ErrorKind.NOT_READY, "not bound")
-        return self._kernel.find(name, kind)
+        # Kept, since checking a protocol at run time costs a good part of a whole call.
+        found = self._found.get(name)
+        if found is None:
+            if self._kernel is None:
+                raise GatewayError(ErrorKind.NOT_READY, "not bound", ran=Ran.NO)
+            found = self._found[name] = self._kernel.find(name, kind)
+        return found  # type: ignore[return-value]
 
     def _address(self, vm: EntryVm) -> Address:
         advertised = Address(vm.host, vm.peer_port)
