budget: a first request to a new account waits for its round

An account that a ticket had just made was refused as over its rate until the next round; it now gets a round at once, and is refused as not ready if there is none.

--- a/src/hickorybeam/shares/ledger.py
+++ b/src/hickorybeam/shares/ledger.py
@@ -114,6 +114,10 @@
         """Return the parts of an account that this VM acts on."""
         return self._group(account).acting(account)
 
+    def knows(self, account: str) -> bool:
+        """Whether an account is entered in the ledger last read."""
+        return account in self._group(account).ledger.accounts
+
     def first_parts(self, account: str) -> int:
         """Return what this VM was given when the account was entered."""
         return self._group(account).ledger.first_parts(self.me.vm, account)
--- a/src/hickorybeam/shares/service.py
+++ b/src/hickorybeam/shares/service.py
@@ -58,6 +58,7 @@
     """Asks the main task for a round; a request that waits for it brings a reply."""
 
     reply: Reply[None] | None = None
+    account: str = ""
 
 
 class BudgetService(Service):
@@ -88,6 +89,7 @@
         self._last_confirm = -CONFIRM_EVERY_MS
         self._draining = False
         self._platform_fault = ""
+        self._rounded: frozenset[str] = frozenset()
         self._confirmed = counters.gauge("share_confirmed", "Whether own fractions may be spent")
         self._open_loans = counters.gauge("share_loans_open", "Loans granted and not closed")
 
@@ -120,6 +122,7 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._lending.serve_wants)
             tg.start_soon(self._post_rounds)
+            tg.start_soon(self._post_on_ticket)
             async for message in self._messages:
                 await self._handle(message)
 
@@ -149,8 +152,8 @@
         admission = self._spend(account, tokens)
         if admission is not None:
             return admission
-        if not self._may_spend():
-            await self._ask_for_round()
+        if not self._may_spend() or not self._keeper.knows(account):
+            await self._ask_for_round(account)
         for _ in range(BORROW_TRIES):
             admission = self._spend(account, tokens)
             if admission is not None:
@@ -204,8 +207,9 @@
         return terms
 
     def _refusal(self, account: str, tokens: int) -> GatewayError:
-        if not self._may_spend():
-            # Not the account's doing: its fraction here may have passed to another VM.
+        if not self._may_spend() or not self._keeper.knows(account):
+            # Not the account's doing: its fraction here may have passed to another VM, or
+            # the account is so new that nobody has entered it in the ledger yet.
             return GatewayError(
                 ErrorKind.NOT_READY,
                 "this VM's share of the account is not confirmed",
@@ -216,9 +220,9 @@
         wait = min(int(missing / rate * 1000) + 1, 3_600_000)
         return GatewayError(ErrorKind.RATE_LIMITED, retry_after_ms=max(1, wait))
 
-    async def _ask_for_round(self) -> None:
+    async def _ask_for_round(self, account: str) -> None:
         reply: Reply[None] = Reply()
-        if self._messages.post(_Round(reply)):
+        if self._messages.post(_Round(reply, account)):
             await reply.wait()
 
     async def _post_rounds(self) -> None:
@@ -226,9 +230,17 @@
             await self._clock.sleep(self._cfg.shares.rebalance_ms)
             self._messages.post(_Round())
 
+    async def _post_on_ticket(self) -> None:
+        """Make a round as soon as a change ticket is in force: it may set a new account."""
+        while True:
+            state = await self._config.changed(self._config.current().position)
+            if any(not self._keeper.knows(name) for name in state.accounts):
+                self._messages.post(_Round())
+
     async def _handle(self, message: _Round) -> None:
         recently = self._clock.now() - self._last_confirm < CONFIRM_EVERY_MS
-        needless = message.reply is not None and (self._may_spend() or recently)
+        settled = self._may_spend() and self._keeper.knows(message.account)
+        needless = message.reply is not None and (settled or (recently and self._tried(message)))
         try:
             if not needless:
                 await self._round()
@@ -236,9 +248,14 @@
             if message.reply is not None:
                 message.reply.set(None)
 
+    def _tried(self, message: _Round) -> bool:
+        """Whether the last round knew of the account already; a newer one gets its own."""
+        return message.account in self._rounded
+
     async def _round(self) -> None:
         """Renew the lease, read the ledger, write what is due; else ask the neighbours."""
         self._follow_config()
+        self._rounded = frozenset(self._books.accounts)
         if self._lending.borrowed_lately():
             self._keeper.hurry()
         try:
--- a/tests/shares/budget.feature
+++ b/tests/shares/budget.feature
@@ -123,6 +123,20 @@
     And 50 tokens are taken every 100 ms for 10000 ms at budget VMs "a0 a1 b0"
     Then since the change ticket the budget fleet kept within rate 100 and burst 200
 
+  Scenario Outline: an account that a change ticket just made is served at its first request
+    # The ticket and the first request come right after one another, before any round with
+    # the ledger: the request waits for the round, and is never told that it is over its rate.
+    Given a budget fleet of a0 a1 b0 and an account of rate 1000 and burst 2000
+    When a change ticket adds budget account "fresh" and <platform>
+    And budget VM "<vm>" takes 100 tokens of account "fresh"
+    Then <outcome>
+
+    Examples:
+      | vm | platform             | outcome                              |
+      | a0 | the platform answers | the budget admits it                 |
+      | b0 | the platform answers | the budget admits it                 |
+      | a0 | the platform is out  | the budget refuses it as "not_ready" |
+
   Scenario: a VM that shuts down repays its loans and hands its fractions on
     Given a budget fleet of a0 a1 b0 and an account of rate 1000 and burst 2000
     When 95 tokens are taken every 100 ms for 5000 ms at budget VM "a0"
--- a/tests/steps/shares/budget_steps.py
+++ b/tests/steps/shares/budget_steps.py
@@ -204,9 +204,12 @@
 
 @when("a change ticket sets the account to rate {rate:d} and burst {burst:d}")
 def step_ticket(context, rate, burst):
-    context.changed_ms = context.fleet.clock.now()
-    for node in context.fleet.nodes.values():
-        node.config.set([fakes.account(NAME, rate, burst)])
+    async def apply():
+        context.changed_ms = context.fleet.clock.now()
+        for node in context.fleet.nodes.values():
+            node.config.set([fakes.account(NAME, rate, burst)])
+
+    context.call(apply)
 
 
 @then("since the change ticket the budget fleet kept within rate {rate:d} and burst {burst:d}")
@@ -250,3 +253,19 @@
 @then('data centre "{name}" acts on all the fractions that its ledger names')
 def step_acts_on_all(context, name):
     assert abs(acting(context, name) - in_ledger(context, name)) <= 1
+
+
+@when('a change ticket adds budget account "{name}" and {platform}')
+def step_fresh(context, name, platform):
+    async def add():
+        for node in context.fleet.nodes.values():
+            node.platform.out = platform.endswith("out")
+            accounts = [fakes.account(NAME, context.rate, context.burst), fakes.account(name)]
+            node.config.set(accounts)
+
+    context.call(add)
+
+
+@when('budget VM "{name}" takes {tokens:d} tokens of account "{account}"')
+def step_take_of(context, name, tokens, account):
+    context.outcome = context.call(context.fleet.take, name, account, tokens)
--- a/tests/steps/shares/fakes.py
+++ b/tests/steps/shares/fakes.py
@@ -168,6 +168,9 @@
         self.set(accounts)
 
     def set(self, accounts):
+        self.event, changed = anyio.Event(), getattr(self, "event", None)
+        if changed:
+            changed.set()
         objects = [*accounts, Region(name="r", data_centres=("dc0",))]
         self.state = ConfigState(
             position=1, objects={ref_of(obj): Versioned(1, obj) for obj in objects}
@@ -183,7 +186,8 @@
         return self.state
 
     async def changed(self, position):
-        await anyio.sleep_forever()
+        await self.event.wait()
+        return self.state
 
     async def submit(self, ticket):
         raise NotImplementedError
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,308 @@
+"""Break each safeguard in turn in a scratch copy and show that a test then fails.
+
+Prints a table with one line for each mutation; exits with 1 when a mutation survives or no
+longer applies. Arguments pick mutations by a part of the file's path or of the safeguard.
+
+    .venv/bin/python tools/mutations.py [shares ...]
+"""
+
+from __future__ import annotations
+
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCE = "src/hickorybeam"
+COPIED = ("src", "tests", "pyproject.toml")
+WORKERS = 3
+TIMEOUT_S = 90
+FAILED = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """One safeguard, how it is broken, and the tests (under ``tests/``) that must notice."""
+
+    safeguard: str
+    path: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTATIONS: tuple[Mutation, ...] = (
+    # rate and burst: buckets
+    Mutation(
+        "refund limited by the room since admission",
+        "policy/token_bucket.py",
+        "given = min([tokens, self._room(), *(mark.room for mark in since)])",
+        "given = min(tokens, self._room())",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "new capacity starts empty",
+        "policy/token_bucket.py",
+        "        self.capacity = capacity\n        self.rate = rate\n        self._clip()",
+        "        self._level += max(0.0, capacity - self.capacity)\n"
+        "        self.capacity = capacity\n        self.rate = rate\n        self._clip()",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "lent tokens leave the lender",
+        "policy/token_bucket.py",
+        "        self._level -= lent\n        self.lent += lent",
+        "        self.lent += lent",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "lent capacity leaves the lender",
+        "policy/token_bucket.py",
+        "        self._level -= lent\n        self.lent += lent",
+        "        self._level -= lent",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "use beyond the cost becomes a debt",
+        "policy/token_bucket.py",
+        '        """Take what a request used beyond its cost, into debt if need be."""\n'
+        "        self._refill(now_ms)\n        self._level -= tokens",
+        "        self._refill(now_ms)",
+        "shares",
+    ),
+    # rate and burst: loans
+    Mutation(
+        "borrower counts from its request",
+        "policy/loans.py",
+        "until = sent_ms + loan.duration_ms",
+        "until = now_ms + loan.duration_ms",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "borrower drops what ran out",
+        "policy/loans.py",
+        "            if now_ms >= held.until_ms:\n                self._close",
+        "            if False:\n                self._close",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "grant delivered twice counts once",
+        "policy/loans.py",
+        "if (lender, loan.number) in self._seen or now_ms >= until:",
+        "if now_ms >= until:",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "report delivered twice counts once",
+        "policy/loans.py",
+        "        del self._open[report.number]\n",
+        "",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "lender waits for the loan's end",
+        "policy/loans.py",
+        "until = now_ms + self._duration_ms + self._margin_ms",
+        "until = now_ms",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "loans shrink with a lowered burst",
+        "policy/loans.py",
+        "        held.tokens *= burst / held.burst\n",
+        "",
+        "policy/shares.feature",
+    ),
+    # rate and burst: the ledger
+    Mutation(
+        "shrink before the write",
+        "policy/shares.py",
+        "self._acting[account] = min(self._acting[account], held)",
+        "pass",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "no growth while a write may still land",
+        "policy/shares.py",
+        "                held = min(held, self.acting(account))",
+        "                pass",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "tokens that go along are counted once",
+        "policy/shares.py",
+        "                self._credited[account] = carried\n",
+        "",
+        "policy/shares.feature",
+    ),
+    Mutation(
+        "an account is entered once",
+        "policy/shares.py",
+        "if name not in ledger.accounts)",
+        ")",
+        "shares",
+    ),
+    Mutation(
+        "take-over within the data centre only",
+        "policy/shares.py",
+        "if dead.data_centre != me.data_centre or dead.vm == me.vm:",
+        "if dead.vm == me.vm:",
+        "shares",
+    ),
+    Mutation(
+        "dead only when of this data centre",
+        "shares/ledger.py",
+        "            if holder.data_centre == self.me.data_centre and holder.vm != self.me.vm\n"
+        "        }\n        return tuple(",
+        "            if holder.vm != self.me.vm\n        }\n        return tuple(",
+        "shares",
+    ),
+    Mutation(
+        "paused past its lease: ask before spending",
+        "policy/standing.py",
+        "return now_ms < max(self._lease_until, self._promise_until)",
+        "return True",
+        "shares",
+    ),
+    Mutation(
+        "a neighbour that took over is heeded",
+        "shares/service.py",
+        "            self._keeper.taken()\n",
+        "            self._keeper.standing.promised(sent, promise_ms)\n",
+        "shares",
+    ),
+    Mutation(
+        "no answer from any neighbour: stop",
+        "shares/service.py",
+        "        elif replies:\n            self._keeper.standing.promised",
+        "        else:\n            self._keeper.standing.promised",
+        "shares",
+    ),
+    Mutation(
+        "a lender in doubt of its fractions lends nothing",
+        "shares/lending.py",
+        "if not self.lending or not self._may_spend():",
+        "if not self.lending:",
+        "shares",
+    ),
+    Mutation(
+        "fractions under open loans are not given away",
+        "shares/service.py",
+        "keep=self._books.lent_parts(account.name),",
+        "keep=0,",
+        "shares",
+    ),
+    Mutation(
+        "a shutdown waits for its open loans",
+        "shares/service.py",
+        "        while self._books.lender.open_count():",
+        "        while False:",
+        "shares",
+    ),
+    Mutation(
+        "a lost write is known to be uncertain",
+        "shares/ledger.py",
+        "                    self.groups[number].write_lost()",
+        "                    self.groups[number].write_refused()",
+        "shares",
+    ),
+    Mutation(
+        "a lapse is compared in the same transaction",
+        "shares/ledger.py",
+        "        compares += [Compare(_holder_key(holder), 0) for holder in gone]\n",
+        "",
+        "shares",
+    ),
+    Mutation(
+        "a holder still heard is not taken over from",
+        "policy/standing.py",
+        "if not lapsed or heard or now_ms < self._promised.get(vm, -1):",
+        "if not lapsed or now_ms < self._promised.get(vm, -1):",
+        "shares",
+    ),
+    Mutation(
+        "a promise holds",
+        "policy/standing.py",
+        "if not lapsed or heard or now_ms < self._promised.get(vm, -1):",
+        "if not lapsed or heard:",
+        "shares",
+    ),
+    Mutation(
+        "take-over waits for the dead VM's loans",
+        "policy/standing.py",
+        ">= self._settle_ms",
+        ">= 0",
+        "shares",
+    ),
+    Mutation(
+        "a lowered rate is in force at once",
+        "shares/service.py",
+        "        if state is not self._applied:",
+        "        if self._applied is None:",
+        "shares",
+    ),
+)
+
+
+def copy_tree(target: Path) -> None:
+    """Copy what the tests need."""
+    for name in COPIED:
+        source = ROOT / name
+        if source.is_dir():
+            ignore = shutil.ignore_patterns("__pycache__", "*.egg-info")
+            shutil.copytree(source, target / name, ignore=ignore)
+        else:
+            shutil.copy(source, target / name)
+
+
+def run_one(mutation: Mutation) -> str:
+    """Return ``killed``, ``SURVIVED``, ``DOES NOT APPLY`` or what else went wrong."""
+    with tempfile.TemporaryDirectory() as scratch:
+        root = Path(scratch)
+        copy_tree(root)
+        path = root / SOURCE / mutation.path
+        text = path.read_text()
+        if text.count(mutation.old) != 1:
+            return "DOES NOT APPLY"
+        path.write_text(text.replace(mutation.old, mutation.new))
+        cmd = [sys.executable, "-m", "behave", "--stop", "--format=progress3"]
+        cmd.append(f"tests/{mutation.tests}")
+        env = {**os.environ, "PYTHONPATH": f"{root / 'src'}{os.pathsep}{root}"}
+        try:
+            done = subprocess.run(
+                cmd, cwd=root, env=env, capture_output=True, text=True, timeout=TIMEOUT_S
+            )
+        except subprocess.TimeoutExpired:
+            return "killed (hangs)"
+    found = FAILED.search(done.stdout)
+    if found is None:
+        return f"NOT RUN: {(done.stdout + done.stderr).strip().splitlines()[-1:]}"
+    return "killed" if int(found[2]) + int(found[3] or 0) else "SURVIVED"
+
+
+def main(wanted: list[str]) -> int:
+    """Run the mutations asked for and print the table."""
+    chosen = [
+        one
+        for one in MUTATIONS
+        if not wanted or any(part in f"{one.path} {one.safeguard}" for part in wanted)
+    ]
+    with ThreadPoolExecutor(WORKERS) as pool:
+        verdicts = list(pool.map(run_one, chosen))
+    print("| safeguard | file | tests | verdict |")
+    print("| --- | --- | --- | --- |")
+    for one, verdict in zip(chosen, verdicts, strict=True):
+        print(f"| {one.safeguard} | {one.path} | {one.tests} | {verdict} |")
+    bad = [verdict for verdict in verdicts if not verdict.startswith("killed")]
+    print(f"{len(chosen)} mutations, {len(bad)} not killed")
+    return 1 if bad or not chosen else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
