once: calls with an idempotency key run at most once

A caller that got no answer sends a booking again, often through another VM. A forwarded call with a key is handed to the once service of its issuer: straight to dispatch it would run a second time.

--- a/src/hickorybeam/errors.py
+++ b/src/hickorybeam/errors.py
@@ -74,6 +74,7 @@
     IDEMPOTENCY_INVALID = "idempotency_invalid"
     IDEMPOTENCY_EXPIRED = "idempotency_expired"
     IDEMPOTENCY_LOST = "idempotency_lost"
+    IDEMPOTENCY_FINISHED = "idempotency_finished"
     PLATFORM_OUT = "platform_out"
     PLATFORM_UNKNOWN = "platform_unknown"
     VALUE_TOO_LARGE = "value_too_large"
@@ -140,6 +141,7 @@
         ErrorKind.IDEMPOTENCY_INVALID: Answer(400, _NO, _NEVER, "not a valid idempotency key"),
         ErrorKind.IDEMPOTENCY_EXPIRED: Answer(410, _UNKNOWN, _NEVER, "the idempotency key expired"),
         ErrorKind.IDEMPOTENCY_LOST: Answer(410, _UNKNOWN, _NEVER, "the issuing VM is gone"),
+        ErrorKind.IDEMPOTENCY_FINISHED: Answer(409, _UNKNOWN, _NEVER, "it ran; its answer is gone"),
         ErrorKind.PLATFORM_OUT: Answer(503, _NO, _LATER, "the platform service is out"),
         ErrorKind.PLATFORM_UNKNOWN: Answer(503, _UNKNOWN, _LATER, "the write's answer was lost"),
         ErrorKind.VALUE_TOO_LARGE: Answer(413, _NO, _NEVER, "the value is over the size limit"),
--- /dev/null
+++ b/src/hickorybeam/once/__init__.py
@@ -0,0 +1,7 @@
+"""Calls that carry an idempotency key run at most once."""
+
+from __future__ import annotations
+
+from hickorybeam.once.service import OnceService
+
+__all__ = ("OnceService",)
--- a/src/hickorybeam/peers/service.py
+++ b/src/hickorybeam/peers/service.py
@@ -120,6 +120,16 @@
                 async for part in parts:
                     yield part
 
+    def _runner(self, call: Call) -> ports.Dispatch | ports.Once:
+        """Return who runs a forwarded call.
+
+        One with an idempotency key came to this VM as the key's issuer, which alone knows
+        whether the key was used; straight to dispatch, a repeated call would run twice.
+        """
+        if call.idempotency_key:
+            return self._find(ports.ONCE, ports.Once)  # type: ignore[type-abstract]
+        return self._find(ports.DISPATCH, ports.Dispatch)  # type: ignore[type-abstract]
+
     async def on_ask(self, ask: Ask, certificate: dict[str, Any] | None) -> Answered:
         """Answer one request of a peer."""
         try:
@@ -138,8 +148,7 @@
         try:
             self._check_peer(forward.sender, forward.to, certificate)
             call = await self._admitted(forward.call)
-            dispatch = self._find(ports.DISPATCH, ports.Dispatch)  # type: ignore[type-abstract]
-            async with closing_iterator(dispatch.run(call)) as parts:
+            async with closing_iterator(self._runner(call).run(call)) as parts:
                 async for part in parts:
                     yield _message(part)
         except Exception as exc:
