--- a/bench/load/baselines.py
+++ b/bench/load/baselines.py
@@ -32,6 +32,7 @@
         self._mine: dict[str, int] = {}
         self._running: dict[int, str] = {}
         self._turn = 0
+        self._gone: set[int] = set()
 
     def configure(
         self, specs: Iterable[BackendServer], *, sharing: int, costs: dict[str, float]
@@ -67,6 +68,8 @@
             if not free:
                 break
             job = self._queue.popleft()
+            if job.id in self._gone:
+                continue
             if job.deadline <= now:
                 decisions.append(Refuse(job, ErrorKind.DEADLINE, Reason.DEADLINE, 0))
             else:
@@ -87,8 +90,7 @@
 
     def done(self, job: Job, now: int) -> None:
         """Take out a job whose caller has left."""
-        if job in self._queue:
-            self._queue.remove(job)
+        self._gone.add(job.id)
 
     def region_load(self, served: str, now: int) -> RegionLoad | None:
         """Tell other regions nothing."""
