--- a/bench/load/world.py
+++ b/bench/load/world.py
@@ -18,7 +18,7 @@
 from bench.load.engines import Engine, Work
 
 from hickorybeam.policy.fair_queue import share_weight
-from hickorybeam.policy.job import Job, Outcome, Reason, Refuse, Spill, Start
+from hickorybeam.policy.job import Job, Outcome, Reason, Recall, Refuse, Spill, Start
 from hickorybeam.policy.profile import profile_named
 from hickorybeam.policy.retry import MOST_ATTEMPTS, RetryBudget, backoff_ms
 from hickorybeam.policy.scheduler import Scheduler
@@ -358,6 +358,17 @@
 
         self.at(self.now + took, end)
 
+    def _recall(self, vm: Vm, recall: Recall) -> None:
+        request, _ = vm.jobs.get(recall.job.id, (None, None))
+        if request is None or request.work is None or request.first:
+            return
+        if request.attempts >= MOST_ATTEMPTS or not vm.budget.take():
+            return
+        request.work.gone = True
+        request.tried |= {recall.backend}
+        vm.sched.finished(recall.job, recall.backend, int(self.now), Outcome.CANCELLED, 0)
+        self._again(vm, recall.job, request)
+
     def _failed(self, vm: Vm, job: Job, request: Request, backend: str) -> None:
         now = int(self.now)
         vm.sched.finished(job, backend, now, Outcome.FAILED, 0)
@@ -387,6 +398,9 @@
             for vm in vms:
                 for decision in vm.sched.tick(int(self.now)):
                     self._carry_out(vm, decision)
+                if isinstance(vm.sched, Scheduler):
+                    for recall in vm.sched.recalls(int(self.now)):
+                        self._recall(vm, recall)
         self.at(self.now + TICK_MS, self._ticks)
 
     def _reports(self) -> None:
--- a/src/hickorybeam/dispatch/attempts.py
+++ b/src/hickorybeam/dispatch/attempts.py
@@ -95,7 +95,6 @@
         self._tried: frozenset[str] = frozenset()
         self._count = 0
         self._pause = 0
-        self._begun = False
         self._used = 0
 
     async def run(self, first: Decision) -> AsyncGenerator[AnswerPart, None]:
@@ -106,7 +105,7 @@
             try:
                 async with aclosing(self._carry_out(decision)) as parts:
                     async for part in parts:
-                        self._begun = True
+                        self._running.begun = True
                         yield part
                 return
             except GatewayError as exc:
@@ -178,9 +177,19 @@
                 await close_parts(parts)
 
     async def _parts(self, parts: AsyncIterator[AnswerPart]) -> AsyncGenerator[AnswerPart, None]:
-        running = self._running
+        """Yield the parts, the head together with the first part that follows it.
+
+        An engine sends its head long before its first token. Held until then, a call whose
+        engine fails or is slow in between can still run elsewhere; the caller loses nothing,
+        since the head alone tells it nothing.
+        """
+        running, clock = self._running, self._near.clock
         running.sent = True
-        part = await running.first_part(parts, clock=self._near.clock, deadline=self._deadline)
+        head = await running.first_part(parts, clock=clock, deadline=self._deadline)
+        part = head
+        if isinstance(head, AnswerHead):
+            part = await running.first_part(parts, clock=clock, deadline=self._deadline)
+            yield head
         while not isinstance(part, AnswerEnd):
             if isinstance(part, AnswerChunk):
                 self._used += part.tokens
@@ -194,12 +203,12 @@
         match last:
             case Refuse():
                 raise exc
-            case Spill() if not self._begun and exc.ran is Ran.NO and exc.kind in FALL_BACK:
+            case Spill() if not self._running.begun and exc.ran is Ran.NO and exc.kind in FALL_BACK:
                 self._running.sent = False
                 self._near.counters.retries.labels(exc.kind.value).inc()
                 stay = replace(self._job, movable=False)
                 self._job = stay
-                return await self._running.wait(ask_offer(self._near.load, stay))
+                return await self._running.wait(ask_offer(self._near.load, stay, self._running))
             case Start(backend=backend):
                 self._tried |= {backend}
             case Spill():
@@ -215,7 +224,7 @@
         raise exc
 
     def _denied(self, exc: GatewayError) -> RetryDenied | None:
-        if self._begun:
+        if self._running.begun:
             return RetryDenied.ANSWER_BEGUN
         if not may_repeat(exc, idempotent=self._running.call.idempotent):
             return RetryDenied.NOT_REPEATABLE
@@ -229,6 +238,7 @@
         return None
 
     async def _again(self, exc: GatewayError) -> Decision | None:
+        self._running.recalled = False
         if exc.ran is Ran.NO:
             self._running.sent = False
         await self._running.wait(self._near.clock.sleep(self._pause))
@@ -237,7 +247,7 @@
         return await self._running.wait(reply.wait())
 
     def _blame(self, exc: GatewayError) -> Outcome:
-        if self._running.ended:
+        if self._running.ended or self._running.recalled:
             return Outcome.CANCELLED
         if exc.kind is ErrorKind.BACKEND_REFUSED:
             return Outcome.REFUSED
@@ -259,10 +269,10 @@
     )
 
 
-async def ask_offer(load: LoadTask, job: Job) -> Decision:
+async def ask_offer(load: LoadTask, job: Job, running: RunningCall) -> Decision:
     """Offer a job and wait for the decision."""
     reply: Reply[Decision] = Reply()
-    load.mailbox.post(Offer(job, reply))
+    load.mailbox.post(Offer(job, reply, running.recall))
     return await reply.wait()
 
 
--- a/src/hickorybeam/dispatch/load_task.py
+++ b/src/hickorybeam/dispatch/load_task.py
@@ -10,6 +10,8 @@
 from hickorybeam.policy.job import Outcome, Start
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hickorybeam.clock import Clock
     from hickorybeam.dispatch.messages import Message
     from hickorybeam.dispatch.metrics import LoadMetrics
@@ -53,6 +55,7 @@
         self._members = members
         self._backends = backends
         self._waiting: dict[int, Reply[Decision]] = {}
+        self._recalls: dict[int, Callable[[], None]] = {}
         self._seen: tuple[int, int] | None = None
         self._ticks = 0
 
@@ -84,8 +87,9 @@
     def _handle(self, message: Message) -> None:
         now = self._clock.now()
         match message:
-            case Offer(job=job, reply=reply):
+            case Offer(job=job, reply=reply, recall=recall):
                 self.refresh()
+                self._recalls[job.id] = recall
                 decision = self._scheduler.offer(job, now)
                 if decision is None:
                     self._waiting[job.id] = reply
@@ -104,6 +108,7 @@
             case Done(job=job):
                 self._scheduler.done(job, now)
                 self._waiting.pop(job.id, None)
+                self._recalls.pop(job.id, None)
             case Tick():
                 self._tick(now)
 
@@ -125,6 +130,10 @@
         self._scheduler.heard_regions(self._members.region_loads())
         for decision in self._scheduler.tick(now):
             self._answer(decision)
+        for recalled in self._scheduler.recalls(now):
+            recall = self._recalls.get(recalled.job.id)
+            if recall is not None:
+                recall()
         self._ticks += 1
         if self._ticks % PUBLISH_EVERY_TICKS == 1:
             self._publish(now)
--- a/src/hickorybeam/dispatch/messages.py
+++ b/src/hickorybeam/dispatch/messages.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hickorybeam.kernel import Reply
     from hickorybeam.policy.job import Decision, Job, Outcome
 
@@ -14,10 +16,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Offer:
-    """A new job; the reply comes when it starts, is sent elsewhere or is refused."""
+    """A new job; the reply comes when it starts, is sent elsewhere or is refused.
+
+    ``recall`` interrupts its run on a server that turns out to be slow.
+    """
 
     job: Job
     reply: Reply[Decision]
+    recall: Callable[[], None]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/dispatch/service.py
+++ b/src/hickorybeam/dispatch/service.py
@@ -171,7 +171,7 @@
         try:
             await running.wait(spend.take())
             self._retries.first_attempt()
-            decision = await running.wait(ask_offer(self._load, job))
+            decision = await running.wait(ask_offer(self._load, job, running))
             self._note(job, decision)
             if isinstance(decision, Refuse):
                 raise refusal(decision)
--- a/src/hickorybeam/policy/backend_table.py
+++ b/src/hickorybeam/policy/backend_table.py
@@ -137,7 +137,8 @@
             if self.health.weight(name, now) <= 0:
                 continue
             others, _ = server.others.at(now)
-            slots += max(0.0, server.limit.allowed - len(server.runs) - others)
+            # Slots and not the adaptive limit, which stays low at a VM that sends little.
+            slots += max(0.0, server.spec.slots - len(server.runs) - others)
         return slots * job_cost
 
     def has_slot(self, served: str, now: int, *, long: bool) -> bool:
@@ -209,6 +210,15 @@
             while server.history and server.history[0][0] < now - HISTORY_MS:
                 server.history.popleft()
 
+    def overdue(self, now: int) -> list[tuple[Job, str]]:
+        """Return the jobs to recall from slow servers."""
+        return [
+            (server.runs[job_id].job, name)
+            for name, server in self._servers.items()
+            for job_id in self.health.overdue(name, now, self._peers_of(server))
+            if job_id in server.runs
+        ]
+
     def limits(self) -> Mapping[str, int]:
         """Return the present limit of each server."""
         return {name: server.limit.allowed for name, server in self._servers.items()}
@@ -217,6 +227,9 @@
         """Return this VM's requests at each server."""
         return {name: len(server.runs) for name, server in self._servers.items()}
 
+    def _peers_of(self, server: Server) -> tuple[str, ...]:
+        return self._pools.get(server.spec.serves[0], ()) if server.spec.serves else ()
+
     def _open(self, name: str) -> bool:
         server = self._servers[name]
         return takes_new_work(server.spec, server.report)
@@ -235,7 +248,7 @@
     def _free(self, name: str, now: int, *, long: bool) -> bool:
         server = self._servers[name]
         weight = self.health.weight(name, now)
-        if weight <= 0:
+        if weight <= 0 or self.health.is_resting(name, now):
             return False
         allowed = server.limit.allowed
         mine = len(server.runs)
--- a/src/hickorybeam/policy/fair_queue.py
+++ b/src/hickorybeam/policy/fair_queue.py
@@ -193,6 +193,13 @@
         found = max(flows, key=lambda flow: flow.backlog / flow.weight, default=None)
         return None if found is None else found.account
 
+    def last(self) -> Job | None:
+        """Return the latest job of the account with the largest backlog for its weight."""
+        account = self.heaviest()
+        if account is None:
+            return None
+        return max(self.jobs_of(account), key=lambda job: (job.arrived, job.id))
+
     def _forget(self, job: Job, flow: Flow) -> None:
         del self._jobs[job.id]
         flow.backlog -= job.cost
--- a/src/hickorybeam/policy/health.py
+++ b/src/hickorybeam/policy/health.py
@@ -45,11 +45,22 @@
 # server stays late.
 SLOW_IN_A_ROW = 3
 SLOW_SPAN_MS = 400
+# A single one that is this many times later still. Calls that never get a first token keep
+# their server loaded, so that few others follow and there may never be several in a row.
+SILENT_FACTOR = 8.0
 SAMPLE_SHARE = 0.3
 # First pause; doubled for each ejection in succession up to the longest. A second is longer
 # than a restart of a plain service and shorter than a caller's patience; the longest bounds
 # how long a healed server stays unused.
 FIRST_PAUSE_MS = 1_000
+# A slow server is tried again later than a failed one: it rarely heals by a restart, and
+# each try costs a caller the wait until it is recalled.
+FIRST_SLOW_PAUSE_MS = 5_000
+# A server that may not be ejected, because half of its pool is out already, still rests
+# after a failure: 100 ms, doubled for each in a row up to a second. Without the rest a dead
+# region's servers fail a call every few ms and burn through queue and retry budget.
+FIRST_REST_MS = 100
+LONGEST_REST_MS = 1_000
 LONGEST_PAUSE_MS = 30_000
 RAMP_MS = 5_000
 PROBE_WEIGHT = 0.1
@@ -73,6 +84,7 @@
     since: int = 0
     pause: int = FIRST_PAUSE_MS
     failures_in_a_row: int = 0
+    resting_until: int = 0
     failures: float = 0.0
     failures_at: int = 0
     first_token: float = 0.0
@@ -136,6 +148,7 @@
         """Note a proper end."""
         health = self.of(server)
         health.failures_in_a_row = 0
+        health.resting_until = now
         if health.standing is Standing.PROBING:
             self._set(health, Standing.RAMPING, now)
 
@@ -149,6 +162,8 @@
         health.failures = health.recent_failures(now) + 1.0
         health.failures_at = now
         health.failures_in_a_row += 1
+        doubled = FIRST_REST_MS * 2 ** min(10, health.failures_in_a_row - 1)
+        health.resting_until = now + min(LONGEST_REST_MS, doubled)
         if health.standing is Standing.PROBING or health.failures_in_a_row >= FAILURES_IN_A_ROW:
             self._eject(server, now, peers)
 
@@ -167,6 +182,7 @@
                 self._set(health, Standing.SERVING, now)
                 health.pause = FIRST_PAUSE_MS
             if health.standing is not Standing.EJECTED and self._is_slow(name, now, servers):
+                health.pause = max(health.pause, FIRST_SLOW_PAUSE_MS)
                 self._eject(name, now, servers)
 
     def weight(self, server: str, now: int) -> float:
@@ -184,6 +200,22 @@
                 base = 1.0
         return max(PROBE_WEIGHT, base * math.pow(0.5, health.recent_failures(now)))
 
+    def is_resting(self, server: str, now: int) -> bool:
+        """Whether a server rests after a failure."""
+        return now < self.of(server).resting_until
+
+    def overdue(self, server: str, now: int, pool: Iterable[str]) -> list[int]:
+        """Return the jobs to recall from a slow server: late and without a first token.
+
+        Asked of servers that are out or being probed. What was sent before the ejection, and
+        the probes themselves, would otherwise wait at the one server known to be slow.
+        """
+        health = self.of(server)
+        if health.standing not in (Standing.EJECTED, Standing.PROBING):
+            return []
+        normal = self._latest_normal(server, pool)
+        return [job for job, (at, scale) in health.waiting.items() if now - at > normal * scale]
+
     def all_failing(self, pool: Iterable[str], now: int) -> bool:
         """Whether every server of a pool is out or has only just failed.
 
@@ -219,8 +251,10 @@
     def _is_slow(self, server: str, now: int, pool: Iterable[str]) -> bool:
         health = self.of(server)
         normal = self._latest_normal(server, pool)
-        overdue = [at for at, scale in health.waiting.values() if (now - at) / scale > normal]
-        late = [*health.late, *overdue]
+        ages = [((now - at) / scale, at) for at, scale in health.waiting.values()]
+        late = [*health.late, *(at for age, at in ages if age > normal)]
+        if any(age > SILENT_FACTOR * normal for age, _ in ages):
+            return True
         if health.standing is Standing.PROBING:
             return bool(late)
         return len(late) >= SLOW_IN_A_ROW and max(late) - min(late) >= SLOW_SPAN_MS
--- a/src/hickorybeam/policy/job.py
+++ b/src/hickorybeam/policy/job.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from hickorybeam.errors import ErrorKind
 
-__all__ = ("Decision", "Job", "Outcome", "Reason", "Refuse", "Spill", "Start")
+__all__ = ("Decision", "Job", "Outcome", "Reason", "Recall", "Refuse", "Spill", "Start")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,4 +92,12 @@
     retry_after_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """Take a job back from a slow server and run it elsewhere, if it may run twice."""
+
+    job: Job
+    backend: str
+
+
 Decision = Start | Spill | Refuse
--- a/src/hickorybeam/policy/scheduler.py
+++ b/src/hickorybeam/policy/scheduler.py
@@ -18,7 +18,7 @@
 from hickorybeam.policy.concurrency import is_long
 from hickorybeam.policy.fair_queue import FairQueue
 from hickorybeam.policy.forecast import DrainRate, Median
-from hickorybeam.policy.job import Decision, Outcome, Reason, Refuse, Spill, Start
+from hickorybeam.policy.job import Decision, Outcome, Reason, Recall, Refuse, Spill, Start
 from hickorybeam.policy.region_choice import RegionChoice
 from hickorybeam.policy.shedding import MemoryBound, excess_jobs
 
@@ -204,9 +204,14 @@
             self._advance(pool, now)
             for job, kind, reason in self._given_up(pool, now):
                 decisions.append(self._give_up(pool, job, kind, reason, now))
+            self._spill_waiting(pool, now, decisions)
         decisions.extend(self.poll(now))
         return decisions
 
+    def recalls(self, now: int) -> list[Recall]:
+        """Return the jobs to take back from slow servers, after ``tick``."""
+        return [Recall(job, name) for job, name in self.backends.overdue(now)]
+
     # What the VM tells others.
 
     def forecast(self, job: Job, now: int) -> float:
@@ -297,6 +302,20 @@
         served_here = bool(self.backends.pool(pool.served))
         return Spill(job, region, self.regions.reason(wait, served_here=served_here))
 
+    def _spill_waiting(self, pool: Pool, now: int, decisions: list[Decision]) -> None:
+        """Send jobs that wait elsewhere, since quotas are renewed while they wait.
+
+        The latest job of the largest backlog goes, which has the longest wait ahead of it.
+        """
+        failing = self.backends.all_failing(pool.served, now)
+        while (job := pool.queue.last()) is not None:
+            wait = math.inf if failing else self.forecast(job, now)
+            region = self._elsewhere(job, now, wait)
+            if region is None:
+                return
+            pool.queue.remove(job.id)
+            decisions.append(self._spill(pool, job, region, wait, now))
+
     def _start_waiting(self, pool: Pool, now: int, decisions: list[Decision]) -> None:
         while len(pool.queue):
             short = self.backends.has_slot(pool.served, now, long=False)
--- a/tests/steps/dispatch/load_steps.py
+++ b/tests/steps/dispatch/load_steps.py
@@ -129,6 +129,12 @@
     assert outcomes == {outcome}, outcomes
 
 
+@then('every dispatch caller gets one of "{wanted}"')
+def step_every_one_of(context, wanted):
+    outcomes = {caller.outcome for caller in context.callers}
+    assert outcomes <= set(wanted.split()), outcomes
+
+
 @then('the second dispatch caller gets "{outcome}"')
 def step_second_gets(context, outcome):
     assert context.second.outcome == outcome, (context.second.outcome, context.second.fault)
