--- a/src/hickorybeam/cli/main.py
+++ b/src/hickorybeam/cli/main.py
@@ -2,22 +2,113 @@
 
 from __future__ import annotations
 
+import sys
+from pathlib import Path
+
+import anyio
 import fire
+import msgspec
 
-import hickorybeam
+from hickorybeam.cli.client import OperatorClient, RefusedError, UnreachableError, read_key
+from hickorybeam.cli.exits import Exit
+from hickorybeam.cli.keys import KeyCommands
+from hickorybeam.cli.render import as_json, lines_of, table
+from hickorybeam.cli.tickets import TicketCommands
+from hickorybeam.errors import ANSWERS, GatewayError
+from hickorybeam.settings import load_settings
 
 __all__ = ("Commands", "main")
 
 
 class Commands:
-    """Hickorybeam, a multi-region inference gateway."""
+    """Hickorybeam, a multi-region inference gateway.
+
+    Operator commands read the key from HICKORYBEAM_KEY or from --key-file.
+    """
+
+    def __init__(self) -> None:
+        self.ticket = TicketCommands()
+        self.key = KeyCommands()
+
+    def run(self, settings: str) -> None:
+        """Run the daemon of one entry VM until SIGTERM or SIGINT.
+
+        :param settings: a settings file in JSON with comments.
+        """
+        from hickorybeam import daemon
+        from hickorybeam.telemetry import logs
+
+        cfg = load_settings(settings)
+        logs.configure(cfg.log)
+        anyio.run(daemon.run, cfg)
+
+    def check(self, *settings: str) -> str:
+        """Check settings files; every fault is named."""
+        for path in settings:
+            load_settings(path)
+        return f"{len(settings)} settings files are right"
+
+    def effective(self, settings: str) -> str:
+        """Print the settings with every default filled in."""
+        return as_json(msgspec.to_builtins(load_settings(settings)))
+
+    def status(self, *, url: str, key_file: str | None = None, json: bool = False) -> str:
+        """Show the fleet as one entry VM sees it."""
+        found = OperatorClient(url, read_key(key_file)).status()
+        return as_json(found) if json else "\n".join(lines_of(found))
 
-    def kinds(self) -> None:
-        """Print every error kind with its answer."""
-        for kind, answer in hickorybeam.errors.ANSWERS.items():
-            print(f"{kind.value:24} {answer.status} ran={answer.ran.value} {answer.text}")
+    def drain(self, *, url: str, key_file: str | None = None) -> str:
+        """Shut one entry VM down gracefully."""
+        OperatorClient(url, read_key(key_file)).drain()
+        return f"{url} is draining"
+
+    def kinds(self, *, json: bool = False) -> str:
+        """List every error kind with its answer."""
+        rows = [
+            (kind.value, answer.status, answer.ran.value, answer.retry.value, answer.text)
+            for kind, answer in ANSWERS.items()
+        ]
+        header = ("code", "status", "ran", "retry", "meaning")
+        if json:
+            return as_json([dict(zip(header, row, strict=True)) for row in rows])
+        return table(rows, header)
+
+    def authority(self, folder: str, *vms: str) -> str:
+        """Make a development authority and a certificate for each VM.
+
+        :param folder: where the files go; an authority that is there already is used.
+        """
+        from hickorybeam.peers import authority
+
+        made = authority.make_files(Path(folder), vms)
+        return "\n".join(str(path) for path in made)
+
+    def demo(self, deployment: str = "tour-de-terre") -> None:
+        """Run a whole deployment in one process and tell what happens.
+
+        :param deployment: ``tour-de-terre`` or ``umoja``, or a folder of the same shape.
+        """
+        from hickorybeam import demo
+
+        demo.run(deployment)
 
 
 def main() -> None:
-    """Run the command line."""
-    fire.Fire(Commands, name="hickorybeam")
+    """Run the command line and exit with a documented code."""
+    try:
+        fire.Fire(Commands(), name="hickorybeam")
+    except RefusedError as exc:
+        _fail(Exit.REFUSED, str(exc), exc.error.get("faults", ()))
+    except UnreachableError as exc:
+        _fail(Exit.UNREACHABLE, str(exc), ())
+    except GatewayError as exc:
+        _fail(Exit.USAGE, str(exc), exc.faults)
+    except (ValueError, OSError) as exc:
+        _fail(Exit.USAGE, str(exc), ())
+
+
+def _fail(code: Exit, text: str, faults: tuple[str, ...]) -> None:
+    print(f"hickorybeam: {text}", file=sys.stderr)
+    for fault in faults:
+        print(f"  {fault}", file=sys.stderr)
+    sys.exit(code)
--- /dev/null
+++ b/src/hickorybeam/daemon.py
@@ -0,0 +1,99 @@
+"""One entry VM's daemon: the services of the library, put into one kernel and run."""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+from absl import logging
+
+from hickorybeam import ports
+from hickorybeam.backends import BackendsService
+from hickorybeam.clock import SystemClock
+from hickorybeam.control import ControlService
+from hickorybeam.dispatch import DispatchService
+from hickorybeam.front import FrontService
+from hickorybeam.kernel import Kernel
+from hickorybeam.once import OnceService
+from hickorybeam.peers import MembersService, PeersService
+from hickorybeam.platform import EtcdPlatform
+from hickorybeam.shares import BudgetService
+from hickorybeam.telemetry import Counters
+from hickorybeam.tickets import ConfigService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.kernel import Service
+    from hickorybeam.model import EntryVm
+    from hickorybeam.settings import Settings
+
+__all__ = ("Daemon", "run")
+
+
+@dataclass(frozen=True, slots=True)
+class Daemon:
+    """A kernel with every service of one entry VM, not yet running."""
+
+    kernel: Kernel
+    counters: Counters
+
+    @classmethod
+    def build(
+        cls, cfg: Settings, *, clock: Clock | None = None, platform: Service | None = None
+    ) -> Daemon:
+        """Put the services together.
+
+        :param platform: takes the place of the client of the platform's service in tests.
+        """
+        clock = clock or SystemClock()
+        counters = Counters()
+        kernel = Kernel(clock)
+        kernel.add(platform or EtcdPlatform(cfg=cfg, clock=clock, counters=counters))
+        for kind in (
+            ConfigService,
+            PeersService,
+            MembersService,
+            BudgetService,
+            BackendsService,
+            DispatchService,
+            OnceService,
+            FrontService,
+        ):
+            kernel.add(kind(cfg=cfg, clock=clock, counters=counters))
+        if cfg.control.enabled:
+            kernel.add(ControlService(cfg=cfg, clock=clock, counters=counters))
+        return cls(kernel, counters)
+
+    def me(self) -> EntryVm:
+        """Return this VM with the ports it really listens on."""
+        return self.kernel.find(ports.MEMBERS, ports.Members).me  # type: ignore[type-abstract]
+
+
+async def run(cfg: Settings, *, ready: Callable[[EntryVm], None] | None = None) -> None:
+    """Run one daemon until SIGTERM or SIGINT, then shut it down gracefully.
+
+    :param ready: called once callers and peers can be served.
+    """
+    daemon = Daemon.build(cfg)
+
+    def announce() -> None:
+        me = daemon.me()
+        logging.info("entry VM %s serves callers at %s", me.id.name, me.http_address)
+        if ready is not None:
+            ready(me)
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_stop_on_signal, daemon.kernel)
+        await daemon.kernel.run(ready=announce)
+        tg.cancel_scope.cancel()
+
+
+async def _stop_on_signal(kernel: Kernel) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for signum in signals:
+            logging.info("signal %s: draining", signal.Signals(signum).name)
+            kernel.stop()
--- /dev/null
+++ b/tests/steps/demo/deployments_steps.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+from behave import then, when
+
+from hickorybeam.demo import Deployment, Story, start_fleet
+
+DELAY_MS = 10.0
+
+
+@when('the story of example "{name}" is told')
+def step_story(context, name):
+    context.story = []
+
+    async def tell():
+        async with start_fleet(Deployment.load(name), delay_ms=DELAY_MS) as fleet:
+            await Story(fleet, context.story.append).tell()
+
+    context.call(tell)
+
+
+@then('the story says "{text}"')
+def step_says(context, text):
+    assert any(text in line for line in context.story), "\n".join(context.story)
+
+
+@then('the story says "{text}" {count:d} times')
+def step_says_times(context, text, count):
+    assert sum(text in line for line in context.story) == count, "\n".join(context.story)
--- a/tests/steps/dispatch/dispatch_steps.py
+++ b/tests/steps/dispatch/dispatch_steps.py
@@ -4,6 +4,7 @@
 
 import anyio
 from behave import given, then, when
+
 from tests.steps.dispatch import fakes
 
 
