--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -119,14 +119,21 @@
         """Set what this VM tells others of its region."""
         ...
 
-    def publish(self, name: str, note: bytes) -> None:
-        """Set a small note that rides on every heartbeat of this VM."""
+    def publish(self, name: str, note: bytes, *, urgent: bool = False) -> None:
+        """Set a small note that heartbeats bring to the peers of this VM that lack it.
+
+        :param urgent: do not wait for the next heartbeat; for notes that change seldom.
+        """
         ...
 
     def heard(self, name: str, listener: Callable[[EntryVm, bytes], None]) -> None:
         """Call a listener with each peer's note of this name as heartbeats bring it."""
         ...
 
+    def listening(self, *, http_port: int) -> None:
+        """Announce that callers are served on this port, which ends the joining state."""
+        ...
+
     def leave(self) -> None:
         """Announce that this VM is shutting down."""
         ...
@@ -136,12 +143,18 @@
 class Budget(Protocol):
     """Rate and burst of each account, summed over all VMs (service ``budget``)."""
 
-    async def take(self, account: str, tokens: int) -> None:
-        """Spend tokens, from the own share or a loan, or raise ``RATE_LIMITED``."""
+    async def take(self, account: str, tokens: int) -> int:
+        """Spend tokens, from the own share or a loan, or raise ``RATE_LIMITED``.
+
+        :return: the number of this admission, for ``settle``.
+        """
         ...
 
-    def settle(self, account: str, taken: int, used: int) -> None:
-        """Give back what a finished request did not use, or take what it used beyond."""
+    def settle(self, account: str, taken: int, used: int, *, admission: int = 0) -> None:
+        """Give back what a finished request did not use, or take what it used beyond.
+
+        :param admission: what ``take`` returned; without it less may come back.
+        """
         ...
 
 
