--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -15,10 +15,10 @@
 import anyio
 import fire
 import msgspec
-
 from bench.soak import checks, fleet, log
 from bench.soak.faults import Faults
 from bench.soak.traffic import OPERATOR, Traffic
+
 from hickorybeam.demo import Caller, Deployment
 
 CALM_MS = 15_000
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from bench.soak.fleet import SoakFleet
     from bench.soak.log import Log
+
     from hickorybeam.demo import Reply
 
 __all__ = ("Traffic",)
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -1,8 +1,16 @@
-"""Set-up of every scenario: one event loop in a thread, which steps call into."""
+"""Set-up of every scenario: one event loop in a thread, which steps call into.
+
+A step that hangs fails with the stacks of its tasks. The limits are far above what any step
+takes, so they end a hung run and decide no verdict.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import faulthandler
+import io
 import sys
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import ExitStack
 
 from anyio.from_thread import start_blocking_portal
@@ -13,12 +21,45 @@
 
 sys.path = kept
 
+CALL_LIMIT_S = 60
+STEP_LIMIT_S = 180
+
 
 def before_scenario(context, scenario):
     context.stack = ExitStack()
     context.portal = context.stack.enter_context(start_blocking_portal())
-    context.call = context.portal.call
+
+    def call(func, *args):
+        future = context.portal.start_task_soon(func, *args)
+        try:
+            return future.result(CALL_LIMIT_S)
+        except FutureTimeoutError:
+            if future.done():
+                raise
+            stacks = context.portal.call(task_stacks)
+            future.cancel()
+            raise AssertionError(f"hung for {CALL_LIMIT_S} s in {func}:\n{stacks}") from None
+
+    context.call = call
+
+
+def task_stacks():
+    out = io.StringIO()
+    for task in asyncio.all_tasks():
+        task.print_stack(limit=6, file=out)
+    return out.getvalue()
+
+
+def before_step(context, step):
+    faulthandler.dump_traceback_later(STEP_LIMIT_S, exit=True)
+
+
+def after_step(context, step):
+    faulthandler.cancel_dump_traceback_later()
 
 
 def after_scenario(context, scenario):
+    if scenario.status.has_failed():
+        # A failed step may have left tasks behind, for which the portal would wait for ever.
+        context.portal.call(context.portal.stop, True)
     context.stack.close()
--- a/tests/steps/dispatch/dispatch_steps.py
+++ b/tests/steps/dispatch/dispatch_steps.py
@@ -4,7 +4,6 @@
 
 import anyio
 from behave import given, then, when
-
 from tests.steps.dispatch import fakes
 
 
