--- a/src/hickorybeam/cli/main.py
+++ b/src/hickorybeam/cli/main.py
@@ -14,6 +14,7 @@
 from hickorybeam.cli.keys import KeyCommands
 from hickorybeam.cli.render import as_json, lines_of, table
 from hickorybeam.cli.tickets import TicketCommands
+from hickorybeam.clock import SystemClock
 from hickorybeam.errors import ANSWERS, GatewayError
 from hickorybeam.settings import load_settings
 
@@ -74,14 +75,18 @@
         return table(rows, header)
 
     def authority(self, folder: str, *vms: str) -> str:
-        """Make a development authority and a certificate for each VM.
+        """Make a development authority and a certificate for each VM, or one for the fleet.
 
         :param folder: where the files go; an authority that is there already is used.
         """
-        from hickorybeam.peers import authority
-
-        made = authority.make_files(Path(folder), vms)
-        return "\n".join(str(path) for path in made)
+        from hickorybeam.peers import make_authority, make_certificate
+
+        path, wall_ms = Path(folder), SystemClock().wall()
+        if not (path / "authority.crt").exists():
+            make_authority(path, wall_ms=wall_ms)
+        for vm in vms or ("",):
+            make_certificate(path, wall_ms=wall_ms, vm=vm)
+        return "\n".join(sorted(str(file) for file in path.iterdir()))
 
     def demo(self, deployment: str = "tour-de-terre") -> None:
         """Run a whole deployment in one process and tell what happens.
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -51,7 +51,7 @@
 
 
 def before_step(context, step):
-    faulthandler.dump_traceback_later(STEP_LIMIT_S, exit=True)
+    faulthandler.dump_traceback_later(STEP_LIMIT_S, exit=True, file=sys.__stderr__)
 
 
 def after_step(context, step):
