--- a/src/hickorybeam/daemon.py
+++ b/src/hickorybeam/daemon.py
@@ -12,11 +12,9 @@
 from hickorybeam import ports
 from hickorybeam.backends import BackendsService
 from hickorybeam.clock import SystemClock
-from hickorybeam.control import ControlService
 from hickorybeam.dispatch import DispatchService
 from hickorybeam.front import FrontService
 from hickorybeam.kernel import Kernel
-from hickorybeam.once import OnceService
 from hickorybeam.peers import MembersService, PeersService
 from hickorybeam.platform import EtcdPlatform
 from hickorybeam.shares import BudgetService
@@ -60,12 +58,9 @@
             BudgetService,
             BackendsService,
             DispatchService,
-            OnceService,
             FrontService,
         ):
             kernel.add(kind(cfg=cfg, clock=clock, counters=counters))
-        if cfg.control.enabled:
-            kernel.add(ControlService(cfg=cfg, clock=clock, counters=counters))
         return cls(kernel, counters)
 
     def me(self) -> EntryVm:
--- a/src/hickorybeam/demo/backends.py
+++ b/src/hickorybeam/demo/backends.py
@@ -27,7 +27,8 @@
 
     def ports(self) -> dict[str, int]:
         """Return the port that each backend server really got."""
-        return {name: server.port for name, server in (*self.engines.items(), *self.plains.items())}
+        engines = {name: server.port for name, server in self.engines.items()}
+        return engines | {name: server.port for name, server in self.plains.items()}
 
     def executions(self) -> int:
         """Return how many calls the plain services have run."""
--- a/src/hickorybeam/demo/story.py
+++ b/src/hickorybeam/demo/story.py
@@ -30,7 +30,17 @@
 
     :param keep: leave the deployment running afterwards, until interrupted.
     """
-    anyio.run(_run, Deployment.load(deployment), keep)
+    try:
+        anyio.run(_run, Deployment.load(deployment), keep)
+    except BaseExceptionGroup as group:
+        raise _first_cause(group) from None
+
+
+def _first_cause(exc: BaseException) -> BaseException:
+    """Return the error inside nested groups: each embedded server adds a group around it."""
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
 
 
 async def _run(deployment: Deployment, keep: bool) -> None:
