--- a/src/hickorybeam/kernel/kernel.py
+++ b/src/hickorybeam/kernel/kernel.py
@@ -7,6 +7,8 @@
 import anyio
 from absl import logging
 
+from hickorybeam.clock import MS_PER_SECOND
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -21,6 +23,8 @@
 FIRST_RESTART_MS = 50
 LONGEST_RESTART_MS = 5_000
 STABLE_AFTER_MS = 10_000
+# Above the longest stream that the default deadline and engine limits let run.
+DRAIN_LIMIT_MS = 300_000
 
 
 class KernelError(Exception):
@@ -64,10 +68,12 @@
     """Holds the services of one process.
 
     :param clock: the time source every service shares.
+    :param drain_limit_ms: how long one service may take to finish its work at the end.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, drain_limit_ms: int = DRAIN_LIMIT_MS) -> None:
         self.clock = clock
+        self._drain_limit_ms = drain_limit_ms
         self.restarts: dict[str, int] = {}
         self._services: dict[str, Service] = {}
         self._stop = anyio.Event()
@@ -94,6 +100,10 @@
         """Whether a service of this name is registered."""
         return name in self._services
 
+    def services(self) -> tuple[Service, ...]:
+        """Return every registered service."""
+        return tuple(self._services.values())
+
     def stop(self) -> None:
         """Ask ``run`` to drain and return."""
         self._stop.set()
@@ -117,12 +127,24 @@
             if ready is not None:
                 ready()
             await self._stop.wait()
-            for service in reversed(order):
-                await service.drain()
+            await self._drain(order)
             for service in reversed(order):
                 scopes[service.name].cancel()
                 await ended[service.name].wait()
 
+    async def _drain(self, order: list[Service]) -> None:
+        """Let every service finish; a peer or caller that never ends cannot keep the process.
+
+        Without the limit one stalled stream would leave a VM half shut down for good: it has
+        left the directory and still holds its leases. Each service has its own limits for what
+        it waits for; this one is for what they overlook.
+        """
+        for service in reversed(order):
+            with anyio.move_on_after(self._drain_limit_ms / MS_PER_SECOND) as scope:
+                await service.drain()
+            if scope.cancelled_caught:
+                logging.error("service %s did not finish in time", service.name)
+
     async def _supervise(
         self, service: Service, started: Started, scope: anyio.CancelScope, ended: anyio.Event
     ) -> None:
--- a/tests/steps/kernel/kernel_steps.py
+++ b/tests/steps/kernel/kernel_steps.py
@@ -12,6 +12,7 @@
 
     class Probe(Service):
         crashes = 0
+        stuck = False
         starts = 0
 
         async def main(self, started):
@@ -28,16 +29,27 @@
 
         async def drain(self):
             events.append(f"drain {self.name}")
+            if self.stuck:
+                await anyio.sleep_forever()
 
     Probe.name = name.strip()
     Probe.needs = tuple(needs.split()) if needs else ()
     return Probe()
 
 
+@given('a kernel with services "{specs}" and {limit_ms:d} ms to finish')
+def step_limited_kernel(context, specs, limit_ms):
+    make_kernel(context, specs, drain_limit_ms=limit_ms)
+
+
 @given('a kernel with services "{specs}"')
 def step_kernel(context, specs):
+    make_kernel(context, specs)
+
+
+def make_kernel(context, specs, **options):
     context.events = []
-    context.kernel = context.call(lambda: Kernel(SystemClock()))
+    context.kernel = context.call(lambda: Kernel(SystemClock(), **options))
     context.probes = {}
     for spec in specs.split(","):
         probe = make_service(spec.strip(), context.events)
@@ -45,6 +57,11 @@
         context.kernel.add(probe)
 
 
+@given('service "{name}" never finishes')
+def step_stuck(context, name):
+    context.probes[name].stuck = True
+
+
 @given('service "{name}" crashes {count:d} times')
 def step_crashes(context, name, count):
     context.probes[name].crashes = count
