--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -119,7 +119,7 @@
                 await fleet.add(f"{data_centre}.{number}", data_centre, tls=tls)
         fleet.tg.start_soon(report_loads, fleet, loads)
         while not fleet.agree() and time.perf_counter() - began < MEET_S:
-            await anyio.sleep(0.2)  # noqa: ASYNC110 - no VM tells when all agree
+            await anyio.sleep(0.2)
         met_s = time.perf_counter() - began
         await anyio.sleep(SETTLE_S)
         cpu, wall = time.process_time(), time.perf_counter()
