peers: steady topics share a long-lived stream for each peer

Most of a unary call is its headers. Topic(steady=True) is for small requests that come often; heartbeats are. Large replies keep calls of their own.

--- a/src/hickorybeam/peers/client.py
+++ b/src/hickorybeam/peers/client.py
@@ -28,6 +28,7 @@
     Ask,
     Forward,
     Parts,
+    TransportEndedError,
     to_error,
 )
 
@@ -37,7 +38,7 @@
     from hickorybeam.model import AnswerPart, VmId
     from hickorybeam.peers.links import Address, Links, PeerChannel
 
-__all__ = ("PeerClient",)
+__all__ = ("TRANSPORT_ERRORS", "PeerClient")
 
 # grpclib reports a connection that ends inside a message by an assertion.
 TRANSPORT_ERRORS = (
@@ -48,6 +49,7 @@
     AssertionError,
     h2.exceptions.ProtocolError,
     msgspec.DecodeError,
+    TransportEndedError,
 )
 
 
@@ -98,9 +100,31 @@
                     reply: Answered | None = await stream.recv_message()
         if reply is None:
             raise _unreachable(address, "no reply", progress.ran)
-        if reply.error is not None:
-            raise to_error(reply.error)
-        return reply.body
+        return _body(reply)
+
+    async def ask_steadily(self, address: Address, request: Ask, *, timeout_ms: int) -> bytes:
+        """Send one request on the long-lived stream and return the reply's body."""
+        talk = self._links.conversation(address)
+        heard = talk.heard
+        sent = False
+        with _absorb_cancellations():
+            try:
+                with anyio.fail_after(timeout_ms / MS_PER_SECOND):
+                    stream = await talk.open()
+                    self._check_peer(stream, request.to)
+                    sent = True
+                    reply = await talk.ask(stream, request)
+            except GatewayError:
+                raise
+            except ssl.SSLCertVerificationError as exc:
+                raise GatewayError(ErrorKind.PEER_REFUSED, str(address), ran=Ran.NO) from exc
+            except TRANSPORT_ERRORS as exc:
+                # A stream on which nothing came in meanwhile is never used again.
+                if talk.heard == heard:
+                    talk.end()
+                ran = Ran.UNKNOWN if sent else Ran.NO
+                raise _unreachable(address, type(exc).__name__, ran) from exc
+        return _body(reply)
 
     async def forward(self, address: Address, request: Forward) -> AsyncGenerator[AnswerPart, None]:
         """Send a call and yield the answer's parts; closing the iterator cancels it there."""
@@ -153,6 +177,12 @@
                 raise _unreachable(address, type(exc).__name__, progress.ran) from exc
 
 
+def _body(reply: Answered) -> bytes:
+    if reply.error is not None:
+        raise to_error(reply.error)
+    return reply.body
+
+
 def _in_order(parts: Parts) -> Iterator[AnswerPart]:
     if parts.head is not None:
         yield parts.head
--- a/src/hickorybeam/peers/heartbeat.py
+++ b/src/hickorybeam/peers/heartbeat.py
@@ -90,6 +90,6 @@
     reached: bool
 
 
-HEARTBEAT = Topic("heartbeat", Heartbeat, Heartbeat)
+HEARTBEAT = Topic("heartbeat", Heartbeat, Heartbeat, steady=True)
 PROBE = Topic("probe", Probe, Probed)
 WHO = Topic("who", Who, Here)
--- a/src/hickorybeam/peers/links.py
+++ b/src/hickorybeam/peers/links.py
@@ -17,11 +17,12 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.peers.codec import MessagePackCodec
+from hickorybeam.peers.conversation import Conversation
 
 if TYPE_CHECKING:
     import ssl
     from asyncio import BaseTransport
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from hickorybeam.clock import Clock
 
@@ -55,6 +56,14 @@
         return f"{self.host}:{self.port}"
 
 
+def windows() -> Configuration:
+    """Return grpclib's settings with no pings, where every call has a timeout of its own."""
+    return Configuration(
+        http2_connection_window_size=CONNECTION_WINDOW_BYTES,
+        http2_stream_window_size=STREAM_WINDOW_BYTES,
+    )
+
+
 def keep_alive(silent_after_ms: int) -> Configuration:
     """Return grpclib's settings: a ping at half the time, closed when unanswered as long."""
     half_s = silent_after_ms / 2 / MS_PER_SECOND
@@ -105,27 +114,52 @@
         """Return how much message data ever came in on the present connection."""
         return 0 if self._protocol is None else int(self._protocol.connection.data_received)
 
+    def abort(self) -> None:
+        """Close the connection without waiting for unsent bytes, which may never leave."""
+        protocol = self._protocol
+        self.close()
+        if isinstance(protocol, AbortableProtocol):
+            protocol.abort_if_closing()
+
     def abort_if_closing(self) -> None:
         """End the connection if its close hangs."""
         if isinstance(self._protocol, AbortableProtocol):
             self._protocol.abort_if_closing()
 
 
+@dataclass(slots=True)
+class Spoken:
+    """A conversation and when it was last used."""
+
+    conversation: Conversation
+    last_used: int = 0
+
+
 class Links:
     """All channels of this VM, by address.
 
     :param tls: context for connections to peers; ``None`` for plain connections.
     :param silent_after_ms: how long a connection with open calls may stay silent.
+    :param start: starts the task of a new conversation.
     """
 
-    def __init__(self, *, clock: Clock, tls: ssl.SSLContext | None, silent_after_ms: int):
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tls: ssl.SSLContext | None,
+        silent_after_ms: int,
+        start: Callable[[Conversation], None],
+    ) -> None:
+        self._start = start
+        self._conversations: dict[Address, Spoken] = {}
         self._clock = clock
         self._tls = tls
         self._cfg = keep_alive(silent_after_ms)
         self._channels: dict[Address, list[PeerChannel]] = {}
 
     def __len__(self) -> int:
-        return sum(len(channels) for channels in self._channels.values())
+        return sum(map(len, self._channels.values())) + len(self._conversations)
 
     @contextmanager
     def channel(self, address: Address) -> Iterator[PeerChannel]:
@@ -138,7 +172,17 @@
             chosen.open_calls -= 1
             chosen.last_used = self._clock.now()
             if chosen.retired and not chosen.open_calls:
-                chosen.close()
+                chosen.abort()
+
+    def conversation(self, address: Address) -> Conversation:
+        """Return the conversation with a peer, begun if there is none."""
+        found = self._conversations.get(address)
+        if found is None or found.conversation.ended:
+            channel = PeerChannel(address, tls=self._tls, cfg=windows())
+            found = self._conversations[address] = Spoken(Conversation(channel))
+            self._start(found.conversation)
+        found.last_used = self._clock.now()
+        return found.conversation
 
     def retire(self, address: Address, channel: PeerChannel) -> None:
         """Give no new call to a channel that fell silent; open ones are left to the pings."""
@@ -158,6 +202,11 @@
                     channel.close()
             if not channels:
                 del self._channels[address]
+        for address, spoken in list(self._conversations.items()):
+            if spoken.conversation.idle and now - spoken.last_used > IDLE_MS:
+                spoken.conversation.end()
+            if spoken.conversation.ended:
+                del self._conversations[address]
 
     def close(self) -> None:
         """Close every channel."""
@@ -165,6 +214,9 @@
             for channel in channels:
                 channel.close()
         self._channels.clear()
+        for spoken in self._conversations.values():
+            spoken.conversation.end()
+        self._conversations.clear()
 
     def _usable(self, address: Address) -> PeerChannel:
         channels = self._channels.setdefault(address, [])
--- a/src/hickorybeam/peers/server.py
+++ b/src/hickorybeam/peers/server.py
@@ -4,14 +4,25 @@
 
 import logging
 from contextlib import aclosing
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
+import anyio
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
 
 from hickorybeam.peers.codec import MessagePackCodec
 from hickorybeam.peers.links import AbortableProtocol, keep_alive
-from hickorybeam.peers.wire import ASK_METHOD, FORWARD_METHOD, Answered, Ask, Forward, Parts
+from hickorybeam.peers.wire import (
+    ASK_METHOD,
+    FORWARD_METHOD,
+    TALK_METHOD,
+    Answered,
+    Ask,
+    Forward,
+    NumberedAsk,
+    Parts,
+)
 
 if TYPE_CHECKING:
     import ssl
@@ -19,6 +30,9 @@
 
 __all__ = ("PeerServer", "Receiver")
 
+# As many as HTTP/2 streams of a connection would admit.
+MAX_REQUESTS_AT_ONCE = 100
+
 # The library logs a line for every call that its sender cancelled, which is daily business.
 logging.getLogger("grpclib.server").setLevel(logging.WARNING)
 
@@ -49,6 +63,7 @@
         """Return the methods, as grpclib asks for them."""
         return {
             ASK_METHOD: Handler(self._ask, Cardinality.UNARY_UNARY, Ask, Answered),
+            TALK_METHOD: Handler(self._talk, Cardinality.STREAM_STREAM, NumberedAsk, Answered),
             FORWARD_METHOD: Handler(self._forward, Cardinality.UNARY_STREAM, Forward, Parts),
         }
 
@@ -88,8 +103,38 @@
         ask: Ask = await stream.recv_message()
         await stream.send_message(await self._receiver.on_ask(ask, stream.peer.cert()))
 
+    async def _talk(self, stream: Any) -> None:
+        _stop_pings(stream)
+        sending = anyio.Lock()
+        room = anyio.Semaphore(MAX_REQUESTS_AT_ONCE)
+        async with anyio.create_task_group() as tg:
+            async for numbered in stream:
+                await room.acquire()
+                tg.start_soon(self._reply, stream, numbered, sending, room)
+
+    async def _reply(
+        self, stream: Any, numbered: NumberedAsk, sending: anyio.Lock, room: anyio.Semaphore
+    ) -> None:
+        try:
+            answered = await self._receiver.on_ask(numbered.ask, stream.peer.cert())
+            async with sending:
+                await stream.send_message(replace(answered, number=numbered.number))
+        finally:
+            room.release()
+
     async def _forward(self, stream: Any) -> None:
         forward: Forward = await stream.recv_message()
         async with aclosing(self._receiver.on_forward(forward, stream.peer.cert())) as answer:
             async for parts in answer:
                 await stream.send_message(parts)
+
+
+def _stop_pings(stream: Any) -> None:
+    """Send no pings on a connection whose only stream is a conversation.
+
+    Its asker gives every request a timeout, so pings find nothing that is not found anyway;
+    they doubled the bytes of membership. The library has no setting for one connection.
+    """
+    handle = stream._stream.connection._ping_handle
+    if handle is not None:
+        handle.cancel()
--- a/src/hickorybeam/peers/service.py
+++ b/src/hickorybeam/peers/service.py
@@ -5,6 +5,7 @@
 from contextlib import aclosing, asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING, Any, ClassVar, TypeVar
 
+import anyio
 import msgspec
 from absl import logging
 
@@ -13,7 +14,7 @@
 from hickorybeam.kernel import Service
 from hickorybeam.model import AnswerChunk, AnswerHead
 from hickorybeam.peers.admission import check_addressee, check_call, mark_hop
-from hickorybeam.peers.client import PeerClient
+from hickorybeam.peers.client import TRANSPORT_ERRORS, PeerClient
 from hickorybeam.peers.codec import pack, unpack
 from hickorybeam.peers.links import Address, Links
 from hickorybeam.peers.server import PeerServer
@@ -21,11 +22,13 @@
 from hickorybeam.peers.wire import Answered, Ask, Forward, Parts, to_wire
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Iterator
 
     from hickorybeam.clock import Clock
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.model import AnswerPart, Call, EntryVm, VmId
+    from hickorybeam.peers.conversation import Conversation
     from hickorybeam.settings import Settings
     from hickorybeam.telemetry import Counters
 
@@ -71,28 +74,41 @@
 
     async def main(self, started: Started) -> None:
         """Listen until cancelled."""
-        silent_ms = self._cfg.peers.silent_after_ms
-        tls = client_context(self._cfg.peers.tls)
-        listening_tls = server_context(self._cfg.peers.tls, self._handshake_refused)
-        self._links = Links(clock=self._clock, tls=tls, silent_after_ms=silent_ms)
-        self._client = PeerClient(
-            self._links,
-            connect_timeout_ms=self._cfg.peers.call_timeout_ms,
-            authenticate=tls is not None,
-        )
-        server = PeerServer(self, silent_after_ms=silent_ms)
+        cfg = self._cfg.peers
+        tls = client_context(cfg.tls)
+        listening_tls = server_context(cfg.tls, self._handshake_refused)
+        server = PeerServer(self, silent_after_ms=cfg.silent_after_ms)
+        async with anyio.create_task_group() as tg:
+
+            def start(talk: Conversation) -> None:
+                tg.start_soon(talk.run, cfg.call_timeout_ms, TRANSPORT_ERRORS)
+
+            self._links = Links(
+                clock=self._clock, tls=tls, silent_after_ms=cfg.silent_after_ms, start=start
+            )
+            self._client = PeerClient(
+                self._links,
+                connect_timeout_ms=cfg.call_timeout_ms,
+                authenticate=tls is not None,
+            )
+            try:
+                await self._listen(server, listening_tls, started)
+            finally:
+                self._links.close()
+                server.abort()
+
+    async def _listen(
+        self, server: PeerServer, tls: ssl.SSLContext | None, started: Started
+    ) -> None:
         vm = self._cfg.vm
-        try:
-            self.port = await server.listen(vm.host, self.port or vm.peer_port, tls=listening_tls)
-            started()
-            while True:
-                await self._clock.sleep(SWEEP_MS)
+        self.port = await server.listen(vm.host, self.port or vm.peer_port, tls=tls)
+        started()
+        while True:
+            await self._clock.sleep(SWEEP_MS)
+            if self._links is not None:
                 self._links.sweep()
-                server.sweep()
                 self._channels.set(len(self._links))
-        finally:
-            self._links.close()
-            server.abort()
+            server.sweep()
 
     async def drain(self) -> None:
         """Refuse new forwarded calls and wait for those that run here.
@@ -124,7 +140,9 @@
         ask = Ask(sender=self._me(), to=vm.id, topic=topic.name, body=pack(request))
         timeout_ms = self._cfg.peers.call_timeout_ms if timeout_ms is None else timeout_ms
         with self._counted(topic.name):
-            body = await self._ready().ask(self._address(vm), ask, timeout_ms=timeout_ms)
+            client = self._ready()
+            send = client.ask_steadily if topic.steady else client.ask
+            body = await send(self._address(vm), ask, timeout_ms=timeout_ms)
             try:
                 return unpack(topic.reply, body)
             except msgspec.DecodeError as exc:
--- a/src/hickorybeam/peers/wire.py
+++ b/src/hickorybeam/peers/wire.py
@@ -9,12 +9,27 @@
 # Needed at run time: msgspec reads the field types when it encodes.
 from hickorybeam.model import AnswerChunk, AnswerEnd, AnswerHead, Call, VmId  # noqa: TC001
 
-__all__ = ("Answered", "Ask", "Forward", "Parts", "WireError", "to_error", "to_wire")
+__all__ = (
+    "Answered",
+    "Ask",
+    "Forward",
+    "NumberedAsk",
+    "Parts",
+    "TransportEndedError",
+    "WireError",
+    "to_error",
+    "to_wire",
+)
 
 ASK_METHOD = "/hickorybeam.Peer/Ask"
+TALK_METHOD = "/hickorybeam.Peer/Talk"
 FORWARD_METHOD = "/hickorybeam.Peer/Forward"
 
 
+class TransportEndedError(Exception):
+    """A stream to a peer ended while a reply on it was awaited."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WireError:
     """A ``GatewayError`` between VMs; the kind is text, since a newer VM may know more kinds."""
@@ -37,12 +52,21 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NumberedAsk:
+    """A request on a long-lived stream; its reply has the same number."""
+
+    number: int
+    ask: Ask
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answered:
-    """The reply to an ``Ask``: a body or an error."""
+    """The reply to an ``Ask``: a body or an error; numbered on a long-lived stream."""
 
     body: bytes = b""
     error: WireError | None = None
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -63,11 +63,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Topic(Generic[Q, R]):
-    """One kind of request between VMs: its name and the types of request and reply."""
+    """One kind of request between VMs: its name and the types of request and reply.
+
+    ``steady`` topics have small messages that go often to the same peers; they share a
+    long-lived stream, at about half the processor time of a call of its own.
+    """
 
     name: str
     request: type[Q]
     reply: type[R]
+    steady: bool = False
 
 
 @runtime_checkable
--- a/tests/peers/silent_peer.feature
+++ b/tests/peers/silent_peer.feature
@@ -12,6 +12,23 @@
     When peer node A asks B to echo "three" through the relay
     Then the peer reply is "vm-a said three"
 
+  Scenario: A request on a long-lived stream that went silent
+    # Steady topics share one stream for each peer. When it goes silent the request on it is
+    # unknown, and the next one takes a new connection.
+    Given two peer nodes with a relay before B
+    When peer node A steadily asks B to echo "one" through the relay
+    And the relay forgets its open connections
+    And peer node A steadily asks B to echo "two" through the relay
+    Then the peer call fails with peer_unreachable, ran unknown
+    When peer node A steadily asks B to echo "three" through the relay
+    Then the peer reply is "vm-a said three"
+
+  Scenario: Requests on a long-lived stream do not wait for each other
+    # One handler takes long. The replies of the others overtake it, each to its own asker.
+    Given two peer nodes with a relay before B
+    When peer node A steadily asks B to echo 20 words at once, the first slowly
+    Then every steady asker got its own word and the first came last
+
   Scenario: A forwarded answer goes silent half way
     # The caller has part of its answer. Pings go unanswered, so the caller gets an error
     # within about the silent time instead of waiting for ever, and the executor, which sees
--- a/tests/steps/peers/silent_steps.py
+++ b/tests/steps/peers/silent_steps.py
@@ -2,6 +2,7 @@
 
 import socket
 from contextlib import aclosing
+from dataclasses import replace
 
 import anyio
 from behave import given, then, when
@@ -14,6 +15,7 @@
 from support.peer_nodes import ECHO, PLAIN, Node, Words, collect, enter, make_call
 
 SILENT_MS = 400
+STEADY = replace(ECHO, name="steady echo", steady=True)
 TINY_BUFFER = 2048
 
 
@@ -25,19 +27,35 @@
     peers = PeerSettings(tls=PLAIN, silent_after_ms=SILENT_MS, call_timeout_ms=SILENT_MS)
     context.a = context.call(lambda: Node("vm-a", peers=peers))
     context.b = context.call(lambda: Node("vm-b", "thies", peers=peers))
+
+    async def echo_slowly(sender, words):
+        if words.text == "slow":
+            await context.others_answered.wait()
+        return await echo(sender, words)
+
     context.b.peers.serve(ECHO, echo)
+    context.b.peers.serve(STEADY, echo_slowly)
     enter(context, context.a.running())
     enter(context, context.b.running())
     context.relay = enter(context, relay.serve("127.0.0.1", context.b.peers.port))
     context.target = context.b.at(context.relay.port)
 
 
+@when('peer node A steadily asks B to echo "{text}" through the relay')
+def step_ask_steadily(context, text):
+    ask_through(context, STEADY, text)
+
+
 @when('peer node A asks B to echo "{text}" through the relay')
 def step_ask(context, text):
+    ask_through(context, ECHO, text)
+
+
+def ask_through(context, topic, text):
     async def ask():
         context.reply = context.error = None
         try:
-            context.reply = await context.a.peers.ask(context.target, ECHO, Words(text))
+            context.reply = await context.a.peers.ask(context.target, topic, Words(text))
         except GatewayError as exc:
             context.error = exc
 
@@ -154,3 +172,30 @@
 def step_once(context):
     assert [call.hops for call in context.a.dispatch.calls] == [0]
     assert [call.hops for call in context.b.dispatch.calls] == [1]
+
+
+@when("peer node A steadily asks B to echo {count:d} words at once, the first slowly")
+def step_at_once(context, count):
+    context.answers = []
+
+    async def ask(text):
+        reply = await context.a.peers.ask(context.target, STEADY, Words(text), timeout_ms=5_000)
+        context.answers.append((text, reply.text))
+        if len(context.answers) == count - 1:
+            context.others_answered.set()
+
+    async def run():
+        context.others_answered = anyio.Event()
+        async with anyio.create_task_group() as tg:
+            for text in ["slow", *(f"word{number}" for number in range(count - 1))]:
+                tg.start_soon(ask, text)
+
+    context.count = count
+    context.call(run)
+
+
+@then("every steady asker got its own word and the first came last")
+def step_own_word(context):
+    assert len(context.answers) == context.count
+    assert all(reply == f"vm-a said {text}" for text, reply in context.answers)
+    assert context.answers[-1][0] == "slow"
