--- a/src/hickorybeam/peers/server.py
+++ b/src/hickorybeam/peers/server.py
@@ -8,7 +8,9 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
+import h2.exceptions
 from grpclib.const import Cardinality, Handler
+from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server
 
 from hickorybeam.peers.codec import MessagePackCodec
@@ -33,6 +35,9 @@
 # As many as HTTP/2 streams of a connection would admit.
 MAX_REQUESTS_AT_ONCE = 100
 
+# What sending raises once the other end has gone.
+GONE = (h2.exceptions.ProtocolError, StreamTerminatedError)
+
 # The library logs a line for every call that its sender cancelled, which is daily business.
 logging.getLogger("grpclib.server").setLevel(logging.WARNING)
 
@@ -119,6 +124,10 @@
             answered = await self._receiver.on_ask(numbered.ask, stream.peer.cert())
             async with sending:
                 await stream.send_message(replace(answered, number=numbered.number))
+        except GONE:
+            # The asker closed the stream or died: nobody waits for this reply, and an error
+            # here would be logged for every VM that leaves.
+            return
         finally:
             room.release()
 
--- a/tests/peers/silent_peer.feature
+++ b/tests/peers/silent_peer.feature
@@ -29,6 +29,13 @@
     When peer node A steadily asks B to echo 20 words at once, the first slowly
     Then every steady asker got its own word and the first came last
 
+  Scenario: An asker goes away while its steady request is being answered
+    # The reply finds its stream closed. That is daily business: it must not end the replies
+    # to others on the stream, nor be logged as an error for every VM that leaves.
+    Given a peer server whose handlers answer at once
+    When a steady reply finds its stream closed
+    Then the reply is dropped without an error
+
   Scenario: A forwarded answer goes silent half way
     # The caller has part of its answer. Pings go unanswered, so the caller gets an error
     # within about the silent time instead of waiting for ever, and the executor, which sees
--- a/tests/steps/peers/silent_steps.py
+++ b/tests/steps/peers/silent_steps.py
@@ -6,10 +6,13 @@
 
 import anyio
 from behave import given, then, when
+from h2.exceptions import StreamClosedError
 
 from hickorybeam.errors import GatewayError
-from hickorybeam.model import AnswerChunk
+from hickorybeam.model import AnswerChunk, VmId
 from hickorybeam.peers.links import AbortableProtocol
+from hickorybeam.peers.server import PeerServer
+from hickorybeam.peers.wire import Answered, Ask, NumberedAsk
 from hickorybeam.settings import PeerSettings
 from hickorybeam.standins import relay
 from support.peer_nodes import ECHO, PLAIN, Node, Words, collect, enter, make_call
@@ -199,3 +202,44 @@
     assert len(context.answers) == context.count
     assert all(reply == f"vm-a said {text}" for text, reply in context.answers)
     assert context.answers[-1][0] == "slow"
+
+
+class ClosedStream:
+    class peer:
+        @staticmethod
+        def cert():
+            return None
+
+    async def send_message(self, message):
+        raise StreamClosedError(1)
+
+
+class Answering:
+    async def on_ask(self, ask, certificate):
+        return Answered(body=b"x")
+
+
+@given("a peer server whose handlers answer at once")
+def step_server(context):
+    context.server = context.call(lambda: PeerServer(Answering(), silent_after_ms=SILENT_MS))
+
+
+@when("a steady reply finds its stream closed")
+def step_closed_stream(context):
+    vm = VmId("vm-a", "1")
+    numbered = NumberedAsk(number=1, ask=Ask(sender=vm, to=vm, topic="t", body=b""))
+
+    async def run():
+        context.room = anyio.Semaphore(0, max_value=1)
+        try:
+            await context.server._reply(ClosedStream(), numbered, anyio.Lock(), context.room)
+        except Exception as exc:
+            return exc
+
+    context.raised = context.call(run)
+
+
+@then("the reply is dropped without an error")
+def step_dropped(context):
+    assert context.raised is None, context.raised
+    assert context.room.value == 1
