peers: a VM that said its last word tells no more

In a data centre whose VMs had all left, the reader of the list was the first of an empty list: members crashed and restarted at the end of a demo. The scenario fails without the change.

Tests: behave tests/peers/membership.feature: the new scenario passed.

--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -220,7 +220,9 @@
             tg.start_soon(self._registry.run)
             tg.start_soon(self._push_news)
             while True:
-                self._tick()
+                # After its last word a VM is in no view, its own included, and tells no more.
+                if not self._exchange.mine.gone:
+                    self._tick()
                 await self._clock.sleep(self._interval())
 
     async def drain(self) -> None:
@@ -523,6 +525,8 @@
     async def _look_around(self) -> None:
         """Read the list for VMs that the view lacks, as when two halves never met."""
         local = self._alive_in(self.me.data_centre)
+        if self.me.id.name not in local:
+            return
         reader = ring.delegates(local, of=self.me.data_centre, towards="list")[0]
         if reader == self.me.id.name or len(local) == 1:
             await self._read_list()
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -133,3 +133,11 @@
     When a later process takes the name of "dakar-1.2"
     Then the old process of "dakar-1.2" counts as superseded
     And every VM of the fleet sees the later process only
+
+  Scenario: All VMs of a data centre leave while the rest of each still shuts down
+    # Membership has said its last word, other services still finish. The data centre's list
+    # is empty in every view, also in that of the leaving VMs.
+    Given a fleet with 2 VMs in "dakar-1" and 1 VMs in "thies-1"
+    When the membership of all VMs of "dakar-1" is drained and 40 heartbeats pass
+    Then no service of the fleet crashed
+    And the VMs of "thies-1" see exactly their own VMs
--- a/tests/steps/peers/partition_steps.py
+++ b/tests/steps/peers/partition_steps.py
@@ -8,7 +8,7 @@
 from hickorybeam.model import EntryVm, VmId
 from hickorybeam.peers import pack, ring
 from hickorybeam.standins.relay import LinkState
-from support.fleet import of, start, until
+from support.fleet import HEARTBEAT_MS, of, start, until
 
 POLL_S = 0.02
 
@@ -203,3 +203,20 @@
 def step_later_only(context):
     context.call(until, context.fleet.agree)
     context.call(context.old.scope.cancel)
+
+
+@when('the membership of all VMs of "{data_centre}" is drained and {count:d} heartbeats pass')
+def step_drained(context, data_centre, count):
+    async def run():
+        for found in of(context, data_centre):
+            await found.members.drain()
+        await anyio.sleep(count * HEARTBEAT_MS / 1000)
+        for found in of(context, data_centre):
+            await found.members._look_around()
+
+    context.call(run)
+
+
+@then("no service of the fleet crashed")
+def step_no_crash(context):
+    assert all(found.kernel.restarts == {} for found in context.fleet.members.values())
