--- a/src/hickorybeam/peers/exchange.py
+++ b/src/hickorybeam/peers/exchange.py
@@ -20,7 +20,10 @@
 
 __all__ = ("Exchange", "News")
 
-# A forecast is told again when it moved by a fifth and more than the noise, or after a while.
+# A forecast is told again when it moved by a fifth and more than the noise, or after a while;
+# and not more often than it can cross the other data centres, where each one that moves is
+# carried by every heartbeat.
+LOAD_SPACING_MS = 2_000
 LOAD_STEP = 0.2
 LOAD_NOISE_MS = 20.0
 LOAD_REFRESH_MS = 5_000
@@ -147,7 +150,7 @@
         if isinstance(known, OwnLoad) and not _moved(known.news, load, wall_ms):
             return
         news = LoadNews(
-            load.region, load.served, round(load.wait_ms, 1), round(load.free_tokens, 1), wall_ms
+            load.region, load.served, round(load.wait_ms), round(load.free_tokens), wall_ms
         )
         self._changes.put(key, OwnLoad(news))
 
@@ -157,8 +160,8 @@
             RegionLoad(
                 region=item.news.region,
                 served=item.news.served,
-                wait_ms=item.news.wait_ms,
-                free_tokens=item.news.free_tokens,
+                wait_ms=float(item.news.wait_ms),
+                free_tokens=float(item.news.free_tokens),
                 at_ms=item.at_ms,
             )
             for item in self._changes.since(0)
@@ -317,8 +320,9 @@
 
 
 def _moved(told: LoadNews, load: RegionLoad, wall_ms: int) -> bool:
-    if wall_ms - told.stamp >= LOAD_REFRESH_MS:
-        return True
+    age_ms = wall_ms - told.stamp
+    if age_ms < LOAD_SPACING_MS or age_ms >= LOAD_REFRESH_MS:
+        return age_ms >= LOAD_REFRESH_MS
     wait_step = max(LOAD_NOISE_MS, LOAD_STEP * max(told.wait_ms, load.wait_ms))
     free_step = LOAD_STEP * max(told.free_tokens, load.free_tokens, 1.0)
     return (
--- a/src/hickorybeam/peers/heartbeat.py
+++ b/src/hickorybeam/peers/heartbeat.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 # Needed at run time: msgspec reads the field types when it encodes.
 from hickorybeam.model import EntryVm  # noqa: TC001
 from hickorybeam.peers.view import MemberRecord  # noqa: TC001
@@ -22,17 +24,18 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class LoadNews:
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
     """What one region forecasts for one model or service.
 
-    ``stamp`` is the wall time at the VM that made it; the later one wins.
+    ``stamp`` is the wall time at the VM that made it; the later one wins. It travels as a bare
+    list and in whole numbers: at 32 models of two regions the field names alone would take
+    more than a node's 14 KB a second.
     """
 
     region: str
     served: str
-    wait_ms: float
-    free_tokens: float
+    wait_ms: int
+    free_tokens: int
     stamp: int
 
 
