peers: membership's partners and search in modules of their own

No behaviour changes.

Tests: behave tests/peers/membership.feature tests/peers/decisions.feature: 52 passed.

--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -18,16 +18,16 @@
 from hickorybeam.errors import GatewayError, Ran
 from hickorybeam.kernel import Service
 from hickorybeam.model import EntryVm, VmId, VmState
-from hickorybeam.peers import ring
 from hickorybeam.peers.exchange import Exchange
 from hickorybeam.peers.heartbeat import HEARTBEAT, PROBE, WHO, Heartbeat, Here, Probe, Probed, Who
-from hickorybeam.peers.links import Address
+from hickorybeam.peers.partners import JITTER, WIDE_EVERY, Partners
 from hickorybeam.peers.registry import Registry
+from hickorybeam.peers.search import Search, new_incarnation
 from hickorybeam.peers.suspicion import Suspect, Verdict, judge
 from hickorybeam.platform import Platform
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from anyio.abc import TaskGroup
 
@@ -38,11 +38,10 @@
     from hickorybeam.settings import Settings
     from hickorybeam.telemetry import Counters
 
-__all__ = ("MembersService", "new_incarnation")
+__all__ = ("MembersService",)
 
 # Counted in heartbeats.
 FINGER_EVERY = 2
-WIDE_EVERY = 2
 TRY_EVERY = 10
 TIDY_EVERY = 20
 # The list is read by one VM of each data centre, and by any that is alone in its own.
@@ -52,18 +51,12 @@
 # Three partners each reach a data centre in about as many steps as all of them would, with half
 # the messages; whoever is missed hears by the usual heartbeats.
 PUSH_FANOUT = 3
-JITTER = 0.1
 VMS_ASKED_ABOUT_SUSPECT = 3
 HEARD_LATELY = 2.5
 VMS_TRIED_AT_JOIN = 6
+VMS_TRIED_IN_PASSING = 2
 JOIN_TIMEOUT_MS = 2_000
 LEAVE_TIMEOUT_MS = 1_000
-# After this many silent times a data centre counts as cut off. Contacts reach its VMs through
-# the ring within a few heartbeats, which has to fit in with room.
-CUT_OFF_TIMES = 4
-# A deputy takes over a delegate's duty after this many silent times without news, each next
-# one after as many again.
-DEPUTY_TIMES = 2
 
 
 @runtime_checkable
@@ -73,18 +66,6 @@
     port: int
 
 
-def new_incarnation(wall_ms: int, *, after: str = "") -> str:
-    """Return an incarnation that sorts after those of earlier lives.
-
-    :param after: an incarnation of this VM's name that was seen; clocks of machines differ, and
-        a life that sorts before its predecessor would be taken for the dead one.
-    """
-    start = wall_ms
-    if after:
-        start = max(start, int(after.split("-")[0], 16) + 1)
-    return f"{start:012x}-{random.getrandbits(32):08x}"
-
-
 class MembersService(Service):
     """Keeps the view of the fleet; implements ``ports.Members``."""
 
@@ -111,8 +92,7 @@
         self._unreachable: set[VmId] = set()
         self._busy: set[VmId] = set()
         self._asking: set[VmId] = set()
-        self._wide_tries: dict[str, int] = {}
-        self._candidates: list[EntryVm] = []
+        self._partners = Partners(self._exchange, cfg.peers)
         self._ticks = 0
         self._push = anyio.Event()
         self._cached: tuple[int, tuple[EntryVm, ...]] = (-1, ())
@@ -131,6 +111,13 @@
             me=lambda: self.me,
             lease_ms=self._cfg.platform.lease_ms,
         )
+        self._search = Search(
+            peers=self._peers,
+            registry=self._registry,
+            exchange=self._exchange,
+            partners=self._partners,
+            seeds=self._cfg.peers.seeds,
+        )
         self._peers.serve(HEARTBEAT, self._on_heartbeat)
         self._peers.serve(PROBE, self._on_probe)
         self._peers.serve(WHO, self._on_who)
@@ -196,7 +183,7 @@
         return {
             "me": self.me.id.name,
             "superseded": self._exchange.superseded,
-            "cut_off": sorted(self._cut_off()),
+            "cut_off": sorted(self._partners.cut_off(self._clock.now())),
             "vms": [
                 {
                     "name": record.vm.id.name,
@@ -232,7 +219,10 @@
         )
         with anyio.move_on_after(LEAVE_TIMEOUT_MS / 1000):
             async with anyio.create_task_group() as tg:
-                for vm in self._neighbours():
+                for vm in [
+                    *self._partners.fingers(),
+                    *self._partners.wide(self._clock.now(), push=True),
+                ]:
                     tg.start_soon(self._beat, vm)
                 tg.start_soon(self._end_listing)
 
@@ -241,14 +231,9 @@
     async def _join(self) -> None:
         """Learn from the list and the seeds who is there and what life of ours they knew."""
         with anyio.move_on_after(JOIN_TIMEOUT_MS / 1000):
-            await self._read_list()
-        known = [vm.id.incarnation for vm in self._candidates if vm.id.name == self.me.id.name]
-        here: list[Here] = []
-        async with anyio.create_task_group() as tg:
-            for vm in self._to_try(VMS_TRIED_AT_JOIN):
-                tg.start_soon(self._who, vm, here)
-        known += [answer.you.vm.id.incarnation for answer in here if answer.you is not None]
-        latest = max(known, default="")
+            await self._search.read_list()
+        here = await self._search.ask(VMS_TRIED_AT_JOIN)
+        latest = self._search.latest_life(here)
         me = replace(self.me, peer_port=self._listener.port)
         if latest >= me.id.incarnation:
             incarnation = new_incarnation(self._clock.wall(), after=latest)
@@ -257,48 +242,9 @@
         for answer in here:
             self._exchange.meet(answer.me)
 
-    async def _read_list(self) -> None:
-        try:
-            listed = await self._registry.listed()
-        except GatewayError as exc:
-            logging.info("the list of VMs cannot be read: %s", exc.kind.value)
-            return
-        self._candidates = list(listed)
-
-    def _to_try(self, count: int) -> list[EntryVm]:
-        """Return VMs to try that are not in the view, own data centre first, then seeds."""
-        unknown = [
-            vm
-            for vm in self._candidates
-            if vm.id.name != self.me.id.name and not self._is_alive(vm.id.name)
-        ]
-        self._random.shuffle(unknown)
-        unknown.sort(key=lambda vm: vm.data_centre != self.me.data_centre)
-        seeds = [_seed(address) for address in self._cfg.peers.seeds]
-        self._random.shuffle(seeds)
-        half = count // 2
-        return unknown[: count - min(half, len(seeds))] + seeds[: max(half, count - len(unknown))]
-
-    async def _who(self, vm: EntryVm, here: list[Here]) -> None:
-        # Whoever listens there may answer: the list may still name an earlier life.
-        anyone = replace(vm, id=VmId(vm.id.name, ""))
-        try:
-            here.append(await self._peers.ask(anyone, WHO, Who(self.me.id.name)))
-        except GatewayError:
-            return
-
     async def _on_who(self, sender: VmId, who: Who) -> Here:
         return Here(self._exchange.mine, self._exchange.roster.get(who.name))
 
-    async def _try_unknown(self) -> None:
-        here: list[Here] = []
-        for vm in self._to_try(2):
-            await self._who(vm, here)
-        for answer in here:
-            if answer.me.vm.id.name != self.me.id.name:
-                self._exchange.meet(answer.me)
-                await self._beat(answer.me.vm)
-
     # Heartbeats.
 
     def _interval(self) -> float:
@@ -306,13 +252,13 @@
 
     def _tick(self) -> None:
         self._ticks += 1
-        local = self._fingers()
+        local = self._partners.fingers()
         if local:
             self._spawn(local[0])
         if len(local) > 1 and self._ticks % FINGER_EVERY == 0:
             self._spawn(local[1 + self._ticks // FINGER_EVERY % (len(local) - 1)])
         if self._ticks % WIDE_EVERY == 0:
-            for vm in self._wide_targets():
+            for vm in self._partners.wide(self._clock.now()):
                 self._spawn(vm)
         if self._ticks % TRY_EVERY == 0:
             self._start(self._try_departed)
@@ -348,7 +294,7 @@
             self._busy.discard(vm.id)
         self._beats.labels("ok").inc()
         self._heard_from(vm.id)
-        self._wide_tries.pop(vm.data_centre, None)
+        self._partners.wide_answered(vm.data_centre)
         news = self._exchange.on_reply(
             vm.id, request, reply, now_ms=self._clock.now(), wall_ms=self._clock.wall()
         )
@@ -390,57 +336,17 @@
             # Some of the neighbours hear it from others meanwhile, and more news may come.
             await self._clock.sleep(self._random.uniform(0, 2 * PUSH_SPACING_MS))
             self._push = anyio.Event()
-            local = [vm for vm in self._fingers() if self._exchange.owes(vm.id)]
+            local = [vm for vm in self._partners.fingers() if self._exchange.owes(vm.id)]
             self._random.shuffle(local)
-            for vm in (*local[:PUSH_FANOUT], *self._wide_targets(push=True)):
+            for vm in (*local[:PUSH_FANOUT], *self._partners.wide(self._clock.now(), push=True)):
                 if self._exchange.owes(vm.id):
                     self._spawn(vm)
 
-    # Whom to talk to.
-
-    def _alive_in(self, data_centre: str) -> dict[str, EntryVm]:
-        return {
-            record.vm.id.name: record.vm
-            for record in self._exchange.roster
-            if record.alive and record.vm.data_centre == data_centre
-        }
-
-    def _fingers(self) -> list[EntryVm]:
-        local = self._alive_in(self.me.data_centre)
-        return [local[name] for name in ring.fingers(self.me.id.name, local)]
-
-    def _neighbours(self) -> list[EntryVm]:
-        return [*self._fingers(), *self._wide_targets(push=True)]
-
-    def _wide_targets(self, *, push: bool = False) -> list[EntryVm]:
-        """Return the peers in other data centres towards which this VM speaks now."""
-        here = self.me.data_centre
-        now = self._clock.now()
-        local = self._alive_in(here)
-        period = self._cfg.peers.heartbeat_ms * WIDE_EVERY
-        others = {record.vm.data_centre for record in self._exchange.roster if record.alive}
-        targets = []
-        for there in sorted(others - {here}):
-            silent_ms = self._exchange.silent_for(there, now)
-            if not self._is_delegate(local, there, silent_ms):
-                continue
-            if not push and silent_ms < period * (1 - 2 * JITTER):
-                continue
-            far = self._alive_in(there)
-            order = ring.delegates(far, of=there, towards=here)
-            targets.append(far[order[self._wide_tries.get(there, 0) % len(order)]])
-        return targets
-
-    def _is_delegate(self, local: Iterable[str], there: str, silent_ms: int) -> bool:
-        order = ring.delegates(local, of=self.me.data_centre, towards=there)
-        deputy_ms = self._cfg.peers.silent_after_ms * DEPUTY_TIMES
-        return self.me.id.name in order[: 1 + silent_ms // deputy_ms]
-
     # Failures.
 
     def _missed(self, vm: EntryVm, exc: GatewayError) -> None:
         if vm.data_centre != self.me.data_centre:
-            self._wide_tries[vm.data_centre] = self._wide_tries.get(vm.data_centre, 0) + 1
+            self._partners.wide_missed(vm.data_centre)
             return
         if self.find(vm.id) is None:
             return
@@ -458,7 +364,7 @@
         reached: list[bool | None] = []
         try:
             async with anyio.create_task_group() as tg:
-                for other in self._others_to_ask(vm):
+                for other in self._witnesses(vm):
                     tg.start_soon(self._ask_other, other, vm, reached)
         finally:
             self._asking.discard(vm.id)
@@ -475,15 +381,12 @@
                 self._suspects[vm.id] = Suspect(self._clock.now())
         self._cached = (-1, ())
 
-    def _others_to_ask(self, suspect: EntryVm) -> list[EntryVm]:
-        """Return whom the suspect heartbeats: they know best, even if nobody can reach it."""
-        local = self._alive_in(self.me.data_centre)
-        names = ring.fingers(suspect.id.name, local)
-        others = [local[name] for name in names if name != self.me.id.name]
-        if not others:
-            others = [vm for vm in self.vms() if vm.data_centre != self.me.data_centre]
-            self._random.shuffle(others)
-        return others[:VMS_ASKED_ABOUT_SUSPECT]
+    def _witnesses(self, suspect: EntryVm) -> list[EntryVm]:
+        witnesses = self._partners.witnesses(suspect)
+        if not witnesses:
+            witnesses = [vm for vm in self.vms() if vm.data_centre != self.me.data_centre]
+            self._random.shuffle(witnesses)
+        return witnesses[:VMS_ASKED_ABOUT_SUSPECT]
 
     async def _ask_other(
         self, other: EntryVm, suspect: EntryVm, reached: list[bool | None]
@@ -524,22 +427,16 @@
 
     async def _look_around(self) -> None:
         """Read the list for VMs that the view lacks, as when two halves never met."""
-        local = self._alive_in(self.me.data_centre)
-        if self.me.id.name not in local:
-            return
-        reader = ring.delegates(local, of=self.me.data_centre, towards="list")[0]
-        if reader == self.me.id.name or len(local) == 1:
-            await self._read_list()
-            await self._try_unknown()
+        if self._partners.reads_list():
+            await self._search.read_list()
+            for answer in await self._search.ask(VMS_TRIED_IN_PASSING):
+                self._exchange.meet(answer.me)
+                await self._beat(answer.me.vm)
 
     # The view.
 
-    def _is_alive(self, name: str) -> bool:
-        record = self._exchange.roster.get(name)
-        return record is not None and record.alive
-
     def _believed_alive(self) -> tuple[EntryVm, ...]:
-        cut_off = self._cut_off()
+        cut_off = self._partners.cut_off(self._clock.now())
         return tuple(
             record.vm
             for record in self._exchange.roster
@@ -548,13 +445,6 @@
             and record.vm.data_centre not in cut_off
         )
 
-    def _cut_off(self) -> frozenset[str]:
-        now = self._clock.now()
-        limit_ms = self._cfg.peers.silent_after_ms * CUT_OFF_TIMES
-        others = {record.vm.data_centre for record in self._exchange.roster}
-        others.discard(self.me.data_centre)
-        return frozenset(name for name in others if self._exchange.silent_for(name, now) > limit_ms)
-
     def _announce(self, me: EntryVm) -> None:
         self._exchange.announce(me, wall_ms=self._clock.wall())
         self._push.set()
@@ -565,7 +455,7 @@
         self._suspects = {vm: s for vm, s in self._suspects.items() if self.find(vm)}
         self._unreachable = {vm for vm in self._unreachable if self.find(vm)}
         self._alive.labels("fleet").set(len(self.vms()))
-        self._alive.labels("data_centre").set(len(self._alive_in(self.me.data_centre)))
+        self._alive.labels("data_centre").set(len(self._partners.local()))
 
     async def _end_listing(self) -> None:
         try:
@@ -579,15 +469,3 @@
     if isinstance(exc.__cause__, ConnectionRefusedError):
         return True
     return exc.__cause__ is None and exc.ran is Ran.NO
-
-
-def _seed(text: str) -> EntryVm:
-    address = Address.parse(text)
-    return EntryVm(
-        id=VmId("", ""),
-        region="",
-        data_centre="",
-        host=address.host,
-        http_port=0,
-        peer_port=address.port,
-    )
--- a/tests/steps/peers/decision_steps.py
+++ b/tests/steps/peers/decision_steps.py
@@ -18,7 +18,7 @@
 from hickorybeam.model import EntryVm, RegionLoad, VmId, VmState
 from hickorybeam.peers import ring
 from hickorybeam.peers.exchange import Exchange
-from hickorybeam.peers.members import new_incarnation
+from hickorybeam.peers.search import new_incarnation
 from hickorybeam.peers.suspicion import Suspect, judge
 from hickorybeam.peers.view import MemberRecord, Roster
 from hickorybeam.policy.entries import entry_order
