--- a/tests/once/once.feature
+++ b/tests/once/once.feature
@@ -197,6 +197,19 @@
     Then the second booking is told "residency"
     And bookings ran 0 times
 
+  Scenario: a call that was forwarded once goes to no third VM
+    Given once VMs "a b"
+    When a booking with issued key "k" is drawn from once VM "a" and sent nowhere
+    And the booking with key "k" is forwarded by a peer to once VM "b"
+    Then the second booking is told "hop_limit"
+
+  Scenario: a VM that stood still after its claim does not run the call
+    # Its claim may have lapsed meanwhile, and another VM may have run the call.
+    Given once VMs "a b"
+    When a booking with chosen key "k" is sent to once VM "a", which stands for 61000 ms
+    Then the first booking is told "deadline"
+    And bookings ran 0 times
+
   Scenario: nothing of a request or its answer reaches the platform
     Given once VMs "a b"
     When a booking with chosen key "k" is sent to once VM "a"
--- a/tests/steps/once/once_steps.py
+++ b/tests/steps/once/once_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 from behave import given, then, when
 from tests.steps.once import fakes
 from tests.steps.shares.fakes import settle
@@ -219,3 +221,25 @@
     for key, item in items.items():
         for text in (one, two, three):
             assert text not in key and text.encode() not in item.value, (key, item.value)
+
+
+@when('the booking with key "{key}" is forwarded by a peer to once VM "{name}"')
+def step_forwarded(context, key, name):
+    call = replace(fakes.booking(key_of(context, key)), hops=1)
+    context.second = context.call(context.once.send, name, call)
+
+
+@when('a booking with chosen key "{key}" is sent to once VM "{name}", which stands for {ms:d} ms')
+def step_stands_still(context, key, name, ms):
+    node = context.once.nodes[name]
+    call = fakes.booking(key_of(context, key))
+
+    async def run():
+        node.paused = True
+        outcome = await context.once.send(name, call)
+        await context.once.clock.advance(ms)
+        node.paused = False
+        await settle()
+        return outcome
+
+    context.first = context.call(run)
--- a/tests/steps/shares/budget_steps.py
+++ b/tests/steps/shares/budget_steps.py
@@ -5,6 +5,7 @@
 from tests.steps.shares import fakes
 
 from hickorybeam.errors import GatewayError
+from hickorybeam.platform.port import Put
 from hickorybeam.policy.shares import PARTS, GroupLedger
 
 NAME = "acme"
@@ -111,6 +112,7 @@
 
 @then("the budget fleet kept within rate and burst")
 def step_kept(context):
+    assert not context.fleet.faults, context.fleet.faults[:3]
     kept(context.fleet.spent, context.rate, context.burst)
 
 
@@ -185,6 +187,9 @@
             platform.lose_answer = True
         case "lands late":
             platform.delay_write = True
+        case "lands half a second late":
+            platform.delay_write = True
+            platform.land_after_ms = 500
 
 
 @when('writes of budget VM "{name}" that were under way land')
@@ -202,12 +207,15 @@
             peers.lose_reply = True
         case "get its requests twice":
             peers.duplicate = True
+        case "are never reached":
+            peers.dumb = True
 
 
 @when("a change ticket sets the account to rate {rate:d} and burst {burst:d}")
 def step_ticket(context, rate, burst):
     async def apply():
         context.changed_ms = context.fleet.clock.now()
+        context.fleet.lowered = True
         for node in context.fleet.nodes.values():
             node.config.set([fakes.account(NAME, rate, burst)])
 
@@ -278,3 +286,71 @@
     calls = context.fleet.store.calls - context.calls_before
     each = calls / len(context.fleet.nodes) / (ms / 1000)
     assert 0 < each <= most, each
+
+
+@when('budget VM "{name}" is paused for {ms:d} ms and wakes with the platform out')
+def step_pause_out(context, name, ms):
+    async def pause():
+        fleet = context.fleet
+        fleet.nodes[name].pause()
+        await fleet.run(ms)
+        for node in fleet.nodes.values():
+            node.platform.out = True
+        fleet.nodes[name].resume()
+
+    context.call(pause)
+
+
+@when('the platform is out for budget VM "{name}" alone')
+def step_out_alone(context, name):
+    context.fleet.nodes[name].platform.out = True
+
+
+@when('budget VM "{name}" does not hear "{other}"')
+def step_deaf(context, name, other):
+    context.fleet.deaf.add((name, other))
+
+
+@when('{ms:d} ms pass after the lease of budget VM "{name}" lapsed')
+def step_lapsed(context, ms, name):
+    async def wait():
+        fleet = context.fleet
+        while any(f"holder/{name}@" in key for key in fleet.store.items):
+            await fleet.run(100)
+            fleet.store.expire()
+        await fleet.run(ms)
+
+    context.call(wait)
+
+
+@when('budget VM "{name}" renews its lease right before "{taker}" takes over')
+def step_race(context, name, taker):
+    """The taker has read that the lease is gone; the holder's key comes back before it writes."""
+    fleet = context.fleet
+    put = Put(f"shares/holder/{name}@1", name[0].encode())
+
+    def renew():
+        fleet.store.txn((), (put,))
+
+    async def race():
+        fleet.nodes[name].crash()
+        platform = fleet.nodes[taker].platform
+        while any(f"holder/{name}@" in key for key in fleet.store.items):
+            await fleet.run(100)
+            fleet.store.expire()
+        platform.before_write = None
+        txn = platform.store.txn
+        done = []
+
+        def hooked(compares, writes):
+            # Only the ledger write of the take-over, not the renewal of the taker's lease.
+            if not done and any("/group/" in one.key for one in writes):
+                done.append(True)
+                renew()
+            return txn(compares, writes)
+
+        platform.store.txn = hooked
+        await fleet.run(10_000)
+        assert done, "nothing was written"
+
+    context.call(race)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -44,7 +44,7 @@
         "policy/token_bucket.py",
         "given = min([tokens, self._room(), *(mark.room for mark in since)])",
         "given = min(tokens, self._room())",
-        "policy/shares.feature",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "new capacity starts empty",
@@ -82,7 +82,7 @@
         "policy/loans.py",
         "until = sent_ms + loan.duration_ms",
         "until = now_ms + loan.duration_ms",
-        "policy/shares.feature",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "borrower drops what ran out",
@@ -103,21 +103,21 @@
         "policy/loans.py",
         "        del self._open[report.number]\n",
         "",
-        "policy/shares.feature",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "lender waits for the loan's end",
         "policy/loans.py",
         "until = now_ms + self._duration_ms + self._margin_ms",
         "until = now_ms",
-        "policy/shares.feature",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "loans shrink with a lowered burst",
         "policy/loans.py",
         "        held.tokens *= burst / held.burst\n",
         "",
-        "policy/shares.feature",
+        "policy/share_parts.feature",
     ),
     # rate and burst: the ledger
     Mutation(
@@ -132,7 +132,7 @@
         "policy/shares.py",
         "                held = min(held, self.acting(account))",
         "                pass",
-        "policy/shares.feature",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "tokens that go along are counted once",
@@ -153,15 +153,7 @@
         "policy/shares.py",
         "if dead.data_centre != me.data_centre or dead.vm == me.vm:",
         "if dead.vm == me.vm:",
-        "shares",
-    ),
-    Mutation(
-        "dead only when of this data centre",
-        "shares/ledger.py",
-        "            if holder.data_centre == self.me.data_centre and holder.vm != self.me.vm\n"
-        "        }\n        return tuple(",
-        "            if holder.vm != self.me.vm\n        }\n        return tuple(",
-        "shares",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "paused past its lease: ask before spending",
@@ -240,6 +232,20 @@
         ">= 0",
         "shares",
     ),
+    Mutation(
+        "only rounds of the timer give fractions away",
+        "shares/service.py",
+        "        self._read_early = True\n        return request",
+        "        self._messages.post(_Round(gifts=True))\n        return request",
+        "shares",
+    ),
+    Mutation(
+        "parts under loans are not planned away",
+        "policy/rebalance.py",
+        "    spare = mine - max(demand.keep, floor_parts // places, min(used_here, mine))",
+        "    spare = mine - max(floor_parts // places, min(used_here, mine))",
+        "policy/share_parts.feature",
+    ),
     Mutation(
         "a lowered rate is in force at once",
         "shares/service.py",
@@ -247,6 +253,147 @@
         "        if self._applied is None:",
         "shares",
     ),
+    # at most once
+    Mutation(
+        "an issued key is bound to its account",
+        "once/keys.py",
+        "if key.vm != self.vm or not hmac.compare_digest(wanted.encode(), key.mac.encode()):",
+        "if key.vm != self.vm:",
+        "once",
+    ),
+    Mutation(
+        "an issued key runs at its issuer only",
+        "once/service.py",
+        "        if key.vm != self._me():\n            return self._forward(call, key)\n"
+        "        self._issue().check(key, call.account)\n",
+        "",
+        "once",
+    ),
+    Mutation(
+        "a key runs out",
+        "policy/at_most_once.py",
+        "            return Refused(ErrorKind.IDEMPOTENCY_EXPIRED)\n",
+        "            pass\n",
+        "once",
+    ),
+    Mutation(
+        "a full table refuses",
+        "policy/at_most_once.py",
+        'return Refused(ErrorKind.VM_FULL, "too many idempotency keys in use")',
+        "self._records.pop(next(iter(self._records)))",
+        "policy/at_most_once.feature",
+    ),
+    Mutation(
+        "a key is used for one content",
+        "policy/at_most_once.py",
+        "        if record.content != content:\n",
+        "        if False:\n",
+        "once",
+    ),
+    Mutation(
+        "a running attempt is not called a mismatch",
+        "policy/at_most_once.py",
+        "        if record.state is ClaimState.RUNNING:\n"
+        "            return Refused(ErrorKind.IDEMPOTENCY_RUNNING)\n"
+        "        if record.content != content:\n"
+        "            return Refused(ErrorKind.IDEMPOTENCY_MISMATCH)\n",
+        "        if record.content != content:\n"
+        "            return Refused(ErrorKind.IDEMPOTENCY_MISMATCH)\n"
+        "        if record.state is ClaimState.RUNNING:\n"
+        "            return Refused(ErrorKind.IDEMPOTENCY_RUNNING)\n",
+        "policy/at_most_once.feature",
+    ),
+    Mutation(
+        "an unknown outcome keeps the key",
+        "policy/at_most_once.py",
+        "        self._records[key].state = ClaimState.UNKNOWN",
+        "        del self._records[key]",
+        "once",
+    ),
+    Mutation(
+        "a claim of another VM is heeded",
+        "policy/at_most_once.py",
+        "            if claim.owner == me:\n                return Start()",
+        "            if True:\n                return Start()",
+        "policy/at_most_once.feature",
+    ),
+    Mutation(
+        "only a refusal before the first byte frees the key",
+        "once/attempt.py",
+        "if exc.ran is Ran.NO and not self.kept:",
+        "if True:",
+        "once",
+    ),
+    Mutation(
+        "a claim is compared with what was read",
+        "once/claims.py",
+        "            return await self._port().txn((Compare(name, revision),), (put,))",
+        "            return await self._port().txn((), (put,))",
+        "once",
+    ),
+    Mutation(
+        "a claim's lost answer is read back",
+        "once/claims.py",
+        "            if exc.kind is ErrorKind.PLATFORM_UNKNOWN:\n                return None\n",
+        "",
+        "once",
+    ),
+    Mutation(
+        "a refused claim is not run",
+        "once/claims.py",
+        "        if isinstance(verdict, Refused):\n",
+        "        if False:\n",
+        "once",
+    ),
+    Mutation(
+        "the outcome of a claim is written",
+        "once/service.py",
+        "state = ClaimState.FINISHED if ending is Ending.FINISHED else ClaimState.UNKNOWN",
+        "state = ClaimState.RUNNING",
+        "once",
+    ),
+    Mutation(
+        "no key of a caller reaches the platform",
+        "once/claims.py",
+        'return PREFIX + hashlib.sha256(f"{len(account)}:{account}{key}".encode()).hexdigest()',
+        "return PREFIX + account + key",
+        "once",
+    ),
+    Mutation(
+        "residency is checked before a call is forwarded",
+        "once/service.py",
+        "            raise GatewayError(ErrorKind.RESIDENCY)",
+        "            return",
+        "once",
+    ),
+    Mutation(
+        "one hop",
+        "once/service.py",
+        "        if call.hops:\n            raise GatewayError(ErrorKind.HOP_LIMIT)",
+        "        if False:\n            raise GatewayError(ErrorKind.HOP_LIMIT)",
+        "once",
+    ),
+    Mutation(
+        "a booking goes on when its caller is gone",
+        "once/attempt.py",
+        "if self._left and self.call.idempotent:",
+        "if self._left:",
+        "once",
+    ),
+    Mutation(
+        "a call that may be repeated does not",
+        "once/attempt.py",
+        "if self._left and self.call.idempotent:",
+        "if False:",
+        "once",
+    ),
+    Mutation(
+        "no start on a claim that may have lapsed",
+        "once/service.py",
+        "            if self._clock.now() - sent > LATEST_START_MS:",
+        "            if False:",
+        "once",
+    ),
 )
 
 
