--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import anyio
 import msgspec
 
 from hickorybeam.demo import start_backends, start_links
@@ -108,5 +109,7 @@
         try:
             yield fleet
         finally:
-            for proc in fleet.processes.values():
-                proc.end()
+            # In threads: the platform that the daemons still need lives in this event loop.
+            async with anyio.create_task_group() as tg:
+                for proc in fleet.processes.values():
+                    tg.start_soon(anyio.to_thread.run_sync, proc.end)
--- a/src/hickorybeam/telemetry/logs.py
+++ b/src/hickorybeam/telemetry/logs.py
@@ -9,7 +9,7 @@
 import logging as std
 from typing import TYPE_CHECKING
 
-from absl import logging
+from absl import flags, logging
 
 if TYPE_CHECKING:
     from hickorybeam.settings import LogSettings
@@ -35,6 +35,8 @@
 
 def configure(cfg: LogSettings) -> None:
     """Set level and format for the whole process."""
+    # absl warns on each line until its flags are parsed; our settings take their place.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(cfg.level)
     if cfg.format == "json":
