--- a/src/hickorybeam/tickets/apply.py
+++ b/src/hickorybeam/tickets/apply.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from hickorybeam.model import ChangeTicket, ConfigObject, ConfigState, ObjectRef, Versioned, ref_of
-from hickorybeam.tickets.checks import MAX_TICKET_BYTES, find_faults
+from hickorybeam.tickets.checks import MAX_NUMBER, MAX_TICKET_BYTES, find_faults
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -135,6 +135,9 @@
     if known is not None:
         same = known.digest == content_digest(ticket)
         return Accepted(known.position) if same else Conflict(known.position)
+    faults = _faults(state, ticket)
+    if not 1 <= ticket.number <= MAX_NUMBER:
+        return Faulty(faults)
     if ticket.number <= state.floor:
         return BelowFloor(state.floor)
     later = tuple(
@@ -144,11 +147,15 @@
     )
     if later:
         return Stale(later)
-    size = len(msgspec.json.encode(ticket))
+    return Faulty(faults) if faults else Fresh()
+
+
+def _faults(state: LogState, ticket: ChangeTicket) -> tuple[str, ...]:
     faults = find_faults(state.config, apply(state, ticket).config, ticket)
+    size = len(msgspec.json.encode(ticket))
     if size > MAX_TICKET_BYTES:
         faults += (f"the ticket has {size} bytes, at most {MAX_TICKET_BYTES} are allowed",)
-    return Faulty(faults) if faults else Fresh()
+    return faults
 
 
 def apply(state: LogState, ticket: ChangeTicket) -> LogState:
--- /dev/null
+++ b/tests/steps/tickets/log_machine.py
@@ -0,0 +1,136 @@
+"""A state machine over the pure log, against an oracle that keeps only a list of tickets."""
+
+from __future__ import annotations
+
+from unittest.mock import patch
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from hickorybeam.model import ChangeTicket, ClientAccount, ObjectRef
+from hickorybeam.tickets import LogState, apply, judge
+from hickorybeam.tickets.apply import Accepted, BelowFloor, Conflict, Faulty, Fresh, Stale
+from hickorybeam.tickets.codec import decode_snapshot, encode_snapshot
+
+KEEP = 3
+NAMES = st.sampled_from("abc")
+
+
+class LogMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.accepted = []  # the oracle: tickets in the order of acceptance
+        self.sent = []
+        self.vms = [LogState(), LogState(), LogState()]
+
+    # The oracle
+
+    def oracle_value(self, name, position):
+        """The highest number wins for each object; None is absent or deleted."""
+        touching = [
+            ticket
+            for ticket in self.accepted[:position]
+            if any(account.name == name for account in ticket.accounts)
+            or any(ref.name == name for ref in ticket.deleted)
+        ]
+        if not touching:
+            return 0, None
+        last = max(touching, key=lambda ticket: ticket.number)
+        values = [account for account in last.accounts if account.name == name]
+        return last.number, values[0] if values else None
+
+    def expected_verdict(self, ticket):
+        for position, old in enumerate(self.accepted, 1):
+            if old.number == ticket.number:
+                return Accepted(position) if old == ticket else Conflict(position)
+        for ref in ticket.touched():
+            if self.oracle_value(ref.name, len(self.accepted))[0] > ticket.number:
+                return Stale
+        for ref in ticket.deleted:
+            if self.oracle_value(ref.name, len(self.accepted))[0] == 0:
+                return Faulty
+        return Fresh
+
+    def remembered(self, number):
+        numbers = [ticket.number for ticket in self.accepted]
+        return number in sorted(numbers)[-KEEP:] or number in numbers[-KEEP:]
+
+    # What happens
+
+    def submit(self, ticket):
+        head = self.vms[0]
+        verdict, expected = judge(head, ticket), self.expected_verdict(ticket)
+        if isinstance(verdict, BelowFloor):
+            assert not self.remembered(ticket.number), "a number forgotten too early"
+            assert len(self.accepted) > 2 * KEEP
+            return
+        if isinstance(expected, type):
+            assert isinstance(verdict, expected), (verdict, expected)
+        else:
+            assert verdict == expected, (verdict, expected)
+        if isinstance(verdict, Fresh):
+            self.accepted.append(ticket)
+            self.vms[0] = apply(head, ticket)
+
+    @rule(number=st.integers(1, 40), name=NAMES, rate=st.sampled_from([1.0, 2.0]))
+    def submit_account(self, number, name, rate):
+        account = ClientAccount(name=name, rate=rate, burst=1.0)
+        self.sent.append(ChangeTicket(number=number, accounts=(account,)))
+        self.submit(self.sent[-1])
+
+    @rule(ahead=st.integers(1, 3), name=NAMES)
+    def submit_next_number(self, ahead, name):
+        top = max((ticket.number for ticket in self.accepted), default=0)
+        self.submit_account(top + ahead, name, 1.0)
+
+    @rule(number=st.integers(1, 40), one=NAMES, other=NAMES)
+    def submit_deletion(self, number, one, other):
+        accounts = () if one == other else (ClientAccount(name=other, rate=1.0, burst=1.0),)
+        deleted = (ObjectRef("accounts", one),)
+        self.sent.append(ChangeTicket(number=number, accounts=accounts, deleted=deleted))
+        self.submit(self.sent[-1])
+
+    @rule(which=st.integers(0, 1000))
+    def submit_again(self, which):
+        if self.sent:
+            self.submit(self.sent[which % len(self.sent)])
+
+    @rule(vm=st.integers(1, 2), count=st.integers(1, 5))
+    def replay(self, vm, count):
+        start = self.vms[vm].position
+        for ticket in self.accepted[start : start + count]:
+            self.vms[vm] = apply(self.vms[vm], ticket)
+
+    @rule(vm=st.integers(0, 2))
+    def restart_from_snapshot(self, vm):
+        self.vms[vm] = decode_snapshot(encode_snapshot(self.vms[vm]))
+
+    @rule(source=st.integers(0, 2), vm=st.integers(1, 2))
+    def fetch_whole_state(self, source, vm):
+        if self.vms[source].position > self.vms[vm].position:
+            self.vms[vm] = decode_snapshot(encode_snapshot(self.vms[source]))
+
+    @invariant()
+    def every_vm_shows_the_oracle(self):
+        for state in self.vms:
+            for name in "abc":
+                shown = state.config.accounts.get(name)
+                assert shown == self.oracle_value(name, state.position)[1]
+
+    @invariant()
+    def memory_is_bounded(self):
+        for state in self.vms:
+            assert len(state.used) <= 3 * KEEP
+
+
+def run_log_machine(runs, steps):
+    chosen = settings(
+        max_examples=runs,
+        stateful_step_count=steps,
+        derandomize=True,
+        deadline=None,
+        database=None,
+    )
+    with patch("hickorybeam.tickets.apply.KEEP_NUMBERS", KEEP):
+        run_state_machine_as_test(LogMachine, settings=chosen)
