Control: one sender of orders per data centre, with a fencing token

The holder of a platform lease reconciles the engines of its data centre: state read back, one order at a time, loads within the weight store's rate. Engines that check fencing refuse an old token; for the others a send starts only before the holder's own deadline and a new holder waits out the old one's last send.

--- a/src/hickorybeam/model/config.py
+++ b/src/hickorybeam/model/config.py
@@ -129,7 +129,8 @@
     """One backend server as its operator declares it.
 
     ``serves`` names models (engine) or services (plain). ``slots`` is how many requests it
-    takes at once and ``tokens_per_s`` its rated output. ``leaving`` asks for no new work.
+    takes at once and ``tokens_per_s`` its rated output. ``role`` is what an engine
+    is ordered to be (empty: as it is). ``leaving`` asks for no new work.
     """
 
     name: str
@@ -142,6 +143,7 @@
     slots: int = 16
     tokens_per_s: float = 1_000.0
     checks_fencing: bool = False
+    role: str = ""
     leaving: bool = False
 
 
--- /dev/null
+++ b/tests/steps/control/control_steps.py
@@ -0,0 +1,373 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import anyio
+from behave import given, then, when
+
+from hickorybeam.control import ControlService, EngineState, HttpOrders, Order, OrderKind
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.kernel import Kernel, Service
+from hickorybeam.model import BackendKind, BackendServer, ChangeTicket, ModelService, ObjectRef
+from hickorybeam.settings import ControlSettings, PlatformSettings, Settings, VmSettings
+from hickorybeam.standins import engine as engine_standin
+from hickorybeam.standins.platform import MemoryPlatform, PlatformStandIn
+from hickorybeam.telemetry import Counters
+from hickorybeam.tickets import LogState, apply
+from steps.tickets.fakes import FleetClock, settle
+
+ORDER_MS = 100
+
+
+class FakeEngine:
+    def __init__(self, *, checks):
+        self.checks, self.models, self.role, self.fencing = checks, {}, "", 0
+        self.effects, self.lose = [], 0
+
+    def receive(self, order, fencing):
+        if self.checks and fencing < self.fencing:
+            raise GatewayError(ErrorKind.FENCED)
+        self.fencing = max(fencing, self.fencing)
+        self.effects.append((fencing, order))
+        match order.kind:
+            case OrderKind.LOAD:
+                self.models[order.model] = order.version
+            case OrderKind.UNLOAD:
+                self.models.pop(order.model, None)
+            case OrderKind.ROLE:
+                self.role = order.role
+        if self.lose:
+            self.lose -= 1
+            raise GatewayError(ErrorKind.BACKEND_SILENT)
+
+
+class FakeOrders:
+    """Engines of one fleet as one VM reaches them; a paused VM sends nothing until it is back."""
+
+    def __init__(self, fleet):
+        self.fleet, self.resumed = fleet, anyio.Event()
+        self.resumed.set()
+
+    async def state(self, engine):
+        await self.resumed.wait()
+        found = self.fleet.engines[engine.name]
+        return EngineState(models=dict(found.models), role=found.role, fencing=found.fencing)
+
+    async def send(self, engine, order, *, fencing, may_send):
+        await self.fleet.clock.sleep(ORDER_MS)
+        await self.resumed.wait()
+        if not may_send():
+            raise GatewayError(ErrorKind.LEASE_LOST)
+        self.fleet.engines[engine.name].receive(order, fencing)
+
+
+class FakeConfig(Service):
+    name = "config"
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def current(self):
+        return self.fleet.state.config
+
+    def age_ms(self):
+        return 0
+
+    async def wait_for(self, position, *, timeout_ms):
+        return self.current()
+
+    async def changed(self, position):
+        await anyio.sleep_forever()
+
+    async def submit(self, ticket):
+        raise NotImplementedError
+
+
+class ControlFleet:
+    def __init__(self):
+        self.clock = FleetClock()
+        self.stand_in = PlatformStandIn(self.clock)
+        self.engines = {
+            "strict": FakeEngine(checks=True),
+            "lax": FakeEngine(checks=False),
+            "far": FakeEngine(checks=False),
+        }
+        self.services, self.platforms, self.orders, self.old = {}, {}, {}, None
+        self.state = apply(LogState(), self.first_ticket())
+
+    def first_ticket(self):
+        def engine(name, centre="a"):
+            return BackendServer(
+                name=name,
+                kind=BackendKind.ENGINE,
+                region="r",
+                data_centre=centre,
+                host="127.0.0.1",
+                port=1,
+                serves=("tune", "base"),
+                checks_fencing=name == "strict",
+            )
+
+        return ChangeTicket(
+            number=1,
+            models=(
+                ModelService(name="base", regions=("r",)),
+                ModelService(name="tune", regions=("r",), adapter_of="base"),
+            ),
+            backends=(engine("strict"), engine("lax"), engine("far", "z")),
+        )
+
+    def change(self, **fields):
+        number = self.state.config.head_ticket + 1
+        self.state = apply(self.state, ChangeTicket(number=number, **fields))
+
+    async def run(self, names, *, task_status):
+        async with anyio.create_task_group() as tg:
+            for name in names:
+                cfg = Settings(
+                    vm=VmSettings(name=name, region="r", data_centre="a"),
+                    platform=PlatformSettings(urls=()),
+                    control=ControlSettings(weight_store_bytes_per_s=1_000_000.0),
+                )
+                self.platforms[name] = MemoryPlatform(self.stand_in)
+                self.orders[name] = FakeOrders(self)
+                self.services[name] = ControlService(
+                    cfg=cfg, clock=self.clock, counters=Counters(), orders=self.orders[name]
+                )
+                kernel = Kernel(self.clock)
+                kernel.add(self.platforms[name])
+                kernel.add(FakeConfig(self))
+                kernel.add(self.services[name])
+                tg.start_soon(kernel.run)
+            await settle()
+            task_status.started()
+            await anyio.sleep_forever()
+
+    def holders(self):
+        return [name for name, service in self.services.items() if service.status()["holder"]]
+
+
+@given('control VMs "{names}" with engines "strict" that checks fencing and "lax" that does not')
+def step_fleet(context, names):
+    context.fleet = context.call(ControlFleet)
+    task, _ = context.portal.start_task(context.fleet.run, names.split())
+    context.stack.callback(task.cancel)
+
+
+@when("{ms:d} ms pass for the control VMs")
+def step_pass(context, ms):
+    context.call(context.fleet.clock.advance, ms)
+
+
+@then("exactly one control VM holds the lease")
+def step_one(context):
+    assert len(context.fleet.holders()) == 1, context.fleet.holders()
+
+
+@then('engines "{names}" hold models "{models}"')
+def step_hold(context, names, models):
+    for name in names.split():
+        found = context.fleet.engines[name].models
+        assert found == dict(pair.split(":") for pair in models.split()), (name, found)
+
+
+@then('the role of engine "{name}" is ""')
+@then('the role of engine "{name}" is "{role}"')
+def step_role_is(context, name, role=""):
+    assert context.fleet.engines[name].role == role
+
+
+@then('on engines "{names}" adapter "{adapter}" was loaded after "{base}"')
+def step_order(context, names, adapter, base):
+    for name in names.split():
+        loaded = [order.model for _, order in context.fleet.engines[name].effects]
+        assert loaded == [base, adapter], loaded
+
+
+@when('the wanted state moves model "{name}" to "{version}"')
+def step_version(context, name, version):
+    model = context.fleet.state.config.models[name]
+    context.call(lambda: context.fleet.change(models=(replace(model, version=version),)))
+
+
+def change_engines(context, **fields):
+    engines = context.fleet.state.config.backends.values()
+    context.fleet.change(backends=tuple(replace(engine, **fields) for engine in engines))
+
+
+@when('the wanted state drops model "{name}"')
+def step_drop(context, name):
+    change_engines(context, serves=("base",))
+    context.fleet.change(deleted=(ObjectRef("models", name),))
+
+
+@when('the wanted state sets role "{role}"')
+def step_role(context, role):
+    change_engines(context, role=role)
+
+
+@when('the wanted state adds model "{name}" of {size:d} bytes')
+def step_big(context, name, size):
+    model = ModelService(name=name, regions=("r",), weight_bytes=size)
+    context.fleet.change(models=(model,))
+    change_engines(context, serves=("base", "tune", name))
+
+
+@when('the wanted state lets engine "{name}" leave')
+def step_leave(context, name):
+    engine = context.fleet.state.config.backends[name]
+    context.fleet.change(backends=(replace(engine, leaving=True),))
+
+
+@when("the control holder {event}")
+def step_event(context, event):
+    fleet = context.fleet
+    (fleet.old,) = fleet.holders()
+    match event:
+        case "is paused":
+            fleet.orders[fleet.old].resumed = anyio.Event()
+            context.call(fleet.platforms[fleet.old].faults.set_out, True)
+        case "loses the platform":
+            context.call(fleet.platforms[fleet.old].faults.set_out, True)
+        case "is drained":
+            context.call(fleet.services[fleet.old].drain)
+        case "has its lease lapsed":
+            context.call(fleet.platforms[fleet.old].faults.set_out, True)
+            for lease in fleet.stand_in.store.leases():
+                context.call(fleet.stand_in.lapse, lease)
+
+
+@when("the old control holder is back")
+def step_back(context):
+    fleet = context.fleet
+    context.call(fleet.platforms[fleet.old].faults.set_out, False)
+    context.call(fleet.orders[fleet.old].resumed.set)
+
+
+@then("the other control VM holds the lease")
+def step_other(context):
+    (holder,) = context.fleet.holders()
+    assert holder != context.fleet.old
+
+
+@then("no engine saw an order of an older token after a newer one")
+def step_tokens(context):
+    for engine in context.fleet.engines.values():
+        tokens = [token for token, _ in engine.effects]
+        assert tokens == sorted(tokens), tokens
+    assert max(engine.fencing for engine in context.fleet.engines.values()) > 1
+
+
+@when("the platform is out for the control VMs")
+def step_out(context):
+    context.call(context.fleet.stand_in.faults.set_out, True)
+
+
+@when("the platform is back for the control VMs")
+def step_in(context):
+    context.call(context.fleet.stand_in.faults.set_out, False)
+
+
+@when('the next answer of engine "{name}" is lost')
+def step_lose(context, name):
+    context.fleet.engines[name].lose = 1
+
+
+@when("the next platform answers of the control VMs are lost")
+def step_lose_platform(context):
+    context.fleet.stand_in.faults.lose_answers = 3
+
+
+@then('engine "{name}" received {count:d} orders')
+def step_received(context, name, count):
+    assert len(context.fleet.engines[name].effects) == count, context.fleet.engines[name].effects
+
+
+@when('engine "{name}" restarts empty')
+def step_restart(context, name):
+    context.fleet.engines[name].models.clear()
+    context.fleet.engines[name].fencing = 0
+
+
+@then('{count:d} engine holds model "{name}"')
+@then('{count:d} engines hold model "{name}"')
+def step_count(context, count, name):
+    holding = [key for key, engine in context.fleet.engines.items() if name in engine.models]
+    assert len(holding) == count, holding
+
+
+@given("a served engine that checks fencing")
+def step_served(context):
+    context.served = context.stack.enter_context(
+        context.portal.wrap_async_context_manager(engine_standin.serve(checks_fencing=True))
+    )
+    context.engine = BackendServer(
+        name="served",
+        kind=BackendKind.ENGINE,
+        region="r",
+        data_centre="a",
+        host="127.0.0.1",
+        port=context.served.port,
+    )
+    context.orders = HttpOrders(timeout_ms=1_000)
+
+
+def send(context, model, version, token, *, may_send=True, port=None):
+    engine = replace(context.engine, port=port or context.engine.port)
+    order = Order(kind=OrderKind.LOAD, model=model, version=version)
+
+    async def run():
+        await context.orders.send(engine, order, fencing=token, may_send=lambda: may_send)
+
+    context.call(run)
+
+
+@when(
+    'control sends load of "{model}" version "{version}" with token {token:d} to the served engine'
+)
+def step_send(context, model, version, token):
+    send(context, model, version, token)
+
+
+@then(
+    'the served engine\'s state read by control has "{model}" at version "{version}"'
+    " and token {token:d}"
+)
+def step_state(context, model, version, token):
+    state = context.call(context.orders.state, context.engine)
+    assert state.models[model] == version and state.fencing == token, state
+
+
+def send_fails(context, kind, *args, **fields):
+    try:
+        send(context, *args, **fields)
+    except GatewayError as exc:
+        assert exc.kind.value == kind, exc
+    else:
+        raise AssertionError("the order was taken")
+
+
+@then(
+    'control sending load of "{model}" version "{version}" with token {token:d} fails with "{kind}"'
+)
+def step_send_fails(context, model, version, token, kind):
+    send_fails(context, kind, model, version, token)
+
+
+@then('control sending with a lease that ended fails with "{kind}" and nothing arrives')
+def step_send_ended(context, kind):
+    before = context.call(context.orders.state, context.engine)
+    send_fails(context, kind, "late", "1", 9, may_send=False)
+    assert context.call(context.orders.state, context.engine) == before
+
+
+@then('control sending to a closed port fails with "{kind}"')
+def step_send_closed(context, kind):
+    send_fails(context, kind, "x", "1", 9, port=9)
+
+
+@then("the control machine finds no fault in {runs:d} runs of {steps:d} steps")
+def step_machine(context, runs, steps):
+    from steps.control.control_machine import run_control_machine
+
+    run_control_machine(runs, steps)
