--- a/src/hickorybeam/dispatch/running.py
+++ b/src/hickorybeam/dispatch/running.py
@@ -31,9 +31,16 @@
         self.call = call
         self.region = region
         self.sent = False
+        self.begun = False
+        self.recalled = False
         self._fault: GatewayError | None = None
         self._scope: anyio.CancelScope | None = None
 
+    @property
+    def ended(self) -> bool:
+        """Whether a ticket ended the call."""
+        return self._fault is not None
+
     def end(self, fault: GatewayError) -> None:
         """Make the current wait, or else the next one, raise this fault."""
         if self._fault is None:
@@ -41,6 +48,16 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    def recall(self) -> None:
+        """Take the call back from a slow server, if it may run again elsewhere.
+
+        Ignored once anything reached the caller, and for a call that may run only once.
+        """
+        if self.begun or not self.call.idempotent or self._scope is None:
+            return
+        self.recalled = True
+        self._scope.cancel()
+
     async def wait(self, step: Awaitable[T]) -> T:
         """Await one step, or raise the fault that ended the call meanwhile.
 
@@ -56,10 +73,11 @@
                 result = await step
             finally:
                 self._scope = None
-            if self._fault is None:
+            if self._fault is None and not self.recalled:
                 return result
-        assert self._fault is not None
-        raise self._fault
+        if self._fault is not None:
+            raise self._fault
+        raise GatewayError(ErrorKind.BACKEND_SILENT, "recalled from a slow server")
 
     async def next_part(self, parts: AsyncIterator[AnswerPart]) -> AnswerPart:
         """Return the next part; an answer that stops without its end is an error."""
@@ -79,9 +97,13 @@
 
 
 class RunningCalls:
-    """Every call in flight at this VM."""
+    """Every call in flight at this VM.
+
+    :param here: this VM's region, through which the data of every call passes.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, here: str) -> None:
+        self._here = here
         self._calls: set[RunningCall] = set()
 
     def __len__(self) -> int:
@@ -108,7 +130,8 @@
         for running in tuple(self._calls):
             if running.sent and not running.call.idempotent:
                 continue
-            fault = fault_of_running(running.call, state, region=running.region)
+            regions = {self._here, running.region}
+            fault = fault_of_running(running.call, state, regions=regions)
             if fault is not None:
                 running.end(fault)
                 ended += 1
--- a/src/hickorybeam/peers/service.py
+++ b/src/hickorybeam/peers/service.py
@@ -60,6 +60,7 @@
         self._links: Links | None = None
         self._client: PeerClient | None = None
         self._kernel: Kernel | None = None
+        self._found: dict[str, object] = {}
         self._draining = False
         self._running = 0
         self.port = 0
@@ -139,6 +140,16 @@
                 async for part in parts:
                     yield part
 
+    def _runner(self, call: Call) -> ports.Dispatch | ports.Once:
+        """Return who runs a forwarded call.
+
+        One with an idempotency key came to this VM as the key's issuer, which alone knows
+        whether the key was used; straight to dispatch, a repeated call would run twice.
+        """
+        if call.idempotency_key:
+            return self._find(ports.ONCE, ports.Once)  # type: ignore[type-abstract]
+        return self._find(ports.DISPATCH, ports.Dispatch)  # type: ignore[type-abstract]
+
     async def on_ask(self, ask: Ask, certificate: dict[str, Any] | None) -> Answered:
         """Answer one request of a peer."""
         try:
@@ -160,8 +171,7 @@
             if self._draining:
                 raise GatewayError(ErrorKind.DRAINING)
             call = await self._admitted(forward.call)
-            dispatch = self._find(ports.DISPATCH, ports.Dispatch)  # type: ignore[type-abstract]
-            async with closing_iterator(dispatch.run(call)) as parts:
+            async with closing_iterator(self._runner(call).run(call)) as parts:
                 async for part in parts:
                     yield _message(part)
         except Exception as exc:
@@ -193,9 +203,13 @@
         return exc
 
     def _find(self, name: str, kind: type[Q]) -> Q:
-        if self._kernel is None:
-            raise GatewayError(ErrorKind.NOT_READY, "not bound")
-        return self._kernel.find(name, kind)
+        # Kept, since checking a protocol at run time costs a good part of a whole call.
+        found = self._found.get(name)
+        if found is None:
+            if self._kernel is None:
+                raise GatewayError(ErrorKind.NOT_READY, "not bound", ran=Ran.NO)
+            found = self._found[name] = self._kernel.find(name, kind)
+        return found  # type: ignore[return-value]
 
     def _address(self, vm: EntryVm) -> Address:
         advertised = Address(vm.host, vm.peer_port)
--- a/tests/kernel/kernel.feature
+++ b/tests/kernel/kernel.feature
@@ -21,3 +21,11 @@
     And service "shaky" crashes 2 times
     When the kernel runs until "shaky" has started 3 times
     Then service "steady" started 1 times
+
+  Scenario: a service that never finishes its work cannot keep the process
+    # The operator stops the VM; one service waits for a stream that never ends. Its neighbours
+    # still get their turn to finish, and the process ends after the limit.
+    Given a kernel with services "stuck needs steady, steady" and 50 ms to finish
+    And service "stuck" never finishes
+    When the kernel runs and is stopped
+    Then the events are "start steady, start stuck, drain stuck, drain steady, stop stuck, stop steady"
