--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,6 +1,6 @@
-"""Run the behave features, one process for each folder of ``tests/``, and add up the counts.
+"""Run the behave features, one process for each feature file, and add up the counts.
 
-Folders run side by side because each owns its ports and clocks; the sum is printed in one
+Features run side by side because each owns its ports and clocks; the sum is printed in one
 line that CI reads. Arguments name folders (``tickets``) or paths to features.
 """
 
@@ -9,13 +9,14 @@
 import re
 import subprocess
 import sys
+import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 TESTS = ROOT / "tests"
-WORKERS = 4
+WORKERS = 8
 SUITE_LIMIT_S = 300
 SUMMARY = re.compile(
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?(?:, (\d+) skipped)?", re.M
@@ -31,19 +32,21 @@
     failed: int
     skipped: int
     output: str
+    seconds: float = 0.0
 
 
 def suites(args: list[str]) -> list[Path]:
     """Return the folders or features to run."""
     if args:
         return [path if (path := Path(arg)).exists() else TESTS / arg for arg in args]
-    return sorted({path.parent for path in TESTS.rglob("*.feature")})
+    return sorted(TESTS.rglob("*.feature"))
 
 
 def run_suite(path: Path) -> Outcome:
     """Run one folder and read its counts; a crash counts as one failure."""
     cmd = [sys.executable, "-m", "behave", "--format=progress3", str(path)]
     name = str(path.resolve().relative_to(TESTS))
+    begun = time.monotonic()
     try:
         done = subprocess.run(
             cmd, cwd=ROOT, capture_output=True, text=True, check=False, timeout=SUITE_LIMIT_S
@@ -59,7 +62,7 @@
     failed += errors
     if done.returncode and not failed:
         failed = 1
-    return Outcome(name, passed, failed, skipped, output)
+    return Outcome(name, passed, failed, skipped, output, time.monotonic() - begun)
 
 
 def main(args: list[str]) -> int:
@@ -67,7 +70,8 @@
     with ThreadPoolExecutor(WORKERS) as pool:
         outcomes = list(pool.map(run_suite, suites(args)))
     for outcome in outcomes:
-        print(f"{outcome.name}: {outcome.passed} passed, {outcome.failed} failed")
+        counts = f"{outcome.passed} passed, {outcome.failed} failed"
+        print(f"{outcome.name}: {counts} in {outcome.seconds:.0f} s")
         if outcome.failed:
             print(outcome.output)
     known_red = ROOT / "KNOWN-RED.txt"
