peers: three tests made to fail when their safeguard is broken

Trials that broke each safeguard in turn found three that no test missed: the cancellation count of a failed call's task, a silent channel given up by the failed request (pings hid it), and the connect timeout of a forwarded call. The scenarios now fail for the first two (seen) and bound the time of the third.

--- a/tests/peers/silent_peer.feature
+++ b/tests/peers/silent_peer.feature
@@ -71,6 +71,7 @@
     And a machine whose queue of new connections is full stands in for B
     When peer node A forwards a call of 10 bytes to it
     Then the forwarded answer is "" and fails with peer_unreachable, ran no
+    And that took at most 1500 ms with a silent time of 400 ms
 
   Scenario: Two VMs with opposite views of where a call runs
     # Each holds that the other should run the call. The call goes one hop and is refused as
--- a/tests/peers/transport.feature
+++ b/tests/peers/transport.feature
@@ -61,10 +61,13 @@
       | refuse no_backend   |        | no_backend       | no      |
 
   Scenario: The executor dies while its answer streams
+    # The caller gets an error. The library wakes its task by a cancellation, which must be
+    # taken back: an outer timeout would later read it as its own and end a service silently.
     Given two peer nodes
     And peer node B's dispatch will "stall"
     When peer node A forwards a call to B and B dies after the first chunk
     Then the forwarded answer is "one" and fails with stream_broken, ran unknown
+    And the task of the forwarded call's caller is not left as cancelled
 
   Scenario: A caller that goes away cancels the call at the executor
     Given two peer nodes
--- a/tests/steps/peers/silent_steps.py
+++ b/tests/steps/peers/silent_steps.py
@@ -18,6 +18,8 @@
 from support.peer_nodes import ECHO, PLAIN, Node, Words, collect, enter, make_call
 
 SILENT_MS = 400
+# Shorter than the pings take, so that it is the failed request that gives the connection up.
+ASK_TIMEOUT_MS = 250
 STEADY = replace(ECHO, name="steady echo", steady=True)
 TINY_BUFFER = 2048
 
@@ -58,7 +60,9 @@
     async def ask():
         context.reply = context.error = None
         try:
-            context.reply = await context.a.peers.ask(context.target, topic, Words(text))
+            context.reply = await context.a.peers.ask(
+                context.target, topic, Words(text), timeout_ms=ASK_TIMEOUT_MS
+            )
         except GatewayError as exc:
             context.error = exc
 
--- a/tests/steps/peers/transport_steps.py
+++ b/tests/steps/peers/transport_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 from contextlib import aclosing
 from dataclasses import dataclass, replace
 
@@ -211,12 +212,18 @@
                     if isinstance(part, AnswerChunk):
                         context.b.kill()
         except GatewayError as exc:
+            context.cancelling = asyncio.current_task().cancelling()
             return got, exc
         return got, None
 
     context.parts, context.error = context.call(run)
 
 
+@then("the task of the forwarded call's caller is not left as cancelled")
+def step_not_cancelled(context):
+    assert context.cancelling == 0
+
+
 @when("peer node A forwards a call to B and closes it after the first chunk")
 def step_closes(context):
     async def run():
