peers: which record wins, and a heartbeat overtaken by a later one

The scenario of the overtaken heartbeat fails with its safeguard dropped (seen).

Tests: behave tests/peers/decisions.feature: 36 passed.

--- a/tests/peers/decisions.feature
+++ b/tests/peers/decisions.feature
@@ -101,3 +101,21 @@
       | 000000000001-00000000 |
       | 000000000005-ffffffff |
       | 00ffffffffff-ffffffff |
+
+  Scenario: A heartbeat overtaken by a later one of the same VM
+    # Request and reply of two heartbeats travel on different connections. The older one
+    # arrives last and must not put an old log position in place of the new.
+    Given two VMs whose exchanges have met
+    When one publishes a note, then a newer one, and the heartbeats arrive the other way round
+    Then the other heard only the newer note
+
+  Scenario Outline: Which of two records of a VM wins
+    Then of the member records "<one>" and "<other>" the winner is "<winner>"
+
+    Examples:
+      | one        | other      | winner     |
+      | 1/1/alive  | 1/1/silent | 1/1/silent |
+      | 1/1/silent | 1/2/alive  | 1/2/alive  |
+      | 1/2/alive  | 1/1/gone   | 1/1/gone   |
+      | 1/9/gone   | 2/1/alive  | 2/1/alive  |
+      | 2/1/silent | 1/9/alive  | 2/1/silent |
--- a/tests/steps/peers/decision_steps.py
+++ b/tests/steps/peers/decision_steps.py
@@ -20,7 +20,7 @@
 from hickorybeam.peers.exchange import Exchange
 from hickorybeam.peers.search import new_incarnation
 from hickorybeam.peers.suspicion import Suspect, judge
-from hickorybeam.peers.view import MemberRecord, Roster
+from hickorybeam.peers.view import MemberRecord, Roster, newer
 from hickorybeam.policy.entries import entry_order
 
 FIXED = settings(
@@ -363,3 +363,47 @@
 @then("an incarnation made after {seen} sorts after it")
 def step_incarnation(context, seen):
     assert new_incarnation(5, after=seen) > seen
+
+
+@given("two VMs whose exchanges have met")
+def step_met(context):
+    context.one = Exchange(make_vm("a"), now_ms=0, wall_ms=0)
+    context.other = Exchange(make_vm("b"), now_ms=0, wall_ms=0)
+    for _ in range(2):
+        for source, to in ((context.one, context.other), (context.other, context.one)):
+            request = source.request(to.me)
+            reply, _ = to.on_request(source.me.id, request, now_ms=1, wall_ms=1)
+            source.on_reply(to.me.id, request, reply, now_ms=1, wall_ms=1)
+
+
+@when("one publishes a note, then a newer one, and the heartbeats arrive the other way round")
+def step_overtaken(context):
+    context.one.publish("position", b"1", urgent=False)
+    older = context.one.request(context.other.me)
+    context.one.publish("position", b"2", urgent=False)
+    newer = context.one.request(context.other.me)
+    context.notes = []
+    for beat in (newer, older):
+        _, news = context.other.on_request(context.one.me.id, beat, now_ms=2, wall_ms=2)
+        context.notes += [note.data for note in news.notes]
+
+
+@then("the other heard only the newer note")
+def step_newer(context):
+    assert context.notes == [b"2"], context.notes
+
+
+def read_record(text):
+    incarnation, version, state = text.split("/")
+    return MemberRecord(
+        vm=make_vm("a", incarnation),
+        version=int(version),
+        silent=state == "silent",
+        gone=state == "gone",
+    )
+
+
+@then('of the member records "{one}" and "{other}" the winner is "{winner}"')
+def step_winner(context, one, other, winner):
+    found = newer(read_record(one), read_record(other))
+    assert found == newer(read_record(other), read_record(one)) == read_record(winner), found
