shares: the ledger's keeper outlives a crash of its task; a test for each survivor

Started again, the task made a new keeper that did not know of writes still under way and would have credited tokens that came with fractions once more. A write that ends in any other error than a refusal counts as lost.

--- a/src/hickorybeam/shares/ledger.py
+++ b/src/hickorybeam/shares/ledger.py
@@ -298,8 +298,10 @@
             if exc.kind is ErrorKind.PLATFORM_OUT:
                 self._undo(numbers, sent, gone)
             else:
-                for number in numbers:
-                    self.groups[number].write_lost()
+                self._lost(numbers)
+            raise
+        except BaseException:
+            self._lost(numbers)
             raise
         if result.done:
             self._batch = min(len(self.groups), self._batch * 2)
@@ -316,6 +318,10 @@
         self._book({account: -tokens for account, tokens in sent.items()})
         return sent
 
+    def _lost(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.groups[number].write_lost()
+
     def _undo(self, numbers: list[int], sent: dict[str, float], gone: list[Holder]) -> None:
         """Go on as before a write that surely did not take effect."""
         for number in numbers:
--- a/src/hickorybeam/shares/service.py
+++ b/src/hickorybeam/shares/service.py
@@ -98,6 +98,7 @@
         self._applied: ConfigState | None = None
         self._last_confirm = -CONFIRM_EVERY_MS
         self._draining = False
+        self._made: LedgerKeeper | None = None
         self._read_early = False
         self._platform_fault = ""
         self._rounded: frozenset[str] = frozenset()
@@ -119,15 +120,8 @@
 
     async def main(self, started: Started) -> None:
         """Keep the ledger, lend and borrow until cancelled."""
-        self._keeper = LedgerKeeper(
-            cfg=self._cfg,
-            clock=self._clock,
-            counters=self._counters,
-            me=self._me(),
-            book=self._book,
-            levels=lambda: self._books.levels(self._clock.now()),
-        )
-        self._keeper.connect(self._platform)
+        if self._made is None:
+            self._made = self._new_keeper()
         await self._round(gifts=False)
         started()
         async with anyio.create_task_group() as tg:
@@ -375,6 +369,29 @@
     def _resize(self) -> None:
         self._books.apply_parts(self._keeper.acting, self._keeper.first_parts, self._clock.now())
 
+    @property
+    def _keeper(self) -> LedgerKeeper:
+        if self._made is None:
+            raise GatewayError(ErrorKind.NOT_READY, "shares are not started")
+        return self._made
+
+    def _new_keeper(self) -> LedgerKeeper:
+        """Return the keeper, made once: it outlives a crash of this service's task.
+
+        A new one would not know of its writes that may still land, and would credit the
+        tokens that came with fractions a second time.
+        """
+        keeper = LedgerKeeper(
+            cfg=self._cfg,
+            clock=self._clock,
+            counters=self._counters,
+            me=self._me(),
+            book=self._book,
+            levels=lambda: self._books.levels(self._clock.now()),
+        )
+        keeper.connect(self._platform)
+        return keeper
+
     def _book(self, moved: dict[str, float]) -> None:
         """Follow the ledger: tokens go before the bucket shrinks, and come after it grew."""
         now = self._clock.now()
--- a/tests/policy/share_parts.feature
+++ b/tests/policy/share_parts.feature
@@ -56,3 +56,22 @@
     Given a share group in which "me" holds 1000000 parts at revision 5
     When "me" plans for a borrower that takes the whole rate, with 900000 parts under loans
     Then the plan leaves "me" at least 900000 parts
+
+  Scenario Outline: a neighbour is taken over from only when it surely holds nothing any more
+    # Its lease lapsed at 0. Membership may still hear it, it may hold a promise, and the loans
+    # that it granted right before may still be spent elsewhere.
+    Given a share take-over watch that waits 3000 ms
+    And the share take-over watch promised at 0 not to take over for <promise> ms
+    When the share take-over watch looks every 500 ms until <until>, hearing the holder until <heard>
+    Then the share take-over watch says <verdict>
+
+    Examples:
+      | promise | heard | until | verdict    |
+      | 0       | 0     | 2500  | leave it   |
+      | 0       | 0     | 3500  | take over  |
+      | 0       | 4000  | 4000  | leave it   |
+      | 0       | 4000  | 6500  | leave it   |
+      | 0       | 4000  | 7500  | take over  |
+      | 6000    | 0     | 5500  | leave it   |
+      | 6000    | 0     | 8500  | leave it   |
+      | 6000    | 0     | 9500  | take over  |
--- a/tests/shares/budget.feature
+++ b/tests/shares/budget.feature
@@ -94,7 +94,7 @@
     # reads next, as its write may land still later, after which another VM has that part.
     Given a budget fleet of a0 b0 and an account of rate 1000 and burst 2000
     When the next ledger write of budget VM "a0" <fate>
-    And 300 tokens are taken every 100 ms for 6000 ms at budget VMs "a0 b0"
+    And 95 tokens are taken every 100 ms for 12000 ms at budget VM "b0"
     And writes of budget VM "a0" that were under way land
     And 300 tokens are taken every 100 ms for 10000 ms at budget VMs "a0 b0"
     Then the budget fleet kept within rate and burst
@@ -103,7 +103,7 @@
       | fate                     |
       | loses its answer         |
       | lands late               |
-      | lands half a second late |
+      | lands after it is cut off |
 
   Scenario Outline: messages between VMs get lost or come twice
     Given a budget fleet of a0 a1 b0 b1 and an account of rate 1000 and burst 2000
@@ -137,15 +137,25 @@
       | b0 | the platform answers | the budget admits it                 |
       | a0 | the platform is out  | the budget refuses it as "not_ready" |
 
+  Scenario: the task that keeps the ledger crashes and is started again
+    # Fractions and tokens came to the VM before. Read anew by a task that remembers nothing,
+    # the tokens that came along would be credited and spent a second time.
+    Given a budget fleet of a0 b0 and an account of rate 10 and burst 2000
+    When budget VM "b0" takes 990 tokens
+    And 4 tokens are taken every 200 ms for 8000 ms at budget VM "b0"
+    And budget VM "b0" takes 500 tokens
+    And the budget task of VM "b0" crashes and is started again
+    And budget VM "b0" takes 1000 tokens
+    Then the budget refuses it as "rate_limited"
+    And the budget fleet kept within rate and burst
+
   Scenario: a VM that is in doubt of its fractions lends nothing of them
     # A neighbour took over from the paused VM and died. The paused VM wakes with the platform
     # out and nobody to ask; what another data centre asks of it may have been spent already.
     Given a budget fleet of a0 a1 b0 and an account of rate 1000 and burst 2000
     When budget VM "a1" is paused for 30000 ms and wakes with the platform out
-    And 200 tokens are taken every 100 ms for 2000 ms at budget VM "a0"
     And budget VM "a0" crashes
-    And 200 tokens are taken every 100 ms for 5000 ms at budget VM "b0"
-    Then the budget fleet kept within rate and burst
+    Then budget VM "a1" lends nothing when "b0" asks it for 500 tokens
 
   Scenario: a VM that only the platform can't hear keeps its fractions
     # Its lease lapses and it gets no promise, so it spends nothing; its neighbour hears its
@@ -190,8 +200,8 @@
   Scenario: fractions that move set off no more moves
     # Traffic changes place all the time. Each VM that is given a fraction reads the ledger at
     # once; if it also gave on at once, the fleet would ask the platform without a pause.
-    Given a budget fleet of a0 a1 b0 b1 c0 c1 and an account of rate 1000 and burst 2000
-    When 90 tokens are taken every 300 ms for 12000 ms at budget VMs "a0 b0 c0"
+    Given a budget fleet of a0 a1 a2 b0 b1 b2 c0 c1 c2 and an account of rate 1000 and burst 2000
+    When 27 tokens are taken every 30 ms for 12000 ms at one budget VM after the other, data centre by data centre
     Then each budget VM asked the platform at most 2.5 times a second in the last 12000 ms
 
   Scenario: a VM that shuts down repays its loans and hands its fractions on
--- a/tests/steps/policy/share_parts_steps.py
+++ b/tests/steps/policy/share_parts_steps.py
@@ -14,6 +14,7 @@
     give,
     take_over,
 )
+from hickorybeam.policy.standing import TakeOverWatch
 from hickorybeam.policy.token_bucket import TokenBucket
 
 LENDER = VmId("lender", "1")
@@ -151,3 +152,29 @@
 def step_plan_leaves(context, name, parts):
     left = context.plan.parts(VmId(name, "1"), "acme")
     assert left >= parts, left
+
+
+@given("a share take-over watch that waits {ms:d} ms")
+def step_watch(context, ms):
+    context.watch = TakeOverWatch(settle_ms=ms)
+
+
+@given("the share take-over watch promised at 0 not to take over for {ms:d} ms")
+def step_promised(context, ms):
+    if ms:
+        context.watch.promise("holder", 0, ms)
+
+
+@when(
+    "the share take-over watch looks every {every:d} ms until {until:d}, "
+    "hearing the holder until {heard:d}"
+)
+def step_looks(context, every, until, heard):
+    for now in range(0, until + 1, every):
+        is_heard = bool(heard) and now <= heard
+        context.verdict = context.watch.seen("holder", now, lapsed=True, heard=is_heard)
+
+
+@then("the share take-over watch says {verdict}")
+def step_verdict(context, verdict):
+    assert context.verdict is (verdict == "take over")
--- a/tests/steps/shares/budget_steps.py
+++ b/tests/steps/shares/budget_steps.py
@@ -7,6 +7,7 @@
 from hickorybeam.errors import GatewayError
 from hickorybeam.platform.port import Put
 from hickorybeam.policy.shares import PARTS, GroupLedger
+from hickorybeam.shares.messages import LOANS, LoanRequest, Want
 
 NAME = "acme"
 SETTLE_MS = 30_000
@@ -187,9 +188,10 @@
             platform.lose_answer = True
         case "lands late":
             platform.delay_write = True
-        case "lands half a second late":
+        case "lands after it is cut off":
             platform.delay_write = True
             platform.land_after_ms = 500
+            platform.out_after_delay = True
 
 
 @when('writes of budget VM "{name}" that were under way land')
@@ -354,3 +356,43 @@
         assert done, "nothing was written"
 
     context.call(race)
+
+
+@when('the budget task of VM "{name}" crashes and is started again')
+def step_task_crashes(context, name):
+    platform = context.fleet.nodes[name].platform
+    platform.explode = True
+    context.call(context.fleet.run, 10_000)
+    assert context.fleet.nodes[name].restarts == 1
+
+
+@then('budget VM "{name}" lends nothing when "{borrower}" asks it for {tokens:d} tokens')
+def step_lends_nothing(context, name, borrower, tokens):
+    fleet = context.fleet
+    request = LoanRequest({NAME: Want(tokens)})
+
+    async def ask():
+        answer = fleet.nodes[name].peers.handlers[LOANS.name]
+        return await answer(fleet.nodes[borrower].vm.id, request)
+
+    assert context.call(ask).loans == ()
+
+
+@when(
+    "{tokens:d} tokens are taken every {every:d} ms for {ms:d} ms "
+    "at one budget VM after the other, data centre by data centre"
+)
+def step_wandering(context, tokens, every, ms):
+    fleet = context.fleet
+    context.calls_before = fleet.store.calls
+
+    async def send():
+        end = fleet.clock.now() + ms
+        count = 0
+        while fleet.clock.now() < end:
+            name = f"{'abc'[count // 100 % 3]}{count % 3}"
+            await fleet.take(name, NAME, tokens)
+            await fleet.run(every)
+            count += 1
+
+    context.call(send)
--- a/tests/steps/shares/fakes.py
+++ b/tests/steps/shares/fakes.py
@@ -99,7 +99,9 @@
         self.lose_answer = False
         self.delay_write = False
         self.land_after_ms = 0
+        self.out_after_delay = False
         self.before_write = None
+        self.explode = False
         self.late = []
 
     async def _enter(self, write=False):
@@ -117,6 +119,9 @@
         return ReadResult(self.store.revision, (item,) if item else ())
 
     async def read_prefix(self, prefix, *, start="", limit=0):
+        if self.explode:
+            self.explode = False
+            raise RuntimeError("a fault in the client")
         await self._enter()
         found = tuple(
             item for key, item in sorted(self.store.items.items()) if key.startswith(prefix)
@@ -128,6 +133,7 @@
         if self.delay_write:
             self.delay_write = False
             self.late.append((compares, writes))
+            self.out = self.out_after_delay
             if self.land_after_ms:
                 self.node.fleet.tg.start_soon(self._land_soon)
             raise GatewayError(ErrorKind.PLATFORM_UNKNOWN)
@@ -331,6 +337,7 @@
         clock = NodeClock(fleet.clock, self)
         self.budget = BudgetService(cfg=cfg, clock=clock, counters=self.counters)
         self.scope = anyio.CancelScope()
+        self.restarts = 0
 
     def find(self, name, kind):
         return getattr(self, name)
@@ -354,7 +361,11 @@
         self.running = True
         self.budget.bind(self)
         with self.scope:
-            await self.budget.main(Started())
+            while True:
+                try:
+                    await self.budget.main(Started())
+                except* RuntimeError:
+                    self.restarts += 1
         self.running = False
 
     def crash(self):
@@ -427,6 +438,7 @@
         await settle()
         for _ in range(200):
             if outcome:
+                self.check()
                 return outcome[0]
             await self.clock.advance(10)
         raise AssertionError("take never ended")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -20,7 +20,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCE = "src/hickorybeam"
-COPIED = ("src", "tests", "pyproject.toml")
+COPIED = ("src", "tests", "bench", "pyproject.toml")
 WORKERS = 3
 TIMEOUT_S = 90
 FAILED = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
@@ -200,8 +200,8 @@
     Mutation(
         "a lost write is known to be uncertain",
         "shares/ledger.py",
-        "                    self.groups[number].write_lost()",
-        "                    self.groups[number].write_refused()",
+        "            self.groups[number].write_lost()",
+        "            self.groups[number].write_refused()",
         "shares",
     ),
     Mutation(
@@ -216,21 +216,21 @@
         "policy/standing.py",
         "if not lapsed or heard or now_ms < self._promised.get(vm, -1):",
         "if not lapsed or now_ms < self._promised.get(vm, -1):",
-        "shares",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "a promise holds",
         "policy/standing.py",
         "if not lapsed or heard or now_ms < self._promised.get(vm, -1):",
         "if not lapsed or heard:",
-        "shares",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "take-over waits for the dead VM's loans",
         "policy/standing.py",
         ">= self._settle_ms",
         ">= 0",
-        "shares",
+        "policy/share_parts.feature",
     ),
     Mutation(
         "only rounds of the timer give fractions away",
@@ -246,6 +246,13 @@
         "    spare = mine - max(floor_parts // places, min(used_here, mine))",
         "policy/share_parts.feature",
     ),
+    Mutation(
+        "what is known of the ledger outlives a crash of the task",
+        "shares/service.py",
+        "        if self._made is None:\n            self._made = self._new_keeper()",
+        "        self._made = self._new_keeper()",
+        "shares",
+    ),
     Mutation(
         "a lowered rate is in force at once",
         "shares/service.py",
