--- a/src/hickorybeam/control/lease.py
+++ b/src/hickorybeam/control/lease.py
@@ -53,14 +53,19 @@
         self._lease_ms = lease_ms
         self._order_timeout_ms = order_timeout_ms
 
-    async def take(self) -> Turn | None:
-        """Take the lease if nobody holds it; :return: ``None`` when somebody does."""
+    async def take(self, *, above: int = 0) -> Turn | None:
+        """Take the lease if nobody holds it.
+
+        :param above: the highest token that an engine has named. It is above the platform's
+            own only when the platform lost its data; engines would then refuse all orders.
+        :return: ``None`` when somebody holds it.
+        """
         if (await self._platform.read(self._holder_key)).items:
             return None
         fencing, revision = await self._last_fencing()
         asked_at = self._clock.now()
         lease = await self._platform.grant(self._lease_ms)
-        holder = _Holder(self._vm, lease, fencing + 1)
+        holder = _Holder(self._vm, lease, max(fencing, above) + 1)
         try:
             done = await self._platform.txn(
                 (Compare(self._holder_key, 0), Compare(self._fencing_key, revision)),
--- a/src/hickorybeam/control/service.py
+++ b/src/hickorybeam/control/service.py
@@ -54,6 +54,7 @@
         self._weights = WeightRate(cfg.control.weight_store_bytes_per_s)
         self._turn: Turn | None = None
         self._draining = False
+        self._highest_fencing = 0
         self._members: ports.Members | None = None
 
     def bind(self, kernel: Kernel) -> None:
@@ -106,7 +107,7 @@
 
     async def _stand_by(self) -> None:
         try:
-            self._turn = await self._lease.take()
+            self._turn = await self._lease.take(above=self._highest_fencing)
         except GatewayError as exc:
             logging.info("control lease not taken: %s", exc.kind.value)
             return
@@ -146,6 +147,7 @@
         except GatewayError as exc:
             logging.info("state of %s not read: %s", engine.name, exc.kind.value)
             return
+        self._highest_fencing = max(self._highest_fencing, seen.fencing)
         order = next_order(self._config.current(), engine, seen)
         if order is None or not self._may_send():
             return
@@ -163,6 +165,7 @@
         except GatewayError as exc:
             outcome = exc.kind.value
             if exc.kind is ErrorKind.FENCED:
-                # Another VM holds a newer token, so this lease has lapsed unnoticed.
+                # Another VM held a newer token: step down, and take a higher one if it's free.
                 self._turn = None
+                await self._lease.give_up(turn.lease)
         self._sent.labels(order.kind.value, outcome).inc()
--- a/tests/control/control.feature
+++ b/tests/control/control.feature
@@ -101,6 +101,21 @@
     And control sending with a lease that ended fails with "lease_lost" and nothing arrives
     And control sending to a closed port fails with "backend_unknown"
 
+  Scenario: an engine has seen a higher token than the platform knows
+    # The platform was restored and its token starts anew, so the engine refuses every order as
+    # outdated. The holder steps down and takes the lease again above the token it was shown.
+    When engine "strict" has seen token 99
+    And 40000 ms pass for the control VMs
+    Then engines "strict lax" hold models "base:1 tune:1"
+
+  Scenario: a new holder waits until the old one's last order must have ended
+    # The old holder sends right before its deadline and the order takes its full limit. The
+    # lease lapses, another VM takes it at once; its first order must take effect after that.
+    Given two control holders by the clock
+    When the first control holder sends 4700 ms after taking the lease, 1500 ms on the way
+    And the second control holder takes the lease at 6100 ms and sends as soon as it may
+    Then the order of the first took effect before that of the second
+
   Scenario: holders in any order of pause, lapse, lost answer and delay
     # Two holders act as the code decides; an oracle reads only the times at which orders took
     # effect at two engines, and wants tokens never to fall.
--- a/tests/steps/control/control_steps.py
+++ b/tests/steps/control/control_steps.py
@@ -371,3 +371,41 @@
     from steps.control.control_machine import run_control_machine
 
     run_control_machine(runs, steps)
+
+
+@when('engine "{name}" has seen token {token:d}')
+def step_token(context, name, token):
+    context.fleet.engines[name].fencing = token
+
+
+@given("two control holders by the clock")
+def step_two(context):
+    from steps.control.control_machine import ControlMachine
+
+    context.machine = ControlMachine()
+    context.stack.callback(context.machine.teardown)
+    context.machine.take(0)
+
+
+@when("the first control holder sends {ms:d} ms after taking the lease, {delay:d} ms on the way")
+def step_first_sends(context, ms, delay):
+    context.machine.time_passes(ms)
+    context.machine.send(0, delay)
+    assert context.machine.sent == 1
+
+
+@when("the second control holder takes the lease at {ms:d} ms and sends as soon as it may")
+def step_second_sends(context, ms):
+    machine = context.machine
+    machine.time_passes(ms - (machine.clock.now() - 1_000))
+    machine.take(1)
+    assert machine.turns[1] is not None
+    while machine.sent < 2:
+        machine.send(1, 0)
+        machine.time_passes(50)
+    machine.time_passes(3_000)
+
+
+@then("the order of the first took effect before that of the second")
+def step_in_order(context):
+    assert context.machine.effects == [1, 2], context.machine.effects
