Platform client: an answer that can't be read is no answer

A page with status 200 from something between, or an answer cut short, ended as an unhandled decoding error in the caller's task.

--- a/src/hickorybeam/platform/etcd.py
+++ b/src/hickorybeam/platform/etcd.py
@@ -200,7 +200,7 @@
         async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
             lines = self._watch_lines(pool, wire.WatchRequest(create=create))
             async for line in lines:
-                batch = self._batch(msgspec.json.decode(line, type=wire.WatchReply))
+                batch = self._batch(_decode_watch(line))
                 if batch is not None:
                     yield batch
 
@@ -265,7 +265,7 @@
         self._budget.earn()
         for attempt in range(1, attempts + 1):
             try:
-                raw = await self._post(path, body)
+                found = _decode(await self._post(path, body), reply)
             except (_NotSentError, _NoAnswerError) as exc:
                 self._next_url()
                 if write and isinstance(exc, _NoAnswerError):
@@ -280,7 +280,7 @@
                 raise self._refused(exc, write=write) from exc
             else:
                 self._count(kind, "ok")
-                return msgspec.json.decode(raw, type=reply)
+                return found
         self._count(kind, "out")
         raise GatewayError(ErrorKind.PLATFORM_OUT, "no address of the platform answers")
 
@@ -359,6 +359,21 @@
                 return wire.Operation(delete=wire.DeleteRequest(key=self._absolute(key)))
 
 
+def _decode(raw: bytes, reply: type[T]) -> T:
+    """Read an answer; one that is cut short or not ours tells no more than none."""
+    try:
+        return msgspec.json.decode(raw, type=reply)
+    except msgspec.MsgspecError as exc:
+        raise _NoAnswerError("the answer can't be read") from exc
+
+
+def _decode_watch(line: bytes) -> wire.WatchReply:
+    try:
+        return msgspec.json.decode(line, type=wire.WatchReply)
+    except msgspec.MsgspecError as exc:
+        raise GatewayError(ErrorKind.PLATFORM_OUT, "a watch line can't be read") from exc
+
+
 def _refusal(status: int, body: bytes) -> _RefusalError:
     try:
         reply = msgspec.json.decode(body, type=wire.StatusReply)
--- a/tests/platform/etcd.feature
+++ b/tests/platform/etcd.feature
@@ -30,3 +30,11 @@
     Given a retry budget of 2 earned at 0.5 a call
     Then 2 retries are granted and the next is not
     And after 2 more calls 1 retry is granted
+
+  Scenario: an answer that can't be read tells no more than none
+    # Something between answers with a page of its own and status 200. The write may have taken
+    # effect for all the client knows, so its outcome is unknown; the read and watch fail.
+    Given an etcd client whose server answers "<html>sign in</html>"
+    Then the etcd client's write ends with "platform_unknown"
+    And the etcd client's read ends with "platform_out"
+    And the etcd client's watch ends with "platform_out"
--- a/tests/steps/platform/etcd_steps.py
+++ b/tests/steps/platform/etcd_steps.py
@@ -3,10 +3,11 @@
 import httpcore
 from behave import given, then, when
 
+from hickorybeam.httpserve import listening
 from hickorybeam.platform import Compare, Put
 from hickorybeam.platform.retry import RetryBudget
 from hickorybeam.standins import relay
-from steps.platform.contract_steps import UNREACHABLE, etcd_client, serve
+from steps.platform.contract_steps import UNREACHABLE, etcd_client, outcome, serve
 
 
 @given("a served stand-in platform")
@@ -84,3 +85,32 @@
     for _ in range(calls):
         context.budget.earn()
     assert [context.budget.spend() for _ in range(2)] == [True, False]
+
+
+@given('an etcd client whose server answers "{text}"')
+def step_garbled(context, text):
+    async def app(scope, receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": text.encode() + b"\n"})
+
+    listener = context.stack.enter_context(
+        context.portal.wrap_async_context_manager(listening(app))
+    )
+    context.client = context.call(etcd_client, listener.url)
+
+
+@then('the etcd client\'s {what} ends with "{kind}"')
+def step_ends(context, what, kind):
+    client = context.client
+
+    async def watch():
+        async for _ in client.watch("", after=1):
+            return
+
+    calls = {
+        "write": lambda: client.txn((), (Put("a", b"1"),)),
+        "read": lambda: client.read("a"),
+        "watch": watch,
+    }
+    found = outcome(context, calls[what])
+    assert found == kind, found
