backends: HTTP framing by httptools over httpcore's sockets; no trust in X-Forwarded-For

uvicorn's proxy_headers were on: a caller on loopback could choose its address by X-Forwarded-For and so pass the limit on connections per address.

A table of 21 byte sequences pins down what counts as a whole answer and when a connection is kept.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -79,20 +79,25 @@
         self.state = ConfigState(1, 1, {ref_of(obj): Versioned(1, obj) for obj in objects})
 
     def current(self) -> ConfigState:
+        """Return the state."""
         return self.state
 
     def age_ms(self) -> int:
+        """Say that it is fresh."""
         return 0
 
     async def wait_for(self, position: int, *, timeout_ms: int) -> ConfigState:
+        """Return the state."""
         return self.state
 
     async def changed(self, position: int) -> ConfigState:
+        """Nothing ever changes."""
         if position >= self.state.position:
             await anyio.sleep_forever()
         return self.state
 
     async def submit(self, ticket: Any) -> int:
+        """Take nothing."""
         return 1
 
 
@@ -106,6 +111,7 @@
         self.engine = engine
 
     async def run(self, call: Any) -> AsyncIterator[Any]:
+        """Run a call at the engine."""
         async with aclosing(self.backends.run(call, self.engine)) as parts:  # type: ignore
             async for part in parts:
                 yield part
@@ -196,9 +202,7 @@
     async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
         for number in range(count + 20):
             begun = time.perf_counter()
-            response = await pool.handle_async_request(
-                request_of(port, tokens=1, stream=True)
-            )
+            response = await pool.handle_async_request(request_of(port, tokens=1, stream=True))
             await response.aread()
             await response.aclose()
             assert response.status == 200, response.status
--- a/src/hickorybeam/backends/exchange.py
+++ b/src/hickorybeam/backends/exchange.py
@@ -9,11 +9,10 @@
 import anyio
 import httpcore
 
+from hickorybeam.backends.http1 import BrokenAnswerError, InvalidRequestError
 from hickorybeam.errors import ErrorKind, GatewayError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
-
     from hickorybeam.backends.headers import RawHeaders
     from hickorybeam.backends.pool import Connection, ConnectionPool
     from hickorybeam.model import BackendServer
@@ -21,14 +20,7 @@
 
 __all__ = ("Exchange", "ExchangeError")
 
-SWITCHING_PROTOCOLS = 101
-
-LOST = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.RemoteProtocolError,
-    anyio.ClosedResourceError,
-)
+LOST = (httpcore.NetworkError, anyio.ClosedResourceError, BrokenAnswerError)
 
 
 class ExchangeError(Exception):
@@ -65,9 +57,6 @@
         self._conn = conn
         self._backend = backend
         self._between_ms = between_ms
-        self._response: httpcore.Response | None = None
-        self._whole = False
-        self._body: AsyncGenerator[bytes, None] | None = None
         self._watch = watchdog.add(between_ms, self._on_silence)
 
     async def send(
@@ -78,23 +67,17 @@
         :raises ExchangeError: the answer did not come.
         :raises GatewayError: ``BAD_REQUEST`` when the request cannot be written as HTTP.
         """
-        host, port = self._conn.address
-        url = httpcore.URL(scheme=b"http", host=host.encode(), port=port, target=target)
         if body or method in ("POST", "PUT", "PATCH"):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        req = httpcore.Request(method, url, headers=headers, content=body)
         self._watchdog.extend(self._watch, first_byte_ms)
         try:
-            self._response = await self._conn.http.handle_async_request(req)
+            await self._conn.http.send(method, target, headers, body)
         except LOST as exc:
             raise ExchangeError(silent=self._watch.expired) from exc
-        except httpcore.LocalProtocolError as exc:
+        except InvalidRequestError as exc:
             raise GatewayError(ErrorKind.BAD_REQUEST, "not valid as HTTP") from exc
-        self.status = self._response.status
-        self.headers = self._response.headers
-        if self.status == SWITCHING_PROTOCOLS:
-            raise ExchangeError(silent=False)
-        self._body = self._response.stream.__aiter__()  # type: ignore
+        self.status = self._conn.http.status
+        self.headers = self._conn.http.headers
 
     def header(self, name: bytes) -> str:
         """Return a header of the answer, empty if it has none."""
@@ -110,12 +93,8 @@
 
         :raises ExchangeError: the body ended early or fell silent.
         """
-        assert self._body is not None
         try:
-            return await anext(self._body)
-        except StopAsyncIteration:
-            self._whole = True
-            return b""
+            return await self._conn.http.next_chunk()
         except LOST as exc:
             raise ExchangeError(silent=self._watch.expired) from exc
         finally:
@@ -140,15 +119,11 @@
     async def close(self) -> None:
         """End the exchange; the connection is reused only after a whole answer."""
         self._watchdog.remove(self._watch)
-        if self._whole and self._response is not None:
-            await self._response.aclose()
-            if self._conn.http.is_idle():
-                self._pool.give_back(self._conn)
-                return
+        if self._conn.http.reusable:
+            self._pool.give_back(self._conn)
+            return
         with anyio.CancelScope(shield=True):
             await self._conn.http.aclose()
-            if self._body is not None:
-                await self._body.aclose()
             if self._watch.expired:
                 await self._pool.forget(self._backend)
 
--- a/src/hickorybeam/backends/pool.py
+++ b/src/hickorybeam/backends/pool.py
@@ -9,6 +9,7 @@
 import anyio
 import httpcore
 
+from hickorybeam.backends.http1 import HttpConnection
 from hickorybeam.errors import ErrorKind, GatewayError
 
 if TYPE_CHECKING:
@@ -31,7 +32,7 @@
     """One open connection and whom it leads to."""
 
     address: Address
-    http: httpcore.AsyncHTTP11Connection
+    http: HttpConnection
     socket: socket.socket
     idle_since_ms: int = 0
     reused: bool = field(default=False)
@@ -117,9 +118,7 @@
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise GatewayError(ErrorKind.BACKEND_REFUSED, f"{name}: no connection") from exc
         self.opened += 1
-        origin = httpcore.Origin(b"http", host.encode(), port)
-        http = httpcore.AsyncHTTP11Connection(origin, stream)
-        return Connection(address, http, stream.get_extra_info("socket"))
+        return Connection(address, HttpConnection(stream), stream.get_extra_info("socket"))
 
     async def _reap(self) -> None:
         oldest = self._clock.now() - self._idle_ms
--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -127,6 +127,8 @@
         log_level="critical",
         access_log=False,
         server_header=False,
+        # Callers reach us directly; one that sends X-Forwarded-For must not choose its address.
+        proxy_headers=False,
         date_header=False,
         backlog=BACKLOG,
         timeout_keep_alive=max(1, keep_alive_ms // MS_PER_SECOND),
--- /dev/null
+++ b/tests/steps/backends/wire_steps.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import anyio
+from behave import given, then, when
+from tests.steps.backends.backends_steps import read
+
+from hickorybeam.standins.http import Fault, FaultKind
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+BYTES = {
+    "length": OK + b"content-length: 5\r\n\r\nhello",
+    "chunked": CHUNKED + b"2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    "close asked": OK + b"connection: close\r\ncontent-length: 5\r\n\r\nhello",
+    "old http": b"HTTP/1.0 200 OK\r\n\r\nhello",
+    "early hints": b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+    + OK
+    + b"content-length: 5\r\n\r\nhello",
+    "head": OK + b"content-length: 5\r\n\r\n",
+    "no content": b"HTTP/1.1 204 No Content\r\n\r\n",
+    "not modified": b"HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n",
+    "surplus": OK + b"content-length: 5\r\n\r\nhello" + OK + b"content-length: 1\r\n\r\nx",
+    "short": OK + b"content-length: 9\r\n\r\nhello",
+    "half chunk": CHUNKED + b"9\r\nhello",
+    "no last chunk": CHUNKED + b"5\r\nhello\r\n",
+    "bad chunk": CHUNKED + b"5\r\nhello\r\nzz\r\n",
+    "not http": b"SSH-2.0-OpenSSH\r\n\r\n",
+    "two lengths": OK + b"content-length: 5\r\ncontent-length: 6\r\n\r\nhello",
+    "length and chunked": OK + b"content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "half a head": OK + b"content-le",
+    "nothing": b"",
+    "endless head": OK + b"x-a: b\r\n" * 100_000 + b"\r\n",
+    "switching protocols": b"HTTP/1.1 101 Switching\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+    "answer to another": OK + b"x-request-id: other\r\ncontent-length: 5\r\n\r\nhello",
+}
+WAITS = {"length", "chunked", "early hints", "head", "no content", "not modified", "surplus"}
+INVALID = {
+    "a line break in a value": {"headers": (("x-a", "b\r\nx-admin: 1"),)},
+    "a space in the target": {"path": "/x HTTP/1.1\r\nx-admin: 1"},
+    "a colon in a name": {"headers": (("x-a: 1\r\nx-b", "c"),)},
+}
+
+
+@given('a raw server at the backends rig that sends "{what}"')
+def step_raw_server(context, what):
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            with anyio.move_on_after(5):
+                await stream.send(BYTES[what])
+                if what in WAITS:
+                    await anyio.sleep(5)
+
+    async def start():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        context.rig.tg.start_soon(listener.serve, answer)
+        return listener.extra(anyio.abc.SocketAttribute.local_port)
+
+    port = context.call(start)
+    servers = context.rig.servers
+    servers["raw"] = replace(servers["plain"], name="raw", port=port)
+
+
+@given("the backends rig's plain service answers its first call {ms:d} ms late")
+def step_late(context, ms):
+    context.rig.plain.app.faults.set(Fault(kind=FaultKind.LATE, ms=ms, count=1))
+
+
+@when('the backends rig sends "{method}" "{path}" to the raw server')
+def step_send_raw(context, method, path):
+    read(context, context.rig.plain_call(method, path), "raw")
+
+
+@when('the backends rig sends a plain call with "{what}"')
+def step_invalid(context, what):
+    fields = {"method": "GET", "path": "/x"} | INVALID[what]
+    read(context, context.rig.plain_call(**fields), "plain")
+
+
+@then('the raw answer at the backends rig is "{outcome}"')
+def step_outcome(context, outcome):
+    got = context.got
+    if got.error is not None:
+        assert got.error.kind.value == outcome, got.error
+        assert got.end is None
+        return
+    assert got.end is not None
+    assert f"{got.head.status} {got.body.decode()}".strip() == outcome, got.parts
+
+
+@then("the backends rig keeps the raw connection: {word}")
+def step_kept(context, word):
+    idle = context.rig.backends.pool.idle(context.rig.servers["raw"])
+    assert idle == (1 if word == "yes" else 0), idle
+
+
+@then('the plain answer at the backends rig names path "{path}"')
+def step_path(context, path):
+    assert context.got.error is None, context.got.error
+    assert f'"path":"{path}"'.encode() in context.got.body, context.got.body
