--- a/src/hickorybeam/backends/pool.py
+++ b/src/hickorybeam/backends/pool.py
@@ -10,6 +10,7 @@
 import httpcore
 
 from hickorybeam.backends.http1 import HttpConnection
+from hickorybeam.backends.network import connect
 from hickorybeam.errors import ErrorKind, GatewayError
 
 if TYPE_CHECKING:
@@ -20,7 +21,6 @@
 
 __all__ = ("Connection", "ConnectionPool")
 
-MS_PER_SECOND = 1000
 REAP_EVERY_MS = 1_000
 IDLE_PER_SERVER = 64
 
@@ -53,10 +53,9 @@
 
     def __init__(self, clock: Clock, *, connect_timeout_ms: int, idle_ms: int) -> None:
         self._clock = clock
-        self._connect_timeout_s = connect_timeout_ms / MS_PER_SECOND
+        self._connect_timeout_ms = connect_timeout_ms
         self._idle_ms = idle_ms
         self._idle: dict[Address, deque[Connection]] = {}
-        self._network = httpcore.AnyIOBackend()
         self.opened = 0
 
     def idle(self, backend: BackendServer) -> int:
@@ -114,11 +113,11 @@
     async def _open(self, address: Address, name: str) -> Connection:
         host, port = address
         try:
-            stream = await self._network.connect_tcp(host, port, timeout=self._connect_timeout_s)
+            stream = await connect(host, port, timeout_ms=self._connect_timeout_ms)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise GatewayError(ErrorKind.BACKEND_REFUSED, f"{name}: no connection") from exc
         self.opened += 1
-        return Connection(address, HttpConnection(stream), stream.get_extra_info("socket"))
+        return Connection(address, HttpConnection(stream), stream.socket)
 
     async def _reap(self) -> None:
         oldest = self._clock.now() - self._idle_ms
