--- a/tests/backends/plain.feature
+++ b/tests/backends/plain.feature
@@ -33,6 +33,14 @@
       | crossed       | backend_unknown | unknown | 1    |
       | refuse        | backend_refused | no      | 0    |
 
+  Scenario: a silent plain service is noticed within its limit
+    # The service takes the call and never answers. Its limit is 300 ms to the first byte; the
+    # next call must not meet the connection that fell silent.
+    Given the backends rig's plain service has fault "accept_silent"
+    When the backends rig sends "GET" "/bytes" to the plain service
+    Then the backends rig noticed after 300 to 600 ms
+    And the backends rig's caller got error "backend_silent" with ran "unknown"
+
   Scenario Outline: an answer that ends early is an error
     Given the backends rig's plain service has fault "<fault>" after 5 bytes
     When the backends rig sends "GET" "<path>" to the plain service
