front: bound all connections; close after an unread expected body; targets that are not ASCII

Found by reading: connections of many addresses could take every file of the process; a refusal of a request that expects to be told to send its body kept the connection, where the next request would be parsed as that body; a query that is not ASCII was a 500. Each has a scenario.

--- a/src/hickorybeam/front/protocol.py
+++ b/src/hickorybeam/front/protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import resource
 import socket
 from collections import Counter
 from typing import TYPE_CHECKING, Any
@@ -26,6 +27,11 @@
 # What a header line takes beside its name and value: ": " and the line's end.
 HEADER_LINE_BYTES = 4
 KEEP_ALIVE_PROBES = 3
+# What an idle connection may take: its transport, parser and two deadlines, rounded up.
+CONNECTION_BYTES = 16_384
+# Each caller's connection may need one to a backend server and one to a peer; without room
+# for those, accepting more callers would only make running requests fail.
+CALLERS_SHARE_OF_FILES = 0.3
 
 
 class Guard:
@@ -39,6 +45,10 @@
         self.refused = refused
         self.by_address: Counter[str] = Counter()
         self.conns: set[CallerProtocol] = set()
+        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.most_conns = min(
+            cfg.memory_bytes // CONNECTION_BYTES, int(files * CALLERS_SHARE_OF_FILES)
+        )
 
     def unflushed(self) -> bool:
         """Whether any caller has not taken all that was written to it."""
@@ -76,7 +86,9 @@
         guard.conns.add(self)
         guard.by_address[self._address] += 1
         watch_for_silence(transport, guard.cfg)
-        if guard.by_address[self._address] > guard.cfg.max_connections_per_address:
+        if len(guard.conns) > guard.most_conns:
+            self.refuse(ErrorKind.VM_FULL)
+        elif guard.by_address[self._address] > guard.cfg.max_connections_per_address:
             self.refuse(ErrorKind.TOO_MANY_CONNECTIONS)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/hickorybeam/front/request.py
+++ b/src/hickorybeam/front/request.py
@@ -48,6 +48,7 @@
         self.answered = False
         self.held_bytes = 0
         self.closing = False
+        self._asked_body = False
         self.counted = False
         self.allow = ""
         self.param: str | None = None
@@ -67,6 +68,7 @@
         :raises GatewayError: ``BODY_TOO_LARGE``, ``VM_FULL`` or ``CALLER_TIMEOUT``.
         :raises CallerGoneError: the caller left before the body was whole.
         """
+        self._asked_body = True
         declared = self.header(b"content-length")
         if declared and int(declared) > limit:
             raise GatewayError(ErrorKind.BODY_TOO_LARGE, f"the limit is {limit} bytes")
@@ -101,7 +103,9 @@
             # Some servers give a length with 304; the answer has no body all the same.
             headers = [header for header in headers if header[0] != b"content-length"]
         headers.append((b"x-request-id", self.id.encode()))
-        if self.closing:
+        if self.closing or (self.header(b"expect") and not self._asked_body):
+            # A caller that waits to be told to send its body may send its next request
+            # instead, and the parser would take that request for the body.
             headers.append((b"connection", b"close"))
         self.answered = True
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
--- a/src/hickorybeam/front/work.py
+++ b/src/hickorybeam/front/work.py
@@ -142,12 +142,15 @@
 
 def split_target(req: Request) -> tuple[str, str]:
     """Return the service's name and the rest of the target with its query, as sent."""
-    rest = req.raw_path.decode("ascii").removeprefix(SERVICES_PREFIX)
+    target = req.raw_path + (b"?" + req.query if req.query else b"")
+    try:
+        rest = target.decode("ascii").removeprefix(SERVICES_PREFIX)
+    except UnicodeDecodeError as exc:
+        raise GatewayError(ErrorKind.BAD_REQUEST, "the target is not ASCII") from exc
     name, _, path = rest.partition("/")
     if not name:
         raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
-    query = f"?{req.query.decode('ascii')}" if req.query else ""
-    return name, f"/{path}{query}"
+    return name, f"/{path}"
 
 
 def text_headers(gate: Gate, req: Request) -> tuple[Header, ...]:
--- a/tests/front/callers.feature
+++ b/tests/front/callers.feature
@@ -75,12 +75,19 @@
       | half a head         | 408    | caller_timeout       |
       | half a body         | 408    | caller_timeout       |
       | bad deadline        | 400    | bad_request          |
+      | query not ascii     | 400    | bad_request          |
+      | path not ascii      | 400    | bad_request          |
       | long idempotency    | 400    | idempotency_invalid  |
 
   Scenario: one address cannot take all connections
     When the front has 8 open connections from one address
     Then the front refuses one more with "too_many_connections"
 
+  Scenario: connections cannot take the files and memory that running requests need
+    # Callers at many addresses hold connections, each address within its own limit.
+    When the front has 8 open connections from each of 3 addresses
+    Then the front refuses a connection from any address with "vm_full"
+
   Scenario: a caller that sends nothing is let go
     When a caller connects to the front and stays silent
     Then the front closes the connection after 1500 to 2300 ms
--- a/tests/front/outcomes.feature
+++ b/tests/front/outcomes.feature
@@ -37,6 +37,7 @@
     When the front gets the head of a chat call, with its body held back
     Then the front answers raw with status 421 and code "residency"
     And the front's raw answer names entry "http://127.0.0.1:8003"
+    And the front's raw answer closes the connection
     And dispatch behind the front got 0 calls
 
   Scenario: a second misdirect is refused for good
--- a/tests/standins/engine.feature
+++ b/tests/standins/engine.feature
@@ -21,6 +21,22 @@
     When the stand-in engine streams 5 tokens
     Then the stand-in engine's stream is whole
 
+  Scenario: cache events come late and with gaps
+    When the stand-in engine runs 8 prompts that share no prefix
+    Then the stand-in engine's cache events come late and leave out number 7
+
+  Scenario: the load report lags
+    When the stand-in engine is asked for its load at once after a call
+    Then the stand-in engine's load report is older than the call
+
+  Scenario Outline: stand-ins run as processes
+    Then the stand-in "<name>" runs as a process and answers "<path>"
+
+    Examples:
+      | name   | path       |
+      | engine | /v1/models |
+      | plain  | /bookings  |
+
   Scenario: a stream resumed by position goes on with the next token
     When the stand-in engine streams 5 tokens
     And the stand-in engine's stream is resumed from 3
--- a/tests/steps/front/callers_steps.py
+++ b/tests/steps/front/callers_steps.py
@@ -35,6 +35,11 @@
         f"{HEAD}x-hickorybeam-deadline-ms: soon\r\ncontent-length: {len(CHAT)}\r\n\r\n".encode()
         + CHAT
     ),
+    "query not ascii": (
+        f"GET /v1/services/bookings/x?\xff HTTP/1.1\r\nhost: x\r\n"
+        f"authorization: Bearer {SECRET}\r\n\r\n"
+    ).encode("latin-1"),
+    "path not ascii": "GET /v1/\xff HTTP/1.1\r\nhost: x\r\n\r\n".encode("latin-1"),
     "long idempotency": (
         f"{HEAD}idempotency-key: {'k' * 300}\r\ncontent-length: {len(CHAT)}\r\n\r\n".encode() + CHAT
     ),
@@ -51,8 +56,9 @@
     return context.answer
 
 
-def connect(context):
-    sock = socket.create_connection(("127.0.0.1", context.rig.front.port), timeout=5)
+def connect(context, source="127.0.0.1"):
+    address = ("127.0.0.1", context.rig.front.port)
+    sock = socket.create_connection(address, timeout=5, source_address=(source, 0))
     context.stack.callback(sock.close)
     return sock
 
@@ -260,6 +266,27 @@
     assert code.encode() in raw
 
 
+@when("the front has {count:d} open connections from each of {addresses:d} addresses")
+def step_many_addresses(context, count, addresses):
+    for number in range(addresses):
+        for _ in range(count):
+            connect(context, f"127.0.0.{number + 2}")
+    total = count * addresses
+    context.call(eventually, lambda: len(context.rig.front._guard.conns) == total)
+
+
+@then('the front refuses a connection from any address with "{code}"')
+def step_full(context, code):
+    raw = read_all(connect(context))
+    assert raw.startswith(b"HTTP/1.1 503 "), raw
+    assert code.encode() in raw
+
+
+@then("the front's raw answer closes the connection")
+def step_raw_close(context):
+    assert b"\r\nconnection: close\r\n" in context.raw, context.raw
+
+
 @then("the front closes the connection after {low:d} to {high:d} ms")
 def step_closed(context, low, high):
     assert context.raw == b"", context.raw
--- a/tests/steps/standins/engine_steps.py
+++ b/tests/steps/standins/engine_steps.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
+import time
 
 import httpcore
 import msgspec
@@ -57,6 +60,52 @@
     ask(context, "POST", "/orders", {"order": "load", "model": model, "fencing": number})
 
 
+@when("the stand-in engine runs {count:d} prompts that share no prefix")
+def step_prompts(context, count):
+    for number in range(count):
+        ask(context, "POST", "/v1/completions", {"model": "small", "prompt": str(number)})
+
+
+@when("the stand-in engine is asked for its load at once after a call")
+def step_load_at_once(context):
+    ask(context, "GET", "/load")
+    ask(context, "POST", "/v1/completions", {"model": "small", "prompt": "x", "max_tokens": 1})
+    ask(context, "GET", "/load")
+
+
+@then("the stand-in engine's cache events come late and leave out number {gap:d}")
+def step_cache_events(context, gap):
+    def numbers():
+        answer = ask(context, "GET", "/cache-events")
+        return [event["seq"] for event in msgspec.json.decode(answer.content)["events"]]
+
+    assert 8 not in numbers()
+    deadline = time.monotonic() + 5
+    while 8 not in (found := numbers()) and time.monotonic() < deadline:
+        time.sleep(0.02)
+    assert found == [number for number in range(1, 9) if number != gap], found
+
+
+@then("the stand-in engine's load report is older than the call")
+def step_load_lags(context):
+    load = msgspec.json.decode(context.engine_answer.content)
+    assert load["cached_prefixes"] == [], load
+    assert context.engine.app.seen.prompts
+
+
+@then('the stand-in "{name}" runs as a process and answers "{path}"')
+def step_process(context, name, path):
+    args = [sys.executable, "-m", f"hickorybeam.standins.{name}", "--port", "0"]
+    proc = subprocess.Popen(args, stdout=subprocess.PIPE, text=True)
+    context.stack.callback(proc.wait, 10)
+    context.stack.callback(proc.terminate)
+    context.stack.callback(proc.stdout.close)
+    line = proc.stdout.readline()
+    assert line.startswith("listening on 127.0.0.1:"), line
+    port = int(line.rpartition(":")[2])
+    assert httpcore.request("GET", f"http://127.0.0.1:{port}{path}").status == 200
+
+
 @then('the stand-in engine answers {status:d} with field "{field}"')
 def step_answers(context, status, field):
     answer = context.engine_answer
