backends: polls start again after a crash; deep nesting is an error of its kind

Found by reading: after a crash of the service the poller took its ended tasks for running, so every load report went stale (a scenario fails without the mend). A deeply nested answer of an engine would have ended the task that reads it.

--- a/src/hickorybeam/backends/engine.py
+++ b/src/hickorybeam/backends/engine.py
@@ -235,11 +235,11 @@
     """
     if not call.stream:
         return call.body, False
-    body: dict[str, Any] = msgspec.json.decode(call.body)
-    options = body.get("stream_options") or {}
+    body = msgspec.json.decode(call.body, type=dict[str, msgspec.Raw])
+    options = msgspec.json.decode(body.get("stream_options", b"null")) or {}
     if options.get("include_usage"):
         return call.body, False
-    body["stream_options"] = options | {"include_usage": True}
+    body["stream_options"] = msgspec.Raw(msgspec.json.encode(options | {"include_usage": True}))
     return msgspec.json.encode(body), True
 
 
--- a/src/hickorybeam/backends/reports.py
+++ b/src/hickorybeam/backends/reports.py
@@ -79,6 +79,10 @@
             self._polled[backend] = scope
             tg.start_soon(self._poll_for_ever, backend, scope)
 
+    def forget(self) -> None:
+        """Start anew; the tasks that polled have ended."""
+        self._polled.clear()
+
     def _pause_ms(self) -> int:
         return max(self._every_ms, len(self._polled) * MS_PER_SECOND // MAX_POLLS_PER_S)
 
@@ -108,7 +112,7 @@
             if exchange.status != OK:
                 raise ValueError("not a report")
             load = msgspec.json.decode(raw, type=_Load)
-        except (ExchangeError, GatewayError, ValueError):
+        except (ExchangeError, GatewayError, ValueError, RecursionError):
             self._failures.inc()
             return
         self._reports[backend.name] = LoadReport(
--- a/src/hickorybeam/backends/service.py
+++ b/src/hickorybeam/backends/service.py
@@ -77,6 +77,8 @@
             tg.start_soon(self._control_pool.run)
             for _ in range(CANCEL_TASKS):
                 tg.start_soon(self._canceller.run)
+            # After a crash the old tasks are gone with their group; polls would never resume.
+            self._poller.forget()
             started()
             while True:
                 state = self._config.current()
--- a/src/hickorybeam/backends/sse.py
+++ b/src/hickorybeam/backends/sse.py
@@ -126,5 +126,8 @@
 
     :raises ValueError: the JSON is malformed.
     """
-    found = msgspec.json.decode(frame, type=_Frame).usage
+    try:
+        found = msgspec.json.decode(frame, type=_Frame).usage
+    except RecursionError as exc:
+        raise ValueError("nested too deeply") from exc
     return None if found is None else Usage(found.prompt_tokens, found.completion_tokens)
--- a/tests/backends/engine.feature
+++ b/tests/backends/engine.feature
@@ -90,6 +90,13 @@
     Then the engine answer at the backends rig is whole with usage
     And the backends rig opened 2 connections for calls
 
+  Scenario: load reports go on after the service crashed
+    # A fault ends the service's task and the supervisor starts it again. Its polls must start
+    # again too, or every report would go stale while engines work.
+    When the backends rig's service crashes once
+    And the backends rig's engine is asked for its load again
+    Then the load report at the backends rig names engine "engine"
+
   Scenario: load reports arrive and a stale one is not shown
     When the backends rig waits for a load report
     Then the load report at the backends rig names engine "engine"
--- a/tests/front/callers.feature
+++ b/tests/front/callers.feature
@@ -77,6 +77,7 @@
       | bad deadline        | 400    | bad_request          |
       | query not ascii     | 400    | bad_request          |
       | path not ascii      | 400    | bad_request          |
+      | nested body         | 400    | bad_request          |
       | long idempotency    | 400    | idempotency_invalid  |
 
   Scenario: one address cannot take all connections
--- a/tests/steps/backends/backends_steps.py
+++ b/tests/steps/backends/backends_steps.py
@@ -89,6 +89,25 @@
     context.call(eventually, lambda: context.rig.backends.report("engine"))
 
 
+@when("the backends rig's service crashes once")
+def step_crash(context):
+    rig = context.rig
+
+    def crash():
+        rig.config.crash = True
+        rig.config.set(*rig.servers.values())
+
+    context.call(crash)
+    context.call(eventually, lambda: rig.kernel.restarts.get("backends"))
+
+
+@when("the backends rig's engine is asked for its load again")
+def step_load_again(context):
+    rig = context.rig
+    asked = rig.backends._poller._reports["engine"].at_ms
+    context.call(eventually, lambda: rig.backends._poller._reports["engine"].at_ms > asked + 100)
+
+
 @when("the backends rig's engine is gone")
 def step_gone(context):
     context.call(context.rig.engine.listener.abort)
--- a/tests/steps/backends/rig.py
+++ b/tests/steps/backends/rig.py
@@ -44,6 +44,7 @@
 
     def __init__(self, *objects):
         self.state = ConfigState()
+        self.crash = False
         self._changed = anyio.Event()
         self.set(*objects)
 
@@ -64,6 +65,9 @@
         return self.state
 
     async def changed(self, position):
+        if self.crash:
+            self.crash = False
+            raise RuntimeError("crash wanted by the test")
         while self.state.position <= position:
             await self._changed.wait()
         return self.state
@@ -132,7 +136,7 @@
             backends=LIMITS,
         )
         self.backends = BackendsService(cfg=cfg, clock=self.clock, counters=self.counters)
-        kernel = Kernel(self.clock)
+        self.kernel = kernel = Kernel(self.clock)
         kernel.add(self.config)
         kernel.add(self.backends)
         self.tg = await enter(anyio.create_task_group())
--- a/tests/steps/front/callers_steps.py
+++ b/tests/steps/front/callers_steps.py
@@ -40,6 +40,13 @@
         f"authorization: Bearer {SECRET}\r\n\r\n"
     ).encode("latin-1"),
     "path not ascii": "GET /v1/\xff HTTP/1.1\r\nhost: x\r\n\r\n".encode("latin-1"),
+    "nested body": (
+        f"{HEAD}content-length: 4047\r\n\r\n".encode()
+        + b'{"model":"small","max_tokens":1,"messages":'
+        + b"[" * 2_000
+        + b"]" * 2_000
+        + b"}   "
+    ),
     "long idempotency": (
         f"{HEAD}idempotency-key: {'k' * 300}\r\ncontent-length: {len(CHAT)}\r\n\r\n".encode() + CHAT
     ),
