--- a/src/hickorybeam/standins/engine.py
+++ b/src/hickorybeam/standins/engine.py
@@ -147,7 +147,7 @@
     def state(self) -> dict[str, Any]:
         """Return what an order can change."""
         return {
-            "models": dict(self.models),
+            "models": [{"name": name, "version": version} for name, version in self.models.items()],
             "role": self.role,
             "fencing": self.fencing,
             "leaving": self.leaving,
