--- a/src/hickorybeam/control/sender.py
+++ b/src/hickorybeam/control/sender.py
@@ -24,8 +24,13 @@
 MS_PER_SECOND = 1000
 
 
+class _Loaded(msgspec.Struct):
+    name: str
+    version: str = ""
+
+
 class _State(msgspec.Struct):
-    models: dict[str, str] = {}
+    models: tuple[_Loaded, ...] = ()
     role: str = ""
     fencing: int = 0
 
@@ -63,7 +68,8 @@
             found = msgspec.json.decode(response.content, type=_State)
         except msgspec.MsgspecError as exc:
             raise GatewayError(ErrorKind.BACKEND_FAILED, f"{engine.name}: {exc}") from exc
-        return EngineState(models=found.models, role=found.role, fencing=found.fencing)
+        models = {loaded.name: loaded.version for loaded in found.models}
+        return EngineState(models=models, role=found.role, fencing=found.fencing)
 
     async def send(
         self, engine: BackendServer, order: Order, *, fencing: int, may_send: Callable[[], bool]
--- a/src/hickorybeam/daemon.py
+++ b/src/hickorybeam/daemon.py
@@ -12,6 +12,7 @@
 from hickorybeam import ports
 from hickorybeam.backends import BackendsService
 from hickorybeam.clock import SystemClock
+from hickorybeam.control import ControlService
 from hickorybeam.dispatch import DispatchService
 from hickorybeam.front import FrontService
 from hickorybeam.kernel import Kernel
@@ -63,6 +64,8 @@
             FrontService,
         ):
             kernel.add(kind(cfg=cfg, clock=clock, counters=counters))
+        if cfg.control.enabled:
+            kernel.add(ControlService(cfg=cfg, clock=clock, counters=counters))
         return cls(kernel, counters)
 
     def me(self) -> EntryVm:
