--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -44,6 +44,7 @@
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self.up = anyio.Event()
+        self.over = anyio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -54,6 +55,16 @@
         await super().startup(sockets=sockets)
         self.up.set()
 
+    async def main_loop(self) -> None:
+        """Wait for the end; uvicorn's own loop wakes ten times a second to look for it."""
+        await self.over.wait()
+
+    def end(self, *, at_once: bool) -> None:
+        """Stop accepting, and cut open requests off if told to."""
+        self.should_exit = True
+        self.force_exit = at_once
+        self.over.set()
+
 
 class Listener:
     """A server that listens: its real port and the ways to end it."""
@@ -75,12 +86,11 @@
 
     def finish(self) -> None:
         """Stop accepting; open requests finish and their connections close."""
-        self._server.should_exit = True
+        self._server.end(at_once=False)
 
     def abort(self) -> None:
         """Stop at once and cut every open connection."""
-        self._server.should_exit = True
-        self._server.force_exit = True
+        self._server.end(at_once=True)
         for conn in tuple(self._server.server_state.connections):
             if isinstance(conn, HttpProtocol):
                 conn.abort()
