--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -59,6 +59,16 @@
         """Wait for the end; uvicorn's own loop wakes ten times a second to look for it."""
         await self.over.wait()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop listening; uvicorn waits 0.1 s here even when every connection is cut."""
+        if not self.force_exit:
+            await super().shutdown(sockets=sockets)
+            return
+        for server in self.servers:
+            server.close()
+        for sock in sockets or ():
+            sock.close()
+
     def end(self, *, at_once: bool) -> None:
         """Stop accepting, and cut open requests off if told to."""
         self.should_exit = True
