--- a/src/hickorybeam/dispatch/metrics.py
+++ b/src/hickorybeam/dispatch/metrics.py
@@ -16,7 +16,7 @@
 
 MS_PER_SECOND = 1000
 KEPT_FOR_EACH_ACCOUNT = 8
-# The letter's size is 850 accounts; the one unheard of for longest goes first above this.
+# Sized for 850 accounts; above this the one unheard of for longest goes first.
 MOST_ACCOUNTS = 1_000
 
 
