--- a/tests/steps/peers/silent_steps.py
+++ b/tests/steps/peers/silent_steps.py
@@ -2,18 +2,23 @@
 
 import socket
 from contextlib import aclosing
+from dataclasses import replace
 
 import anyio
 from behave import given, then, when
+from h2.exceptions import StreamClosedError
 
 from hickorybeam.errors import GatewayError
-from hickorybeam.model import AnswerChunk
+from hickorybeam.model import AnswerChunk, VmId
 from hickorybeam.peers.links import AbortableProtocol
+from hickorybeam.peers.server import PeerServer
+from hickorybeam.peers.wire import Answered, Ask, NumberedAsk
 from hickorybeam.settings import PeerSettings
 from hickorybeam.standins import relay
 from support.peer_nodes import ECHO, PLAIN, Node, Words, collect, enter, make_call
 
 SILENT_MS = 400
+STEADY = replace(ECHO, name="steady echo", steady=True)
 TINY_BUFFER = 2048
 
 
@@ -25,19 +30,35 @@
     peers = PeerSettings(tls=PLAIN, silent_after_ms=SILENT_MS, call_timeout_ms=SILENT_MS)
     context.a = context.call(lambda: Node("vm-a", peers=peers))
     context.b = context.call(lambda: Node("vm-b", "thies", peers=peers))
+
+    async def echo_slowly(sender, words):
+        if words.text == "slow":
+            await context.others_answered.wait()
+        return await echo(sender, words)
+
     context.b.peers.serve(ECHO, echo)
+    context.b.peers.serve(STEADY, echo_slowly)
     enter(context, context.a.running())
     enter(context, context.b.running())
     context.relay = enter(context, relay.serve("127.0.0.1", context.b.peers.port))
     context.target = context.b.at(context.relay.port)
 
 
+@when('peer node A steadily asks B to echo "{text}" through the relay')
+def step_ask_steadily(context, text):
+    ask_through(context, STEADY, text)
+
+
 @when('peer node A asks B to echo "{text}" through the relay')
 def step_ask(context, text):
+    ask_through(context, ECHO, text)
+
+
+def ask_through(context, topic, text):
     async def ask():
         context.reply = context.error = None
         try:
-            context.reply = await context.a.peers.ask(context.target, ECHO, Words(text))
+            context.reply = await context.a.peers.ask(context.target, topic, Words(text))
         except GatewayError as exc:
             context.error = exc
 
@@ -154,3 +175,71 @@
 def step_once(context):
     assert [call.hops for call in context.a.dispatch.calls] == [0]
     assert [call.hops for call in context.b.dispatch.calls] == [1]
+
+
+@when("peer node A steadily asks B to echo {count:d} words at once, the first slowly")
+def step_at_once(context, count):
+    context.answers = []
+
+    async def ask(text):
+        reply = await context.a.peers.ask(context.target, STEADY, Words(text), timeout_ms=5_000)
+        context.answers.append((text, reply.text))
+        if len(context.answers) == count - 1:
+            context.others_answered.set()
+
+    async def run():
+        context.others_answered = anyio.Event()
+        async with anyio.create_task_group() as tg:
+            for text in ["slow", *(f"word{number}" for number in range(count - 1))]:
+                tg.start_soon(ask, text)
+
+    context.count = count
+    context.call(run)
+
+
+@then("every steady asker got its own word and the first came last")
+def step_own_word(context):
+    assert len(context.answers) == context.count
+    assert all(reply == f"vm-a said {text}" for text, reply in context.answers)
+    assert context.answers[-1][0] == "slow"
+
+
+class ClosedStream:
+    class peer:
+        @staticmethod
+        def cert():
+            return None
+
+    async def send_message(self, message):
+        raise StreamClosedError(1)
+
+
+class Answering:
+    async def on_ask(self, ask, certificate):
+        return Answered(body=b"x")
+
+
+@given("a peer server whose handlers answer at once")
+def step_server(context):
+    context.server = context.call(lambda: PeerServer(Answering(), silent_after_ms=SILENT_MS))
+
+
+@when("a steady reply finds its stream closed")
+def step_closed_stream(context):
+    vm = VmId("vm-a", "1")
+    numbered = NumberedAsk(number=1, ask=Ask(sender=vm, to=vm, topic="t", body=b""))
+
+    async def run():
+        context.room = anyio.Semaphore(0, max_value=1)
+        try:
+            await context.server._reply(ClosedStream(), numbered, anyio.Lock(), context.room)
+        except Exception as exc:
+            return exc
+
+    context.raised = context.call(run)
+
+
+@then("the reply is dropped without an error")
+def step_dropped(context):
+    assert context.raised is None, context.raised
+    assert context.room.value == 1
