tests: scenarios for three safeguards whose loss no test saw

A trial broke 24 safeguards in turn; four went unseen: a region closed after a refusal, a vanished caller's place in the queue, the retry budget, the explicit close of a backend's answer. The first three are seen now; without the fourth the event loop closes the answer too, later.

--- a/tests/dispatch/load.feature
+++ b/tests/dispatch/load.feature
@@ -69,7 +69,8 @@
     When a dispatch caller of account "family" asks
     And a second dispatch caller of account "bound" asks
     And the second dispatch caller vanishes
-    And the first dispatch caller vanishes
+    Then nothing waits at dispatch
+    When the first dispatch caller vanishes
     Then 1 dispatch engine calls were made
     And 13 tokens were spent at dispatch
 
@@ -149,3 +150,11 @@
     When 12 dispatch callers ask one after the other
     And 2000 ms pass at dispatch
     Then every dispatch caller gets "whole"
+
+  Scenario: a caller that stops reading between parts has its call cancelled
+    # The caller takes the first part and closes the answer, as a front does when the
+    # connection goes while nothing is awaited from the engine.
+    Given a dispatch gateway with engines "e1"
+    And dispatch engine "e1" will "hang"
+    When a dispatch caller reads one part and closes the answer
+    Then dispatch engine "e1" was told to cancel
--- a/tests/policy/load_decisions.feature
+++ b/tests/policy/load_decisions.feature
@@ -28,6 +28,11 @@
       | idempotent     | rate_limited    | no      | no    |
       | idempotent     | residency       | no      | no    |
 
+  Scenario: retries stay a tenth of the calls however many fail
+    # A thousand calls fail one after the other. Without the bound each is sent again, and the
+    # servers that still work see twice the load just then.
+    Then 1000 failing calls make at most 110 retries
+
   Scenario: all servers fail and half of them stay in use
     # The fault may be ours or the network's. Ejecting all would turn a partial fault into a
     # whole one.
@@ -107,7 +112,10 @@
     Given region choice under profile "fast"
     And region "b" reports a wait of 0 ms and 90000 free tokens 100 ms ago at price 1
     When region "b" fails a call
+    And region "b" reports again 100 ms later with 90000 free tokens
     Then a job with local wait 5000 ms allowed in "a b" goes to "here"
+    When region "b" reports again 600 ms later with 90000 free tokens
+    Then a job with local wait 5000 ms allowed in "a b" goes to "b"
 
   Scenario: the quota to a region starts small and doubles while it shows room
     Given region choice under profile "fast"
--- a/tests/steps/dispatch/load_steps.py
+++ b/tests/steps/dispatch/load_steps.py
@@ -108,6 +108,22 @@
     in_loop(context, start)
 
 
+@when("a dispatch caller reads one part and closes the answer")
+def step_one_part(context):
+    async def read():
+        answer = context.gw.dispatch.run(fakes.call_of())
+        await answer.__anext__()
+        await answer.aclose()
+
+    in_loop(context, read)
+
+
+@then("nothing waits at dispatch")
+def step_nothing_waits(context):
+    waiting = context.gw.dispatch.status()["waiting"]
+    assert all(found["calls"] == 0 for found in waiting.values()), waiting
+
+
 @then("{count:d} dispatch engine calls were made")
 def step_calls(context, count):
     assert len(context.gw.backends.ran) == count, context.gw.backends.ran
--- a/tests/steps/policy/load_decisions_steps.py
+++ b/tests/steps/policy/load_decisions_steps.py
@@ -16,7 +16,7 @@
 from hickorybeam.policy.job import Job
 from hickorybeam.policy.profile import profile_named
 from hickorybeam.policy.region_choice import RegionChoice
-from hickorybeam.policy.retry import may_repeat
+from hickorybeam.policy.retry import RetryBudget, may_repeat
 from hickorybeam.policy.shedding import MemoryBound, excess_jobs
 
 COST = 100
@@ -102,6 +102,16 @@
     assert may_repeat(exc, idempotent=idempotent == "idempotent") == (again == "yes")
 
 
+@then("{calls:d} failing calls make at most {most:d} retries")
+def step_retries(context, calls, most):
+    budget = RetryBudget()
+    made = 0
+    for _ in range(calls):
+        budget.first_attempt()
+        made += budget.take()
+    assert 0 < made <= most, made
+
+
 @given('health of servers "{names}"')
 def step_health(context, names):
     context.health, context.servers, context.now = HealthTable(), names.split(), 0
@@ -293,6 +303,13 @@
     context.regions.failed(region, context.now)
 
 
+@when('region "{region}" reports again {ms:d} ms later with {free:d} free tokens')
+def step_region_again(context, region, ms, free):
+    context.now += ms
+    load = RegionLoad(region=region, served="m", wait_ms=0, free_tokens=free, at_ms=context.now)
+    context.regions.heard([load], job_cost=COST)
+
+
 @then('a job with local wait {wait:d} ms allowed in "{allowed}" goes to "{choice}"')
 def step_region_choice(context, wait, allowed, choice):
     one = job(1, regions=frozenset(allowed.split()))
