dispatch: a call lost in a crash of the load task is refused, not held for ever

Cause: the task owns the queue and answers by message; if it dies on a message, the kernel starts it again but nobody answers that call. Its caller is now refused as not run a little past its deadline.

--- a/src/hickorybeam/dispatch/service.py
+++ b/src/hickorybeam/dispatch/service.py
@@ -56,6 +56,7 @@
 # tries to catch up before it refuses as not run: two heartbeats (500 ms each by default).
 CATCH_UP_MS = 1_000
 DRAIN_POLL_MS = 50
+LOST_AFTER_MS = 500
 
 
 class DispatchService(Service):
@@ -175,7 +176,7 @@
         try:
             await running.wait(spend.take())
             self._retries.first_attempt()
-            decision = await running.wait(ask_offer(self._load, job, running))
+            decision = await self._decide(running, job)
             self._note(job, decision)
             if isinstance(decision, Refuse):
                 raise refusal(decision)
@@ -189,6 +190,17 @@
             self._load.mailbox.post(Done(job))
             spend.settle()
 
+    async def _decide(self, running: RunningCall, job: Job) -> Decision:
+        """Wait for the load policy's decision, bounded a little past the call's deadline.
+
+        The policy answers every job in time unless its task crashed while it held the job.
+        The message is then lost; without this bound its caller would wait for ever.
+        """
+        left = max(0, job.deadline - self._clock.now()) + LOST_AFTER_MS
+        with anyio.move_on_after(left / 1000):
+            return await running.wait(ask_offer(self._load, job, running))
+        raise GatewayError(ErrorKind.DEADLINE, retry_after_ms=LOST_AFTER_MS)
+
     async def _caught_up(self, call: Call) -> ConfigState:
         state = self._config.current()
         if call.position <= state.position:
--- a/tests/dispatch/load.feature
+++ b/tests/dispatch/load.feature
@@ -158,3 +158,15 @@
     And dispatch engine "e1" will "hang"
     When a dispatch caller reads one part and closes the answer
     Then dispatch engine "e1" was told to cancel
+
+  Scenario: the load policy's task crashes with a call in hand
+    # The task dies on one call's message and is started again. That call's caller is refused
+    # as not run instead of waiting for ever, and the next caller is served.
+    Given a dispatch gateway with engines "e1"
+    When the dispatch load task crashes on a call with 100 ms to live
+    Then the dispatch caller gets "deadline"
+    And its dispatch refusal says ran "no"
+    And 0 tokens were spent at dispatch
+    When 1000 ms pass at dispatch
+    And a dispatch caller of account "family" asks
+    Then the dispatch caller gets "whole"
--- a/tests/steps/dispatch/load_steps.py
+++ b/tests/steps/dispatch/load_steps.py
@@ -3,6 +3,7 @@
 import itertools
 from dataclasses import replace
 
+import anyio
 from behave import given, then, when
 from tests.steps.dispatch import fakes
 from tests.steps.dispatch.dispatch_steps import in_loop, send
@@ -118,6 +119,27 @@
     in_loop(context, read)
 
 
+@when("the dispatch load task crashes on a call with {ms:d} ms to live")
+def step_crash(context, ms):
+    scheduler = context.gw.dispatch._scheduler
+    offer = scheduler.offer
+
+    def crash(job, now):
+        scheduler.offer = offer
+        raise RuntimeError("crash wanted by the test")
+
+    scheduler.offer = crash
+    send(context, fakes.call_of(deadline_ms=ms))
+    caller = context.caller
+
+    async def until_done():
+        with anyio.fail_after(10):
+            while not caller.done:
+                await anyio.sleep(0.02)
+
+    context.call(until_done)
+
+
 @then("nothing waits at dispatch")
 def step_nothing_waits(context):
     waiting = context.gw.dispatch.status()["waiting"]
