--- a/src/hickorybeam/dispatch/load_task.py
+++ b/src/hickorybeam/dispatch/load_task.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from hickorybeam.dispatch.messages import Begun, Done, Ended, Offer, PeerEnded, Retry, Tick
 from hickorybeam.kernel import Mailbox
 from hickorybeam.model import VmState
@@ -26,7 +28,9 @@
 # Ten times a second: an ejection waits for up to a tick, and 100 ms is small against the
 # seconds that the policy's time constants span.
 TICK_MS = 100
-PUBLISH_EVERY_TICKS = 5
+# With nothing waiting or running only reports and forecasts are to be taken over.
+IDLE_TICK_MS = 500
+PUBLISH_EVERY_MS = 500
 
 
 class LoadTask:
@@ -57,7 +61,9 @@
         self._waiting: dict[int, Reply[Decision]] = {}
         self._recalls: dict[int, Callable[[], None]] = {}
         self._seen: tuple[int, int] | None = None
-        self._ticks = 0
+        self._published: int | None = None
+        self._offered = anyio.Event()
+        self._taken_in = 0
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -68,11 +74,35 @@
                 self._answer(decision)
 
     async def run_ticks(self) -> None:
-        """Post a tick ten times a second until cancelled."""
+        """Post ticks, fewer while nothing waits or runs, until cancelled."""
         while True:
             self.mailbox.post(Tick())
+            if not self._recalls:
+                await self._rest()
             await self._clock.sleep(TICK_MS)
 
+    async def _rest(self) -> None:
+        """Wait until there is work, or for as long as an idle VM goes without a tick."""
+        self._offered = anyio.Event()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._end_rest, tg.cancel_scope)
+            await self._offered.wait()
+            tg.cancel_scope.cancel()
+
+    async def _end_rest(self, scope: anyio.CancelScope) -> None:
+        await self._clock.sleep(IDLE_TICK_MS - TICK_MS)
+        scope.cancel()
+
+    def catch_up(self) -> None:
+        """Hear the latest before the first call after a rest is judged.
+
+        What is known then is up to ``IDLE_TICK_MS`` old: a call would be refused although
+        another region has told of room meanwhile.
+        """
+        now = self._clock.now()
+        if now - self._taken_in >= TICK_MS:
+            self._take_in(now)
+
     def refresh(self) -> None:
         """Take over the configuration in force and the number of VMs that share it."""
         state = self._config.current()
@@ -90,6 +120,7 @@
             case Offer(job=job, reply=reply, recall=recall):
                 self.refresh()
                 self._recalls[job.id] = recall
+                self._offered.set()
                 decision = self._scheduler.offer(job, now)
                 if decision is None:
                     self._waiting[job.id] = reply
@@ -121,21 +152,26 @@
             now = self._clock.now()
             self._scheduler.finished(decision.job, decision.backend, now, Outcome.CANCELLED, 0)
 
-    def _tick(self, now: int) -> None:
+    def _take_in(self, now: int) -> None:
+        """Hear what reports and other regions say."""
+        self._taken_in = now
         self.refresh()
         for name in self._scheduler.backends.names():
             report = self._backends.report(name)
             if report is not None:
                 self._scheduler.heard_report(report)
         self._scheduler.heard_regions(self._members.region_loads())
+
+    def _tick(self, now: int) -> None:
+        self._take_in(now)
         for decision in self._scheduler.tick(now):
             self._answer(decision)
         for recalled in self._scheduler.recalls(now):
             recall = self._recalls.get(recalled.job.id)
             if recall is not None:
                 recall()
-        self._ticks += 1
-        if self._ticks % PUBLISH_EVERY_TICKS == 1:
+        if self._published is None or now - self._published >= PUBLISH_EVERY_MS:
+            self._published = now
             self._publish(now)
 
     def _publish(self, now: int) -> None:
--- a/src/hickorybeam/dispatch/service.py
+++ b/src/hickorybeam/dispatch/service.py
@@ -226,6 +226,7 @@
         )
 
     def _refuse_early(self, job: Job) -> None:
+        self._load.catch_up()
         refused = self._scheduler.early_refusal(job, self._clock.now())
         if refused is not None:
             self._note(job, refused)
--- a/src/hickorybeam/watchdog.py
+++ b/src/hickorybeam/watchdog.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -44,6 +46,7 @@
         self._clock = clock
         self._tick_ms = tick_ms
         self._watches: set[Watch] = set()
+        self._added = anyio.Event()
 
     def __len__(self) -> int:
         return len(self._watches)
@@ -52,6 +55,7 @@
         """Start a deadline; ``on_expiry`` must not wait."""
         watch = Watch(self._clock.now() + limit_ms, on_expiry)
         self._watches.add(watch)
+        self._added.set()
         return watch
 
     def extend(self, watch: Watch, limit_ms: int) -> None:
@@ -69,6 +73,11 @@
     async def run(self) -> None:
         """Look over the deadlines until cancelled."""
         while True:
+            if not self._watches:
+                # An idle VM would otherwise wake for nothing, which at the target size is a
+                # good part of the processor time allowed for control.
+                self._added = anyio.Event()
+                await self._added.wait()
             await self._clock.sleep(self._tick_ms)
             now = self._clock.now()
             for watch in [found for found in self._watches if found.due_ms <= now]:
