--- a/src/hickorybeam/demo/backends.py
+++ b/src/hickorybeam/demo/backends.py
@@ -12,8 +12,7 @@
     from contextlib import AsyncExitStack
 
     from hickorybeam.demo.deployment import Deployment
-    from hickorybeam.standins.engine import EngineServer
-    from hickorybeam.standins.plain import PlainServer
+    from hickorybeam.standins.http import Served
 
 __all__ = ("Backends", "start_backends")
 
@@ -22,8 +21,8 @@
 class Backends:
     """Running backend servers by name."""
 
-    engines: dict[str, EngineServer] = field(default_factory=dict)
-    plains: dict[str, PlainServer] = field(default_factory=dict)
+    engines: dict[str, Served[engine.EngineApp]] = field(default_factory=dict)
+    plains: dict[str, Served[plain.PlainApp]] = field(default_factory=dict)
 
     def ports(self) -> dict[str, int]:
         """Return the port that each backend server really got."""
--- a/src/hickorybeam/standins/engine.py
+++ b/src/hickorybeam/standins/engine.py
@@ -17,16 +17,16 @@
 import msgspec
 
 from hickorybeam.clock import Clock, SystemClock
-from hickorybeam.httpserve import Listener, listening
+from hickorybeam.httpserve import listening
 from hickorybeam.standins.batch import Batch, EngineShape, Stream, token_text
-from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults
+from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults, Served, run_process
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from hickorybeam.standins.http import Receive, Scope, Send
 
-__all__ = ("EngineApp", "EngineServer", "answer_text", "main", "serve")
+__all__ = ("EngineApp", "answer_text", "main", "serve")
 
 CHARS_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 16
@@ -425,23 +425,10 @@
     return {"error": {"message": message, "type": "engine_error", "code": code, "param": None}}
 
 
-@dataclass(frozen=True, slots=True)
-class EngineServer:
-    """A served engine: its app, to be read by tests, and its address."""
-
-    app: EngineApp
-    listener: Listener
-
-    @property
-    def port(self) -> int:
-        """The port it listens on."""
-        return self.listener.port
-
-
 @contextlib.asynccontextmanager
 async def serve(
     *, port: int = 0, host: str = "127.0.0.1", app: EngineApp | None = None, **options: Any
-) -> AsyncIterator[EngineServer]:
+) -> AsyncIterator[Served[EngineApp]]:
     """Serve an engine inside this process until the block ends.
 
     :param options: passed on to :class:`EngineApp` when no app is given.
@@ -450,7 +437,7 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(app.batch.run)
         async with listening(app, host=host, port=port) as listener:
-            yield EngineServer(app, listener)
+            yield Served(app, listener)
         tg.cancel_scope.cancel()
 
 
@@ -467,17 +454,10 @@
     :param models: names of loaded models, separated by commas.
     :param shape: fields of :class:`EngineShape`, such as ``--step_ms 10``.
     """
-
-    async def run() -> None:
-        names = tuple(models) if isinstance(models, list | tuple) else tuple(models.split(","))
-        wanted = EngineShape(**shape)  # type: ignore[arg-type]
-        app = EngineApp(name=name, models=names, checks_fencing=checks_fencing, shape=wanted)
-        async with serve(host=host, port=port, app=app) as server:
-            print(f"listening on {host}:{server.port}", flush=True)
-            await anyio.sleep_forever()
-
-    with contextlib.suppress(KeyboardInterrupt):
-        anyio.run(run)
+    names = tuple(models) if isinstance(models, list | tuple) else tuple(models.split(","))
+    wanted = EngineShape(**shape)  # type: ignore[arg-type]
+    app = EngineApp(name=name, models=names, checks_fencing=checks_fencing, shape=wanted)
+    run_process(serve(host=host, port=port, app=app))
 
 
 if __name__ == "__main__":
--- a/src/hickorybeam/standins/http.py
+++ b/src/hickorybeam/standins/http.py
@@ -2,23 +2,55 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
 from urllib.parse import parse_qsl
 
+import anyio
 import msgspec
 
 from hickorybeam.httpserve import CONNECTION
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, MutableMapping
+    from contextlib import AbstractAsyncContextManager
+
+    from hickorybeam.httpserve import Listener
 
     Scope = MutableMapping[str, Any]
     Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
     Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-__all__ = ("CutOffError", "Exchange", "Fault", "FaultKind", "Faults")
+__all__ = ("CutOffError", "Exchange", "Fault", "FaultKind", "Faults", "Served", "run_process")
+
+A = TypeVar("A")
+
+
+@dataclass(frozen=True, slots=True)
+class Served(Generic[A]):
+    """A served stand-in: its app, to be read by tests, and where it listens."""
+
+    app: A
+    listener: Listener
+
+    @property
+    def port(self) -> int:
+        """The port it listens on."""
+        return self.listener.port
+
+
+def run_process(serving: AbstractAsyncContextManager[Served[Any]]) -> None:
+    """Serve a stand-in as a process until interrupted; says first where it listens."""
+
+    async def run() -> None:
+        async with serving as server:
+            print(f"listening on {server.listener.host}:{server.port}", flush=True)
+            await anyio.sleep_forever()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        anyio.run(run)
 
 
 class CutOffError(Exception):
--- a/src/hickorybeam/standins/plain.py
+++ b/src/hickorybeam/standins/plain.py
@@ -9,23 +9,21 @@
 import contextlib
 import itertools
 from collections import Counter, deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-import anyio
 import fire
 import msgspec
 
 from hickorybeam.clock import Clock, SystemClock
-from hickorybeam.httpserve import Listener, listening
-from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults
+from hickorybeam.httpserve import listening
+from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults, Served, run_process
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from hickorybeam.standins.http import Receive, Scope, Send
 
-__all__ = ("PlainApp", "PlainServer", "main", "serve")
+__all__ = ("PlainApp", "main", "serve")
 
 KEPT_REQUESTS = 10_000
 PART_BYTES = 65_536
@@ -141,39 +139,19 @@
         exchange.cut()
 
 
-@dataclass(frozen=True, slots=True)
-class PlainServer:
-    """A served plain service: its app, to be read by tests, and its address."""
-
-    app: PlainApp
-    listener: Listener
-
-    @property
-    def port(self) -> int:
-        """The port it listens on."""
-        return self.listener.port
-
-
 @contextlib.asynccontextmanager
 async def serve(
     *, port: int = 0, host: str = "127.0.0.1", app: PlainApp | None = None, **options: Any
-) -> AsyncIterator[PlainServer]:
+) -> AsyncIterator[Served[PlainApp]]:
     """Serve a plain service inside this process until the block ends."""
     app = app or PlainApp(**options)
     async with listening(app, host=host, port=port) as listener:
-        yield PlainServer(app, listener)
+        yield Served(app, listener)
 
 
 def main(port: int = 0, host: str = "127.0.0.1", name: str = "plain") -> None:
     """Run a plain service as a process."""
-
-    async def run() -> None:
-        async with serve(host=host, port=port, name=name) as server:
-            print(f"listening on {host}:{server.port}", flush=True)
-            await anyio.sleep_forever()
-
-    with contextlib.suppress(KeyboardInterrupt):
-        anyio.run(run)
+    run_process(serve(host=host, port=port, name=name))
 
 
 if __name__ == "__main__":
