--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -18,6 +18,9 @@
 # A VM that faults kept from the platform and from every peer learns nothing; the log tells
 # when that was the case, and the limit counts from the end of the last fault that touched it.
 FAULT_MARGIN_MS = 8_000
+# A request sent less than this before a signal may not have been accepted yet.
+ACCEPTED_MS = 200
+BROKEN = ("unreachable", "stream_error")
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,11 @@
         _verdict("accepted is in force", by_kind["state"], lambda r: _in_force(r, by_kind)),
         _verdict("withdrawn keys stop", by_kind["key_use"], lambda r: _withdrawn(r, by_kind)),
         _verdict("graceful shutdowns end well", by_kind["terminated"], _ended_well),
+        _verdict(
+            "graceful shutdowns cut nothing off",
+            by_kind["terminate"],
+            lambda r: _cut_off(r, by_kind),
+        ),
     ]
 
 
@@ -199,3 +207,20 @@
     for end in ends:
         if end["code"] != 0:
             yield f"{end}"
+
+
+def _cut_off(ends: list[Record], by_kind: Mapping[str, list[Record]]) -> Iterator[str]:
+    """Answers in flight when a VM was told to stop, with no other fault meanwhile."""
+    others = [
+        (r["at"], r["at"] + r.get("s", 0) * 1000 + FAULT_MARGIN_MS) for r in _other_faults(by_kind)
+    ]
+    for end in ends:
+        for chat in by_kind["chat"]:
+            in_flight = chat["sent"] < end["at"] - ACCEPTED_MS and chat["at"] > end["at"]
+            broken = chat["vm"] == end["vm"] and chat["code"] in BROKEN
+            if in_flight and broken and _calm(others, chat["sent"], chat["at"]):
+                yield f"{end}: {chat}"
+
+
+def _other_faults(by_kind: Mapping[str, list[Record]]) -> list[Record]:
+    return [r for kind in ("cut", "pause", "kill") for r in by_kind[kind]]
--- a/tests/bench/soak_checks.feature
+++ b/tests/bench/soak_checks.feature
@@ -23,6 +23,7 @@
       | {"kind": "ticket", "number": 2, "rate": 9, "position": 2}                       | one content per number            |
       | {"kind": "state", "sent": 9000, "at": 9001, "position": 1, "marker": 2, "vm": "w"} | accepted is in force           |
       | {"kind": "key_use", "sent": 9000, "withdrawn": 1000}                            | withdrawn keys stop               |
+      | {"kind": "chat", "sent": -9500, "at": -100, "code": "stream_error", "tokens": 0} | graceful shutdowns cut nothing off |
       | {"kind": "terminated", "code": -9}                                              | graceful shutdowns end well       |
 
   Scenario: a VM that a fault kept from learning is not late
--- a/tests/steps/bench/soak_checks_steps.py
+++ b/tests/steps/bench/soak_checks_steps.py
@@ -8,11 +8,20 @@
 from hickorybeam.model import ChangeTicket, ClientAccount, Region, ResidencyRule
 
 DEFAULTS = {
-    "chat": {"account": "a", "sent": 100, "code": "", "tokens": 10, "right": True, "whole": True},
+    "chat": {
+        "vm": "v",
+        "account": "a",
+        "sent": 100,
+        "code": "",
+        "tokens": 10,
+        "right": True,
+        "whole": True,
+    },
     "book": {"name": "b1", "account": "a", "sent": 100, "code": "", "ran": "yes"},
     "state": {"vm": "v", "life": 1, "sent": 700, "position": 2, "marker": 2},
     "ticket": {"number": 2, "rate": 5, "code": "", "position": 2},
     "key_use": {"vm": "v", "sent": 1, "withdrawn": None, "code": ""},
+    "terminate": {"vm": "v", "at": -9000},
     "terminated": {"vm": "v", "code": 0},
     "cut": {"region": "r1"},
 }
