control: an order to an engine that refuses the connection is known not to have run

Cause: the sender called it unknown, and the scenario expected that; nothing had been sent. The scenario now asks for backend_refused and ran no, which is stricter.

--- a/src/hickorybeam/control/sender.py
+++ b/src/hickorybeam/control/sender.py
@@ -123,6 +123,8 @@
                         await conn.aclose()
         except (TimeoutError, httpcore.TimeoutException) as exc:
             raise GatewayError(ErrorKind.BACKEND_SILENT, engine.name) from exc
+        except httpcore.ConnectError as exc:
+            raise GatewayError(ErrorKind.BACKEND_REFUSED, engine.name) from exc
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             raise GatewayError(ErrorKind.BACKEND_UNKNOWN, engine.name) from exc
         return response
--- a/tests/control/control.feature
+++ b/tests/control/control.feature
@@ -99,7 +99,7 @@
     Then the served engine's state read by control has "extra" at version "7" and token 5
     And control sending load of "extra" version "8" with token 4 fails with "fenced"
     And control sending with a lease that ended fails with "lease_lost" and nothing arrives
-    And control sending to a closed port fails with "backend_unknown"
+    And control sending to a closed port fails with "backend_refused" as not run
 
   Scenario: an engine has seen a higher token than the platform knows
     # The platform was restored and its token starts anew, so the engine refuses every order as
--- a/tests/steps/control/control_steps.py
+++ b/tests/steps/control/control_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from hickorybeam.control import ControlService, EngineState, HttpOrders, Order, OrderKind
-from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.errors import ErrorKind, GatewayError, Ran
 from hickorybeam.kernel import Kernel, Service
 from hickorybeam.model import BackendKind, BackendServer, ChangeTicket, ModelService, ObjectRef
 from hickorybeam.settings import ControlSettings, PlatformSettings, Settings, VmSettings
@@ -343,8 +343,8 @@
         send(context, *args, **fields)
     except GatewayError as exc:
         assert exc.kind.value == kind, exc
-    else:
-        raise AssertionError("the order was taken")
+        return exc
+    raise AssertionError("the order was taken")
 
 
 @then(
@@ -361,9 +361,10 @@
     assert context.call(context.orders.state, context.engine) == before
 
 
-@then('control sending to a closed port fails with "{kind}"')
+@then('control sending to a closed port fails with "{kind}" as not run')
 def step_send_closed(context, kind):
-    send_fails(context, kind, "x", "1", 9, port=9)
+    exc = send_fails(context, kind, "x", "1", 9, port=9)
+    assert exc.ran is Ran.NO, exc
 
 
 @then("the control machine finds no fault in {runs:d} runs of {steps:d} steps")
