--- a/src/hickorybeam/shares/ledger.py
+++ b/src/hickorybeam/shares/ledger.py
@@ -204,7 +204,7 @@
         self,
         accounts: Iterable[str],
         fleet: Fleet,
-        gifts: Callable[[int, GroupLedger, tuple[Holder, ...]], GroupLedger],
+        gifts: Callable[[GroupLedger, tuple[Holder, ...]], GroupLedger],
     ) -> None:
         """Write what this VM should change: new accounts, dead neighbours, gifts, repairs."""
         if not self._confirmed or not self.standing.lease_holds(self._clock.now()):
@@ -256,7 +256,7 @@
         accounts: list[str],
         fleet: Fleet,
         dead: tuple[Holder, ...],
-        gifts: Callable[[int, GroupLedger, tuple[Holder, ...]], GroupLedger],
+        gifts: Callable[[GroupLedger, tuple[Holder, ...]], GroupLedger],
     ) -> GroupLedger:
         group = self.groups[number]
         if group.uncertain:
@@ -271,7 +271,7 @@
                 ledger = take_over(ledger, self.me, holder)
             for name in accounts:
                 ledger = take_free(ledger, self.me, name)
-        return gifts(number, ledger, holders)
+        return gifts(ledger, holders)
 
     async def _write_some(self, planned: dict[int, GroupLedger], dead: tuple[Holder, ...]) -> bool:
         """Write groups in one transaction; fewer of them after a conflict."""
--- a/src/hickorybeam/shares/service.py
+++ b/src/hickorybeam/shares/service.py
@@ -15,7 +15,7 @@
 from hickorybeam.model import VmId, VmState
 from hickorybeam.platform.port import Platform
 from hickorybeam.policy.rebalance import Demand, plan_gifts
-from hickorybeam.policy.shares import PARTS, GroupLedger, Holder, group_of
+from hickorybeam.policy.shares import PARTS, GroupLedger, Holder
 from hickorybeam.shares.accounts import AccountBuckets
 from hickorybeam.shares.ledger import Fleet, LedgerKeeper
 from hickorybeam.shares.lending import Lending, Source
@@ -399,12 +399,14 @@
         self._resize()
         self._books.move({name: one for name, one in moved.items() if one > 0}, now)
 
-    def _gifts(self, number: int, ledger: GroupLedger, planned: tuple[Holder, ...]) -> GroupLedger:
+    def _gifts(self, ledger: GroupLedger, planned: tuple[Holder, ...]) -> GroupLedger:
         now = self._clock.now()
+        accounts = self._books.accounts
+        # Only what this VM holds can it give: at the target's size that is one group of 16.
         demands = {
-            name: self._demand(account, planned, now)
-            for name, account in self._books.accounts.items()
-            if group_of(name, self._cfg.shares.groups) == number
+            name: self._demand(accounts[name], planned, now)
+            for name, parts in ledger.parts_of(self._keeper.me.vm).items()
+            if parts and name in accounts
         }
         return plan_gifts(ledger, self._keeper.me, planned, demands, floor=self._cfg.shares.floor)
 
@@ -459,5 +461,5 @@
         return Holder(vm, self._cfg.vm.data_centre)
 
 
-def _no_gifts(number: int, ledger: GroupLedger, planned: tuple[Holder, ...]) -> GroupLedger:
+def _no_gifts(ledger: GroupLedger, planned: tuple[Holder, ...]) -> GroupLedger:
     return ledger
