--- a/src/hickorybeam/demo/story.py
+++ b/src/hickorybeam/demo/story.py
@@ -19,7 +19,7 @@
 
     from hickorybeam.demo.caller import Reply
 
-__all__ = ("Story", "run")
+__all__ = ("Story", "first_cause", "run")
 
 OPERATOR_KEY = "example-operator"
 DELAY_MS = 80.0
@@ -35,10 +35,10 @@
     try:
         anyio.run(_run, Deployment.load(deployment), keep)
     except BaseExceptionGroup as group:
-        raise _first_cause(group) from None
+        raise first_cause(group) from None
 
 
-def _first_cause(exc: BaseException) -> BaseException:
+def first_cause(exc: BaseException) -> BaseException:
     """Return the error inside nested groups: each embedded server adds a group around it."""
     while isinstance(exc, BaseExceptionGroup):
         exc = exc.exceptions[0]
--- a/tests/steps/demo/deployments_steps.py
+++ b/tests/steps/demo/deployments_steps.py
@@ -3,6 +3,7 @@
 from behave import then, when
 
 from hickorybeam.demo import Deployment, Story, start_fleet
+from hickorybeam.demo.story import first_cause
 
 DELAY_MS = 10.0
 
@@ -15,7 +16,10 @@
         async with start_fleet(Deployment.load(name), delay_ms=DELAY_MS) as fleet:
             await Story(fleet, context.story.append).tell()
 
-    context.call(tell)
+    try:
+        context.call(tell)
+    except BaseExceptionGroup as group:
+        raise first_cause(group) from None
 
 
 @then('the story says "{text}"')
