One name for what a call without an answer raises

Cause: the soak and the capacity bench each told httpcore's errors their own way, two of them by the module's name of any exception.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,7 +22,7 @@
 import fire
 import msgspec
 
-from hickorybeam.demo import Caller
+from hickorybeam.demo import NO_ANSWER, Caller
 from hickorybeam.demo.deployment import free_ports
 from hickorybeam.model import (
     BackendKind,
@@ -207,9 +207,8 @@
         try:
             await operator.call("GET", f"{url}/healthz")
             return
-        except Exception as exc:
-            if type(exc).__module__.split(".")[0] != "httpcore":
-                raise
+        except NO_ANSWER:
+            pass
         await anyio.sleep(0.2)
 
 
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -19,7 +19,7 @@
 from bench.soak.faults import Faults
 from bench.soak.traffic import OPERATOR, Traffic
 
-from hickorybeam.demo import Caller, Deployment
+from hickorybeam.demo import NO_ANSWER, Caller, Deployment
 
 CALM_MS = 15_000
 
@@ -95,11 +95,8 @@
             reply = await operator.call("GET", f"{url}/v1/state")
             if reply.status == 200 and reply.json()["position"] >= position:
                 return
-        except OSError:
+        except (OSError, *NO_ANSWER):
             pass
-        except Exception as exc:
-            if type(exc).__module__.split(".")[0] != "httpcore":
-                raise
         await anyio.sleep(0.1)
 
 
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -6,10 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-import httpcore
 import msgspec
 
-from hickorybeam.demo import Caller
+from hickorybeam.demo import NO_ANSWER, Caller
 from hickorybeam.model import (
     ChangeTicket,
     ClientAccount,
@@ -31,7 +30,6 @@
 OPERATOR = "example-operator"
 ATTEMPTS = 3
 CALL_LIMIT_S = 25
-ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 MARKER = "soak-marker"
 
 
@@ -94,7 +92,7 @@
             if reply.status == 200 and not seen["code"]:
                 seen["right"] = reply.text == answer_text(body)
                 seen["whole"] = not body["stream"] or b"[DONE]" in reply.body
-        except (*ERRORS, TimeoutError):
+        except (*NO_ANSWER, TimeoutError):
             pass
         except (ValueError, KeyError) as exc:
             seen = {"code": "unreadable", "error": repr(exc)}
@@ -141,7 +139,7 @@
         try:
             reply = await self._call(caller, "POST", f"{url}/v1/idempotency-keys", {"count": 1})
             return str(reply.json()["keys"][0]) if reply.status == 200 else None
-        except (*ERRORS, TimeoutError):
+        except (*NO_ANSWER, TimeoutError):
             return None
 
     async def _book(
@@ -159,7 +157,7 @@
         seen: dict[str, Any] = {"code": "unreachable", "ran": "unknown"}
         try:
             seen = self._seen(await self._call(caller, "POST", path, body, headers=headers))
-        except (*ERRORS, TimeoutError):
+        except (*NO_ANSWER, TimeoutError):
             pass
         self._log.write("book", name=name, account=account, how=how, vm=vm, sent=sent, **seen)
         return not seen["code"]
@@ -169,7 +167,7 @@
         body = msgspec.to_builtins(ticket)
         try:
             reply = await self._call(self._operator, "POST", f"{url}/v1/tickets", body)
-        except (*ERRORS, TimeoutError):
+        except (*NO_ANSWER, TimeoutError):
             return {"vm": vm, "code": "unreachable"}
         seen = self._seen(reply)
         if not seen["code"]:
@@ -231,7 +229,7 @@
                 with anyio.fail_after(2):
                     reply = await caller.call("GET", f"{self._fleet.url(vm)}/v1/models")
                 code = reply.code
-            except (*ERRORS, TimeoutError):
+            except (*NO_ANSWER, TimeoutError):
                 code = "unreachable"
             self._log.write("key_use", vm=vm, sent=sent, withdrawn=withdrawn, code=code)
 
@@ -245,7 +243,7 @@
                 with anyio.fail_after(2):
                     url = f"{self._fleet.url(vm)}/v1/state"
                     reply = await self._operator.call("GET", url)
-            except (*ERRORS, TimeoutError):
+            except (*NO_ANSWER, TimeoutError):
                 continue
             if reply.status != 200:
                 continue
--- a/src/hickorybeam/demo/caller.py
+++ b/src/hickorybeam/demo/caller.py
@@ -12,9 +12,11 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable
 
-__all__ = ("Caller", "Reply", "sse_events")
+__all__ = ("NO_ANSWER", "Caller", "Reply", "sse_events")
 
 TIMEOUT_S = 30.0
+# What a call raises when the other end is not there, falls silent or breaks off.
+NO_ANSWER = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 DATA = b"data: "
 
 
