--- a/src/hickorybeam/front/refusals.py
+++ b/src/hickorybeam/front/refusals.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 import http
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from hickorybeam.errors import GatewayError, Retry, answer_for
 
-if TYPE_CHECKING:
-    from hickorybeam.errors import ErrorKind
-
 __all__ = ("error_event", "raw_refusal", "refusal_body", "refusal_headers")
 
 MS_PER_SECOND = 1000
@@ -108,8 +104,3 @@
     lines.append(b"content-length: %d" % len(body))
     lines.append(b"connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
-
-
-def refusal_status(kind: ErrorKind) -> int:
-    """Return the HTTP status of a kind."""
-    return answer_for(kind).status
