--- a/src/hickorybeam/control/lease.py
+++ b/src/hickorybeam/control/lease.py
@@ -9,11 +9,11 @@
 
 from hickorybeam.control.turn import Turn, deadline_of, quiet_until
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.platform import Compare, Put
+from hickorybeam.store import Compare, Put
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.platform import Platform
+    from hickorybeam.store import Platform
 
 __all__ = ("ControlLease",)
 
--- a/src/hickorybeam/control/service.py
+++ b/src/hickorybeam/control/service.py
@@ -15,7 +15,7 @@
 from hickorybeam.control.turn import WeightRate
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.kernel import Service, Started
-from hickorybeam.platform import Platform
+from hickorybeam.store import Platform
 from hickorybeam.tickets.spread import watchers
 
 if TYPE_CHECKING:
--- a/src/hickorybeam/daemon.py
+++ b/src/hickorybeam/daemon.py
@@ -18,8 +18,8 @@
 from hickorybeam.kernel import Kernel
 from hickorybeam.once import OnceService
 from hickorybeam.peers import MembersService, PeersService
-from hickorybeam.platform import EtcdPlatform
 from hickorybeam.shares import BudgetService
+from hickorybeam.store import EtcdPlatform
 from hickorybeam.telemetry import Counters
 from hickorybeam.tickets import ConfigService
 
--- a/src/hickorybeam/once/claims.py
+++ b/src/hickorybeam/once/claims.py
@@ -8,16 +8,16 @@
 import msgspec
 
 from hickorybeam.errors import ErrorKind, GatewayError, Ran
-from hickorybeam.platform.port import Compare, Delete, KeyValue, Put
 from hickorybeam.policy.at_most_once import Claim, Refused, claim_verdict
 from hickorybeam.policy.token_bucket import TokenBucket
+from hickorybeam.store.port import Compare, Delete, KeyValue, Put
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from hickorybeam.clock import Clock
     from hickorybeam.model import VmId
-    from hickorybeam.platform.port import Platform, TxnResult, Write
+    from hickorybeam.store.port import Platform, TxnResult, Write
 
 __all__ = ("KEEP_MS", "Claims")
 
--- a/src/hickorybeam/once/service.py
+++ b/src/hickorybeam/once/service.py
@@ -17,7 +17,6 @@
 from hickorybeam.once.attempt import LARGEST_KEPT, Attempt, Ending
 from hickorybeam.once.claims import KEEP_MS, Claims
 from hickorybeam.once.keys import IssuedKey, KeyIssuer, is_issued, parse_key
-from hickorybeam.platform.port import Platform
 from hickorybeam.policy.at_most_once import (
     Claim,
     ClaimState,
@@ -26,6 +25,7 @@
     Replay,
     fingerprint,
 )
+from hickorybeam.store.port import Platform
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -24,7 +24,7 @@
 from hickorybeam.peers.registry import Registry
 from hickorybeam.peers.search import Search, new_incarnation
 from hickorybeam.peers.suspicion import Suspect, Verdict, judge
-from hickorybeam.platform import Platform
+from hickorybeam.store import Platform
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/hickorybeam/peers/registry.py
+++ b/src/hickorybeam/peers/registry.py
@@ -14,13 +14,13 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.model import EntryVm
 from hickorybeam.peers.codec import pack, unpack
-from hickorybeam.platform import Put
+from hickorybeam.store import Put
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from hickorybeam.clock import Clock
-    from hickorybeam.platform import Platform
+    from hickorybeam.store import Platform
 
 __all__ = ("VM_PREFIX", "Registry")
 
--- a/src/hickorybeam/shares/ledger.py
+++ b/src/hickorybeam/shares/ledger.py
@@ -10,7 +10,6 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.model import VmId
-from hickorybeam.platform.port import Compare, Put
 from hickorybeam.policy.shares import (
     GroupLedger,
     GroupShares,
@@ -23,13 +22,14 @@
     take_over,
 )
 from hickorybeam.policy.standing import Standing, TakeOverWatch
+from hickorybeam.store.port import Compare, Put
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
     from hickorybeam.clock import Clock
-    from hickorybeam.platform.port import KeyValue, Platform, ReadResult
     from hickorybeam.settings import Settings
+    from hickorybeam.store.port import KeyValue, Platform, ReadResult
     from hickorybeam.telemetry import Counters
 
 __all__ = ("PREFIX", "Fleet", "LedgerKeeper")
--- a/src/hickorybeam/shares/service.py
+++ b/src/hickorybeam/shares/service.py
@@ -13,7 +13,6 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.kernel import Mailbox, Reply, Service
 from hickorybeam.model import VmId, VmState
-from hickorybeam.platform.port import Platform
 from hickorybeam.policy.rebalance import Demand, plan_gifts
 from hickorybeam.policy.shares import PARTS, GroupLedger, Holder
 from hickorybeam.shares.accounts import AccountBuckets
@@ -27,6 +26,7 @@
     StandingReply,
     StandingRequest,
 )
+from hickorybeam.store.port import Platform
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
--- a/src/hickorybeam/standins/memory.py
+++ b/src/hickorybeam/standins/memory.py
@@ -10,7 +10,8 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.kernel import Service, Started
-from hickorybeam.platform import (
+from hickorybeam.standins.store import Store
+from hickorybeam.store import (
     MAX_VALUE_BYTES,
     Compare,
     Delete,
@@ -21,7 +22,6 @@
     WatchBatch,
     Write,
 )
-from hickorybeam.standins.store import Store
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
--- a/src/hickorybeam/standins/platform.py
+++ b/src/hickorybeam/standins/platform.py
@@ -19,15 +19,15 @@
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.httpserve import listening
-from hickorybeam.platform import Compare, Delete, Put, Write, wire
 from hickorybeam.standins.http import CutOffError, Exchange
 from hickorybeam.standins.memory import Faults, MemoryPlatform, PlatformStandIn
+from hickorybeam.store import Compare, Delete, Put, Write, wire
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from hickorybeam.platform import ReadResult, WatchBatch
     from hickorybeam.standins.http import Receive, Scope, Send
+    from hickorybeam.store import ReadResult, WatchBatch
 
 
 __all__ = ("Faults", "MemoryPlatform", "PlatformApp", "PlatformStandIn", "ServedPlatform", "serve")
--- a/src/hickorybeam/standins/store.py
+++ b/src/hickorybeam/standins/store.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.platform import (
+from hickorybeam.store import (
     MAX_VALUE_BYTES,
     Compare,
     Delete,
--- a/src/hickorybeam/platform/__init__.py
+++ b/src/hickorybeam/store/__init__.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from hickorybeam.platform.etcd import EtcdPlatform
-from hickorybeam.platform.port import (
+from hickorybeam.store.etcd import EtcdPlatform
+from hickorybeam.store.port import (
     MAX_VALUE_BYTES,
     Compare,
     Delete,
--- a/src/hickorybeam/platform/etcd.py
+++ b/src/hickorybeam/store/etcd.py
@@ -14,8 +14,8 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.kernel import Service, Started
-from hickorybeam.platform import wire
-from hickorybeam.platform.port import (
+from hickorybeam.store import wire
+from hickorybeam.store.port import (
     MAX_VALUE_BYTES,
     Compare,
     Delete,
@@ -26,7 +26,7 @@
     WatchBatch,
     Write,
 )
-from hickorybeam.platform.retry import RetryBudget, backoff_ms
+from hickorybeam.store.retry import RetryBudget, backoff_ms
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/hickorybeam/platform/wire.py
+++ b/src/hickorybeam/store/wire.py
@@ -11,7 +11,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from hickorybeam.platform.port import KeyValue
+    from hickorybeam.store.port import KeyValue
 
 __all__ = (
     "CODE_INVALID",
--- a/src/hickorybeam/tickets/log.py
+++ b/src/hickorybeam/tickets/log.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from hickorybeam.platform import Compare, Delete, Put
+from hickorybeam.store import Compare, Delete, Put
 from hickorybeam.tickets.codec import (
     Head,
     LogEntry,
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from hickorybeam.platform import Platform, WatchBatch
+    from hickorybeam.store import Platform, WatchBatch
     from hickorybeam.tickets.apply import LogState
 
 __all__ = ("LOG_PREFIX", "HeadRead", "Page", "TicketLog", "entries_of")
--- a/src/hickorybeam/tickets/service.py
+++ b/src/hickorybeam/tickets/service.py
@@ -14,7 +14,7 @@
 from hickorybeam import ports
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.kernel import Mailbox, Reply, Service, Started
-from hickorybeam.platform import Platform
+from hickorybeam.store import Platform
 from hickorybeam.tickets.apply import LogState, apply
 from hickorybeam.tickets.codec import LogEntry, Snapshot, decode_snapshot, encode_snapshot
 from hickorybeam.tickets.log import LOG_PREFIX, TicketLog, entries_of
--- a/tests/steps/shares/budget_steps.py
+++ b/tests/steps/shares/budget_steps.py
@@ -5,9 +5,9 @@
 from tests.steps.shares import fakes
 
 from hickorybeam.errors import GatewayError
-from hickorybeam.platform.port import Put
 from hickorybeam.policy.shares import PARTS, GroupLedger
 from hickorybeam.shares.messages import LOANS, LoanRequest, Want
+from hickorybeam.store.port import Put
 
 NAME = "acme"
 SETTLE_MS = 30_000
--- a/tests/steps/shares/fakes.py
+++ b/tests/steps/shares/fakes.py
@@ -21,10 +21,10 @@
     VmState,
     ref_of,
 )
-from hickorybeam.platform.port import KeyValue, Put, ReadResult, TxnResult
 from hickorybeam.policy.shares import PARTS
 from hickorybeam.settings import PlatformSettings, Settings, ShareSettings, VmSettings
 from hickorybeam.shares import BudgetService
+from hickorybeam.store.port import KeyValue, Put, ReadResult, TxnResult
 from hickorybeam.telemetry import Counters
 
 NEAR_MS = 1
--- a/tests/steps/platform/contract_steps.py
+++ b/tests/steps/store/contract_steps.py
@@ -5,9 +5,9 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.platform import Compare, Delete, EtcdPlatform, Put
 from hickorybeam.settings import PlatformSettings, Settings, VmSettings
 from hickorybeam.standins import platform as standin
+from hickorybeam.store import Compare, Delete, EtcdPlatform, Put
 from hickorybeam.telemetry import Counters
 
 TIMEOUT_MS = 400
--- a/tests/steps/platform/etcd_steps.py
+++ b/tests/steps/store/etcd_steps.py
@@ -4,10 +4,10 @@
 from behave import given, then, when
 
 from hickorybeam.httpserve import listening
-from hickorybeam.platform import Compare, Put
-from hickorybeam.platform.retry import RetryBudget
 from hickorybeam.standins import relay
-from steps.platform.contract_steps import UNREACHABLE, etcd_client, outcome, serve
+from hickorybeam.store import Compare, Put
+from hickorybeam.store.retry import RetryBudget
+from steps.store.contract_steps import UNREACHABLE, etcd_client, outcome, serve
 
 
 @given("a served stand-in platform")
--- a/tests/steps/tickets/checks_steps.py
+++ b/tests/steps/tickets/checks_steps.py
@@ -16,7 +16,7 @@
     Region,
     ResidencyRule,
 )
-from hickorybeam.platform import MAX_VALUE_BYTES
+from hickorybeam.store import MAX_VALUE_BYTES
 from hickorybeam.tickets import LogState, apply, judge
 from hickorybeam.tickets.apply import Faulty, Fresh
 from hickorybeam.tickets.codec import decode_snapshot, encode_snapshot
--- a/tests/steps/tickets/config_steps.py
+++ b/tests/steps/tickets/config_steps.py
@@ -7,7 +7,7 @@
 
 from hickorybeam.errors import GatewayError
 from hickorybeam.model import ChangeTicket, ClientAccount, ObjectRef
-from hickorybeam.platform import Delete
+from hickorybeam.store import Delete
 from hickorybeam.tickets.spread import Note
 from steps.tickets.fakes import Fleet
 
--- a/tests/steps/tickets/follow_steps.py
+++ b/tests/steps/tickets/follow_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from hickorybeam.model import ChangeTicket, ClientAccount, ObjectRef
-from hickorybeam.platform import Put
+from hickorybeam.store import Put
 from hickorybeam.tickets import LogState, apply, judge
 from hickorybeam.tickets.apply import KEEP_NUMBERS, BelowFloor, Stale
 from hickorybeam.tickets.codec import Head, LogEntry
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -11,10 +11,10 @@
 from hickorybeam.kernel import Kernel, Service
 from hickorybeam.peers import MembersService, PeersService
 from hickorybeam.peers.links import Address
-from hickorybeam.platform import KeyValue, ReadResult, TxnResult
 from hickorybeam.settings import PeerSettings, PlatformSettings, Settings, TlsSettings, VmSettings
 from hickorybeam.standins import relay
 from hickorybeam.standins.relay import LinkState
+from hickorybeam.store import KeyValue, ReadResult, TxnResult
 from hickorybeam.telemetry import Counters
 
 HEARTBEAT_MS = 40
