--- a/bench/ticket_spread.py
+++ b/bench/ticket_spread.py
@@ -33,7 +33,7 @@
 from hickorybeam.settings import PeerSettings, PlatformSettings, Settings, TlsSettings, VmSettings
 from hickorybeam.standins import platform as standin
 from hickorybeam.standins.platform import MemoryPlatform, PlatformStandIn
-from hickorybeam.store import EtcdPlatform
+from hickorybeam.store.etcd import EtcdPlatform
 from hickorybeam.telemetry import Counters
 from hickorybeam.tickets import ConfigService, LogState, apply
 from hickorybeam.tickets.codec import LogEntry
--- a/src/hickorybeam/daemon.py
+++ b/src/hickorybeam/daemon.py
@@ -19,7 +19,7 @@
 from hickorybeam.once import OnceService
 from hickorybeam.peers import MembersService, PeersService
 from hickorybeam.shares import BudgetService
-from hickorybeam.store import EtcdPlatform
+from hickorybeam.store.etcd import EtcdPlatform
 from hickorybeam.telemetry import Counters
 from hickorybeam.tickets import ConfigService
 
--- a/src/hickorybeam/decode.py
+++ b/src/hickorybeam/decode.py
@@ -52,6 +52,8 @@
     origin = typing.get_origin(want)
     if origin is tuple:
         return _tuple(typing.get_args(want), raw, key, faults)
+    if origin is dict:
+        return _mapping(typing.get_args(want), raw, key, faults)
     if origin in (Union, types.UnionType):
         return _optional(typing.get_args(want), raw, key, faults)
     if isinstance(want, type) and issubclass(want, enum.Enum):
@@ -92,6 +94,13 @@
     return tuple(_value(args[0], item, f"{key}[{i}]", faults) for i, item in enumerate(raw))
 
 
+def _mapping(args: tuple[Any, ...], raw: object, key: str, faults: list[Fault]) -> object:
+    if not isinstance(raw, dict):
+        faults.append(Fault(key, "an object", _show(raw)))
+        return {}
+    return {name: _value(args[1], item, _join(key, name), faults) for name, item in raw.items()}
+
+
 def _optional(args: tuple[Any, ...], raw: object, key: str, faults: list[Fault]) -> object:
     if raw is None and type(None) in args:
         return None
@@ -124,6 +133,8 @@
     origin = typing.get_origin(want)
     if origin is tuple:
         return "a list"
+    if origin is dict:
+        return "an object"
     if origin in (Union, types.UnionType):
         return " or ".join(_describe(arg) for arg in typing.get_args(want))
     if isinstance(want, type) and issubclass(want, enum.Enum):
--- /dev/null
+++ b/src/hickorybeam/gateway/attempt.py
@@ -0,0 +1,198 @@
+"""One send of a request to one backend server, directly or through a VM of its region."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, find
+from hickorybeam.http1.head import request_bytes
+from hickorybeam.platform import REQUEST_ID, decode_answer, server_headers
+
+if TYPE_CHECKING:
+    from hickorybeam.gateway.fleet import Peer
+    from hickorybeam.http1 import AnswerHead, RawHeaders, UpstreamConnection, UpstreamPool
+    from hickorybeam.model.routing import RelayCall, Route
+    from hickorybeam.platform import AnswerFacts
+    from hickorybeam.policy.server_choice import ServerStanding
+
+__all__ = (
+    "HOP_ACCOUNT",
+    "HOP_LEFT",
+    "HOP_NOT_RUN",
+    "HOP_RESUME",
+    "HOP_SERVICE",
+    "HOP_URGENCY",
+    "Attempt",
+    "Errand",
+    "NotSentError",
+    "Target",
+    "ToPeer",
+    "ToServer",
+)
+
+# Between VMs: set by the sending VM, never taken from callers, who don't reach this port.
+HOP_SERVICE = b"hop-service"
+HOP_ACCOUNT = b"hop-account"
+HOP_LEFT = b"hop-left-ms"
+HOP_URGENCY = b"hop-urgency"
+HOP_RESUME = b"hop-resume-after"
+# In an answer between VMs: the request was not run, and nothing of the answer is a server's.
+HOP_NOT_RUN = b"hop-not-run"
+
+
+class NotSentError(Exception):
+    """The request was surely not run: not sent, or the other end promises so.
+
+    :param unreachable: no connection could be made.
+    """
+
+    def __init__(self, text: str, *, unreachable: bool = False) -> None:
+        super().__init__(text)
+        self.unreachable = unreachable
+
+
+@dataclass(frozen=True, slots=True)
+class ToServer:
+    """A backend server of this region."""
+
+    standing: ServerStanding
+
+
+@dataclass(frozen=True, slots=True)
+class ToPeer:
+    """A VM of another region, which picks one of its servers."""
+
+    peer: Peer
+
+
+Target = ToServer | ToPeer
+
+
+@dataclass(slots=True, kw_only=True)
+class Errand:
+    """A request with all that was decided about it.
+
+    ``resume_after`` is the id of the last event that the caller has; it moves as a stream goes
+    on. ``deadline_ms`` is on this VM's clock.
+    """
+
+    call: RelayCall
+    route: Route
+    service: str
+    account: str | None
+    urgency: int
+    deadline_ms: int
+    resume_after: str | None
+    cost: float = 0.0
+
+
+class Attempt:
+    """One send; whoever opens it must ``close`` it."""
+
+    def __init__(self, pool: UpstreamPool, target: Target, errand: Errand) -> None:
+        self._pool = pool
+        self._target = target
+        self._errand = errand
+        self._address = address_of(target)
+        self._conn: UpstreamConnection | None = None
+
+    async def open(self, now_ms: int, *, fresh: bool = False) -> tuple[AnswerHead, AnswerFacts]:
+        """Send the request and return the head of its answer.
+
+        :raises NotSentError: it was not run.
+        :raises BrokenAnswerError: it may have run.
+        """
+        errand = self._errand
+        left_ms = errand.deadline_ms - now_ms
+        try:
+            conn = await self._pool.take(self._address, fresh=fresh)
+        except ConnectFailedError as exc:
+            raise NotSentError(str(exc), unreachable=True) from exc
+        self._conn = conn
+        call = errand.call
+        data = request_bytes(call.method, call.target, self._headers(left_ms), call.body)
+        expected = (REQUEST_ID, call.request_id.encode("latin-1")) if call.request_id else None
+        try:
+            conn.send(data, expected_id=expected)
+        except BrokenAnswerError as exc:
+            raise NotSentError(str(exc)) from exc
+        head = await conn.head()
+        if find(head.headers, HOP_NOT_RUN) is not None:
+            await self._finish()
+            raise NotSentError("the other region did not run it")
+        return head, decode_answer(head)
+
+    def _headers(self, left_ms: int) -> RawHeaders:
+        errand = self._errand
+        match self._target:
+            case ToServer(standing):
+                return server_headers(
+                    errand.call,
+                    server_id=standing.server.id,
+                    account=errand.account,
+                    left_ms=left_ms,
+                    urgency=errand.urgency,
+                    resume_after=errand.resume_after,
+                )
+            case ToPeer():
+                return (*errand.call.headers, *hop_headers(errand, left_ms))
+
+    async def chunk(self) -> bytes:
+        """Return the next bytes of the answer's body, empty at its proper end."""
+        if self._conn is None:
+            raise BrokenAnswerError("not open", sent=False)
+        return await self._conn.chunk()
+
+    async def body(self) -> bytes:
+        """Read the whole body."""
+        if self._conn is None:
+            raise BrokenAnswerError("not open", sent=False)
+        return await self._conn.body()
+
+    def kept(self) -> None:
+        """Give the connection back after the body was read to its proper end."""
+        if self._conn is not None:
+            self._pool.give_back(self._address, self._conn)
+            self._conn = None
+
+    def close(self) -> None:
+        """End the connection if it wasn't given back; a run at the other end is cancelled."""
+        if self._conn is not None:
+            self._conn.abort()
+            self._conn = None
+
+    def forget_idle(self) -> None:
+        """Give up idle connections to an address that fell silent."""
+        self._pool.forget(self._address)
+
+    async def _finish(self) -> None:
+        try:
+            await self.body()
+        except BrokenAnswerError:
+            self.close()
+        else:
+            self.kept()
+
+
+def address_of(target: Target) -> tuple[str, int]:
+    """Return the address that a target is reached at."""
+    match target:
+        case ToServer(standing):
+            return (standing.server.host, standing.server.port)
+        case ToPeer(peer):
+            return (peer.vm.host, peer.vm.peer_port)
+
+
+def hop_headers(errand: Errand, left_ms: int) -> RawHeaders:
+    """Return what a VM tells another one beside the caller's own headers."""
+    headers = [
+        (HOP_SERVICE, errand.service.encode("latin-1")),
+        (HOP_LEFT, b"%d" % max(1, left_ms)),
+        (HOP_URGENCY, b"%d" % errand.urgency),
+    ]
+    if errand.account is not None:
+        headers.append((HOP_ACCOUNT, errand.account.encode("latin-1")))
+    if errand.resume_after is not None:
+        headers.append((HOP_RESUME, errand.resume_after.encode("latin-1")))
+    return tuple(headers)
--- /dev/null
+++ b/src/hickorybeam/gateway/daemon.py
@@ -0,0 +1,53 @@
+"""One VM's daemon in front of backend servers that register in the platform's store."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import anyio
+from absl import logging
+
+from hickorybeam.clock import SystemClock
+from hickorybeam.gateway.feed import FeedService
+from hickorybeam.gateway.fleet import FleetService
+from hickorybeam.gateway.relay import RelayService
+from hickorybeam.kernel import Kernel
+from hickorybeam.platform import PlatformStore
+from hickorybeam.telemetry import Counters
+
+if TYPE_CHECKING:
+    from hickorybeam.settings import Settings
+
+__all__ = ("build", "run")
+
+MS_PER_SECOND = 1000
+
+
+def build(cfg: Settings) -> Kernel:
+    """Put the services together; the adapter's store is one of them."""
+    clock, counters = SystemClock(), Counters()
+    grace_ms = round(cfg.gateway.grace_s * MS_PER_SECOND) if cfg.gateway else 0
+    kernel = Kernel(clock, drain_limit_ms=grace_ms)
+    for kind in (PlatformStore, FeedService, FleetService, RelayService):
+        kernel.add(kind(cfg=cfg, clock=clock, counters=counters))
+    return kernel
+
+
+async def run(cfg: Settings) -> None:
+    """Serve until SIGTERM or SIGINT; SIGHUP changes nothing that needs a restart."""
+    kernel = build(cfg)
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_signals, kernel)
+        await kernel.run(ready=lambda: logging.info("VM %s serves", cfg.vm.name))
+        tg.cancel_scope.cancel()
+    logging.info("VM %s has ended", cfg.vm.name)
+
+
+async def _signals(kernel: Kernel) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for signum in signals:
+            logging.info("signal %s", signal.Signals(signum).name)
+            if signum is not signal.SIGHUP:
+                kernel.stop()
--- /dev/null
+++ b/src/hickorybeam/gateway/feed.py
@@ -0,0 +1,233 @@
+"""The service ``feed``: keeps this VM's knowledge in step with the store.
+
+Three reads load everything and one watch over all keys follows. While the store is out, what
+is known stays in force; a VM that knows no configuration asks another VM for its entries.
+"""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING, ClassVar
+
+import anyio
+import msgspec
+from absl import logging
+
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.gateway.knowledge import Knowledge
+from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
+from hickorybeam.http1.head import request_bytes
+from hickorybeam.kernel import Service
+from hickorybeam.platform import (
+    EVACUATIONS,
+    FEED_PREFIXES,
+    Evacuated,
+    NewConfig,
+    ServerSeen,
+    Unreadable,
+    decode_entry,
+)
+from hickorybeam.ports import FEED, PLATFORM
+from hickorybeam.store import KeyValue, Platform, WatchBatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("STATE_PATH", "FeedService")
+
+MS_PER_SECOND = 1000
+STATE_PATH = "/state"
+FIRST_RETRY_MS = 100
+LONGEST_RETRY_MS = 800
+# Entries that lapsed while the store was out are back about 2 s after its return; one that is
+# still missing then is gone.
+LAPSED_FOR_MS = 2_200
+# How long after the last sign of trouble a vanished entry may be a lapsed one.
+TROUBLE_MS = 3_000
+SEED_LIMIT_MS = 1_000
+
+
+class FeedService(Service):
+    """Owns the knowledge; others read it and are told of changes."""
+
+    name: ClassVar[str] = FEED
+    needs: ClassVar[tuple[str, ...]] = (PLATFORM,)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self.knowledge = Knowledge()
+        self._cfg = cfg
+        self._clock = clock
+        self._items: dict[str, KeyValue] = {}
+        self._listeners: list[Callable[[WatchBatch], None]] = []
+        self._config_listeners: list[Callable[[], None]] = []
+        self._trouble_ms = -TROUBLE_MS
+        self._lapsing: dict[str, int] = {}
+        self._store_ok = False
+        self._pool = UpstreamPool(clock, connect_ms=300, silent_ms=SEED_LIMIT_MS)
+        self._version = counters.gauge("config_version", "Version of the configuration in force")
+
+    def bind(self, kernel: Kernel) -> None:
+        """Look up the store."""
+        self._store = kernel.find(PLATFORM, Platform)  # type: ignore[type-abstract]
+
+    def on_batch(self, listener: Callable[[WatchBatch], None]) -> None:
+        """Hand every batch of changes to a listener."""
+        self._listeners.append(listener)
+
+    def on_config(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever another configuration is in force."""
+        self._config_listeners.append(listener)
+
+    def state(self) -> bytes:
+        """Return all entries as this VM knows them, for a VM that cannot reach the store."""
+        return msgspec.json.encode(
+            [
+                {"key": it.key, "value": base64.b64encode(it.value).decode()}
+                for it in self._items.values()
+            ]
+        )
+
+    async def main(self, started: Started) -> None:
+        """Follow the store until cancelled."""
+        started()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._follow)
+            tg.start_soon(self._expire)
+            tg.start_soon(self._ask_seeds)
+
+    async def _follow(self) -> None:
+        pause = FIRST_RETRY_MS
+        while True:
+            try:
+                after = await self._load()
+                pause = FIRST_RETRY_MS
+                async for batch in self._store.watch("", after=after):
+                    self._regained()
+                    self._apply(batch)
+            except GatewayError as exc:
+                self._trouble_ms = self._clock.now()
+                if exc.kind is ErrorKind.WATCH_COMPACTED:
+                    logging.info("store: history is gone, reading all again")
+                    continue
+                if self._store_ok:
+                    logging.warning("store lost: %s", exc)
+                self._store_ok = False
+            await self._clock.sleep(pause)
+            pause = min(LONGEST_RETRY_MS, pause * 2)
+
+    def _regained(self) -> None:
+        if not self._store_ok:
+            logging.info("store reached")
+        self._store_ok = True
+
+    async def _load(self) -> int:
+        """Read everything; return the revision after which to watch."""
+        found: dict[str, KeyValue] = {}
+        revisions = []
+        for prefix in (*FEED_PREFIXES, self._cfg.platform.prefix):
+            result = await self._store.read_prefix(prefix)
+            revisions.append(result.revision)
+            found |= {item.key: item for item in result.items}
+        self._regained()
+        deletes = tuple(key for key in self._items if key not in found)
+        self._apply(WatchBatch(min(revisions), tuple(found.values()), deletes))
+        return min(revisions)
+
+    def _apply(self, batch: WatchBatch) -> None:
+        for item in batch.puts:
+            known = self._items.get(item.key)
+            if known is not None and known.mod_revision >= item.mod_revision:
+                continue
+            self._items[item.key] = item
+            self._lapsing.pop(item.key, None)
+            self._take(item)
+        for key in batch.deletes:
+            self._delete(key)
+        for listener in self._listeners:
+            listener(batch)
+
+    def _take(self, item: KeyValue) -> None:
+        if item.key.startswith(self._cfg.platform.prefix):
+            return
+        match decode_entry(item.key, item.value):
+            case NewConfig(config):
+                if self.knowledge.take_config(config):
+                    logging.info("configuration %d is in force", config.version)
+                    self._version.set(config.version)
+                    for listener in self._config_listeners:
+                        listener()
+            case ServerSeen(server):
+                self.knowledge.take_server(server, self._clock.now())
+            case Evacuated(data_centre):
+                logging.info("data centre %s is evacuated", data_centre)
+                self.knowledge.evacuated |= {data_centre}
+            case Unreadable(key, why):
+                logging.warning("entry %s names nothing to use: %s", key, why)
+                self.knowledge.drop_server(key.rpartition("/")[2])
+
+    def _delete(self, key: str) -> None:
+        if key not in self._items:
+            return
+        if key.startswith(EVACUATIONS):
+            del self._items[key]
+            self.knowledge.evacuated -= {key.removeprefix(EVACUATIONS)}
+            logging.info("data centre %s is taken back", key.removeprefix(EVACUATIONS))
+        elif self._clock.now() - self._trouble_ms < TROUBLE_MS and self._is_server(key):
+            self._lapsing.setdefault(key, self._clock.now() + LAPSED_FOR_MS)
+        else:
+            del self._items[key]
+            if self._is_server(key):
+                self.knowledge.drop_server(key.rpartition("/")[2])
+
+    def _is_server(self, key: str) -> bool:
+        return key.startswith(FEED_PREFIXES[1])
+
+    async def _expire(self) -> None:
+        """Give up the entries that lapsed with the store and did not come back."""
+        while True:
+            await self._clock.sleep(200)
+            now = self._clock.now()
+            for key in [key for key, due in self._lapsing.items() if due <= now]:
+                del self._lapsing[key]
+                self._items.pop(key, None)
+                self.knowledge.drop_server(key.rpartition("/")[2])
+
+    async def _ask_seeds(self) -> None:
+        """Learn a configuration from another VM while the store cannot be reached.
+
+        Without it, a VM that starts during an outage of the store refuses everything until the
+        store is back, although the VMs beside it serve.
+        """
+        await self._clock.sleep(600)
+        while self.knowledge.config is None:
+            for seed in self._cfg.gateway.seeds if self._cfg.gateway else ():
+                if self.knowledge.config is None:
+                    await self._ask(seed)
+            await self._clock.sleep(500)
+
+    async def _ask(self, seed: str) -> None:
+        host, _, port = seed.rpartition(":")
+        if host == self._cfg.vm.host:
+            return
+        address = (host, int(port))
+        try:
+            with anyio.fail_after(SEED_LIMIT_MS / MS_PER_SECOND):
+                conn = await self._pool.take(address, fresh=True)
+                try:
+                    conn.send(request_bytes("GET", STATE_PATH.encode(), ((b"host", b"vm"),), b""))
+                    await conn.head()
+                    entries = msgspec.json.decode(await conn.body())
+                finally:
+                    conn.abort()
+        except (ConnectFailedError, BrokenAnswerError, TimeoutError, msgspec.DecodeError) as exc:
+            logging.info("seed %s tells nothing: %r", seed, exc)
+            return
+        items = [KeyValue(it["key"], base64.b64decode(it["value"]), 0) for it in entries]
+        logging.info("%d entries learned from %s", len(items), seed)
+        if self.knowledge.config is None:
+            self._apply(WatchBatch(0, tuple(items)))
--- /dev/null
+++ b/src/hickorybeam/gateway/fleet.py
@@ -0,0 +1,363 @@
+"""The service ``fleet``: which VMs there are, what they spend, and how loaded they are.
+
+Each VM registers itself in the store under a lease, and tells its peers about itself in
+datagrams: running totals of what accounts spent, what it has at backend servers, and how long
+a request would wait in its region. A lost datagram loses nothing, since all figures are whole.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, ClassVar
+
+import anyio
+import msgspec
+from absl import logging
+
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.gateway.feed import FeedService
+from hickorybeam.kernel import Service
+from hickorybeam.model.routing import GatewayVm
+from hickorybeam.policy.fleet_quota import FleetQuota
+from hickorybeam.ports import FEED, FLEET, PLATFORM
+from hickorybeam.store import Delete, Platform, Put, WatchBatch
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("FleetService", "Peer", "RegionForecast")
+
+LEASE_MS = 5_000
+RENEW_MS = 1_500
+RETRY_MS = 400
+# How often a VM tells the VMs of its own region and of others about itself, in ms. Bytes
+# between regions are paid for; within a region the figures also spread the load.
+NEAR_EVERY_MS = 100
+FAR_EVERY_MS = 300
+# What is not heard for this long is not named to callers and holds no part of a quota.
+HEARD_MS = 1_500
+# A VM that has just registered may not have been heard yet.
+YOUNG_MS = 2_500
+MAX_DATAGRAM = 8_192
+
+
+class Tell(msgspec.Struct, frozen=True, array_like=True):
+    """What a VM says of itself, whole each time."""
+
+    name: str
+    incarnation: str
+    up_ms: int
+    leaving: bool
+    version: int
+    fresh: bool
+    spent: dict[str, float]
+    servers: dict[str, tuple[int, int]]
+    forecasts: dict[str, float]
+    levels: dict[str, float] | None = None
+    vm: GatewayVm | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """Another VM as this one knows it."""
+
+    vm: GatewayVm
+    known_ms: int
+    registered: bool = True
+    heard_ms: int = -HEARD_MS
+    incarnation: str = ""
+    leaving: bool = False
+    version: int = 0
+    servers: dict[str, tuple[int, int]] | None = None
+    forecasts: dict[str, float] | None = None
+
+    def alive(self, now_ms: int) -> bool:
+        """Whether it was heard, or is too new to have been."""
+        return now_ms - self.heard_ms < HEARD_MS or now_ms - self.known_ms < YOUNG_MS
+
+
+@dataclass(frozen=True, slots=True)
+class RegionForecast:
+    """A VM of another region that takes requests for a service, and the wait there in ms."""
+
+    peer: Peer
+    wait_ms: float
+
+
+class FleetService(Service):
+    """Knows the other VMs and keeps the quotas in step with theirs."""
+
+    name: ClassVar[str] = FLEET
+    needs: ClassVar[tuple[str, ...]] = (PLATFORM, FEED)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._started_ms = clock.now()
+        self.quota = FleetQuota(self._started_ms)
+        self.peers: dict[str, Peer] = {}
+        self.leaving = False
+        self.forecast: dict[str, float] = {}
+        self.me = GatewayVm(
+            name=cfg.vm.name,
+            incarnation=secrets.token_hex(4),
+            region=cfg.vm.region,
+            data_centre=cfg.vm.data_centre,
+            host=cfg.vm.host,
+            caller_port=port_of(cfg.gateway.callers if cfg.gateway else ""),
+            peer_port=cfg.vm.peer_port,
+        )
+        self._lease = 0
+        self._fresh = True
+        self._transport: asyncio.DatagramTransport | None = None
+        alive = counters.gauge("vms_heard", "VMs of the fleet that are heard, this one included")
+        alive.set_function(lambda: self.heard())
+
+    def bind(self, kernel: Kernel) -> None:
+        """Look up the store and the feed."""
+        self._store = kernel.find(PLATFORM, Platform)  # type: ignore[type-abstract]
+        self._feed = kernel.find(FEED, FeedService)
+        self._feed.on_batch(self._take_batch)
+        self._feed.on_config(self._take_config)
+
+    @property
+    def _key(self) -> str:
+        return f"{self._cfg.platform.prefix}vm/{self.me.name}"
+
+    def heard(self) -> int:
+        """Return how many VMs are heard, this one included."""
+        now = self._clock.now()
+        return 1 + sum(now - peer.heard_ms < HEARD_MS for peer in self.peers.values())
+
+    def known(self) -> int:
+        """Return how many VMs there are as far as is known, this one included."""
+        return 1 + len(self.peers)
+
+    def region_vms(self, region: str) -> list[GatewayVm]:
+        """Return the VMs of a region that callers may use."""
+        now = self._clock.now()
+        found = [
+            peer.vm
+            for peer in self.peers.values()
+            if peer.vm.region == region and not peer.leaving and peer.alive(now)
+        ]
+        if region == self.me.region and not self.leaving:
+            found.append(self.me)
+        return found
+
+    def near_names(self) -> list[str]:
+        """Return the names of the VMs of this region, this one included."""
+        now = self._clock.now()
+        return [self.me.name] + [
+            peer.vm.name
+            for peer in self.peers.values()
+            if peer.vm.region == self.me.region and peer.alive(now)
+        ]
+
+    def elsewhere(self, service: str) -> list[RegionForecast]:
+        """Return VMs of other regions that take requests for a service, best first."""
+        now = self._clock.now()
+        found = [
+            RegionForecast(peer, peer.forecasts[service])
+            for peer in self.peers.values()
+            if peer.vm.region != self.me.region
+            and not peer.leaving
+            and now - peer.heard_ms < HEARD_MS
+            and peer.forecasts is not None
+            and service in peer.forecasts
+        ]
+        return sorted(found, key=lambda it: (it.wait_ms, it.peer.vm.name))
+
+    async def main(self, started: Started) -> None:
+        """Register and talk until cancelled."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self), local_addr=(self._cfg.vm.host, self._cfg.vm.peer_port)
+        )
+        started()
+        try:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(self._register)
+                tg.start_soon(self._talk, NEAR_EVERY_MS, True)
+                tg.start_soon(self._talk, FAR_EVERY_MS, False)
+        finally:
+            self._transport.close()
+
+    async def leave(self) -> None:
+        """Tell peers and the store that callers should go elsewhere."""
+        self.leaving = True
+        self._tell(near=True)
+        self._tell(near=False)
+        try:
+            with anyio.move_on_after(1.0):
+                await self._store.txn((), (Delete(self._key),))
+        except GatewayError as exc:
+            logging.info("left without the store: %s", exc)
+
+    async def _register(self) -> None:
+        """Hold a lease and this VM's key under it, through outages of the store."""
+        pause = RENEW_MS
+        while not self.leaving:
+            try:
+                if not self._lease:
+                    lease = await self._store.grant(LEASE_MS)
+                    value = msgspec.json.encode(self.me)
+                    await self._store.txn((), (Put(self._key, value, lease),))
+                    self._lease = lease
+                else:
+                    await self._store.keep_alive(self._lease)
+                pause = RENEW_MS
+            except GatewayError as exc:
+                if exc.kind is ErrorKind.LEASE_LOST:
+                    logging.info("registration lapsed, registering again")
+                    self._lease = 0
+                pause = RETRY_MS
+            await self._clock.sleep(pause)
+
+    def _take_config(self) -> None:
+        config = self._feed.knowledge.config
+        if config is not None:
+            self.quota.configure(config.accounts.values(), self._clock.now())
+
+    def _take_batch(self, batch: WatchBatch) -> None:
+        prefix = f"{self._cfg.platform.prefix}vm/"
+        now = self._clock.now()
+        for item in batch.puts:
+            if item.key.startswith(prefix):
+                self._take_vm(item.value, now)
+        for key in batch.deletes:
+            name = key.removeprefix(prefix)
+            if key.startswith(prefix) and name in self.peers:
+                self.peers[name].registered = False
+        self._prune(now)
+        if self._key in batch.deletes and not self.leaving:
+            self._lease = 0
+
+    def _take_vm(self, value: bytes, now_ms: int) -> None:
+        try:
+            vm = msgspec.json.decode(value, type=GatewayVm)
+        except msgspec.MsgspecError as exc:
+            logging.warning("a VM's entry cannot be read: %s", exc)
+            return
+        if vm.name == self.me.name:
+            return
+        known = self.peers.get(vm.name)
+        if known is not None and known.vm == vm:
+            known.registered = True
+        else:
+            self.peers[vm.name] = Peer(vm, now_ms)
+
+    def _prune(self, now_ms: int) -> None:
+        """Forget VMs that are neither registered nor heard.
+
+        The store's lease alone would drop VMs that run through an outage in which leases
+        lapse; hearing alone would count one that is gone for good.
+        """
+        for name, peer in tuple(self.peers.items()):
+            if not peer.registered and not peer.alive(now_ms):
+                del self.peers[name]
+
+    async def _talk(self, every_ms: int, near: bool) -> None:
+        while True:
+            await self._clock.sleep(every_ms)
+            now = self._clock.now()
+            if near:
+                self._prune(now)
+                self.quota.reach(self.heard(), self.known(), now)
+                self._spread(now)
+            self._tell(near=near)
+
+    def _spread(self, now_ms: int) -> None:
+        """Add up what the region's other VMs have at each backend server."""
+        totals: dict[str, tuple[int, int]] = {}
+        for peer in self.peers.values():
+            if peer.servers and now_ms - peer.heard_ms < HEARD_MS:
+                for server, (running, reading) in peer.servers.items():
+                    before = totals.get(server, (0, 0))
+                    totals[server] = (before[0] + running, before[1] + reading)
+        for name, standing in self._feed.knowledge.standings.items():
+            standing.elsewhere, standing.reading_elsewhere = totals.get(name, (0, 0))
+
+    def _tell(self, *, near: bool, to: Peer | None = None) -> None:
+        if self._transport is None:
+            return
+        data = msgspec.msgpack.encode(self._message(near=near, answer=to is not None))
+        for peer in (to,) if to else tuple(self.peers.values()):
+            if (peer.vm.region == self.me.region) is near or to is not None:
+                self._transport.sendto(data, (peer.vm.host, peer.vm.peer_port))
+
+    def _message(self, *, near: bool, answer: bool) -> Tell:
+        knowledge = self._feed.knowledge
+        servers = {}
+        if near:
+            servers = {
+                name: (it.running, it.reading)
+                for name, it in knowledge.standings.items()
+                if it.running or it.reading
+            }
+        return Tell(
+            name=self.me.name,
+            incarnation=self.me.incarnation,
+            up_ms=self._clock.now() - self._started_ms,
+            leaving=self.leaving,
+            version=knowledge.config.version if knowledge.config else 0,
+            fresh=self._fresh,
+            spent={name: round(total, 1) for name, total in self.quota.totals().items()},
+            servers=servers,
+            forecasts={name: round(wait) for name, wait in self.forecast.items()},
+            levels=self.quota.levels() if answer else None,
+            # Peers may not know it: a VM that restarts while the store is out isn't registered.
+            vm=None if self._lease else self.me,
+        )
+
+    def receive(self, data: bytes) -> None:
+        """Take what a peer says of itself."""
+        try:
+            tell = msgspec.msgpack.decode(data, type=Tell)
+        except msgspec.MsgspecError as exc:
+            logging.warning("a datagram cannot be read: %s", exc)
+            return
+        now = self._clock.now()
+        peer = self.peers.get(tell.name)
+        if peer is None and tell.vm is not None and tell.name != self.me.name:
+            peer = self.peers[tell.name] = Peer(tell.vm, now, registered=False)
+        if peer is None:
+            return
+        up_ms = now - self._started_ms
+        peer.heard_ms = now
+        peer.leaving = tell.leaving
+        peer.version = tell.version
+        peer.forecasts = tell.forecasts
+        if peer.vm.region == self.me.region:
+            peer.servers = tell.servers
+        life = f"{tell.name}/{tell.incarnation}"
+        self.quota.heard(life, tell.spent, now, younger=tell.up_ms < up_ms)
+        if tell.levels is not None and self._fresh and tell.up_ms > up_ms:
+            self._fresh = False
+            self.quota.adopt(tell.levels, now)
+        if self._fresh and up_ms > YOUNG_MS:
+            self._fresh = False
+        if tell.fresh and tell.up_ms < up_ms:
+            self._tell(near=peer.vm.region == self.me.region, to=peer)
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, fleet: FleetService) -> None:
+        self._fleet = fleet
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._fleet.receive(data)
+
+    def error_received(self, exc: Exception) -> None:
+        logging.debug("datagram not delivered: %s", exc)
+
+
+def port_of(address: str) -> int:
+    """Return the port of ``host:port``, 0 if there is none."""
+    port = address.rpartition(":")[2]
+    return int(port) if port.isdigit() else 0
--- /dev/null
+++ b/src/hickorybeam/gateway/path.py
@@ -0,0 +1,523 @@
+"""The path of a request: admitted, placed, sent, sent again where that is right, answered."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+
+from hickorybeam.errors import ErrorKind, GatewayError, Ran, answer_for
+from hickorybeam.gateway.attempt import (
+    HOP_NOT_RUN,
+    Attempt,
+    Errand,
+    NotSentError,
+    ToPeer,
+    ToServer,
+)
+from hickorybeam.gateway.events import EventCutter
+from hickorybeam.http1 import BrokenAnswerError
+from hickorybeam.model import key_digest
+from hickorybeam.model.routing import Repeat, Unit
+from hickorybeam.platform import answer_headers, decode_call, refusal_headers
+from hickorybeam.policy.attempt_budget import AttemptBudget
+from hickorybeam.policy.cold_limit import cold_owners
+from hickorybeam.policy.route_table import pick_target
+from hickorybeam.policy.server_choice import choose_server, wait_ms
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.attempt import Target
+    from hickorybeam.gateway.feed import FeedService
+    from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.http1 import AnswerHead, Incoming, RawHeaders, Reply, UpstreamPool
+    from hickorybeam.model.routing import AccountTerms, RelayCall, Route
+    from hickorybeam.platform import AnswerFacts
+    from hickorybeam.policy.cold_limit import ColdLimit
+    from hickorybeam.policy.server_choice import ServerStanding
+    from hickorybeam.settings import GatewaySettings
+    from hickorybeam.telemetry import Counters
+    from hickorybeam.telemetry.decisions import DecisionLog
+
+__all__ = ("RequestPath",)
+
+MS_PER_SECOND = 1000
+OK, FIRST_ERROR, SERVER_ERROR = 200, 300, 500
+# Sends of one request, those included that were surely not run.
+MOST_SENDS = 4
+# Another region is used when its wait, with the way there and back, is shorter by this much.
+REGION_WAY_MS = 160.0
+SPILL_MARGIN_MS = 150.0
+# An answer has to leave before the caller stops waiting for it.
+ANSWER_MARGIN_MS = 25
+# When a refused caller may come back, where nothing better is known, in ms.
+COME_BACK_MS = 300
+# Cache of one server in tokens, where its service doesn't tell.
+DEFAULT_CACHE_TOKENS = 200_000
+HOP_MARK = ((HOP_NOT_RUN, b"1"),)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has happened to one request so far.
+
+    ``runs`` counts sends that may have run. ``failed`` is a server's own failing answer, kept
+    in case that no better one comes.
+    """
+
+    reply: Reply
+    sends: int = 0
+    runs: int = 0
+    flying: bool = False
+    tried: set[str] = field(default_factory=set)
+    failed: tuple[AnswerHead, AnswerFacts, bytes] | None = None
+    cutter: EventCutter = field(default_factory=EventCutter)
+    why: str = ""
+    here_only: bool = False
+
+
+class RequestPath:
+    """Answers requests of callers, and those that other regions' VMs hand over."""
+
+    def __init__(
+        self,
+        *,
+        cfg: GatewaySettings,
+        clock: Clock,
+        counters: Counters,
+        feed: FeedService,
+        fleet: FleetService,
+        pool: UpstreamPool,
+        log: DecisionLog,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._counters = counters
+        self._knowledge = feed.knowledge
+        self._fleet = fleet
+        self._pool = pool
+        self._log = log
+        self._rng = random.Random()
+        self._budgets: dict[str, AttemptBudget] = {}
+        self.draining = False
+        self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
+
+    async def answer(self, req: Incoming, reply: Reply) -> None:
+        """Answer one request of a caller."""
+        call = decode_call(req)
+        try:
+            errand = self._admit(call)
+        except GatewayError as exc:
+            self._refuse(call, reply, exc)
+            return
+        self._budget(errand.service).earn(self._clock.now(), self._fleet.known())
+        await self.serve(errand, reply)
+
+    async def serve(self, errand: Errand, reply: Reply, *, here_only: bool = False) -> None:
+        """Run an admitted request within its deadline, until its caller leaves.
+
+        :param here_only: it came from another VM: one run, by a server of this region.
+        """
+        progress = _Progress(reply, here_only=here_only)
+        left_ms = errand.deadline_ms - self._clock.now()
+        with anyio.CancelScope() as scope:
+            reply.on_gone(scope.cancel)
+            with anyio.move_on_after(max(0, left_ms) / MS_PER_SECOND) as limit:
+                await self._attempts(errand, progress, here_only=here_only)
+            if limit.cancelled_caught and not reply.done:
+                progress.why = "deadline"
+                self._give_up(errand, progress)
+        reply.on_gone(None)
+        unused = progress.runs == 0 and not progress.flying
+        if unused and errand.account is not None and not here_only:
+            self._fleet.quota.refund(errand.account, errand.cost, self._clock.now())
+        if scope.cancelled_caught:
+            self._counters.requests.labels(errand.route.name, "left").inc()
+
+    def _admit(self, call: RelayCall) -> Errand:
+        config = self._knowledge.config
+        if config is None:
+            raise GatewayError(ErrorKind.NOT_READY, retry_after_ms=COME_BACK_MS)
+        if self.draining:
+            raise GatewayError(ErrorKind.DRAINING, retry_after_ms=50)
+        route = self._knowledge.table.match(call.host, call.path)
+        if route is None:
+            raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
+        terms = None
+        if config.with_accounts and not route.public:
+            if call.key is None:
+                raise GatewayError(ErrorKind.KEY_MISSING)
+            name = config.keys.get(key_digest(call.key))
+            if name is None:
+                raise GatewayError(ErrorKind.KEY_UNKNOWN)
+            terms = config.accounts[name]
+        cost = self._spend(call, terms)
+        return Errand(
+            call=call,
+            route=route,
+            service=pick_target(route, self._rng.random()),
+            account=terms.name if terms else None,
+            urgency=urgency_of(route, terms),
+            deadline_ms=min(call.deadline_ms, call.arrived_ms + route.timeout_ms)
+            - ANSWER_MARGIN_MS,
+            resume_after=call.resume_after,
+            cost=cost,
+        )
+
+    def _spend(self, call: RelayCall, terms: AccountTerms | None) -> float:
+        """Take a request's cost from its account's rate, or refuse it."""
+        if terms is None:
+            return 0.0
+        cost = cost_of(call, terms)
+        wait = self._fleet.quota.take(terms.name, cost, self._clock.now())
+        if wait is not None:
+            raise GatewayError(ErrorKind.RATE_LIMITED, retry_after_ms=wait)
+        return cost
+
+    async def _attempts(self, errand: Errand, progress: _Progress, *, here_only: bool) -> None:
+        while True:
+            target = self._choose(errand, progress, here_only=here_only)
+            if target is None or not self._may_send(errand, progress, here_only=here_only):
+                self._give_up(errand, progress)
+                return
+            progress.sends += 1
+            progress.tried.add(name_of(target))
+            await self._send(target, errand, progress)
+            if progress.reply.done:
+                return
+            if progress.runs and (here_only or not errand.route.repeatable):
+                self._give_up(errand, progress)
+                return
+
+    def _may_send(self, errand: Errand, progress: _Progress, *, here_only: bool) -> bool:
+        if progress.sends == 0:
+            return True
+        if progress.sends >= MOST_SENDS or progress.runs >= errand.route.max_attempts:
+            return False
+        if not self._budget(errand.service).take(self._clock.now(), self._fleet.known()):
+            progress.why += ", no budget to repeat"
+            return False
+        self._counters.retries.labels("repeat").inc()
+        return True
+
+    def _choose(self, errand: Errand, progress: _Progress, *, here_only: bool) -> Target | None:
+        """Pick a server of this region, or a VM of another one whose wait is much shorter."""
+        now = self._clock.now()
+        here = None
+        if here_only or self._allowed(errand, self._fleet.me.region):
+            here = self._choose_here(errand, progress, now)
+        away = None if here_only else self._choose_away(errand, progress)
+        if here is not None and away is not None:
+            call = errand.call
+            wait_here = wait_ms(here, call.parts, call.prompt_tokens, now)
+            if wait_here > away[1] + REGION_WAY_MS + SPILL_MARGIN_MS:
+                return away[0]
+        if here is not None:
+            if self._knowledge.is_cold(here.server.id, now):
+                self._cold_limit(here, now).take(now)
+            return ToServer(here)
+        return away[0] if away else None
+
+    def _choose_here(
+        self, errand: Errand, progress: _Progress, now_ms: int
+    ) -> ServerStanding | None:
+        usable = self._usable(errand.service, now_ms)
+        fresh = [it for it in usable if it.server.id not in progress.tried]
+        if not fresh and errand.route.repeat is Repeat.IDEMPOTENT and progress.failed is not None:
+            fresh = usable
+        call = errand.call
+        return choose_server(fresh, parts=call.parts, tokens=call.prompt_tokens, now_ms=now_ms)
+
+    def _usable(self, service: str, now_ms: int) -> list[ServerStanding]:
+        """Return this region's servers that may get a request now."""
+        found = []
+        for standing in self._knowledge.servers(service):
+            if self._cfg.regions.get(standing.server.data_centre) != self._fleet.me.region:
+                continue
+            if standing.paused_until_ms > now_ms:
+                continue
+            cold = self._knowledge.is_cold(standing.server.id, now_ms)
+            if not cold or self._may_warm(standing, now_ms):
+                found.append(standing)
+        return found
+
+    def _may_warm(self, standing: ServerStanding, now_ms: int) -> bool:
+        owners = cold_owners(standing.server.id, self._fleet.near_names())
+        return self._fleet.me.name in owners and self._cold_limit(standing, now_ms).ready(now_ms)
+
+    def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
+        return self._knowledge.cold_limit(standing.server, now_ms)
+
+    def _choose_away(self, errand: Errand, progress: _Progress) -> tuple[Target, float] | None:
+        found = [
+            it
+            for it in self._fleet.elsewhere(errand.service)
+            if self._allowed(errand, it.peer.vm.region) and it.peer.vm.name not in progress.tried
+        ]
+        if not found:
+            return None
+        # Peers of one region tell nearly the same wait; the same one for all would be flooded.
+        best = [it for it in found if it.wait_ms <= found[0].wait_ms + 20]
+        pick = self._rng.choice(best)
+        return ToPeer(pick.peer), pick.wait_ms
+
+    def _allowed(self, errand: Errand, region: str) -> bool:
+        homes = [errand.route.homes]
+        config = self._knowledge.config
+        terms = config.accounts.get(errand.account or "") if config else None
+        if terms is not None:
+            homes.append(terms.homes)
+        return all(not home or region in home for home in homes)
+
+    async def _send(self, target: Target, errand: Errand, progress: _Progress) -> None:
+        """Send once and take note of how it went; a good answer is passed on."""
+        standing = target.standing if isinstance(target, ToServer) else None
+        reading = self._begin(standing, errand)
+        attempt = Attempt(self._pool, target, errand)
+        progress.flying = True
+        try:
+            with anyio.move_on_after(self._patience_s(errand, progress)) as patience:
+                head, facts = await attempt.open(self._clock.now())
+            if patience.cancelled_caught:
+                raise BrokenAnswerError("silent")
+            self._first_byte.labels(errand.route.name).observe(
+                (self._clock.now() - errand.call.arrived_ms) / MS_PER_SECOND
+            )
+            if standing is not None:
+                standing.reading -= reading
+                reading = 0
+                self._take_facts(standing, facts)
+            await self._take_answer(attempt, head, facts, errand, progress, standing)
+            progress.flying = False
+        except NotSentError as exc:
+            progress.flying = False
+            progress.why = str(exc)
+            if exc.unreachable:
+                self._unreachable(target)
+                attempt.forget_idle()
+            self._note("not_sent", errand, target, why=str(exc))
+        except BrokenAnswerError as exc:
+            progress.flying = False
+            progress.runs += 1
+            progress.why = str(exc)
+            if str(exc) == "silent":
+                self._unreachable(target)
+                attempt.forget_idle()
+            elif standing is not None:
+                standing.failed()
+            self._note("broken", errand, target, why=str(exc))
+        finally:
+            if standing is not None:
+                standing.running -= 1
+                standing.reading -= reading
+            attempt.close()
+
+    def _begin(self, standing: ServerStanding | None, errand: Errand) -> int:
+        if standing is None:
+            return 0
+        call = errand.call
+        reading = standing.memory.missing(call.parts) if call.parts else call.prompt_tokens
+        standing.running += 1
+        standing.reading += reading
+        config = self._knowledge.config
+        spec = config.services.get(errand.service) if config else None
+        room = spec.engine.cache_tokens if spec and spec.engine else 0
+        standing.memory.sent(call.parts, room or DEFAULT_CACHE_TOKENS)
+        return reading
+
+    def _patience_s(self, errand: Errand, progress: _Progress) -> float | None:
+        """Return how long to wait for a first byte; no limit but the deadline for most.
+
+        A request that may be repeated is sent elsewhere when a server stays silent for twice
+        its objective: a hung server would otherwise hold it until its deadline.
+        """
+        if errand.route.repeat is not Repeat.IDEMPOTENT:
+            return None
+        if progress.runs + 1 >= errand.route.max_attempts:
+            return None
+        return errand.route.target_ms / MS_PER_SECOND
+
+    def _take_facts(self, standing: ServerStanding, facts: AnswerFacts) -> None:
+        now = self._clock.now()
+        if facts.load is not None:
+            standing.told(busy=facts.load.running + facts.load.waiting, now_ms=now)
+        if facts.cold_ms:
+            self._knowledge.cold(standing.server.id, facts.cold_ms, now)
+
+    async def _take_answer(
+        self,
+        attempt: Attempt,
+        head: AnswerHead,
+        facts: AnswerFacts,
+        errand: Errand,
+        progress: _Progress,
+        standing: ServerStanding | None,
+    ) -> None:
+        if facts.not_run:
+            await attempt.body()
+            attempt.kept()
+            if standing is not None and facts.other_server:
+                standing.unreachable(self._clock.now())
+            raise NotSentError(f"status {facts.status}: not run")
+        good = OK <= facts.status < FIRST_ERROR
+        if good and not facts.signed:
+            raise BrokenAnswerError("a success that no server signed")
+        if good and facts.streamed:
+            await self._relay_stream(attempt, head, errand, progress)
+        else:
+            body = await attempt.body()
+            attempt.kept()
+            self._take_whole(head, facts, body, errand, progress)
+        if standing is not None:
+            if good:
+                standing.succeeded()
+            else:
+                standing.failed()
+
+    def _take_whole(
+        self,
+        head: AnswerHead,
+        facts: AnswerFacts,
+        body: bytes,
+        errand: Errand,
+        progress: _Progress,
+    ) -> None:
+        progress.runs += 1
+        if facts.status >= SERVER_ERROR or facts.promises or progress.reply.started:
+            # A failure, or a whole answer where a stream was to go on.
+            progress.failed = (head, facts, body)
+            progress.why = f"status {facts.status}"
+            return
+        progress.reply.whole(facts.status, answer_headers(head.headers), body)
+        self._count(errand, "answered")
+
+    async def _relay_stream(
+        self, attempt: Attempt, head: AnswerHead, errand: Errand, progress: _Progress
+    ) -> None:
+        reply, cutter = progress.reply, progress.cutter
+        if not reply.started:
+            reply.begin(head.status, answer_headers(head.headers))
+        try:
+            while data := await attempt.chunk():
+                await reply.chunk(cutter.whole(data) if errand.route.resumable else data)
+        except BrokenAnswerError:
+            errand.resume_after = cutter.last_id or errand.resume_after
+            cutter.restart()
+            raise
+        attempt.kept()
+        progress.runs += 1
+        await reply.chunk(cutter.rest())
+        reply.end()
+        self._count(errand, "answered")
+
+    def _unreachable(self, target: Target) -> None:
+        match target:
+            case ToServer(standing):
+                standing.unreachable(self._clock.now())
+            case ToPeer(peer):
+                peer.forecasts = None
+
+    def _give_up(self, errand: Errand, progress: _Progress) -> None:
+        """Give the final answer to a request that will not be run, or not again."""
+        reply = progress.reply
+        ran = progress.runs > 0 or progress.flying
+        self._note("gave_up", errand, None, why=progress.why, ran=ran, sends=progress.sends)
+        if reply.started:
+            reply.abort()
+            self._count(errand, "cut")
+            return
+        if progress.failed is not None:
+            head, facts, body = progress.failed
+            # A server's status that would promise that it didn't run can't be passed on.
+            if facts.signed and not facts.promises:
+                reply.whole(facts.status, answer_headers(head.headers), body)
+                self._count(errand, "failed")
+                return
+        if not ran:
+            kind, after = ErrorKind.NO_BACKEND, COME_BACK_MS
+        elif progress.why == "deadline":
+            kind, after = ErrorKind.BACKEND_SILENT, None
+        else:
+            kind, after = ErrorKind.BACKEND_UNKNOWN, None
+        exc = GatewayError(kind, progress.why, retry_after_ms=after)
+        self._refuse(errand.call, reply, exc, HOP_MARK if progress.here_only else ())
+
+    def _refuse(
+        self, call: RelayCall, reply: Reply, exc: GatewayError, extra: RawHeaders = ()
+    ) -> None:
+        answer = answer_for(exc.kind)
+        self._counters.refusals.labels(exc.kind.value).inc()
+        self._log.note(
+            "refused",
+            request=call.request_id,
+            kind=exc.kind.value,
+            status=answer.status,
+            ran=answer.ran is not Ran.NO,
+            retry_after_ms=exc.retry_after_ms,
+            config=self._knowledge.config.version if self._knowledge.config else None,
+        )
+        headers = refusal_headers(call.request_id, retry_after_ms=exc.retry_after_ms)
+        if answer.ran is Ran.NO:
+            headers = (*headers, *extra)
+        reply.whole(answer.status, headers, close=exc.kind is ErrorKind.DRAINING)
+
+    def _budget(self, service: str) -> AttemptBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = AttemptBudget(
+                ratio=self._cfg.repeat_ratio,
+                allowance=self._cfg.repeat_allowance,
+                window_ms=round(self._cfg.repeat_window_s * MS_PER_SECOND),
+            )
+        return budget
+
+    def forecasts(self) -> dict[str, float]:
+        """Return the wait of an empty prompt in this region, by service that has servers."""
+        config = self._knowledge.config
+        now = self._clock.now()
+        found = {}
+        for service in config.services if config else ():
+            waits = [wait_ms(it, (), 0, now) for it in self._usable(service, now)]
+            if waits:
+                found[service] = min(waits)
+        return found
+
+    def _count(self, errand: Errand, outcome: str) -> None:
+        self._counters.requests.labels(errand.route.name, outcome).inc()
+
+    def _note(self, event: str, errand: Errand, target: Target | None, **fields: object) -> None:
+        self._log.note(
+            event,
+            request=errand.call.request_id,
+            route=errand.route.name,
+            target=name_of(target) if target else None,
+            left_ms=errand.deadline_ms - self._clock.now(),
+            **fields,
+        )
+
+
+def name_of(target: Target) -> str:
+    """Return the name of a target, for logs and to know it again."""
+    match target:
+        case ToServer(standing):
+            return standing.server.id
+        case ToPeer(peer):
+            return peer.vm.name
+
+
+def cost_of(call: RelayCall, terms: AccountTerms) -> float:
+    """Return what a request costs its account."""
+    if terms.unit is Unit.REQUESTS:
+        return 1.0
+    if not call.tokens_told:
+        return float(terms.tokens_when_untold)
+    return float(call.prompt_tokens + call.output_tokens)
+
+
+def urgency_of(route: Route, terms: AccountTerms | None) -> int:
+    """Return how urgent a request is at a server, 0 first; an account's rank goes first."""
+    if terms is None or terms.rank is None:
+        return min(9, route.rank)
+    return min(9, 3 * terms.rank + min(2, route.rank))
--- /dev/null
+++ b/src/hickorybeam/gateway/relay.py
@@ -0,0 +1,218 @@
+"""The service ``relay``: the ports that callers, peers and operators' tools connect to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+import anyio
+from absl import logging
+
+from hickorybeam.gateway.attempt import (
+    HOP_ACCOUNT,
+    HOP_LEFT,
+    HOP_RESUME,
+    HOP_SERVICE,
+    HOP_URGENCY,
+    Errand,
+)
+from hickorybeam.gateway.feed import STATE_PATH, FeedService
+from hickorybeam.gateway.fleet import FleetService
+from hickorybeam.gateway.path import RequestPath
+from hickorybeam.http1 import CallerLimits, HttpServer, UpstreamPool, find
+from hickorybeam.kernel import Service
+from hickorybeam.model.routing import Repeat, Route
+from hickorybeam.platform import decode_call, decode_query, directory_answer
+from hickorybeam.ports import FEED, FLEET, RELAY
+from hickorybeam.telemetry.decisions import DecisionLog
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.http1 import Incoming, Reply
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("RelayService",)
+
+MS_PER_SECOND = 1000
+# How long callers keep a directory's answer: a VM that is gone is named for no longer.
+LIST_VALID_MS = 2_000
+CONNECT_MS = 600
+SILENT_MS = 2_000
+FORECAST_EVERY_MS = 100
+METRICS_PATH = b"/metrics"
+JSON = ((b"content-type", b"application/json"),)
+PLAIN = ((b"content-type", b"text/plain; version=0.0.4"),)
+# Shutdown, in ms from its start: new requests are served while callers still hold lists that
+# name this VM, then refused as not run, then no connection is taken any more.
+SERVE_ON_MS = 2_500
+ACCEPT_ON_MS = 4_000
+END_MARGIN_MS = 400
+DRAIN_POLL_MS = 25
+
+
+class RelayService(Service):
+    """Listens and hands requests to their path."""
+
+    name: ClassVar[str] = RELAY
+    needs: ClassVar[tuple[str, ...]] = (FEED, FLEET)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._counters = counters
+        self._servers: list[HttpServer] = []
+        self._leaving = False
+        self._in_flight = counters.gauge("requests_in_flight", "Requests being answered")
+
+    def bind(self, kernel: Kernel) -> None:
+        """Look up neighbours."""
+        self._feed = kernel.find(FEED, FeedService)
+        self._fleet = kernel.find(FLEET, FleetService)
+        if self._cfg.gateway is None:
+            raise ValueError("settings have no section 'gateway'")
+        self._gateway = self._cfg.gateway
+        self._path = RequestPath(
+            cfg=self._gateway,
+            clock=self._clock,
+            counters=self._counters,
+            feed=self._feed,
+            fleet=self._fleet,
+            pool=UpstreamPool(self._clock, connect_ms=CONNECT_MS, silent_ms=SILENT_MS),
+            log=DecisionLog(self._clock),
+        )
+
+    async def main(self, started: Started) -> None:
+        """Listen until cancelled."""
+        vm = self._cfg.vm
+        async with anyio.create_task_group() as tg:
+            listeners = (
+                (self._path.answer, self._gateway.callers),
+                (self._hop, f"{vm.host}:{vm.peer_port}"),
+                (self._ready, self._gateway.ready),
+                (self._directory, self._gateway.directory),
+                (self._state, self._gateway.state),
+            )
+            for handler, address in listeners:
+                server = HttpServer(
+                    handler,
+                    clock=self._clock,
+                    tasks=tg,
+                    limits=self._limits,
+                    on_malformed=self._malformed,
+                )
+                host, _, port = address.rpartition(":")
+                await server.listen(host, int(port))
+                self._servers.append(server)
+            self._in_flight.set_function(lambda: self._callers.in_flight)
+            tg.start_soon(self._forecast)
+            started()
+
+    @property
+    def _callers(self) -> HttpServer:
+        return self._servers[0]
+
+    async def drain(self) -> None:
+        """Leave the directory, refuse new work, and finish what runs.
+
+        Callers go on using open connections and lists that name this VM for a while. A port
+        closed at once would cut requests that were on their way.
+        """
+        begun = self._clock.now()
+        self._leaving = True
+        end = begun + round(self._gateway.grace_s * MS_PER_SECOND) - END_MARGIN_MS
+        for server in self._servers:
+            server.closing = True
+        await self._fleet.leave()
+        await self._until(begun + SERVE_ON_MS)
+        self._path.draining = True
+        await self._until(begun + ACCEPT_ON_MS)
+        for server in self._servers:
+            server.stop_accepting()
+            server.close_idle()
+        while self._busy() and self._clock.now() < end:
+            await self._clock.sleep(DRAIN_POLL_MS)
+            for server in self._servers[:2]:
+                server.close_idle()
+        logging.info("drained, %d requests cut", self._busy())
+
+    def _busy(self) -> int:
+        return sum(server.in_flight for server in self._servers[:2])
+
+    async def _until(self, due_ms: int) -> None:
+        await self._clock.sleep(due_ms - self._clock.now())
+
+    async def _forecast(self) -> None:
+        while True:
+            await self._clock.sleep(FORECAST_EVERY_MS)
+            self._fleet.forecast = self._path.forecasts()
+
+    def _limits(self) -> CallerLimits:
+        rules = self._feed.knowledge.callers()
+        return CallerLimits(
+            header_bytes=rules.header_bytes,
+            body_bytes=rules.body_bytes,
+            header_ms=rules.header_ms,
+            idle_ms=rules.idle_ms,
+        )
+
+    def _malformed(self, status: int) -> None:
+        self._counters.refusals.labels(f"malformed_{status}").inc()
+
+    async def _hop(self, req: Incoming, reply: Reply) -> None:
+        """Run a request that a VM of another region hands over, by a server of this one."""
+        if req.target == METRICS_PATH:
+            reply.whole(200, PLAIN, self._counters.text())
+            return
+        errand = errand_of(req)
+        if errand is None:
+            reply.whole(404)
+            return
+        await self._path.serve(errand, reply, here_only=True)
+
+    async def _ready(self, req: Incoming, reply: Reply) -> None:
+        ready = self._feed.knowledge.config is not None and not self._leaving
+        reply.whole(200 if ready else 503)
+
+    async def _directory(self, req: Incoming, reply: Reply) -> None:
+        """Name the VMs of the caller's region, or all others where it has none."""
+        query = decode_query(req.target)
+        if query is None:
+            reply.whole(404)
+            return
+        vms = self._fleet.region_vms(query.region)
+        for region in sorted(set(self._gateway.regions.values())):
+            if not vms:
+                vms = self._fleet.region_vms(region)
+        if not vms:
+            reply.whole(503)
+            return
+        addresses = [f"{vm.host}:{vm.caller_port}" for vm in vms[:64]]
+        answer = directory_answer(addresses, ttl_ms=LIST_VALID_MS)
+        reply.whole(200, JSON, answer)
+
+    async def _state(self, req: Incoming, reply: Reply) -> None:
+        if req.target.decode("latin-1") == STATE_PATH and self._feed.knowledge.config:
+            reply.whole(200, JSON, self._feed.state())
+        else:
+            reply.whole(404)
+
+
+def errand_of(req: Incoming) -> Errand | None:
+    """Read a request that another VM hands over; ``None`` if it is none."""
+    service = find(req.headers, HOP_SERVICE)
+    left = find(req.headers, HOP_LEFT)
+    if service is None or left is None:
+        return None
+    call = decode_call(req)
+    account, resume = find(req.headers, HOP_ACCOUNT), find(req.headers, HOP_RESUME)
+    route = Route(name="hop", host="", prefix="/", repeat=Repeat.ONCE, targets=())
+    return Errand(
+        call=call,
+        route=route,
+        service=service.decode("latin-1"),
+        account=None if account is None else account.decode("latin-1"),
+        urgency=int(find(req.headers, HOP_URGENCY) or 5),
+        deadline_ms=req.arrived_ms + int(left),
+        resume_after=None if resume is None else resume.decode("latin-1"),
+    )
--- /dev/null
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -0,0 +1,159 @@
+"""An account's rate and burst over all VMs, each VM deciding by itself.
+
+Load it answers: one account sends several times its rate, through all VMs at once, while
+peaks wander between regions. A fixed split of the rate would refuse a region at its peak what
+others leave unused; asking somebody for each request costs a round trip.
+
+Every VM keeps the whole fleet's bucket. It takes its own spends at once and learns those of
+the others from their running totals, a few times a second; so the fleet overspends by what
+the others spend in one round of reports, and the debt is worked off before anyone admits
+again. A VM that doesn't hear from others holds itself to the fraction of the rate that the
+VMs it hears make up: both sides of a cut together stay within the whole.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from hickorybeam.model.routing import AccountTerms
+
+__all__ = ("FleetQuota",)
+
+MS_PER_SECOND = 1000
+# Debt is kept down to this many seconds of the rate; beyond it, an account that flooded the
+# fleet once would stay locked out for longer than the bound's own window.
+DEBT_S = 4.0
+# A peer that was silent for longer spent out of its own fraction meanwhile, in ms.
+SILENT_MS = 1_500
+
+
+@dataclass(slots=True)
+class _Bucket:
+    terms: AccountTerms
+    level: float
+    at_ms: int
+    spent: float = 0.0
+
+
+@dataclass(slots=True)
+class _Peer:
+    heard_ms: int
+    totals: dict[str, float] = field(default_factory=dict)
+
+
+class FleetQuota:
+    """The buckets of all accounts as this VM knows them.
+
+    :param now_ms: a monotonic time; every method gets one.
+    """
+
+    def __init__(self, now_ms: int) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._fraction = 1.0
+        self._started_ms = now_ms
+
+    def configure(self, accounts: Iterable[AccountTerms], now_ms: int) -> None:
+        """Take over new terms; levels are kept, and a new account starts empty.
+
+        A full start would hand out the burst anew with each restart of a VM.
+        """
+        kept = {}
+        for terms in accounts:
+            bucket = self._buckets.get(terms.name)
+            if bucket is None:
+                bucket = _Bucket(terms, 0.0, now_ms)
+            else:
+                self._refill(bucket, now_ms)
+                bucket.terms = terms
+                bucket.level = min(bucket.level, self._cap(bucket))
+            kept[terms.name] = bucket
+        self._buckets = kept
+
+    def reach(self, heard: int, known: int, now_ms: int) -> None:
+        """Set which fraction of the fleet's VMs this one hears, itself included."""
+        fraction = min(1.0, heard / max(1, known))
+        if fraction == self._fraction:
+            return
+        for bucket in self._buckets.values():
+            self._refill(bucket, now_ms)
+        self._fraction = fraction
+
+    def take(self, account: str, cost: float, now_ms: int) -> int | None:
+        """Spend, or return in how many ms there will be enough.
+
+        :return: ``None`` when it was spent.
+        """
+        bucket = self._buckets.get(account)
+        if bucket is None or bucket.terms.rate_per_s <= 0:
+            return None
+        self._refill(bucket, now_ms)
+        needed = min(cost, self._cap(bucket))
+        if bucket.level >= needed:
+            bucket.level -= cost
+            bucket.spent += cost
+            return None
+        rate = bucket.terms.rate_per_s * self._fraction
+        return max(1, int((needed - bucket.level) / rate * MS_PER_SECOND) + 1)
+
+    def refund(self, account: str, cost: float, now_ms: int) -> None:
+        """Give back what a request took that was not run."""
+        bucket = self._buckets.get(account)
+        if bucket is None or bucket.terms.rate_per_s <= 0:
+            return
+        self._refill(bucket, now_ms)
+        bucket.level = min(self._cap(bucket), bucket.level + cost)
+        bucket.spent -= cost
+
+    def totals(self) -> dict[str, float]:
+        """Return what this VM has spent in its life, by account, for its peers."""
+        return {name: it.spent for name, it in self._buckets.items() if it.spent}
+
+    def levels(self) -> dict[str, float]:
+        """Return the level of each bucket, for a VM that has just started."""
+        return {name: it.level for name, it in self._buckets.items()}
+
+    def adopt(self, levels: Mapping[str, float], now_ms: int) -> None:
+        """Take over levels from a peer that has been up for longer."""
+        for name, level in levels.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level = min(level, self._cap(bucket))
+                bucket.at_ms = now_ms
+
+    def heard(self, peer: str, totals: Mapping[str, float], now_ms: int, *, younger: bool) -> None:
+        """Charge what a peer spent since it was last heard.
+
+        :param peer: name and incarnation.
+        :param younger: it started after this VM, so that all it spent is new here.
+        """
+        known = self._peers.get(peer)
+        if known is None:
+            known = self._peers[peer] = _Peer(now_ms)
+            if not younger:
+                known.totals = dict(totals)
+        silent = now_ms - known.heard_ms > SILENT_MS
+        known.heard_ms = now_ms
+        for name, total in totals.items():
+            before = known.totals.get(name, 0.0)
+            known.totals[name] = total
+            bucket = self._buckets.get(name)
+            if bucket is None or silent:
+                continue
+            self._refill(bucket, now_ms)
+            floor = -DEBT_S * bucket.terms.rate_per_s
+            bucket.level = max(floor, bucket.level - (total - before))
+
+    def _cap(self, bucket: _Bucket) -> float:
+        terms = bucket.terms
+        return max(terms.burst, terms.rate_per_s * 0.1) * self._fraction
+
+    def _refill(self, bucket: _Bucket, now_ms: int) -> None:
+        rate = bucket.terms.rate_per_s * self._fraction
+        gained = (now_ms - bucket.at_ms) * rate / MS_PER_SECOND
+        bucket.level = min(self._cap(bucket), bucket.level + gained)
+        bucket.at_ms = now_ms
--- /dev/null
+++ b/src/hickorybeam/policy/route_table.py
@@ -0,0 +1,47 @@
+"""Which route a request takes: the longest path prefix among those of its host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hickorybeam.model.routing import Route
+
+__all__ = ("RouteTable", "pick_target")
+
+
+class RouteTable:
+    """Routes by host and prefix.
+
+    Every prefix begins and ends with a slash, so a path has as many candidates as it has
+    slashes: the cost of a look-up doesn't grow with the number of routes (some hundreds are
+    added at once), which a scan would make every request pay.
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._routes = {(route.host, route.prefix): route for route in routes}
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a path, or ``None``."""
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._routes.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+
+def pick_target(route: Route, draw: float) -> str:
+    """Return the service that gets a request.
+
+    :param draw: a number from 0 up to 1, drawn evenly.
+    """
+    total = sum(target.weight for target in route.targets)
+    mark = draw * total
+    for target in route.targets:
+        mark -= target.weight
+        if mark < 0:
+            return target.service
+    return route.targets[-1].service
--- /dev/null
+++ b/src/hickorybeam/policy/server_choice.py
@@ -0,0 +1,160 @@
+"""Which backend server of a region gets a request, by the wait that each one promises.
+
+Load it answers: prompts of which two thirds are shared parts, long prompts among short
+questions, servers of which one is slow, fails or is full. A server's wait is the prompt
+tokens that still have to be read there, the part of this prompt that it doesn't hold yet, and
+a place in its queue once its slots are taken. Prompts with the same last shared part prefer the
+same server (by hashing, so all VMs agree without a word) until its wait exceeds another's by
+more than the reading it saves.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hickorybeam.policy.cold_limit import rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from hickorybeam.model.routing import PromptPart, RegisteredServer
+
+__all__ = ("PrefixMemory", "ServerStanding", "choose_server", "wait_ms")
+
+# Prompt tokens that an engine reads in a ms; the order of size of today's engines. It only
+# weighs reading against queueing, so that a factor of two changes few choices.
+READ_TOKENS_PER_MS = 40.0
+# What one more request in a full server's queue waits, in ms.
+QUEUED_MS = 60.0
+# What each running request adds through larger batches, in ms; decides among idle servers.
+RUNNING_MS = 1.0
+# A told load older than this says nothing any more, in ms.
+TOLD_VALID_MS = 1_500
+# A request sent to a server that failed all its last ones waits this long on average, in ms.
+FAILURE_MS = 1_500.0
+FAILURE_WEIGHT = 0.15
+FIRST_PAUSE_MS = 400
+LONGEST_PAUSE_MS = 6_000
+
+
+class PrefixMemory:
+    """Which parts of prompts a server probably holds: those sent there last, by size."""
+
+    def __init__(self) -> None:
+        self._parts: OrderedDict[str, int] = OrderedDict()
+        self._tokens = 0
+
+    def missing(self, parts: Sequence[PromptPart]) -> int:
+        """Return the tokens that the server would have to read."""
+        for index, part in enumerate(parts):
+            if part.id not in self._parts:
+                return sum(rest.tokens for rest in parts[index:])
+        return 0
+
+    def sent(self, parts: Iterable[PromptPart], room: int) -> None:
+        """Take note of a prompt; the oldest parts give way beyond ``room`` tokens."""
+        for part in parts:
+            self._tokens += part.tokens - self._parts.pop(part.id, 0)
+            self._parts[part.id] = part.tokens
+        while self._tokens > room and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+
+    def clear(self) -> None:
+        """Forget all, as the server did when it started anew."""
+        self._parts.clear()
+        self._tokens = 0
+
+
+@dataclass(slots=True, eq=False)
+class ServerStanding:
+    """What this VM knows of one life of a server.
+
+    ``elsewhere`` and ``reading_elsewhere`` are what the region's other VMs have there.
+    """
+
+    server: RegisteredServer
+    running: int = 0
+    reading: int = 0
+    elsewhere: int = 0
+    reading_elsewhere: int = 0
+    told_busy: int = 0
+    told_ms: int = -TOLD_VALID_MS
+    failing: float = 0.0
+    paused_until_ms: int = 0
+    pause_ms: int = 0
+    memory: PrefixMemory = field(default_factory=PrefixMemory)
+
+    def told(self, *, busy: int, now_ms: int) -> None:
+        """Take what the server says of itself: requests that run or wait there."""
+        self.told_busy = busy
+        self.told_ms = now_ms
+
+    def succeeded(self) -> None:
+        """Count an answer."""
+        self.failing *= 1 - FAILURE_WEIGHT
+        self.pause_ms = 0
+
+    def failed(self) -> None:
+        """Count a failure that the server answered with."""
+        self.failing += FAILURE_WEIGHT * (1 - self.failing)
+
+    def unreachable(self, now_ms: int) -> None:
+        """Leave a server that didn't take a connection or fell silent, longer each time."""
+        self.failed()
+        if now_ms < self.paused_until_ms:
+            return
+        self.pause_ms = min(LONGEST_PAUSE_MS, max(FIRST_PAUSE_MS, self.pause_ms * 2))
+        self.paused_until_ms = now_ms + self.pause_ms
+
+    def busy(self, now_ms: int) -> int:
+        """Return how many requests run or wait there, as far as is known."""
+        known = self.running + self.elsewhere
+        if now_ms - self.told_ms < TOLD_VALID_MS:
+            return max(known, self.told_busy)
+        return known
+
+
+def wait_ms(
+    standing: ServerStanding, parts: Sequence[PromptPart], tokens: int, now_ms: int
+) -> float:
+    """Return how long a request would wait for its first byte at a server.
+
+    :param tokens: size of the prompt, where its parts aren't told.
+    """
+    missing = standing.memory.missing(parts) if parts else tokens
+    reading = standing.reading + standing.reading_elsewhere + missing
+    busy = standing.busy(now_ms)
+    queued = max(0, busy + 1 - standing.server.slots)
+    return (
+        reading / READ_TOKENS_PER_MS
+        + queued * QUEUED_MS
+        + busy * RUNNING_MS
+        + standing.failing * FAILURE_MS
+    )
+
+
+def choose_server(
+    standings: Sequence[ServerStanding],
+    *,
+    parts: Sequence[PromptPart],
+    tokens: int,
+    now_ms: int,
+) -> ServerStanding | None:
+    """Return the server with the shortest wait; a prompt's own server wins ties of reading."""
+    if not standings:
+        return None
+    home = None
+    if len(parts) > 1:
+        home = rendezvous(parts[-2].id, [it.server.id for it in standings])[0]
+    ranked = []
+    for standing in standings:
+        wait = wait_ms(standing, parts, tokens, now_ms)
+        if standing.server.id == home:
+            # As if it held the shared parts: it will from now on.
+            shared = sum(part.tokens for part in parts[:-1])
+            wait -= min(shared, standing.memory.missing(parts)) / READ_TOKENS_PER_MS
+        ranked.append((wait, standing.server.id, standing))
+    return min(ranked, key=lambda entry: entry[:2])[2]
--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -30,11 +30,14 @@
     "CONFIG",
     "CONTROL",
     "DISPATCH",
+    "FEED",
+    "FLEET",
     "FRONT",
     "MEMBERS",
     "ONCE",
     "PEERS",
     "PLATFORM",
+    "RELAY",
     "BackendClient",
     "Budget",
     "ConfigView",
@@ -59,6 +62,9 @@
 ONCE = "once"
 FRONT = "front"
 CONTROL = "control"
+FEED = "feed"
+FLEET = "fleet"
+RELAY = "relay"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -9,6 +9,7 @@
     "ConfigSettings",
     "ControlSettings",
     "FrontSettings",
+    "GatewaySettings",
     "LoadSettings",
     "LogSettings",
     "PeerSettings",
@@ -165,6 +166,32 @@
     level: str = "info"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewaySettings:
+    """A VM whose configuration and backend servers come from the platform's store.
+
+    Addresses are ``host:port``: ``callers`` for requests, ``ready`` tells whether it takes
+    them, ``directory`` tells callers which VMs to use, ``state`` tells VMs that cannot reach the
+    store what this one knows; ``seeds`` are such addresses of others. ``regions`` leads from
+    data centres to their regions. ``grace_s`` is how long a shutdown may take, in seconds.
+    Repeats are bounded, over all VMs and in each ``repeat_window_s``, to ``repeat_ratio`` of the
+    requests and ``repeat_allowance`` besides. ``list_valid_s`` is how long callers may keep a
+    directory's answer, in seconds.
+    """
+
+    callers: str = "127.0.0.1:0"
+    ready: str = "127.0.0.1:0"
+    directory: str = "127.0.0.1:0"
+    state: str = "127.0.0.1:0"
+    seeds: tuple[str, ...] = ()
+    regions: dict[str, str] = field(default_factory=dict)
+    grace_s: float = 8.0
+    repeat_ratio: float = 0.2
+    repeat_allowance: float = 20.0
+    repeat_window_s: float = 10.0
+    list_valid_s: float = 2.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
     """Everything one daemon is told at its start."""
@@ -179,3 +206,4 @@
     load: LoadSettings = field(default_factory=LoadSettings)
     control: ControlSettings = field(default_factory=ControlSettings)
     log: LogSettings = field(default_factory=LogSettings)
+    gateway: GatewaySettings | None = None
--- a/src/hickorybeam/store/__init__.py
+++ b/src/hickorybeam/store/__init__.py
@@ -1,8 +1,7 @@
-"""The platform's key-value service: the port and the client behind it."""
+"""The platform's key-value service: the port; its clients are modules of their own."""
 
 from __future__ import annotations
 
-from hickorybeam.store.etcd import EtcdPlatform
 from hickorybeam.store.port import (
     MAX_VALUE_BYTES,
     Compare,
@@ -20,7 +19,6 @@
     "MAX_VALUE_BYTES",
     "Compare",
     "Delete",
-    "EtcdPlatform",
     "KeyValue",
     "Platform",
     "Put",
--- /dev/null
+++ b/src/hickorybeam/telemetry/decisions.py
@@ -0,0 +1,43 @@
+"""One structured line for each decision, within a budget for each kind of line.
+
+Under load the lines themselves would cost the processor time that requests need; beyond the
+budget they are counted, and the next line of the kind tells how many were left out.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+
+__all__ = ("DecisionLog",)
+
+MS_PER_SECOND = 1000
+LINES_PER_S = 20
+
+
+class DecisionLog:
+    """Writes decisions; never a key, a prompt or an answer."""
+
+    def __init__(self, clock: Clock, *, per_s: int = LINES_PER_S) -> None:
+        self._clock = clock
+        self._per_s = per_s
+        self._budgets: dict[str, tuple[int, int, int]] = {}
+
+    def note(self, event: str, **fields: object) -> None:
+        """Write a line, or count it where there are too many of its kind."""
+        second = self._clock.now() // MS_PER_SECOND
+        since, written, dropped = self._budgets.get(event, (second, 0, 0))
+        if since != second:
+            since, written = second, 0
+        if written >= self._per_s:
+            self._budgets[event] = (since, written, dropped + 1)
+            return
+        if dropped:
+            fields["left_out"] = dropped
+        self._budgets[event] = (since, written + 1, 0)
+        logging.info("%s %s", event, json.dumps(fields, default=str))
--- a/tests/settings/load.feature
+++ b/tests/settings/load.feature
@@ -30,6 +30,8 @@
       | peers: {       | load: {profile: "best"}, peers: { | load.profile: expected one of 'cheap', 'fast', found 'best'                     |
       | peers: {       | peers: {heartbeat_ms: 1500, | peers.silent_after_ms: expected at least twice peers.heartbeat_ms (3000), found 2000  |
       | peers: {       | front: {idle_ms: 0}, peers: { | front.idle_ms: expected a number above 0, found 0                                   |
+      | peers: {       | gateway: {regions: {"dk-a": 3}}, peers: { | gateway.regions.dk-a: expected a string, found 3                         |
+      | peers: {       | gateway: {regions: ["dk-a"]}, peers: {    | gateway.regions: expected an object, found a list                        |
 
   Scenario: several faults come in one report
     When the settings file has "name: "dk-1", region: "dakar-plateau"" replaced by "regoin: 3"
--- a/tests/steps/store/contract_steps.py
+++ b/tests/steps/store/contract_steps.py
@@ -7,7 +7,8 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.settings import PlatformSettings, Settings, VmSettings
 from hickorybeam.standins import platform as standin
-from hickorybeam.store import Compare, Delete, EtcdPlatform, Put
+from hickorybeam.store import Compare, Delete, Put
+from hickorybeam.store.etcd import EtcdPlatform
 from hickorybeam.telemetry import Counters
 
 TIMEOUT_MS = 400
