--- a/src/hickorybeam/model/routing.py
+++ b/src/hickorybeam/model/routing.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -135,9 +134,9 @@
 
     version: int
     routes: tuple[Route, ...] = ()
-    services: Mapping[str, ServiceSpec] = field(default_factory=lambda: MappingProxyType({}))
-    accounts: Mapping[str, AccountTerms] = field(default_factory=lambda: MappingProxyType({}))
-    keys: Mapping[str, str] = field(default_factory=lambda: MappingProxyType({}))
+    services: Mapping[str, ServiceSpec] = field(default_factory=dict)
+    accounts: Mapping[str, AccountTerms] = field(default_factory=dict)
+    keys: Mapping[str, str] = field(default_factory=dict)
     callers: CallerRules = CallerRules()
     with_accounts: bool = False
 
