--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
@@ -18,6 +18,7 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.feed import FeedService
+from hickorybeam.http1 import bound_socket
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
 from hickorybeam.policy.fleet_quota import FleetQuota
@@ -25,6 +26,8 @@
 from hickorybeam.store import Delete, Platform, Put, WatchBatch
 
 if TYPE_CHECKING:
+    import socket
+
     from hickorybeam.clock import Clock
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import Settings
@@ -109,11 +112,14 @@
             region=cfg.vm.region,
             data_centre=cfg.vm.data_centre,
             host=cfg.vm.host,
-            caller_port=port_of(cfg.gateway.callers if cfg.gateway else ""),
+            caller_port=0,
             peer_port=cfg.vm.peer_port,
         )
         self._lease = 0
         self._fresh = True
+        self._serving = anyio.Event()
+        # The TCP side of the peers' port, for the service that answers there.
+        self.peer_socket: socket.socket | None = None
         self._transport: asyncio.DatagramTransport | None = None
         alive = counters.gauge("vms_heard", "VMs of the fleet that are heard, this one included")
         alive.set_function(lambda: self.heard())
@@ -176,9 +182,12 @@
     async def main(self, started: Started) -> None:
         """Register and talk until cancelled."""
         loop = asyncio.get_running_loop()
+        self.peer_socket = bound_socket(self._cfg.vm.host, self._cfg.vm.peer_port)
+        port = self.peer_socket.getsockname()[1]
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(self), local_addr=(self._cfg.vm.host, self._cfg.vm.peer_port)
+            lambda: _Datagrams(self), local_addr=(self._cfg.vm.host, port)
         )
+        self.me = replace(self.me, peer_port=port)
         started()
         try:
             async with anyio.create_task_group() as tg:
@@ -188,6 +197,11 @@
         finally:
             self._transport.close()
 
+    def serve(self, *, caller_port: int) -> None:
+        """Register from now on: callers and peers can connect."""
+        self.me = replace(self.me, caller_port=caller_port)
+        self._serving.set()
+
     async def leave(self) -> None:
         """Tell peers and the store that callers should go elsewhere."""
         self.leaving = True
@@ -201,6 +215,7 @@
 
     async def _register(self) -> None:
         """Hold a lease and this VM's key under it, through outages of the store."""
+        await self._serving.wait()
         pause = RENEW_MS
         while not self.leaving:
             try:
@@ -355,9 +370,3 @@
 
     def error_received(self, exc: Exception) -> None:
         logging.debug("datagram not delivered: %s", exc)
-
-
-def port_of(address: str) -> int:
-    """Return the port of ``host:port``, 0 if there is none."""
-    port = address.rpartition(":")[2]
-    return int(port) if port.isdigit() else 0
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
@@ -18,7 +19,7 @@
 from hickorybeam.gateway.feed import STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.path import RequestPath
-from hickorybeam.http1 import CallerLimits, HttpServer, UpstreamPool, find
+from hickorybeam.http1 import CallerLimits, HttpServer, UpstreamPool, bound_socket, find
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import Repeat, Route
 from hickorybeam.platform import decode_call, decode_query, directory_answer
@@ -26,13 +27,15 @@
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
+    import socket
+
     from hickorybeam.clock import Clock
     from hickorybeam.http1 import Incoming, Reply
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import Settings
     from hickorybeam.telemetry import Counters
 
-__all__ = ("RelayService",)
+__all__ = ("Ports", "RelayService")
 
 MS_PER_SECOND = 1000
 # How long callers keep a directory's answer: a VM that is gone is named for no longer.
@@ -43,14 +46,25 @@
 METRICS_PATH = b"/metrics"
 JSON = ((b"content-type", b"application/json"),)
 PLAIN = ((b"content-type", b"text/plain; version=0.0.4"),)
-# Shutdown, in ms from its start: new requests are served while callers still hold lists that
-# name this VM, then refused as not run, then no connection is taken any more.
-SERVE_ON_MS = 2_500
-ACCEPT_ON_MS = 4_000
+# Shutdown, in shares of the time it may take: new requests are served while callers still hold
+# lists that name this VM, then refused as not run, then no connection is taken any more.
+SERVE_ON_SHARE = 0.3
+ACCEPT_ON_SHARE = 0.5
 END_MARGIN_MS = 400
 DRAIN_POLL_MS = 25
 
 
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """The ports of one VM, as bound."""
+
+    callers: int
+    peers: int
+    ready: int
+    directory: int
+    state: int
+
+
 class RelayService(Service):
     """Listens and hands requests to their path."""
 
@@ -87,13 +101,13 @@
         vm = self._cfg.vm
         async with anyio.create_task_group() as tg:
             listeners = (
-                (self._path.answer, self._gateway.callers),
-                (self._hop, f"{vm.host}:{vm.peer_port}"),
-                (self._ready, self._gateway.ready),
-                (self._directory, self._gateway.directory),
-                (self._state, self._gateway.state),
+                (self._path.answer, socket_of(self._gateway.callers)),
+                (self._hop, self._fleet.peer_socket or socket_of(f"{vm.host}:0")),
+                (self._ready, socket_of(self._gateway.ready)),
+                (self._directory, socket_of(self._gateway.directory)),
+                (self._state, socket_of(self._gateway.state)),
             )
-            for handler, address in listeners:
+            for handler, sock in listeners:
                 server = HttpServer(
                     handler,
                     clock=self._clock,
@@ -101,17 +115,21 @@
                     limits=self._limits,
                     on_malformed=self._malformed,
                 )
-                host, _, port = address.rpartition(":")
-                await server.listen(host, int(port))
+                await server.listen_on(sock)
                 self._servers.append(server)
             self._in_flight.set_function(lambda: self._callers.in_flight)
             tg.start_soon(self._forecast)
+            self._fleet.serve(caller_port=self._callers.port)
             started()
 
     @property
     def _callers(self) -> HttpServer:
         return self._servers[0]
 
+    def ports(self) -> Ports:
+        """Return the ports that it really listens on."""
+        return Ports(*(server.port for server in self._servers))
+
     async def drain(self) -> None:
         """Leave the directory, refuse new work, and finish what runs.
 
@@ -120,13 +138,14 @@
         """
         begun = self._clock.now()
         self._leaving = True
-        end = begun + round(self._gateway.grace_s * MS_PER_SECOND) - END_MARGIN_MS
+        grace_ms = self._gateway.grace_s * MS_PER_SECOND
+        end = begun + grace_ms - END_MARGIN_MS
         for server in self._servers:
             server.closing = True
         await self._fleet.leave()
-        await self._until(begun + SERVE_ON_MS)
+        await self._until(begun + grace_ms * SERVE_ON_SHARE)
         self._path.draining = True
-        await self._until(begun + ACCEPT_ON_MS)
+        await self._until(begun + grace_ms * ACCEPT_ON_SHARE)
         for server in self._servers:
             server.stop_accepting()
             server.close_idle()
@@ -139,7 +158,7 @@
     def _busy(self) -> int:
         return sum(server.in_flight for server in self._servers[:2])
 
-    async def _until(self, due_ms: int) -> None:
+    async def _until(self, due_ms: float) -> None:
         await self._clock.sleep(due_ms - self._clock.now())
 
     async def _forecast(self) -> None:
@@ -198,6 +217,12 @@
             reply.whole(404)
 
 
+def socket_of(address: str) -> socket.socket:
+    """Return a socket bound to ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return bound_socket(host, int(port))
+
+
 def errand_of(req: Incoming) -> Errand | None:
     """Read a request that another VM hands over; ``None`` if it is none."""
     service = find(req.headers, HOP_SERVICE)
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -29,7 +30,7 @@
 
     Handler = Callable[[Incoming, "Reply"], Awaitable[None]]
 
-__all__ = ("CallerLimits", "HttpServer", "Reply")
+__all__ = ("CallerLimits", "HttpServer", "Reply", "bound_socket")
 
 BACKLOG = 2_048
 # How often idle and slow connections are looked over, in ms; a limit is noticed this late.
@@ -109,6 +110,20 @@
         self.done = True
         self._conn.abort()
 
+    def raw(self, data: bytes) -> None:
+        """Send bytes as they are; for stand-ins of servers that answer wrongly."""
+        self.started = True
+        self._conn.write(data)
+
+    def reset(self) -> None:
+        """End the connection with a reset; for stand-ins of servers that crash."""
+        self.done = True
+        self._conn.reset()
+
+    def end_of_connection(self) -> None:
+        """End an answer by closing the connection in order."""
+        self._finish(close=True)
+
     def lost(self) -> None:
         """Take note that the connection has ended."""
         if self.done or self.gone:
@@ -299,6 +314,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """End the connection so that the other end sees an error and no proper end."""
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self._transport.abort()
+
     def close_if_idle(self) -> None:
         """End a connection on which no request is being read or answered."""
         if self.reply is None and not self._in_request and self._transport is not None:
@@ -346,9 +368,10 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Start to accept connections; port 0 takes a free one."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
+        await self.listen_on(bound_socket(host, port))
+
+    async def listen_on(self, sock: socket.socket) -> None:
+        """Start to accept connections on a bound socket."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _CallerConnection(self), sock=sock, backlog=BACKLOG
@@ -389,3 +412,20 @@
             for conn in tuple(self.conns):
                 with contextlib.suppress(OSError):
                     conn.sweep(now, limits)
+
+
+def bound_socket(host: str, port: int) -> socket.socket:
+    """Return a bound TCP socket; port 0 takes a free one.
+
+    :raises OSError: the address is taken or not ours.
+    """
+    # asyncio turns Nagle's algorithm off only for sockets that name TCP as their protocol;
+    # with it on, the first event of a stream waits 40 ms for an acknowledgement.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/src/hickorybeam/standins/server.py
@@ -0,0 +1,202 @@
+"""A stand-in backend server that registers itself and answers requests, with fault switches."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+
+from hickorybeam.clock import Clock, SystemClock
+from hickorybeam.http1 import HttpServer, find
+from hickorybeam.http1.head import answer_bytes
+from hickorybeam.platform import names
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from hickorybeam.http1 import Incoming, RawHeaders, Reply
+    from hickorybeam.standins.keyvalue import KeyValueApp
+
+__all__ = ("Arrival", "ServerFaults", "ServerStandIn", "serve_server")
+
+EVENTS = 6
+EVENT_EVERY_MS = 4
+MS_PER_SECOND = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request as it reached the server; ``ran`` unless it was rejected."""
+
+    request_id: str
+    headers: RawHeaders
+    body: bytes
+    ran: bool
+
+
+@dataclass(slots=True)
+class ServerFaults:
+    """How many of the next requests go wrong, in which way.
+
+    ``errors`` answers 500; ``full`` rejects as not run; ``lost`` runs and closes without an
+    answer; ``hung`` runs and never answers; ``cut`` breaks a stream off in the middle of an
+    event; ``extra`` puts the answer to another request before the right one; ``unframed``
+    ends an answer with its connection; ``torn`` resets it midway; ``unsigned`` leaves the
+    signature out. ``misread`` makes every request find another server at this address.
+    """
+
+    errors: int = 0
+    full: int = 0
+    lost: int = 0
+    hung: int = 0
+    cut: int = 0
+    extra: int = 0
+    unframed: int = 0
+    torn: int = 0
+    unsigned: int = 0
+    misread: int = 0
+
+    def take(self, name: str) -> bool:
+        """Whether this request goes wrong in this way."""
+        left: int = getattr(self, name)
+        setattr(self, name, max(0, left - 1))
+        return left > 0
+
+
+@dataclass(eq=False)
+class ServerStandIn:
+    """One backend server: its entry in the store and its answers."""
+
+    id: str
+    service: str
+    data_centre: str
+    store: KeyValueApp
+    clock: Clock = field(default_factory=SystemClock)
+    slots: int = 8
+    events: int = EVENTS
+    work_ms: int = 1
+    port: int = 0
+    running: int = 0
+    most_running: int = 0
+    cancelled: int = 0
+    faults: ServerFaults = field(default_factory=ServerFaults)
+    arrivals: list[Arrival] = field(default_factory=list)
+
+    @property
+    def ran(self) -> list[Arrival]:
+        """The requests that it ran."""
+        return [it for it in self.arrivals if it.ran]
+
+    def register(self, *, state: str = "ready", cold_ms: int = 0, born: int = 0) -> None:
+        """Write its entry."""
+        entry = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.data_centre,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold-remaining-ms": cold_ms,
+            "sequence": 1,
+            "born": born,
+        }
+        self.store.put(names.SERVERS + self.id, msgspec.json.encode(entry))
+
+    def withdraw(self) -> None:
+        """Remove its entry, as a lapsed lease does."""
+        self.store.delete(names.SERVERS + self.id)
+
+    async def answer(self, req: Incoming, reply: Reply) -> None:
+        """Answer one request, or fail it as the switches say."""
+        rejection = self._rejection(req)
+        request_id = find(req.headers, names.REQUEST_ID) or b""
+        arrival = Arrival(request_id.decode(), req.headers, req.body, rejection is None)
+        self.arrivals.append(arrival)
+        if rejection is not None:
+            reply.whole(*rejection)
+            return
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            with anyio.CancelScope() as scope:
+                reply.on_gone(scope.cancel)
+                await self._run(req, reply, request_id)
+            self.cancelled += scope.cancelled_caught
+        finally:
+            self.running -= 1
+
+    def _rejection(self, req: Incoming) -> tuple[int, RawHeaders] | None:
+        expected = find(req.headers, names.EXPECT_SERVER)
+        if self.faults.take("misread") or (expected and expected.decode() != self.id):
+            return 421, ((names.SERVER_ID, self.id.encode()),)
+        if self.faults.take("full"):
+            return 503, ((names.NOT_RUN, b"1"),)
+        return None
+
+    async def _run(self, req: Incoming, reply: Reply, request_id: bytes) -> None:
+        if self.faults.take("hung"):
+            await anyio.sleep_forever()
+        await self.clock.sleep(self.work_ms)
+        if self.faults.take("lost"):
+            reply.abort()
+            return
+        headers = self._headers(request_id)
+        if self.faults.take("errors"):
+            reply.whole(500, headers, b"failed")
+        elif find(req.headers, names.TOKENS) is not None:
+            await self._stream(req, reply, headers)
+        elif self.faults.take("unframed"):
+            reply.raw(b"HTTP/1.1 200 OK\r\n" + lines(headers) + b"\r\nunframed")
+            reply.end_of_connection()
+        elif self.faults.take("torn"):
+            reply.raw(b"HTTP/1.1 200 OK\r\n" + lines(headers) + b"\r\ntorn")
+            await self.clock.sleep(self.work_ms)
+            reply.reset()
+        else:
+            if self.faults.take("extra"):
+                other = self._headers(b"of-another-request")
+                reply.raw(answer_bytes(200, other, length=5, close=False) + b"other")
+            reply.whole(200, headers, b"done by " + self.id.encode())
+
+    async def _stream(self, req: Incoming, reply: Reply, headers: RawHeaders) -> None:
+        first = int(find(req.headers, names.LAST_EVENT) or 0) + 1
+        reply.begin(200, (*headers, (b"content-type", b"text/event-stream")))
+        for number in range(first, self.events + 1):
+            await self.clock.sleep(EVENT_EVERY_MS)
+            if number == self.events // 2 + 1 and self.faults.take("cut"):
+                await reply.chunk(b"id: %d\nda" % number)
+                await self.clock.sleep(EVENT_EVERY_MS)
+                reply.abort()
+                return
+            await reply.chunk(b"id: %d\ndata: event %d\n\n" % (number, number))
+        reply.end()
+
+    def _headers(self, request_id: bytes) -> RawHeaders:
+        load = b"%d,0,%d" % (self.running, self.slots)
+        headers = [(names.REQUEST_ID, request_id), (names.LOAD, load)]
+        if not self.faults.take("unsigned"):
+            headers.append((names.SIGNATURE, b"signed-" + self.id.encode()))
+        return tuple(headers)
+
+
+def lines(headers: RawHeaders) -> bytes:
+    """Return headers as they go over the wire."""
+    return b"".join(b"%s: %s\r\n" % pair for pair in headers)
+
+
+@asynccontextmanager
+async def serve_server(stand_in: ServerStandIn) -> AsyncIterator[ServerStandIn]:
+    """Serve a stand-in on a free port and register it, until the block ends."""
+    async with anyio.create_task_group() as tg:
+        server = HttpServer(stand_in.answer, clock=SystemClock(), tasks=tg)
+        await server.listen("127.0.0.1", 0)
+        stand_in.port = server.port
+        stand_in.register()
+        try:
+            yield stand_in
+        finally:
+            server.stop_accepting()
+            tg.cancel_scope.cancel()
--- /dev/null
+++ b/tests/gateway/fleet.feature
@@ -0,0 +1,30 @@
+Feature: VMs find each other, share quotas and leave without loss
+
+  Scenario: the directory names the VMs of the caller's region
+    Given a small gateway with a southern region and VMs "n1, n2"
+    Then the directory of "s1" names "n1, n2" for region "north"
+    And the directory of "n1" names "s1" for region "south"
+    And the directory of "n1" names "n1, n2" for region "west"
+
+  Scenario: a VM that crashed is soon named no more
+    Given a small gateway with VMs "n1, n2"
+    When VM "n2" crashes
+    Then within 4 s the directory of "n1" names "n1" for region "north"
+
+  Scenario: an account's rate holds over all VMs together
+    # The account sends through both VMs at once, far above its rate. Each VM alone would let
+    # the whole rate through.
+    Given a small gateway with VMs "n1, n2"
+    And account "large" may spend 1000 tokens a second with a burst of 500
+    When callers of "large" ask both VMs for 100 tokens every 10 ms for 2 s
+    Then at most 3500 tokens of "large" ran
+    And refused callers were told when to come back
+
+  Scenario: a graceful shutdown cuts off no request
+    # SIGTERM comes while a stream runs and while callers still hold the VM's address. The
+    # stream ends properly; new requests are served or refused as not run; none is cut.
+    Given a small gateway with VMs "n1, n2"
+    And server "m1" takes 60 ms for each event
+    When VM "n2" is stopped while a stream runs there and callers keep asking
+    Then the stream was whole with events 1 to 6
+    And every other caller got 200, or 503 with a time to come back, or was not read
--- /dev/null
+++ b/tests/gateway/regions.feature
@@ -0,0 +1,44 @@
+Feature: regions, evacuations, cold and leaving servers
+
+  Scenario: a request whose home is another region is handed over once
+    # Its data may be processed in the south only; the caller reached a VM in the north.
+    Given a small gateway with a southern region
+    When a caller of "small" asks "n1" for "/local/x"
+    Then the caller gets 200 with body "done by b9" and its signature
+
+  Scenario: an account whose home and the route's exclude each other is served nowhere
+    Given a small gateway with a southern region
+    When a caller of "northern" asks "n1" for "/local/x"
+    Then the caller gets 503 with a time to come back
+    And no server ran anything
+
+  Scenario: an evacuated data centre gets nothing and the other region serves
+    Given a small gateway with a southern region
+    When the operator evacuates "north-1"
+    And 5 callers of "small" ask "n1" for "/look/x"
+    Then each caller gets 200
+    And server "b1" ran 0 requests
+    When the operator takes "north-1" back
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200 with body "done by b1" and its signature
+
+  Scenario: a leaving server gets no new work
+    Given a small gateway with servers "b1:books, b2:books, m1:model"
+    When server "b1" says that it is leaving
+    And 6 callers of "small" ask "n1" for "/look/x"
+    Then each caller gets 200
+    And server "b1" ran 0 requests
+
+  Scenario: a cold server gets no more than its owners' parts
+    # It has just started and crashes at a rate well above what it bears. Two callers' worth of
+    # patience is refused or served elsewhere rather than sent there.
+    Given a small gateway with servers "m1:model, b1:books"
+    When server "m1" starts anew and is cold for 1500 ms
+    And 6 callers of "small" ask "n1" for "/chat/x" by POST
+    Then server "m1" ran at most 2 requests
+
+  Scenario: an entry that another writer left names no server and harms no other
+    Given a small gateway
+    When the store gets foreign entries for servers
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200
--- /dev/null
+++ b/tests/gateway/repeats.feature
@@ -0,0 +1,78 @@
+Feature: work is neither lost nor doubled when servers fail
+
+  Scenario Outline: a request that may be repeated is sent again, one that may not is not
+    # The server runs the request and its answer is lost or spoilt. The caller of a lookup gets
+    # the answer of a second run; the caller of an order learns that the outcome is not known,
+    # with a status that promises nothing, and the order ran once.
+    Given a small gateway with servers "b1:books, b2:books, m1:model"
+    And every server of "books" has fault "<fault>" once
+    When a caller of "small" asks "n1" for "/order/x" by POST
+    Then the caller gets <order>
+    And "books" ran 1 requests
+    When a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200
+
+    Examples:
+      | fault    | order |
+      | lost     | 502   |
+      | torn     | 502   |
+      | unsigned | 502   |
+      | errors   | 500   |
+
+  Scenario Outline: an order that was surely not run is sent again
+    # The server rejects it and says that it did not run it, or another server has its address.
+    Given a small gateway with servers "b1:books, b2:books, m1:model"
+    And server "b1" has fault "<fault>" 9 times
+    When 6 callers of "small" ask "n1" for "/order/x" by POST
+    Then each caller gets 200
+    And "books" ran 6 requests
+
+    Examples:
+      | fault   |
+      | full    |
+      | misread |
+
+  Scenario: an order that no server runs is refused with when to come back
+    Given a small gateway
+    And server "b1" has fault "full" 9 times
+    When a caller of "small" asks "n1" for "/order/x" by POST
+    Then the caller gets 503 with a time to come back
+    And no server ran anything
+
+  Scenario: another request's answer on the connection is read over
+    # The server sends an answer that belongs to another request first. Passed on, one caller
+    # would read what was meant for another.
+    Given a small gateway
+    And server "b1" has fault "extra" 1 times
+    When a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200 with body "done by b1" and its signature
+
+  Scenario: an answer that ends with its connection is whole
+    Given a small gateway
+    And server "b1" has fault "unframed" 1 times
+    When a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200 with body "unframed" and its signature
+
+  Scenario: a stream that may be resumed goes on at another server
+    # The server breaks off in the middle of an event. The caller reads every event once, in
+    # one answer; the half event is not seen.
+    Given a small gateway with servers "m1:model, m2:model, b1:books"
+    And every server of "model" has fault "cut" once
+    When a caller of "small" streams "/plan/x" from "n1"
+    Then the stream breaks off or is whole without a gap
+    And "model" ran 2 requests
+
+  Scenario: a stream that may not be resumed breaks off visibly
+    Given a small gateway
+    And server "m1" has fault "cut" 1 times
+    When a caller of "small" streams "/chat/x" from "n1"
+    Then the stream breaks off without a proper end
+    And "model" ran 1 requests
+
+  Scenario: a hung server holds a lookup no longer than its objective
+    Given a small gateway with servers "b1:books, b2:books, m1:model"
+    And every server of "books" has fault "hung" once
+    When a caller of "small" asks "n1" for "/look/x" waiting 1200 ms
+    Then the caller gets 504
+    When a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200 or is told when to come back
--- /dev/null
+++ b/tests/gateway/store.feature
@@ -0,0 +1,50 @@
+Feature: what a VM does while the store fails
+
+  Scenario: what is known stays in force while the store is out
+    Given a small gateway
+    When the store goes silent
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200
+
+  Scenario: an older configuration changes nothing
+    # A stale read or a lagging VM hands out an older version. Taken over, it would bring back
+    # withdrawn keys.
+    Given a small gateway
+    When the operator withdraws the key of "large" in version 9
+    And an older configuration, of version 5, reaches "n1"
+    And a caller of "large" asks "n1" for "/look/x"
+    Then the caller gets 401
+
+  Scenario: changes that were made while the history was lost are found
+    Given a small gateway
+    When the history is dropped while the key of "large" is withdrawn
+    And a caller of "large" asks "n1" for "/look/x"
+    Then the caller gets 401
+
+  Scenario: a VM that starts while the store is out learns from another VM
+    Given a small gateway
+    When the store goes silent
+    And VM "n2" starts with "n1" as its seed
+    And a caller of "small" asks "n2" for "/look/x"
+    Then the caller gets 200
+
+  Scenario: a VM that knows no configuration refuses as not run
+    Given a gateway without a configuration
+    When a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 503 with a time to come back
+    And "n1" is not ready
+
+  Scenario: servers that lapsed with the store are kept until it has been back for a while
+    # The leases of all servers run out while the store is out; the servers are alive and
+    # register again about 2 s after its return. Dropped at once, every request would fail.
+    Given a small gateway
+    When the store goes out and loses the entry of "b1"
+    And the store is back
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200
+    And "n1" drops server "b1" within 4 s
+
+  Scenario: a VM whose registration lapsed registers again
+    Given a small gateway
+    When the registration of "n1" lapses
+    Then "n1" is registered again within 4 s
--- /dev/null
+++ b/tests/steps/gateway/gateway_steps.py
@@ -0,0 +1,614 @@
+from __future__ import annotations
+
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+import msgspec
+from behave import given, then, when
+
+from hickorybeam.http1.head import request_bytes
+from hickorybeam.standins.keyvalue import serve_store
+from hickorybeam.store import KeyValue, Put, WatchBatch
+from support.gateway import HOST, KEYS, GatewayRig, first_config, small_gateway
+
+BODY = b"{}"
+
+
+def start(context, **options):
+    manager = small_gateway(**options)
+    context.rig = context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+
+
+def names_of(text):
+    return tuple(name.strip() for name in text.split(","))
+
+
+@given("a small gateway")
+def step_small(context):
+    start(context)
+
+
+@given('a small gateway with servers "{servers}"')
+def step_servers(context, servers):
+    start(context, servers=tuple(tuple(name.split(":")) for name in names_of(servers)))
+
+
+@given("a small gateway with a southern region")
+def step_south(context):
+    start(context, south=True)
+
+
+@given('a small gateway with a southern region and VMs "{vms}"')
+def step_south_vms(context, vms):
+    start(context, south=True, vms=names_of(vms))
+
+
+@given('a small gateway with VMs "{vms}"')
+def step_vms(context, vms):
+    start(context, vms=names_of(vms))
+
+
+@given("a gateway without a configuration")
+def step_bare(context):
+    @asynccontextmanager
+    async def bare():
+        async with AsyncExitStack() as stack:
+            rig = GatewayRig(await stack.enter_async_context(serve_store()), stack)
+            await rig.add_vm("n1", "north-1")
+            yield rig
+
+    context.rig = context.stack.enter_context(context.portal.wrap_async_context_manager(bare()))
+
+
+@given('server "{name}" hangs on the next request')
+def step_hang(context, name):
+    context.rig.servers[name].faults.hung = 1
+
+
+@given('server "{name}" has fault "{fault}" {count:d} times')
+def step_fault(context, name, fault, count):
+    setattr(context.rig.servers[name].faults, fault, count)
+
+
+@given('every server of "{service}" has fault "{fault}" once')
+def step_fault_all(context, service, fault):
+    for server in context.rig.servers.values():
+        if server.service == service:
+            setattr(server.faults, fault, 1)
+
+
+@given('server "{name}" takes {ms:d} ms for each event')
+def step_slow_events(context, name, ms):
+    context.rig.servers[name].work_ms = ms * 6
+
+
+@given('account "{name}" may spend {rate:d} tokens a second with a burst of {burst:d}')
+def step_rate(context, name, rate, burst):
+    async def change():
+        rig = context.rig
+        for terms in rig.config["tenants"]:
+            if terms["name"] == name:
+                terms.update({"rate-per-s": rate, "burst": burst})
+        rig.config["version"] += 1
+        rig.configure()
+        await rig.settled()
+        # An account's bucket starts empty; let it fill, so that the burst is there to spend.
+        await anyio.sleep(burst / rate + 0.1)
+
+    context.call(change)
+
+
+def ask(context, vm, path, **options):
+    context.reply = context.call(lambda: context.rig.call(vm, path, **options))
+    context.replies = [context.reply]
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}"')
+def step_ask(context, key, vm, path):
+    ask(context, vm, path, key=key)
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}" waiting {ms:d} ms')
+def step_ask_waiting(context, key, vm, path, ms):
+    ask(context, vm, path, key=key, wait_ms=ms)
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}" by POST')
+def step_post(context, key, vm, path):
+    ask(context, vm, path, key=key, method="POST", body=BODY)
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}" with a body of {size:d} bytes')
+def step_big(context, key, vm, path, size):
+    ask(context, vm, path, key=key, method="POST", body=b"x" * size)
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}" with forged headers')
+def step_forged(context, key, vm, path):
+    forged = (
+        (b"x-hickorybeam-tenant", b"large"),
+        (b"X-HickoryBeam-Tenant", b"large"),
+        (b"x-hickorybeam-expect-instance", b"another"),
+        (b"x-hickorybeam-request-urgency", b"0"),
+        (b"connection", b"x-hickorybeam-request-id"),
+    )
+    ask(context, vm, path, key=key, more=forged)
+
+
+async def ask_many(context, count, vm, path, **options):
+    replies = []
+
+    async def one():
+        replies.append(await context.rig.call(vm, path, **options))
+
+    async with anyio.create_task_group() as tg:
+        for _ in range(count):
+            tg.start_soon(one)
+    context.replies = replies
+
+
+@when('{count:d} callers of "{key}" ask "{vm}" for "{path}" by POST')
+def step_many_post(context, count, key, vm, path):
+    tokens = b"50,10" if path.startswith("/chat") else None
+    context.call(
+        lambda: ask_many(context, count, vm, path, key=key, method="POST", body=BODY, tokens=tokens)
+    )
+
+
+@when('{count:d} callers of "{key}" ask "{vm}" for "{path}"')
+def step_many(context, count, key, vm, path):
+    context.call(lambda: ask_many(context, count, vm, path, key=key))
+
+
+@when('a caller sends "{vm}" a request framed by "{framing}"')
+def step_framed(context, vm, framing):
+    lines = "\r\n".join(line.strip() for line in framing.split(";"))
+    hidden = f"GET /look/hidden HTTP/1.1\r\nHost: {HOST}\r\n\r\n"
+    data = f"POST /look/x HTTP/1.1\r\nHost: {HOST}\r\n{lines}\r\n\r\n0\r\n\r\n{hidden}"
+    port = context.rig.vms[vm].ports.callers
+    context.reply = context.call(context.rig.exchange, port, data.encode())
+
+
+@when('a caller sends "{vm}" two requests in one packet')
+def step_two(context, vm):
+    async def both():
+        key = KEYS["small"]
+        requests = [
+            f"GET /look/{n} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {key}\r\n"
+            f"X-Hickorybeam-Request-Id: two-{n}\r\n{last}\r\n"
+            for n, last in ((1, ""), (2, "Connection: close\r\n"))
+        ]
+        stream = await anyio.connect_tcp("127.0.0.1", context.rig.vms[vm].ports.callers)
+        async with stream:
+            await stream.send("".join(requests).encode())
+            seen = b""
+            with anyio.fail_after(8):
+                while True:
+                    try:
+                        seen += await stream.receive()
+                    except anyio.EndOfStream:
+                        return seen
+
+    context.seen = context.call(both)
+
+
+@then("both answers come in order")
+def step_in_order(context):
+    assert context.seen.count(b"HTTP/1.1 200 OK") == 2, context.seen
+    assert context.seen.index(b"two-1") < context.seen.index(b"two-2")
+
+
+@when('a caller sends "{vm}" half a head and waits')
+def step_half(context, vm):
+    port = context.rig.vms[vm].ports.callers
+    context.reply = context.call(context.rig.exchange, port, b"GET /look/x HTTP/1.1\r\nHost:")
+
+
+@when('a caller of "{key}" streams "{path}" from "{vm}"')
+def step_stream(context, key, path, vm):
+    ask(context, vm, path, key=key, method="POST", body=BODY, tokens=b"50,10")
+
+
+@when('a caller of "{key}" opens a stream "{path}" at "{vm}" and leaves')
+def step_leave(context, key, path, vm):
+    async def leave():
+        with anyio.move_on_after(0.15):
+            await context.rig.call(vm, path, key=key, method="POST", body=BODY, tokens=b"50,10")
+
+    context.call(leave)
+
+
+@then('server "{name}" has ended that run')
+def step_run_ended(context, name):
+    server = context.rig.servers[name]
+    context.call(context.rig.until, lambda: server.cancelled == 1 and server.running == 0)
+
+
+@then('the caller gets {status:d} with body "{body}" and its signature')
+def step_gets_body(context, status, body):
+    reply = context.reply
+    assert (reply.status, reply.body.decode()) == (status, body), (reply.status, reply.body)
+    assert reply.headers[b"x-hickorybeam-response-signature"].startswith(b"signed-")
+
+
+@then("the caller gets {status:d}")
+def step_gets(context, status):
+    assert context.reply.status == status, (context.reply.status, context.reply.body)
+
+
+@then("the caller gets {status:d} with a time to come back")
+def step_gets_retry(context, status):
+    assert context.reply.status == status, context.reply.status
+    assert context.reply.retry_after is not None
+    assert context.reply.retry_after > 0
+
+
+@then("the caller gets 200 or is told when to come back")
+def step_200_or_retry(context):
+    reply = context.reply
+    assert reply.status == 200 or (reply.status == 503 and reply.retry_after > 0), reply.status
+
+
+@then("each caller gets {status:d}")
+def step_each(context, status):
+    assert [reply.status for reply in context.replies] == [status] * len(context.replies)
+
+
+@then("no server ran anything")
+def step_none_ran(context):
+    assert context.rig.ran() == []
+
+
+@then('"{service}" ran {count:d} requests')
+def step_ran(context, service, count):
+    assert len(context.rig.ran(service)) == count, context.rig.ran(service)
+
+
+@then('server "{name}" ran {count:d} requests')
+def step_server_ran(context, name, count):
+    assert len(context.rig.servers[name].ran) == count
+
+
+@then('server "{name}" ran at most {count:d} requests')
+def step_server_ran_most(context, name, count):
+    assert len(context.rig.servers[name].ran) <= count, len(context.rig.servers[name].ran)
+
+
+@then('the server was told account "{name}" once and no key')
+def step_told(context, name):
+    headers = context.rig.ran()[0].headers
+    told = [value for key, value in headers if key == b"x-hickorybeam-tenant"]
+    assert told == [name.encode()], told
+    assert not any(key == b"authorization" for key, _ in headers)
+    assert any(key == b"x-hickorybeam-request-id" for key, _ in headers)
+    expected = [value for key, value in headers if key == b"x-hickorybeam-expect-instance"]
+    assert expected == [b"b1"]
+
+
+def events_of(reply):
+    return [int(line[4:]) for line in reply.body.split(b"\n") if line.startswith(b"id: ")]
+
+
+@then("the stream is whole with events {first:d} to {last:d}")
+@then("the stream was whole with events {first:d} to {last:d}")
+def step_whole(context, first, last):
+    reply = context.stream if hasattr(context, "stream") else context.reply
+    assert reply.whole, reply.body
+    assert events_of(reply) == list(range(first, last + 1)), reply.body
+
+
+@then("the stream breaks off or is whole without a gap")
+def step_no_gap(context):
+    # Both servers break off once; with two attempts the second break ends the stream.
+    found = events_of(context.reply)
+    assert found == list(range(1, len(found) + 1)), found
+    assert b"da\n" not in context.reply.body
+    assert not context.reply.body.endswith(b"da"), context.reply.body
+
+
+@then("the stream breaks off without a proper end")
+def step_broken(context):
+    assert not context.reply.whole
+
+
+@when('the operator evacuates "{data_centre}"')
+def step_evacuate(context, data_centre):
+    async def evacuate():
+        rig = context.rig
+        rig.app.put(f"op/evacuate/{data_centre}", b"{}")
+        await rig.until(
+            lambda: all(data_centre in vm.knowledge.evacuated for vm in rig.vms.values())
+        )
+
+    context.call(evacuate)
+
+
+@when('the operator takes "{data_centre}" back')
+def step_take_back(context, data_centre):
+    async def back():
+        rig = context.rig
+        rig.app.delete(f"op/evacuate/{data_centre}")
+        await rig.until(lambda: not any(vm.knowledge.evacuated for vm in rig.vms.values()))
+
+    context.call(back)
+
+
+@when('server "{name}" says that it is leaving')
+def step_leaving(context, name):
+    async def leaving():
+        rig = context.rig
+        rig.servers[name].register(state="draining")
+        await rig.until(
+            lambda: all(vm.knowledge.standings[name].server.leaving for vm in rig.vms.values())
+        )
+
+    context.call(leaving)
+
+
+@when('server "{name}" starts anew and is cold for {ms:d} ms')
+def step_cold(context, name, ms):
+    async def cold():
+        rig = context.rig
+        rig.servers[name].register(cold_ms=ms, born=77)
+        await rig.until(
+            lambda: all(
+                vm.knowledge.standings[name].server.born_ms == 77 for vm in rig.vms.values()
+            )
+        )
+
+    context.call(cold)
+
+
+@when("the store gets foreign entries for servers")
+def step_foreign(context):
+    async def foreign():
+        rig = context.rig
+        good = msgspec.json.encode({"service": "books", "zone": "north-1"})
+        for number, value in enumerate((b"\xff\xfe", b"[]", b"{}", good, b'{"address": 7}')):
+            rig.app.put(f"servers/f-{number}", value)
+        rig.app.put(
+            "servers/other",
+            b'{"service":"books","address":"127.0.0.1:9",'
+            b'"zone":"north-1","slots":4,"state":"asleep"}',
+        )
+        rig.config["version"] += 1
+        rig.configure()
+        await rig.settled()
+
+    context.call(foreign)
+
+
+@when("the store goes silent")
+def step_silent(context):
+    context.rig.app.silent = True
+
+
+@when('the operator withdraws the key of "{name}" in version {version:d}')
+def step_withdraw(context, name, version):
+    async def withdraw():
+        rig = context.rig
+        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
+        rig.config["version"] = version
+        rig.configure()
+        await rig.settled()
+
+    context.call(withdraw)
+
+
+@when('an older configuration, of version {version:d}, reaches "{vm}"')
+def step_older(context, version, vm):
+    async def older():
+        config = {**first_config(), "version": version}
+        item = KeyValue("op/config", msgspec.json.encode(config), 1_000_000)
+        context.rig.vms[vm].feed._apply(WatchBatch(1_000_000, (item,)))
+
+    context.call(older)
+
+
+@when('the history is dropped while the key of "{name}" is withdrawn')
+def step_compact(context, name):
+    async def compact():
+        rig = context.rig
+        store = rig.app.stand_in.store
+        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
+        rig.config["version"] += 1
+        # Written with no word to the watches, as while they hear nothing.
+        store.txn((), (Put("op/config", msgspec.json.encode(rig.config)),))
+        store.compact()
+        rig.app.stand_in.notify()
+        await rig.settled()
+
+    context.call(compact)
+
+
+@when('VM "{name}" starts with "{seed}" as its seed')
+def step_start_seed(context, name, seed):
+    rig = context.rig
+    # Another address of the same machine: a VM doesn't ask itself.
+    address = f"localhost:{rig.vms[seed].ports.state}"
+    manager = rig.vm(name, "north-1", seeds=(address,))
+    vm = context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+    context.call(rig.until, lambda: vm.knowledge.config is not None)
+
+
+@then('"{vm}" is not ready')
+def step_not_ready(context, vm):
+    data = request_bytes("GET", b"/readiness", ((b"host", b"x"),), b"")
+    reply = context.call(context.rig.exchange, context.rig.vms[vm].ports.ready, data)
+    assert reply.status == 503
+
+
+@when('the store goes out and loses the entry of "{name}"')
+def step_lapse(context, name):
+    async def lapse():
+        rig = context.rig
+        rig.app.stand_in.faults.set_out(True)
+        vms = rig.vms.values()
+        await rig.until(lambda: not any(vm.feed._store_ok for vm in vms))
+        rig.servers[name].withdraw()
+
+    context.call(lapse)
+
+
+@when("the store is back")
+def step_back(context):
+    async def back():
+        rig = context.rig
+        rig.app.stand_in.faults.set_out(False)
+        await rig.until(lambda: all(vm.feed._store_ok for vm in rig.vms.values()))
+
+    context.call(back)
+
+
+@then('"{vm}" drops server "{name}" within {limit:d} s')
+def step_drops(context, vm, name, limit):
+    knowledge = context.rig.vms[vm].knowledge
+    context.call(lambda: context.rig.until(lambda: name not in knowledge.standings, limit_s=limit))
+
+
+@when('the registration of "{vm}" lapses')
+def step_registration(context, vm):
+    async def lapse():
+        rig = context.rig
+        store = rig.app.stand_in.store
+        fleet = rig.vms[vm].fleet
+        await rig.until(lambda: fleet._lease != 0)
+        store.revoke(fleet._lease)
+        assert not store.read(f"hickorybeam/vm/{vm}").items
+        rig.app.stand_in.notify()
+
+    context.call(lapse)
+
+
+@then('"{vm}" is registered again within {limit:d} s')
+def step_registered(context, vm, limit):
+    store = context.rig.app.stand_in.store
+    context.call(
+        lambda: context.rig.until(
+            lambda: bool(store.read(f"hickorybeam/vm/{vm}").items), limit_s=limit
+        )
+    )
+
+
+async def directory(rig, vm, region):
+    path = f"/resolution?name={HOST}&region={region}&zone=z"
+    data = request_bytes("GET", path.encode(), ((b"host", b"x"),), b"")
+    reply = await rig.exchange(rig.vms[vm].ports.directory, data)
+    found = msgspec.json.decode(reply.body)["addresses"]
+    ports = {
+        f"127.0.0.1:{it.ports.callers}": name
+        for name, it in rig.vms.items()
+        if not it.ended.is_set()
+    }
+    return sorted(ports.get(address, address) for address in found)
+
+
+@then('the directory of "{vm}" names "{names}" for region "{region}"')
+def step_directory(context, vm, names, region):
+    found = context.call(directory, context.rig, vm, region)
+    assert found == list(names_of(names)), found
+
+
+@when('VM "{name}" crashes')
+def step_crash(context, name):
+    async def crash():
+        vm = context.rig.vms[name]
+        vm.kill()
+        await vm.ended.wait()
+
+    context.call(crash)
+
+
+@then('within {limit:d} s the directory of "{vm}" names "{names}" for region "{region}"')
+def step_directory_soon(context, limit, vm, names, region):
+    async def soon():
+        with anyio.fail_after(limit):
+            while await directory(context.rig, vm, region) != list(names_of(names)):
+                await anyio.sleep(0.05)
+
+    context.call(soon)
+
+
+@when('callers of "{key}" ask both VMs for {tokens:d} tokens every {ms:d} ms for {seconds:d} s')
+def step_flood(context, key, tokens, ms, seconds):
+    async def flood():
+        rig = context.rig
+        context.replies = []
+        context.tokens = tokens
+
+        async def one(vm):
+            reply = await rig.call(
+                vm, "/chat/x", key=key, method="POST", body=BODY, tokens=b"%d,0" % tokens
+            )
+            context.replies.append(reply)
+
+        end = time.monotonic() + seconds
+        async with anyio.create_task_group() as tg:
+            while time.monotonic() < end:
+                for vm in rig.vms:
+                    tg.start_soon(one, vm)
+                await anyio.sleep(ms / 1000)
+
+    context.call(flood)
+
+
+@then('at most {limit:d} tokens of "{name}" ran')
+def step_spent(context, limit, name):
+    ran = [
+        it
+        for it in context.rig.ran("model")
+        if (b"x-hickorybeam-tenant", name.encode()) in it.headers
+    ]
+    spent = len(ran) * context.tokens
+    assert 0 < spent <= limit, spent
+
+
+@then("refused callers were told when to come back")
+def step_told_when(context):
+    refused = [reply for reply in context.replies if reply.status == 429]
+    assert refused
+    assert all(reply.retry_after > 0 for reply in refused)
+
+
+@when('VM "{name}" is stopped while a stream runs there and callers keep asking')
+def step_stop(context, name):
+    async def stop():
+        rig = context.rig
+        vm = rig.vms[name]
+        context.replies, context.unconnected = [], 0
+
+        async def stream():
+            context.stream = await rig.call(
+                name, "/chat/x", method="POST", body=BODY, tokens=b"50,10"
+            )
+
+        async def ask_on():
+            while not vm.ended.is_set():
+                try:
+                    context.replies.append(await rig.call(name, "/look/x"))
+                except Exception:
+                    context.unconnected += 1
+                await anyio.sleep(0.03)
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(stream)
+            await anyio.sleep(0.1)
+            tg.start_soon(ask_on)
+            vm.kernel.stop()
+            await vm.ended.wait()
+
+    context.call(stop)
+
+
+@then("every other caller got 200, or 503 with a time to come back, or was not read")
+def step_stopped(context):
+    answered = 0
+    for reply in context.replies:
+        unread = reply.status == 0 and not reply.whole
+        refused = reply.status == 503 and reply.retry_after is not None
+        assert unread or refused or (reply.status == 200 and reply.whole), reply.status
+        answered += reply.status == 200
+    # What ran was answered: no connection was closed on a request that a server had.
+    assert answered > 0
+    assert len(context.rig.ran("books")) == answered
