--- /dev/null
+++ b/tests/steps/policy/fleet_quota_steps.py
@@ -0,0 +1,160 @@
+from __future__ import annotations
+
+import itertools
+
+from behave import given, then, when
+
+from hickorybeam.model.routing import AccountTerms
+from hickorybeam.policy.fleet_quota import FleetQuota
+
+RATE = 1000.0
+COST = 10.0
+STEP_MS = 5
+NAME = "hot"
+
+
+def terms(rate=RATE):
+    return AccountTerms(name=NAME, rate_per_s=rate, burst=rate)
+
+
+class Fleet:
+    """VMs in one loop of 5 ms steps; every spend goes into one list, the oracle."""
+
+    def __init__(self, size, every_ms):
+        self.now = 1_000
+        self.every_ms = every_ms
+        self.size = size
+        self.vms = [FleetQuota(self.now) for _ in range(size)]
+        self.started = [self.now] * size
+        self.lives = [0] * size
+        self.groups = [0] * size
+        self.spends = []
+        self.asked = 0
+        for vm in self.vms:
+            vm.configure([terms()], self.now)
+        self.run(2_000)
+
+    def talk(self, index):
+        me = self.vms[index]
+        heard = [i for i in range(self.size) if self.groups[i] == self.groups[index]]
+        for i in heard:
+            if i != index:
+                younger = self.started[index] > self.started[i]
+                life = f"{index}/{self.lives[index]}"
+                self.vms[i].heard(life, me.totals(), self.now, younger=younger)
+        me.reach(len(heard), self.size, self.now)
+
+    def run(self, ms, *, send=None, restart_ms=0):
+        restarts = itertools.cycle(range(self.size))
+        for passed in range(0, ms, STEP_MS):
+            self.now += STEP_MS
+            if send is not None:
+                send(passed)
+            for index in range(self.size):
+                # Not all at the same moment, as in a fleet.
+                if (self.now + index * 37) % self.every_ms < STEP_MS:
+                    self.talk(index)
+            if restart_ms and passed and passed % restart_ms == 0:
+                self.restart(next(restarts))
+
+    def restart(self, index):
+        self.vms[index] = FleetQuota(self.now)
+        self.vms[index].configure([terms()], self.now)
+        self.started[index] = self.now
+        self.lives[index] += 1
+        other = self.vms[(index + 1) % self.size]
+        self.vms[index].adopt(other.levels(), self.now)
+
+    def spend(self, index):
+        self.asked += 1
+        if self.vms[index].take(NAME, COST, self.now) is None:
+            self.spends.append(self.now)
+
+    def sender(self, times, pick):
+        owed = 0.0
+
+        def send(passed):
+            nonlocal owed
+            owed += times * RATE * STEP_MS / 1000 / COST
+            while owed >= 1:
+                owed -= 1
+                self.spend(pick(passed))
+
+        return send
+
+
+@given("{vms:d} VMs that hear each other every {ms:d} ms, for an account of 1000 a second")
+def step_fleet(context, vms, ms):
+    context.quota = Fleet(vms, ms)
+
+
+@when("VMs 1 to {side:d} are cut off from the others")
+def step_cut(context, side):
+    fleet = context.quota
+    fleet.groups = [0 if index < side else 1 for index in range(fleet.size)]
+    fleet.run(1_600)
+
+
+@when("the account sends {times:g} times its rate for {seconds:d} s")
+def step_send(context, times, seconds):
+    fleet = context.quota
+    turn = itertools.cycle(range(fleet.size))
+    fleet.run(seconds * 1000, send=fleet.sender(times, lambda _: next(turn)))
+
+
+@when(
+    "the account sends {times:g} times its rate for {seconds:d} s, through one VM after the other"
+)
+def step_wander(context, times, seconds):
+    fleet = context.quota
+    pick = lambda passed: passed // 2_500 % fleet.size  # noqa: E731
+    fleet.run(seconds * 1000, send=fleet.sender(times, pick))
+
+
+@when("a VM restarts every {ms:d} ms while the account sends {times:d} times its rate for 20 s")
+def step_restarts(context, ms, times):
+    fleet = context.quota
+    turn = itertools.cycle(range(fleet.size))
+    fleet.run(20_000, send=fleet.sender(times, lambda _: next(turn)), restart_ms=ms)
+
+
+@then("no window of 8 s spends more than 1.1 times rate and burst and {slack:d} besides")
+def step_bound(context, slack):
+    spends = context.quota.spends
+    assert spends
+    most = 0
+    begin = 0
+    for end, at in enumerate(spends):
+        while at - spends[begin] > 8_000:
+            begin += 1
+        most = max(most, (end - begin + 1) * COST)
+    assert most <= 1.1 * (RATE * 8 + RATE) + slack, most
+
+
+@then("at least {share:d} of 100 requests were admitted after the first 2 s")
+def step_admitted(context, share):
+    fleet = context.quota
+    assert len(fleet.spends) >= fleet.asked * share / 100, (len(fleet.spends), fleet.asked)
+
+
+@when("the limit falls to {rate:d} a second")
+def step_lower(context, rate):
+    context.quota.vms[0].configure([terms(float(rate))], context.quota.now)
+
+
+@then("the level is at most {level:d}")
+def step_level(context, level):
+    assert context.quota.vms[0].levels()[NAME] <= level
+
+
+@when("{cost:d} is spent and given back")
+def step_refund(context, cost):
+    vm, now = context.quota.vms[0], context.quota.now
+    assert vm.take(NAME, cost, now) is None
+    assert vm.take(NAME, cost, now) is not None
+    vm.refund(NAME, cost, now)
+
+
+@then("{cost:d} can be spent again")
+def step_again(context, cost):
+    assert context.quota.vms[0].take(NAME, cost, context.quota.now) is None
--- /dev/null
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -0,0 +1,196 @@
+from __future__ import annotations
+
+from behave import given, then, when
+
+from hickorybeam.model.routing import (
+    PromptPart,
+    RegisteredServer,
+    Repeat,
+    Route,
+    WeightedService,
+)
+from hickorybeam.policy.attempt_budget import AttemptBudget
+from hickorybeam.policy.cold_limit import ColdLimit, cold_owners
+from hickorybeam.policy.route_table import RouteTable, pick_target
+from hickorybeam.policy.server_choice import ServerStanding, choose_server
+
+NOW = 1_000_000
+
+
+def plain_route(host, prefix, targets=()):
+    return Route(
+        name=prefix, host=host, prefix=prefix, repeat=Repeat.IDEMPOTENT, targets=tuple(targets)
+    )
+
+
+@given('routes for prefixes "{first}" of host "{a}" and "{second}" of host "{b}"')
+def step_routes(context, first, a, second, b):
+    routes = [plain_route(a, each.strip()) for each in first.split(",")]
+    context.routes = RouteTable([*routes, plain_route(b, second)])
+
+
+@then('host "{host}" and path "{path}" lead to "{name}"')
+def step_match(context, host, path, name):
+    found = context.routes.match(host, path)
+    assert (found.name if found else "none") == name, found
+
+
+@given('a route split {a:d} to "{first}" and {b:d} to "{second}"')
+def step_split(context, a, first, b, second):
+    targets = (WeightedService(first, a), WeightedService(second, b))
+    context.split = plain_route("x", "/", targets)
+
+
+@then('of {draws:d} even draws {a:d} go to "{first}" and {b:d} to "{second}"')
+def step_draws(context, draws, a, first, b, second):
+    found = [pick_target(context.split, number / draws) for number in range(draws)]
+    assert (found.count(first), found.count(second)) == (a, b)
+
+
+@given("a repeat budget of {ratio:g} and {allowance:d} in 10 s for {vms:d} VMs")
+def step_budget(context, ratio, allowance, vms):
+    context.budgets = [
+        AttemptBudget(ratio=ratio, allowance=allowance, window_ms=10_000) for _ in range(vms)
+    ]
+    context.ratio, context.allowance = ratio, allowance
+
+
+@when("each VM gets {rate:d} failing requests a second for {seconds:d} s")
+def step_failing(context, rate, seconds):
+    context.asked, context.repeats = [], []
+    vms = len(context.budgets)
+    for number in range(rate * seconds):
+        at = number * 1000 // rate
+        for budget in context.budgets:
+            budget.earn(at, vms)
+            context.asked.append(at)
+            if budget.take(at, vms):
+                context.repeats.append(at)
+
+
+@then("every window of 10 s holds at most {ratio:g} of its requests and {allowance:d} repeats")
+def step_window(context, ratio, allowance):
+    for begin in range(0, 30_000, 250):
+        inside = range(begin, begin + 10_000)
+        asked = sum(at in inside for at in context.asked)
+        repeats = sum(at in inside for at in context.repeats)
+        assert repeats <= ratio * asked + allowance, (begin, repeats, asked)
+
+
+@then("at least {least:d} repeats were made in all")
+def step_least(context, least):
+    assert len(context.repeats) >= least, len(context.repeats)
+
+
+@given("a cold server that bears {per_s:g} a second and {vms:d} VMs before it")
+def step_cold(context, per_s, vms):
+    names = [f"vm-{number}" for number in range(vms)]
+    context.cold = [
+        ColdLimit(per_s=per_s, now_ms=NOW) for name in names if name in cold_owners("i-1", names)
+    ]
+
+
+@when("every VM sends whatever it may for {seconds:d} s")
+def step_send_cold(context, seconds):
+    context.sent = [
+        at for at in range(NOW, NOW + seconds * 1000, 10) for it in context.cold if it.take(at)
+    ]
+
+
+@then("in no second it gets more than {most:g} requests")
+def step_cold_most(context, most):
+    for begin in context.sent:
+        assert sum(begin <= at < begin + 1000 for at in context.sent) <= most
+
+
+@then("in {seconds:d} s it gets at least {least:d}")
+def step_cold_least(context, seconds, least):
+    assert len(context.sent) >= least, len(context.sent)
+
+
+@given('servers "{names}" that are idle')
+def step_servers(context, names):
+    context.standings = {
+        name.strip(): ServerStanding(
+            RegisteredServer(
+                id=name.strip(), service="m", host="h", port=1, data_centre="d", slots=8
+            )
+        )
+        for name in names.split(",")
+    }
+    context.now = NOW
+
+
+def prompt(subject, number=0):
+    return (
+        PromptPart("all", 2500),
+        PromptPart(subject, 3800),
+        PromptPart(f"{subject}-{number}", 2900),
+    )
+
+
+def choose(standings, parts, tokens=0, now=NOW):
+    return choose_server(list(standings), parts=parts, tokens=tokens, now_ms=now).server.id
+
+
+@then('{count:d} prompts of subject "{subject}" all go to one server, whichever VM asks')
+def step_one_server(context, count, subject):
+    servers = list(context.standings.values())
+    found = set()
+    for number in range(count):
+        order = servers[number % 3 :] + servers[: number % 3]
+        found.add(choose(order, prompt(subject, number)))
+    assert len(found) == 1, found
+
+
+@then("prompts of {count:d} subjects use every server")
+def step_all_servers(context, count):
+    servers = context.standings.values()
+    found = {choose(servers, prompt(f"s{number}")) for number in range(count)}
+    assert found == set(context.standings)
+
+
+@when('the home of subject "{subject}" has {tokens:d} tokens to read')
+def step_home_busy(context, subject, tokens):
+    context.home = choose(context.standings.values(), prompt(subject))
+    context.standings[context.home].reading = tokens
+
+
+@then('a prompt of subject "{subject}" goes to another server')
+def step_gives_way(context, subject):
+    assert choose(context.standings.values(), prompt(subject)) != context.home
+
+
+@when('server "{name}" fails every other of its {count:d} last requests')
+def step_fails(context, name, count):
+    for number in range(count):
+        standing = context.standings[name]
+        standing.failed() if number % 2 else standing.succeeded()
+
+
+@then('{count:d} questions without shared parts go to others than "{name}"')
+def step_others(context, count, name):
+    for _ in range(count):
+        assert choose(context.standings.values(), (), tokens=800) != name
+
+
+@when('server "{name}" cannot be reached')
+def step_unreachable(context, name):
+    context.standings[name].unreachable(context.now)
+
+
+@then('server "{name}" pauses for {ms:d} ms')
+def step_pauses(context, name, ms):
+    assert context.standings[name].paused_until_ms == context.now + ms
+
+
+@when('its pause is over and server "{name}" cannot be reached')
+def step_again(context, name):
+    context.now = context.standings[name].paused_until_ms
+    context.standings[name].unreachable(context.now)
+
+
+@when('its pause is over and server "{name}" answers')
+def step_answers(context, name):
+    context.now = context.standings[name].paused_until_ms
+    context.standings[name].succeeded()
