--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -46,7 +46,7 @@
 HEARD_MS = 1_500
 # A VM that has just registered may not have been heard yet.
 YOUNG_MS = 2_500
-MAX_DATAGRAM = 8_192
+NOTHING = (0, 0, 0)
 
 
 class Tell(msgspec.Struct, frozen=True, array_like=True):
@@ -59,7 +59,7 @@
     version: int
     fresh: bool
     spent: dict[str, float]
-    servers: dict[str, tuple[int, int]]
+    servers: dict[str, tuple[int, int, int]]
     forecasts: dict[str, float]
     levels: dict[str, float] | None = None
     vm: GatewayVm | None = None
@@ -76,7 +76,7 @@
     incarnation: str = ""
     leaving: bool = False
     version: int = 0
-    servers: dict[str, tuple[int, int]] | None = None
+    servers: dict[str, tuple[int, int, int]] | None = None
     forecasts: dict[str, float] | None = None
 
     def alive(self, now_ms: int) -> bool:
@@ -289,14 +289,21 @@
 
     def _spread(self, now_ms: int) -> None:
         """Add up what the region's other VMs have at each backend server."""
-        totals: dict[str, tuple[int, int]] = {}
+        totals: dict[str, tuple[int, int, int]] = {}
         for peer in self.peers.values():
             if peer.servers and now_ms - peer.heard_ms < HEARD_MS:
-                for server, (running, reading) in peer.servers.items():
-                    before = totals.get(server, (0, 0))
-                    totals[server] = (before[0] + running, before[1] + reading)
+                for server, told in peer.servers.items():
+                    before = totals.get(server, NOTHING)
+                    totals[server] = (
+                        before[0] + told[0],
+                        before[1] + told[1],
+                        before[2] + told[2],
+                    )
         for name, standing in self._feed.knowledge.standings.items():
-            standing.elsewhere, standing.reading_elsewhere = totals.get(name, (0, 0))
+            running, reading, holding = totals.get(name, NOTHING)
+            standing.elsewhere = running
+            standing.reading_elsewhere = reading
+            standing.holding_elsewhere = holding
 
     def _tell(self, *, near: bool, to: Peer | None = None) -> None:
         if self._transport is None:
@@ -311,7 +318,7 @@
         servers = {}
         if near:
             servers = {
-                name: (it.running, it.reading)
+                name: (it.running, it.reading, it.holding)
                 for name, it in knowledge.standings.items()
                 if it.running or it.reading
             }
--- /dev/null
+++ b/src/hickorybeam/gateway/line.py
@@ -0,0 +1,54 @@
+"""The tasks that wait in a line, woken in its order."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from hickorybeam.policy.wait_line import WaitLine
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.policy.wait_line import Place
+
+__all__ = ("Line",)
+
+MS_PER_SECOND = 1000
+# Places also come free by what other VMs tell, which wakes nobody; so a waiting task looks
+# again after this long, in ms.
+LOOK_AGAIN_MS = 25
+# How many of the first are woken by one place that comes free: the very first may not be able
+# to use it.
+WOKEN = 2
+
+
+class Line:
+    """One service's line on this VM."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.policy = WaitLine()
+        self._clock = clock
+        self._events: dict[int, anyio.Event] = {}
+
+    def departed(self) -> None:
+        """Count a departure and wake who is next."""
+        self.policy.departed(self._clock.now())
+        for place in self.policy.first(WOKEN):
+            self._events[place.number].set()
+
+    async def pause(self, place: Place) -> bool:
+        """Wait until it is worth looking for room; :return: whether there is patience left."""
+        event = self._events[place.number] = anyio.Event()
+        with anyio.move_on_after(LOOK_AGAIN_MS / MS_PER_SECOND):
+            await event.wait()
+        return self._clock.now() < place.due_ms
+
+    def is_next(self, place: Place) -> bool:
+        """Whether a place is among those that may look for room."""
+        return place in self.policy.first(WOKEN)
+
+    def leave(self, place: Place) -> None:
+        """Give a place up."""
+        self.policy.leave(place)
+        self._events.pop(place.number, None)
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -18,6 +18,7 @@
     ToServer,
 )
 from hickorybeam.gateway.events import EventCutter
+from hickorybeam.gateway.line import Line
 from hickorybeam.http1 import BrokenAnswerError
 from hickorybeam.model import key_digest
 from hickorybeam.model.routing import Repeat, Unit
@@ -25,7 +26,8 @@
 from hickorybeam.policy.attempt_budget import AttemptBudget
 from hickorybeam.policy.cold_limit import cold_owners
 from hickorybeam.policy.route_table import pick_target
-from hickorybeam.policy.server_choice import choose_server, wait_ms
+from hickorybeam.policy.server_choice import READ_TOKENS_PER_MS, choose_server, wait_ms
+from hickorybeam.policy.wait_line import patience_ms
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -56,6 +58,9 @@
 COME_BACK_MS = 300
 # Cache of one server in tokens, where its service doesn't tell.
 DEFAULT_CACHE_TOKENS = 200_000
+# What a region without room adds to the wait that it tells others, in ms: they send there
+# only what would wait much longer at home.
+FULL_MS = 500.0
 HOP_MARK = ((HOP_NOT_RUN, b"1"),)
 
 
@@ -78,6 +83,13 @@
     here_only: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Full:
+    """Servers that may take a request have no room; about when there will be."""
+
+    wait_ms: float
+
+
 class RequestPath:
     """Answers requests of callers, and those that other regions' VMs hand over."""
 
@@ -101,6 +113,7 @@
         self._log = log
         self._rng = random.Random()
         self._budgets: dict[str, AttemptBudget] = {}
+        self._lines: dict[str, Line] = {}
         self.draining = False
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
 
@@ -164,6 +177,7 @@
             - ANSWER_MARGIN_MS,
             resume_after=call.resume_after,
             cost=cost,
+            elapsed_ms=elapsed_of(call, route),
         )
 
     def _spend(self, call: RelayCall, terms: AccountTerms | None) -> float:
@@ -179,6 +193,11 @@
     async def _attempts(self, errand: Errand, progress: _Progress, *, here_only: bool) -> None:
         while True:
             target = self._choose(errand, progress, here_only=here_only)
+            if isinstance(target, Full):
+                target = await self._wait(errand, progress, here_only=here_only)
+                if isinstance(target, Full):
+                    self._overloaded(errand, progress, target)
+                    return
             if target is None or not self._may_send(errand, progress, here_only=here_only):
                 self._give_up(errand, progress)
                 return
@@ -202,33 +221,76 @@
         self._counters.retries.labels("repeat").inc()
         return True
 
-    def _choose(self, errand: Errand, progress: _Progress, *, here_only: bool) -> Target | None:
+    async def _wait(
+        self, errand: Errand, progress: _Progress, *, here_only: bool
+    ) -> Target | Full | None:
+        """Wait in the service's line for room, within what the request's objective leaves."""
+        line = self._line(errand.service)
+        now = self._clock.now()
+        patience = patience_ms(
+            target_ms=errand.route.target_ms,
+            elapsed_ms=errand.elapsed_ms + now - errand.call.arrived_ms,
+        )
+        place = line.policy.enter(errand.urgency, patience, now)
+        if place is None:
+            return Full(line.policy.estimate_ms(errand.urgency, now))
+        try:
+            while await line.pause(place):
+                if line.is_next(place):
+                    target = self._choose(errand, progress, here_only=here_only)
+                    if not isinstance(target, Full):
+                        return target
+            return Full(line.policy.estimate_ms(errand.urgency, self._clock.now()))
+        finally:
+            line.leave(place)
+
+    def _overloaded(self, errand: Errand, progress: _Progress, full: Full) -> None:
+        """Refuse a request for which there is no room in time, and say when there will be."""
+        if progress.runs or progress.reply.started:
+            self._give_up(errand, progress)
+            return
+        left_ms = errand.deadline_ms - self._clock.now()
+        after = max(COME_BACK_MS, min(int(full.wait_ms), left_ms // 3))
+        exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=after)
+        self._refuse(errand.call, progress.reply, exc, HOP_MARK if progress.here_only else ())
+
+    def _choose(
+        self, errand: Errand, progress: _Progress, *, here_only: bool
+    ) -> Target | Full | None:
         """Pick a server of this region, or a VM of another one whose wait is much shorter."""
         now = self._clock.now()
-        here = None
+        here: ServerStanding | Full | None = None
         if here_only or self._allowed(errand, self._fleet.me.region):
             here = self._choose_here(errand, progress, now)
         away = None if here_only else self._choose_away(errand, progress)
-        if here is not None and away is not None:
-            call = errand.call
-            wait_here = wait_ms(here, call.parts, call.prompt_tokens, now)
-            if wait_here > away[1] + REGION_WAY_MS + SPILL_MARGIN_MS:
-                return away[0]
-        if here is not None:
-            if self._knowledge.is_cold(here.server.id, now):
-                self._cold_limit(here, now).take(now)
-            return ToServer(here)
-        return away[0] if away else None
+        if here is None:
+            return away[0] if away else None
+        if away is not None and self._wait_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
+            return away[0]
+        if isinstance(here, Full):
+            return here
+        if self._knowledge.is_cold(here.server.id, now):
+            self._cold_limit(here, now).take(now)
+        return ToServer(here)
+
+    def _wait_here(self, here: ServerStanding | Full, errand: Errand, now_ms: int) -> float:
+        if isinstance(here, Full):
+            return here.wait_ms
+        return wait_ms(here, errand.call.parts, errand.call.prompt_tokens, now_ms)
 
     def _choose_here(
         self, errand: Errand, progress: _Progress, now_ms: int
-    ) -> ServerStanding | None:
+    ) -> ServerStanding | Full | None:
         usable = self._usable(errand.service, now_ms)
         fresh = [it for it in usable if it.server.id not in progress.tried]
         if not fresh and errand.route.repeat is Repeat.IDEMPOTENT and progress.failed is not None:
             fresh = usable
         call = errand.call
-        return choose_server(fresh, parts=call.parts, tokens=call.prompt_tokens, now_ms=now_ms)
+        size = size_of(call)
+        with_room = [it for it in fresh if it.has_room(size, now_ms)]
+        if fresh and not with_room:
+            return Full(self._line(errand.service).policy.estimate_ms(errand.urgency, now_ms))
+        return choose_server(with_room, parts=call.parts, tokens=call.prompt_tokens, now_ms=now_ms)
 
     def _usable(self, service: str, now_ms: int) -> list[ServerStanding]:
         """Return this region's servers that may get a request now."""
@@ -261,7 +323,8 @@
         # Peers of one region tell nearly the same wait; the same one for all would be flooded.
         best = [it for it in found if it.wait_ms <= found[0].wait_ms + 20]
         pick = self._rng.choice(best)
-        return ToPeer(pick.peer), pick.wait_ms
+        reading = errand.call.prompt_tokens / READ_TOKENS_PER_MS
+        return ToPeer(pick.peer), pick.wait_ms + reading + REGION_WAY_MS
 
     def _allowed(self, errand: Errand, region: str) -> bool:
         homes = [errand.route.homes]
@@ -312,6 +375,8 @@
             if standing is not None:
                 standing.running -= 1
                 standing.reading -= reading
+                standing.holding -= size_of(errand.call)
+                self._line(errand.service).departed()
             attempt.close()
 
     def _begin(self, standing: ServerStanding | None, errand: Errand) -> int:
@@ -321,9 +386,11 @@
         reading = standing.memory.missing(call.parts) if call.parts else call.prompt_tokens
         standing.running += 1
         standing.reading += reading
+        standing.holding += size_of(call)
         config = self._knowledge.config
         spec = config.services.get(errand.service) if config else None
         room = spec.engine.cache_tokens if spec and spec.engine else 0
+        standing.memory_tokens = room
         standing.memory.sent(call.parts, room or DEFAULT_CACHE_TOKENS)
         return reading
 
@@ -463,6 +530,12 @@
             headers = (*headers, *extra)
         reply.whole(answer.status, headers, close=exc.kind is ErrorKind.DRAINING)
 
+    def _line(self, service: str) -> Line:
+        line = self._lines.get(service)
+        if line is None:
+            line = self._lines[service] = Line(self._clock)
+        return line
+
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -479,9 +552,12 @@
         now = self._clock.now()
         found = {}
         for service in config.services if config else ():
-            waits = [wait_ms(it, (), 0, now) for it in self._usable(service, now)]
+            usable = self._usable(service, now)
+            waits = [wait_ms(it, (), 0, now) for it in usable if it.has_room(0, now)]
             if waits:
                 found[service] = min(waits)
+            elif usable:
+                found[service] = self._line(service).policy.estimate_ms(0, now) + FULL_MS
         return found
 
     def _count(self, errand: Errand, outcome: str) -> None:
@@ -507,6 +583,12 @@
             return peer.vm.name
 
 
+def size_of(call: RelayCall) -> int:
+    """Return the tokens that a request holds in a server's memory, beyond its shared parts."""
+    own = call.parts[-1].tokens if call.parts else call.prompt_tokens
+    return own + call.output_tokens
+
+
 def cost_of(call: RelayCall, terms: AccountTerms) -> float:
     """Return what a request costs its account."""
     if terms.unit is Unit.REQUESTS:
@@ -516,6 +598,17 @@
     return float(call.prompt_tokens + call.output_tokens)
 
 
+def elapsed_of(call: RelayCall, route: Route) -> int:
+    """Return how long ago a stream's caller probably asked first.
+
+    Callers whose patience is the route's time-out and who come back have less of it left.
+    """
+    if route.repeat is not Repeat.STREAM:
+        return 0
+    patience = call.deadline_ms - call.arrived_ms
+    return max(0, route.timeout_ms - patience) if patience >= route.timeout_ms // 4 else 0
+
+
 def urgency_of(route: Route, terms: AccountTerms | None) -> int:
     """Return how urgent a request is at a server, 0 first; an account's rank goes first."""
     if terms is None or terms.rank is None:
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -35,6 +35,12 @@
 # A request sent to a server that failed all its last ones waits this long on average, in ms.
 FAILURE_MS = 1_500.0
 FAILURE_WEIGHT = 0.15
+# Requests that may wait in a server's own queue beyond its slots: enough that a slot which
+# comes free is taken at once, few enough that none waits there for long.
+QUEUED_AT_SERVER = 4
+# Of an engine's memory, this share may be promised to requests; beyond it the engine would
+# stop one in the middle of its stream to make room, and read it again.
+MEMORY_SHARE = 0.9
 FIRST_PAUSE_MS = 400
 LONGEST_PAUSE_MS = 6_000
 
@@ -72,14 +78,19 @@
 class ServerStanding:
     """What this VM knows of one life of a server.
 
-    ``elsewhere`` and ``reading_elsewhere`` are what the region's other VMs have there.
+    ``running`` requests, ``reading`` prompt tokens and ``holding`` tokens are this VM's; those
+    ``elsewhere`` are what the region's other VMs have there. ``memory_tokens`` is its size, 0
+    where it isn't told.
     """
 
     server: RegisteredServer
+    memory_tokens: int = 0
     running: int = 0
     reading: int = 0
+    holding: int = 0
     elsewhere: int = 0
     reading_elsewhere: int = 0
+    holding_elsewhere: int = 0
     told_busy: int = 0
     told_ms: int = -TOLD_VALID_MS
     failing: float = 0.0
@@ -116,6 +127,13 @@
             return max(known, self.told_busy)
         return known
 
+    def has_room(self, tokens: int, now_ms: int) -> bool:
+        """Whether a request of this size can start there soon."""
+        if self.busy(now_ms) >= self.server.slots + QUEUED_AT_SERVER:
+            return False
+        held = self.holding + self.holding_elsewhere
+        return not self.memory_tokens or held + tokens <= self.memory_tokens * MEMORY_SHARE
+
 
 def wait_ms(
     standing: ServerStanding, parts: Sequence[PromptPart], tokens: int, now_ms: int
--- /dev/null
+++ b/src/hickorybeam/policy/wait_line.py
@@ -0,0 +1,92 @@
+"""Who waits for a place at a service's servers, how long, and who is refused at once.
+
+Load it answers: more requests than the servers have slots, in a burst or after a region was
+lost. Sent on, they would wait in the servers' own queues until their callers have left, and
+every one of them would be late. Here they wait in order of urgency, only for as long as they
+can still be answered within their objective, and whoever cannot is refused on arrival with
+the time after which there will be room.
+"""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ("Place", "WaitLine", "patience_ms")
+
+MS_PER_SECOND = 1000
+# Departures are counted over this span, in ms: long enough for a few of them at the least
+# load that fills a server, short enough to follow a server that is lost.
+SPAN_MS = 1_000
+# Of its objective a request may spend this much waiting for a place; the rest is for reading
+# its prompt.
+SHARE_OF_TARGET = 0.5
+# One that is late already is worth less and waits this long, in ms.
+LATE_PATIENCE_MS = 700
+# At least this many departures a second are assumed, so that the first to wait isn't refused.
+LEAST_RATE = 4.0
+
+
+def patience_ms(*, target_ms: int, elapsed_ms: int) -> int:
+    """Return how long a request may wait for a place.
+
+    :param elapsed_ms: how long ago its caller first asked, as far as is known.
+    """
+    left = int(target_ms * SHARE_OF_TARGET) - elapsed_ms
+    return left if left > 0 else LATE_PATIENCE_MS
+
+
+@dataclass(order=True, slots=True)
+class Place:
+    """One waiting request; the least comes first."""
+
+    urgency: int
+    number: int
+    due_ms: int = field(compare=False)
+
+
+class WaitLine:
+    """The requests that wait for one service, and how quickly places come free."""
+
+    def __init__(self) -> None:
+        self._places: list[Place] = []
+        self._numbers = itertools.count()
+        self._departures: deque[int] = deque()
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def departed(self, now_ms: int) -> None:
+        """Count a request that left a server."""
+        self._departures.append(now_ms)
+        self._forget(now_ms)
+
+    def estimate_ms(self, urgency: int, now_ms: int) -> float:
+        """Return how long a request of this urgency would wait."""
+        self._forget(now_ms)
+        rate = max(LEAST_RATE, len(self._departures) * MS_PER_SECOND / SPAN_MS)
+        ahead = sum(place.urgency <= urgency for place in self._places)
+        return (ahead + 1) / rate * MS_PER_SECOND
+
+    def enter(self, urgency: int, patience: int, now_ms: int) -> Place | None:
+        """Take a place, or none where the wait would be longer than the patience."""
+        if self.estimate_ms(urgency, now_ms) > patience:
+            return None
+        place = Place(urgency, next(self._numbers), now_ms + patience)
+        bisect.insort(self._places, place)
+        return place
+
+    def leave(self, place: Place) -> None:
+        """Give a place up, to go on or to be refused."""
+        if place in self._places:
+            self._places.remove(place)
+
+    def first(self, count: int) -> list[Place]:
+        """Return the places that are next."""
+        return self._places[:count]
+
+    def _forget(self, now_ms: int) -> None:
+        while self._departures and now_ms - self._departures[0] > SPAN_MS:
+            self._departures.popleft()
--- /dev/null
+++ b/tests/steps/policy/wait_line_steps.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+from behave import given, then, when
+
+from hickorybeam.policy.wait_line import WaitLine, patience_ms
+
+NOW = 50_000
+
+
+@given("a wait line where {rate:d} places come free each second")
+def step_line(context, rate):
+    context.line, context.rate, context.now = WaitLine(), rate, NOW
+    for number in range(rate):
+        context.line.departed(NOW - 1000 + (number + 1) * 1000 // rate)
+
+
+@when('requests of urgency "{urgencies}" wait')
+def step_wait(context, urgencies):
+    context.names = {}
+    for urgency in map(int, urgencies.split(",")):
+        place = context.line.enter(urgency, 10_000, context.now)
+        earlier = [name for name in context.names.values() if name.startswith(str(urgency))]
+        context.names[place.number] = f"{urgency} second" if earlier else f"{urgency} first"
+
+
+@then('they leave in the order "{order}"')
+def step_order(context, order):
+    found = [context.names[place.number] for place in context.line.first(99)]
+    wanted = [name.strip() for name in order.split(",")]
+    assert [name.removesuffix(" first") for name in found] == [
+        name.removesuffix(" first") for name in wanted
+    ], found
+
+
+@when("{count:d} requests of patience {patience:d} ms come at once")
+def step_burst(context, count, patience):
+    places = [context.line.enter(5, patience, context.now) for _ in range(count)]
+    context.waiting = [place for place in places if place is not None]
+    context.refused = count - len(context.waiting)
+
+
+@then("{count:d} of them wait and the rest are refused at once")
+def step_waiting(context, count):
+    assert len(context.waiting) == count, len(context.waiting)
+    assert context.refused == 100 - count
+
+
+@then("none of those that wait has waited over {limit:d} ms when its place comes free")
+def step_in_time(context, limit):
+    for number, place in enumerate(context.line.first(99), start=1):
+        assert number * 1000 / context.rate <= limit
+        assert place.due_ms <= context.now + limit
+
+
+@then("a request of urgency {urgency:d} with patience {patience:d} ms may wait")
+def step_may(context, urgency, patience):
+    place = context.line.enter(urgency, patience, context.now)
+    assert place is not None
+    context.line.leave(place)
+
+
+@then("a request of urgency {urgency:d} with patience {patience:d} ms is refused at once")
+def step_refused(context, urgency, patience):
+    assert context.line.enter(urgency, patience, context.now) is None
+
+
+@when("no place comes free for {ms:d} ms")
+def step_quiet(context, ms):
+    context.now += ms
+
+
+@then("a request with objective {target:d} ms, asked {elapsed:d} ms ago, waits up to {ms:d} ms")
+def step_patience(context, target, elapsed, ms):
+    assert patience_ms(target_ms=target, elapsed_ms=elapsed) == ms
