--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -90,10 +90,16 @@
 
 
 class Attempt:
-    """One send; whoever opens it must ``close`` it."""
+    """One send; whoever opens it must ``close`` it.
 
-    def __init__(self, pool: UpstreamPool, target: Target, errand: Errand) -> None:
+    :param copy_from: ``host:port`` of a server that holds shared parts of the prompt.
+    """
+
+    def __init__(
+        self, pool: UpstreamPool, target: Target, errand: Errand, *, copy_from: str | None = None
+    ) -> None:
         self._pool = pool
+        self._copy_from = copy_from
         self._target = target
         self._errand = errand
         self._address = address_of(target)
@@ -136,6 +142,7 @@
                     left_ms=left_ms,
                     urgency=errand.urgency,
                     resume_after=errand.resume_after,
+                    copy_from=self._copy_from,
                 )
             case ToPeer():
                 return (*errand.call.headers, *hop_headers(errand, left_ms))
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -22,6 +22,7 @@
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
 from hickorybeam.policy.fleet_quota import FleetQuota
+from hickorybeam.policy.prefix_holders import PrefixHolders
 from hickorybeam.ports import FEED, FLEET, PLATFORM
 from hickorybeam.store import Delete, Platform, Put, WatchBatch
 
@@ -63,6 +64,7 @@
     forecasts: dict[str, float]
     levels: dict[str, float] | None = None
     vm: GatewayVm | None = None
+    holds: dict[str, str] = {}
 
 
 @dataclass(slots=True, eq=False)
@@ -102,7 +104,9 @@
         self._cfg = cfg
         self._clock = clock
         self._started_ms = clock.now()
-        self.quota = FleetQuota(self._started_ms)
+        allowance = cfg.gateway.quota_allowance if cfg.gateway else 0.0
+        self.quota = FleetQuota(self._started_ms, allowance=allowance)
+        self.holders = PrefixHolders()
         self.peers: dict[str, Peer] = {}
         self.leaving = False
         self.forecast: dict[str, float] = {}
@@ -335,6 +339,7 @@
             levels=self.quota.levels() if answer else None,
             # Peers may not know it: a VM that restarts while the store is out isn't registered.
             vm=None if self._lease else self.me,
+            holds={} if answer else self.holders.news(near=near),
         )
 
     def receive(self, data: bytes) -> None:
@@ -355,6 +360,7 @@
         peer.leaving = tell.leaving
         peer.version = tell.version
         peer.forecasts = tell.forecasts
+        self.holders.heard(tell.holds, now)
         if peer.vm.region == self.me.region:
             peer.servers = tell.servers
         life = f"{tell.name}/{tell.incarnation}"
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -337,8 +337,9 @@
     async def _send(self, target: Target, errand: Errand, progress: _Progress) -> None:
         """Send once and take note of how it went; a good answer is passed on."""
         standing = target.standing if isinstance(target, ToServer) else None
+        copy_from = self._copy_from(standing, errand)
         reading = self._begin(standing, errand)
-        attempt = Attempt(self._pool, target, errand)
+        attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
         try:
             with anyio.move_on_after(self._patience_s(errand, progress)) as patience:
@@ -379,6 +380,19 @@
                 self._line(errand.service).departed()
             attempt.close()
 
+    def _copy_from(self, standing: ServerStanding | None, errand: Errand) -> str | None:
+        """Return the address of a server from which a prompt's shared parts can be copied."""
+        parts = errand.call.parts
+        if standing is None or len(parts) < 2 or not standing.memory.missing(parts[:-1]):
+            return None
+        now = self._clock.now()
+        holder = self._knowledge.standings.get(self._fleet.holders.holder(parts, now) or "")
+        if holder is None or holder is standing or holder.paused_until_ms > now:
+            return None
+        if holder.server.leaving or holder.server.service != standing.server.service:
+            return None
+        return f"{holder.server.host}:{holder.server.port}"
+
     def _begin(self, standing: ServerStanding | None, errand: Errand) -> int:
         if standing is None:
             return 0
@@ -392,6 +406,7 @@
         room = spec.engine.cache_tokens if spec and spec.engine else 0
         standing.memory_tokens = room
         standing.memory.sent(call.parts, room or DEFAULT_CACHE_TOKENS)
+        self._fleet.holders.sent(call.parts, standing.server.id, self._clock.now())
         return reading
 
     def _patience_s(self, errand: Errand, progress: _Progress) -> float | None:
--- a/src/hickorybeam/platform/callers.py
+++ b/src/hickorybeam/platform/callers.py
@@ -52,12 +52,14 @@
     left_ms: int,
     urgency: int,
     resume_after: str | None,
+    copy_from: str | None = None,
 ) -> RawHeaders:
     """Return the headers with which a call goes to a backend server.
 
     :param left_ms: how long the server may work on it.
     :param urgency: 0 first, 9 last.
     :param resume_after: id of the last event that the caller has, if a stream goes on.
+    :param copy_from: ``host:port`` of a server that holds shared parts of the prompt.
     """
     own = {names.DEADLINE, names.LAST_EVENT}
     headers = [pair for pair in call.headers if pair[0] not in own]
@@ -66,6 +68,8 @@
     headers.append((names.URGENCY, b"%d" % urgency))
     if account is not None:
         headers.append((names.ACCOUNT, account.encode("latin-1", "replace")))
+    if copy_from is not None:
+        headers.append((names.COPY_FROM, copy_from.encode("ascii")))
     if resume_after is not None:
         headers.append((names.LAST_EVENT, resume_after.encode("latin-1")))
     return tuple(headers)
--- a/src/hickorybeam/platform/names.py
+++ b/src/hickorybeam/platform/names.py
@@ -19,6 +19,8 @@
 NOT_RUN = b"x-hickorybeam-not-executed"
 COLD = b"x-hickorybeam-cold-milliseconds"
 URGENCY = b"x-hickorybeam-request-urgency"
+# Names a server whose cache is to be copied from; the wire calls the cache KV.
+COPY_FROM = b"kv-fetch"
 AUTHORIZATION = b"authorization"
 RETRY_AFTER = b"retry-after"
 BEARER = b"bearer "
@@ -35,7 +37,7 @@
         b"x-hickorybeam-pin-milliseconds",
         b"x-hickorybeam-cache-backup",
         b"kv-from",
-        b"kv-fetch",
+        COPY_FROM,
     }
 )
 # These reach the server whatever a caller's connection header names.
--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -49,16 +49,20 @@
     """The buckets of all accounts as this VM knows them.
 
     :param now_ms: a monotonic time; every method gets one.
+    :param allowance: what an account may spend beyond its bound in a window; a VM starts with
+        half of it in each bucket. Empty buckets would refuse, after all VMs were killed at
+        once, every account for as long as its burst takes to refill.
     """
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(self, now_ms: int, *, allowance: float = 0.0) -> None:
+        self._allowance = allowance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
         self._fraction = 1.0
         self._started_ms = now_ms
 
     def configure(self, accounts: Iterable[AccountTerms], now_ms: int) -> None:
-        """Take over new terms; levels are kept, and a new account starts empty.
+        """Take over new terms; levels are kept, and a new account starts with the allowance.
 
         A full start would hand out the burst anew with each restart of a VM.
         """
@@ -66,7 +70,7 @@
         for terms in accounts:
             bucket = self._buckets.get(terms.name)
             if bucket is None:
-                bucket = _Bucket(terms, 0.0, now_ms)
+                bucket = _Bucket(terms, min(terms.burst, self._allowance / 2), now_ms)
             else:
                 self._refill(bucket, now_ms)
                 bucket.terms = terms
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -42,3 +42,13 @@
     When the store gets foreign entries for servers
     And a caller of "small" asks "n1" for "/look/x"
     Then the caller gets 200
+
+  Scenario: a server that lacks a shared part is told from where to copy it
+    # The same long part is read at a server of each region. The second one copies it from the
+    # first, which takes some ms where reading takes a hundred; a caller can't set that itself.
+    Given a small gateway with a southern region
+    When a caller of "small" asks "n1" for a prompt of parts "5c1e:3000,a1:20"
+    Then server "m1" was told to copy from nobody
+    When the VMs have told each other
+    And a caller of "small" asks "s1" for a prompt of parts "5c1e:3000,a2:20"
+    Then server "m9" was told to copy from "m1"
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -612,3 +612,32 @@
     # What ran was answered: no connection was closed on a request that a server had.
     assert answered > 0
     assert len(context.rig.ran("books")) == answered
+
+
+@when('a caller of "{key}" asks "{vm}" for a prompt of parts "{parts}"')
+def step_prompt(context, key, vm, parts):
+    more = ((b"x-hickorybeam-prompt-prefix", parts.encode()), (b"kv-fetch", b"127.0.0.1:9"))
+    ask(context, vm, "/plan/x", key=key, method="POST", body=BODY, tokens=b"3020,10", more=more)
+    assert context.reply.status == 200
+
+
+@when("the VMs have told each other")
+def step_told_other(context):
+    vm = context.rig.vms["s1"]
+    context.call(context.rig.until, lambda: vm.fleet.holders._holders)
+
+
+def copied_from(context, server):
+    headers = context.rig.servers[server].ran[-1].headers
+    return [value.decode() for key, value in headers if key == b"kv-fetch"]
+
+
+@then('server "{server}" was told to copy from nobody')
+def step_no_copy(context, server):
+    assert copied_from(context, server) == []
+
+
+@then('server "{server}" was told to copy from "{other}"')
+def step_copy(context, server, other):
+    wanted = f"127.0.0.1:{context.rig.servers[other].port}"
+    assert copied_from(context, server) == [wanted]
--- /dev/null
+++ b/tests/steps/policy/prefix_holders_steps.py
@@ -0,0 +1,49 @@
+from __future__ import annotations
+
+from behave import given, then, when
+
+from hickorybeam.model.routing import PromptPart
+from hickorybeam.policy.prefix_holders import PrefixHolders
+
+
+def parts_of(text):
+    pairs = [entry.strip().split(":") for entry in text.split(",")]
+    return tuple(PromptPart(name, int(tokens)) for name, tokens in pairs)
+
+
+@given("holders of parts")
+def step_holders(context):
+    context.holders, context.now = PrefixHolders(), 9_000
+
+
+@when('prompt "{text}" is sent to "{server}"')
+def step_sent(context, text, server):
+    context.holders.sent(parts_of(text), server, context.now)
+
+
+@then('prompt "{text}" is held by nobody')
+def step_nobody(context, text):
+    assert context.holders.holder(parts_of(text), context.now) is None
+
+
+@then('prompt "{text}" is held by "{server}"')
+def step_held(context, text, server):
+    assert context.holders.holder(parts_of(text), context.now) == server
+
+
+@when("{ms:d} ms pass for the holders")
+def step_pass(context, ms):
+    context.now += ms
+
+
+@then('the news for {where} VMs is "{text}", once')
+def step_news(context, where, text):
+    near = where == "near"
+    found = context.holders.news(near=near)
+    assert ", ".join(f"{part}={server}" for part, server in found.items()) == text, found
+    assert context.holders.news(near=near) == {}
+
+
+@when('another VM tells "{text}"')
+def step_tells(context, text):
+    context.holders.heard(dict([text.split("=")]), context.now)
