--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -16,6 +16,7 @@
 from hickorybeam.kernel import Service
 from hickorybeam.ports import PLATFORM
 from hickorybeam.store.port import (
+    MAX_VALUE_BYTES,
     Compare,
     Delete,
     KeyValue,
@@ -82,7 +83,7 @@
         """Read the keys under a prefix; the revision is that of the first page."""
         items: list[KeyValue] = []
         revision = 0
-        after = start
+        after = ""
         while True:
             path = f"/kv-range?prefix={quote(prefix, safe='/')}"
             if after:
@@ -90,14 +91,16 @@
             _, reply = await self._read("range", path)
             revision = revision or int(reply["at"])
             page = [decode_item(raw) for raw in reply["items"]]
-            items += page
-            if not reply.get("has-more") or not page:
-                return ReadResult(revision, tuple(items))
+            items += [item for item in page if item.key >= start]
+            if not reply.get("has-more") or not page or (limit and len(items) >= limit):
+                return ReadResult(revision, tuple(items[:limit] if limit else items))
             after = page[-1].key
 
     async def txn(self, compares: tuple[Compare, ...], writes: tuple[Write, ...]) -> TxnResult:
         """Apply all writes if every comparison holds, else none."""
         puts = [write for write in writes if isinstance(write, Put)]
+        if any(len(put.value) > MAX_VALUE_BYTES for put in puts):
+            raise GatewayError(ErrorKind.VALUE_TOO_LARGE)
         body = {
             "expect": [{"key": it.key, "revision": it.mod_revision} for it in compares],
             "write": [
@@ -138,9 +141,9 @@
             )
             if status == GONE:
                 raise GatewayError(ErrorKind.WATCH_COMPACTED, f"after {after}")
-            batch = decode_batch(reply)
-            after = max(after, batch.revision)
-            yield batch
+            for batch in decode_batches(reply):
+                after = max(after, batch.revision)
+                yield batch
 
     async def _read(self, kind: str, path: str) -> tuple[int, Mapping[str, Any]]:
         self._budget.earn()
@@ -220,13 +223,20 @@
     return KeyValue(raw["key"], value, int(raw["revision"]), int(raw.get("lease") or 0))
 
 
-def decode_batch(reply: Mapping[str, Any]) -> WatchBatch:
-    """Read what a watch brought, in order; a key's last change is what counts."""
-    last: dict[str, KeyValue | None] = {}
+def decode_batches(reply: Mapping[str, Any]) -> list[WatchBatch]:
+    """Read what a watch brought, one batch for each revision, and how far it has come."""
+    puts: dict[int, list[KeyValue]] = {}
+    deletes: dict[int, list[str]] = {}
     for raw in reply.get("events") or ():
-        last[raw["key"]] = None if raw.get("deleted") else decode_item(raw)
-    return WatchBatch(
-        int(reply["at"]),
-        tuple(item for item in last.values() if item is not None),
-        tuple(key for key, item in last.items() if item is None),
-    )
+        if raw.get("deleted"):
+            deletes.setdefault(int(raw["revision"]), []).append(raw["key"])
+        else:
+            item = decode_item(raw)
+            puts.setdefault(item.mod_revision, []).append(item)
+    batches = [
+        WatchBatch(revision, tuple(puts.get(revision, ())), tuple(deletes.get(revision, ())))
+        for revision in sorted(puts.keys() | deletes.keys())
+    ]
+    if not batches or batches[-1].revision < int(reply["at"]):
+        batches.append(WatchBatch(int(reply["at"])))
+    return batches
--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -27,6 +27,7 @@
 MS_PER_SECOND = 1000
 JSON = ((b"content-type", b"application/json"),)
 PAGE = 500
+FAILURES = {ErrorKind.LEASE_LOST: 404, ErrorKind.WATCH_COMPACTED: 410}
 
 
 class KeyValueApp:
@@ -67,7 +68,7 @@
         try:
             status, body = await self._call(req.method, path, told, req.body)
         except GatewayError as exc:
-            status, body = (404 if exc.kind is ErrorKind.LEASE_LOST else 410), {}
+            status, body = FAILURES.get(exc.kind, 503), {}
         if req.method != "GET":
             self.stand_in.notify()
             if faults.take_lost_answer():
@@ -81,7 +82,7 @@
         store, now = self.stand_in.store, self.stand_in.clock.now()
         body = msgspec.json.decode(raw) if raw else {}
         kind, _, name = path.removeprefix("/").partition("/")
-        self.stand_in.count(kind)
+        self.stand_in.count(kind.removeprefix("kv-"))
         match kind:
             case "kv-key":
                 found = store.read(told["key"])
@@ -121,7 +122,7 @@
                 events += as_events(batch)
                 after = batch.revision
                 break
-        return {"events": events, "at": max(after, self.stand_in.store.revision * (not events))}
+        return {"events": events, "at": after if events else self.stand_in.store.revision}
 
     def _txn(self, body: Mapping[str, Any]) -> tuple[int, Mapping[str, Any]]:
         compares = tuple(Compare(it["key"], it["revision"]) for it in body["expect"])
--- /dev/null
+++ b/tests/platform/facts.feature
@@ -0,0 +1,58 @@
+Feature: the platform's entries and heads decoded once, into the product's own types
+
+  Scenario: a whole configuration
+    Given the example configuration of the platform
+    Then its version is 7 and it has 2 routes
+    And route "r-1" is "stream", resumable "False", of rank 0, in homes "dakar, thies"
+    And route "r-2" is "stream", resumable "True", of rank 1, in homes ""
+    And route "r-2" is split "a:90, b:10"
+    And the key "k1" leads to account "acc" with 100.0 tokens a second
+    And service "a" holds 1000 tokens and bears 2.6 a second while cold
+
+  Scenario Outline: an entry of another writer names nothing to use
+    Then the entry "<key>" with value "<value>" is unreadable
+
+    Examples:
+      | key       | value                                                                      |
+      | servers/x | {"service":"a"}                                                            |
+      | servers/x | {"service":7,"address":"h:1","zone":"z","slots":1,"state":"ready"}         |
+      | servers/x | {"service":"a","address":"h:1","zone":"z","slots":1,"state":"asleep"}      |
+      | servers/x | {"service":"a","address":"h","zone":"z","slots":1,"state":"ready"}         |
+      | servers/x | {"service":"a","address":"h:1","zone":"z","slots":[],"state":"ready"}      |
+      | servers/x | not json                                                                   |
+      | servers/x | []                                                                         |
+      | op/config | {"version":"x"}                                                            |
+      | op/other  | {}                                                                         |
+
+  Scenario Outline: heads of requests
+    Then header "<name>" with "<value>" makes a call with <field> "<found>"
+
+    Examples:
+      | name                                | value        | field         | found   |
+      | X-Hickorybeam-Token-Counts          | 1460,80      | prompt_tokens | 1460    |
+      | X-Hickorybeam-Token-Counts          | 1460         | prompt_tokens | 0       |
+      | X-Hickorybeam-Token-Counts          | -1,80        | output_tokens | 0       |
+      | X-Hickorybeam-Deadline-Milliseconds | 700          | deadline_ms   | 1700    |
+      | X-Hickorybeam-Deadline-Milliseconds | soon         | deadline_ms   | 61000   |
+      | Authorization                       | Bearer abc   | key           | abc     |
+      | Authorization                       | bearer abc   | key           | abc     |
+      | Authorization                       | Basic abc    | key           | None    |
+      | Last-Event-Id                       | 12           | resume_after  | 12      |
+      | Host                                | Shop.x:80    | host          | shop.x  |
+      | Host                                | shop.x       | host          | shop.x  |
+
+  Scenario Outline: heads of answers
+    Then an answer <status> with "<headers>" has <field> "<found>"
+
+    Examples:
+      | status | headers                              | field       | found |
+      | 503    | X-Hickorybeam-Not-Executed: 1        | not_run     | True  |
+      | 503    |                                      | not_run     | False |
+      | 503    |                                      | promises    | True  |
+      | 421    |                                      | not_run     | True  |
+      | 421    |                                      | other_server | True |
+      | 200    | X-Hickorybeam-Response-Signature: s  | signed      | True  |
+      | 200    |                                      | signed      | False |
+      | 200    | X-Hickorybeam-Cold-Milliseconds: 900 | cold_ms     | 900   |
+      | 200    | X-Hickorybeam-Server-Load: 1,2       | load        | None  |
+      | 200    | Content-Type: text/event-stream      | streamed    | True  |
--- /dev/null
+++ b/tests/platform/store.feature
@@ -0,0 +1,31 @@
+Feature: the client of the platform's store under its failures
+
+  Scenario Outline: a store that turns this VM away is out, and nothing was written
+    Given a served key-value store and its client
+    When the key-value store answers every call with <status>
+    Then a key-value write ends with "platform_out" and nothing was written
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+
+  Scenario: after silence the next call opens a new connection
+    # Something on the way forgot the open connection. A client that kept to its pool would wait
+    # out its limit on every call.
+    Given a served key-value store and its client
+    When the key-value client has read once and the store then falls silent
+    Then a key-value read fails
+    When the key-value store answers again
+    Then a key-value read works at once on a new connection
+
+  Scenario: pages are put together
+    Given a served key-value store and its client
+    And the key-value store gives 3 items a page
+    When 8 keys are written to the key-value store
+    Then the key-value client finds all 8 under their prefix, in order
+
+  Scenario: a quiet watch says how far it has come
+    Given a served key-value store and its client
+    When a key outside the watched prefix is written
+    Then a quiet watch of the key-value store reaches that revision
--- /dev/null
+++ b/tests/steps/platform/platform_steps.py
@@ -0,0 +1,218 @@
+from __future__ import annotations
+
+import time
+
+import anyio
+import msgspec
+from behave import given, then, when
+
+from hickorybeam.errors import GatewayError
+from hickorybeam.http1 import AnswerHead, Incoming
+from hickorybeam.model import key_digest
+from hickorybeam.platform import NewConfig, Unreadable, decode_answer, decode_call, decode_entry
+from steps.store.contract_steps import kv_client, serve_kv
+
+EXAMPLE = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "X.example",
+            "prefix": "/p/",
+            "kind": "streaming",
+            "timeout-ms": 15000,
+            "priority": 0,
+            "service": "a",
+            "home-regions": ["dakar", "thies"],
+        },
+        {
+            "name": "r-2",
+            "host": "x.example",
+            "prefix": "/q/",
+            "kind": "streaming",
+            "priority": 1,
+            "traffic-split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+            "resumable": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "a",
+            "health-path": "/h",
+            "cold-start-s": 3.0,
+            "cold-per-s": 2.6,
+            "engine": {"slots": 64, "kv-cache-tokens": 1000},
+        },
+        {"name": "b"},
+    ],
+    "limits": {"max-header-bytes": 100},
+    "tenants": [{"name": "acc", "api-keys": ["k1"], "unit": "tokens", "rate-per-s": 100}],
+    "unknown-part": {"later": 1},
+}
+
+
+@given("the example configuration of the platform")
+def step_example(context):
+    match decode_entry("op/config", msgspec.json.encode(EXAMPLE)):
+        case NewConfig(config):
+            context.config_found = config
+        case other:
+            raise AssertionError(other)
+
+
+@then("its version is {version:d} and it has {count:d} routes")
+def step_version(context, version, count):
+    found = context.config_found
+    assert (found.version, len(found.routes)) == (version, count)
+
+
+def route_of(context, name):
+    return next(it for it in context.config_found.routes if it.name == name)
+
+
+@then('route "{name}" is "{kind}", resumable "{resumable}", of rank {rank:d}, in homes "{homes}"')
+@then('route "{name}" is "{kind}", resumable "{resumable}", of rank {rank:d}, in homes ""')
+def step_route(context, name, kind, resumable, rank, homes=""):
+    found = route_of(context, name)
+    assert found.host == "x.example"
+    assert (found.repeat.value, str(found.resumable), found.rank) == (kind, resumable, rank)
+    assert ", ".join(sorted(found.homes)) == homes
+
+
+@then('route "{name}" is split "{split}"')
+def step_split(context, name, split):
+    targets = route_of(context, name).targets
+    assert ", ".join(f"{it.service}:{it.weight:g}" for it in targets) == split
+
+
+@then('the key "{key}" leads to account "{name}" with {rate:g} tokens a second')
+def step_key(context, key, name, rate):
+    found = context.config_found
+    assert found.keys[key_digest(key)] == name
+    assert key not in found.keys
+    assert found.accounts[name].rate_per_s == rate
+
+
+@then('service "{name}" holds {tokens:d} tokens and bears {per_s:g} a second while cold')
+def step_service(context, name, tokens, per_s):
+    found = context.config_found.services[name]
+    assert (found.engine.cache_tokens, found.cold_per_s) == (tokens, per_s)
+
+
+@then('the entry "{key}" with value "{value}" is unreadable')
+def step_unreadable(context, key, value):
+    assert isinstance(decode_entry(key, value.encode()), Unreadable)
+
+
+@then('header "{name}" with "{value}" makes a call with {field} "{found}"')
+def step_header(context, name, value, field, found):
+    headers = ((name.lower().encode(), value.encode()),)
+    call = decode_call(
+        Incoming(method="GET", target=b"/a/b?c", headers=headers, body=b"", arrived_ms=1_000)
+    )
+    assert str(getattr(call, field)) == found, getattr(call, field)
+
+
+@then('an answer {status:d} with "{headers}" has {field} "{found}"')
+@then('an answer {status:d} with "" has {field} "{found}"')
+def step_answer(context, status, field, found, headers=""):
+    name, _, value = headers.partition(": ")
+    raw = ((name.lower().encode(), value.encode()),) if headers else ()
+    facts = decode_answer(AnswerHead(status, raw))
+    assert str(getattr(facts, field)) == found, getattr(facts, field)
+
+
+@given("a served key-value store and its client")
+def step_served(context):
+    context.app = serve_kv(context).app
+    context.client = context.call(kv_client, context.served.url)
+
+
+@when("the key-value store answers every call with {status:d}")
+def step_turn_away(context, status):
+    context.app.turn_away = status
+
+
+def outcome(context, fn, *args):
+    try:
+        context.call(fn, *args)
+    except GatewayError as exc:
+        return exc.kind.value
+    return "done"
+
+
+@then('a key-value write ends with "{kind}" and nothing was written')
+def step_write(context, kind):
+    from hickorybeam.store import Put
+
+    assert outcome(context, context.client.txn, (), (Put("a", b"1"),)) == kind
+    assert not context.app.stand_in.store.read("a").items
+
+
+@when("the key-value client has read once and the store then falls silent")
+def step_once(context):
+    assert outcome(context, context.client.read, "a") == "done"
+    context.opened = context.client._pool.opened
+    context.app.silent = True
+
+
+@then("a key-value read fails")
+def step_fails(context):
+    assert outcome(context, context.client.read, "a") == "platform_out"
+
+
+@when("the key-value store answers again")
+def step_again(context):
+    context.app.silent = False
+
+
+@then("a key-value read works at once on a new connection")
+def step_works(context):
+    begun = time.monotonic()
+    assert outcome(context, context.client.read, "a") == "done"
+    assert context.client._pool.opened > context.opened
+    assert time.monotonic() - begun < 5
+
+
+@given("the key-value store gives {count:d} items a page")
+def step_page(context, count):
+    context.app.page = count
+
+
+@when("{count:d} keys are written to the key-value store")
+def step_keys(context, count):
+    async def write():
+        for number in range(count):
+            context.app.put(f"p/{number}", str(number).encode())
+        context.app.put("q/1", b"other")
+
+    context.call(write)
+
+
+@then("the key-value client finds all {count:d} under their prefix, in order")
+def step_all(context, count):
+    found = context.call(context.client.read_prefix, "p/")
+    assert [it.key for it in found.items] == [f"p/{number}" for number in range(count)]
+
+
+@when("a key outside the watched prefix is written")
+def step_outside(context):
+    async def write():
+        context.app.put("other/1", b"x")
+        return context.app.stand_in.store.revision
+
+    context.reached = context.call(write)
+
+
+@then("a quiet watch of the key-value store reaches that revision")
+def step_quiet_watch(context):
+    async def first():
+        # The stand-in answers a quiet watch after the time that the client asks it to wait.
+        with anyio.fail_after(10):
+            async for batch in context.client.watch("mine/", after=1):
+                return batch
+        return None
+
+    batch = context.call(first)
+    assert (batch.puts, batch.deletes) == ((), ())
+    assert batch.revision == context.reached
--- a/tests/steps/store/contract_steps.py
+++ b/tests/steps/store/contract_steps.py
@@ -5,8 +5,10 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.platform import PlatformStore
 from hickorybeam.settings import PlatformSettings, Settings, VmSettings
 from hickorybeam.standins import platform as standin
+from hickorybeam.standins.keyvalue import serve_store
 from hickorybeam.store import Compare, Delete, Put
 from hickorybeam.store.etcd import EtcdPlatform
 from hickorybeam.telemetry import Counters
@@ -32,6 +34,21 @@
     return EtcdPlatform(cfg=cfg, clock=SystemClock(), counters=Counters())
 
 
+def kv_client(url):
+    cfg = Settings(
+        vm=VmSettings(name="vm", region="r", data_centre="d"),
+        platform=PlatformSettings(urls=(url,), timeout_ms=TIMEOUT_MS),
+    )
+    return PlatformStore(cfg=cfg, clock=SystemClock(), counters=Counters())
+
+
+def serve_kv(context, clock=None):
+    context.served = context.stack.enter_context(
+        context.portal.wrap_async_context_manager(serve_store(clock=clock))
+    )
+    return context.served
+
+
 def serve(context, clock=None):
     served = context.stack.enter_context(
         context.portal.wrap_async_context_manager(standin.serve(clock=clock))
@@ -47,6 +64,9 @@
     if impl == "memory":
         context.stand_in = context.call(standin.PlatformStandIn, context.clock)
         context.client = standin.MemoryPlatform(context.stand_in)
+    elif impl == "kv":
+        context.stand_in = serve_kv(context, context.clock).app.stand_in
+        context.client = context.call(kv_client, context.served.url)
     else:
         context.stand_in = serve(context, context.clock).stand_in
         context.client = context.call(etcd_client, context.served.url)
@@ -182,7 +202,8 @@
             context.call(faults.set_out, True)
         case "unreachable":
             context.healthy = getattr(context, "healthy", context.client)
-            context.client = context.call(etcd_client, UNREACHABLE)
+            make = kv_client if context.impl == "kv" else etcd_client
+            context.client = context.call(make, UNREACHABLE)
         case "lose answer":
             faults.lose_answers = 1
         case "drop":
--- a/tests/store/contract.feature
+++ b/tests/store/contract.feature
@@ -18,6 +18,7 @@
       | impl   |
       | memory |
       | etcd   |
+      | kv     |
 
   Scenario Outline: two clients with prefixes of their own never meet
     Given platform "<impl>"
@@ -52,6 +53,9 @@
       | etcd   | time   |
       | etcd   | lapse  |
       | etcd   | revoke |
+      | kv     | time   |
+      | kv     | lapse  |
+      | kv     | revoke |
 
   Scenario Outline: a fault of the service has one meaning for its caller
     # The service is out, or its answer is lost after the write took effect, or before. A write
@@ -82,6 +86,13 @@
       | etcd   | drop        | platform_unknown | done         | a=1   | 1      |
       | etcd   | slow        | done             | done         | a=2   | 2      |
       | etcd   | too large   | value_too_large  | done         | a=1   | 1      |
+      | kv     | none        | done             | done         | a=2   | 2      |
+      | kv     | out         | platform_out     | platform_out | a=1   | 1      |
+      | kv     | unreachable | platform_out     | platform_out | a=1   | 1      |
+      | kv     | lose answer | platform_unknown | done         | a=2   | 2      |
+      | kv     | drop        | platform_unknown | done         | a=1   | 1      |
+      | kv     | slow        | done             | done         | a=2   | 2      |
+      | kv     | too large   | value_too_large  | done         | a=1   | 1      |
 
   Scenario Outline: a watch tells every change after its revision, in order
     Given platform "<impl>"
@@ -96,6 +107,7 @@
       | impl   |
       | memory |
       | etcd   |
+      | kv     |
 
   Scenario Outline: a watch from a compacted revision says so
     Given platform "<impl>"
@@ -107,6 +119,7 @@
       | impl   |
       | memory |
       | etcd   |
+      | kv     |
 
   Scenario Outline: a silent watch says nothing, while a new one works
     # Something between the two ends lost track of the connection: no error and no change
@@ -122,6 +135,7 @@
       | impl   |
       | memory |
       | etcd   |
+      | kv     |
 
   Scenario Outline: a watch breaks with an error when the service goes out
     Given platform "<impl>"
@@ -133,3 +147,4 @@
       | impl   |
       | memory |
       | etcd   |
+      | kv     |
