What VMs tell each other doesn't grow with the fleet; fewer store calls

Cause: a full mesh sent 470 datagrams a second from each VM of 85, and each change in the store woke every watch by itself. One VM of each other region is told in turn and passes it on; in a region the interval grows with its VMs; watches rest 250 ms or more after a change; leases are renewed every 4 s. A lapsed registration is noticed at once (its test failed with 4 s leases).

--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -50,6 +50,10 @@
 # How long after the last sign of trouble a vanished entry may be a lapsed one.
 TROUBLE_MS = 3_000
 SEED_LIMIT_MS = 1_000
+# After a change, the watch rests for this long, so that changes which come together cost one
+# call: calls are paid for, and each change wakes every VM. The owner of the fleet's list makes
+# it longer for larger fleets.
+GATHER_MS = 250
 
 
 class FeedService(Service):
@@ -68,6 +72,7 @@
         self._trouble_ms = -TROUBLE_MS
         self._lapsing: dict[str, int] = {}
         self._store_ok = False
+        self.gather_ms = GATHER_MS
         self._pool = UpstreamPool(clock, connect_ms=300, silent_ms=SEED_LIMIT_MS)
         self._version = counters.gauge("config_version", "Version of the configuration in force")
 
@@ -109,6 +114,8 @@
                 async for batch in self._store.watch("", after=after):
                     self._regained()
                     self._apply(batch)
+                    if batch.puts or batch.deletes:
+                        await self._clock.sleep(self.gather_ms)
             except GatewayError as exc:
                 self._trouble_ms = self._clock.now()
                 if exc.kind is ErrorKind.WATCH_COMPACTED:
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -17,7 +17,7 @@
 from absl import logging
 
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.gateway.feed import FeedService
+from hickorybeam.gateway.feed import GATHER_MS, FeedService
 from hickorybeam.http1 import bound_socket
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
@@ -36,15 +36,28 @@
 
 __all__ = ("FleetService", "Peer", "RegionForecast")
 
-LEASE_MS = 5_000
-RENEW_MS = 1_500
+# Registrations only tell who is there at all; whether a VM lives is heard. So the lease is long.
+MS_PER_SECOND = 1000
+LEASE_MS = 12_000
+RENEW_MS = 4_000
 RETRY_MS = 400
-# How often a VM tells the VMs of its own region and of others about itself, in ms. Bytes
-# between regions are paid for; within a region the figures also spread the load.
+# How often a VM tells every VM of its region about itself, and one VM of each other region,
+# which passes it on, in ms. Bytes between regions are paid for; within a region the figures
+# also spread the load.
 NEAR_EVERY_MS = 100
 FAR_EVERY_MS = 300
-# What is not heard for this long is not named to callers and holds no part of a quota.
+# Beyond 6 VMs in a region each tells the others less often, so that what a VM sends and reads
+# stays at about 60 datagrams a second however large the fleet is.
+NEAR_EVERY_PER_VM_MS = 16
+# Figures of servers that didn't change are told again after so many times.
+WHOLE_EVERY = 10
+# What is not heard for this long, or for so many times of being told, is not named to callers
+# and holds no part of a quota.
 HEARD_MS = 1_500
+HEARD_TIMES = 4
+# Each change in the store wakes every VM; in larger fleets changes are gathered for longer.
+GATHER_PER_VM_MS = 10
+MOST_GATHER_MS = 1_200
 # A VM that has just registered may not have been heard yet.
 YOUNG_MS = 2_500
 NOTHING = (0, 0, 0)
@@ -62,9 +75,11 @@
     spent: dict[str, float]
     servers: dict[str, tuple[int, int, int]]
     forecasts: dict[str, float]
+    whole: bool = True
     levels: dict[str, float] | None = None
     vm: GatewayVm | None = None
     holds: dict[str, str] = {}
+    relayed: list[Tell] = []
 
 
 @dataclass(slots=True, eq=False)
@@ -81,9 +96,13 @@
     servers: dict[str, tuple[int, int, int]] | None = None
     forecasts: dict[str, float] | None = None
 
-    def alive(self, now_ms: int) -> bool:
+    def alive(self, now_ms: int, heard_limit_ms: int) -> bool:
         """Whether it was heard, or is too new to have been."""
-        return now_ms - self.heard_ms < HEARD_MS or now_ms - self.known_ms < YOUNG_MS
+        return self.heard(now_ms, heard_limit_ms) or now_ms - self.known_ms < YOUNG_MS
+
+    def heard(self, now_ms: int, heard_limit_ms: int) -> bool:
+        """Whether it was heard lately."""
+        return now_ms - self.heard_ms < heard_limit_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,9 +138,15 @@
             caller_port=0,
             peer_port=cfg.vm.peer_port,
         )
+        self.heard_limit_ms = HEARD_MS
+        self._relayed: list[Tell] = []
+        self._told: dict[str, tuple[int, int, int]] = {}
+        self._times = 0
+        self._turns: dict[str, int] = {}
         self._lease = 0
         self._fresh = True
         self._serving = anyio.Event()
+        self._lapsed = anyio.Event()
         # The TCP side of the peers' port, for the service that answers there.
         self.peer_socket: socket.socket | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -142,7 +167,7 @@
     def heard(self) -> int:
         """Return how many VMs are heard, this one included."""
         now = self._clock.now()
-        return 1 + sum(now - peer.heard_ms < HEARD_MS for peer in self.peers.values())
+        return 1 + sum(it.heard(now, self.heard_limit_ms) for it in self.peers.values())
 
     def known(self) -> int:
         """Return how many VMs there are as far as is known, this one included."""
@@ -154,7 +179,9 @@
         found = [
             peer.vm
             for peer in self.peers.values()
-            if peer.vm.region == region and not peer.leaving and peer.alive(now)
+            if peer.vm.region == region
+            and not peer.leaving
+            and peer.alive(now, self.heard_limit_ms)
         ]
         if region == self.me.region and not self.leaving:
             found.append(self.me)
@@ -166,7 +193,7 @@
         return [self.me.name] + [
             peer.vm.name
             for peer in self.peers.values()
-            if peer.vm.region == self.me.region and peer.alive(now)
+            if peer.vm.region == self.me.region and peer.alive(now, self.heard_limit_ms)
         ]
 
     def elsewhere(self, service: str) -> list[RegionForecast]:
@@ -177,7 +204,7 @@
             for peer in self.peers.values()
             if peer.vm.region != self.me.region
             and not peer.leaving
-            and now - peer.heard_ms < HEARD_MS
+            and peer.heard(now, self.heard_limit_ms)
             and peer.forecasts is not None
             and service in peer.forecasts
         ]
@@ -196,8 +223,8 @@
         try:
             async with anyio.create_task_group() as tg:
                 tg.start_soon(self._register)
-                tg.start_soon(self._talk, NEAR_EVERY_MS, True)
-                tg.start_soon(self._talk, FAR_EVERY_MS, False)
+                tg.start_soon(self._talk_near)
+                tg.start_soon(self._talk_far)
         finally:
             self._transport.close()
 
@@ -209,8 +236,11 @@
     async def leave(self) -> None:
         """Tell peers and the store that callers should go elsewhere."""
         self.leaving = True
-        self._tell(near=True)
-        self._tell(near=False)
+        self._tell_near()
+        data = self._encoded(near=False)
+        for peer in self.peers.values():
+            if peer.vm.region != self.me.region:
+                self._send(data, peer)
         try:
             with anyio.move_on_after(1.0):
                 await self._store.txn((), (Delete(self._key),))
@@ -236,7 +266,9 @@
                     logging.info("registration lapsed, registering again")
                     self._lease = 0
                 pause = RETRY_MS
-            await self._clock.sleep(pause)
+            self._lapsed = anyio.Event()
+            with anyio.move_on_after(pause / MS_PER_SECOND):
+                await self._lapsed.wait()
 
     def _take_config(self) -> None:
         config = self._feed.knowledge.config
@@ -256,6 +288,7 @@
         self._prune(now)
         if self._key in batch.deletes and not self.leaving:
             self._lease = 0
+            self._lapsed.set()
 
     def _take_vm(self, value: bytes, now_ms: int) -> None:
         try:
@@ -278,24 +311,34 @@
         lapse; hearing alone would count one that is gone for good.
         """
         for name, peer in tuple(self.peers.items()):
-            if not peer.registered and not peer.alive(now_ms):
+            if not peer.registered and not peer.alive(now_ms, self.heard_limit_ms):
                 del self.peers[name]
 
-    async def _talk(self, every_ms: int, near: bool) -> None:
+    async def _talk_near(self) -> None:
         while True:
+            near = [it for it in self.peers.values() if it.vm.region == self.me.region]
+            every_ms = max(NEAR_EVERY_MS, NEAR_EVERY_PER_VM_MS * len(near))
+            self.heard_limit_ms = max(HEARD_MS, HEARD_TIMES * every_ms)
+            self._feed.gather_ms = max(
+                GATHER_MS, min(MOST_GATHER_MS, GATHER_PER_VM_MS * self.known())
+            )
             await self._clock.sleep(every_ms)
             now = self._clock.now()
-            if near:
-                self._prune(now)
-                self.quota.reach(self.heard(), self.known(), now)
-                self._spread(now)
-            self._tell(near=near)
+            self._prune(now)
+            self.quota.reach(self.heard(), self.known(), now)
+            self._spread(now)
+            self._tell_near()
+
+    async def _talk_far(self) -> None:
+        while True:
+            await self._clock.sleep(FAR_EVERY_MS)
+            self._tell_far()
 
     def _spread(self, now_ms: int) -> None:
         """Add up what the region's other VMs have at each backend server."""
         totals: dict[str, tuple[int, int, int]] = {}
         for peer in self.peers.values():
-            if peer.servers and now_ms - peer.heard_ms < HEARD_MS:
+            if peer.servers and peer.heard(now_ms, self.heard_limit_ms):
                 for server, told in peer.servers.items():
                     before = totals.get(server, NOTHING)
                     totals[server] = (
@@ -309,23 +352,50 @@
             standing.reading_elsewhere = reading
             standing.holding_elsewhere = holding
 
-    def _tell(self, *, near: bool, to: Peer | None = None) -> None:
-        if self._transport is None:
+    def _tell_near(self) -> None:
+        """Tell every VM of this region, with what others of far regions told this one."""
+        self._times += 1
+        data = self._encoded(near=True)
+        self._relayed = []
+        for peer in self.peers.values():
+            if peer.vm.region == self.me.region:
+                self._send(data, peer)
+
+    def _tell_far(self) -> None:
+        """Tell one VM of each other region, each in its turn; it passes the figures on.
+
+        A full mesh over all regions would cost each VM as many datagrams as there are VMs.
+        """
+        by_region: dict[str, list[Peer]] = {}
+        for peer in self.peers.values():
+            if peer.vm.region != self.me.region:
+                by_region.setdefault(peer.vm.region, []).append(peer)
+        if not by_region:
             return
-        data = msgspec.msgpack.encode(self._message(near=near, answer=to is not None))
-        for peer in (to,) if to else tuple(self.peers.values()):
-            if (peer.vm.region == self.me.region) is near or to is not None:
-                self._transport.sendto(data, (peer.vm.host, peer.vm.peer_port))
+        data = self._encoded(near=False)
+        now = self._clock.now()
+        for region, peers in by_region.items():
+            alive = [it for it in peers if it.alive(now, self.heard_limit_ms)] or peers
+            alive.sort(key=lambda it: it.vm.name)
+            turn = self._turns.get(region, self._offset())
+            self._turns[region] = turn + 1
+            self._send(data, alive[turn % len(alive)])
+
+    def _offset(self) -> int:
+        """Return where this VM begins its turns, so that VMs don't all choose the same one."""
+        return int(self.me.incarnation, 16)
+
+    def _encoded(self, *, near: bool, answer: bool = False) -> bytes:
+        return msgspec.msgpack.encode(self._message(near=near, answer=answer))
+
+    def _send(self, data: bytes, peer: Peer) -> None:
+        if self._transport is not None:
+            self._transport.sendto(data, (peer.vm.host, peer.vm.peer_port))
 
     def _message(self, *, near: bool, answer: bool) -> Tell:
         knowledge = self._feed.knowledge
-        servers = {}
-        if near:
-            servers = {
-                name: (it.running, it.reading, it.holding)
-                for name, it in knowledge.standings.items()
-                if it.running or it.reading
-            }
+        whole = self._times % WHOLE_EVERY == 0
+        servers = self._server_figures(whole=whole) if near else {}
         return Tell(
             name=self.me.name,
             incarnation=self.me.incarnation,
@@ -336,12 +406,27 @@
             spent={name: round(total, 1) for name, total in self.quota.totals().items()},
             servers=servers,
             forecasts={name: round(wait) for name, wait in self.forecast.items()},
+            whole=whole,
+            relayed=self._relayed if near else [],
             levels=self.quota.levels() if answer else None,
             # Peers may not know it: a VM that restarts while the store is out isn't registered.
             vm=None if self._lease else self.me,
             holds={} if answer else self.holders.news(near=near),
         )
 
+    def _server_figures(self, *, whole: bool) -> dict[str, tuple[int, int, int]]:
+        """Return what this VM has at each server, or only what changed since it was told."""
+        now = {
+            name: (it.running, it.reading, it.holding)
+            for name, it in self._feed.knowledge.standings.items()
+            if it.running or it.reading
+        }
+        before, self._told = self._told, now
+        if whole:
+            return now
+        changed = {name: told for name, told in now.items() if before.get(name) != told}
+        return changed | {name: NOTHING for name in before if name not in now}
+
     def receive(self, data: bytes) -> None:
         """Take what a peer says of itself."""
         try:
@@ -350,28 +435,45 @@
             logging.warning("a datagram cannot be read: %s", exc)
             return
         now = self._clock.now()
+        self._take_tell(tell, now)
+        for relayed in tell.relayed:
+            if relayed.name != self.me.name:
+                self._take_tell(relayed, now)
+        sender = self.peers.get(tell.name)
+        if sender is not None and sender.vm.region != self.me.region:
+            # For the next word to the VMs of this region.
+            self._relayed.append(tell)
+
+    def _take_tell(self, tell: Tell, now_ms: int) -> None:
         peer = self.peers.get(tell.name)
         if peer is None and tell.vm is not None and tell.name != self.me.name:
-            peer = self.peers[tell.name] = Peer(tell.vm, now, registered=False)
+            peer = self.peers[tell.name] = Peer(tell.vm, now_ms, registered=False)
         if peer is None:
             return
-        up_ms = now - self._started_ms
-        peer.heard_ms = now
+        up_ms = now_ms - self._started_ms
+        peer.heard_ms = now_ms
         peer.leaving = tell.leaving
         peer.version = tell.version
         peer.forecasts = tell.forecasts
-        self.holders.heard(tell.holds, now)
+        self.holders.heard(tell.holds, now_ms)
         if peer.vm.region == self.me.region:
-            peer.servers = tell.servers
+            kept = {} if tell.whole or peer.servers is None else peer.servers
+            peer.servers = kept | tell.servers
         life = f"{tell.name}/{tell.incarnation}"
-        self.quota.heard(life, tell.spent, now, younger=tell.up_ms < up_ms)
+        self.quota.heard(life, tell.spent, now_ms, younger=tell.up_ms < up_ms)
+        self._settle_in(tell, peer, now_ms)
+
+    def _settle_in(self, tell: Tell, peer: Peer, now_ms: int) -> None:
+        """Take the buckets' levels from an older VM, or give them to a younger one."""
+        up_ms = now_ms - self._started_ms
         if tell.levels is not None and self._fresh and tell.up_ms > up_ms:
             self._fresh = False
-            self.quota.adopt(tell.levels, now)
+            self.quota.adopt(tell.levels, now_ms)
         if self._fresh and up_ms > YOUNG_MS:
             self._fresh = False
         if tell.fresh and tell.up_ms < up_ms:
-            self._tell(near=peer.vm.region == self.me.region, to=peer)
+            near = peer.vm.region == self.me.region
+            self._send(self._encoded(near=near, answer=True), peer)
 
 
 class _Datagrams(asyncio.DatagramProtocol):
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -42,9 +42,9 @@
 CONNECT_MS = 400
 SILENT_MS = 1_500
 # How long one call of a watch waits at the store. A watch that went silent is noticed this
-# long plus the margin after its last answer, well inside the 4 s in which a change has to be
-# in force plus the time a VM may be out of reach.
-WATCH_WAIT_MS = 4_000
+# long plus the margin after its last answer, inside the 6 s that a VM may be out of reach and
+# the 4 s in which a change has to be in force after that.
+WATCH_WAIT_MS = 6_000
 WATCH_MARGIN_MS = 900
 WATCH_CONNECTION_AGE_MS = 60_000
 OK, NOT_FOUND, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 404, 410, 412, 429, 503
