--- a/src/hickorybeam/cli/main.py
+++ b/src/hickorybeam/cli/main.py
@@ -21,6 +21,9 @@
 __all__ = ("Commands", "main")
 
 
+PLATFORM_DEMO = "platform"
+
+
 class Commands:
     """Hickorybeam, a multi-region inference gateway.
 
@@ -36,11 +39,17 @@
 
         :param settings: a settings file in JSON with comments.
         """
-        from hickorybeam import daemon
         from hickorybeam.telemetry import logs
 
         cfg = load_settings(settings)
         logs.configure(cfg.log)
+        if cfg.gateway is not None:
+            from hickorybeam import gateway
+
+            anyio.run(gateway.run, cfg)
+            return
+        from hickorybeam import daemon
+
         anyio.run(daemon.run, cfg)
 
     def check(self, *settings: str) -> str:
@@ -91,9 +100,15 @@
     def demo(self, deployment: str = "tour-de-terre", *, keep: bool = False) -> None:
         """Run a whole deployment in one process and tell what happens.
 
-        :param deployment: ``tour-de-terre`` or ``umoja``, or a folder of the same shape.
+        :param deployment: ``tour-de-terre`` or ``umoja``, or a folder of the same shape;
+            ``platform`` for the gateway before the platform's stand-ins.
         :param keep: leave it running afterwards, until interrupted.
         """
+        if deployment == PLATFORM_DEMO:
+            from hickorybeam.demo import platform
+
+            anyio.run(platform.tell, print)
+            return
         from hickorybeam import demo
 
         demo.run(deployment, keep=keep)
--- a/tests/steps/demo/deployments_steps.py
+++ b/tests/steps/demo/deployments_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from hickorybeam.demo import Deployment, Story, start_fleet
+from hickorybeam.demo import Deployment, Story, platform, start_fleet
 from hickorybeam.demo.story import first_cause
 
 DELAY_MS = 10.0
@@ -22,6 +22,12 @@
         raise first_cause(group) from None
 
 
+@when("the story of the platform is told")
+def step_platform_story(context):
+    context.story = []
+    context.call(platform.tell, context.story.append)
+
+
 @then('the story says "{text}"')
 def step_says(context, text):
     assert any(text in line for line in context.story), "\n".join(context.story)
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -1,16 +1,16 @@
 from __future__ import annotations
 
 import time
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 
 import anyio
 import msgspec
 from behave import given, then, when
 
+from hickorybeam.demo.platform import HOST, KEYS, first_config, start_platform_fleet
 from hickorybeam.http1.head import request_bytes
-from hickorybeam.standins.keyvalue import serve_store
 from hickorybeam.store import KeyValue, Put, WatchBatch
-from support.gateway import HOST, KEYS, GatewayRig, first_config, small_gateway
+from support.gateway import ran, small_gateway
 
 BODY = b"{}"
 
@@ -53,10 +53,10 @@
 def step_bare(context):
     @asynccontextmanager
     async def bare():
-        async with AsyncExitStack() as stack:
-            rig = GatewayRig(await stack.enter_async_context(serve_store()), stack)
-            await rig.add_vm("n1", "north-1")
-            yield rig
+        async with start_platform_fleet() as fleet:
+            fleet.app.delete("op/config")
+            await fleet.add_vm("n1", "north-1")
+            yield fleet
 
     context.rig = context.stack.enter_context(context.portal.wrap_async_context_manager(bare()))
 
@@ -257,12 +257,12 @@
 
 @then("no server ran anything")
 def step_none_ran(context):
-    assert context.rig.ran() == []
+    assert ran(context.rig) == []
 
 
 @then('"{service}" ran {count:d} requests')
 def step_ran(context, service, count):
-    assert len(context.rig.ran(service)) == count, context.rig.ran(service)
+    assert len(ran(context.rig, service)) == count, ran(context.rig, service)
 
 
 @then('server "{name}" ran {count:d} requests')
@@ -277,7 +277,7 @@
 
 @then('the server was told account "{name}" once and no key')
 def step_told(context, name):
-    headers = context.rig.ran()[0].headers
+    headers = ran(context.rig)[0].headers
     told = [value for key, value in headers if key == b"x-hickorybeam-tenant"]
     assert told == [name.encode()], told
     assert not any(key == b"authorization" for key, _ in headers)
@@ -555,12 +555,9 @@
 
 @then('at most {limit:d} tokens of "{name}" ran')
 def step_spent(context, limit, name):
-    ran = [
-        it
-        for it in context.rig.ran("model")
-        if (b"x-hickorybeam-tenant", name.encode()) in it.headers
-    ]
-    spent = len(ran) * context.tokens
+    name_header = (b"x-hickorybeam-tenant", name.encode())
+    of_account = [it for it in ran(context.rig, "model") if name_header in it.headers]
+    spent = len(of_account) * context.tokens
     assert 0 < spent <= limit, spent
 
 
@@ -611,7 +608,7 @@
         answered += reply.status == 200
     # What ran was answered: no connection was closed on a request that a server had.
     assert answered > 0
-    assert len(context.rig.ran("books")) == answered
+    assert len(ran(context.rig, "books")) == answered
 
 
 @when('a caller of "{key}" asks "{vm}" for a prompt of parts "{parts}"')
