--- a/src/hickorybeam/demo/platform.py
+++ b/src/hickorybeam/demo/platform.py
@@ -230,7 +230,11 @@
             and config.version >= self.config["version"]
             and set(self.servers) <= set(vm.knowledge.standings)
             and vm.fleet.heard() == len(self.vms)
-            and all("model" in (it.forecasts or {}) for it in vm.fleet.peers.values())
+            and all(
+                "model" in (it.forecasts or {})
+                for it in vm.fleet.peers.values()
+                if it.vm.region != vm.fleet.me.region
+            )
         )
 
     async def call(
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -1,6 +1,6 @@
 """The service ``feed``: keeps this VM's knowledge in step with the store.
 
-Three reads load everything and one watch over all keys follows. While the store is out, what
+One read loads everything and one watch over all keys follows. While the store is out, what
 is known stays in force; a VM that knows no configuration asks another VM for its entries.
 """
 
@@ -50,10 +50,12 @@
 # How long after the last sign of trouble a vanished entry may be a lapsed one.
 TROUBLE_MS = 3_000
 SEED_LIMIT_MS = 1_000
+# For so long another VM may know of a change that has not come here yet.
+BEHIND_MS = 1_000
 # After a change, the watch rests for this long, so that changes which come together cost one
 # call: calls are paid for, and each change wakes every VM. The owner of the fleet's list makes
 # it longer for larger fleets.
-GATHER_MS = 250
+GATHER_MS = 400
 
 
 class FeedService(Service):
@@ -73,6 +75,9 @@
         self._lapsing: dict[str, int] = {}
         self._store_ok = False
         self.gather_ms = GATHER_MS
+        self.revision = 0
+        self._behind_since_ms: int | None = None
+        self._watching = anyio.CancelScope()
         self._pool = UpstreamPool(clock, connect_ms=300, silent_ms=SEED_LIMIT_MS)
         self._version = counters.gauge("config_version", "Version of the configuration in force")
 
@@ -111,11 +116,9 @@
             try:
                 after = await self._load()
                 pause = FIRST_RETRY_MS
-                async for batch in self._store.watch("", after=after):
-                    self._regained()
-                    self._apply(batch)
-                    if batch.puts or batch.deletes:
-                        await self._clock.sleep(self.gather_ms)
+                with anyio.CancelScope() as self._watching:
+                    await self._watch(after)
+                continue
             except GatewayError as exc:
                 self._trouble_ms = self._clock.now()
                 if exc.kind is ErrorKind.WATCH_COMPACTED:
@@ -127,6 +130,30 @@
             await self._clock.sleep(pause)
             pause = min(LONGEST_RETRY_MS, pause * 2)
 
+    async def _watch(self, after: int) -> None:
+        async for batch in self._store.watch("", after=after):
+            self._regained()
+            self._apply(batch)
+            if batch.puts or batch.deletes:
+                await self._clock.sleep(self.gather_ms)
+
+    def behind(self, revision: int, now_ms: int) -> None:
+        """Start the watch anew when another VM has known a later change for a while.
+
+        A connection that went silent for good shows no error; without another VM's word it
+        would be found only when the call's own limit has passed.
+
+        :param revision: the latest change that the other VM knows.
+        """
+        if revision <= self.revision:
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        if now_ms - self._behind_since_ms > BEHIND_MS + 2 * self.gather_ms:
+            logging.info("another VM knows of change %d, reading anew", revision)
+            self._behind_since_ms = None
+            self._watching.cancel()
+
     def _regained(self) -> None:
         if not self._store_ok:
             logging.info("store reached")
@@ -134,19 +161,21 @@
 
     async def _load(self) -> int:
         """Read everything; return the revision after which to watch."""
-        found: dict[str, KeyValue] = {}
-        revisions = []
-        for prefix in (*FEED_PREFIXES, self._cfg.platform.prefix):
-            result = await self._store.read_prefix(prefix)
-            revisions.append(result.revision)
-            found |= {item.key: item for item in result.items}
+        # One read of all keys: the store holds little else, and each call is paid for.
+        result = await self._store.read_prefix("")
+        found = {item.key for item in result.items}
         self._regained()
         deletes = tuple(key for key in self._items if key not in found)
-        self._apply(WatchBatch(min(revisions), tuple(found.values()), deletes))
-        return min(revisions)
+        self._apply(WatchBatch(result.revision, result.items, deletes))
+        return result.revision
 
     def _apply(self, batch: WatchBatch) -> None:
+        if batch.puts or batch.deletes:
+            self.revision = max(self.revision, batch.revision)
+            self._behind_since_ms = None
         for item in batch.puts:
+            if not item.key.startswith((*FEED_PREFIXES, self._cfg.platform.prefix)):
+                continue
             known = self._items.get(item.key)
             if known is not None and known.mod_revision >= item.mod_revision:
                 continue
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -10,6 +10,7 @@
 import asyncio
 import secrets
 from dataclasses import dataclass, replace
+from enum import Enum
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
@@ -28,6 +29,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Sequence
 
     from hickorybeam.clock import Clock
     from hickorybeam.kernel import Kernel, Started
@@ -41,14 +43,15 @@
 LEASE_MS = 12_000
 RENEW_MS = 4_000
 RETRY_MS = 400
-# How often a VM tells every VM of its region about itself, and one VM of each other region,
-# which passes it on, in ms. Bytes between regions are paid for; within a region the figures
-# also spread the load.
+# How often a VM tells the VMs of its data centre about itself, those of its region's other data
+# centres, and one VM of each other region, which passes it on, in ms. Bytes between data
+# centres are paid for; within one the figures also spread the load.
 NEAR_EVERY_MS = 100
-FAR_EVERY_MS = 300
-# Beyond 6 VMs in a region each tells the others less often, so that what a VM sends and reads
-# stays at about 60 datagrams a second however large the fleet is.
-NEAR_EVERY_PER_VM_MS = 16
+SIDE_EVERY_MS = 400
+FAR_EVERY_MS = 400
+# Beyond 6 VMs each tells the others less often, so that what a VM sends and reads stays at
+# about 60 datagrams a second however large the fleet is.
+EVERY_PER_VM_MS = 16
 # Figures of servers that didn't change are told again after so many times.
 WHOLE_EVERY = 10
 # What is not heard for this long, or for so many times of being told, is not named to callers
@@ -56,21 +59,38 @@
 HEARD_MS = 1_500
 HEARD_TIMES = 4
 # Each change in the store wakes every VM; in larger fleets changes are gathered for longer.
-GATHER_PER_VM_MS = 10
+GATHER_PER_VM_MS = 12
 MOST_GATHER_MS = 1_200
+# A quiet watch is asked again after this long for each VM, within bounds: one whose connection
+# went silent is found by the first VM that asks again, whose word wakes the others.
+WATCH_WAIT_PER_VM_MS = 1_000
+LEAST_WATCH_WAIT_MS = 6_000
+MOST_WATCH_WAIT_MS = 20_000
 # A VM that has just registered may not have been heard yet.
 YOUNG_MS = 2_500
 NOTHING = (0, 0, 0)
 
 
+class Audience(Enum):
+    """Whom a VM tells: its data centre, its region's others, or other regions."""
+
+    NEAR = "near"
+    ASIDE = "aside"
+    FAR = "far"
+
+
 class Tell(msgspec.Struct, frozen=True, array_like=True):
-    """What a VM says of itself, whole each time."""
+    """What a VM says of itself.
+
+    Where ``whole`` is false, ``spent`` and ``servers`` hold only what changed since it was told
+    last; a lost datagram is made good by the next whole one.
+    """
 
     name: str
     incarnation: str
     up_ms: int
     leaving: bool
-    version: int
+    revision: int
     fresh: bool
     spent: dict[str, float]
     servers: dict[str, tuple[int, int, int]]
@@ -92,7 +112,6 @@
     heard_ms: int = -HEARD_MS
     incarnation: str = ""
     leaving: bool = False
-    version: int = 0
     servers: dict[str, tuple[int, int, int]] | None = None
     forecasts: dict[str, float] | None = None
 
@@ -140,6 +159,8 @@
         )
         self.heard_limit_ms = HEARD_MS
         self._relayed: list[Tell] = []
+        self._relayed_aside: list[Tell] = []
+        self._spends_told: dict[str, float] = {}
         self._told: dict[str, tuple[int, int, int]] = {}
         self._times = 0
         self._turns: dict[str, int] = {}
@@ -171,7 +192,7 @@
 
     def known(self) -> int:
         """Return how many VMs there are as far as is known, this one included."""
-        return 1 + len(self.peers)
+        return 1 + sum(not peer.leaving for peer in self.peers.values())
 
     def region_vms(self, region: str) -> list[GatewayVm]:
         """Return the VMs of a region that callers may use."""
@@ -224,6 +245,7 @@
             async with anyio.create_task_group() as tg:
                 tg.start_soon(self._register)
                 tg.start_soon(self._talk_near)
+                tg.start_soon(self._talk_aside)
                 tg.start_soon(self._talk_far)
         finally:
             self._transport.close()
@@ -237,7 +259,8 @@
         """Tell peers and the store that callers should go elsewhere."""
         self.leaving = True
         self._tell_near()
-        data = self._encoded(near=False)
+        self._tell_aside()
+        data = self._encoded(Audience.FAR)
         for peer in self.peers.values():
             if peer.vm.region != self.me.region:
                 self._send(data, peer)
@@ -316,19 +339,44 @@
 
     async def _talk_near(self) -> None:
         while True:
-            near = [it for it in self.peers.values() if it.vm.region == self.me.region]
-            every_ms = max(NEAR_EVERY_MS, NEAR_EVERY_PER_VM_MS * len(near))
-            self.heard_limit_ms = max(HEARD_MS, HEARD_TIMES * every_ms)
-            self._feed.gather_ms = max(
-                GATHER_MS, min(MOST_GATHER_MS, GATHER_PER_VM_MS * self.known())
-            )
-            await self._clock.sleep(every_ms)
+            await self._clock.sleep(self._every_ms(NEAR_EVERY_MS, self._near()))
             now = self._clock.now()
             self._prune(now)
+            self._adapt()
             self.quota.reach(self.heard(), self.known(), now)
             self._spread(now)
             self._tell_near()
 
+    async def _talk_aside(self) -> None:
+        while True:
+            await self._clock.sleep(self._every_ms(SIDE_EVERY_MS, self._aside()))
+            self._tell_aside()
+
+    def _every_ms(self, least_ms: int, peers: list[Peer]) -> int:
+        return max(least_ms, EVERY_PER_VM_MS * len(peers))
+
+    def _adapt(self) -> None:
+        """Fit intervals to the fleet's size."""
+        aside_ms = self._every_ms(SIDE_EVERY_MS, self._aside())
+        self.heard_limit_ms = max(HEARD_MS, HEARD_TIMES * aside_ms)
+        known = self.known()
+        self._feed.gather_ms = max(GATHER_MS, min(MOST_GATHER_MS, GATHER_PER_VM_MS * known))
+        self._store.watch_wait_ms = max(
+            LEAST_WATCH_WAIT_MS, min(MOST_WATCH_WAIT_MS, WATCH_WAIT_PER_VM_MS * known)
+        )
+
+    def _near(self) -> list[Peer]:
+        here = self.me.data_centre
+        return [it for it in self.peers.values() if it.vm.data_centre == here]
+
+    def _aside(self) -> list[Peer]:
+        """Return the VMs of this region's other data centres."""
+        return [
+            it
+            for it in self.peers.values()
+            if it.vm.region == self.me.region and it.vm.data_centre != self.me.data_centre
+        ]
+
     async def _talk_far(self) -> None:
         while True:
             await self._clock.sleep(FAR_EVERY_MS)
@@ -353,13 +401,22 @@
             standing.holding_elsewhere = holding
 
     def _tell_near(self) -> None:
-        """Tell every VM of this region, with what others of far regions told this one."""
+        """Tell every VM of this data centre, with what far regions told this one."""
         self._times += 1
-        data = self._encoded(near=True)
-        self._relayed = []
-        for peer in self.peers.values():
-            if peer.vm.region == self.me.region:
-                self._send(data, peer)
+        whole = self._times % WHOLE_EVERY == 0
+        relayed, self._relayed = self._relayed, []
+        data = self._encoded(Audience.NEAR, whole=whole, relayed=relayed)
+        for peer in self._near():
+            self._send(data, peer)
+        self._relayed_aside += relayed
+
+    def _tell_aside(self) -> None:
+        """Tell every VM of the region's other data centres."""
+        relayed, self._relayed_aside = self._relayed_aside, []
+        peers = self._aside()
+        data = self._encoded(Audience.ASIDE, relayed=relayed) if peers else b""
+        for peer in peers:
+            self._send(data, peer)
 
     def _tell_far(self) -> None:
         """Tell one VM of each other region, each in its turn; it passes the figures on.
@@ -372,7 +429,7 @@
                 by_region.setdefault(peer.vm.region, []).append(peer)
         if not by_region:
             return
-        data = self._encoded(near=False)
+        data = self._encoded(Audience.FAR)
         now = self._clock.now()
         for region, peers in by_region.items():
             alive = [it for it in peers if it.alive(now, self.heard_limit_ms)] or peers
@@ -385,35 +442,51 @@
         """Return where this VM begins its turns, so that VMs don't all choose the same one."""
         return int(self.me.incarnation, 16)
 
-    def _encoded(self, *, near: bool, answer: bool = False) -> bytes:
-        return msgspec.msgpack.encode(self._message(near=near, answer=answer))
+    def _encoded(
+        self,
+        audience: Audience,
+        *,
+        whole: bool = True,
+        relayed: Sequence[Tell] = (),
+        answer: bool = False,
+    ) -> bytes:
+        tell = self._message(audience, whole=whole, relayed=relayed, answer=answer)
+        return msgspec.msgpack.encode(tell)
 
     def _send(self, data: bytes, peer: Peer) -> None:
         if self._transport is not None:
             self._transport.sendto(data, (peer.vm.host, peer.vm.peer_port))
 
-    def _message(self, *, near: bool, answer: bool) -> Tell:
-        knowledge = self._feed.knowledge
-        whole = self._times % WHOLE_EVERY == 0
-        servers = self._server_figures(whole=whole) if near else {}
+    def _message(
+        self, audience: Audience, *, whole: bool, relayed: Sequence[Tell], answer: bool
+    ) -> Tell:
+        far = audience is Audience.FAR
         return Tell(
             name=self.me.name,
             incarnation=self.me.incarnation,
             up_ms=self._clock.now() - self._started_ms,
             leaving=self.leaving,
-            version=knowledge.config.version if knowledge.config else 0,
+            revision=self._feed.revision,
             fresh=self._fresh,
-            spent={name: round(total, 1) for name, total in self.quota.totals().items()},
-            servers=servers,
-            forecasts={name: round(wait) for name, wait in self.forecast.items()},
+            spent=self._spends(whole=whole),
+            servers={} if far else self._server_figures(whole=whole),
+            forecasts={name: round(wait) for name, wait in self.forecast.items()} if far else {},
             whole=whole,
-            relayed=self._relayed if near else [],
+            relayed=list(relayed),
             levels=self.quota.levels() if answer else None,
             # Peers may not know it: a VM that restarts while the store is out isn't registered.
             vm=None if self._lease else self.me,
-            holds={} if answer else self.holders.news(near=near),
+            holds={} if answer else self.holders.news(audience.value),
         )
 
+    def _spends(self, *, whole: bool) -> dict[str, float]:
+        """Return totals by account, or only those that changed since they were told."""
+        now = {name: round(total, 1) for name, total in self.quota.totals().items()}
+        before, self._spends_told = self._spends_told, now
+        if whole:
+            return now
+        return {name: total for name, total in now.items() if before.get(name) != total}
+
     def _server_figures(self, *, whole: bool) -> dict[str, tuple[int, int, int]]:
         """Return what this VM has at each server, or only what changed since it was told."""
         now = {
@@ -421,9 +494,9 @@
             for name, it in self._feed.knowledge.standings.items()
             if it.running or it.reading
         }
-        before, self._told = self._told, now
         if whole:
             return now
+        before, self._told = self._told, now
         changed = {name: told for name, told in now.items() if before.get(name) != told}
         return changed | {name: NOTHING for name in before if name not in now}
 
@@ -453,8 +526,9 @@
         up_ms = now_ms - self._started_ms
         peer.heard_ms = now_ms
         peer.leaving = tell.leaving
-        peer.version = tell.version
-        peer.forecasts = tell.forecasts
+        self._feed.behind(tell.revision, now_ms)
+        if peer.vm.region != self.me.region:
+            peer.forecasts = tell.forecasts
         self.holders.heard(tell.holds, now_ms)
         if peer.vm.region == self.me.region:
             kept = {} if tell.whole or peer.servers is None else peer.servers
@@ -472,8 +546,9 @@
         if self._fresh and up_ms > YOUNG_MS:
             self._fresh = False
         if tell.fresh and tell.up_ms < up_ms:
-            near = peer.vm.region == self.me.region
-            self._send(self._encoded(near=near, answer=True), peer)
+            here = peer.vm.region == self.me.region
+            audience = Audience.ASIDE if here else Audience.FAR
+            self._send(self._encoded(audience, answer=True), peer)
 
 
 class _Datagrams(asyncio.DatagramProtocol):
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -41,9 +41,9 @@
 READ_ATTEMPTS = 3
 CONNECT_MS = 400
 SILENT_MS = 1_500
-# How long one call of a watch waits at the store. A watch that went silent is noticed this
-# long plus the margin after its last answer, inside the 6 s that a VM may be out of reach and
-# the 4 s in which a change has to be in force after that.
+# How long one call of a watch waits at the store where nothing else is asked for. A watch that
+# went silent is noticed this long plus the margin after its last answer, inside the 6 s that a
+# VM may be out of reach and the 4 s in which a change has to be in force after that.
 WATCH_WAIT_MS = 6_000
 WATCH_MARGIN_MS = 900
 WATCH_CONNECTION_AGE_MS = 60_000
@@ -59,6 +59,7 @@
     """
 
     name: ClassVar[str] = PLATFORM
+    watch_wait_ms: int = WATCH_WAIT_MS
 
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
         host, _, port = cfg.platform.urls[0].removeprefix("http://").rpartition(":")
@@ -133,11 +134,10 @@
     async def watch(self, prefix: str, *, after: int) -> AsyncIterator[WatchBatch]:
         """Yield changes after a revision, and empty batches while there are none."""
         while True:
-            path = (
-                f"/kv-watch?prefix={quote(prefix, safe='/')}&after={after}&wait-ms={WATCH_WAIT_MS}"
-            )
+            wait_ms = self.watch_wait_ms
+            path = f"/kv-watch?prefix={quote(prefix, safe='/')}&after={after}&wait-ms={wait_ms}"
             status, reply = await self._call(
-                "watch", "GET", path, None, limit_ms=WATCH_WAIT_MS + WATCH_MARGIN_MS
+                "watch", "GET", path, None, limit_ms=wait_ms + WATCH_MARGIN_MS
             )
             if status == GONE:
                 raise GatewayError(ErrorKind.WATCH_COMPACTED, f"after {after}")
--- a/src/hickorybeam/policy/prefix_holders.py
+++ b/src/hickorybeam/policy/prefix_holders.py
@@ -37,7 +37,7 @@
 
     def __init__(self) -> None:
         self._holders: OrderedDict[str, _Holder] = OrderedDict()
-        self._news: dict[bool, dict[str, str]] = {True: {}, False: {}}
+        self._news: dict[str, dict[str, str]] = {}
 
     def sent(self, parts: Sequence[PromptPart], server_id: str, now_ms: int) -> None:
         """Take note of a prompt that this VM sent; its last part is nobody else's."""
@@ -52,9 +52,10 @@
         for part, server_id in news.items():
             self._put(part, server_id, now_ms)
 
-    def news(self, *, near: bool) -> dict[str, str]:
-        """Return what was sent since this was asked last, for near or far VMs."""
-        found, self._news[near] = self._news[near], {}
+    def news(self, audience: str) -> dict[str, str]:
+        """Return what was sent since this audience was told last."""
+        found = self._news.get(audience, {})
+        self._news[audience] = {}
         return found
 
     def holder(self, parts: Sequence[PromptPart], now_ms: int) -> str | None:
--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -34,13 +34,14 @@
     """Answers the store's calls.
 
     Beside the stand-in's own faults, ``turn_away`` is a status that every call gets, 0 for
-    none; ``silent`` leaves every call unanswered.
+    none; ``silent`` leaves every call unanswered; the next ``deaf_watches`` watches never answer.
     """
 
     def __init__(self, stand_in: PlatformStandIn) -> None:
         self.stand_in = stand_in
         self.turn_away = 0
         self.silent = False
+        self.deaf_watches = 0
         self.page = PAGE
 
     def put(self, key: str, value: bytes) -> None:
@@ -114,6 +115,9 @@
         }
 
     async def _watch(self, told: Mapping[str, str]) -> Mapping[str, Any]:
+        if self.deaf_watches:
+            self.deaf_watches -= 1
+            await anyio.sleep_forever()
         after, prefix = int(told["after"]), told.get("prefix", "")
         events: list[Mapping[str, Any]] = []
         faults = self.stand_in.faults
--- a/src/hickorybeam/store/port.py
+++ b/src/hickorybeam/store/port.py
@@ -98,7 +98,12 @@
 
 @runtime_checkable
 class Platform(Protocol):
-    """The calls hickorybeam makes of the platform (service ``platform``)."""
+    """The calls hickorybeam makes of the platform (service ``platform``).
+
+    ``watch_wait_ms`` is how long one call of a watch may wait, where a watch is made of calls.
+    """
+
+    watch_wait_ms: int
 
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
--- a/tests/gateway/store.feature
+++ b/tests/gateway/store.feature
@@ -48,3 +48,11 @@
     Given a small gateway
     When the registration of "n1" lapses
     Then "n1" is registered again within 4 s
+
+  Scenario: a watch that went silent is found by another VM's word
+    # The connection of one VM's watch was forgotten on the way: no error and no change arrives on
+    # it. The other VM learns that a key was withdrawn; its word makes the first one read anew.
+    Given a small gateway with VMs "n1, n2"
+    When the watch of "n1" goes silent and the key of "large" is withdrawn
+    And a caller of "large" asks "n1" for "/look/x" within 5 s of that
+    Then the caller gets 401
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -638,3 +638,28 @@
 def step_copy(context, server, other):
     wanted = f"127.0.0.1:{context.rig.servers[other].port}"
     assert copied_from(context, server) == [wanted]
+
+
+@when('the watch of "{vm}" goes silent and the key of "{name}" is withdrawn')
+def step_watch_silent(context, vm, name):
+    async def silence():
+        rig = context.rig
+        # New watches work: the one that waits now hears nothing more.
+        rig.app.deaf_watches = 1
+        rig.vms[vm].feed._watching.cancel()
+        await rig.until(lambda: rig.app.deaf_watches == 0)
+        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
+        rig.config["version"] += 1
+        rig.configure()
+
+    context.call(silence)
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}" within {limit:d} s of that')
+def step_ask_within(context, key, vm, path, limit):
+    version = context.rig.config["version"]
+    knowledge = context.rig.vms[vm].knowledge
+    context.call(
+        lambda: context.rig.until(lambda: knowledge.config.version == version, limit_s=limit)
+    )
+    ask(context, vm, path, key=key)
