A backlog of changes costs the watch one rest, and reads tell no revision that isn't a change's

Since batches are told apart by revision, the rest of 400 ms came after each of a dozen. A read's own revision, told to peers, made 40 VMs read anew for nothing.

--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -52,10 +52,6 @@
 SEED_LIMIT_MS = 1_000
 # For so long another VM may know of a change that has not come here yet.
 BEHIND_MS = 1_000
-# After a change, the watch rests for this long, so that changes which come together cost one
-# call: calls are paid for, and each change wakes every VM. The owner of the fleet's list makes
-# it longer for larger fleets.
-GATHER_MS = 400
 
 
 class FeedService(Service):
@@ -74,7 +70,6 @@
         self._trouble_ms = -TROUBLE_MS
         self._lapsing: dict[str, int] = {}
         self._store_ok = False
-        self.gather_ms = GATHER_MS
         self.revision = 0
         self._behind_since_ms: int | None = None
         self._watching = anyio.CancelScope()
@@ -134,8 +129,6 @@
         async for batch in self._store.watch("", after=after):
             self._regained()
             self._apply(batch)
-            if batch.puts or batch.deletes:
-                await self._clock.sleep(self.gather_ms)
 
     def behind(self, revision: int, now_ms: int) -> None:
         """Start the watch anew when another VM has known a later change for a while.
@@ -149,7 +142,7 @@
             return
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
-        if now_ms - self._behind_since_ms > BEHIND_MS + 2 * self.gather_ms:
+        if now_ms - self._behind_since_ms > BEHIND_MS + 2 * self._store.watch_rest_ms:
             logging.info("another VM knows of change %d, reading anew", revision)
             self._behind_since_ms = None
             self._watching.cancel()
@@ -170,9 +163,7 @@
         return result.revision
 
     def _apply(self, batch: WatchBatch) -> None:
-        if batch.puts or batch.deletes:
-            self.revision = max(self.revision, batch.revision)
-            self._behind_since_ms = None
+        self._come_to(batch)
         for item in batch.puts:
             if not item.key.startswith((*FEED_PREFIXES, self._cfg.platform.prefix)):
                 continue
@@ -187,6 +178,18 @@
         for listener in self._listeners:
             listener(batch)
 
+    def _come_to(self, batch: WatchBatch) -> None:
+        """Take note of the latest change known here, by the changes' own revisions.
+
+        The revision of a read counts every write to the store; told to other VMs, it would
+        make all of them read anew, for nothing, one after the other.
+        """
+        known = [item.mod_revision for item in batch.puts]
+        if not known and not batch.deletes:
+            return
+        self.revision = max(self.revision, *known, 0)
+        self._behind_since_ms = None
+
     def _take(self, item: KeyValue) -> None:
         if item.key.startswith(self._cfg.platform.prefix):
             return
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -18,7 +18,7 @@
 from absl import logging
 
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.gateway.feed import GATHER_MS, FeedService
+from hickorybeam.gateway.feed import FeedService
 from hickorybeam.http1 import bound_socket
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
@@ -47,7 +47,7 @@
 # centres, and one VM of each other region, which passes it on, in ms. Bytes between data
 # centres are paid for; within one the figures also spread the load.
 NEAR_EVERY_MS = 100
-SIDE_EVERY_MS = 400
+SIDE_EVERY_MS = 700
 FAR_EVERY_MS = 400
 # Beyond 6 VMs each tells the others less often, so that what a VM sends and reads stays at
 # about 60 datagrams a second however large the fleet is.
@@ -58,9 +58,11 @@
 # and holds no part of a quota.
 HEARD_MS = 1_500
 HEARD_TIMES = 4
-# Each change in the store wakes every VM; in larger fleets changes are gathered for longer.
-GATHER_PER_VM_MS = 12
-MOST_GATHER_MS = 1_200
+# After a change the watch rests, so that changes which come together cost one call: calls are
+# paid for, and each change wakes every VM. In larger fleets it rests for longer.
+REST_MS = 400
+REST_PER_VM_MS = 12
+MOST_REST_MS = 1_200
 # A quiet watch is asked again after this long for each VM, within bounds: one whose connection
 # went silent is found by the first VM that asks again, whose word wakes the others.
 WATCH_WAIT_PER_VM_MS = 1_000
@@ -360,7 +362,7 @@
         aside_ms = self._every_ms(SIDE_EVERY_MS, self._aside())
         self.heard_limit_ms = max(HEARD_MS, HEARD_TIMES * aside_ms)
         known = self.known()
-        self._feed.gather_ms = max(GATHER_MS, min(MOST_GATHER_MS, GATHER_PER_VM_MS * known))
+        self._store.watch_rest_ms = max(REST_MS, min(MOST_REST_MS, REST_PER_VM_MS * known))
         self._store.watch_wait_ms = max(
             LEAST_WATCH_WAIT_MS, min(MOST_WATCH_WAIT_MS, WATCH_WAIT_PER_VM_MS * known)
         )
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -290,7 +290,13 @@
         with_room = [it for it in fresh if it.has_room(size, now_ms)]
         if fresh and not with_room:
             return Full(self._line(errand.service).policy.estimate_ms(errand.urgency, now_ms))
-        return choose_server(with_room, parts=call.parts, tokens=call.prompt_tokens, now_ms=now_ms)
+        return choose_server(
+            with_room,
+            parts=call.parts,
+            tokens=call.prompt_tokens,
+            now_ms=now_ms,
+            data_centre=self._fleet.me.data_centre,
+        )
 
     def _usable(self, service: str, now_ms: int) -> list[ServerStanding]:
         """Return this region's servers that may get a request now."""
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -60,6 +60,7 @@
 
     name: ClassVar[str] = PLATFORM
     watch_wait_ms: int = WATCH_WAIT_MS
+    watch_rest_ms: int = 0
 
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
         host, _, port = cfg.platform.urls[0].removeprefix("http://").rpartition(":")
@@ -141,9 +142,13 @@
             )
             if status == GONE:
                 raise GatewayError(ErrorKind.WATCH_COMPACTED, f"after {after}")
-            for batch in decode_batches(reply):
+            batches = decode_batches(reply)
+            for batch in batches:
                 after = max(after, batch.revision)
                 yield batch
+            # Once for each call: a backlog of many changes would take as many rests.
+            if reply.get("events"):
+                await self._clock.sleep(self.watch_rest_ms)
 
     async def _read(self, kind: str, path: str) -> tuple[int, Mapping[str, Any]]:
         self._budget.earn()
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -34,6 +34,9 @@
 TOLD_VALID_MS = 1_500
 # A request sent to a server that failed all its last ones waits this long on average, in ms.
 FAILURE_MS = 1_500.0
+# Another data centre's server is used when it saves this much: bytes between data centres are
+# paid for, and a long prompt's are worth about a twentieth of its answer.
+OTHER_CENTRE_MS = 80.0
 FAILURE_WEIGHT = 0.15
 # Requests that may wait in a server's own queue beyond its slots: enough that a slot which
 # comes free is taken at once, few enough that none waits there for long.
@@ -160,13 +163,18 @@
     parts: Sequence[PromptPart],
     tokens: int,
     now_ms: int,
+    data_centre: str = "",
 ) -> ServerStanding | None:
-    """Return the server with the shortest wait; a prompt's own server wins ties of reading."""
+    """Return the server with the shortest wait; a prompt's own server wins ties of reading.
+
+    :param data_centre: where the choosing VM is; its servers are preferred.
+    """
     if not standings:
         return None
     home = None
     if len(parts) > 1:
-        home = rendezvous(parts[-2].id, [it.server.id for it in standings])[0]
+        near = [it for it in standings if it.server.data_centre == data_centre] or standings
+        home = rendezvous(parts[-2].id, [it.server.id for it in near])[0]
     ranked = []
     for standing in standings:
         wait = wait_ms(standing, parts, tokens, now_ms)
@@ -174,5 +182,7 @@
             # As if it held the shared parts: it will from now on.
             shared = sum(part.tokens for part in parts[:-1])
             wait -= min(shared, standing.memory.missing(parts)) / READ_TOKENS_PER_MS
+        if data_centre and standing.server.data_centre != data_centre:
+            wait += OTHER_CENTRE_MS
         ranked.append((wait, standing.server.id, standing))
     return min(ranked, key=lambda entry: entry[:2])[2]
--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -126,6 +126,9 @@
                 events += as_events(batch)
                 after = batch.revision
                 break
+        for batch in self.stand_in.store.changes_after(after, prefix) if events else ():
+            events += as_events(batch)
+            after = batch.revision
         return {"events": events, "at": after if events else self.stand_in.store.revision}
 
     def _txn(self, body: Mapping[str, Any]) -> tuple[int, Mapping[str, Any]]:
--- a/src/hickorybeam/store/port.py
+++ b/src/hickorybeam/store/port.py
@@ -100,10 +100,12 @@
 class Platform(Protocol):
     """The calls hickorybeam makes of the platform (service ``platform``).
 
-    ``watch_wait_ms`` is how long one call of a watch may wait, where a watch is made of calls.
+    Where a watch is made of calls, ``watch_wait_ms`` is how long one may wait, and
+    ``watch_rest_ms`` the pause after one that brought changes.
     """
 
     watch_wait_ms: int
+    watch_rest_ms: int
 
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -29,3 +29,11 @@
     Given a served key-value store and its client
     When a key outside the watched prefix is written
     Then a quiet watch of the key-value store reaches that revision
+
+  Scenario: a backlog of changes costs one rest of the watch
+    # Twelve changes were made while the watch was cut. Resting after each of them, it would be
+    # seconds before the last is known, and a withdrawn key would go on working.
+    Given a served key-value store and its client
+    And the client's watch rests 400 ms after a call that brought changes
+    When 12 changes of one key were made
+    Then a watch from before them brings all 12 within 400 ms
--- a/tests/policy/gateway_decisions.feature
+++ b/tests/policy/gateway_decisions.feature
@@ -69,3 +69,11 @@
     When its pause is over and server "a" answers
     And server "a" cannot be reached
     Then server "a" pauses for 400 ms
+
+  Scenario: a server of the same data centre is preferred until it is much busier
+    Given servers "a, b, c" that are idle
+    And server "b" is the only one in data centre "here"
+    Then 20 questions asked in "here" go to "b"
+    And prompts of 30 subjects asked in "here" all go to "b"
+    When server "b" has 8 requests running and 5 waiting
+    Then a question asked in "here" goes to another server
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -216,3 +216,34 @@
     batch = context.call(first)
     assert (batch.puts, batch.deletes) == ((), ())
     assert batch.revision == context.reached
+
+
+@given("the client's watch rests {ms:d} ms after a call that brought changes")
+def step_rest(context, ms):
+    context.client.watch_rest_ms = ms
+
+
+@when("{count:d} changes of one key were made")
+def step_changes(context, count):
+    async def change():
+        context.before = context.app.stand_in.store.revision
+        for number in range(count):
+            context.app.put("a", str(number).encode())
+
+    context.call(change)
+
+
+@then("a watch from before them brings all {count:d} within {ms:d} ms")
+def step_backlog(context, count, ms):
+    async def first():
+        found = []
+        begun = time.monotonic()
+        async for batch in context.client.watch("", after=context.before):
+            found += [int(item.value) for item in batch.puts]
+            if len(found) == count:
+                return found, time.monotonic() - begun
+        return found, 0
+
+    found, took = context.call(first)
+    assert found == list(range(count))
+    assert took < ms / 1000, took
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from hickorybeam.model.routing import (
@@ -194,3 +196,40 @@
 def step_answers(context, name):
     context.now = context.standings[name].paused_until_ms
     context.standings[name].succeeded()
+
+
+@given('server "{name}" is the only one in data centre "{centre}"')
+def step_centre(context, name, centre):
+    standing = context.standings[name]
+    standing.server = replace(standing.server, data_centre=centre)
+
+
+def choose_in(context, centre, parts, tokens=0):
+    return choose_server(
+        list(context.standings.values()),
+        parts=parts,
+        tokens=tokens,
+        now_ms=context.now,
+        data_centre=centre,
+    ).server.id
+
+
+@then('{count:d} questions asked in "{centre}" go to "{name}"')
+def step_questions_here(context, count, centre, name):
+    for _ in range(count):
+        assert choose_in(context, centre, (), tokens=800) == name
+
+
+@then('prompts of {count:d} subjects asked in "{centre}" all go to "{name}"')
+def step_prompts_here(context, count, centre, name):
+    assert {choose_in(context, centre, prompt(f"s{n}")) for n in range(count)} == {name}
+
+
+@when('server "{name}" has {running:d} requests running and {waiting:d} waiting')
+def step_has(context, name, running, waiting):
+    context.standings[name].running = running + waiting
+
+
+@then('a question asked in "{centre}" goes to another server')
+def step_question_away(context, centre):
+    assert choose_in(context, centre, (), tokens=800) != "b"
