--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -43,7 +43,7 @@
 MS_PER_SECOND = 1000
 STATE_PATH = "/state"
 FIRST_RETRY_MS = 100
-LONGEST_RETRY_MS = 800
+LONGEST_RETRY_MS = 1_200
 # Entries that lapsed while the store was out are back about 2 s after its return; one that is
 # still missing then is gone.
 LAPSED_FOR_MS = 2_200
@@ -138,7 +138,8 @@
 
         :param revision: the latest change that the other VM knows.
         """
-        if revision <= self.revision:
+        if revision <= self.revision or not self._store_ok:
+            # While the store is out, the attempts to reach it go on anyway.
             return
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -61,7 +61,7 @@
 # After a change the watch rests, so that changes which come together cost one call: calls are
 # paid for, and each change wakes every VM. In larger fleets it rests for longer.
 REST_MS = 400
-REST_PER_VM_MS = 12
+REST_PER_VM_MS = 40
 MOST_REST_MS = 1_200
 # A quiet watch is asked again after this long for each VM, within bounds: one whose connection
 # went silent is found by the first VM that asks again, whose word wakes the others.
