--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -173,6 +173,7 @@
         # The TCP side of the peers' port, for the service that answers there.
         self.peer_socket: socket.socket | None = None
         self._transport: asyncio.DatagramTransport | None = None
+        self._sent_bytes = counters.counter("peer_bytes", "Bytes of datagrams sent to other VMs")
         alive = counters.gauge("vms_heard", "VMs of the fleet that are heard, this one included")
         alive.set_function(lambda: self.heard())
 
@@ -458,6 +459,7 @@
     def _send(self, data: bytes, peer: Peer) -> None:
         if self._transport is not None:
             self._transport.sendto(data, (peer.vm.host, peer.vm.peer_port))
+            self._sent_bytes.inc(len(data))
 
     def _message(
         self, audience: Audience, *, whole: bool, relayed: Sequence[Tell], answer: bool
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -511,7 +511,15 @@
         """Give the final answer to a request that will not be run, or not again."""
         reply = progress.reply
         ran = progress.runs > 0 or progress.flying
-        self._note("gave_up", errand, None, why=progress.why, ran=ran, sends=progress.sends)
+        self._note(
+            "gave_up",
+            errand,
+            None,
+            why=progress.why,
+            ran=ran,
+            sends=progress.sends,
+            tried=sorted(progress.tried),
+        )
         if reply.started:
             reply.abort()
             self._count(errand, "cut")
