--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -196,7 +196,7 @@
             if isinstance(target, Full):
                 target = await self._wait(errand, progress, here_only=here_only)
                 if isinstance(target, Full):
-                    self._overloaded(errand, progress, target)
+                    self._overloaded(errand, progress)
                     return
             if target is None or not self._may_send(errand, progress, here_only=here_only):
                 self._give_up(errand, progress)
@@ -244,13 +244,15 @@
         finally:
             line.leave(place)
 
-    def _overloaded(self, errand: Errand, progress: _Progress, full: Full) -> None:
+    def _overloaded(self, errand: Errand, progress: _Progress) -> None:
         """Refuse a request for which there is no room in time, and say when there will be."""
         if progress.runs or progress.reply.started:
             self._give_up(errand, progress)
             return
-        left_ms = errand.deadline_ms - self._clock.now()
-        after = max(COME_BACK_MS, min(int(full.wait_ms), left_ms // 3))
+        now = self._clock.now()
+        most_ms = max(COME_BACK_MS, (errand.deadline_ms - now) // 3)
+        line = self._line(errand.service).policy
+        after = max(COME_BACK_MS, line.come_back_ms(errand.urgency, most_ms, now))
         exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=after)
         self._refuse(errand.call, progress.reply, exc, HOP_MARK if progress.here_only else ())
 
--- a/src/hickorybeam/policy/wait_line.py
+++ b/src/hickorybeam/policy/wait_line.py
@@ -24,7 +24,10 @@
 # its prompt.
 SHARE_OF_TARGET = 0.5
 # One that is late already is worth less and waits this long, in ms.
-LATE_PATIENCE_MS = 700
+LATE_PATIENCE_MS = 1_500
+# Of the places that come free, this share is promised to callers who are told to come back; the
+# rest goes to those who come first meanwhile.
+PROMISED_SHARE = 0.5
 # At least this many departures a second are assumed, so that the first to wait isn't refused.
 LEAST_RATE = 4.0
 
@@ -54,6 +57,7 @@
         self._places: list[Place] = []
         self._numbers = itertools.count()
         self._departures: deque[int] = deque()
+        self._promised_ms = 0.0
 
     def __len__(self) -> int:
         return len(self._places)
@@ -65,11 +69,24 @@
 
     def estimate_ms(self, urgency: int, now_ms: int) -> float:
         """Return how long a request of this urgency would wait."""
-        self._forget(now_ms)
-        rate = max(LEAST_RATE, len(self._departures) * MS_PER_SECOND / SPAN_MS)
+        rate = self._rate(now_ms)
         ahead = sum(place.urgency <= urgency for place in self._places)
         return (ahead + 1) / rate * MS_PER_SECOND
 
+    def come_back_ms(self, urgency: int, most_ms: int, now_ms: int) -> int:
+        """Return when a refused caller should come back, each one later than the last.
+
+        Told the same time, all that a burst refused would return at once and be refused again.
+
+        :param most_ms: the longest that the caller can be told.
+        """
+        rate = self._rate(now_ms)
+        soonest = now_ms + self.estimate_ms(urgency, now_ms)
+        due = max(soonest, self._promised_ms) + MS_PER_SECOND / (rate * PROMISED_SHARE)
+        due = min(due, now_ms + most_ms)
+        self._promised_ms = max(self._promised_ms, due)
+        return int(due - now_ms)
+
     def enter(self, urgency: int, patience: int, now_ms: int) -> Place | None:
         """Take a place, or none where the wait would be longer than the patience."""
         if self.estimate_ms(urgency, now_ms) > patience:
@@ -87,6 +104,10 @@
         """Return the places that are next."""
         return self._places[:count]
 
+    def _rate(self, now_ms: int) -> float:
+        self._forget(now_ms)
+        return max(LEAST_RATE, len(self._departures) * MS_PER_SECOND / SPAN_MS)
+
     def _forget(self, now_ms: int) -> None:
         while self._departures and now_ms - self._departures[0] > SPAN_MS:
             self._departures.popleft()
--- a/tests/steps/policy/wait_line_steps.py
+++ b/tests/steps/policy/wait_line_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import itertools
+
 from behave import given, then, when
 
 from hickorybeam.policy.wait_line import WaitLine, patience_ms
@@ -72,3 +74,18 @@
 @then("a request with objective {target:d} ms, asked {elapsed:d} ms ago, waits up to {ms:d} ms")
 def step_patience(context, target, elapsed, ms):
     assert patience_ms(target_ms=target, elapsed_ms=elapsed) == ms
+
+
+@when("{count:d} callers are refused at once, who can be told {most:d} ms at most")
+def step_told(context, count, most):
+    context.told = [context.line.come_back_ms(5, most, context.now) for _ in range(count)]
+
+
+@then("the first comes back within {first:d} ms and no two within {apart:d} ms, up to {most:d} ms")
+def step_apart(context, first, apart, most):
+    told = context.told
+    assert told[0] <= first, told
+    below = [ms for ms in told if ms < most]
+    assert len(below) > 10
+    assert all(b - a >= apart for a, b in itertools.pairwise(below)), told
+    assert max(told) == most
