--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -133,7 +133,7 @@
         try:
             for i in range(size.vms):
                 cfg = _settings(i, size, ports[2 * i : 2 * i + 2], store_url, regions)
-                children.append(_start(cfg, Path(folder) / f"{i}.json"))
+                children.append(start_daemon(cfg, Path(folder) / f"{i}.json"))
             yield children, [ports[2 * i + 1] for i in range(size.vms)]
         finally:
             for child in children:
@@ -141,7 +141,8 @@
                 child.wait()
 
 
-def _start(cfg: Settings, path: Path) -> subprocess.Popen[bytes]:
+def start_daemon(cfg: Settings, path: Path) -> subprocess.Popen[bytes]:
+    """Start one VM's process with settings written to a file."""
     path.write_bytes(msgspec.json.encode(cfg))
     env = {**os.environ, "HICKORYBEAM_CONFIG": str(path)}
     return subprocess.Popen([sys.executable, "src/entry.py"], env=env, stderr=subprocess.DEVNULL)
--- /dev/null
+++ b/bench/soak/gateway.py
@@ -0,0 +1,403 @@
+"""A soak of the gateway: real VM processes before the platform's stand-ins, under faults.
+
+    python -m bench.soak.gateway --seed 1 --seconds 60
+
+Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in
+order and started again; the store falls silent, turns VMs away, loses answers, its history or
+entries; servers lose, spoil and cut answers, leave, come back cold or under a new address; keys
+are withdrawn. Callers go on all the while. What they and the servers saw is judged; exits 1 on
+a broken promise.
+"""
+
+from __future__ import annotations
+
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import fire
+import msgspec
+from bench.gateway_cost import start_daemon
+
+from hickorybeam.clock import SystemClock
+from hickorybeam.demo.deployment import free_ports
+from hickorybeam.demo.platform import HOST, KEYS, REGIONS, Answer, first_config
+from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
+from hickorybeam.http1.head import request_bytes
+from hickorybeam.settings import (
+    GatewaySettings,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+    TlsSettings,
+    VmSettings,
+)
+from hickorybeam.standins.keyvalue import serve_store
+from hickorybeam.standins.server import ServerFaults, ServerStandIn, serve_server
+
+if TYPE_CHECKING:
+    import subprocess
+
+    from hickorybeam.standins.keyvalue import KeyValueApp
+
+CENTRES = ("north-1", "north-1", "south-1", "south-1")
+SERVERS = (("b1", "books"), ("b2", "books"), ("m1", "model"), ("m2", "model"))
+CALLERS = 12
+CALM_S = 8.0
+CALL_LIMIT_S = 4.0
+GRACE_S = 2.0
+# A withdrawn key works no longer than this after the store had the change, in s, where the store
+# has been well for the same time.
+IN_FORCE_S = 4.0
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+ALL_EVENTS = 6
+
+
+@dataclass(slots=True)
+class Seen:
+    """What callers saw, and what broke."""
+
+    outcomes: Counter[str] = field(default_factory=Counter)
+    not_run: set[str] = field(default_factory=set)
+    orders: set[str] = field(default_factory=set)
+    violations: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """One run: the fleet, its callers and its faults."""
+
+    def __init__(self, app: KeyValueApp, url: str, folder: Path, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.app = app
+        self.seen = Seen()
+        self.config = first_config()
+        self.servers: list[ServerStandIn] = []
+        self.withdrawn: dict[str, float] = {}
+        self.store_well_since = time.monotonic()
+        self.over = False
+        self._pool = UpstreamPool(SystemClock(), connect_ms=400, silent_ms=3_000)
+        self._numbers = iter(range(1, 10_000_000))
+        self._ports = free_ports(5 * len(CENTRES))
+        self._paths = [folder / f"vm-{i}.json" for i in range(len(CENTRES))]
+        self._cfgs = [self._settings(i, url) for i in range(len(CENTRES))]
+        self._vms: list[subprocess.Popen[bytes]] = []
+
+    def _settings(self, i: int, url: str) -> Settings:
+        ports = [f"127.0.0.1:{port}" for port in self._ports[5 * i : 5 * i + 5]]
+        return Settings(
+            vm=VmSettings(
+                name=f"vm-{i}",
+                region=REGIONS[CENTRES[i]],
+                data_centre=CENTRES[i],
+                peer_port=self._ports[5 * i + 4],
+            ),
+            platform=PlatformSettings(urls=(url,), prefix="hickorybeam/", timeout_ms=800),
+            peers=PeerSettings(tls=TlsSettings(plain=True)),
+            gateway=GatewaySettings(
+                callers=ports[0],
+                ready=ports[1],
+                directory=ports[2],
+                state=ports[3],
+                seeds=tuple(f"localhost:{port}" for port in self._ports[3::5]),
+                regions=REGIONS,
+                grace_s=GRACE_S,
+                repeat_allowance=100,
+            ),
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Play the faults, then a calm span in which everything has to come back."""
+        self.configure()
+        self._vms = [self._start(i) for i in range(len(CENTRES))]
+        try:
+            async with anyio.create_task_group() as tg:
+                await self._ready()
+                for _ in range(CALLERS):
+                    tg.start_soon(self._caller)
+                end = time.monotonic() + seconds
+                while time.monotonic() < end:
+                    await anyio.sleep(self.rng.uniform(0.6, 2.0))
+                    await self._fault()
+                await self._heal()
+                await anyio.sleep(CALM_S)
+                await self._check_recovered()
+                self.over = True
+        finally:
+            for vm in self._vms:
+                vm.kill()
+                vm.wait()
+
+    def configure(self) -> None:
+        """Write the configuration as the operator does."""
+        self.app.put("op/config", msgspec.json.encode(self.config))
+
+    def _start(self, i: int) -> subprocess.Popen[bytes]:
+        return start_daemon(self._cfgs[i], self._paths[i])
+
+    async def _ready(self) -> None:
+        with anyio.fail_after(10):
+            while True:
+                answers = [await self._look(i) for i in range(len(CENTRES))]
+                if all(answer.status == 200 for answer in answers):
+                    return
+                await anyio.sleep(0.1)
+
+    async def _look(self, i: int) -> Answer:
+        return (await self._call(i, "/look/x", "small", b"GET", None))[1]
+
+    async def _caller(self) -> None:
+        kinds = (
+            ("/look/x", b"GET", None),
+            ("/order/x", b"POST", None),
+            ("/chat/x", b"POST", b"50,10"),
+            ("/plan/x", b"POST", b"50,10"),
+        )
+        while not self.over:
+            path, method, tokens = self.rng.choice(kinds)
+            key = self.rng.choice(("small", "small", "large", "nobody's"))
+            sent = time.monotonic()
+            request_id, answer = await self._call(
+                self.rng.randrange(len(CENTRES)), path, key, method, tokens
+            )
+            self._judge(request_id, answer, path, key, sent)
+            await anyio.sleep(self.rng.uniform(0.0, 0.05))
+
+    async def _call(
+        self, i: int, path: str, key: str, method: bytes, tokens: bytes | None
+    ) -> tuple[str, Answer]:
+        request_id = f"{next(self._numbers):016x}"
+        headers = [
+            (b"host", HOST.encode()),
+            (b"x-hickorybeam-request-id", request_id.encode()),
+            (b"x-hickorybeam-deadline-milliseconds", b"1500"),
+            (b"authorization", b"Bearer " + KEYS.get(key, key).encode()),
+        ]
+        if tokens is not None:
+            headers.append((b"x-hickorybeam-token-counts", tokens))
+        body = b"{}" if method == b"POST" else b""
+        data = request_bytes(method.decode(), path.encode(), tuple(headers), body)
+        return request_id, await self._exchange(self._ports[5 * i], data)
+
+    async def _exchange(self, port: int, data: bytes) -> Answer:
+        parts: list[bytes] = []
+        status, headers = 0, ()
+        conn = None
+        try:
+            with anyio.fail_after(CALL_LIMIT_S):
+                conn = await self._pool.take(("127.0.0.1", port), fresh=True)
+                conn.send(data)
+                head = await conn.head()
+                status, headers = head.status, head.headers
+                while chunk := await conn.chunk():
+                    parts.append(chunk)
+        except (BrokenAnswerError, ConnectFailedError, TimeoutError):
+            return Answer(status, headers, b"".join(parts), whole=False)
+        finally:
+            if conn is not None:
+                conn.abort()
+        return Answer(status, headers, b"".join(parts))
+
+    def _judge(self, request_id: str, answer: Answer, path: str, key: str, sent: float) -> None:
+        self.seen.outcomes[
+            f"{path[1:].split('/')[0]} {answer.status if answer.whole else 'cut'}"
+        ] += 1
+        if path.startswith("/order"):
+            self.seen.orders.add(request_id)
+        if answer.whole and answer.status in PROMISES_NOT_RUN:
+            self.seen.not_run.add(request_id)
+        if not (answer.whole and answer.status == 200):
+            return
+        if key == "nobody's":
+            self._broken(f"{request_id}: an unknown key was served")
+        gone = self.withdrawn.get(key)
+        if gone is not None and sent > max(gone, self.store_well_since) + IN_FORCE_S:
+            self._broken(f"{request_id}: a key withdrawn {sent - gone:.1f} s before was served")
+        ran_at = [it.id for it in self.servers if any(a.request_id == request_id for a in it.ran)]
+        if not ran_at:
+            self._broken(f"{request_id}: 200 and no server ran it")
+        if path.startswith(("/chat", "/plan")):
+            events = [int(x[4:]) for x in answer.body.split(b"\n") if x.startswith(b"id: ")]
+            if events != list(range(1, ALL_EVENTS + 1)):
+                self._broken(f"{request_id}: a whole stream has events {events}")
+        elif answer.body.removeprefix(b"done by ").decode() not in (*ran_at, "unframed"):
+            self._broken(f"{request_id}: the answer {answer.body!r} is another server's")
+
+    def _broken(self, text: str) -> None:
+        self.seen.violations.append(text)
+
+    async def _fault(self) -> None:
+        name = self.rng.choice(sorted(FAULTS))
+        print(f"  {time.strftime('%H:%M:%S')} {name}", flush=True)
+        await FAULTS[name](self)
+
+    async def kill(self) -> None:
+        """Kill a VM and start it again."""
+        i = self.rng.randrange(len(self._vms))
+        self._vms[i].kill()
+        self._vms[i].wait()
+        await anyio.sleep(self.rng.uniform(0.0, 0.6))
+        self._vms[i] = self._start(i)
+
+    async def kill_all(self) -> None:
+        """Kill every VM at once."""
+        for vm in self._vms:
+            vm.kill()
+            vm.wait()
+        self._vms = [self._start(i) for i in range(len(CENTRES))]
+
+    async def pause(self) -> None:
+        """Let a VM stand still."""
+        vm = self.rng.choice(self._vms)
+        vm.send_signal(signal.SIGSTOP)
+        await anyio.sleep(self.rng.uniform(0.3, 2.0))
+        vm.send_signal(signal.SIGCONT)
+
+    async def stop(self) -> None:
+        """Stop a VM in order; it has to end within its grace period, by itself."""
+        i = self.rng.randrange(len(self._vms))
+        self._vms[i].send_signal(signal.SIGTERM)
+        begun = time.monotonic()
+        while self._vms[i].poll() is None and time.monotonic() - begun < 2 * GRACE_S:
+            await anyio.sleep(0.05)
+        if self._vms[i].poll() is None:
+            self._broken(f"vm-{i} did not end within twice its grace period")
+            self._vms[i].kill()
+        self._vms[i].wait()
+        self._vms[i] = self._start(i)
+
+    async def store_silent(self) -> None:
+        """Let the store answer nothing for a while."""
+        self.app.silent = True
+        await anyio.sleep(self.rng.uniform(0.5, 2.5))
+        self.app.silent = False
+        self.store_well_since = time.monotonic()
+
+    async def store_turns_away(self) -> None:
+        """Let the store refuse every call for a while."""
+        self.app.turn_away = self.rng.choice((503, 429))
+        await anyio.sleep(self.rng.uniform(0.5, 2.5))
+        self.app.turn_away = 0
+        self.store_well_since = time.monotonic()
+
+    async def store_forgets(self) -> None:
+        """Drop the store's history, and lose some answers."""
+        self.app.stand_in.store.compact()
+        self.app.stand_in.faults.lose_answers = 2
+        self.app.stand_in.notify()
+
+    async def watches_deaf(self) -> None:
+        """Let the next watches hear nothing."""
+        self.app.deaf_watches = 2
+        self.store_well_since = time.monotonic()
+
+    async def spoil(self) -> None:
+        """Let servers spoil some answers."""
+        server = self.rng.choice(self.servers)
+        for name in ("errors", "full", "lost", "hung", "cut", "extra", "unframed", "torn"):
+            setattr(server.faults, name, self.rng.choice((0, 0, 1, 2)))
+        server.faults.unsigned = self.rng.choice((0, 1))
+        server.faults.misread = self.rng.choice((0, 1))
+
+    async def leave(self) -> None:
+        """Let a server leave and come back cold, in a new life."""
+        server = self.rng.choice(self.servers)
+        server.register(state="draining")
+        await anyio.sleep(self.rng.uniform(0.2, 1.0))
+        server.withdraw()
+        await anyio.sleep(self.rng.uniform(0.2, 1.0))
+        server.register(cold_ms=500, born=int(time.time() * 1000))
+
+    async def withdraw_key(self) -> None:
+        """Take the key of an account away, or give it back."""
+        accounts = self.config["tenants"]
+        large = next(it for it in accounts if it["name"] == "large")
+        self.config["version"] += 3
+        if large["api-keys"]:
+            large["api-keys"] = []
+            self.configure()
+            self.withdrawn["large"] = time.monotonic()
+        else:
+            self.withdrawn.pop("large", None)
+            large["api-keys"] = [KEYS["large"]]
+            self.configure()
+
+    async def _heal(self) -> None:
+        self.app.silent, self.app.turn_away, self.app.deaf_watches = False, 0, 0
+        for server in self.servers:
+            server.faults = ServerFaults()
+            server.register(born=int(time.time() * 1000))
+        self.store_well_since = time.monotonic()
+
+    async def _check_recovered(self) -> None:
+        for i in range(len(CENTRES)):
+            answer = await self._look(i)
+            if answer.status != 200:
+                self._broken(f"vm-{i} answers {answer.status} after a calm span")
+
+    def check_runs(self) -> None:
+        """Judge what servers ran against what callers were told."""
+        runs = Counter(a.request_id for it in self.servers for a in it.ran)
+        for request_id in self.seen.orders:
+            if runs[request_id] > 1:
+                self._broken(f"{request_id}: an order ran {runs[request_id]} times")
+            if request_id in self.seen.not_run and runs[request_id]:
+                self._broken(f"{request_id}: said not to have run, and it ran")
+        for server in self.servers:
+            for arrival in server.ran:
+                if any(name == b"authorization" for name, _ in arrival.headers):
+                    self._broken(f"{arrival.request_id}: a server saw a caller's key")
+
+
+FAULTS: dict[str, Any] = {
+    name: getattr(Soak, name)
+    for name in (
+        "kill",
+        "kill_all",
+        "pause",
+        "stop",
+        "store_silent",
+        "store_turns_away",
+        "store_forgets",
+        "watches_deaf",
+        "spoil",
+        "leave",
+        "withdraw_key",
+    )
+}
+
+
+async def soak(seed: int, seconds: float) -> Seen:
+    """Run one soak and return what was seen."""
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        served = await stack.enter_async_context(serve_store())
+        run = Soak(served.app, served.url, folder, seed)
+        for centre in ("north-1", "south-1"):
+            for name, service in SERVERS:
+                server = ServerStandIn(f"{name}-{centre}", service, centre, served.app)
+                run.servers.append(await stack.enter_async_context(serve_server(server)))
+        await run.run(seconds)
+        run.check_runs()
+        return run.seen
+
+
+def main(seed: int = 1, seconds: float = 30.0) -> None:
+    """Run one soak and print its verdict."""
+    seen = anyio.run(soak, seed, seconds)
+    print(f"gateway soak, seed {seed}, {seconds} s: {dict(sorted(seen.outcomes.items()))}")
+    for text in seen.violations[:20]:
+        print(f"VIOLATED {text}")
+    print(f"{len(seen.violations)} violations")
+    sys.exit(1 if seen.violations else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
