--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -25,7 +25,6 @@
 import msgspec
 
 from hickorybeam.demo.deployment import free_ports
-from hickorybeam.demo.platform import account, first_config
 from hickorybeam.settings import (
     GatewaySettings,
     LogSettings,
@@ -35,6 +34,7 @@
     TlsSettings,
     VmSettings,
 )
+from hickorybeam.standins.deployment import account, first_config
 from hickorybeam.standins.keyvalue import serve_store
 from hickorybeam.standins.server import ServerStandIn
 
@@ -100,7 +100,7 @@
             account("small") | {"name": f"a-{n}", "api-keys": [f"k-{n}"], "rate-per-s": 1000}
             for n in range(size.accounts)
         ]
-        served.app.put("op/config", msgspec.json.encode(config))
+        served.app.configure(config)
         for n in range(size.servers):
             centre = f"dc-{n % REGIONS}-0"
             server = ServerStandIn(f"i-{n}", "model", centre, served.app, port=9)
--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -24,12 +24,11 @@
 
 import anyio
 import fire
-import msgspec
 from bench.gateway_cost import start_daemon
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.deployment import free_ports
-from hickorybeam.demo.platform import HOST, KEYS, REGIONS, Answer, first_config
+from hickorybeam.demo.platform import Answer
 from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.settings import (
@@ -40,6 +39,7 @@
     TlsSettings,
     VmSettings,
 )
+from hickorybeam.standins.deployment import KEYS, REGIONS, caller_headers, first_config
 from hickorybeam.standins.keyvalue import serve_store
 from hickorybeam.standins.server import ServerFaults, ServerStandIn, serve_server
 
@@ -53,6 +53,7 @@
 CALLERS = 12
 CALM_S = 8.0
 CALL_LIMIT_S = 4.0
+WAIT_MS = 1_500
 GRACE_S = 2.0
 # A withdrawn key works no longer than this after the store had the change, in s, where the store
 # has been well for the same time.
@@ -137,7 +138,7 @@
 
     def configure(self) -> None:
         """Write the configuration as the operator does."""
-        self.app.put("op/config", msgspec.json.encode(self.config))
+        self.app.configure(self.config)
 
     def _start(self, i: int) -> subprocess.Popen[bytes]:
         return start_daemon(self._cfgs[i], self._paths[i])
@@ -174,16 +175,9 @@
         self, i: int, path: str, key: str, method: bytes, tokens: bytes | None
     ) -> tuple[str, Answer]:
         request_id = f"{next(self._numbers):016x}"
-        headers = [
-            (b"host", HOST.encode()),
-            (b"x-hickorybeam-request-id", request_id.encode()),
-            (b"x-hickorybeam-deadline-milliseconds", b"1500"),
-            (b"authorization", b"Bearer " + KEYS.get(key, key).encode()),
-        ]
-        if tokens is not None:
-            headers.append((b"x-hickorybeam-token-counts", tokens))
+        headers = caller_headers(request_id, key=key, wait_ms=WAIT_MS, tokens=tokens)
         body = b"{}" if method == b"POST" else b""
-        data = request_bytes(method.decode(), path.encode(), tuple(headers), body)
+        data = request_bytes(method.decode(), path.encode(), headers, body)
         return request_id, await self._exchange(self._ports[5 * i], data)
 
     async def _exchange(self, port: int, data: bytes) -> Answer:
--- a/src/hickorybeam/demo/platform.py
+++ b/src/hickorybeam/demo/platform.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack, asynccontextmanager
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
-import msgspec
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.daemon import build
@@ -24,6 +23,7 @@
     TlsSettings,
     VmSettings,
 )
+from hickorybeam.standins.deployment import REGIONS, caller_headers, first_config
 from hickorybeam.standins.keyvalue import KeyValueApp, serve_store
 from hickorybeam.standins.server import ServerStandIn, serve_server
 
@@ -35,93 +35,17 @@
     from hickorybeam.kernel import Kernel
 
 __all__ = (
-    "HOST",
-    "KEYS",
-    "REGIONS",
     "Answer",
     "PlatformFleet",
     "RunningVm",
-    "first_config",
     "start_platform_fleet",
     "tell",
 )
 
-REGIONS = {"north-1": "north", "south-1": "south"}
-KEYS = {"small": "key-of-small", "large": "key-of-large", "northern": "key-of-northern"}
-HOST = "shop.example"
 SETTLE_LIMIT_S = 8.0
 CALL_LIMIT_S = 10.0
 
 
-def route(name: str, kind: str, service: str, **more: object) -> dict[str, Any]:
-    """Return a route as the operator writes it."""
-    return {
-        "name": name,
-        "host": HOST,
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "timeout-ms": 3_000,
-        "target-latency-ms": 200,
-        "priority": 1,
-        "service": service,
-        "max-attempts": 2,
-        "public": False,
-        "sticky": kind == "streaming",
-        "resumable": False,
-        "home-regions": [],
-        **more,
-    }
-
-
-def account(name: str, **more: object) -> dict[str, Any]:
-    """Return an account as the operator writes it, with no bound on its rate."""
-    return {
-        "name": name,
-        "api-keys": [KEYS[name]],
-        "unit": "tokens",
-        "uncached-tokens": 10,
-        "rate-per-s": 0,
-        "burst": 0,
-        "home-regions": [],
-        **more,
-    }
-
-
-def first_config() -> dict[str, Any]:
-    """Return two services and a route for each way in which requests may be repeated."""
-    return {
-        "version": 3,
-        "routes": [
-            route("look", "safe", "books"),
-            route("order", "unsafe", "books"),
-            route("chat", "streaming", "model"),
-            route("plan", "streaming", "model", resumable=True),
-            route("local", "safe", "books", **{"home-regions": ["south"]}),
-        ],
-        "services": [
-            {"name": "books", "health-path": "/health", "cold-start-s": 0, "cold-per-s": 0},
-            {
-                "name": "model",
-                "health-path": "/health",
-                "cold-start-s": 2,
-                "cold-per-s": 2,
-                "engine": {"slots": 8, "kv-cache-tokens": 10_000},
-            },
-        ],
-        "limits": {
-            "max-header-bytes": 4_096,
-            "max-body-bytes": 65_536,
-            "header-timeout-ms": 500,
-            "idle-timeout-ms": 2_000,
-        },
-        "tenants": [
-            account("small"),
-            account("large"),
-            account("northern", **{"home-regions": ["north"]}),
-        ],
-    }
-
-
 class Answer:
     """What a caller saw: a status (0 for none), the body, and whether the answer was whole."""
 
@@ -186,7 +110,7 @@
 
     def configure(self) -> None:
         """Write the configuration as the operator does."""
-        self.app.put("op/config", msgspec.json.encode(self.config))
+        self.app.configure(self.config)
 
     async def add_server(self, name: str, service: str, data_centre: str) -> ServerStandIn:
         """Start a backend server that registers itself."""
@@ -232,7 +156,7 @@
             and vm.fleet.heard() == len(self.vms)
             and all(
                 "model" in (it.forecasts or {})
-                for it in vm.fleet.peers.values()
+                for it in vm.fleet.peers.by_name.values()
                 if it.vm.region != vm.fleet.me.region
             )
         )
@@ -250,15 +174,9 @@
         more: tuple[tuple[bytes, bytes], ...] = (),
     ) -> Answer:
         """Send one request as a caller and return what came back."""
-        headers = [
-            (b"host", HOST.encode()),
-            (b"x-hickorybeam-request-id", b"%016x" % next(self._numbers)),
-            (b"x-hickorybeam-deadline-milliseconds", b"%d" % wait_ms),
-        ]
-        if key is not None:
-            headers.append((b"authorization", b"Bearer " + KEYS.get(key, key).encode()))
-        if tokens is not None:
-            headers.append((b"x-hickorybeam-token-counts", tokens))
+        headers = caller_headers(
+            f"{next(self._numbers):016x}", key=key, wait_ms=wait_ms, tokens=tokens
+        )
         data = request_bytes(method, path.encode(), (*headers, *more), body)
         return await self.exchange(self.vms[vm].ports.callers, data)
 
--- /dev/null
+++ b/src/hickorybeam/gateway/admission.py
@@ -0,0 +1,116 @@
+"""Whether a caller's request is taken: configuration, route, key and rate."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.gateway.attempt import Errand
+from hickorybeam.model import key_digest
+from hickorybeam.model.routing import Repeat, Unit
+from hickorybeam.policy.route_table import pick_target
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.knowledge import Knowledge
+    from hickorybeam.model.routing import AccountTerms, RelayCall, Route
+    from hickorybeam.policy.fleet_quota import FleetQuota
+
+__all__ = ("COME_BACK_MS", "Admission")
+
+# An answer has to leave before the caller stops waiting for it.
+ANSWER_MARGIN_MS = 25
+# When a refused caller may come back, where nothing better is known, in ms.
+COME_BACK_MS = 300
+# A VM that shuts down names no time: the caller's next connection goes to another one.
+LEAVING_COME_BACK_MS = 50
+# Ranks of routes that fit below one rank of accounts in a server's ten urgencies.
+ROUTE_RANKS = 3
+LEAST_URGENT = 9
+
+
+class Admission:
+    """Takes requests or refuses them, before anything is sent."""
+
+    def __init__(self, *, clock: Clock, knowledge: Knowledge, quota: FleetQuota) -> None:
+        self._clock = clock
+        self._knowledge = knowledge
+        self._quota = quota
+        self._rng = random.Random()
+        self.draining = False
+
+    def admit(self, call: RelayCall) -> Errand:
+        """Return what was decided about a request.
+
+        :raises GatewayError: it is refused.
+        """
+        config = self._knowledge.config
+        if config is None:
+            raise GatewayError(ErrorKind.NOT_READY, retry_after_ms=COME_BACK_MS)
+        if self.draining:
+            raise GatewayError(ErrorKind.DRAINING, retry_after_ms=LEAVING_COME_BACK_MS)
+        route = self._knowledge.table.match(call.host, call.path)
+        if route is None:
+            raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
+        needs_key = config.with_accounts and not route.public
+        terms = self._account(call) if needs_key else None
+        cost = self._spend(call, terms)
+        return Errand(
+            call=call,
+            route=route,
+            service=pick_target(route, self._rng.random()),
+            account=terms.name if terms else None,
+            urgency=urgency_of(route, terms),
+            deadline_ms=min(call.deadline_ms, call.arrived_ms + route.timeout_ms)
+            - ANSWER_MARGIN_MS,
+            resume_after=call.resume_after,
+            cost=cost,
+            elapsed_ms=elapsed_of(call, route),
+        )
+
+    def _account(self, call: RelayCall) -> AccountTerms:
+        config = self._knowledge.config
+        if config is None or call.key is None:
+            raise GatewayError(ErrorKind.KEY_MISSING)
+        name = config.keys.get(key_digest(call.key))
+        if name is None:
+            raise GatewayError(ErrorKind.KEY_UNKNOWN)
+        return config.accounts[name]
+
+    def _spend(self, call: RelayCall, terms: AccountTerms | None) -> float:
+        """Take a request's cost from its account's rate, or refuse it."""
+        if terms is None:
+            return 0.0
+        cost = cost_of(call, terms)
+        wait = self._quota.take(terms.name, cost, self._clock.now())
+        if wait is not None:
+            raise GatewayError(ErrorKind.RATE_LIMITED, retry_after_ms=wait)
+        return cost
+
+
+def cost_of(call: RelayCall, terms: AccountTerms) -> float:
+    """Return what a request costs its account."""
+    if terms.unit is Unit.REQUESTS:
+        return 1.0
+    if not call.tokens_told:
+        return float(terms.tokens_when_untold)
+    return float(call.prompt_tokens + call.output_tokens)
+
+
+def elapsed_of(call: RelayCall, route: Route) -> int:
+    """Return how long ago a stream's caller probably asked first.
+
+    Callers whose patience is the route's time-out and who come back have less of it left.
+    """
+    if route.repeat is not Repeat.STREAM:
+        return 0
+    patience = call.deadline_ms - call.arrived_ms
+    return max(0, route.timeout_ms - patience) if patience >= route.timeout_ms // 4 else 0
+
+
+def urgency_of(route: Route, terms: AccountTerms | None) -> int:
+    """Return how urgent a request is at a server, 0 first; an account's rank goes first."""
+    if terms is None or terms.rank is None:
+        return min(LEAST_URGENT, route.rank)
+    return min(LEAST_URGENT, ROUTE_RANKS * terms.rank + min(ROUTE_RANKS - 1, route.rank))
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -10,7 +10,7 @@
 from hickorybeam.platform import REQUEST_ID, decode_answer, server_headers
 
 if TYPE_CHECKING:
-    from hickorybeam.gateway.fleet import Peer
+    from hickorybeam.gateway.peers import Peer
     from hickorybeam.http1 import AnswerHead, RawHeaders, UpstreamConnection, UpstreamPool
     from hickorybeam.model.routing import RelayCall, Route
     from hickorybeam.platform import AnswerFacts
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -2,47 +2,46 @@
 
 Each VM registers itself in the store under a lease, and tells its peers about itself in
 datagrams: running totals of what accounts spent, what it has at backend servers, and how long
-a request would wait in its region. A lost datagram loses nothing, since all figures are whole.
+a request would wait in its region. A lost datagram loses nothing, since all figures are whole
+or told whole again soon.
 """
 
 from __future__ import annotations
 
 import asyncio
 import secrets
-from dataclasses import dataclass, replace
-from enum import Enum
+from dataclasses import replace
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
 import msgspec
 from absl import logging
 
-from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.feed import FeedService
-from hickorybeam.http1 import bound_socket
+from hickorybeam.gateway.peers import HEARD_MS, YOUNG_MS, PeerTable
+from hickorybeam.gateway.registration import Registration
+from hickorybeam.gateway.tell import NOTHING, Audience, Tell
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
 from hickorybeam.policy.fleet_quota import FleetQuota
 from hickorybeam.policy.prefix_holders import PrefixHolders
 from hickorybeam.ports import FEED, FLEET, PLATFORM
-from hickorybeam.store import Delete, Platform, Put, WatchBatch
+from hickorybeam.sockets import bound_socket
+from hickorybeam.store import Platform, WatchBatch
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Sequence
 
     from hickorybeam.clock import Clock
+    from hickorybeam.gateway.peers import Peer, RegionForecast
+    from hickorybeam.gateway.tell import ServerFigures
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import Settings
     from hickorybeam.telemetry import Counters
 
-__all__ = ("FleetService", "Peer", "RegionForecast")
+__all__ = ("FleetService",)
 
-# Registrations only tell who is there at all; whether a VM lives is heard. So the lease is long.
-MS_PER_SECOND = 1000
-LEASE_MS = 12_000
-RENEW_MS = 4_000
-RETRY_MS = 400
 # How often a VM tells the VMs of its data centre about itself, those of its region's other data
 # centres, and one VM of each other region, which passes it on, in ms. Bytes between data
 # centres are paid for; within one the figures also spread the load.
@@ -54,9 +53,7 @@
 EVERY_PER_VM_MS = 16
 # Figures of servers that didn't change are told again after so many times.
 WHOLE_EVERY = 10
-# What is not heard for this long, or for so many times of being told, is not named to callers
-# and holds no part of a quota.
-HEARD_MS = 1_500
+# A VM that wasn't heard for so many words that it should have sent counts as gone.
 HEARD_TIMES = 4
 # After a change the watch rests, so that changes which come together cost one call: calls are
 # paid for, and each change wakes every VM. In larger fleets it rests for longer.
@@ -68,70 +65,6 @@
 WATCH_WAIT_PER_VM_MS = 1_000
 LEAST_WATCH_WAIT_MS = 6_000
 MOST_WATCH_WAIT_MS = 20_000
-# A VM that has just registered may not have been heard yet.
-YOUNG_MS = 2_500
-NOTHING = (0, 0, 0)
-
-
-class Audience(Enum):
-    """Whom a VM tells: its data centre, its region's others, or other regions."""
-
-    NEAR = "near"
-    ASIDE = "aside"
-    FAR = "far"
-
-
-class Tell(msgspec.Struct, frozen=True, array_like=True):
-    """What a VM says of itself.
-
-    Where ``whole`` is false, ``spent`` and ``servers`` hold only what changed since it was told
-    last; a lost datagram is made good by the next whole one.
-    """
-
-    name: str
-    incarnation: str
-    up_ms: int
-    leaving: bool
-    revision: int
-    fresh: bool
-    spent: dict[str, float]
-    servers: dict[str, tuple[int, int, int]]
-    forecasts: dict[str, float]
-    whole: bool = True
-    levels: dict[str, float] | None = None
-    vm: GatewayVm | None = None
-    holds: dict[str, str] = {}
-    relayed: list[Tell] = []
-
-
-@dataclass(slots=True, eq=False)
-class Peer:
-    """Another VM as this one knows it."""
-
-    vm: GatewayVm
-    known_ms: int
-    registered: bool = True
-    heard_ms: int = -HEARD_MS
-    incarnation: str = ""
-    leaving: bool = False
-    servers: dict[str, tuple[int, int, int]] | None = None
-    forecasts: dict[str, float] | None = None
-
-    def alive(self, now_ms: int, heard_limit_ms: int) -> bool:
-        """Whether it was heard, or is too new to have been."""
-        return self.heard(now_ms, heard_limit_ms) or now_ms - self.known_ms < YOUNG_MS
-
-    def heard(self, now_ms: int, heard_limit_ms: int) -> bool:
-        """Whether it was heard lately."""
-        return now_ms - self.heard_ms < heard_limit_ms
-
-
-@dataclass(frozen=True, slots=True)
-class RegionForecast:
-    """A VM of another region that takes requests for a service, and the wait there in ms."""
-
-    peer: Peer
-    wait_ms: float
 
 
 class FleetService(Service):
@@ -147,7 +80,6 @@
         allowance = cfg.gateway.quota_allowance if cfg.gateway else 0.0
         self.quota = FleetQuota(self._started_ms, allowance=allowance)
         self.holders = PrefixHolders()
-        self.peers: dict[str, Peer] = {}
         self.leaving = False
         self.forecast: dict[str, float] = {}
         self.me = GatewayVm(
@@ -159,17 +91,15 @@
             caller_port=0,
             peer_port=cfg.vm.peer_port,
         )
-        self.heard_limit_ms = HEARD_MS
+        self.peers = PeerTable(clock, self.me)
         self._relayed: list[Tell] = []
         self._relayed_aside: list[Tell] = []
         self._spends_told: dict[str, float] = {}
         self._told: dict[str, tuple[int, int, int]] = {}
         self._times = 0
         self._turns: dict[str, int] = {}
-        self._lease = 0
         self._fresh = True
         self._serving = anyio.Event()
-        self._lapsed = anyio.Event()
         # The TCP side of the peers' port, for the service that answers there.
         self.peer_socket: socket.socket | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -183,56 +113,31 @@
         self._feed = kernel.find(FEED, FeedService)
         self._feed.on_batch(self._take_batch)
         self._feed.on_config(self._take_config)
-
-    @property
-    def _key(self) -> str:
-        return f"{self._cfg.platform.prefix}vm/{self.me.name}"
+        key = f"{self._cfg.platform.prefix}vm/{self.me.name}"
+        self._registration = Registration(self._store, self._clock, key)
 
     def heard(self) -> int:
         """Return how many VMs are heard, this one included."""
-        now = self._clock.now()
-        return 1 + sum(it.heard(now, self.heard_limit_ms) for it in self.peers.values())
+        return 1 + self.peers.heard()
 
     def known(self) -> int:
         """Return how many VMs there are as far as is known, this one included."""
-        return 1 + sum(not peer.leaving for peer in self.peers.values())
+        return 1 + self.peers.known()
 
     def region_vms(self, region: str) -> list[GatewayVm]:
         """Return the VMs of a region that callers may use."""
-        now = self._clock.now()
-        found = [
-            peer.vm
-            for peer in self.peers.values()
-            if peer.vm.region == region
-            and not peer.leaving
-            and peer.alive(now, self.heard_limit_ms)
-        ]
+        found = self.peers.serving(region)
         if region == self.me.region and not self.leaving:
             found.append(self.me)
         return found
 
     def near_names(self) -> list[str]:
         """Return the names of the VMs of this region, this one included."""
-        now = self._clock.now()
-        return [self.me.name] + [
-            peer.vm.name
-            for peer in self.peers.values()
-            if peer.vm.region == self.me.region and peer.alive(now, self.heard_limit_ms)
-        ]
+        return [self.me.name, *(vm.name for vm in self.peers.serving(self.me.region))]
 
     def elsewhere(self, service: str) -> list[RegionForecast]:
         """Return VMs of other regions that take requests for a service, best first."""
-        now = self._clock.now()
-        found = [
-            RegionForecast(peer, peer.forecasts[service])
-            for peer in self.peers.values()
-            if peer.vm.region != self.me.region
-            and not peer.leaving
-            and peer.heard(now, self.heard_limit_ms)
-            and peer.forecasts is not None
-            and service in peer.forecasts
-        ]
-        return sorted(found, key=lambda it: (it.wait_ms, it.peer.vm.name))
+        return self.peers.elsewhere(service)
 
     async def main(self, started: Started) -> None:
         """Register and talk until cancelled."""
@@ -264,37 +169,14 @@
         self._tell_near()
         self._tell_aside()
         data = self._encoded(Audience.FAR)
-        for peer in self.peers.values():
-            if peer.vm.region != self.me.region:
+        for peers in self.peers.far().values():
+            for peer in peers:
                 self._send(data, peer)
-        try:
-            with anyio.move_on_after(1.0):
-                await self._store.txn((), (Delete(self._key),))
-        except GatewayError as exc:
-            logging.info("left without the store: %s", exc)
+        await self._registration.withdraw()
 
     async def _register(self) -> None:
-        """Hold a lease and this VM's key under it, through outages of the store."""
         await self._serving.wait()
-        pause = RENEW_MS
-        while not self.leaving:
-            try:
-                if not self._lease:
-                    lease = await self._store.grant(LEASE_MS)
-                    value = msgspec.json.encode(self.me)
-                    await self._store.txn((), (Put(self._key, value, lease),))
-                    self._lease = lease
-                else:
-                    await self._store.keep_alive(self._lease)
-                pause = RENEW_MS
-            except GatewayError as exc:
-                if exc.kind is ErrorKind.LEASE_LOST:
-                    logging.info("registration lapsed, registering again")
-                    self._lease = 0
-                pause = RETRY_MS
-            self._lapsed = anyio.Event()
-            with anyio.move_on_after(pause / MS_PER_SECOND):
-                await self._lapsed.wait()
+        await self._registration.hold(self.me)
 
     def _take_config(self) -> None:
         config = self._feed.knowledge.config
@@ -303,48 +185,21 @@
 
     def _take_batch(self, batch: WatchBatch) -> None:
         prefix = f"{self._cfg.platform.prefix}vm/"
-        now = self._clock.now()
         for item in batch.puts:
             if item.key.startswith(prefix):
-                self._take_vm(item.value, now)
+                self.peers.registered(item.value)
         for key in batch.deletes:
-            name = key.removeprefix(prefix)
-            if key.startswith(prefix) and name in self.peers:
-                self.peers[name].registered = False
-        self._prune(now)
-        if self._key in batch.deletes and not self.leaving:
-            self._lease = 0
-            self._lapsed.set()
-
-    def _take_vm(self, value: bytes, now_ms: int) -> None:
-        try:
-            vm = msgspec.json.decode(value, type=GatewayVm)
-        except msgspec.MsgspecError as exc:
-            logging.warning("a VM's entry cannot be read: %s", exc)
-            return
-        if vm.name == self.me.name:
-            return
-        known = self.peers.get(vm.name)
-        if known is not None and known.vm == vm:
-            known.registered = True
-        else:
-            self.peers[vm.name] = Peer(vm, now_ms)
-
-    def _prune(self, now_ms: int) -> None:
-        """Forget VMs that are neither registered nor heard.
-
-        The store's lease alone would drop VMs that run through an outage in which leases
-        lapse; hearing alone would count one that is gone for good.
-        """
-        for name, peer in tuple(self.peers.items()):
-            if not peer.registered and not peer.alive(now_ms, self.heard_limit_ms):
-                del self.peers[name]
+            if key.startswith(prefix):
+                self.peers.unregistered(key.removeprefix(prefix))
+        self.peers.prune()
+        if self._registration.key in batch.deletes:
+            self._registration.lapsed()
 
     async def _talk_near(self) -> None:
         while True:
-            await self._clock.sleep(self._every_ms(NEAR_EVERY_MS, self._near()))
+            await self._clock.sleep(self._every_ms(NEAR_EVERY_MS, self.peers.near()))
             now = self._clock.now()
-            self._prune(now)
+            self.peers.prune()
             self._adapt()
             self.quota.reach(self.heard(), self.known(), now)
             self._spread(now)
@@ -352,7 +207,7 @@
 
     async def _talk_aside(self) -> None:
         while True:
-            await self._clock.sleep(self._every_ms(SIDE_EVERY_MS, self._aside()))
+            await self._clock.sleep(self._every_ms(SIDE_EVERY_MS, self.peers.aside()))
             self._tell_aside()
 
     def _every_ms(self, least_ms: int, peers: list[Peer]) -> int:
@@ -360,26 +215,14 @@
 
     def _adapt(self) -> None:
         """Fit intervals to the fleet's size."""
-        aside_ms = self._every_ms(SIDE_EVERY_MS, self._aside())
-        self.heard_limit_ms = max(HEARD_MS, HEARD_TIMES * aside_ms)
+        aside_ms = self._every_ms(SIDE_EVERY_MS, self.peers.aside())
+        self.peers.heard_limit_ms = max(HEARD_MS, HEARD_TIMES * aside_ms)
         known = self.known()
         self._store.watch_rest_ms = max(REST_MS, min(MOST_REST_MS, REST_PER_VM_MS * known))
         self._store.watch_wait_ms = max(
             LEAST_WATCH_WAIT_MS, min(MOST_WATCH_WAIT_MS, WATCH_WAIT_PER_VM_MS * known)
         )
 
-    def _near(self) -> list[Peer]:
-        here = self.me.data_centre
-        return [it for it in self.peers.values() if it.vm.data_centre == here]
-
-    def _aside(self) -> list[Peer]:
-        """Return the VMs of this region's other data centres."""
-        return [
-            it
-            for it in self.peers.values()
-            if it.vm.region == self.me.region and it.vm.data_centre != self.me.data_centre
-        ]
-
     async def _talk_far(self) -> None:
         while True:
             await self._clock.sleep(FAR_EVERY_MS)
@@ -387,9 +230,9 @@
 
     def _spread(self, now_ms: int) -> None:
         """Add up what the region's other VMs have at each backend server."""
-        totals: dict[str, tuple[int, int, int]] = {}
-        for peer in self.peers.values():
-            if peer.servers and peer.heard(now_ms, self.heard_limit_ms):
+        totals: dict[str, ServerFigures] = {}
+        for peer in self.peers.by_name.values():
+            if peer.servers and peer.heard(now_ms, self.peers.heard_limit_ms):
                 for server, told in peer.servers.items():
                     before = totals.get(server, NOTHING)
                     totals[server] = (
@@ -409,14 +252,14 @@
         whole = self._times % WHOLE_EVERY == 0
         relayed, self._relayed = self._relayed, []
         data = self._encoded(Audience.NEAR, whole=whole, relayed=relayed)
-        for peer in self._near():
+        for peer in self.peers.near():
             self._send(data, peer)
         self._relayed_aside += relayed
 
     def _tell_aside(self) -> None:
         """Tell every VM of the region's other data centres."""
         relayed, self._relayed_aside = self._relayed_aside, []
-        peers = self._aside()
+        peers = self.peers.aside()
         data = self._encoded(Audience.ASIDE, relayed=relayed) if peers else b""
         for peer in peers:
             self._send(data, peer)
@@ -426,20 +269,12 @@
 
         A full mesh over all regions would cost each VM as many datagrams as there are VMs.
         """
-        by_region: dict[str, list[Peer]] = {}
-        for peer in self.peers.values():
-            if peer.vm.region != self.me.region:
-                by_region.setdefault(peer.vm.region, []).append(peer)
-        if not by_region:
-            return
-        data = self._encoded(Audience.FAR)
-        now = self._clock.now()
-        for region, peers in by_region.items():
-            alive = [it for it in peers if it.alive(now, self.heard_limit_ms)] or peers
-            alive.sort(key=lambda it: it.vm.name)
+        regions = self.peers.far()
+        data = self._encoded(Audience.FAR) if regions else b""
+        for region, peers in regions.items():
             turn = self._turns.get(region, self._offset())
             self._turns[region] = turn + 1
-            self._send(data, alive[turn % len(alive)])
+            self._send(data, peers[turn % len(peers)])
 
     def _offset(self) -> int:
         """Return where this VM begins its turns, so that VMs don't all choose the same one."""
@@ -479,19 +314,23 @@
             relayed=list(relayed),
             levels=self.quota.levels() if answer else None,
             # Peers may not know it: a VM that restarts while the store is out isn't registered.
-            vm=None if self._lease else self.me,
+            vm=None if self._registration.held else self.me,
             holds={} if answer else self.holders.news(audience.value),
         )
 
     def _spends(self, *, whole: bool) -> dict[str, float]:
-        """Return totals by account, or only those that changed since they were told."""
+        """Return totals by account, or only what changed since this data centre was told.
+
+        Only words to the data centre are not whole; what others are told in between must not
+        count as told to it.
+        """
         now = {name: round(total, 1) for name, total in self.quota.totals().items()}
-        before, self._spends_told = self._spends_told, now
         if whole:
             return now
+        before, self._spends_told = self._spends_told, now
         return {name: total for name, total in now.items() if before.get(name) != total}
 
-    def _server_figures(self, *, whole: bool) -> dict[str, tuple[int, int, int]]:
+    def _server_figures(self, *, whole: bool) -> dict[str, ServerFigures]:
         """Return what this VM has at each server, or only what changed since it was told."""
         now = {
             name: (it.running, it.reading, it.holding)
@@ -511,35 +350,32 @@
         except msgspec.MsgspecError as exc:
             logging.warning("a datagram cannot be read: %s", exc)
             return
-        now = self._clock.now()
-        self._take_tell(tell, now)
+        sender = self._take_tell(tell)
         for relayed in tell.relayed:
             if relayed.name != self.me.name:
-                self._take_tell(relayed, now)
-        sender = self.peers.get(tell.name)
-        if sender is not None and sender.vm.region != self.me.region:
+                self._take_tell(relayed)
+        if sender is not None and not self.peers.here(sender):
             # For the next word to the VMs of this region.
             self._relayed.append(tell)
 
-    def _take_tell(self, tell: Tell, now_ms: int) -> None:
-        peer = self.peers.get(tell.name)
-        if peer is None and tell.vm is not None and tell.name != self.me.name:
-            peer = self.peers[tell.name] = Peer(tell.vm, now_ms, registered=False)
+    def _take_tell(self, tell: Tell) -> Peer | None:
+        peer = self.peers.heard_of(tell.name, tell.vm)
         if peer is None:
-            return
-        up_ms = now_ms - self._started_ms
-        peer.heard_ms = now_ms
+            return None
+        now = self._clock.now()
         peer.leaving = tell.leaving
-        self._feed.behind(tell.revision, now_ms)
-        if peer.vm.region != self.me.region:
-            peer.forecasts = tell.forecasts
-        self.holders.heard(tell.holds, now_ms)
-        if peer.vm.region == self.me.region:
+        self._feed.behind(tell.revision, now)
+        self.holders.heard(tell.holds, now)
+        if self.peers.here(peer):
             kept = {} if tell.whole or peer.servers is None else peer.servers
             peer.servers = kept | tell.servers
+        else:
+            peer.forecasts = tell.forecasts
+        younger = tell.up_ms < now - self._started_ms
         life = f"{tell.name}/{tell.incarnation}"
-        self.quota.heard(life, tell.spent, now_ms, younger=tell.up_ms < up_ms)
-        self._settle_in(tell, peer, now_ms)
+        self.quota.heard(life, tell.spent, now, younger=younger)
+        self._settle_in(tell, peer, now)
+        return peer
 
     def _settle_in(self, tell: Tell, peer: Peer, now_ms: int) -> None:
         """Take the buckets' levels from an older VM, or give them to a younger one."""
@@ -550,8 +386,7 @@
         if self._fresh and up_ms > YOUNG_MS:
             self._fresh = False
         if tell.fresh and tell.up_ms < up_ms:
-            here = peer.vm.region == self.me.region
-            audience = Audience.ASIDE if here else Audience.FAR
+            audience = Audience.ASIDE if self.peers.here(peer) else Audience.FAR
             self._send(self._encoded(audience, answer=True), peer)
 
 
--- a/src/hickorybeam/gateway/line.py
+++ b/src/hickorybeam/gateway/line.py
@@ -12,7 +12,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.policy.wait_line import Place
 
-__all__ = ("Line",)
+__all__ = ("Line", "Lines")
 
 MS_PER_SECOND = 1000
 # Places also come free by what other VMs tell, which wakes nobody; so a waiting task looks
@@ -52,3 +52,18 @@
         """Give a place up."""
         self.policy.leave(place)
         self._events.pop(place.number, None)
+
+
+class Lines:
+    """The lines of all services on this VM."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lines: dict[str, Line] = {}
+
+    def of(self, service: str) -> Line:
+        """Return a service's line."""
+        line = self._lines.get(service)
+        if line is None:
+            line = self._lines[service] = Line(self._clock)
+        return line
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 
 from hickorybeam.errors import ErrorKind, GatewayError, Ran, answer_for
+from hickorybeam.gateway.admission import COME_BACK_MS, Admission
 from hickorybeam.gateway.attempt import (
     HOP_NOT_RUN,
     Attempt,
@@ -18,15 +18,12 @@
     ToServer,
 )
 from hickorybeam.gateway.events import EventCutter
-from hickorybeam.gateway.line import Line
+from hickorybeam.gateway.line import Lines
+from hickorybeam.gateway.placing import Full, Placing, size_of
 from hickorybeam.http1 import BrokenAnswerError
-from hickorybeam.model import key_digest
-from hickorybeam.model.routing import Repeat, Unit
+from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import answer_headers, decode_call, refusal_headers
 from hickorybeam.policy.attempt_budget import AttemptBudget
-from hickorybeam.policy.cold_limit import cold_owners
-from hickorybeam.policy.route_table import pick_target
-from hickorybeam.policy.server_choice import READ_TOKENS_PER_MS, choose_server, wait_ms
 from hickorybeam.policy.wait_line import patience_ms
 
 if TYPE_CHECKING:
@@ -35,9 +32,8 @@
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.http1 import AnswerHead, Incoming, RawHeaders, Reply, UpstreamPool
-    from hickorybeam.model.routing import AccountTerms, RelayCall, Route
+    from hickorybeam.model.routing import RelayCall
     from hickorybeam.platform import AnswerFacts
-    from hickorybeam.policy.cold_limit import ColdLimit
     from hickorybeam.policy.server_choice import ServerStanding
     from hickorybeam.settings import GatewaySettings
     from hickorybeam.telemetry import Counters
@@ -49,18 +45,8 @@
 OK, FIRST_ERROR, SERVER_ERROR = 200, 300, 500
 # Sends of one request, those included that were surely not run.
 MOST_SENDS = 4
-# Another region is used when its wait, with the way there and back, is shorter by this much.
-REGION_WAY_MS = 160.0
-SPILL_MARGIN_MS = 150.0
-# An answer has to leave before the caller stops waiting for it.
-ANSWER_MARGIN_MS = 25
-# When a refused caller may come back, where nothing better is known, in ms.
-COME_BACK_MS = 300
 # Cache of one server in tokens, where its service doesn't tell.
 DEFAULT_CACHE_TOKENS = 200_000
-# What a region without room adds to the wait that it tells others, in ms: they send there
-# only what would wait much longer at home.
-FULL_MS = 500.0
 HOP_MARK = ((HOP_NOT_RUN, b"1"),)
 
 
@@ -83,13 +69,6 @@
     here_only: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Full:
-    """Servers that may take a request have no room; about when there will be."""
-
-    wait_ms: float
-
-
 class RequestPath:
     """Answers requests of callers, and those that other regions' VMs hand over."""
 
@@ -111,17 +90,23 @@
         self._fleet = fleet
         self._pool = pool
         self._log = log
-        self._rng = random.Random()
         self._budgets: dict[str, AttemptBudget] = {}
-        self._lines: dict[str, Line] = {}
-        self.draining = False
+        self._lines = Lines(clock)
+        self._admission = Admission(clock=clock, knowledge=feed.knowledge, quota=fleet.quota)
+        self._placing = Placing(
+            regions=cfg.regions,
+            clock=clock,
+            knowledge=feed.knowledge,
+            fleet=fleet,
+            lines=self._lines,
+        )
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
 
     async def answer(self, req: Incoming, reply: Reply) -> None:
         """Answer one request of a caller."""
         call = decode_call(req)
         try:
-            errand = self._admit(call)
+            errand = self._admission.admit(call)
         except GatewayError as exc:
             self._refuse(call, reply, exc)
             return
@@ -138,7 +123,7 @@
         with anyio.CancelScope() as scope:
             reply.on_gone(scope.cancel)
             with anyio.move_on_after(max(0, left_ms) / MS_PER_SECOND) as limit:
-                await self._attempts(errand, progress, here_only=here_only)
+                await self._attempts(errand, progress)
             if limit.cancelled_caught and not reply.done:
                 progress.why = "deadline"
                 self._give_up(errand, progress)
@@ -149,56 +134,15 @@
         if scope.cancelled_caught:
             self._counters.requests.labels(errand.route.name, "left").inc()
 
-    def _admit(self, call: RelayCall) -> Errand:
-        config = self._knowledge.config
-        if config is None:
-            raise GatewayError(ErrorKind.NOT_READY, retry_after_ms=COME_BACK_MS)
-        if self.draining:
-            raise GatewayError(ErrorKind.DRAINING, retry_after_ms=50)
-        route = self._knowledge.table.match(call.host, call.path)
-        if route is None:
-            raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
-        terms = None
-        if config.with_accounts and not route.public:
-            if call.key is None:
-                raise GatewayError(ErrorKind.KEY_MISSING)
-            name = config.keys.get(key_digest(call.key))
-            if name is None:
-                raise GatewayError(ErrorKind.KEY_UNKNOWN)
-            terms = config.accounts[name]
-        cost = self._spend(call, terms)
-        return Errand(
-            call=call,
-            route=route,
-            service=pick_target(route, self._rng.random()),
-            account=terms.name if terms else None,
-            urgency=urgency_of(route, terms),
-            deadline_ms=min(call.deadline_ms, call.arrived_ms + route.timeout_ms)
-            - ANSWER_MARGIN_MS,
-            resume_after=call.resume_after,
-            cost=cost,
-            elapsed_ms=elapsed_of(call, route),
-        )
-
-    def _spend(self, call: RelayCall, terms: AccountTerms | None) -> float:
-        """Take a request's cost from its account's rate, or refuse it."""
-        if terms is None:
-            return 0.0
-        cost = cost_of(call, terms)
-        wait = self._fleet.quota.take(terms.name, cost, self._clock.now())
-        if wait is not None:
-            raise GatewayError(ErrorKind.RATE_LIMITED, retry_after_ms=wait)
-        return cost
-
-    async def _attempts(self, errand: Errand, progress: _Progress, *, here_only: bool) -> None:
+    async def _attempts(self, errand: Errand, progress: _Progress) -> None:
         while True:
-            target = self._choose(errand, progress, here_only=here_only)
+            target = self._choose(errand, progress)
             if isinstance(target, Full):
-                target = await self._wait(errand, progress, here_only=here_only)
+                target = await self._wait(errand, progress)
                 if isinstance(target, Full):
                     self._overloaded(errand, progress)
                     return
-            if target is None or not self._may_send(errand, progress, here_only=here_only):
+            if target is None or not self._may_send(errand, progress):
                 self._give_up(errand, progress)
                 return
             progress.sends += 1
@@ -206,11 +150,11 @@
             await self._send(target, errand, progress)
             if progress.reply.done:
                 return
-            if progress.runs and (here_only or not errand.route.repeatable):
+            if progress.runs and (progress.here_only or not errand.route.repeatable):
                 self._give_up(errand, progress)
                 return
 
-    def _may_send(self, errand: Errand, progress: _Progress, *, here_only: bool) -> bool:
+    def _may_send(self, errand: Errand, progress: _Progress) -> bool:
         if progress.sends == 0:
             return True
         if progress.sends >= MOST_SENDS or progress.runs >= errand.route.max_attempts:
@@ -221,11 +165,9 @@
         self._counters.retries.labels("repeat").inc()
         return True
 
-    async def _wait(
-        self, errand: Errand, progress: _Progress, *, here_only: bool
-    ) -> Target | Full | None:
+    async def _wait(self, errand: Errand, progress: _Progress) -> Target | Full | None:
         """Wait in the service's line for room, within what the request's objective leaves."""
-        line = self._line(errand.service)
+        line = self._lines.of(errand.service)
         now = self._clock.now()
         patience = patience_ms(
             target_ms=errand.route.target_ms,
@@ -237,13 +179,22 @@
         try:
             while await line.pause(place):
                 if line.is_next(place):
-                    target = self._choose(errand, progress, here_only=here_only)
+                    target = self._choose(errand, progress)
                     if not isinstance(target, Full):
                         return target
             return Full(line.policy.estimate_ms(errand.urgency, self._clock.now()))
         finally:
             line.leave(place)
 
+    def _choose(self, errand: Errand, progress: _Progress) -> Target | Full | None:
+        repeatable = errand.route.repeat is Repeat.IDEMPOTENT
+        return self._placing.choose(
+            errand,
+            progress.tried,
+            again=repeatable and progress.failed is not None,
+            here_only=progress.here_only,
+        )
+
     def _overloaded(self, errand: Errand, progress: _Progress) -> None:
         """Refuse a request for which there is no room in time, and say when there will be."""
         if progress.runs or progress.reply.started:
@@ -251,101 +202,15 @@
             return
         now = self._clock.now()
         most_ms = max(COME_BACK_MS, (errand.deadline_ms - now) // 3)
-        line = self._line(errand.service).policy
+        line = self._lines.of(errand.service).policy
         after = max(COME_BACK_MS, line.come_back_ms(errand.urgency, most_ms, now))
         exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=after)
         self._refuse(errand.call, progress.reply, exc, HOP_MARK if progress.here_only else ())
 
-    def _choose(
-        self, errand: Errand, progress: _Progress, *, here_only: bool
-    ) -> Target | Full | None:
-        """Pick a server of this region, or a VM of another one whose wait is much shorter."""
-        now = self._clock.now()
-        here: ServerStanding | Full | None = None
-        if here_only or self._allowed(errand, self._fleet.me.region):
-            here = self._choose_here(errand, progress, now)
-        away = None if here_only else self._choose_away(errand, progress)
-        if here is None:
-            return away[0] if away else None
-        if away is not None and self._wait_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
-            return away[0]
-        if isinstance(here, Full):
-            return here
-        if self._knowledge.is_cold(here.server.id, now):
-            self._cold_limit(here, now).take(now)
-        return ToServer(here)
-
-    def _wait_here(self, here: ServerStanding | Full, errand: Errand, now_ms: int) -> float:
-        if isinstance(here, Full):
-            return here.wait_ms
-        return wait_ms(here, errand.call.parts, errand.call.prompt_tokens, now_ms)
-
-    def _choose_here(
-        self, errand: Errand, progress: _Progress, now_ms: int
-    ) -> ServerStanding | Full | None:
-        usable = self._usable(errand.service, now_ms)
-        fresh = [it for it in usable if it.server.id not in progress.tried]
-        if not fresh and errand.route.repeat is Repeat.IDEMPOTENT and progress.failed is not None:
-            fresh = usable
-        call = errand.call
-        size = size_of(call)
-        with_room = [it for it in fresh if it.has_room(size, now_ms)]
-        if fresh and not with_room:
-            return Full(self._line(errand.service).policy.estimate_ms(errand.urgency, now_ms))
-        return choose_server(
-            with_room,
-            parts=call.parts,
-            tokens=call.prompt_tokens,
-            now_ms=now_ms,
-            data_centre=self._fleet.me.data_centre,
-        )
-
-    def _usable(self, service: str, now_ms: int) -> list[ServerStanding]:
-        """Return this region's servers that may get a request now."""
-        found = []
-        for standing in self._knowledge.servers(service):
-            if self._cfg.regions.get(standing.server.data_centre) != self._fleet.me.region:
-                continue
-            if standing.paused_until_ms > now_ms:
-                continue
-            cold = self._knowledge.is_cold(standing.server.id, now_ms)
-            if not cold or self._may_warm(standing, now_ms):
-                found.append(standing)
-        return found
-
-    def _may_warm(self, standing: ServerStanding, now_ms: int) -> bool:
-        owners = cold_owners(standing.server.id, self._fleet.near_names())
-        return self._fleet.me.name in owners and self._cold_limit(standing, now_ms).ready(now_ms)
-
-    def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
-        return self._knowledge.cold_limit(standing.server, now_ms)
-
-    def _choose_away(self, errand: Errand, progress: _Progress) -> tuple[Target, float] | None:
-        found = [
-            it
-            for it in self._fleet.elsewhere(errand.service)
-            if self._allowed(errand, it.peer.vm.region) and it.peer.vm.name not in progress.tried
-        ]
-        if not found:
-            return None
-        # Peers of one region tell nearly the same wait; the same one for all would be flooded.
-        best = [it for it in found if it.wait_ms <= found[0].wait_ms + 20]
-        pick = self._rng.choice(best)
-        reading = errand.call.prompt_tokens / READ_TOKENS_PER_MS
-        return ToPeer(pick.peer), pick.wait_ms + reading + REGION_WAY_MS
-
-    def _allowed(self, errand: Errand, region: str) -> bool:
-        homes = [errand.route.homes]
-        config = self._knowledge.config
-        terms = config.accounts.get(errand.account or "") if config else None
-        if terms is not None:
-            homes.append(terms.homes)
-        return all(not home or region in home for home in homes)
-
     async def _send(self, target: Target, errand: Errand, progress: _Progress) -> None:
         """Send once and take note of how it went; a good answer is passed on."""
         standing = target.standing if isinstance(target, ToServer) else None
-        copy_from = self._copy_from(standing, errand)
+        copy_from = self._placing.copy_from(standing, errand)
         reading = self._begin(standing, errand)
         attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
@@ -385,22 +250,9 @@
                 standing.running -= 1
                 standing.reading -= reading
                 standing.holding -= size_of(errand.call)
-                self._line(errand.service).departed()
+                self._lines.of(errand.service).departed()
             attempt.close()
 
-    def _copy_from(self, standing: ServerStanding | None, errand: Errand) -> str | None:
-        """Return the address of a server from which a prompt's shared parts can be copied."""
-        parts = errand.call.parts
-        if standing is None or len(parts) < 2 or not standing.memory.missing(parts[:-1]):
-            return None
-        now = self._clock.now()
-        holder = self._knowledge.standings.get(self._fleet.holders.holder(parts, now) or "")
-        if holder is None or holder is standing or holder.paused_until_ms > now:
-            return None
-        if holder.server.leaving or holder.server.service != standing.server.service:
-            return None
-        return f"{holder.server.host}:{holder.server.port}"
-
     def _begin(self, standing: ServerStanding | None, errand: Errand) -> int:
         if standing is None:
             return 0
@@ -561,12 +413,6 @@
             headers = (*headers, *extra)
         reply.whole(answer.status, headers, close=exc.kind is ErrorKind.DRAINING)
 
-    def _line(self, service: str) -> Line:
-        line = self._lines.get(service)
-        if line is None:
-            line = self._lines[service] = Line(self._clock)
-        return line
-
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -579,17 +425,11 @@
 
     def forecasts(self) -> dict[str, float]:
         """Return the wait of an empty prompt in this region, by service that has servers."""
-        config = self._knowledge.config
-        now = self._clock.now()
-        found = {}
-        for service in config.services if config else ():
-            usable = self._usable(service, now)
-            waits = [wait_ms(it, (), 0, now) for it in usable if it.has_room(0, now)]
-            if waits:
-                found[service] = min(waits)
-            elif usable:
-                found[service] = self._line(service).policy.estimate_ms(0, now) + FULL_MS
-        return found
+        return self._placing.forecasts()
+
+    def drain(self) -> None:
+        """Refuse new requests from now on."""
+        self._admission.draining = True
 
     def _count(self, errand: Errand, outcome: str) -> None:
         self._counters.requests.labels(errand.route.name, outcome).inc()
@@ -612,36 +452,3 @@
             return standing.server.id
         case ToPeer(peer):
             return peer.vm.name
-
-
-def size_of(call: RelayCall) -> int:
-    """Return the tokens that a request holds in a server's memory, beyond its shared parts."""
-    own = call.parts[-1].tokens if call.parts else call.prompt_tokens
-    return own + call.output_tokens
-
-
-def cost_of(call: RelayCall, terms: AccountTerms) -> float:
-    """Return what a request costs its account."""
-    if terms.unit is Unit.REQUESTS:
-        return 1.0
-    if not call.tokens_told:
-        return float(terms.tokens_when_untold)
-    return float(call.prompt_tokens + call.output_tokens)
-
-
-def elapsed_of(call: RelayCall, route: Route) -> int:
-    """Return how long ago a stream's caller probably asked first.
-
-    Callers whose patience is the route's time-out and who come back have less of it left.
-    """
-    if route.repeat is not Repeat.STREAM:
-        return 0
-    patience = call.deadline_ms - call.arrived_ms
-    return max(0, route.timeout_ms - patience) if patience >= route.timeout_ms // 4 else 0
-
-
-def urgency_of(route: Route, terms: AccountTerms | None) -> int:
-    """Return how urgent a request is at a server, 0 first; an account's rank goes first."""
-    if terms is None or terms.rank is None:
-        return min(9, route.rank)
-    return min(9, 3 * terms.rank + min(2, route.rank))
--- /dev/null
+++ b/src/hickorybeam/gateway/peers.py
@@ -0,0 +1,167 @@
+"""The other VMs as this one knows them: by the store's registrations and by hearing them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+from absl import logging
+
+from hickorybeam.model.routing import GatewayVm
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.tell import ServerFigures
+
+__all__ = ("HEARD_MS", "YOUNG_MS", "Peer", "PeerTable", "RegionForecast")
+
+# What is not heard for this long is not named to callers and holds no part of a quota.
+HEARD_MS = 1_500
+# A VM that has just registered may not have been heard yet.
+YOUNG_MS = 2_500
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """Another VM as this one knows it."""
+
+    vm: GatewayVm
+    known_ms: int
+    registered: bool = True
+    heard_ms: int = -HEARD_MS
+    leaving: bool = False
+    servers: dict[str, ServerFigures] | None = None
+    forecasts: dict[str, float] | None = None
+
+    def alive(self, now_ms: int, heard_limit_ms: int) -> bool:
+        """Whether it was heard, or is too new to have been."""
+        return self.heard(now_ms, heard_limit_ms) or now_ms - self.known_ms < YOUNG_MS
+
+    def heard(self, now_ms: int, heard_limit_ms: int) -> bool:
+        """Whether it was heard lately."""
+        return now_ms - self.heard_ms < heard_limit_ms
+
+
+@dataclass(frozen=True, slots=True)
+class RegionForecast:
+    """A VM of another region that takes requests for a service, and the wait there in ms."""
+
+    peer: Peer
+    wait_ms: float
+
+
+class PeerTable:
+    """All other VMs.
+
+    :param me: the VM of this process.
+    """
+
+    def __init__(self, clock: Clock, me: GatewayVm) -> None:
+        self._clock = clock
+        self._me = me
+        self.heard_limit_ms = HEARD_MS
+        self.by_name: dict[str, Peer] = {}
+
+    def heard(self) -> int:
+        """Return how many VMs are heard."""
+        now = self._clock.now()
+        return sum(it.heard(now, self.heard_limit_ms) for it in self.by_name.values())
+
+    def known(self) -> int:
+        """Return how many VMs there are, those left out that are leaving."""
+        return sum(not peer.leaving for peer in self.by_name.values())
+
+    def serving(self, region: str) -> list[GatewayVm]:
+        """Return the VMs of a region that callers may use."""
+        now = self._clock.now()
+        return [
+            peer.vm
+            for peer in self.by_name.values()
+            if peer.vm.region == region
+            and not peer.leaving
+            and peer.alive(now, self.heard_limit_ms)
+        ]
+
+    def near(self) -> list[Peer]:
+        """Return the VMs of this data centre."""
+        here = self._me.data_centre
+        return [it for it in self.by_name.values() if it.vm.data_centre == here]
+
+    def aside(self) -> list[Peer]:
+        """Return the VMs of this region's other data centres."""
+        return [
+            it
+            for it in self.by_name.values()
+            if self.here(it) and it.vm.data_centre != self._me.data_centre
+        ]
+
+    def far(self) -> dict[str, list[Peer]]:
+        """Return the VMs of each other region, those that are alive if any is, by name."""
+        now = self._clock.now()
+        by_region: dict[str, list[Peer]] = {}
+        for peer in self.by_name.values():
+            if not self.here(peer):
+                by_region.setdefault(peer.vm.region, []).append(peer)
+        for region, peers in by_region.items():
+            alive = [it for it in peers if it.alive(now, self.heard_limit_ms)] or peers
+            by_region[region] = sorted(alive, key=lambda it: it.vm.name)
+        return by_region
+
+    def here(self, peer: Peer) -> bool:
+        """Whether a VM is of this region."""
+        return peer.vm.region == self._me.region
+
+    def elsewhere(self, service: str) -> list[RegionForecast]:
+        """Return VMs of other regions that take requests for a service, best first."""
+        now = self._clock.now()
+        found = [
+            RegionForecast(peer, peer.forecasts[service])
+            for peer in self.by_name.values()
+            if not self.here(peer)
+            and not peer.leaving
+            and peer.heard(now, self.heard_limit_ms)
+            and peer.forecasts is not None
+            and service in peer.forecasts
+        ]
+        return sorted(found, key=lambda it: (it.wait_ms, it.peer.vm.name))
+
+    def registered(self, value: bytes) -> None:
+        """Take a VM's registration; a new life of it is a new VM."""
+        try:
+            vm = msgspec.json.decode(value, type=GatewayVm)
+        except msgspec.MsgspecError as exc:
+            logging.warning("a VM's entry cannot be read: %s", exc)
+            return
+        if vm.name == self._me.name:
+            return
+        known = self.by_name.get(vm.name)
+        if known is not None and known.vm == vm:
+            known.registered = True
+        else:
+            self.by_name[vm.name] = Peer(vm, self._clock.now())
+
+    def unregistered(self, name: str) -> None:
+        """Take note that a VM's registration is gone."""
+        if name in self.by_name:
+            self.by_name[name].registered = False
+
+    def heard_of(self, name: str, vm: GatewayVm | None) -> Peer | None:
+        """Return a VM that was heard; one that isn't registered tells who it is."""
+        peer = self.by_name.get(name)
+        if peer is None and vm is not None and name != self._me.name:
+            peer = self.by_name[name] = Peer(vm, self._clock.now(), registered=False)
+        if peer is not None:
+            peer.heard_ms = self._clock.now()
+        return peer
+
+    def prune(self) -> None:
+        """Forget VMs that are neither registered nor heard.
+
+        The store's lease alone would drop VMs that run through an outage in which leases
+        lapse; hearing alone would count one that is gone for good.
+        """
+        now = self._clock.now()
+        for name, peer in tuple(self.by_name.items()):
+            if not peer.registered and not peer.alive(now, self.heard_limit_ms):
+                del self.by_name[name]
--- /dev/null
+++ b/src/hickorybeam/gateway/placing.py
@@ -0,0 +1,188 @@
+"""Where a request goes: a server of this region, or a VM of another one."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hickorybeam.gateway.attempt import ToPeer, ToServer
+from hickorybeam.policy.cold_limit import cold_owners
+from hickorybeam.policy.server_choice import READ_TOKENS_PER_MS, choose_server, wait_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.attempt import Errand, Target
+    from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.knowledge import Knowledge
+    from hickorybeam.gateway.line import Lines
+    from hickorybeam.model.routing import RelayCall
+    from hickorybeam.policy.cold_limit import ColdLimit
+    from hickorybeam.policy.server_choice import ServerStanding
+
+__all__ = ("Full", "Placing", "size_of")
+
+# The way to another region and back, in ms, and by how much its wait has to be shorter.
+REGION_WAY_MS = 160.0
+SPILL_MARGIN_MS = 150.0
+# VMs of one region tell waits that differ by less than this for the same servers, in ms.
+SAME_WAIT_MS = 20
+# What a region without room adds to the wait that it tells others, in ms: they send there
+# only what would wait much longer at home.
+FULL_MS = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class Full:
+    """Servers that may take a request have no room; about when there will be."""
+
+    wait_ms: float
+
+
+class Placing:
+    """Chooses targets by what this VM knows now.
+
+    :param regions: leads from data centres to regions.
+    """
+
+    def __init__(
+        self,
+        *,
+        regions: Mapping[str, str],
+        clock: Clock,
+        knowledge: Knowledge,
+        fleet: FleetService,
+        lines: Lines,
+    ) -> None:
+        self._regions = regions
+        self._clock = clock
+        self._knowledge = knowledge
+        self._fleet = fleet
+        self._lines = lines
+        self._rng = random.Random()
+
+    def choose(
+        self, errand: Errand, tried: set[str], *, again: bool, here_only: bool
+    ) -> Target | Full | None:
+        """Pick a server of this region, or a VM of another one whose wait is much shorter.
+
+        :param tried: names of targets that the request was sent to before.
+        :param again: a server that was tried may be tried again where there is no other.
+        :param here_only: it came from another VM, so it is run in this region or not at all.
+        """
+        now = self._clock.now()
+        here: ServerStanding | Full | None = None
+        if here_only or self._allowed(errand, self._fleet.me.region):
+            here = self._choose_here(errand, tried, now, again=again)
+        away = None if here_only else self._choose_away(errand, tried)
+        if here is None:
+            return away[0] if away else None
+        if away is not None and self._wait_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
+            return away[0]
+        if isinstance(here, Full):
+            return here
+        if self._knowledge.is_cold(here.server.id, now):
+            self._cold_limit(here, now).take(now)
+        return ToServer(here)
+
+    def _wait_here(self, here: ServerStanding | Full, errand: Errand, now_ms: int) -> float:
+        if isinstance(here, Full):
+            return here.wait_ms
+        return wait_ms(here, errand.call.parts, errand.call.prompt_tokens, now_ms)
+
+    def _choose_here(
+        self, errand: Errand, tried: set[str], now_ms: int, *, again: bool
+    ) -> ServerStanding | Full | None:
+        usable = self._usable(errand.service, now_ms)
+        fresh = [it for it in usable if it.server.id not in tried]
+        if not fresh and again:
+            fresh = usable
+        call = errand.call
+        size = size_of(call)
+        with_room = [it for it in fresh if it.has_room(size, now_ms)]
+        if fresh and not with_room:
+            return Full(self._lines.of(errand.service).policy.estimate_ms(errand.urgency, now_ms))
+        return choose_server(
+            with_room,
+            parts=call.parts,
+            tokens=call.prompt_tokens,
+            now_ms=now_ms,
+            data_centre=self._fleet.me.data_centre,
+        )
+
+    def _usable(self, service: str, now_ms: int) -> list[ServerStanding]:
+        """Return this region's servers that may get a request now."""
+        found = []
+        for standing in self._knowledge.servers(service):
+            if self._regions.get(standing.server.data_centre) != self._fleet.me.region:
+                continue
+            if standing.paused_until_ms > now_ms:
+                continue
+            cold = self._knowledge.is_cold(standing.server.id, now_ms)
+            if not cold or self._may_warm(standing, now_ms):
+                found.append(standing)
+        return found
+
+    def _may_warm(self, standing: ServerStanding, now_ms: int) -> bool:
+        owners = cold_owners(standing.server.id, self._fleet.near_names())
+        return self._fleet.me.name in owners and self._cold_limit(standing, now_ms).ready(now_ms)
+
+    def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
+        return self._knowledge.cold_limit(standing.server, now_ms)
+
+    def _choose_away(self, errand: Errand, tried: set[str]) -> tuple[Target, float] | None:
+        found = [
+            it
+            for it in self._fleet.elsewhere(errand.service)
+            if self._allowed(errand, it.peer.vm.region) and it.peer.vm.name not in tried
+        ]
+        if not found:
+            return None
+        # Peers of one region tell nearly the same wait; the same one for all would be flooded.
+        best = [it for it in found if it.wait_ms <= found[0].wait_ms + SAME_WAIT_MS]
+        pick = self._rng.choice(best)
+        reading = errand.call.prompt_tokens / READ_TOKENS_PER_MS
+        return ToPeer(pick.peer), pick.wait_ms + reading + REGION_WAY_MS
+
+    def _allowed(self, errand: Errand, region: str) -> bool:
+        homes = [errand.route.homes]
+        config = self._knowledge.config
+        terms = config.accounts.get(errand.account or "") if config else None
+        if terms is not None:
+            homes.append(terms.homes)
+        return all(not home or region in home for home in homes)
+
+    def copy_from(self, standing: ServerStanding | None, errand: Errand) -> str | None:
+        """Return the address of a server from which a prompt's shared parts can be copied."""
+        parts = errand.call.parts
+        if standing is None or len(parts) < 2 or not standing.memory.missing(parts[:-1]):
+            return None
+        now = self._clock.now()
+        holder = self._knowledge.standings.get(self._fleet.holders.holder(parts, now) or "")
+        if holder is None or holder is standing or holder.paused_until_ms > now:
+            return None
+        if holder.server.leaving or holder.server.service != standing.server.service:
+            return None
+        return f"{holder.server.host}:{holder.server.port}"
+
+    def forecasts(self) -> dict[str, float]:
+        """Return the wait of an empty prompt in this region, by service that has servers."""
+        config = self._knowledge.config
+        now = self._clock.now()
+        found = {}
+        for service in config.services if config else ():
+            usable = self._usable(service, now)
+            waits = [wait_ms(it, (), 0, now) for it in usable if it.has_room(0, now)]
+            if waits:
+                found[service] = min(waits)
+            elif usable:
+                found[service] = self._lines.of(service).policy.estimate_ms(0, now) + FULL_MS
+        return found
+
+
+def size_of(call: RelayCall) -> int:
+    """Return the tokens that a request holds in a server's memory, beyond its shared parts."""
+    own = call.parts[-1].tokens if call.parts else call.prompt_tokens
+    return own + call.output_tokens
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -19,11 +19,12 @@
 from hickorybeam.gateway.feed import STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.path import RequestPath
-from hickorybeam.http1 import CallerLimits, HttpServer, UpstreamPool, bound_socket, find
+from hickorybeam.http1 import CallerLimits, HttpServer, UpstreamPool, find
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import Repeat, Route
 from hickorybeam.platform import decode_call, decode_query, directory_answer
 from hickorybeam.ports import FEED, FLEET, RELAY
+from hickorybeam.sockets import bound_socket
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
@@ -144,7 +145,7 @@
             server.closing = True
         await self._fleet.leave()
         await self._until(begun + grace_ms * SERVE_ON_SHARE)
-        self._path.draining = True
+        self._path.drain()
         await self._until(begun + grace_ms * ACCEPT_ON_SHARE)
         for server in self._servers:
             server.stop_accepting()
--- /dev/null
+++ b/src/hickorybeam/gateway/tell.py
@@ -0,0 +1,46 @@
+"""What VMs tell each other in datagrams."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from hickorybeam.model.routing import GatewayVm  # noqa: TC001 - msgspec reads the annotation
+
+__all__ = ("NOTHING", "Audience", "ServerFigures", "Tell")
+
+# Requests that run at a server, prompt tokens that are still to be read there, tokens held.
+ServerFigures = tuple[int, int, int]
+NOTHING: ServerFigures = (0, 0, 0)
+
+
+class Audience(Enum):
+    """Whom a VM tells: its data centre, its region's others, or other regions."""
+
+    NEAR = "near"
+    ASIDE = "aside"
+    FAR = "far"
+
+
+class Tell(msgspec.Struct, frozen=True, array_like=True):
+    """What a VM says of itself.
+
+    Where ``whole`` is false, ``spent`` and ``servers`` hold only what changed since it was told
+    last; a lost datagram is made good by the next whole one.
+    """
+
+    name: str
+    incarnation: str
+    up_ms: int
+    leaving: bool
+    revision: int
+    fresh: bool
+    spent: dict[str, float]
+    servers: dict[str, ServerFigures]
+    forecasts: dict[str, float]
+    whole: bool = True
+    levels: dict[str, float] | None = None
+    vm: GatewayVm | None = None
+    holds: dict[str, str] = {}
+    relayed: list[Tell] = []
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -4,7 +4,7 @@
 
 from hickorybeam.http1.head import AnswerHead, Incoming, RawHeaders, find, framing_fault
 from hickorybeam.http1.pool import ConnectFailedError, UpstreamPool
-from hickorybeam.http1.server import CallerLimits, HttpServer, Reply, bound_socket
+from hickorybeam.http1.server import CallerLimits, HttpServer, Reply
 from hickorybeam.http1.upstream import BrokenAnswerError, UpstreamConnection
 
 __all__ = (
@@ -18,7 +18,6 @@
     "Reply",
     "UpstreamConnection",
     "UpstreamPool",
-    "bound_socket",
     "find",
     "framing_fault",
 )
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -19,6 +19,7 @@
 from absl import logging
 
 from hickorybeam.http1.head import Incoming, answer_bytes, find, framing_fault
+from hickorybeam.sockets import bound_socket
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -30,7 +31,7 @@
 
     Handler = Callable[[Incoming, "Reply"], Awaitable[None]]
 
-__all__ = ("CallerLimits", "HttpServer", "Reply", "bound_socket")
+__all__ = ("CallerLimits", "HttpServer", "Reply")
 
 BACKLOG = 2_048
 # How often idle and slow connections are looked over, in ms; a limit is noticed this late.
@@ -412,20 +413,3 @@
             for conn in tuple(self.conns):
                 with contextlib.suppress(OSError):
                     conn.sweep(now, limits)
-
-
-def bound_socket(host: str, port: int) -> socket.socket:
-    """Return a bound TCP socket; port 0 takes a free one.
-
-    :raises OSError: the address is taken or not ours.
-    """
-    # asyncio turns Nagle's algorithm off only for sockets that name TCP as their protocol;
-    # with it on, the first event of a stream waits 40 ms for an acknowledgement.
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host, port))
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import contextlib
-import socket
 from typing import TYPE_CHECKING, Any, cast
 
 import anyio
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from hickorybeam.sockets import bound_socket
+
 if TYPE_CHECKING:
+    import socket
     from collections.abc import AsyncIterator, Callable, Iterator
 
 __all__ = ("CONNECTION", "HttpProtocol", "Listener", "listening")
@@ -106,23 +108,6 @@
                 conn.abort()
 
 
-def bind(host: str, port: int) -> socket.socket:
-    """Return a bound TCP socket; port 0 takes a free one.
-
-    :raises OSError: the address is taken or not ours.
-    """
-    # asyncio turns Nagle's algorithm off only for sockets that name TCP as their protocol.
-    # With it on, the first token waited 40 ms for the acknowledgement of the answer's head.
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host, port))
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 @contextlib.asynccontextmanager
 async def listening(
     app: Any,
@@ -154,7 +139,7 @@
         timeout_keep_alive=max(1, keep_alive_ms // MS_PER_SECOND),
         timeout_graceful_shutdown=None,
     )
-    sock = bind(host, port)
+    sock = bound_socket(host, port)
     server = _Server(config)
     listener = Listener(server, host, sock.getsockname()[1])
     async with anyio.create_task_group() as tg:
--- /dev/null
+++ b/src/hickorybeam/sockets.py
@@ -0,0 +1,24 @@
+"""Listening sockets."""
+
+from __future__ import annotations
+
+import socket
+
+__all__ = ("bound_socket",)
+
+
+def bound_socket(host: str, port: int) -> socket.socket:
+    """Return a bound TCP socket; port 0 takes a free one.
+
+    :raises OSError: the address is taken or not ours.
+    """
+    # asyncio turns Nagle's algorithm off only for sockets that name TCP as their protocol;
+    # with it on, the first event of a stream waits 40 ms for an acknowledgement.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -13,6 +13,7 @@
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.http1 import HttpServer
+from hickorybeam.platform import names
 from hickorybeam.standins.memory import PlatformStandIn
 from hickorybeam.store import Compare, Delete, KeyValue, Put
 
@@ -49,6 +50,10 @@
         self.stand_in.store.txn((), (Put(key, value),))
         self.stand_in.notify()
 
+    def configure(self, config: Mapping[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.put(names.CONFIG_KEY, msgspec.json.encode(config))
+
     def delete(self, key: str) -> None:
         """Remove a key as an operator would, or as a lapsed lease does."""
         self.stand_in.store.txn((), (Delete(key),))
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -7,8 +7,9 @@
 import msgspec
 from behave import given, then, when
 
-from hickorybeam.demo.platform import HOST, KEYS, first_config, start_platform_fleet
+from hickorybeam.demo.platform import start_platform_fleet
 from hickorybeam.http1.head import request_bytes
+from hickorybeam.standins.deployment import HOST, KEYS, first_config
 from hickorybeam.store import KeyValue, Put, WatchBatch
 from support.gateway import ran, small_gateway
 
@@ -472,9 +473,9 @@
     async def lapse():
         rig = context.rig
         store = rig.app.stand_in.store
-        fleet = rig.vms[vm].fleet
-        await rig.until(lambda: fleet._lease != 0)
-        store.revoke(fleet._lease)
+        registration = rig.vms[vm].fleet._registration
+        await rig.until(lambda: registration.held)
+        store.revoke(registration._lease)
         assert not store.read(f"hickorybeam/vm/{vm}").items
         rig.app.stand_in.notify()
 
