--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -108,12 +108,12 @@
         async with _daemons(size, served.url) as (children, ports):
             await anyio.sleep(SETTLE_S)
             calls = served.app.stand_in.calls.total()
-            cpu = sum(_cpu_ms(child.pid) for child in children)
+            cpu = sum(cpu_ms(child.pid) for child in children)
             sent = await _sent(ports)
             await anyio.sleep(MEASURE_S)
             count = len(children) * MEASURE_S
             return Row(
-                cpu_ms_per_s=(sum(_cpu_ms(child.pid) for child in children) - cpu) / count,
+                cpu_ms_per_s=(sum(cpu_ms(child.pid) for child in children) - cpu) / count,
                 rss_mb=sum(_rss_mb(child.pid) for child in children) / len(children),
                 calls_per_s=(served.app.stand_in.calls.total() - calls) / count,
                 sent_kb_per_s=(await _sent(ports) - sent) / count / 1000,
@@ -174,7 +174,8 @@
     return total
 
 
-def _cpu_ms(pid: int) -> float:
+def cpu_ms(pid: int) -> float:
+    """Return the processor time that a process has used."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) * 1000 / TICKS
 
