--- a/src/entry.py
+++ b/src/entry.py
@@ -18,9 +18,10 @@
 
 def main() -> None:
     """Run until SIGTERM."""
-    cfg = load_settings(os.environ[SETTINGS_VARIABLE])
+    path = os.environ[SETTINGS_VARIABLE]
+    cfg = load_settings(path)
     logs.configure(cfg.log)
-    anyio.run(run, cfg)
+    anyio.run(run, cfg, path)
 
 
 if __name__ == "__main__":
--- a/src/hickorybeam/gateway/daemon.py
+++ b/src/hickorybeam/gateway/daemon.py
@@ -12,6 +12,7 @@
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.relay import RelayService
+from hickorybeam.gateway.reload import SettingsFile
 from hickorybeam.kernel import Kernel
 from hickorybeam.platform import PlatformStore
 from hickorybeam.telemetry import Counters
@@ -34,20 +35,27 @@
     return kernel
 
 
-async def run(cfg: Settings) -> None:
-    """Serve until SIGTERM or SIGINT; SIGHUP changes nothing that needs a restart."""
+async def run(cfg: Settings, path: str) -> None:
+    """Serve until SIGTERM or SIGINT; SIGHUP reads the settings anew.
+
+    :param path: the file that the settings came from.
+    """
     kernel = build(cfg)
+    settings = SettingsFile(path, cfg, kernel, kernel.clock)
 
     async with anyio.create_task_group() as tg:
-        tg.start_soon(_signals, kernel)
+        tg.start_soon(_signals, kernel, settings)
+        tg.start_soon(settings.follow)
         await kernel.run(ready=lambda: logging.info("VM %s serves", cfg.vm.name))
         tg.cancel_scope.cancel()
     logging.info("VM %s has ended", cfg.vm.name)
 
 
-async def _signals(kernel: Kernel) -> None:
+async def _signals(kernel: Kernel, settings: SettingsFile) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for signum in signals:
             logging.info("signal %s", signal.Signals(signum).name)
-            if signum is not signal.SIGHUP:
+            if signum is signal.SIGHUP:
+                settings.read()
+            else:
                 kernel.stop()
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -35,7 +35,7 @@
 
     from hickorybeam.clock import Clock
     from hickorybeam.kernel import Kernel, Started
-    from hickorybeam.settings import Settings
+    from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("STATE_PATH", "FeedService")
@@ -71,6 +71,7 @@
         self._lapsing: dict[str, int] = {}
         self._store_ok = False
         self.revision = 0
+        self._seeds = cfg.gateway.seeds if cfg.gateway else ()
         self._behind_since_ms: int | None = None
         self._watching = anyio.CancelScope()
         self._pool = UpstreamPool(clock, connect_ms=300, silent_ms=SEED_LIMIT_MS)
@@ -80,6 +81,10 @@
         """Look up the store."""
         self._store = kernel.find(PLATFORM, Platform)  # type: ignore[type-abstract]
 
+    def reload(self, cfg: GatewaySettings) -> None:
+        """Ask these seeds from now on."""
+        self._seeds = cfg.seeds
+
     def on_batch(self, listener: Callable[[WatchBatch], None]) -> None:
         """Hand every batch of changes to a listener."""
         self._listeners.append(listener)
@@ -245,7 +250,7 @@
         """
         await self._clock.sleep(600)
         while self.knowledge.config is None:
-            for seed in self._cfg.gateway.seeds if self._cfg.gateway else ():
+            for seed in self._seeds:
                 if self.knowledge.config is None:
                     await self._ask(seed)
             await self._clock.sleep(500)
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -37,7 +37,7 @@
     from hickorybeam.gateway.peers import Peer, RegionForecast
     from hickorybeam.gateway.tell import ServerFigures
     from hickorybeam.kernel import Kernel, Started
-    from hickorybeam.settings import Settings
+    from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("FleetService",)
@@ -116,6 +116,10 @@
         key = f"{self._cfg.platform.prefix}vm/{self.me.name}"
         self._registration = Registration(self._store, self._clock, key)
 
+    def reload(self, cfg: GatewaySettings) -> None:
+        """Start new accounts with this allowance from now on."""
+        self.quota.allowance = cfg.quota_allowance
+
     def heard(self) -> int:
         """Return how many VMs are heard, this one included."""
         return 1 + self.peers.heard()
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -427,6 +427,17 @@
         """Return the wait of an empty prompt in this region, by service that has servers."""
         return self._placing.forecasts()
 
+    def reload(self, cfg: GatewaySettings) -> None:
+        """Take over other bounds on repeats, and other regions."""
+        self._cfg = cfg
+        self._placing.regions = cfg.regions
+        for budget in self._budgets.values():
+            budget.change(
+                ratio=cfg.repeat_ratio,
+                allowance=cfg.repeat_allowance,
+                window_ms=round(cfg.repeat_window_s * MS_PER_SECOND),
+            )
+
     def drain(self) -> None:
         """Refuse new requests from now on."""
         self._admission.draining = True
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -56,7 +56,7 @@
         fleet: FleetService,
         lines: Lines,
     ) -> None:
-        self._regions = regions
+        self.regions = regions
         self._clock = clock
         self._knowledge = knowledge
         self._fleet = fleet
@@ -116,7 +116,7 @@
         """Return this region's servers that may get a request now."""
         found = []
         for standing in self._knowledge.servers(service):
-            if self._regions.get(standing.server.data_centre) != self._fleet.me.region:
+            if self.regions.get(standing.server.data_centre) != self._fleet.me.region:
                 continue
             if standing.paused_until_ms > now_ms:
                 continue
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -33,7 +33,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.http1 import Incoming, Reply
     from hickorybeam.kernel import Kernel, Started
-    from hickorybeam.settings import Settings
+    from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("Ports", "RelayService")
@@ -97,6 +97,11 @@
             log=DecisionLog(self._clock),
         )
 
+    def reload(self, cfg: GatewaySettings) -> None:
+        """Take over what may change while requests run; open connections stay."""
+        self._gateway = cfg
+        self._path.reload(cfg)
+
     async def main(self, started: Started) -> None:
         """Listen until cancelled."""
         vm = self._cfg.vm
--- a/src/hickorybeam/policy/attempt_budget.py
+++ b/src/hickorybeam/policy/attempt_budget.py
@@ -24,11 +24,15 @@
     """
 
     def __init__(self, *, ratio: float, allowance: float, window_ms: int) -> None:
+        self._saved: float | None = None
+        self._at_ms = 0
+        self.change(ratio=ratio, allowance=allowance, window_ms=window_ms)
+
+    def change(self, *, ratio: float, allowance: float, window_ms: int) -> None:
+        """Take over other bounds; what was saved up stays, up to the new most."""
         self._ratio = ratio * SAFE_SHARE
         self._allowance = allowance * SAFE_SHARE
         self._window_ms = window_ms
-        self._saved: float | None = None
-        self._at_ms = 0
 
     def earn(self, now_ms: int, vms: int) -> None:
         """Count one request of a caller."""
--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -55,7 +55,7 @@
     """
 
     def __init__(self, now_ms: int, *, allowance: float = 0.0) -> None:
-        self._allowance = allowance
+        self.allowance = allowance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
         self._fraction = 1.0
@@ -70,7 +70,7 @@
         for terms in accounts:
             bucket = self._buckets.get(terms.name)
             if bucket is None:
-                bucket = _Bucket(terms, min(terms.burst, self._allowance / 2), now_ms)
+                bucket = _Bucket(terms, min(terms.burst, self.allowance / 2), now_ms)
             else:
                 self._refill(bucket, now_ms)
                 bucket.terms = terms
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -1,14 +1,19 @@
 from __future__ import annotations
 
+import tempfile
 import time
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import anyio
 import msgspec
 from behave import given, then, when
 
+from hickorybeam.clock import SystemClock
 from hickorybeam.demo.platform import start_platform_fleet
+from hickorybeam.gateway.reload import SettingsFile
 from hickorybeam.http1.head import request_bytes
+from hickorybeam.settings import load_settings
 from hickorybeam.standins.deployment import HOST, KEYS, first_config
 from hickorybeam.store import KeyValue, Put, WatchBatch
 from support.gateway import ran, small_gateway
@@ -664,3 +669,75 @@
         lambda: context.rig.until(lambda: knowledge.config.version == version, limit_s=limit)
     )
     ask(context, vm, path, key=key)
+
+
+@given("a daemon before a small gateway's store, started from a settings file")
+def step_file_daemon(context):
+    start(context, vms=("n1",))
+    rig = context.rig
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.path = Path(folder) / "vm.json"
+    write_settings(context, "repeat_allowance: 40")
+    vm = rig.vms["n1"]
+    cfg = load_settings(context.path)
+    context.file = context.call(SettingsFile, str(context.path), cfg, vm.kernel, SystemClock())
+
+
+def write_settings(context, line):
+    url = context.rig.url
+    context.path.write_text(
+        f"""{{vm: {{name: "n1", region: "north", data_centre: "north-1"}},
+        platform: {{urls: ["{url}"], prefix: "hickorybeam/"}},
+        peers: {{tls: {{plain: true}}}},
+        gateway: {{regions: {{"north-1": "north", "south-1": "south"}}, {line}}}}}"""
+    )
+
+
+def allowance_of(context):
+    return context.rig.vms["n1"].relay._path._cfg.repeat_allowance
+
+
+@when('its settings file says "{line}" while a stream runs')
+def step_changed_running(context, line):
+    async def change():
+        rig = context.rig
+        rig.servers["m1"].work_ms = 200
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(context.file.follow)
+
+            async def stream():
+                context.stream = await rig.call(
+                    "n1", "/chat/x", method="POST", body=BODY, tokens=b"50,10"
+                )
+
+            tg.start_soon(stream)
+            write_settings(context, line)
+            with anyio.move_on_after(5):
+                while allowance_of(context) == 40:
+                    await anyio.sleep(0.02)
+            await rig.until(lambda: hasattr(context, "stream"))
+            tg.cancel_scope.cancel()
+
+    context.call(change)
+
+
+@when('its settings file says "{line}" and it reads it')
+def step_changed(context, line):
+    write_settings(context, line)
+    context.call(context.file.read)
+
+
+@then("within {limit:d} s its repeats are bounded by {allowance:d}")
+def step_bounded_soon(context, limit, allowance):
+    assert allowance_of(context) == allowance
+
+
+@then("its repeats are bounded by {allowance:d}")
+def step_bounded(context, allowance):
+    assert allowance_of(context) == allowance
+
+
+@then("it still serves callers")
+def step_still_serves(context):
+    ask(context, "n1", "/look/x")
+    assert context.reply.status == 200
