--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -24,6 +24,8 @@
 from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import answer_headers, decode_call, refusal_headers
 from hickorybeam.policy.attempt_budget import AttemptBudget
+from hickorybeam.policy.first_byte import first_byte_ms
+from hickorybeam.policy.server_choice import wait_ms
 from hickorybeam.policy.wait_line import patience_ms
 
 if TYPE_CHECKING:
@@ -211,11 +213,12 @@
         """Send once and take note of how it went; a good answer is passed on."""
         standing = target.standing if isinstance(target, ToServer) else None
         copy_from = self._placing.copy_from(standing, errand)
+        patience_s = self._patience_s(standing, errand, progress)
         reading = self._begin(standing, errand)
         attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
         try:
-            with anyio.move_on_after(self._patience_s(errand, progress)) as patience:
+            with anyio.move_on_after(patience_s) as patience:
                 head, facts = await attempt.open(self._clock.now())
             if patience.cancelled_caught:
                 raise BrokenAnswerError("silent")
@@ -269,17 +272,16 @@
         self._fleet.holders.sent(call.parts, standing.server.id, self._clock.now())
         return reading
 
-    def _patience_s(self, errand: Errand, progress: _Progress) -> float | None:
-        """Return how long to wait for a first byte; no limit but the deadline for most.
-
-        A request that may be repeated is sent elsewhere when a server stays silent for twice
-        its objective: a hung server would otherwise hold it until its deadline.
-        """
-        if errand.route.repeat is not Repeat.IDEMPOTENT:
-            return None
-        if progress.runs + 1 >= errand.route.max_attempts:
-            return None
-        return errand.route.target_ms / MS_PER_SECOND
+    def _patience_s(
+        self, standing: ServerStanding | None, errand: Errand, progress: _Progress
+    ) -> float | None:
+        foreseen_ms = 0.0
+        if standing is not None:
+            call, now = errand.call, self._clock.now()
+            foreseen_ms = wait_ms(standing, call.parts, call.prompt_tokens, now)
+        runs_left = errand.route.max_attempts - progress.runs - 1
+        patience = first_byte_ms(errand.route, runs_left=runs_left, foreseen_ms=foreseen_ms)
+        return None if patience is None else patience / MS_PER_SECOND
 
     def _take_facts(self, standing: ServerStanding, facts: AnswerFacts) -> None:
         now = self._clock.now()
--- a/tests/gateway/repeats.feature
+++ b/tests/gateway/repeats.feature
@@ -76,3 +76,14 @@
     Then the caller gets 504
     When a caller of "small" asks "n1" for "/look/x"
     Then the caller gets 200 or is told when to come back
+
+  Scenario: a stream that may be resumed leaves a hung server in time
+    # The server took the prompt and went dark. The caller would wait until its deadline; it
+    # reads the whole stream from another server, each event once.
+    Given a small gateway with servers "m1:model, m2:model, b1:books"
+    And server "m1" hangs on the next request
+    And server "m2" hangs on the next request
+    When a caller of "small" streams "/plan/x" from "n1"
+    Then the caller gets 504
+    When a caller of "small" streams "/plan/x" from "n1"
+    Then the stream is whole with events 1 to 6
--- a/tests/policy/gateway_decisions.feature
+++ b/tests/policy/gateway_decisions.feature
@@ -84,3 +84,16 @@
     Given servers "a" that are idle
     When one in 7 of 200 requests fails at server "a", drawn at random
     Then at most 1 in 10 of these found a wait over 150 ms at "a"
+
+  Scenario Outline: who waits how long for a first byte
+    Then a "<repeat>" request, resumable "<resumable>", with <left> runs left and <foreseen> ms foreseen waits <patience>
+
+    Examples:
+      | repeat     | resumable | left | foreseen | patience |
+      | idempotent | no        | 1    | 0        | 600      |
+      | idempotent | no        | 0    | 0        | None     |
+      | once       | no        | 1    | 0        | None     |
+      | stream     | no        | 1    | 0        | None     |
+      | stream     | yes       | 1    | 0        | 720      |
+      | stream     | yes       | 1    | 500      | 1400     |
+      | stream     | yes       | 0    | 0        | None     |
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -14,6 +14,7 @@
 )
 from hickorybeam.policy.attempt_budget import AttemptBudget
 from hickorybeam.policy.cold_limit import ColdLimit, cold_owners
+from hickorybeam.policy.first_byte import first_byte_ms
 from hickorybeam.policy.route_table import RouteTable, pick_target
 from hickorybeam.policy.server_choice import ServerStanding, choose_server, wait_ms
 
@@ -249,3 +250,21 @@
 @then('at most 1 in {share:d} of these found a wait over {ms:d} ms at "{name}"')
 def step_waits(context, share, ms, name):
     assert sum(wait > ms for wait in context.waits) <= len(context.waits) / share
+
+
+@then(
+    'a "{repeat}" request, resumable "{resumable}", with {left:d} runs left and {foreseen:d} ms '
+    "foreseen waits {patience}"
+)
+def step_first_byte(context, repeat, resumable, left, foreseen, patience):
+    route = Route(
+        name="r",
+        host="x",
+        prefix="/",
+        repeat=Repeat(repeat),
+        targets=(),
+        target_ms=600,
+        resumable=resumable == "yes",
+    )
+    found = first_byte_ms(route, runs_left=left, foreseen_ms=foreseen)
+    assert (str(found) if found is None else f"{found:g}") == patience, found
