--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -45,6 +45,7 @@
 SILENT_MS = 2_000
 FORECAST_EVERY_MS = 100
 METRICS_PATH = b"/metrics"
+USUAL_URGENCY = 5
 JSON = ((b"content-type", b"application/json"),)
 PLAIN = ((b"content-type", b"text/plain; version=0.0.4"),)
 # Shutdown, in shares of the time it may take: new requests are served while callers still hold
@@ -223,6 +224,11 @@
             reply.whole(404)
 
 
+def urgency_told(value: bytes | None) -> int:
+    """Read the urgency that another VM tells; what cannot be read counts as usual."""
+    return int(value) if value is not None and value.isdigit() else USUAL_URGENCY
+
+
 def socket_of(address: str) -> socket.socket:
     """Return a socket bound to ``host:port``."""
     host, _, port = address.rpartition(":")
@@ -233,7 +239,7 @@
     """Read a request that another VM hands over; ``None`` if it is none."""
     service = find(req.headers, HOP_SERVICE)
     left = find(req.headers, HOP_LEFT)
-    if service is None or left is None:
+    if service is None or left is None or not left.isdigit():
         return None
     call = decode_call(req)
     account, resume = find(req.headers, HOP_ACCOUNT), find(req.headers, HOP_RESUME)
@@ -243,7 +249,7 @@
         route=route,
         service=service.decode("latin-1"),
         account=None if account is None else account.decode("latin-1"),
-        urgency=int(find(req.headers, HOP_URGENCY) or 5),
+        urgency=urgency_told(find(req.headers, HOP_URGENCY)),
         deadline_ms=req.arrived_ms + int(left),
         resume_after=None if resume is None else resume.decode("latin-1"),
     )
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -78,6 +78,10 @@
         if self.gone and callback is not None:
             callback()
 
+    def close_after(self) -> None:
+        """End the connection after this answer."""
+        self._close = True
+
     def whole(
         self, status: int, headers: RawHeaders = (), body: bytes = b"", *, close: bool = False
     ) -> None:
@@ -205,14 +209,13 @@
             self._since_ms = self.server.clock.now()
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refuse(400)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             if self.reply is None:
                 self.refuse(400)
             else:
-                # What follows a whole request is no request: its answer is still due.
-                self.reply._close = True
+                # What follows a whole request is no request, or another protocol that the
+                # caller would like: the request's own answer is still due, and the last.
+                self.reply.close_after()
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
--- a/src/hickorybeam/shares/service.py
+++ b/src/hickorybeam/shares/service.py
@@ -300,7 +300,7 @@
         if fault:
             logging.warning("no round of shares with the platform: %s", fault)
         else:
-            logging.info("shares are in touch with the platform")
+            logging.info("shares reach the platform")
 
     async def _ask_neighbours(self) -> None:
         """With the platform out of reach, ask this data centre's VMs to take nothing over.
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import socket
 import tempfile
 import time
 from contextlib import asynccontextmanager
@@ -14,7 +15,7 @@
 from hickorybeam.gateway.reload import SettingsFile
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.settings import load_settings
-from hickorybeam.standins.deployment import HOST, KEYS, first_config
+from hickorybeam.standins.deployment import HOST, KEYS, caller_headers, first_config
 from hickorybeam.store import KeyValue, Put, WatchBatch
 from support.gateway import ran, small_gateway
 
@@ -741,3 +742,51 @@
 def step_still_serves(context):
     ask(context, "n1", "/look/x")
     assert context.reply.status == 200
+
+
+@when('a caller sends "{vm}" the bytes "{data}"')
+def step_bytes(context, vm, data):
+    raw = data.replace("~", "\r\n").replace("^", "\x16\x03\x01\x02").encode("latin-1")
+    port = context.rig.vms[vm].ports.callers
+    context.reply = context.call(context.rig.exchange, port, raw)
+
+
+@when('"{vm}" is asked for "{path}" by a caller of "{key}" that would like "{protocol}"')
+def step_upgrade(context, vm, path, key, protocol):
+    # The caller's own connection header is written by hand: the rig's writer frames anew.
+    headers = caller_headers("0123456789abcdef", key=key, wait_ms=2_000)
+    lines = b"".join(b"%s: %s\r\n" % pair for pair in headers)
+    wish = f"Connection: Upgrade\r\nUpgrade: {protocol}\r\n".encode()
+    raw = f"GET {path} HTTP/1.1\r\n".encode() + lines + wish + b"\r\n"
+    context.reply = context.call(context.rig.exchange, context.rig.vms[vm].ports.callers, raw)
+
+
+DATAGRAMS = {"of random bytes": b"\xc1\x00\xff" * 40, "of another type": b"\x93\x01\x02\x03"}
+
+
+@when('the peers\' port of "{vm}" gets a datagram {what}')
+def step_datagram(context, vm, what):
+    async def send():
+        port = context.rig.vms[vm].ports.peers
+        async with await anyio.create_udp_socket(family=socket.AF_INET) as sock:
+            await sock.sendto(DATAGRAMS[what], "127.0.0.1", port)
+        await anyio.sleep(0.1)
+
+    context.call(send)
+
+
+@when('the peers\' port of "{vm}" gets a handed-over request without a limit')
+@when('the peers\' port of "{vm}" gets a handed-over request with limit "{limit}"')
+def step_bad_hop(context, vm, limit=None):
+    headers = [(b"host", b"x"), (b"hop-service", b"books")]
+    if limit is not None:
+        headers.append((b"hop-left-ms", limit.encode()))
+    data = request_bytes("GET", b"/look/x", tuple(headers), b"")
+    reply = context.call(context.rig.exchange, context.rig.vms[vm].ports.peers, data)
+    assert reply.status == 404, reply.status
+
+
+@then('"{vm}" still hears {count:d} VMs')
+def step_hears(context, vm, count):
+    fleet = context.rig.vms[vm].fleet
+    context.call(context.rig.until, lambda: fleet.heard() == count)
