--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -28,7 +28,7 @@
     decode_entry,
 )
 from hickorybeam.ports import FEED, PLATFORM
-from hickorybeam.store import KeyValue, Platform, WatchBatch
+from hickorybeam.store import KeyValue, PacedPlatform, WatchBatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,7 +79,7 @@
 
     def bind(self, kernel: Kernel) -> None:
         """Look up the store."""
-        self._store = kernel.find(PLATFORM, Platform)  # type: ignore[type-abstract]
+        self._store = kernel.find(PLATFORM, PacedPlatform)  # type: ignore[type-abstract]
 
     def reload(self, cfg: GatewaySettings) -> None:
         """Ask these seeds from now on."""
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -27,7 +27,7 @@
 from hickorybeam.policy.prefix_holders import PrefixHolders
 from hickorybeam.ports import FEED, FLEET, PLATFORM
 from hickorybeam.sockets import bound_socket
-from hickorybeam.store import Platform, WatchBatch
+from hickorybeam.store import PacedPlatform, WatchBatch
 
 if TYPE_CHECKING:
     import socket
@@ -109,7 +109,7 @@
 
     def bind(self, kernel: Kernel) -> None:
         """Look up the store and the feed."""
-        self._store = kernel.find(PLATFORM, Platform)  # type: ignore[type-abstract]
+        self._store = kernel.find(PLATFORM, PacedPlatform)  # type: ignore[type-abstract]
         self._feed = kernel.find(FEED, FeedService)
         self._feed.on_batch(self._take_batch)
         self._feed.on_config(self._take_config)
--- a/src/hickorybeam/standins/memory.py
+++ b/src/hickorybeam/standins/memory.py
@@ -161,9 +161,6 @@
     """
 
     name = "platform"
-    # Its watch is one long answer.
-    watch_wait_ms = 0
-    watch_rest_ms = 0
 
     def __init__(self, stand_in: PlatformStandIn, *, prefix: str = "/hickorybeam/") -> None:
         self.stand_in = stand_in
--- a/src/hickorybeam/store/etcd.py
+++ b/src/hickorybeam/store/etcd.py
@@ -106,9 +106,6 @@
     """
 
     name = "platform"
-    # Its watch is one long answer.
-    watch_wait_ms = 0
-    watch_rest_ms = 0
 
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
         self._cfg = cfg.platform
--- a/src/hickorybeam/store/port.py
+++ b/src/hickorybeam/store/port.py
@@ -20,6 +20,7 @@
     "Compare",
     "Delete",
     "KeyValue",
+    "PacedPlatform",
     "Platform",
     "Put",
     "ReadResult",
@@ -98,14 +99,7 @@
 
 @runtime_checkable
 class Platform(Protocol):
-    """The calls hickorybeam makes of the platform (service ``platform``).
-
-    Where a watch is made of calls, ``watch_wait_ms`` is how long one may wait, and
-    ``watch_rest_ms`` the pause after one that brought changes.
-    """
-
-    watch_wait_ms: int
-    watch_rest_ms: int
+    """The calls hickorybeam makes of the platform (service ``platform``)."""
 
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
@@ -134,3 +128,15 @@
     def watch(self, prefix: str, *, after: int) -> AsyncIterator[WatchBatch]:
         """Yield changes after a revision until closed; may go silent without an error."""
         ...
+
+
+@runtime_checkable
+class PacedPlatform(Platform, Protocol):
+    """A platform whose watches are made of calls, which are counted.
+
+    ``watch_wait_ms`` is how long one call may wait, ``watch_rest_ms`` the pause after one that
+    brought changes.
+    """
+
+    watch_wait_ms: int
+    watch_rest_ms: int
