--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import anyio
+
 from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, find
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import REQUEST_ID, decode_answer, server_headers
@@ -26,11 +28,13 @@
     "Attempt",
     "Errand",
     "NotSentError",
+    "SilentError",
     "Target",
     "ToPeer",
     "ToServer",
 )
 
+MS_PER_SECOND = 1000
 # Between VMs: set by the sending VM, never taken from callers, who don't reach this port.
 HOP_SERVICE = b"hop-service"
 HOP_ACCOUNT = b"hop-account"
@@ -52,6 +56,10 @@
         self.unreachable = unreachable
 
 
+class SilentError(BrokenAnswerError):
+    """No first byte came within the patience; the request may have run."""
+
+
 @dataclass(frozen=True, slots=True)
 class ToServer:
     """A backend server of this region."""
@@ -105,32 +113,46 @@
         self._address = address_of(target)
         self._conn: UpstreamConnection | None = None
 
-    async def open(self, now_ms: int, *, fresh: bool = False) -> tuple[AnswerHead, AnswerFacts]:
+    async def open(
+        self, now_ms: int, *, patience_ms: float | None = None
+    ) -> tuple[AnswerHead, AnswerFacts]:
         """Send the request and return the head of its answer.
 
+        :param patience_ms: how long to wait for it; ``None`` for no limit but the deadline.
         :raises NotSentError: it was not run.
+        :raises SilentError: no byte came within the patience.
         :raises BrokenAnswerError: it may have run.
         """
-        errand = self._errand
-        left_ms = errand.deadline_ms - now_ms
-        try:
-            conn = await self._pool.take(self._address, fresh=fresh)
-        except ConnectFailedError as exc:
-            raise NotSentError(str(exc), unreachable=True) from exc
-        self._conn = conn
-        call = errand.call
-        data = request_bytes(call.method, call.target, self._headers(left_ms), call.body)
-        expected = (REQUEST_ID, call.request_id.encode("latin-1")) if call.request_id else None
-        try:
-            conn.send(data, expected_id=expected)
-        except BrokenAnswerError as exc:
-            raise NotSentError(str(exc)) from exc
-        head = await conn.head()
+        limit_s = None if patience_ms is None else patience_ms / MS_PER_SECOND
+        with anyio.move_on_after(limit_s) as patience:
+            conn = await self._sent(self._errand.deadline_ms - now_ms)
+            head = await conn.head()
+        if patience.cancelled_caught:
+            raise SilentError("silent")
         if find(head.headers, HOP_NOT_RUN) is not None:
             await self._finish()
             raise NotSentError("the other region did not run it")
         return head, decode_answer(head)
 
+    async def _sent(self, left_ms: int) -> UpstreamConnection:
+        """Send on an idle connection, or on a new one if that has just ended."""
+        call = self._errand.call
+        data = request_bytes(call.method, call.target, self._headers(left_ms), call.body)
+        expected = (REQUEST_ID, call.request_id.encode("latin-1")) if call.request_id else None
+        for fresh in (False, True):
+            try:
+                self._conn = await self._pool.take(self._address, fresh=fresh)
+                self._conn.send(data, expected_id=expected)
+            except ConnectFailedError as exc:
+                raise NotSentError(str(exc), unreachable=True) from exc
+            except BrokenAnswerError as exc:
+                # Nothing was sent: the other end closed the connection while it was idle.
+                self.close()
+                why = str(exc)
+            else:
+                return self._conn
+        raise NotSentError(why)
+
     def _headers(self, left_ms: int) -> RawHeaders:
         errand = self._errand
         match self._target:
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -14,6 +14,7 @@
     Attempt,
     Errand,
     NotSentError,
+    SilentError,
     ToPeer,
     ToServer,
 )
@@ -213,18 +214,13 @@
         """Send once and take note of how it went; a good answer is passed on."""
         standing = target.standing if isinstance(target, ToServer) else None
         copy_from = self._placing.copy_from(standing, errand)
-        patience_s = self._patience_s(standing, errand, progress)
+        patience_ms = self._first_byte_ms(standing, errand, progress)
         reading = self._begin(standing, errand)
         attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
         try:
-            with anyio.move_on_after(patience_s) as patience:
-                head, facts = await attempt.open(self._clock.now())
-            if patience.cancelled_caught:
-                raise BrokenAnswerError("silent")
-            self._first_byte.labels(errand.route.name).observe(
-                (self._clock.now() - errand.call.arrived_ms) / MS_PER_SECOND
-            )
+            head, facts = await attempt.open(self._clock.now(), patience_ms=patience_ms)
+            self._observe_first_byte(errand)
             if standing is not None:
                 standing.reading -= reading
                 reading = 0
@@ -235,27 +231,30 @@
             progress.flying = False
             progress.why = str(exc)
             if exc.unreachable:
-                self._unreachable(target)
-                attempt.forget_idle()
-            self._note("not_sent", errand, target, why=str(exc))
+                self._unreachable(target, attempt)
+            self._note("not_sent", errand, target, why=progress.why)
         except BrokenAnswerError as exc:
             progress.flying = False
             progress.runs += 1
             progress.why = str(exc)
-            if str(exc) == "silent":
-                self._unreachable(target)
-                attempt.forget_idle()
-            elif standing is not None:
-                standing.failed()
-            self._note("broken", errand, target, why=str(exc))
+            self._broke(exc, target, attempt)
+            self._note("broken", errand, target, why=progress.why)
         finally:
             if standing is not None:
-                standing.running -= 1
-                standing.reading -= reading
-                standing.holding -= size_of(errand.call)
-                self._lines.of(errand.service).departed()
+                self._end(standing, errand, reading)
             attempt.close()
 
+    def _broke(self, exc: BrokenAnswerError, target: Target, attempt: Attempt) -> None:
+        match exc, target:
+            case SilentError(), _:
+                self._unreachable(target, attempt)
+            case _, ToServer(standing):
+                standing.failed()
+
+    def _observe_first_byte(self, errand: Errand) -> None:
+        took_ms = self._clock.now() - errand.call.arrived_ms
+        self._first_byte.labels(errand.route.name).observe(took_ms / MS_PER_SECOND)
+
     def _begin(self, standing: ServerStanding | None, errand: Errand) -> int:
         if standing is None:
             return 0
@@ -272,7 +271,14 @@
         self._fleet.holders.sent(call.parts, standing.server.id, self._clock.now())
         return reading
 
-    def _patience_s(
+    def _end(self, standing: ServerStanding, errand: Errand, reading: int) -> None:
+        """Take back what ``_begin`` counted; ``reading`` is what is left of it."""
+        standing.running -= 1
+        standing.reading -= reading
+        standing.holding -= size_of(errand.call)
+        self._lines.of(errand.service).departed()
+
+    def _first_byte_ms(
         self, standing: ServerStanding | None, errand: Errand, progress: _Progress
     ) -> float | None:
         foreseen_ms = 0.0
@@ -280,8 +286,7 @@
             call, now = errand.call, self._clock.now()
             foreseen_ms = wait_ms(standing, call.parts, call.prompt_tokens, now)
         runs_left = errand.route.max_attempts - progress.runs - 1
-        patience = first_byte_ms(errand.route, runs_left=runs_left, foreseen_ms=foreseen_ms)
-        return None if patience is None else patience / MS_PER_SECOND
+        return first_byte_ms(errand.route, runs_left=runs_left, foreseen_ms=foreseen_ms)
 
     def _take_facts(self, standing: ServerStanding, facts: AnswerFacts) -> None:
         now = self._clock.now()
@@ -356,7 +361,9 @@
         reply.end()
         self._count(errand, "answered")
 
-    def _unreachable(self, target: Target) -> None:
+    def _unreachable(self, target: Target, attempt: Attempt) -> None:
+        """Leave a target that took no connection or fell silent, with its idle connections."""
+        attempt.forget_idle()
         match target:
             case ToServer(standing):
                 standing.unreachable(self._clock.now())
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -40,7 +40,6 @@
 MAX_AHEAD_BYTES = 262_144
 # An answer that the caller does not take is given up after this long without progress, in ms.
 STALL_MS = 5_000
-BODILESS = (204, 304)
 LAST_CHUNK = b"0\r\n\r\n"
 
 
--- a/src/hickorybeam/platform/callers.py
+++ b/src/hickorybeam/platform/callers.py
@@ -27,9 +27,7 @@
         request_id=text(find(headers, names.REQUEST_ID)),
         method=req.method,
         target=req.target,
-        host=text(find(headers, b"host")).rpartition(":")[0].lower()
-        if text(find(headers, b"host")).rpartition(":")[2].isdigit()
-        else text(find(headers, b"host")).lower(),
+        host=host_of(text(find(headers, b"host"))),
         path=req.target.partition(b"?")[0].decode("latin-1"),
         headers=passed_on(headers),
         body=req.body,
@@ -112,6 +110,12 @@
     return value[len(names.BEARER) :].strip().decode("latin-1")
 
 
+def host_of(value: str) -> str:
+    """Return the host that a caller asked for, without its port."""
+    host, _, port = value.lower().rpartition(":")
+    return host if port.isdigit() else value.lower()
+
+
 def number(value: bytes | None) -> int | None:
     """Read a whole number that is not negative."""
     digits = (value or b"").strip()
