--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -121,15 +121,18 @@
                 continue
             except GatewayError as exc:
                 self._trouble_ms = self._clock.now()
-                if exc.kind is ErrorKind.WATCH_COMPACTED:
-                    logging.info("store: history is gone, reading all again")
-                    continue
-                if self._store_ok:
-                    logging.warning("store lost: %s", exc)
-                self._store_ok = False
+                self._lost(exc)
             await self._clock.sleep(pause)
             pause = min(LONGEST_RETRY_MS, pause * 2)
 
+    def _lost(self, exc: GatewayError) -> None:
+        if exc.kind is ErrorKind.WATCH_COMPACTED:
+            logging.info("store: history is gone, reading all again")
+            return
+        if self._store_ok:
+            logging.warning("store lost: %s", exc)
+        self._store_ok = False
+
     async def _watch(self, after: int) -> None:
         async for batch in self._store.watch("", after=after):
             self._regained()
