--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -101,7 +101,7 @@
         self._fresh = True
         self._serving = anyio.Event()
         # The TCP side of the peers' port, for the service that answers there.
-        self.peer_socket: socket.socket | None = None
+        self._peer_socket: socket.socket | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._sent_bytes = counters.counter("peer_bytes", "Bytes of datagrams sent to other VMs")
         alive = counters.gauge("vms_heard", "VMs of the fleet that are heard, this one included")
@@ -146,8 +146,8 @@
     async def main(self, started: Started) -> None:
         """Register and talk until cancelled."""
         loop = asyncio.get_running_loop()
-        self.peer_socket = bound_socket(self._cfg.vm.host, self._cfg.vm.peer_port)
-        port = self.peer_socket.getsockname()[1]
+        self._peer_socket = bound_socket(self._cfg.vm.host, self.me.peer_port)
+        port = self._peer_socket.getsockname()[1]
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Datagrams(self), local_addr=(self._cfg.vm.host, port)
         )
@@ -161,6 +161,14 @@
         finally:
             self._transport.close()
 
+    def take_peer_socket(self) -> socket.socket:
+        """Return a socket bound to the TCP side of the peers' port.
+
+        The port is bound together with that of the datagrams, so that both have one number.
+        """
+        sock, self._peer_socket = self._peer_socket, None
+        return sock or bound_socket(self.me.host, self.me.peer_port)
+
     def serve(self, *, caller_port: int) -> None:
         """Register from now on: callers and peers can connect."""
         self.me = replace(self.me, caller_port=caller_port)
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -32,6 +32,7 @@
 
     from hickorybeam.clock import Clock
     from hickorybeam.http1 import Incoming, Reply
+    from hickorybeam.http1.server import Handler
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
@@ -58,13 +59,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Ports:
-    """The ports of one VM, as bound."""
+    """The ports of one VM, as bound; 0 before that."""
 
-    callers: int
-    peers: int
-    ready: int
-    directory: int
-    state: int
+    callers: int = 0
+    peers: int = 0
+    ready: int = 0
+    directory: int = 0
+    state: int = 0
 
 
 class RelayService(Service):
@@ -78,6 +79,7 @@
         self._clock = clock
         self._counters = counters
         self._servers: list[HttpServer] = []
+        self._bound = Ports()
         self._leaving = False
         self._in_flight = counters.gauge("requests_in_flight", "Requests being answered")
 
@@ -104,30 +106,38 @@
         self._path.reload(cfg)
 
     async def main(self, started: Started) -> None:
-        """Listen until cancelled."""
-        vm = self._cfg.vm
-        async with anyio.create_task_group() as tg:
-            listeners = (
-                (self._path.answer, socket_of(self._gateway.callers)),
-                (self._hop, self._fleet.peer_socket or socket_of(f"{vm.host}:0")),
-                (self._ready, socket_of(self._gateway.ready)),
-                (self._directory, socket_of(self._gateway.directory)),
-                (self._state, socket_of(self._gateway.state)),
-            )
-            for handler, sock in listeners:
-                server = HttpServer(
-                    handler,
-                    clock=self._clock,
-                    tasks=tg,
-                    limits=self._limits,
-                    on_malformed=self._malformed,
-                )
-                await server.listen_on(sock)
-                self._servers.append(server)
-            self._in_flight.set_function(lambda: self._callers.in_flight)
-            tg.start_soon(self._forecast)
-            self._fleet.serve(caller_port=self._callers.port)
-            started()
+        """Listen until cancelled; started again after a crash, it listens where it did."""
+        try:
+            async with anyio.create_task_group() as tg:
+                for handler, sock in self._listeners():
+                    server = HttpServer(
+                        handler,
+                        clock=self._clock,
+                        tasks=tg,
+                        limits=self._limits,
+                        on_malformed=self._malformed,
+                    )
+                    await server.listen_on(sock)
+                    self._servers.append(server)
+                self._in_flight.set_function(lambda: self._callers.in_flight)
+                tg.start_soon(self._forecast)
+                self._fleet.serve(caller_port=self._callers.port)
+                started()
+        finally:
+            self._bound = self.ports() if self._servers else self._bound
+            for server in self._servers:
+                server.stop_accepting()
+            self._servers = []
+
+    def _listeners(self) -> tuple[tuple[Handler, socket.socket], ...]:
+        cfg, bound = self._gateway, self._bound
+        return (
+            (self._path.answer, socket_of(cfg.callers, bound.callers)),
+            (self._hop, self._fleet.take_peer_socket()),
+            (self._ready, socket_of(cfg.ready, bound.ready)),
+            (self._directory, socket_of(cfg.directory, bound.directory)),
+            (self._state, socket_of(cfg.state, bound.state)),
+        )
 
     @property
     def _callers(self) -> HttpServer:
@@ -229,10 +239,13 @@
     return int(value) if value is not None and value.isdigit() else USUAL_URGENCY
 
 
-def socket_of(address: str) -> socket.socket:
-    """Return a socket bound to ``host:port``."""
+def socket_of(address: str, bound_port: int) -> socket.socket:
+    """Return a socket bound to ``host:port``.
+
+    :param bound_port: goes before the address's own, where it was bound to a free port before.
+    """
     host, _, port = address.rpartition(":")
-    return bound_socket(host, int(port))
+    return bound_socket(host, bound_port or int(port))
 
 
 def errand_of(req: Incoming) -> Errand | None:
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -29,6 +29,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.http1.head import RawHeaders
 
+    # Answers one request.
     Handler = Callable[[Incoming, "Reply"], Awaitable[None]]
 
 __all__ = ("CallerLimits", "HttpServer", "Reply")
--- a/tests/gateway/relay.feature
+++ b/tests/gateway/relay.feature
@@ -62,3 +62,11 @@
     And server "m1" hangs on the next request
     When a caller of "small" opens a stream "/chat/x" at "n1" and leaves
     Then server "m1" has ended that run
+
+  Scenario: a task that crashes takes no port with it
+    # A fault of our own ends the service that listens. The kernel starts it again, on the same
+    # ports: callers hold lists that name them.
+    Given a small gateway with a southern region
+    When a task of "n1" crashes
+    And a caller of "small" asks "n1" for "/local/x" once it is back
+    Then the caller gets 200 with body "done by b9" and its signature
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -814,3 +814,30 @@
 
     others = [other for other_name, other in rig.vms.items() if other_name != vm]
     context.call(lambda: rig.until(lambda: all(charged(other) for other in others), limit_s=limit))
+
+
+@when('a task of "{vm}" crashes')
+def step_task_crashes(context, vm):
+    async def crash():
+        rig = context.rig
+        found = rig.vms[vm]
+        context.ports = found.ports
+        path, forecasts = found.relay._path, found.relay._path.forecasts
+
+        def fail():
+            path.forecasts = forecasts
+            raise RuntimeError("a fault of our own")
+
+        path.forecasts = fail
+        await rig.until(lambda: found.kernel.restarts.get("relay") == 1)
+
+    context.call(crash)
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}" once it is back')
+def step_once_back(context, key, vm, path):
+    found = context.rig.vms[vm]
+    context.call(
+        context.rig.until, lambda: bool(found.relay._servers) and found.ports == context.ports
+    )
+    ask(context, vm, path, key=key)
