--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -36,7 +36,6 @@
     terms: AccountTerms
     level: float
     at_ms: int
-    spent: float = 0.0
 
 
 @dataclass(slots=True)
@@ -58,6 +57,8 @@
         self.allowance = allowance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
+        # Outlives an account's bucket: peers take a total that falls for spends given back.
+        self._spent: dict[str, float] = {}
         self._fraction = 1.0
         self._started_ms = now_ms
 
@@ -99,7 +100,7 @@
         needed = min(cost, self._cap(bucket))
         if bucket.level >= needed:
             bucket.level -= cost
-            bucket.spent += cost
+            self._spent[account] = self._spent.get(account, 0.0) + cost
             return None
         rate = bucket.terms.rate_per_s * self._fraction
         return max(1, int((needed - bucket.level) / rate * MS_PER_SECOND) + 1)
@@ -111,11 +112,11 @@
             return
         self._refill(bucket, now_ms)
         bucket.level = min(self._cap(bucket), bucket.level + cost)
-        bucket.spent -= cost
+        self._spent[account] = self._spent.get(account, 0.0) - cost
 
     def totals(self) -> dict[str, float]:
         """Return what this VM has spent in its life, by account, for its peers."""
-        return {name: it.spent for name, it in self._buckets.items() if it.spent}
+        return {name: spent for name, spent in self._spent.items() if spent}
 
     def levels(self) -> dict[str, float]:
         """Return the level of each bucket, for a VM that has just started."""
--- a/tests/policy/fleet_quota.feature
+++ b/tests/policy/fleet_quota.feature
@@ -48,3 +48,11 @@
     Then the level is at most 100
     When 100 is spent and given back
     Then 100 can be spent again
+
+  Scenario: an account that is taken away and given back is charged as before
+    # Its bucket is new, its total must not be: peers would take the fall for spends given back,
+    # and hand out what was spent already once more.
+    Given 2 VMs that hear each other every 300 ms, for an account of 1000 a second
+    When 500 is spent at the first VM and the others have heard it
+    And the account is taken away and given back at the first VM
+    Then the second VM's level has not risen by more than the time allows
--- a/tests/steps/policy/fleet_quota_steps.py
+++ b/tests/steps/policy/fleet_quota_steps.py
@@ -158,3 +158,31 @@
 @then("{cost:d} can be spent again")
 def step_again(context, cost):
     assert context.quota.vms[0].take(NAME, cost, context.quota.now) is None
+
+
+@when("{cost:d} is spent at the first VM and the others have heard it")
+def step_spend_first(context, cost):
+    fleet = context.quota
+    assert fleet.vms[0].take(NAME, cost, fleet.now) is None
+    fleet.run(300)
+
+
+@when("the account is taken away and given back at the first VM")
+def step_away_and_back(context):
+    fleet = context.quota
+    context.before = fleet.vms[1].levels()[NAME], fleet.now
+    fleet.vms[0].configure([], fleet.now)
+    fleet.vms[0].configure([terms()], fleet.now)
+    assert fleet.vms[0].take(NAME, COST, fleet.now) is not None
+    fleet.run(100)
+    assert fleet.vms[0].take(NAME, COST, fleet.now) is None
+    fleet.run(300)
+
+
+@then("the second VM's level has not risen by more than the time allows")
+def step_level_second(context):
+    fleet = context.quota
+    level, at = context.before
+    vm = fleet.vms[1]
+    vm.refund(NAME, 0, fleet.now)
+    assert vm.levels()[NAME] <= level + (fleet.now - at) * RATE / 1000 - COST + 1, vm.levels()
