peers: a note that rides on two heartbeats that cross is heard once

Until a heartbeat is known to have arrived its note goes out again with the sender's next change, under a higher sequence number.

--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -88,6 +88,7 @@
         )
         self._exchange = Exchange(me, now_ms=clock.now(), wall_ms=clock.wall())
         self._listeners: dict[str, list[Callable[[EntryVm, bytes], None]]] = {}
+        self._heard_notes: dict[tuple[str, str], tuple[VmId, bytes]] = {}
         self._suspects: dict[VmId, Suspect] = {}
         self._unreachable: set[VmId] = set()
         self._busy: set[VmId] = set()
@@ -326,6 +327,12 @@
         if record is None:
             return
         for note in news.notes:
+            # A note rides on every heartbeat until one is known to have arrived; two that
+            # cross bring it twice.
+            heard = (sender, note.data)
+            if self._heard_notes.get((sender.name, note.name)) == heard:
+                continue
+            self._heard_notes[sender.name, note.name] = heard
             for listener in self._listeners.get(note.name, ()):
                 listener(record.vm, note.data)
 
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -40,6 +40,15 @@
     When fleet VM "dakar-1.1" publishes an urgent note
     Then every other VM of "dakar-1" hears the note
 
+  Scenario: A note that rides on two heartbeats that cross is heard once
+    # The first heartbeat's answer is late, so the second one carries the note again, with the
+    # next change of its sender. A listener that was told twice would act twice.
+    Given a fleet with 2 VMs in "dakar-1" and 1 VMs in "thies-1"
+    When fleet VM "dakar-1.1" publishes an urgent note
+    Then every other VM of "dakar-1" hears the note
+    When the note of "dakar-1.1" reaches "dakar-1.2" once more, with a later change
+    Then every other VM of "dakar-1" hears the note
+
   Scenario: A region's forecast reaches the VMs of other regions
     Given a fleet with 4 VMs in "dakar-1" and 3 VMs in "thies-1"
     When every VM of "dakar-1" reports a wait of 70 ms
--- a/tests/steps/peers/membership_steps.py
+++ b/tests/steps/peers/membership_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from hickorybeam.model import RegionLoad
+from hickorybeam.peers.heartbeat import Heartbeat
 from support.fleet import of, start, until
 
 
@@ -109,7 +110,26 @@
 def step_heard(context, data_centre):
     names = {member.id.name for member in of(context, data_centre)} - {context.publisher}
     context.call(until, lambda: names <= set(context.heard))
-    assert all(context.heard[name] == [(context.publisher, b"7")] for name in names)
+    assert all(context.heard[name] == [(context.publisher, b"7")] for name in names), context.heard
+
+
+@when('the note of "{name}" reaches "{other}" once more, with a later change')
+def step_note_again(context, name, other):
+    async def run():
+        sender = context.fleet.members[name]
+        receiver = context.fleet.members[other]
+        link = receiver.members._exchange._links[sender.id]
+        beat = Heartbeat(
+            have=0,
+            seq=link.have + 1,
+            digest=0,
+            data_centre=sender.cfg.vm.data_centre,
+            whole=False,
+            notes={"position": b"7"},
+        )
+        await receiver.members._on_heartbeat(sender.id, beat)
+
+    context.call(run)
 
 
 @when('every VM of "{data_centre}" reports a wait of {ms:d} ms')
