--- a/src/hickorybeam/gateway/daemon.py
+++ b/src/hickorybeam/gateway/daemon.py
@@ -25,9 +25,9 @@
 MS_PER_SECOND = 1000
 
 
-def build(cfg: Settings) -> Kernel:
+def build(cfg: Settings, *, counters: Counters | None = None) -> Kernel:
     """Put the services together; the adapter's store is one of them."""
-    clock, counters = SystemClock(), Counters()
+    clock, counters = SystemClock(), counters or Counters()
     grace_ms = round(cfg.gateway.grace_s * MS_PER_SECOND) if cfg.gateway else 0
     kernel = Kernel(clock, drain_limit_ms=grace_ms)
     for kind in (PlatformStore, FeedService, FleetService, RelayService):
--- a/src/hickorybeam/settings/checks.py
+++ b/src/hickorybeam/settings/checks.py
@@ -31,6 +31,7 @@
         *_ports(cfg),
         *_transport(cfg),
         *_timing(cfg),
+        *_gateway(cfg),
     )
 
 
@@ -107,3 +108,31 @@
             f"at least twice control.order_timeout_ms ({2 * cfg.control.order_timeout_ms})",
             repr(cfg.control.lease_ms),
         )
+
+
+def _gateway(cfg: Settings) -> Iterator[Fault]:
+    gateway = cfg.gateway
+    if gateway is None:
+        return
+    for name in ("callers", "ready", "directory", "state"):
+        address = getattr(gateway, name)
+        if not is_address(address):
+            yield Fault(f"gateway.{name}", "host:port", repr(address))
+    for i, seed in enumerate(gateway.seeds):
+        if not is_address(seed):
+            yield Fault(f"gateway.seeds[{i}]", "host:port", repr(seed))
+    for name in ("grace_s", "repeat_window_s"):
+        if getattr(gateway, name) <= 0:
+            yield Fault(f"gateway.{name}", "a number above 0", repr(getattr(gateway, name)))
+    for name in ("repeat_ratio", "repeat_allowance", "quota_allowance"):
+        if getattr(gateway, name) < 0:
+            found = repr(getattr(gateway, name))
+            yield Fault(f"gateway.{name}", "0 or a number above it", found)
+    if gateway.regions and cfg.vm.data_centre not in gateway.regions:
+        yield Fault("gateway.regions", f"a region for {cfg.vm.data_centre!r}", "none")
+
+
+def is_address(text: str) -> bool:
+    """Whether a text is ``host:port``."""
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and int(port) <= MAX_PORT
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -175,9 +175,8 @@
     store what this one knows; ``seeds`` are such addresses of others. ``regions`` leads from
     data centres to their regions. ``grace_s`` is how long a shutdown may take, in seconds.
     Repeats are bounded, over all VMs and in each ``repeat_window_s``, to ``repeat_ratio`` of the
-    requests and ``repeat_allowance`` besides. ``list_valid_s`` is how long callers may keep a
-    directory's answer, in seconds. ``quota_allowance`` is what an account may spend beyond its
-    rate and burst in any window, over all VMs.
+    requests and ``repeat_allowance`` besides. ``quota_allowance`` is what an account may
+    spend beyond its rate and burst in any window, over all VMs.
     """
 
     callers: str = "127.0.0.1:0"
@@ -190,7 +189,6 @@
     repeat_ratio: float = 0.2
     repeat_allowance: float = 20.0
     repeat_window_s: float = 10.0
-    list_valid_s: float = 2.0
     quota_allowance: float = 0.0
 
 
--- a/tests/settings/load.feature
+++ b/tests/settings/load.feature
@@ -32,6 +32,11 @@
       | peers: {       | front: {idle_ms: 0}, peers: { | front.idle_ms: expected a number above 0, found 0                                   |
       | peers: {       | gateway: {regions: {"dk-a": 3}}, peers: { | gateway.regions.dk-a: expected a string, found 3                         |
       | peers: {       | gateway: {regions: ["dk-a"]}, peers: {    | gateway.regions: expected an object, found a list                        |
+      | peers: {       | gateway: {callers: "here"}, peers: {      | gateway.callers: expected host:port, found 'here'                        |
+      | peers: {       | gateway: {seeds: ["h:99999"]}, peers: {   | gateway.seeds[0]: expected host:port, found 'h:99999'                    |
+      | peers: {       | gateway: {grace_s: 0}, peers: {           | gateway.grace_s: expected a number above 0, found 0.0                    |
+      | peers: {       | gateway: {repeat_ratio: -1}, peers: {     | gateway.repeat_ratio: expected 0 or a number above it, found -1.0        |
+      | peers: {       | gateway: {regions: {"x": "y"}}, peers: {  | gateway.regions: expected a region for 'dk-a', found none                |
 
   Scenario: several faults come in one report
     When the settings file has "name: "dk-1", region: "dakar-plateau"" replaced by "regoin: 3"
--- a/tools/make_reference.py
+++ b/tools/make_reference.py
@@ -11,11 +11,15 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
+
 from hickorybeam.daemon import Daemon
 from hickorybeam.errors import ANSWERS
+from hickorybeam.gateway.daemon import build
 from hickorybeam.model import ChangeTicket
 from hickorybeam.settings import PlatformSettings, Settings, TlsSettings, VmSettings
-from hickorybeam.settings.types import PeerSettings
+from hickorybeam.settings.types import GatewaySettings, PeerSettings
+from hickorybeam.telemetry import Counters
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "operators" / "reference.md"
 
@@ -50,14 +54,23 @@
     rows, below = [], []
     for field in dataclasses.fields(cls):
         key = f"{prefix}{field.name}"
-        if dataclasses.is_dataclass(hints[field.name]):
-            below += [f"### `{key}`", *settings_tables(hints[field.name], f"{key}.")]
+        section = section_of(hints[field.name])
+        if section is not None:
+            below += [f"### `{key}`", *settings_tables(section, f"{key}.")]
         else:
             rows.append(f"| `{key}` | {type_name(hints[field.name])} | {default(field)} |")
     head = ["| key | type | default |\n|---|---|---|\n" + "\n".join(rows)] if rows else []
     return [doc(cls), *head, *below]
 
 
+def section_of(hint: Any) -> Any | None:
+    """Return the data class of a section of settings, also of one that may be left out."""
+    for found in (hint, *typing.get_args(hint)):
+        if dataclasses.is_dataclass(found):
+            return found if typing.get_origin(hint) is not tuple else None
+    return None
+
+
 def ticket_tables() -> list[str]:
     """Return a table for each kind of object."""
     hints = typing.get_type_hints(ChangeTicket)
@@ -94,8 +107,23 @@
         platform=PlatformSettings(urls=("http://127.0.0.1:1",)),
         peers=PeerSettings(tls=TlsSettings(plain=True)),
     )
-    registry = Daemon.build(cfg).counters.registry
-    rows = sorted(metric_row(collector) for collector in registry._collector_to_names)
+    gateway_cfg = dataclasses.replace(cfg, gateway=GatewaySettings())
+    gateway = Counters()
+    anyio.run(_bind, gateway_cfg, gateway)
+    tables = ((Daemon.build(cfg).counters, ""), (gateway, "With the section `gateway`:\n\n"))
+    return "\n\n".join(title + metric_table(counters) for counters, title in tables)
+
+
+async def _bind(cfg: Settings, counters: Counters) -> None:
+    """Let the gateway's services make their counters; they need a running loop."""
+    kernel = build(cfg, counters=counters)
+    for service in kernel.services():
+        service.bind(kernel)
+
+
+def metric_table(counters: Counters) -> str:
+    """Return the table of what these counters hold."""
+    rows = sorted(metric_row(collector) for collector in counters.registry._collector_to_names)
     return "| name | type | labels | meaning |\n|---|---|---|---|\n" + "\n".join(rows)
 
 
@@ -116,6 +144,8 @@
     """Return a field's default as JSON would write it."""
     if field.default is not dataclasses.MISSING:
         return f"`{field.default!r}`" if field.default != () else "none"
+    if field.default_factory is not dataclasses.MISSING:
+        return "none"
     return "needed"
 
 
@@ -126,6 +156,8 @@
         return names[hint]
     if typing.get_origin(hint) is tuple:
         return f"list of {type_name(typing.get_args(hint)[0])}"
+    if typing.get_origin(hint) is dict:
+        return f"object of {type_name(typing.get_args(hint)[1])}s"
     if typing.get_args(hint):
         return " or ".join(type_name(arg) for arg in typing.get_args(hint))
     if hint is type(None):
