The directory names a region's VMs that leave before others, and home regions before the rest

The three VMs of dakar were stopped at 3, 5 and 7 s and each needs up to 7.6 s of its 8 to finish its streams; with none left the directory named the first region by name. Now a VM that leaves is named while it serves, the last one serves on until it accepts no more, and other regions come in the order of the host's homes. The new scenario and the one of an unknown region failed before.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -371,6 +371,8 @@
         if peer is None:
             return None
         now = self._clock.now()
+        if tell.leaving and not peer.leaving:
+            peer.leaving_since_ms = now
         peer.leaving = tell.leaving
         self._feed.behind(tell.revision, now)
         self.holders.heard(tell.holds, now)
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -31,6 +31,7 @@
     registered: bool = True
     heard_ms: int = -HEARD_MS
     leaving: bool = False
+    leaving_since_ms: int = 0
     servers: dict[str, ServerFigures] | None = None
     forecasts: dict[str, float] | None = None
 
@@ -83,6 +84,18 @@
             and peer.alive(now, self.heard_limit_ms)
         ]
 
+    def still_accepting(self, region: str, for_ms: float) -> list[GatewayVm]:
+        """Return the VMs of a region that began to leave less than ``for_ms`` ago."""
+        now = self._clock.now()
+        return [
+            peer.vm
+            for peer in self.by_name.values()
+            if peer.vm.region == region
+            and peer.leaving
+            and peer.heard(now, self.heard_limit_ms)
+            and now - peer.leaving_since_ms < for_ms
+        ]
+
     def near(self) -> list[Peer]:
         """Return the VMs of this data centre."""
         here = self._me.data_centre
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -34,6 +34,7 @@
     from hickorybeam.http1 import Incoming, Reply
     from hickorybeam.http1.server import Handler
     from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.model.routing import GatewayVm
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
@@ -161,8 +162,11 @@
             server.closing = True
         await self._fleet.leave()
         await self._until(begun + grace_ms * SERVE_ON_SHARE)
+        accept_until = begun + grace_ms * ACCEPT_ON_SHARE
+        while self._last_of_region() and self._clock.now() < accept_until:
+            await self._clock.sleep(DRAIN_POLL_MS)
         self._path.drain()
-        await self._until(begun + grace_ms * ACCEPT_ON_SHARE)
+        await self._until(accept_until)
         for server in self._servers:
             server.stop_accepting()
             server.close_idle()
@@ -172,6 +176,14 @@
                 server.close_idle()
         logging.info("drained, %d requests cut", self._busy())
 
+    def _last_of_region(self) -> bool:
+        """Whether callers of this region have no other VM of it to go to.
+
+        VMs that are stopped one after the other, faster than they come back, would otherwise
+        leave a region with VMs that only refuse.
+        """
+        return not self._fleet.peers.serving(self._fleet.me.region)
+
     def _busy(self) -> int:
         return sum(server.in_flight for server in self._servers[:2])
 
@@ -211,15 +223,12 @@
         reply.whole(200 if ready else 503)
 
     async def _directory(self, req: Incoming, reply: Reply) -> None:
-        """Name the VMs of the caller's region, or all others where it has none."""
+        """Name VMs that the caller should use."""
         query = decode_query(req.target)
         if query is None:
             reply.whole(404)
             return
-        vms = self._fleet.region_vms(query.region)
-        for region in sorted(set(self._gateway.regions.values())):
-            if not vms:
-                vms = self._fleet.region_vms(region)
+        vms = self._named(query.host, query.region)
         if not vms:
             reply.whole(503)
             return
@@ -227,6 +236,21 @@
         answer = directory_answer(addresses, ttl_ms=LIST_VALID_MS)
         reply.whole(200, JSON, answer)
 
+    def _named(self, host: str, region: str) -> list[GatewayVm]:
+        """Return the VMs of the caller's region, of those that leave if there are no others.
+
+        Where it has none at all, those of another region: first of one that all routes of the
+        host may be processed in. A VM elsewhere would take a request that it has to hand on.
+        """
+        accepting_ms = self._gateway.grace_s * MS_PER_SECOND * SERVE_ON_SHARE
+        found = self._fleet.region_vms(region)
+        found = found or self._fleet.peers.still_accepting(region, accepting_ms)
+        homes = self._feed.knowledge.table.homes(host.lower())
+        others = sorted(set(self._gateway.regions.values()), key=lambda it: (it not in homes, it))
+        for other in others:
+            found = found or self._fleet.region_vms(other)
+        return found
+
     async def _state(self, req: Incoming, reply: Reply) -> None:
         if req.target.decode("latin-1") == STATE_PATH and self._feed.knowledge.config:
             reply.whole(200, JSON, self._feed.state())
--- a/src/hickorybeam/policy/route_table.py
+++ b/src/hickorybeam/policy/route_table.py
@@ -22,6 +22,18 @@
 
     def __init__(self, routes: Iterable[Route]) -> None:
         self._routes = {(route.host, route.prefix): route for route in routes}
+        self._homes: dict[str, frozenset[str]] = {}
+        for route in self._routes.values():
+            if route.homes:
+                known = self._homes.get(route.host, route.homes)
+                self._homes[route.host] = known & route.homes or known
+
+    def homes(self, host: str) -> frozenset[str]:
+        """Return the regions that every route of a host may be processed in.
+
+        Empty where none of its routes has homes.
+        """
+        return self._homes.get(host, frozenset())
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a path, or ``None``."""
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -841,3 +841,23 @@
         context.rig.until, lambda: bool(found.relay._servers) and found.ports == context.ports
     )
     ask(context, vm, path, key=key)
+
+
+@when('VM "{name}" begins to leave')
+def step_begins(context, name):
+    async def begin():
+        rig = context.rig
+        rig.vms[name].kernel.stop()
+        context.left_at = time.monotonic()
+        others = [vm for other, vm in rig.vms.items() if other != name]
+        await rig.until(lambda: all(vm.fleet.peers.by_name[name].leaving for vm in others))
+
+    context.call(begin)
+
+
+@then('a caller of "{key}" gets {status:d} for "{path}" from "{vm}" {after:g} s after that')
+def step_gets_after(context, key, status, path, vm, after):
+    # Its grace period is 2 s: it would refuse after 0.6 s if another VM of its region served.
+    context.call(anyio.sleep, max(0.0, context.left_at + after - time.monotonic()))
+    ask(context, vm, path, key=key)
+    assert context.reply.status == status, context.reply.status
