One piece for what stood twice in the gateway, and dead state removed

Callers' limits were one type in http1/ and its twin in model/, copied for every header read; the index of servers was rebuilt for each entry (600 times 600 at the target's start); bounds on repeats, host:port, ms a second and the benches' reading of /proc were written more than once. Removed: patterns, a parameter and fields that nothing read.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import os
 import subprocess
 import sys
 import tempfile
@@ -21,6 +20,7 @@
 import anyio
 import fire
 import msgspec
+from bench.processes import cpu_ms, rss_mb
 
 from hickorybeam.demo import NO_ANSWER, Caller
 from hickorybeam.demo.deployment import free_ports
@@ -49,8 +49,6 @@
 OPERATOR = "operator-of-this-bench"
 SETTLE_S = 8
 MEASURE_S = 12
-TICKS = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 ENGINE_APPS = 4
 
 
@@ -115,15 +113,15 @@
         await _submit(operator, urls, _ticket(size, ports))
         await anyio.sleep(SETTLE_S)
         calls = served.app.stand_in.calls.total()
-        cpu = sum(_cpu_ms(child.pid) for child in children)
+        cpu = sum(cpu_ms(child.pid) for child in children)
         async with anyio.create_task_group() as tg:
             tg.start_soon(_change, operator, urls[0], size)
             await anyio.sleep(MEASURE_S)
             tg.cancel_scope.cancel()
         count = len(children) * MEASURE_S
         return Row(
-            cpu_ms_per_s=(sum(_cpu_ms(child.pid) for child in children) - cpu) / count,
-            rss_mb=sum(_rss_mb(child.pid) for child in children) / len(children),
+            cpu_ms_per_s=(sum(cpu_ms(child.pid) for child in children) - cpu) / count,
+            rss_mb=sum(rss_mb(child.pid) for child in children) / len(children),
             platform_calls_per_s=(served.app.stand_in.calls.total() - calls) / count,
         )
 
@@ -223,14 +221,5 @@
         await operator.call("POST", f"{url}/v1/tickets", body)
 
 
-def _cpu_ms(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) * 1000 / TICKS
-
-
-def _rss_mb(pid: int) -> float:
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES / 1e6
-
-
 if __name__ == "__main__":
     fire.Fire(main)
--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -23,6 +23,7 @@
 import fire
 import httpcore
 import msgspec
+from bench.processes import cpu_ms, rss_mb
 
 from hickorybeam.demo.deployment import free_ports
 from hickorybeam.settings import (
@@ -43,9 +44,6 @@
 
 SETTLE_S = 6
 MEASURE_S = 10
-TICKS = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-MB = 1_000_000
 REGIONS = 3
 
 
@@ -114,7 +112,7 @@
             count = len(children) * MEASURE_S
             return Row(
                 cpu_ms_per_s=(sum(cpu_ms(child.pid) for child in children) - cpu) / count,
-                rss_mb=sum(_rss_mb(child.pid) for child in children) / len(children),
+                rss_mb=sum(rss_mb(child.pid) for child in children) / len(children),
                 calls_per_s=(served.app.stand_in.calls.total() - calls) / count,
                 sent_kb_per_s=(await _sent(ports) - sent) / count / 1000,
             )
@@ -174,16 +172,6 @@
     return total
 
 
-def cpu_ms(pid: int) -> float:
-    """Return the processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) * 1000 / TICKS
-
-
-def _rss_mb(pid: int) -> float:
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES / MB
-
-
 if __name__ == "__main__":
     begun = time.monotonic()
     fire.Fire(main)
--- a/bench/gateway_relay.py
+++ b/bench/gateway_relay.py
@@ -10,7 +10,8 @@
 
 import anyio
 import fire
-from bench.gateway_cost import cpu_ms, start_daemon
+from bench.gateway_cost import start_daemon
+from bench.processes import cpu_ms
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.deployment import free_ports
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, find
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import REQUEST_ID, decode_answer, server_headers
@@ -34,7 +35,6 @@
     "ToServer",
 )
 
-MS_PER_SECOND = 1000
 # Between VMs: set by the sending VM, never taken from callers, who don't reach this port.
 HOP_SERVICE = b"hop-service"
 HOP_ACCOUNT = b"hop-account"
--- a/src/hickorybeam/gateway/daemon.py
+++ b/src/hickorybeam/gateway/daemon.py
@@ -8,7 +8,7 @@
 import anyio
 from absl import logging
 
-from hickorybeam.clock import SystemClock
+from hickorybeam.clock import MS_PER_SECOND, SystemClock
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.relay import RelayService
@@ -22,8 +22,6 @@
 
 __all__ = ("build", "run")
 
-MS_PER_SECOND = 1000
-
 
 def build(cfg: Settings, *, counters: Counters | None = None) -> Kernel:
     """Put the services together; the adapter's store is one of them."""
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -13,6 +13,7 @@
 import msgspec
 from absl import logging
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.knowledge import Knowledge
 from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
@@ -28,6 +29,7 @@
     decode_entry,
 )
 from hickorybeam.ports import FEED, PLATFORM
+from hickorybeam.sockets import split_address
 from hickorybeam.store import KeyValue, PacedPlatform, WatchBatch
 
 if TYPE_CHECKING:
@@ -40,7 +42,6 @@
 
 __all__ = ("STATE_PATH", "FeedService")
 
-MS_PER_SECOND = 1000
 STATE_PATH = "/state"
 FIRST_RETRY_MS = 100
 LONGEST_RETRY_MS = 1_200
@@ -228,9 +229,12 @@
         elif self._clock.now() - self._trouble_ms < TROUBLE_MS and self._is_server(key):
             self._lapsing.setdefault(key, self._clock.now() + LAPSED_FOR_MS)
         else:
-            del self._items[key]
-            if self._is_server(key):
-                self.knowledge.drop_server(key.rpartition("/")[2])
+            self._forget(key)
+
+    def _forget(self, key: str) -> None:
+        self._items.pop(key, None)
+        if self._is_server(key):
+            self.knowledge.drop_server(key.rpartition("/")[2])
 
     def _is_server(self, key: str) -> bool:
         return key.startswith(FEED_PREFIXES[1])
@@ -242,8 +246,7 @@
             now = self._clock.now()
             for key in [key for key, due in self._lapsing.items() if due <= now]:
                 del self._lapsing[key]
-                self._items.pop(key, None)
-                self.knowledge.drop_server(key.rpartition("/")[2])
+                self._forget(key)
 
     async def _ask_seeds(self) -> None:
         """Learn a configuration from another VM while the store cannot be reached.
@@ -259,10 +262,9 @@
             await self._clock.sleep(500)
 
     async def _ask(self, seed: str) -> None:
-        host, _, port = seed.rpartition(":")
-        if host == self._cfg.vm.host:
+        address = split_address(seed)
+        if address[0] == self._cfg.vm.host:
             return
-        address = (host, int(port))
         try:
             with anyio.fail_after(SEED_LIMIT_MS / MS_PER_SECOND):
                 conn = await self._pool.take(address, fresh=True)
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -79,7 +79,7 @@
         self._clock = clock
         self._started_ms = clock.now()
         allowance = cfg.gateway.quota_allowance if cfg.gateway else 0.0
-        self.quota = FleetQuota(self._started_ms, allowance=allowance)
+        self.quota = FleetQuota(allowance=allowance)
         self.holders = PrefixHolders()
         self.leaving = False
         self.forecast: dict[str, float] = {}
--- a/src/hickorybeam/gateway/knowledge.py
+++ b/src/hickorybeam/gateway/knowledge.py
@@ -25,7 +25,7 @@
         self.table = RouteTable(())
         self.standings: dict[str, ServerStanding] = {}
         self.evacuated: frozenset[str] = frozenset()
-        self._by_service: dict[str, list[ServerStanding]] = {}
+        self._by_service: dict[str, dict[str, ServerStanding]] = {}
         self._cold_until: dict[str, int] = {}
         self._cold: dict[str, ColdLimit] = {}
 
@@ -49,23 +49,23 @@
         """Take over what a server says of itself; a new life starts with a clean record."""
         standing = self.standings.get(server.id)
         if standing is None or not same_life(standing.server, server):
+            self._remove(server.id)
             standing = ServerStanding(server)
             self.standings[server.id] = standing
+            self._by_service.setdefault(server.service, {})[server.id] = standing
             logging.info("server %s of %s is there", server.id, server.service)
         if server.leaving and not standing.server.leaving:
             logging.info("server %s of %s is leaving", server.id, server.service)
         standing.server = server
         if server.cold_ms > 0:
             self.cold(server.id, server.cold_ms, now_ms)
-        self._index()
 
     def drop_server(self, server_id: str) -> None:
         """Forget a server that is gone."""
-        if self.standings.pop(server_id, None) is not None:
+        if self._remove(server_id):
             logging.info("server %s is gone", server_id)
             self._cold_until.pop(server_id, None)
             self._cold.pop(server_id, None)
-            self._index()
 
     def cold(self, server_id: str, cold_ms: int, now_ms: int) -> None:
         """Take note that a server stays cold for so long."""
@@ -90,14 +90,17 @@
         """Return the servers of a service that are neither leaving nor evacuated."""
         return [
             it
-            for it in self._by_service.get(service, ())
+            for it in self._by_service.get(service, {}).values()
             if not it.server.leaving and it.server.data_centre not in self.evacuated
         ]
 
-    def _index(self) -> None:
-        self._by_service = {}
-        for standing in self.standings.values():
-            self._by_service.setdefault(standing.server.service, []).append(standing)
+    def _remove(self, server_id: str) -> bool:
+        """Take a server out; :return: whether it was there."""
+        standing = self.standings.pop(server_id, None)
+        if standing is None:
+            return False
+        del self._by_service[standing.server.service][server_id]
+        return True
 
 
 def same_life(old: RegisteredServer, new: RegisteredServer) -> bool:
--- a/src/hickorybeam/gateway/line.py
+++ b/src/hickorybeam/gateway/line.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.policy.wait_line import WaitLine
 
 if TYPE_CHECKING:
@@ -14,7 +15,6 @@
 
 __all__ = ("Line", "Lines")
 
-MS_PER_SECOND = 1000
 # Places also come free by what other VMs tell, which wakes nobody; so a waiting task looks
 # again after this long, in ms.
 LOOK_AGAIN_MS = 25
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError, Ran, answer_for
 from hickorybeam.gateway.admission import COME_BACK_MS, Admission
 from hickorybeam.gateway.attempt import (
@@ -24,7 +25,7 @@
 from hickorybeam.http1 import BrokenAnswerError
 from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import answer_headers, decode_call, refusal_headers
-from hickorybeam.policy.attempt_budget import AttemptBudget
+from hickorybeam.policy.attempt_budget import AttemptBudget, RepeatBounds
 from hickorybeam.policy.first_byte import first_byte_ms
 from hickorybeam.policy.server_choice import wait_ms
 from hickorybeam.policy.wait_line import patience_ms
@@ -44,7 +45,6 @@
 
 __all__ = ("RequestPath",)
 
-MS_PER_SECOND = 1000
 OK, FIRST_ERROR, SERVER_ERROR = 200, 300, 500
 # Sends of one request, those included that were surely not run.
 MOST_SENDS = 4
@@ -425,11 +425,7 @@
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = AttemptBudget(
-                ratio=self._cfg.repeat_ratio,
-                allowance=self._cfg.repeat_allowance,
-                window_ms=round(self._cfg.repeat_window_s * MS_PER_SECOND),
-            )
+            budget = self._budgets[service] = AttemptBudget(bounds_of(self._cfg))
         return budget
 
     def forecasts(self) -> dict[str, float]:
@@ -441,11 +437,7 @@
         self._cfg = cfg
         self._placing.regions = cfg.regions
         for budget in self._budgets.values():
-            budget.change(
-                ratio=cfg.repeat_ratio,
-                allowance=cfg.repeat_allowance,
-                window_ms=round(cfg.repeat_window_s * MS_PER_SECOND),
-            )
+            budget.change(bounds_of(cfg))
 
     def drain(self) -> None:
         """Refuse new requests from now on."""
@@ -465,6 +457,15 @@
         )
 
 
+def bounds_of(cfg: GatewaySettings) -> RepeatBounds:
+    """Return the bounds on repeats that the settings give."""
+    return RepeatBounds(
+        ratio=cfg.repeat_ratio,
+        allowance=cfg.repeat_allowance,
+        window_ms=round(cfg.repeat_window_s * MS_PER_SECOND),
+    )
+
+
 def name_of(target: Target) -> str:
     """Return the name of a target, for logs and to know it again."""
     match target:
--- a/src/hickorybeam/gateway/registration.py
+++ b/src/hickorybeam/gateway/registration.py
@@ -8,6 +8,7 @@
 import msgspec
 from absl import logging
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.store import Delete, Put
 
@@ -18,7 +19,6 @@
 
 __all__ = ("Registration",)
 
-MS_PER_SECOND = 1000
 # A registration only tells who is there at all; whether a VM lives is heard from it. So the
 # lease is long, which saves calls.
 LEASE_MS = 12_000
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -8,6 +8,7 @@
 import anyio
 from absl import logging
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import (
     HOP_ACCOUNT,
     HOP_LEFT,
@@ -19,12 +20,12 @@
 from hickorybeam.gateway.feed import STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.path import RequestPath
-from hickorybeam.http1 import CallerLimits, HttpServer, UpstreamPool, find
+from hickorybeam.http1 import HttpServer, UpstreamPool, find
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import Repeat, Route
 from hickorybeam.platform import decode_call, decode_query, directory_answer
 from hickorybeam.ports import FEED, FLEET, RELAY
-from hickorybeam.sockets import bound_socket
+from hickorybeam.sockets import bound_socket, split_address
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
@@ -40,7 +41,6 @@
 
 __all__ = ("Ports", "RelayService")
 
-MS_PER_SECOND = 1000
 # How long callers keep a directory's answer: a VM that is gone is named for no longer.
 LIST_VALID_MS = 2_000
 CONNECT_MS = 600
@@ -115,7 +115,7 @@
                         handler,
                         clock=self._clock,
                         tasks=tg,
-                        limits=self._limits,
+                        limits=self._feed.knowledge.callers,
                         on_malformed=self._malformed,
                     )
                     await server.listen_on(sock)
@@ -195,15 +195,6 @@
             await self._clock.sleep(FORECAST_EVERY_MS)
             self._fleet.forecast = self._path.forecasts()
 
-    def _limits(self) -> CallerLimits:
-        rules = self._feed.knowledge.callers()
-        return CallerLimits(
-            header_bytes=rules.header_bytes,
-            body_bytes=rules.body_bytes,
-            header_ms=rules.header_ms,
-            idle_ms=rules.idle_ms,
-        )
-
     def _malformed(self, status: int) -> None:
         self._counters.refusals.labels(f"malformed_{status}").inc()
 
@@ -268,8 +259,8 @@
 
     :param bound_port: goes before the address's own, where it was bound to a free port before.
     """
-    host, _, port = address.rpartition(":")
-    return bound_socket(host, bound_port or int(port))
+    host, port = split_address(address)
+    return bound_socket(host, bound_port or port)
 
 
 def errand_of(req: Incoming) -> Errand | None:
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -4,13 +4,12 @@
 
 from hickorybeam.http1.head import AnswerHead, Incoming, RawHeaders, find, framing_fault
 from hickorybeam.http1.pool import ConnectFailedError, UpstreamPool
-from hickorybeam.http1.server import CallerLimits, HttpServer, Reply
+from hickorybeam.http1.server import HttpServer, Reply
 from hickorybeam.http1.upstream import BrokenAnswerError, UpstreamConnection
 
 __all__ = (
     "AnswerHead",
     "BrokenAnswerError",
-    "CallerLimits",
     "ConnectFailedError",
     "HttpServer",
     "Incoming",
--- a/src/hickorybeam/http1/head.py
+++ b/src/hickorybeam/http1/head.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -18,8 +17,6 @@
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
-TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-VALUE = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]*")
 # Framing is written anew on each hop; a value that came along would contradict it.
 FRAMING = frozenset({b"content-length", b"transfer-encoding", b"connection", b"keep-alive"})
 
@@ -36,7 +33,6 @@
     headers: RawHeaders
     body: bytes
     arrived_ms: int
-    peer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.http1.upstream import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -18,7 +19,6 @@
 
 Address = tuple[str, int]
 
-MS_PER_SECOND = 1000
 # Idle connections are given up at this share of what the other end announces, so that it
 # does not close one just as a request is sent on it.
 SHARE_OF_KEEP_ALIVE = 0.7
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -11,7 +11,6 @@
 import socket
 import struct
 from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -19,6 +18,7 @@
 from absl import logging
 
 from hickorybeam.http1.head import Incoming, answer_bytes, find, framing_fault
+from hickorybeam.model.routing import CallerRules
 from hickorybeam.sockets import bound_socket
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
     # Answers one request.
     Handler = Callable[[Incoming, "Reply"], Awaitable[None]]
 
-__all__ = ("CallerLimits", "HttpServer", "Reply")
+__all__ = ("HttpServer", "Reply")
 
 BACKLOG = 2_048
 # How often idle and slow connections are looked over, in ms; a limit is noticed this late.
@@ -44,29 +44,18 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallerLimits:
-    """What a caller may send and how long it may take or stay idle, in bytes and ms."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_ms: int = 3_000
-    idle_ms: int = 15_000
-
-
 class Reply:
     """The answer to one request: whole, or a head and chunks.
 
     Nothing is written after the caller has left; ``gone`` tells.
     """
 
-    __slots__ = ("_chunked", "_close", "_conn", "_head_only", "_on_gone", "done", "gone", "started")
+    __slots__ = ("_close", "_conn", "_head_only", "_on_gone", "done", "gone", "started")
 
     def __init__(self, conn: _CallerConnection, *, close: bool, head_only: bool) -> None:
         self._conn = conn
         self._close = close
         self._head_only = head_only
-        self._chunked = False
         self._on_gone: Callable[[], None] | None = None
         self.started = False
         self.done = False
@@ -96,7 +85,7 @@
         """Send the head of an answer whose body follows in chunks."""
         self._close = self._close or self._conn.server.closing
         self._conn.write(answer_bytes(status, headers, length=None, close=self._close))
-        self.started = self._chunked = True
+        self.started = True
 
     async def chunk(self, data: bytes) -> None:
         """Send a part of the body, waiting while the caller is slow to take it."""
@@ -149,7 +138,6 @@
         self.server = server
         self.reply: Reply | None = None
         self._transport: asyncio.Transport | None = None
-        self._peer = ""
         self._parser = httptools.HttpRequestParser(self)
         self._ahead = b""
         self._next: deque[tuple[Incoming, bool]] = deque()
@@ -171,8 +159,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         self._transport = transport  # type: ignore[assignment]
-        peer = transport.get_extra_info("peername")
-        self._peer = peer[0] if peer else ""
         self.server.conns.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -254,7 +240,6 @@
             headers=tuple(self._headers),
             body=b"".join(self._body),
             arrived_ms=self._arrived_ms,
-            peer=self._peer,
         )
         close = not self._parser.should_keep_alive()
         self._in_request = False
@@ -330,7 +315,7 @@
         if self.reply is None and not self._in_request and self._transport is not None:
             self._transport.close()
 
-    def sweep(self, now_ms: int, limits: CallerLimits) -> None:
+    def sweep(self, now_ms: int, limits: CallerRules) -> None:
         """Enforce the limits in time: on idling, on sending a request, on taking an answer."""
         if self._stalled_since_ms is not None and now_ms - self._stalled_since_ms > STALL_MS:
             self.abort()
@@ -356,7 +341,7 @@
         *,
         clock: Clock,
         tasks: TaskGroup,
-        limits: Callable[[], CallerLimits] = CallerLimits,
+        limits: Callable[[], CallerRules] = CallerRules,
         on_malformed: Callable[[int], None] = lambda _: None,
     ) -> None:
         self.clock = clock
--- a/src/hickorybeam/platform/facts.py
+++ b/src/hickorybeam/platform/facts.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.model.config import key_digest
 from hickorybeam.model.routing import (
     AccountTerms,
@@ -34,7 +35,6 @@
     "streaming": Repeat.STREAM,
 }
 STATES = {"ready": False, "draining": True}
-MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -10,11 +10,13 @@
 import anyio
 import msgspec
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.kernel import Service
 from hickorybeam.ports import PLATFORM
+from hickorybeam.sockets import split_address
 from hickorybeam.store.port import (
     MAX_VALUE_BYTES,
     Compare,
@@ -37,7 +39,6 @@
 
 __all__ = ("PlatformStore",)
 
-MS_PER_SECOND = 1000
 READ_ATTEMPTS = 3
 CONNECT_MS = 400
 SILENT_MS = 1_500
@@ -63,8 +64,7 @@
     watch_rest_ms: int = 0
 
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
-        host, _, port = cfg.platform.urls[0].removeprefix("http://").rpartition(":")
-        self._address = (host, int(port))
+        self._address = split_address(cfg.platform.urls[0].removeprefix("http://"))
         self._timeout_ms = cfg.platform.timeout_ms
         self._clock = clock
         self._pool = UpstreamPool(clock, connect_ms=CONNECT_MS, silent_ms=SILENT_MS)
--- a/src/hickorybeam/policy/attempt_budget.py
+++ b/src/hickorybeam/policy/attempt_budget.py
@@ -8,31 +8,39 @@
 
 from __future__ import annotations
 
-__all__ = ("AttemptBudget",)
+from dataclasses import dataclass
+
+__all__ = ("AttemptBudget", "RepeatBounds")
 
-MS_PER_SECOND = 1000
 # Of the allowance this much is given out; the rest covers VMs that are added before all know.
 SAFE_SHARE = 0.75
 
 
-class AttemptBudget:
-    """The budget of one service on one VM: a bucket that requests fill.
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RepeatBounds:
+    """What all VMs together may repeat.
 
-    :param ratio: repeats allowed for each request.
-    :param allowance: repeats allowed besides in a window, over all VMs.
-    :param window_ms: length of the window.
+    ``ratio`` repeats for each request, and ``allowance`` besides in each ``window_ms``.
     """
 
-    def __init__(self, *, ratio: float, allowance: float, window_ms: int) -> None:
+    ratio: float
+    allowance: float
+    window_ms: int
+
+
+class AttemptBudget:
+    """The budget of one service on one VM: a bucket that requests fill."""
+
+    def __init__(self, bounds: RepeatBounds) -> None:
         self._saved: float | None = None
         self._at_ms = 0
-        self.change(ratio=ratio, allowance=allowance, window_ms=window_ms)
+        self.change(bounds)
 
-    def change(self, *, ratio: float, allowance: float, window_ms: int) -> None:
+    def change(self, bounds: RepeatBounds) -> None:
         """Take over other bounds; what was saved up stays, up to the new most."""
-        self._ratio = ratio * SAFE_SHARE
-        self._allowance = allowance * SAFE_SHARE
-        self._window_ms = window_ms
+        self._ratio = bounds.ratio * SAFE_SHARE
+        self._allowance = bounds.allowance * SAFE_SHARE
+        self._window_ms = bounds.window_ms
 
     def earn(self, now_ms: int, vms: int) -> None:
         """Count one request of a caller."""
--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -45,22 +45,20 @@
 
 
 class FleetQuota:
-    """The buckets of all accounts as this VM knows them.
+    """The buckets of all accounts as this VM knows them; each method gets a monotonic time.
 
-    :param now_ms: a monotonic time; every method gets one.
     :param allowance: what an account may spend beyond its bound in a window; a VM starts with
         half of it in each bucket. Empty buckets would refuse, after all VMs were killed at
         once, every account for as long as its burst takes to refill.
     """
 
-    def __init__(self, now_ms: int, *, allowance: float = 0.0) -> None:
+    def __init__(self, *, allowance: float = 0.0) -> None:
         self.allowance = allowance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
         # Outlives an account's bucket: peers take a total that falls for spends given back.
         self._spent: dict[str, float] = {}
         self._fraction = 1.0
-        self._started_ms = now_ms
 
     def configure(self, accounts: Iterable[AccountTerms], now_ms: int) -> None:
         """Take over new terms; levels are kept, and a new account starts with the allowance.
--- a/src/hickorybeam/sockets.py
+++ b/src/hickorybeam/sockets.py
@@ -1,10 +1,10 @@
-"""Listening sockets."""
+"""Addresses and listening sockets."""
 
 from __future__ import annotations
 
 import socket
 
-__all__ = ("bound_socket",)
+__all__ = ("bound_socket", "split_address")
 
 
 def bound_socket(host: str, port: int) -> socket.socket:
@@ -22,3 +22,12 @@
         sock.close()
         raise
     return sock
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    :raises ValueError: there is no port.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -10,7 +10,7 @@
 import anyio
 import msgspec
 
-from hickorybeam.clock import Clock, SystemClock
+from hickorybeam.clock import MS_PER_SECOND, Clock, SystemClock
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.http1 import HttpServer
 from hickorybeam.platform import names
@@ -25,7 +25,6 @@
 
 __all__ = ("KeyValueApp", "ServedStore", "serve_store")
 
-MS_PER_SECOND = 1000
 JSON = ((b"content-type", b"application/json"),)
 PAGE = 500
 FAILURES = {ErrorKind.LEASE_LOST: 404, ErrorKind.WATCH_COMPACTED: 410}
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -24,7 +24,6 @@
 
 EVENTS = 6
 EVENT_EVERY_MS = 4
-MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/telemetry/decisions.py
+++ b/src/hickorybeam/telemetry/decisions.py
@@ -11,12 +11,13 @@
 
 from absl import logging
 
+from hickorybeam.clock import MS_PER_SECOND
+
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
 
 __all__ = ("DecisionLog",)
 
-MS_PER_SECOND = 1000
 LINES_PER_S = 20
 
 
--- a/tests/steps/policy/fleet_quota_steps.py
+++ b/tests/steps/policy/fleet_quota_steps.py
@@ -24,7 +24,7 @@
         self.now = 1_000
         self.every_ms = every_ms
         self.size = size
-        self.vms = [FleetQuota(self.now) for _ in range(size)]
+        self.vms = [FleetQuota() for _ in range(size)]
         self.started = [self.now] * size
         self.lives = [0] * size
         self.groups = [0] * size
@@ -58,7 +58,7 @@
                 self.restart(next(restarts))
 
     def restart(self, index):
-        self.vms[index] = FleetQuota(self.now)
+        self.vms[index] = FleetQuota()
         self.vms[index].configure([terms()], self.now)
         self.started[index] = self.now
         self.lives[index] += 1
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -12,7 +12,7 @@
     Route,
     WeightedService,
 )
-from hickorybeam.policy.attempt_budget import AttemptBudget
+from hickorybeam.policy.attempt_budget import AttemptBudget, RepeatBounds
 from hickorybeam.policy.cold_limit import ColdLimit, cold_owners
 from hickorybeam.policy.first_byte import first_byte_ms
 from hickorybeam.policy.route_table import RouteTable, pick_target
@@ -53,9 +53,8 @@
 
 @given("a repeat budget of {ratio:g} and {allowance:d} in 10 s for {vms:d} VMs")
 def step_budget(context, ratio, allowance, vms):
-    context.budgets = [
-        AttemptBudget(ratio=ratio, allowance=allowance, window_ms=10_000) for _ in range(vms)
-    ]
+    bounds = RepeatBounds(ratio=ratio, allowance=allowance, window_ms=10_000)
+    context.budgets = [AttemptBudget(bounds) for _ in range(vms)]
     context.ratio, context.allowance = ratio, allowance
 
 
