A VM that shuts down takes only what it can finish

Excluded: servers, which were still at work. The special case for the last VM of a region is gone: every VM takes what surely ends before its process does.

--- a/src/hickorybeam/gateway/admission.py
+++ b/src/hickorybeam/gateway/admission.py
@@ -31,7 +31,12 @@
 
 
 class Admission:
-    """Takes requests or refuses them, before anything is sent."""
+    """Takes requests or refuses them, before anything is sent.
+
+    ``draining`` refuses all. ``ends_ms`` is when this process ends, once it is known: a request
+    whose deadline lies after it is refused as not run. Taken, a stream that comes late in the
+    grace period would be cut in its middle, by a VM that had known better.
+    """
 
     def __init__(self, *, clock: Clock, knowledge: Knowledge, quota: FleetQuota) -> None:
         self._clock = clock
@@ -39,6 +44,7 @@
         self._quota = quota
         self._rng = random.Random()
         self.draining = False
+        self.ends_ms: int | None = None
 
     def admit(self, call: RelayCall) -> Errand:
         """Return what was decided about a request.
@@ -55,6 +61,9 @@
             raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
         needs_key = config.with_accounts and not route.public
         terms = self._account(call) if needs_key else None
+        deadline = min(call.deadline_ms, call.arrived_ms + route.timeout_ms) - ANSWER_MARGIN_MS
+        if self.ends_ms is not None and deadline > self.ends_ms:
+            raise GatewayError(ErrorKind.DRAINING, retry_after_ms=LEAVING_COME_BACK_MS)
         cost = self._spend(call, terms)
         return Errand(
             call=call,
@@ -62,8 +71,7 @@
             service=pick_target(route, self._rng.random()),
             account=terms.name if terms else None,
             urgency=urgency_of(route, terms),
-            deadline_ms=min(call.deadline_ms, call.arrived_ms + route.timeout_ms)
-            - ANSWER_MARGIN_MS,
+            deadline_ms=deadline,
             resume_after=call.resume_after,
             cost=cost,
             elapsed_ms=elapsed_of(call, route),
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -439,6 +439,10 @@
         for budget in self._budgets.values():
             budget.change(bounds_of(cfg))
 
+    def take_until(self, ends_ms: int) -> None:
+        """Take only requests whose deadline lies before the end of this process."""
+        self._admission.ends_ms = ends_ms
+
     def drain(self) -> None:
         """Refuse new requests from now on."""
         self._admission.draining = True
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -51,7 +51,8 @@
 JSON = ((b"content-type", b"application/json"),)
 PLAIN = ((b"content-type", b"text/plain; version=0.0.4"),)
 # Shutdown, in shares of the time it may take: new requests are served while callers still hold
-# lists that name this VM, then refused as not run, then no connection is taken any more.
+# lists that name this VM, then only those that surely end in time, then no connection is taken
+# any more.
 SERVE_ON_SHARE = 0.3
 ACCEPT_ON_SHARE = 0.5
 END_MARGIN_MS = 400
@@ -149,7 +150,7 @@
         return Ports(*(server.port for server in self._servers))
 
     async def drain(self) -> None:
-        """Leave the directory, refuse new work, and finish what runs.
+        """Leave the directory, refuse what could not be finished, and finish what runs.
 
         Callers go on using open connections and lists that name this VM for a while. A port
         closed at once would cut requests that were on their way.
@@ -162,11 +163,9 @@
             server.closing = True
         await self._fleet.leave()
         await self._until(begun + grace_ms * SERVE_ON_SHARE)
-        accept_until = begun + grace_ms * ACCEPT_ON_SHARE
-        while self._last_of_region() and self._clock.now() < accept_until:
-            await self._clock.sleep(DRAIN_POLL_MS)
+        self._path.take_until(round(end))
+        await self._until(begun + grace_ms * ACCEPT_ON_SHARE)
         self._path.drain()
-        await self._until(accept_until)
         for server in self._servers:
             server.stop_accepting()
             server.close_idle()
@@ -176,14 +175,6 @@
                 server.close_idle()
         logging.info("drained, %d requests cut", self._busy())
 
-    def _last_of_region(self) -> bool:
-        """Whether callers of this region have no other VM of it to go to.
-
-        VMs that are stopped one after the other, faster than they come back, would otherwise
-        leave a region with VMs that only refuse.
-        """
-        return not self._fleet.peers.serving(self._fleet.me.region)
-
     def _busy(self) -> int:
         return sum(server.in_flight for server in self._servers[:2])
 
