--- /dev/null
+++ b/src/hickorybeam/gateway/endings.py
@@ -0,0 +1,108 @@
+"""The final answers of the gateway's own: refusals, and what is said when a request is given up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorybeam.errors import ErrorKind, GatewayError, Ran, answer_for
+from hickorybeam.gateway.admission import COME_BACK_MS
+from hickorybeam.gateway.attempt import HOP_NOT_RUN
+from hickorybeam.gateway.progress import name_of
+from hickorybeam.platform import answer_headers, refusal_headers
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.attempt import Errand, Target
+    from hickorybeam.gateway.knowledge import Knowledge
+    from hickorybeam.gateway.progress import Progress
+    from hickorybeam.http1 import RawHeaders, Reply
+    from hickorybeam.model.routing import RelayCall
+    from hickorybeam.telemetry import Counters
+    from hickorybeam.telemetry.decisions import DecisionLog
+
+__all__ = ("Endings",)
+
+HOP_MARK = ((HOP_NOT_RUN, b"1"),)
+
+
+class Endings:
+    """Writes, counts and logs final answers."""
+
+    def __init__(
+        self, *, clock: Clock, counters: Counters, knowledge: Knowledge, log: DecisionLog
+    ) -> None:
+        self._clock = clock
+        self._counters = counters
+        self._knowledge = knowledge
+        self._log = log
+
+    def give_up(self, errand: Errand, progress: Progress) -> None:
+        """Give the final answer to a request that will not be run, or not again."""
+        reply = progress.reply
+        ran = progress.ran
+        self.note(
+            "gave_up",
+            errand,
+            None,
+            why=progress.why,
+            ran=ran,
+            sends=progress.sends,
+            tried=sorted(progress.tried),
+        )
+        if reply.started:
+            reply.abort()
+            self.count(errand, "cut")
+            return
+        if progress.failed is not None:
+            head, facts, body = progress.failed
+            # A server's status that would promise that it didn't run can't be passed on.
+            if facts.signed and not facts.promises:
+                reply.whole(facts.status, answer_headers(head.headers), body)
+                self.count(errand, "failed")
+                return
+        if not ran:
+            kind, after = ErrorKind.NO_BACKEND, COME_BACK_MS
+        elif progress.why == "deadline":
+            kind, after = ErrorKind.BACKEND_SILENT, None
+        else:
+            kind, after = ErrorKind.BACKEND_UNKNOWN, None
+        exc = GatewayError(kind, progress.why, retry_after_ms=after)
+        self.refuse(errand.call, reply, exc, HOP_MARK if progress.here_only else ())
+
+    def refuse(
+        self, call: RelayCall, reply: Reply, exc: GatewayError, extra: RawHeaders = ()
+    ) -> None:
+        """Send an answer of the gateway's own.
+
+        :param extra: headers for the VM that handed the request over, if it surely did not run.
+        """
+        answer = answer_for(exc.kind)
+        self._counters.refusals.labels(exc.kind.value).inc()
+        self._log.note(
+            "refused",
+            request=call.request_id,
+            kind=exc.kind.value,
+            status=answer.status,
+            ran=answer.ran is not Ran.NO,
+            retry_after_ms=exc.retry_after_ms,
+            config=self._knowledge.config.version if self._knowledge.config else None,
+        )
+        headers = refusal_headers(call.request_id, retry_after_ms=exc.retry_after_ms)
+        if answer.ran is Ran.NO:
+            headers = (*headers, *extra)
+        reply.whole(answer.status, headers, close=exc.kind is ErrorKind.DRAINING)
+
+    def count(self, errand: Errand, outcome: str) -> None:
+        """Count how a request ended."""
+        self._counters.requests.labels(errand.route.name, outcome).inc()
+
+    def note(self, event: str, errand: Errand, target: Target | None, **fields: object) -> None:
+        """Log a decision about a request."""
+        self._log.note(
+            event,
+            request=errand.call.request_id,
+            route=errand.route.name,
+            target=name_of(target) if target else None,
+            left_ms=errand.deadline_ms - self._clock.now(),
+            **fields,
+        )
--- /dev/null
+++ b/src/hickorybeam/gateway/progress.py
@@ -0,0 +1,50 @@
+"""What has happened to one request so far, and how its targets are named."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hickorybeam.gateway.attempt import ToPeer, ToServer
+from hickorybeam.gateway.events import EventCutter
+
+if TYPE_CHECKING:
+    from hickorybeam.gateway.attempt import Target
+    from hickorybeam.http1 import AnswerHead, Reply
+    from hickorybeam.platform import AnswerFacts
+
+__all__ = ("Progress", "name_of")
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has happened to one request so far.
+
+    ``runs`` counts sends that may have run; ``flying`` one whose outcome is still open.
+    ``failed`` is a server's own failing answer, kept in case that no better one comes.
+    ``here_only``: it came from another VM, so it is run in this region or not at all.
+    """
+
+    reply: Reply
+    sends: int = 0
+    runs: int = 0
+    flying: bool = False
+    tried: set[str] = field(default_factory=set)
+    failed: tuple[AnswerHead, AnswerFacts, bytes] | None = None
+    cutter: EventCutter = field(default_factory=EventCutter)
+    why: str = ""
+    here_only: bool = False
+
+    @property
+    def ran(self) -> bool:
+        """Whether it has run or may have."""
+        return self.runs > 0 or self.flying
+
+
+def name_of(target: Target) -> str:
+    """Return the name of a target, for logs and to know it again."""
+    match target:
+        case ToServer(standing):
+            return standing.server.id
+        case ToPeer(peer):
+            return peer.vm.name
--- /dev/null
+++ b/src/hickorybeam/gateway/sending.py
@@ -0,0 +1,218 @@
+"""One send of a request: opened, its answer taken, its server's record kept."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorybeam.clock import MS_PER_SECOND
+from hickorybeam.gateway.attempt import Attempt, NotSentError, SilentError, ToPeer, ToServer
+from hickorybeam.gateway.placing import size_of
+from hickorybeam.http1 import BrokenAnswerError
+from hickorybeam.platform import answer_headers
+from hickorybeam.policy.first_byte import first_byte_ms
+from hickorybeam.policy.server_choice import wait_ms
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.attempt import Errand, Target
+    from hickorybeam.gateway.endings import Endings
+    from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.knowledge import Knowledge
+    from hickorybeam.gateway.line import Lines
+    from hickorybeam.gateway.placing import Placing
+    from hickorybeam.gateway.progress import Progress
+    from hickorybeam.http1 import AnswerHead, UpstreamPool
+    from hickorybeam.platform import AnswerFacts
+    from hickorybeam.policy.server_choice import ServerStanding
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("Sending",)
+
+OK, FIRST_ERROR, SERVER_ERROR = 200, 300, 500
+# Cache of one server in tokens, where its service doesn't tell.
+DEFAULT_CACHE_TOKENS = 200_000
+
+
+class Sending:
+    """Sends requests to servers and to other VMs, and takes note of how it went."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        counters: Counters,
+        knowledge: Knowledge,
+        fleet: FleetService,
+        lines: Lines,
+        placing: Placing,
+        pool: UpstreamPool,
+        endings: Endings,
+    ) -> None:
+        self._clock = clock
+        self._knowledge = knowledge
+        self._fleet = fleet
+        self._lines = lines
+        self._placing = placing
+        self._pool = pool
+        self._endings = endings
+        self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
+
+    async def send(self, target: Target, errand: Errand, progress: Progress) -> None:
+        """Send once and take note of how it went; a good answer is passed on."""
+        standing = target.standing if isinstance(target, ToServer) else None
+        copy_from = self._placing.copy_from(standing, errand)
+        patience_ms = self._first_byte_ms(standing, errand, progress)
+        reading = self._begin(standing, errand)
+        attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
+        progress.flying = True
+        try:
+            head, facts = await attempt.open(self._clock.now(), patience_ms=patience_ms)
+            self._observe_first_byte(errand)
+            if standing is not None:
+                standing.reading -= reading
+                reading = 0
+                self._take_facts(standing, facts)
+            await self._take_answer(attempt, head, facts, errand, progress, standing)
+            progress.flying = False
+        except NotSentError as exc:
+            progress.flying = False
+            progress.why = str(exc)
+            if exc.unreachable:
+                self._unreachable(target, attempt)
+            self._endings.note("not_sent", errand, target, why=progress.why)
+        except BrokenAnswerError as exc:
+            progress.flying = False
+            progress.runs += 1
+            progress.why = str(exc)
+            self._broke(exc, target, attempt)
+            self._endings.note("broken", errand, target, why=progress.why)
+        finally:
+            if standing is not None:
+                self._end(standing, errand, reading)
+            attempt.close()
+
+    def _broke(self, exc: BrokenAnswerError, target: Target, attempt: Attempt) -> None:
+        match exc, target:
+            case SilentError(), _:
+                self._unreachable(target, attempt)
+            case _, ToServer(standing):
+                standing.failed()
+
+    def _observe_first_byte(self, errand: Errand) -> None:
+        took_ms = self._clock.now() - errand.call.arrived_ms
+        self._first_byte.labels(errand.route.name).observe(took_ms / MS_PER_SECOND)
+
+    def _begin(self, standing: ServerStanding | None, errand: Errand) -> int:
+        if standing is None:
+            return 0
+        call = errand.call
+        reading = standing.memory.missing(call.parts) if call.parts else call.prompt_tokens
+        standing.running += 1
+        standing.reading += reading
+        standing.holding += size_of(call)
+        config = self._knowledge.config
+        spec = config.services.get(errand.service) if config else None
+        room = spec.engine.cache_tokens if spec and spec.engine else 0
+        standing.memory_tokens = room
+        standing.memory.sent(call.parts, room or DEFAULT_CACHE_TOKENS)
+        self._fleet.holders.sent(call.parts, standing.server.id, self._clock.now())
+        return reading
+
+    def _end(self, standing: ServerStanding, errand: Errand, reading: int) -> None:
+        """Take back what ``_begin`` counted; ``reading`` is what is left of it."""
+        standing.running -= 1
+        standing.reading -= reading
+        standing.holding -= size_of(errand.call)
+        self._lines.of(errand.service).departed()
+
+    def _first_byte_ms(
+        self, standing: ServerStanding | None, errand: Errand, progress: Progress
+    ) -> float | None:
+        foreseen_ms = 0.0
+        if standing is not None:
+            call, now = errand.call, self._clock.now()
+            foreseen_ms = wait_ms(standing, call.parts, call.prompt_tokens, now)
+        runs_left = errand.route.max_attempts - progress.runs - 1
+        return first_byte_ms(errand.route, runs_left=runs_left, foreseen_ms=foreseen_ms)
+
+    def _take_facts(self, standing: ServerStanding, facts: AnswerFacts) -> None:
+        now = self._clock.now()
+        if facts.load is not None:
+            standing.told(busy=facts.load.running + facts.load.waiting, now_ms=now)
+        if facts.cold_ms:
+            self._knowledge.cold(standing.server.id, facts.cold_ms, now)
+
+    async def _take_answer(
+        self,
+        attempt: Attempt,
+        head: AnswerHead,
+        facts: AnswerFacts,
+        errand: Errand,
+        progress: Progress,
+        standing: ServerStanding | None,
+    ) -> None:
+        if facts.not_run:
+            await attempt.body()
+            attempt.kept()
+            if standing is not None and facts.other_server:
+                standing.unreachable(self._clock.now())
+            raise NotSentError(f"status {facts.status}: not run")
+        good = OK <= facts.status < FIRST_ERROR
+        if good and not facts.signed:
+            raise BrokenAnswerError("a success that no server signed")
+        if good and facts.streamed:
+            await self._relay_stream(attempt, head, errand, progress)
+        else:
+            body = await attempt.body()
+            attempt.kept()
+            self._take_whole(head, facts, body, errand, progress)
+        if standing is not None:
+            if good:
+                standing.succeeded()
+            else:
+                standing.failed()
+
+    def _take_whole(
+        self,
+        head: AnswerHead,
+        facts: AnswerFacts,
+        body: bytes,
+        errand: Errand,
+        progress: Progress,
+    ) -> None:
+        progress.runs += 1
+        if facts.status >= SERVER_ERROR or facts.promises or progress.reply.started:
+            # A failure, or a whole answer where a stream was to go on.
+            progress.failed = (head, facts, body)
+            progress.why = f"status {facts.status}"
+            return
+        progress.reply.whole(facts.status, answer_headers(head.headers), body)
+        self._endings.count(errand, "answered")
+
+    async def _relay_stream(
+        self, attempt: Attempt, head: AnswerHead, errand: Errand, progress: Progress
+    ) -> None:
+        reply, cutter = progress.reply, progress.cutter
+        if not reply.started:
+            reply.begin(head.status, answer_headers(head.headers))
+        try:
+            while data := await attempt.chunk():
+                await reply.chunk(cutter.whole(data) if errand.route.resumable else data)
+        except BrokenAnswerError:
+            errand.resume_after = cutter.last_id or errand.resume_after
+            cutter.restart()
+            raise
+        attempt.kept()
+        progress.runs += 1
+        await reply.chunk(cutter.rest())
+        reply.end()
+        self._endings.count(errand, "answered")
+
+    def _unreachable(self, target: Target, attempt: Attempt) -> None:
+        """Leave a target that took no connection or fell silent, with its idle connections."""
+        attempt.forget_idle()
+        match target:
+            case ToServer(standing):
+                standing.unreachable(self._clock.now())
+            case ToPeer(peer):
+                peer.forecasts = None
