--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -13,6 +13,8 @@
 from hickorybeam.platform import REQUEST_ID, decode_answer, server_headers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hickorybeam.gateway.peers import Peer
     from hickorybeam.http1 import AnswerHead, RawHeaders, UpstreamConnection, UpstreamPool
     from hickorybeam.model.routing import RelayCall, Route
@@ -26,6 +28,8 @@
     "HOP_RESUME",
     "HOP_SERVICE",
     "HOP_URGENCY",
+    "NOT_ASKED",
+    "REJECTED",
     "Attempt",
     "Errand",
     "NotSentError",
@@ -41,19 +45,25 @@
 HOP_LEFT = b"hop-left-ms"
 HOP_URGENCY = b"hop-urgency"
 HOP_RESUME = b"hop-resume-after"
-# In an answer between VMs: the request was not run, and nothing of the answer is a server's.
+# In an answer between VMs: the request was not run, and nothing of the answer is a server's. Its
+# value tells whether a server was asked and rejected it, or none was asked.
 HOP_NOT_RUN = b"hop-not-run"
+REJECTED, NOT_ASKED = b"rejected", b"not-asked"
+# How often it is looked again whether a request should leave a silent server, in ms.
+ASK_AGAIN_MS = 200
 
 
 class NotSentError(Exception):
     """The request was surely not run: not sent, or the other end promises so.
 
     :param unreachable: no connection could be made.
+    :param arrived: a server got the request and rejected it.
     """
 
-    def __init__(self, text: str, *, unreachable: bool = False) -> None:
+    def __init__(self, text: str, *, unreachable: bool = False, arrived: bool = False) -> None:
         super().__init__(text)
         self.unreachable = unreachable
+        self.arrived = arrived
 
 
 class SilentError(BrokenAnswerError):
@@ -114,24 +124,40 @@
         self._conn: UpstreamConnection | None = None
 
     async def open(
-        self, now_ms: int, *, patience_ms: float | None = None
+        self,
+        now_ms: int,
+        *,
+        patience_ms: float | None = None,
+        leave: Callable[[], bool] = lambda: True,
     ) -> tuple[AnswerHead, AnswerFacts]:
         """Send the request and return the head of its answer.
 
         :param patience_ms: how long to wait for it; ``None`` for no limit but the deadline.
+        :param leave: asked once the patience is over, and now and then after that: whether the
+            request should go elsewhere. While not, its answer is waited for.
         :raises NotSentError: it was not run.
         :raises SilentError: no byte came within the patience.
         :raises BrokenAnswerError: it may have run.
         """
         limit_s = None if patience_ms is None else patience_ms / MS_PER_SECOND
-        with anyio.move_on_after(limit_s) as patience:
+        with anyio.move_on_after(limit_s):
             conn = await self._sent(self._errand.deadline_ms - now_ms)
             head = await conn.head()
-        if patience.cancelled_caught:
-            raise SilentError("silent")
-        if find(head.headers, HOP_NOT_RUN) is not None:
+            return await self._decoded(head)
+        waiting = self._conn
+        if waiting is None:
+            raise NotSentError("no connection in time", unreachable=True)
+        while not leave():
+            with anyio.move_on_after(ASK_AGAIN_MS / MS_PER_SECOND):
+                head = await waiting.head()
+                return await self._decoded(head)
+        raise SilentError("silent")
+
+    async def _decoded(self, head: AnswerHead) -> tuple[AnswerHead, AnswerFacts]:
+        hop = find(head.headers, HOP_NOT_RUN)
+        if hop is not None:
             await self._finish()
-            raise NotSentError("the other region did not run it")
+            raise NotSentError("the other region did not run it", arrived=hop != NOT_ASKED)
         return head, decode_answer(head)
 
     async def _sent(self, left_ms: int) -> UpstreamConnection:
--- a/src/hickorybeam/gateway/endings.py
+++ b/src/hickorybeam/gateway/endings.py
@@ -6,7 +6,7 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError, Ran, answer_for
 from hickorybeam.gateway.admission import COME_BACK_MS
-from hickorybeam.gateway.attempt import HOP_NOT_RUN
+from hickorybeam.gateway.attempt import HOP_NOT_RUN, NOT_ASKED, REJECTED
 from hickorybeam.gateway.progress import name_of
 from hickorybeam.platform import answer_headers, refusal_headers
 
@@ -20,9 +20,14 @@
     from hickorybeam.telemetry import Counters
     from hickorybeam.telemetry.decisions import DecisionLog
 
-__all__ = ("Endings",)
+__all__ = ("Endings", "hop_mark")
 
-HOP_MARK = ((HOP_NOT_RUN, b"1"),)
+
+def hop_mark(progress: Progress) -> RawHeaders:
+    """Return what tells the VM that handed a request over that it was not run here."""
+    if not progress.here_only:
+        return ()
+    return ((HOP_NOT_RUN, REJECTED if progress.arrived else NOT_ASKED),)
 
 
 class Endings:
@@ -67,7 +72,7 @@
         else:
             kind, after = ErrorKind.BACKEND_UNKNOWN, None
         exc = GatewayError(kind, progress.why, retry_after_ms=after)
-        self.refuse(errand.call, reply, exc, HOP_MARK if progress.here_only else ())
+        self.refuse(errand.call, reply, exc, hop_mark(progress))
 
     def refuse(
         self, call: RelayCall, reply: Reply, exc: GatewayError, extra: RawHeaders = ()
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -9,7 +9,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.admission import COME_BACK_MS, Admission
-from hickorybeam.gateway.endings import HOP_MARK, Endings
+from hickorybeam.gateway.endings import Endings, hop_mark
 from hickorybeam.gateway.line import Lines
 from hickorybeam.gateway.placing import Full, Placing
 from hickorybeam.gateway.progress import Progress, name_of
@@ -108,30 +108,58 @@
             self._counters.requests.labels(errand.route.name, "left").inc()
 
     async def _attempts(self, errand: Errand, progress: Progress) -> None:
-        while True:
-            target = self._choose(errand, progress)
-            if isinstance(target, Full):
-                target = await self._wait(errand, progress)
-                if isinstance(target, Full):
-                    self._overloaded(errand, progress)
-                    return
-            if target is None or not self._may_send(errand, progress):
-                self._endings.give_up(errand, progress)
-                return
+        while (target := await self._next(errand, progress)) is not None:
             progress.sends += 1
             progress.tried.add(name_of(target))
-            await self._sending.send(target, errand, progress)
+            await self._sending.send(
+                target, errand, progress, leave=lambda: self._leaves(errand, progress)
+            )
             if progress.reply.done:
                 return
             if progress.runs and (progress.here_only or not errand.route.repeatable):
                 self._endings.give_up(errand, progress)
                 return
 
+    async def _next(self, errand: Errand, progress: Progress) -> Target | None:
+        """Return where to send it now; with ``None`` it has got its final answer."""
+        if progress.onward is not None:
+            target, progress.onward = progress.onward, None
+            return target
+        found = self._choose(errand, progress)
+        if isinstance(found, Full):
+            found = await self._wait(errand, progress)
+        if isinstance(found, Full):
+            self._overloaded(errand, progress)
+            return None
+        if found is None or not self._may_send(errand, progress):
+            self._endings.give_up(errand, progress)
+            return None
+        return found
+
+    def _leaves(self, errand: Errand, progress: Progress) -> bool:
+        """Whether a request leaves a server that has been silent for long.
+
+        Only where another one takes it now and the budget allows it. With nowhere to go, it
+        would be answered as failed while its server still reads its prompt behind others.
+        """
+        progress.arrived = True
+        target = self._choose(errand, progress)
+        if target is None or isinstance(target, Full):
+            return False
+        if not self._may_send(errand, progress):
+            return False
+        progress.onward = target
+        return True
+
     def _may_send(self, errand: Errand, progress: Progress) -> bool:
         if progress.sends == 0:
             return True
         if progress.sends >= MOST_SENDS or progress.runs >= errand.route.max_attempts:
             return False
+        if not progress.arrived:
+            # No server has got it yet, so this is no repeat of anything: charged for, full
+            # regions that refused at once used up the budget for servers that failed.
+            return True
         if not self._budget(errand.service).take(self._clock.now(), self._fleet.known()):
             progress.why += ", no budget to repeat"
             return False
@@ -166,6 +194,7 @@
             progress.tried,
             again=repeatable and progress.failed is not None,
             here_only=progress.here_only,
+            refused=progress.refused,
         )
 
     def _overloaded(self, errand: Errand, progress: Progress) -> None:
@@ -178,9 +207,7 @@
         line = self._lines.of(errand.service).policy
         after = max(COME_BACK_MS, line.come_back_ms(errand.urgency, most_ms, now))
         exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=after)
-        self._endings.refuse(
-            errand.call, progress.reply, exc, HOP_MARK if progress.here_only else ()
-        )
+        self._endings.refuse(errand.call, progress.reply, exc, hop_mark(progress))
 
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -11,7 +11,7 @@
 from hickorybeam.policy.server_choice import READ_TOKENS_PER_MS, choose_server, wait_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.attempt import Errand, Target
@@ -64,19 +64,26 @@
         self._rng = random.Random()
 
     def choose(
-        self, errand: Errand, tried: set[str], *, again: bool, here_only: bool
+        self,
+        errand: Errand,
+        tried: set[str],
+        *,
+        again: bool,
+        here_only: bool,
+        refused: Collection[str] = (),
     ) -> Target | Full | None:
         """Pick a server of this region, or a VM of another one whose wait is much shorter.
 
         :param tried: names of targets that the request was sent to before.
         :param again: a server that was tried may be tried again where there is no other.
         :param here_only: it came from another VM, so it is run in this region or not at all.
+        :param refused: regions that have refused it; another VM of one has the same servers.
         """
         now = self._clock.now()
         here: ServerStanding | Full | None = None
         if here_only or self._allowed(errand, self._fleet.me.region):
             here = self._choose_here(errand, tried, now, again=again)
-        away = None if here_only else self._choose_away(errand, tried)
+        away = None if here_only else self._choose_away(errand, tried, refused)
         if here is None:
             return away[0] if away else None
         if away is not None and self._wait_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
@@ -132,11 +139,15 @@
     def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
         return self._knowledge.cold_limit(standing.server, now_ms)
 
-    def _choose_away(self, errand: Errand, tried: set[str]) -> tuple[Target, float] | None:
+    def _choose_away(
+        self, errand: Errand, tried: set[str], refused: Collection[str]
+    ) -> tuple[Target, float] | None:
         found = [
             it
             for it in self._fleet.elsewhere(errand.service)
-            if self._allowed(errand, it.peer.vm.region) and it.peer.vm.name not in tried
+            if self._allowed(errand, it.peer.vm.region)
+            and it.peer.vm.name not in tried
+            and it.peer.vm.region not in refused
         ]
         if not found:
             return None
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -21,7 +21,10 @@
     """What has happened to one request so far.
 
     ``runs`` counts sends that may have run; ``flying`` one whose outcome is still open.
+    ``arrived``: a server has got it, or may have; it rejected it where there were no runs.
     ``failed`` is a server's own failing answer, kept in case that no better one comes.
+    ``refused`` names regions whose VM said that it did not run it.
+    ``onward`` is where it goes next, chosen when it was decided to leave a silent server.
     ``here_only``: it came from another VM, so it is run in this region or not at all.
     """
 
@@ -29,10 +32,13 @@
     sends: int = 0
     runs: int = 0
     flying: bool = False
+    arrived: bool = False
     tried: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)
     failed: tuple[AnswerHead, AnswerFacts, bytes] | None = None
     cutter: EventCutter = field(default_factory=EventCutter)
     why: str = ""
+    onward: Target | None = None
     here_only: bool = False
 
     @property
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -13,6 +13,8 @@
 from hickorybeam.policy.server_choice import wait_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.attempt import Errand, Target
     from hickorybeam.gateway.endings import Endings
@@ -57,8 +59,13 @@
         self._endings = endings
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
 
-    async def send(self, target: Target, errand: Errand, progress: Progress) -> None:
-        """Send once and take note of how it went; a good answer is passed on."""
+    async def send(
+        self, target: Target, errand: Errand, progress: Progress, *, leave: Callable[[], bool]
+    ) -> None:
+        """Send once and take note of how it went; a good answer is passed on.
+
+        :param leave: whether to go elsewhere, asked when a server has been silent for long.
+        """
         standing = target.standing if isinstance(target, ToServer) else None
         copy_from = self._placing.copy_from(standing, errand)
         patience_ms = self._first_byte_ms(standing, errand, progress)
@@ -66,7 +73,9 @@
         attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
         try:
-            head, facts = await attempt.open(self._clock.now(), patience_ms=patience_ms)
+            head, facts = await attempt.open(
+                self._clock.now(), patience_ms=patience_ms, leave=leave
+            )
             self._observe_first_byte(errand)
             if standing is not None:
                 standing.reading -= reading
@@ -76,12 +85,17 @@
             progress.flying = False
         except NotSentError as exc:
             progress.flying = False
+            progress.arrived |= exc.arrived
             progress.why = str(exc)
-            if exc.unreachable:
-                self._unreachable(target, attempt)
+            match target:
+                case _ if exc.unreachable:
+                    self._unreachable(target, attempt)
+                case ToPeer(peer):
+                    progress.refused.add(peer.vm.region)
             self._endings.note("not_sent", errand, target, why=progress.why)
         except BrokenAnswerError as exc:
             progress.flying = False
+            progress.arrived = True
             progress.runs += 1
             progress.why = str(exc)
             self._broke(exc, target, attempt)
@@ -156,7 +170,7 @@
             attempt.kept()
             if standing is not None and facts.other_server:
                 standing.unreachable(self._clock.now())
-            raise NotSentError(f"status {facts.status}: not run")
+            raise NotSentError(f"status {facts.status}: not run", arrived=True)
         good = OK <= facts.status < FIRST_ERROR
         if good and not facts.signed:
             raise BrokenAnswerError("a success that no server signed")
@@ -180,6 +194,7 @@
         errand: Errand,
         progress: Progress,
     ) -> None:
+        progress.arrived = True
         progress.runs += 1
         if facts.status >= SERVER_ERROR or facts.promises or progress.reply.started:
             # A failure, or a whole answer where a stream was to go on.
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -52,3 +52,14 @@
     When the VMs have told each other
     And a caller of "small" asks "s1" for a prompt of parts "5c1e:3000,a2:20"
     Then server "m9" was told to copy from "m1"
+
+  Scenario: a region that refused a request is not asked again for it
+    # The caller's own region has no server that may be used. Two VMs of the other region share
+    # its only server, which is full: the second would ask the same one once more.
+    Given a small gateway with a southern region
+    And VM "s2" has started beside "s1"
+    And server "b9" has fault "full" 9 times
+    When the operator evacuates "north-1"
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 503 with a time to come back
+    And server "b9" was asked 1 time
--- a/tests/gateway/repeats.feature
+++ b/tests/gateway/repeats.feature
@@ -87,3 +87,45 @@
     Then the caller gets 504
     When a caller of "small" streams "/plan/x" from "n1"
     Then the stream is whole with events 1 to 6
+
+  Scenario: a request that reached no server needs no budget to go to another one
+    # Nothing listens any more where one server was, whose entry hasn't lapsed yet, and other
+    # failures have used up what may be repeated. No server has got the request, so sending it
+    # on is no repeat; refused, its caller would ask again what could have been answered.
+    Given a small gateway with servers "b1:books, b2:books, m1:model"
+    And nothing listens any more where server "b1" is
+    And "n1" has used up its budget for repeats
+    When 6 callers of "small" ask "n1" for "/order/x" by POST
+    Then each caller gets 200
+    And "books" ran 6 requests
+
+  Scenario: a request that a server rejected needs budget to go to another one
+    Given a small gateway with servers "b1:books, b2:books, m1:model"
+    And server "b1" has fault "full" 9 times
+    And server "b2" has fault "full" 9 times
+    And "n1" has used up its budget for repeats
+    When a caller of "small" asks "n1" for "/order/x" by POST
+    Then the caller gets 503 with a time to come back
+    And "books" was asked 1 time
+
+  Scenario Outline: the VM that handed a request over learns whether a server was asked
+    # It counts as a repeat only where a server got it and rejected it.
+    Given a small gateway
+    And server "b1" has fault "full" <times> times
+    When the peers' port of "n1" gets a handed-over request for "<service>"
+    Then it is told "<told>"
+
+    Examples:
+      | service | times | told      |
+      | books   | 9     | rejected  |
+      | nothing | 0     | not-asked |
+
+  Scenario: a stream stays with its silent server while no other one can take it
+    # The server is silent for longer than the request's patience, since it reads its prompt
+    # behind others. There is no other server. Left, the caller would be told of a failure, and
+    # what the server had read would be lost; so its answer is waited for.
+    Given a small gateway
+    And server "m1" takes 150 ms for each event
+    When a caller of "small" streams "/plan/x" from "n1"
+    Then the stream is whole with events 1 to 6
+    And "model" ran 1 requests
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -15,6 +15,7 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.reload import SettingsFile
 from hickorybeam.http1.head import request_bytes
+from hickorybeam.policy.attempt_budget import RepeatBounds
 from hickorybeam.settings import load_settings
 from hickorybeam.standins.deployment import HOST, KEYS, caller_headers, first_config
 from hickorybeam.store import KeyValue, Put, WatchBatch
@@ -890,3 +891,65 @@
 @then('no request of service "{service}" ran')
 def step_service_idle(context, service):
     assert not ran(context.rig, service), ran(context.rig, service)
+
+
+@given('nothing listens any more where server "{name}" is')
+def step_closed_port(context, name):
+    async def move():
+        rig = context.rig
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            rig.servers[name].port = sock.getsockname()[1]
+        rig.servers[name].register()
+        standings = [vm.knowledge.standings for vm in rig.vms.values()]
+        port = rig.servers[name].port
+        await rig.until(lambda: all(it[name].server.port == port for it in standings))
+
+    context.call(move)
+
+
+@given('"{vm}" has used up its budget for repeats')
+def step_no_budget(context, vm):
+    path = context.rig.vms[vm].relay._path
+    for service in ("books", "model"):
+        budget = path._budget(service)
+        budget.change(RepeatBounds(ratio=0.0, allowance=0.0, window_ms=1_000_000))
+        now = SystemClock().now()
+        while budget.take(now, 1):
+            pass
+
+
+@then('"{service}" was asked {count:d} time')
+def step_asked(context, service, count):
+    servers = [it for it in context.rig.servers.values() if it.service == service]
+    assert sum(len(it.arrivals) for it in servers) == count
+
+
+@when('the peers\' port of "{vm}" gets a handed-over request for "{service}"')
+def step_hop_for(context, vm, service):
+    headers = (
+        *caller_headers("0123456789abcdef", key=None, wait_ms=2_000),
+        (b"hop-service", service.encode()),
+        (b"hop-left-ms", b"2000"),
+    )
+    data = request_bytes("GET", b"/look/x", headers, b"")
+    context.reply = context.call(context.rig.exchange, context.rig.vms[vm].ports.peers, data)
+
+
+@then('it is told "{text}"')
+def step_hop_told(context, text):
+    assert context.reply.status == 503, context.reply.status
+    assert context.reply.headers[b"hop-not-run"] == text.encode(), context.reply.headers
+
+
+@given('VM "{name}" has started beside "{other}"')
+def step_started_beside(context, name, other):
+    rig = context.rig
+    manager = rig.vm(name, rig.vms[other].fleet.me.data_centre)
+    context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+    context.call(rig.settled)
+
+
+@then('server "{name}" was asked {count:d} time')
+def step_server_asked(context, name, count):
+    assert len(context.rig.servers[name].arrivals) == count
