Callers that nothing can serve are told to come back after as long as it has lasted

Callers have one further try; they used it within the outage. Now: what has been away for t is told as t (0.3 s at least, a third of the time left at most); after the store's return the 2.2 s in which servers register again are added; a region that refuses a handed-over request tells when it has room, and its caller is told that.

--- a/src/hickorybeam/gateway/admission.py
+++ b/src/hickorybeam/gateway/admission.py
@@ -9,6 +9,7 @@
 from hickorybeam.gateway.attempt import Errand
 from hickorybeam.model import key_digest
 from hickorybeam.model.routing import Repeat, Unit
+from hickorybeam.policy.come_back import come_back_ms
 from hickorybeam.policy.route_table import pick_target
 
 if TYPE_CHECKING:
@@ -17,12 +18,10 @@
     from hickorybeam.model.routing import AccountTerms, RelayCall, Route
     from hickorybeam.policy.fleet_quota import FleetQuota
 
-__all__ = ("COME_BACK_MS", "Admission")
+__all__ = ("Admission",)
 
 # An answer has to leave before the caller stops waiting for it.
 ANSWER_MARGIN_MS = 25
-# When a refused caller may come back, where nothing better is known, in ms.
-COME_BACK_MS = 300
 # A VM that shuts down names no time: the caller's next connection goes to another one.
 LEAVING_COME_BACK_MS = 50
 # Ranks of routes that fit below one rank of accounts in a server's ten urgencies.
@@ -43,6 +42,7 @@
         self._knowledge = knowledge
         self._quota = quota
         self._rng = random.Random()
+        self._started_ms = clock.now()
         self.draining = False
         self.ends_ms: int | None = None
 
@@ -53,7 +53,7 @@
         """
         config = self._knowledge.config
         if config is None:
-            raise GatewayError(ErrorKind.NOT_READY, retry_after_ms=COME_BACK_MS)
+            raise GatewayError(ErrorKind.NOT_READY, retry_after_ms=self._ready_in_ms(call))
         if self.draining:
             raise GatewayError(ErrorKind.DRAINING, retry_after_ms=LEAVING_COME_BACK_MS)
         route = self._knowledge.table.match(call.host, call.path)
@@ -77,6 +77,13 @@
             elapsed_ms=elapsed_of(call, route),
         )
 
+    def _ready_in_ms(self, call: RelayCall) -> int:
+        """Return when a VM that knows no configuration yet may know one."""
+        now = self._clock.now()
+        return come_back_ms(
+            away_ms=now - self._started_ms, settling_ms=0, left_ms=call.deadline_ms - now
+        )
+
     def _account(self, call: RelayCall) -> AccountTerms:
         config = self._knowledge.config
         if config is None or call.key is None:
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -23,6 +23,7 @@
 
 __all__ = (
     "HOP_ACCOUNT",
+    "HOP_COME_BACK",
     "HOP_LEFT",
     "HOP_NOT_RUN",
     "HOP_RESUME",
@@ -49,6 +50,8 @@
 # value tells whether a server was asked and rejected it, or none was asked.
 HOP_NOT_RUN = b"hop-not-run"
 REJECTED, NOT_ASKED = b"rejected", b"not-asked"
+# Beside it: in how many ms the region expects to have room.
+HOP_COME_BACK = b"hop-come-back-ms"
 # How often it is looked again whether a request should leave a silent server, in ms.
 ASK_AGAIN_MS = 200
 
@@ -58,12 +61,21 @@
 
     :param unreachable: no connection could be made.
     :param arrived: a server got the request and rejected it.
+    :param come_back_ms: when there will be room at the other end, where it says so.
     """
 
-    def __init__(self, text: str, *, unreachable: bool = False, arrived: bool = False) -> None:
+    def __init__(
+        self,
+        text: str,
+        *,
+        unreachable: bool = False,
+        arrived: bool = False,
+        come_back_ms: int | None = None,
+    ) -> None:
         super().__init__(text)
         self.unreachable = unreachable
         self.arrived = arrived
+        self.come_back_ms = come_back_ms
 
 
 class SilentError(BrokenAnswerError):
@@ -157,7 +169,12 @@
         hop = find(head.headers, HOP_NOT_RUN)
         if hop is not None:
             await self._finish()
-            raise NotSentError("the other region did not run it", arrived=hop != NOT_ASKED)
+            after = find(head.headers, HOP_COME_BACK) or b""
+            raise NotSentError(
+                "the other region did not run it",
+                arrived=hop != NOT_ASKED,
+                come_back_ms=int(after) if after.isdigit() else None,
+            )
         return head, decode_answer(head)
 
     async def _sent(self, left_ms: int) -> UpstreamConnection:
--- a/src/hickorybeam/gateway/endings.py
+++ b/src/hickorybeam/gateway/endings.py
@@ -5,15 +5,16 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.errors import ErrorKind, GatewayError, Ran, answer_for
-from hickorybeam.gateway.admission import COME_BACK_MS
-from hickorybeam.gateway.attempt import HOP_NOT_RUN, NOT_ASKED, REJECTED
+from hickorybeam.gateway.attempt import HOP_COME_BACK, HOP_NOT_RUN, NOT_ASKED, REJECTED
 from hickorybeam.gateway.progress import name_of
 from hickorybeam.platform import answer_headers, refusal_headers
+from hickorybeam.policy.come_back import LEAST_MS, come_back_ms, longest_wait_ms
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.attempt import Errand, Target
-    from hickorybeam.gateway.knowledge import Knowledge
+    from hickorybeam.gateway.feed import FeedService
+    from hickorybeam.gateway.placing import Placing
     from hickorybeam.gateway.progress import Progress
     from hickorybeam.http1 import RawHeaders, Reply
     from hickorybeam.model.routing import RelayCall
@@ -23,22 +24,30 @@
 __all__ = ("Endings", "hop_mark")
 
 
-def hop_mark(progress: Progress) -> RawHeaders:
+def hop_mark(progress: Progress, come_back_ms: int | None) -> RawHeaders:
     """Return what tells the VM that handed a request over that it was not run here."""
     if not progress.here_only:
         return ()
-    return ((HOP_NOT_RUN, REJECTED if progress.arrived else NOT_ASKED),)
+    mark = (HOP_NOT_RUN, REJECTED if progress.arrived else NOT_ASKED)
+    return (mark, (HOP_COME_BACK, b"%d" % (come_back_ms or 0)))
 
 
 class Endings:
     """Writes, counts and logs final answers."""
 
     def __init__(
-        self, *, clock: Clock, counters: Counters, knowledge: Knowledge, log: DecisionLog
+        self,
+        *,
+        clock: Clock,
+        counters: Counters,
+        feed: FeedService,
+        placing: Placing,
+        log: DecisionLog,
     ) -> None:
         self._clock = clock
+        self._feed = feed
+        self._placing = placing
         self._counters = counters
-        self._knowledge = knowledge
         self._log = log
 
     def give_up(self, errand: Errand, progress: Progress) -> None:
@@ -66,13 +75,27 @@
                 self.count(errand, "failed")
                 return
         if not ran:
-            kind, after = ErrorKind.NO_BACKEND, COME_BACK_MS
+            kind, after = self._not_run(errand, progress)
         elif progress.why == "deadline":
             kind, after = ErrorKind.BACKEND_SILENT, None
         else:
             kind, after = ErrorKind.BACKEND_UNKNOWN, None
         exc = GatewayError(kind, progress.why, retry_after_ms=after)
-        self.refuse(errand.call, reply, exc, hop_mark(progress))
+        self.refuse(errand.call, reply, exc, hop_mark(progress, after))
+
+    def _not_run(self, errand: Errand, progress: Progress) -> tuple[ErrorKind, int]:
+        """Return why nothing ran a request, and when its caller should come back."""
+        now = self._clock.now()
+        left_ms = errand.deadline_ms - now
+        if progress.room_in_ms is not None:
+            most_ms = longest_wait_ms(left_ms)
+            return ErrorKind.OVERLOADED, max(LEAST_MS, min(progress.room_in_ms, most_ms))
+        after = come_back_ms(
+            away_ms=self._placing.away_ms(errand.service, now),
+            settling_ms=self._feed.settling_ms(now),
+            left_ms=left_ms,
+        )
+        return ErrorKind.NO_BACKEND, after
 
     def refuse(
         self, call: RelayCall, reply: Reply, exc: GatewayError, extra: RawHeaders = ()
@@ -82,6 +105,7 @@
         :param extra: headers for the VM that handed the request over, if it surely did not run.
         """
         answer = answer_for(exc.kind)
+        config = self._feed.knowledge.config
         self._counters.refusals.labels(exc.kind.value).inc()
         self._log.note(
             "refused",
@@ -90,7 +114,7 @@
             status=answer.status,
             ran=answer.ran is not Ran.NO,
             retry_after_ms=exc.retry_after_ms,
-            config=self._knowledge.config.version if self._knowledge.config else None,
+            config=config.version if config else None,
         )
         headers = refusal_headers(call.request_id, retry_after_ms=exc.retry_after_ms)
         if answer.ran is Ran.NO:
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -69,6 +69,7 @@
         self._listeners: list[Callable[[WatchBatch], None]] = []
         self._config_listeners: list[Callable[[], None]] = []
         self._trouble_ms = -TROUBLE_MS
+        self._reached_ms = -LAPSED_FOR_MS
         self._lapsing: dict[str, int] = {}
         self._store_ok = False
         self.revision = 0
@@ -157,9 +158,14 @@
             self._behind_since_ms = None
             self._watching.cancel()
 
+    def settling_ms(self, now_ms: int) -> int:
+        """Return how long servers' entries that lapsed with the store may take to come back."""
+        return max(0, self._reached_ms + LAPSED_FOR_MS - now_ms)
+
     def _regained(self) -> None:
         if not self._store_ok:
             logging.info("store reached")
+            self._reached_ms = self._clock.now()
         self._store_ok = True
 
     async def _load(self) -> int:
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -8,7 +8,7 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.gateway.admission import COME_BACK_MS, Admission
+from hickorybeam.gateway.admission import Admission
 from hickorybeam.gateway.endings import Endings, hop_mark
 from hickorybeam.gateway.line import Lines
 from hickorybeam.gateway.placing import Full, Placing
@@ -17,6 +17,7 @@
 from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.attempt_budget import AttemptBudget, RepeatBounds
+from hickorybeam.policy.come_back import LEAST_MS, longest_wait_ms
 from hickorybeam.policy.wait_line import patience_ms
 
 if TYPE_CHECKING:
@@ -64,7 +65,9 @@
             fleet=fleet,
             lines=self._lines,
         )
-        self._endings = Endings(clock=clock, counters=counters, knowledge=feed.knowledge, log=log)
+        self._endings = Endings(
+            clock=clock, counters=counters, feed=feed, placing=self._placing, log=log
+        )
         self._sending = Sending(
             clock=clock,
             counters=counters,
@@ -203,11 +206,11 @@
             self._endings.give_up(errand, progress)
             return
         now = self._clock.now()
-        most_ms = max(COME_BACK_MS, (errand.deadline_ms - now) // 3)
+        most_ms = longest_wait_ms(errand.deadline_ms - now)
         line = self._lines.of(errand.service).policy
-        after = max(COME_BACK_MS, line.come_back_ms(errand.urgency, most_ms, now))
+        after = max(LEAST_MS, line.come_back_ms(errand.urgency, most_ms, now))
         exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=after)
-        self._endings.refuse(errand.call, progress.reply, exc, hop_mark(progress))
+        self._endings.refuse(errand.call, progress.reply, exc, hop_mark(progress, after))
 
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -62,6 +62,7 @@
         self._fleet = fleet
         self._lines = lines
         self._rng = random.Random()
+        self._nothing_since: dict[str, int] = {}
 
     def choose(
         self,
@@ -80,6 +81,27 @@
         :param refused: regions that have refused it; another VM of one has the same servers.
         """
         now = self._clock.now()
+        found = self._chosen(errand, tried, now, again=again, here_only=here_only, refused=refused)
+        if found is not None:
+            self._nothing_since.pop(errand.service, None)
+        elif not tried:
+            self._nothing_since.setdefault(errand.service, now)
+        return found
+
+    def away_ms(self, service: str, now_ms: int) -> int:
+        """Return for how long nothing has been found that could take a service's requests."""
+        return now_ms - self._nothing_since.get(service, now_ms)
+
+    def _chosen(
+        self,
+        errand: Errand,
+        tried: set[str],
+        now: int,
+        *,
+        again: bool,
+        here_only: bool,
+        refused: Collection[str],
+    ) -> Target | Full | None:
         here: ServerStanding | Full | None = None
         if here_only or self._allowed(errand, self._fleet.me.region):
             here = self._choose_here(errand, tried, now, again=again)
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -24,6 +24,7 @@
     ``arrived``: a server has got it, or may have; it rejected it where there were no runs.
     ``failed`` is a server's own failing answer, kept in case that no better one comes.
     ``refused`` names regions whose VM said that it did not run it.
+    ``room_in_ms`` is when the first of them expects to have room.
     ``onward`` is where it goes next, chosen when it was decided to leave a silent server.
     ``here_only``: it came from another VM, so it is run in this region or not at all.
     """
@@ -37,10 +38,17 @@
     refused: set[str] = field(default_factory=set)
     failed: tuple[AnswerHead, AnswerFacts, bytes] | None = None
     cutter: EventCutter = field(default_factory=EventCutter)
+    room_in_ms: int | None = None
     why: str = ""
     onward: Target | None = None
     here_only: bool = False
 
+    def refused_by(self, region: str, room_in_ms: int | None) -> None:
+        """Take note that a region did not run it, and when it expects to have room."""
+        self.refused.add(region)
+        if room_in_ms is not None:
+            self.room_in_ms = min(room_in_ms, self.room_in_ms or room_in_ms)
+
     @property
     def ran(self) -> bool:
         """Whether it has run or may have."""
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -91,7 +91,7 @@
                 case _ if exc.unreachable:
                     self._unreachable(target, attempt)
                 case ToPeer(peer):
-                    progress.refused.add(peer.vm.region)
+                    progress.refused_by(peer.vm.region, exc.come_back_ms)
             self._endings.note("not_sent", errand, target, why=progress.why)
         except BrokenAnswerError as exc:
             progress.flying = False
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -63,3 +63,23 @@
     And a caller of "small" asks "n1" for "/look/x"
     Then the caller gets 503 with a time to come back
     And server "b9" was asked 1 time
+
+  Scenario: callers that nothing can serve are told a later time the longer it lasts
+    # The only data centre with servers is evacuated for a while. Told the same short time, all
+    # callers would be back within the outage and have no further try.
+    Given a small gateway
+    When 2.3 s pass
+    And the operator evacuates "north-1"
+    And a caller of "small" asks "n1" for "/look/x" waiting 9000 ms
+    Then the caller gets 503 and comes back after 0.3 to 0.4 s
+    When 1.2 s pass
+    And a caller of "small" asks "n1" for "/look/x" waiting 9000 ms
+    Then the caller gets 503 and comes back after 1.0 to 3.0 s
+
+  Scenario: a full region tells when it will have room
+    Given a small gateway with a southern region
+    And server "b9" has fault "full" 9 times
+    When the operator evacuates "north-1"
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 503 with a time to come back
+    And "n1" counts the refusal as "overloaded"
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -953,3 +953,20 @@
 @then('server "{name}" was asked {count:d} time')
 def step_server_asked(context, name, count):
     assert len(context.rig.servers[name].arrivals) == count
+
+
+@then("the caller gets {status:d} and comes back after {least:g} to {most:g} s")
+def step_comes_back(context, status, least, most):
+    assert context.reply.status == status, context.reply.status
+    assert least <= context.reply.retry_after <= most, context.reply.retry_after
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.call(anyio.sleep, seconds)
+
+
+@then('"{vm}" counts the refusal as "{kind}"')
+def step_counted_as(context, vm, kind):
+    counters = context.rig.vms[vm].relay._counters
+    assert counters.refusals.labels(kind)._value.get() == 1
