Two VMs of a large data centre watch the store and tell the others

Now a VM watches only while fewer than two that come before it by hashing are heard to follow the store; the others ask one of these for the changes after their own.

--- /dev/null
+++ b/src/hickorybeam/gateway/changes.py
@@ -0,0 +1,86 @@
+"""Changes of the store's entries as one VM hands them to another."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+from hickorybeam.store import KeyValue, WatchBatch
+
+__all__ = ("ChangeLog", "Changes", "decode_changes")
+
+# Changes kept for others: about a minute of the heaviest played day (20 a second).
+MOST_KEPT = 1_000
+
+
+class _Entry(msgspec.Struct, frozen=True, array_like=True):
+    key: str
+    value: bytes
+    revision: int
+
+
+class _Batch(msgspec.Struct, frozen=True, array_like=True):
+    revision: int
+    puts: list[_Entry]
+    deletes: list[str]
+
+
+class Changes(msgspec.Struct, frozen=True, array_like=True):
+    """What one VM tells another that asked for the changes after a revision.
+
+    ``revision`` is how far its own knowledge is complete. ``trouble_ms`` is how long ago it
+    last failed to reach the store: entries that vanished since may have lapsed with it.
+    """
+
+    revision: int
+    trouble_ms: int
+    batches: list[_Batch]
+
+    def as_batches(self) -> list[WatchBatch]:
+        """Return the changes in order, as a watch brings them."""
+        return [
+            WatchBatch(
+                it.revision,
+                tuple(KeyValue(put.key, put.value, put.revision) for put in it.puts),
+                tuple(it.deletes),
+            )
+            for it in self.batches
+        ]
+
+
+class ChangeLog:
+    """The latest changes that this VM learned, in order."""
+
+    def __init__(self) -> None:
+        self._batches: deque[_Batch] = deque(maxlen=MOST_KEPT)
+        self._complete_after: int | None = None
+
+    def restart(self, revision: int) -> None:
+        """Forget all: everything was read anew, as of a revision."""
+        self._batches.clear()
+        self._complete_after = revision
+
+    def add(self, batch: WatchBatch) -> None:
+        """Keep a batch that a watch brought; empty ones are not kept."""
+        if not batch.puts and not batch.deletes:
+            return
+        if len(self._batches) == MOST_KEPT:
+            self._complete_after = self._batches[0].revision
+        puts = [_Entry(it.key, it.value, it.mod_revision) for it in batch.puts]
+        self._batches.append(_Batch(batch.revision, puts, list(batch.deletes)))
+
+    def after(self, revision: int, *, complete_to: int, trouble_ms: int) -> Changes | None:
+        """Return the changes after a revision, or ``None`` where they are not known any more."""
+        if self._complete_after is None or revision < self._complete_after:
+            return None
+        later = [it for it in self._batches if it.revision > revision]
+        return Changes(complete_to, trouble_ms, later)
+
+
+def decode_changes(data: bytes) -> Changes:
+    """Read another VM's answer.
+
+    :raises msgspec.MsgspecError: it cannot be read.
+    """
+    return msgspec.msgpack.decode(data, type=Changes)
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -1,7 +1,9 @@
 """The service ``feed``: keeps this VM's knowledge in step with the store.
 
-One read loads everything and one watch over all keys follows. While the store is out, what
-is known stays in force; a VM that knows no configuration asks another VM for its entries.
+One read loads everything and one watch over all keys follows. In a large data centre a few VMs
+watch and the others ask one of them for the changes, on hearing that it knows a later one.
+While the store is out, what is known stays in force; a VM that knows no configuration asks
+another VM for its entries.
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.gateway.changes import ChangeLog, decode_changes
 from hickorybeam.gateway.knowledge import Knowledge
 from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
 from hickorybeam.http1.head import request_bytes
@@ -36,13 +39,17 @@
     from collections.abc import Callable
 
     from hickorybeam.clock import Clock
+    from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
-__all__ = ("STATE_PATH", "FeedService")
+__all__ = ("CHANGES_PATH", "STATE_PATH", "FeedService")
 
 STATE_PATH = "/state"
+# Followed by the revision after which changes are asked for; on the peers' port.
+CHANGES_PATH = "/changes/"
+OK = 200
 FIRST_RETRY_MS = 100
 LONGEST_RETRY_MS = 1_200
 # Entries that lapsed while the store was out are back about 2 s after its return; one that is
@@ -51,7 +58,8 @@
 # How long after the last sign of trouble a vanished entry may be a lapsed one.
 TROUBLE_MS = 3_000
 SEED_LIMIT_MS = 1_000
-# For so long another VM may know of a change that has not come here yet.
+# For so long another VM may know of a change that has not come here yet. A VM that watches has
+# it within two rests of its own watch; one that doesn't is told by those that do.
 BEHIND_MS = 1_000
 
 
@@ -72,7 +80,15 @@
         self._reached_ms = -LAPSED_FOR_MS
         self._lapsing: dict[str, int] = {}
         self._store_ok = False
+        # The latest change known here, told to other VMs; and how far knowledge is complete.
         self.revision = 0
+        self._complete = 0
+        self._loaded = False
+        self._log = ChangeLog()
+        # Whether this VM watches the store itself, and whom it asks otherwise.
+        self.watches = True
+        self._source: Address | None = None
+        self._news = anyio.Event()
         self._seeds = cfg.gateway.seeds if cfg.gateway else ()
         self._behind_since_ms: int | None = None
         self._watching = anyio.CancelScope()
@@ -116,12 +132,14 @@
         pause = FIRST_RETRY_MS
         while True:
             try:
-                after = await self._load()
+                if not self._loaded:
+                    await self._load()
                 pause = FIRST_RETRY_MS
                 with anyio.CancelScope() as self._watching:
-                    await self._watch(after)
+                    await (self._watch() if self.watches else self._hear())
                 continue
             except GatewayError as exc:
+                self._loaded = False
                 self._trouble_ms = self._clock.now()
                 self._lost(exc)
             await self._clock.sleep(pause)
@@ -135,27 +153,84 @@
             logging.warning("store lost: %s", exc)
         self._store_ok = False
 
-    async def _watch(self, after: int) -> None:
-        async for batch in self._store.watch("", after=after):
+    async def _watch(self) -> None:
+        async for batch in self._store.watch("", after=self._complete):
             self._regained()
-            self._apply(batch)
+            self._learn(batch)
 
-    def behind(self, revision: int, now_ms: int) -> None:
-        """Start the watch anew when another VM has known a later change for a while.
+    async def _hear(self) -> None:
+        """Ask another VM for changes whenever it is heard to know some; the store if it can't."""
+        while True:
+            await self._news.wait()
+            self._news = anyio.Event()
+            if self._source is None:
+                continue
+            try:
+                await self._ask_changes(self._source)
+            except GatewayError as exc:
+                logging.info("no changes from another VM, reading anew: %s", exc)
+                self._loaded = False
+                return
+
+    async def _ask_changes(self, source: Address) -> None:
+        raw = await self._get(source, f"{CHANGES_PATH}{self._complete}")
+        try:
+            changes = decode_changes(raw)
+        except msgspec.MsgspecError as exc:
+            raise GatewayError(ErrorKind.PEER_UNREACHABLE, repr(exc)) from exc
+        self._trouble_ms = max(self._trouble_ms, self._clock.now() - changes.trouble_ms)
+        for batch in changes.as_batches():
+            self._learn(batch)
+        self._complete = max(self._complete, changes.revision)
+
+    def changes_after(self, revision: int) -> bytes | None:
+        """Return the changes after a revision for another VM, if they are all known."""
+        if not self._loaded:
+            return None
+        trouble_ms = self._clock.now() - self._trouble_ms
+        found = self._log.after(revision, complete_to=self._complete, trouble_ms=trouble_ms)
+        return None if found is None else msgspec.msgpack.encode(found)
+
+    @property
+    def follows(self) -> bool:
+        """Whether this VM watches the store and reaches it, so that others may ask it."""
+        return self.watches and self._loaded and self._store_ok
+
+    def watch_itself(self, watches: bool) -> None:
+        """Watch the store from now on, or leave that to others of the data centre."""
+        if watches != self.watches:
+            logging.info("this VM %s the store", "watches" if watches else "hears others watch")
+            self.watches = watches
+            self._watching.cancel()
+
+    def told(self, revision: int, now_ms: int, *, source: Address | None) -> None:
+        """Take another VM's word on the latest change that it knows.
+
+        :param source: where to ask for it, if it is one that this VM may ask.
+        """
+        if revision > self._complete and source is not None and not self.watches:
+            self._source = source
+            self._news.set()
+        self._behind(revision, now_ms)
+
+    def _behind(self, revision: int, now_ms: int) -> None:
+        """Read anew when another VM has known a later change for a while.
 
         A connection that went silent for good shows no error; without another VM's word it
         would be found only when the call's own limit has passed.
 
         :param revision: the latest change that the other VM knows.
         """
-        if revision <= self.revision or not self._store_ok:
+        if revision <= self._complete or not self._store_ok:
             # While the store is out, the attempts to reach it go on anyway.
             return
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
-        if now_ms - self._behind_since_ms > BEHIND_MS + 2 * self._store.watch_rest_ms:
+        rests = 2 if self.watches else 1
+        if now_ms - self._behind_since_ms > BEHIND_MS + rests * self._store.watch_rest_ms:
             logging.info("another VM knows of change %d, reading anew", revision)
             self._behind_since_ms = None
+            self._loaded = False
             self._watching.cancel()
 
     def settling_ms(self, now_ms: int) -> int:
@@ -168,18 +243,36 @@
             self._reached_ms = self._clock.now()
         self._store_ok = True
 
-    async def _load(self) -> int:
-        """Read everything; return the revision after which to watch."""
+    async def _load(self) -> None:
+        """Read everything."""
         # One read of all keys: the store holds little else, and each call is paid for.
         result = await self._store.read_prefix("")
         found = {item.key for item in result.items}
         self._regained()
         deletes = tuple(key for key in self._items if key not in found)
-        self._apply(WatchBatch(result.revision, result.items, deletes))
-        return result.revision
-
-    def _apply(self, batch: WatchBatch) -> None:
-        self._come_to(batch)
+        # The revision of a read counts every write to the store; told to other VMs, it would
+        # make all of them read anew, for nothing, one after the other.
+        latest = max((item.mod_revision for item in result.items), default=0)
+        self._apply(WatchBatch(result.revision, result.items, deletes), latest=latest)
+        self._complete = max(self._complete, result.revision)
+        self._log.restart(result.revision)
+        self._loaded = True
+
+    def _learn(self, batch: WatchBatch) -> None:
+        """Take a batch that a watch brought, here or at another VM."""
+        changed = bool(batch.puts or batch.deletes)
+        self._apply(batch, latest=batch.revision if changed else 0)
+        self._complete = max(self._complete, batch.revision)
+        self._log.add(batch)
+
+    def _apply(self, batch: WatchBatch, *, latest: int) -> None:
+        """Take entries over and tell listeners.
+
+        :param latest: the latest change among them, 0 if there is none.
+        """
+        if latest:
+            self.revision = max(self.revision, latest)
+            self._behind_since_ms = None
         for item in batch.puts:
             if not item.key.startswith((*FEED_PREFIXES, self._cfg.platform.prefix)):
                 continue
@@ -194,18 +287,6 @@
         for listener in self._listeners:
             listener(batch)
 
-    def _come_to(self, batch: WatchBatch) -> None:
-        """Take note of the latest change known here, by the changes' own revisions.
-
-        The revision of a read counts every write to the store; told to other VMs, it would
-        make all of them read anew, for nothing, one after the other.
-        """
-        known = [item.mod_revision for item in batch.puts]
-        if not known and not batch.deletes:
-            return
-        self.revision = max(self.revision, *known, 0)
-        self._behind_since_ms = None
-
     def _take(self, item: KeyValue) -> None:
         if item.key.startswith(self._cfg.platform.prefix):
             return
@@ -272,18 +353,31 @@
         if address[0] == self._cfg.vm.host:
             return
         try:
-            with anyio.fail_after(SEED_LIMIT_MS / MS_PER_SECOND):
-                conn = await self._pool.take(address, fresh=True)
-                try:
-                    conn.send(request_bytes("GET", STATE_PATH.encode(), ((b"host", b"vm"),), b""))
-                    await conn.head()
-                    entries = msgspec.json.decode(await conn.body())
-                finally:
-                    conn.abort()
-        except (ConnectFailedError, BrokenAnswerError, TimeoutError, msgspec.DecodeError) as exc:
+            entries = msgspec.json.decode(await self._get(address, STATE_PATH))
+        except (GatewayError, msgspec.DecodeError) as exc:
             logging.info("seed %s tells nothing: %r", seed, exc)
             return
         items = [KeyValue(it["key"], base64.b64decode(it["value"]), 0) for it in entries]
         logging.info("%d entries learned from %s", len(items), seed)
         if self.knowledge.config is None:
-            self._apply(WatchBatch(0, tuple(items)))
+            self._apply(WatchBatch(0, tuple(items)), latest=0)
+
+    async def _get(self, address: Address, path: str) -> bytes:
+        """Ask another VM.
+
+        :raises GatewayError: ``PEER_UNREACHABLE``, also where it has no answer.
+        """
+        try:
+            with anyio.fail_after(SEED_LIMIT_MS / MS_PER_SECOND):
+                conn = await self._pool.take(address, fresh=True)
+                try:
+                    conn.send(request_bytes("GET", path.encode(), ((b"host", b"vm"),), b""))
+                    head = await conn.head()
+                    body = await conn.body()
+                finally:
+                    conn.abort()
+        except (ConnectFailedError, BrokenAnswerError, TimeoutError) as exc:
+            raise GatewayError(ErrorKind.PEER_UNREACHABLE, repr(exc)) from exc
+        if head.status != OK:
+            raise GatewayError(ErrorKind.PEER_UNREACHABLE, f"status {head.status}")
+        return body
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -18,13 +18,22 @@
 from absl import logging
 
 from hickorybeam.gateway.feed import FeedService
-from hickorybeam.gateway.peers import HEARD_MS, YOUNG_MS, PeerTable
+from hickorybeam.gateway.peers import YOUNG_MS, PeerTable
 from hickorybeam.gateway.registration import Registration
 from hickorybeam.gateway.tell import NOTHING, Audience, Tell
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
 from hickorybeam.policy.fleet_quota import FleetQuota
+from hickorybeam.policy.pacing import (
+    gone_after_ms,
+    near_every_ms,
+    outside_every_ms,
+    watch_rest_ms,
+    watch_wait_ms,
+    watcher_gone_after_ms,
+)
 from hickorybeam.policy.prefix_holders import PrefixHolders
+from hickorybeam.policy.watchers import watchers_of, watches_itself
 from hickorybeam.ports import FEED, FLEET, PLATFORM
 from hickorybeam.sockets import bound_socket
 from hickorybeam.store import PacedPlatform, WatchBatch
@@ -36,36 +45,15 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.peers import Peer, RegionForecast
     from hickorybeam.gateway.tell import ServerFigures
+    from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("FleetService",)
 
-# How often a VM tells the VMs of its data centre about itself, and one VM of each other data
-# centre, which passes it on within its own, in ms. Bytes between data centres are paid for;
-# within one the figures also spread the load.
-NEAR_EVERY_MS = 100
-OUTSIDE_EVERY_MS = 400
-# In larger fleets each tells the others less often, so that what a VM sends and reads stays at
-# about 60 datagrams a second however large the fleet is.
-NEAR_EVERY_PER_VM_MS = 16
-OUTSIDE_EVERY_PER_VM_MS = 8
-MOST_OUTSIDE_EVERY_MS = 1_500
 # Figures of servers that didn't change are told again after so many times.
 WHOLE_EVERY = 10
-# A VM that wasn't heard for so many words that it should have sent counts as gone.
-HEARD_TIMES = 4
-# After a change the watch rests, so that changes which come together cost one call: calls are
-# paid for, and each change wakes every VM. In larger fleets it rests for longer.
-REST_MS = 400
-REST_PER_VM_MS = 40
-MOST_REST_MS = 1_200
-# A quiet watch is asked again after this long for each VM, within bounds: one whose connection
-# went silent is found by the first VM that asks again, whose word wakes the others.
-WATCH_WAIT_PER_VM_MS = 1_000
-LEAST_WATCH_WAIT_MS = 6_000
-MOST_WATCH_WAIT_MS = 20_000
 
 
 class FleetService(Service):
@@ -207,7 +195,7 @@
 
     async def _talk_near(self) -> None:
         while True:
-            await self._clock.sleep(self._near_every_ms())
+            await self._clock.sleep(near_every_ms(len(self.peers.near())))
             now = self._clock.now()
             self.peers.prune()
             self._adapt()
@@ -217,25 +205,17 @@
 
     async def _talk_outside(self) -> None:
         while True:
-            await self._clock.sleep(self._outside_every_ms())
+            await self._clock.sleep(outside_every_ms(self.known()))
             self._tell_outside()
 
-    def _near_every_ms(self) -> int:
-        return max(NEAR_EVERY_MS, NEAR_EVERY_PER_VM_MS * len(self.peers.near()))
-
-    def _outside_every_ms(self) -> int:
-        scaled = OUTSIDE_EVERY_PER_VM_MS * self.known()
-        return max(OUTSIDE_EVERY_MS, min(MOST_OUTSIDE_EVERY_MS, scaled))
-
     def _adapt(self) -> None:
-        """Fit intervals to the fleet's size."""
-        word_ms = self._near_every_ms() + self._outside_every_ms()
-        self.peers.heard_limit_ms = max(HEARD_MS, HEARD_TIMES * word_ms)
-        known = self.known()
-        self._store.watch_rest_ms = max(REST_MS, min(MOST_REST_MS, REST_PER_VM_MS * known))
-        self._store.watch_wait_ms = max(
-            LEAST_WATCH_WAIT_MS, min(MOST_WATCH_WAIT_MS, WATCH_WAIT_PER_VM_MS * known)
-        )
+        """Fit intervals to the fleet's size, and watch the store or leave it to others."""
+        near, watching = len(self.peers.near()), watchers_of(self.peers.centres())
+        self.peers.heard_limit_ms = gone_after_ms(near=near, vms=self.known())
+        self._store.watch_rest_ms = watch_rest_ms(watching)
+        self._store.watch_wait_ms = watch_wait_ms(watching)
+        heard = self.peers.heard_near(watcher_gone_after_ms(near))
+        self._feed.watch_itself(watches_itself(self.me.name, heard))
 
     def _spread(self, now_ms: int) -> None:
         """Add up what the region's other VMs have at each backend server."""
@@ -314,6 +294,7 @@
             up_ms=self._clock.now() - self._started_ms,
             leaving=self.leaving,
             revision=self._feed.revision,
+            follows=self._feed.follows,
             fresh=self._fresh,
             spent=self._spends(whole=whole),
             servers={} if far else self._server_figures(whole=whole),
@@ -374,7 +355,8 @@
         if tell.leaving and not peer.leaving:
             peer.leaving_since_ms = now
         peer.leaving = tell.leaving
-        self._feed.behind(tell.revision, now)
+        peer.follows = tell.follows
+        self._feed.told(tell.revision, now, source=self._source(peer))
         self.holders.heard(tell.holds, now)
         if self.peers.here(peer):
             kept = {} if tell.whole or peer.servers is None else peer.servers
@@ -387,6 +369,12 @@
         self._settle_in(tell, peer, now)
         return peer
 
+    def _source(self, peer: Peer) -> Address | None:
+        """Return where to ask a peer for changes, if it follows the store close by."""
+        if not peer.follows or peer.vm.data_centre != self.me.data_centre:
+            return None
+        return (peer.vm.host, peer.vm.peer_port)
+
     def _settle_in(self, tell: Tell, peer: Peer, now_ms: int) -> None:
         """Take the buckets' levels from an older VM, or give them to a younger one."""
         up_ms = now_ms - self._started_ms
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,7 @@
     heard_ms: int = -HEARD_MS
     leaving: bool = False
     leaving_since_ms: int = 0
+    follows: bool = False
     servers: dict[str, ServerFigures] | None = None
     forecasts: dict[str, float] | None = None
 
@@ -101,6 +103,19 @@
         here = self._me.data_centre
         return [it for it in self.by_name.values() if it.vm.data_centre == here]
 
+    def centres(self) -> Counter[str]:
+        """Return how many VMs each data centre has, this one included."""
+        found = Counter(it.vm.data_centre for it in self.by_name.values())
+        found[self._me.data_centre] += 1
+        return found
+
+    def heard_near(self, for_ms: int) -> dict[str, bool]:
+        """Return the VMs of this data centre heard lately, and whether each follows the store."""
+        now = self._clock.now()
+        return {
+            it.vm.name: it.follows and not it.leaving for it in self.near() if it.heard(now, for_ms)
+        }
+
     def outside(self) -> dict[str, list[Peer]]:
         """Return the VMs of each other data centre, those that are alive if any is, by name."""
         now = self._clock.now()
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -17,7 +17,7 @@
     HOP_URGENCY,
     Errand,
 )
-from hickorybeam.gateway.feed import STATE_PATH, FeedService
+from hickorybeam.gateway.feed import CHANGES_PATH, STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.path import RequestPath
 from hickorybeam.http1 import HttpServer, UpstreamPool, find
@@ -47,8 +47,10 @@
 SILENT_MS = 2_000
 FORECAST_EVERY_MS = 100
 METRICS_PATH = b"/metrics"
+CHANGES_PREFIX = CHANGES_PATH.encode()
 USUAL_URGENCY = 5
 JSON = ((b"content-type", b"application/json"),)
+MSGPACK = ((b"content-type", b"application/msgpack"),)
 PLAIN = ((b"content-type", b"text/plain; version=0.0.4"),)
 # Shutdown, in shares of the time it may take: new requests are served while callers still hold
 # lists that name this VM, then only those that surely end in time, then no connection is taken
@@ -194,12 +196,24 @@
         if req.target == METRICS_PATH:
             reply.whole(200, PLAIN, self._counters.text())
             return
+        if req.target.startswith(CHANGES_PREFIX):
+            self._changes(req, reply)
+            return
         errand = errand_of(req)
         if errand is None:
             reply.whole(404)
             return
         await self._path.serve(errand, reply, here_only=True)
 
+    def _changes(self, req: Incoming, reply: Reply) -> None:
+        """Hand a VM that doesn't watch the store the changes that it lacks."""
+        after = req.target.removeprefix(CHANGES_PREFIX)
+        found = self._feed.changes_after(int(after)) if after.isdigit() else None
+        if found is None:
+            reply.whole(404)
+        else:
+            reply.whole(200, MSGPACK, found)
+
     async def _ready(self, req: Incoming, reply: Reply) -> None:
         ready = self._feed.knowledge.config is not None and not self._leaving
         reply.whole(200 if ready else 503)
--- a/src/hickorybeam/gateway/tell.py
+++ b/src/hickorybeam/gateway/tell.py
@@ -27,7 +27,8 @@
     """What a VM says of itself.
 
     Where ``whole`` is false, ``spent`` and ``servers`` hold only what changed since it was told
-    last; a lost datagram is made good by the next whole one.
+    last; a lost datagram is made good by the next whole one. ``follows``: it watches the store
+    and reaches it.
     """
 
     name: str
@@ -44,3 +45,4 @@
     vm: GatewayVm | None = None
     holds: dict[str, str] = {}
     relayed: list[Tell] = []
+    follows: bool = False
--- /dev/null
+++ b/src/hickorybeam/policy/pacing.py
@@ -0,0 +1,71 @@
+"""How often VMs tell each other about themselves, and how long watches of the store rest.
+
+Load it answers: a fleet that grows. With fixed intervals each VM's datagrams would grow with the
+VMs of its data centre, and the store's calls with all of them; bytes between data centres and
+calls are paid for. All times are in ms.
+"""
+
+from __future__ import annotations
+
+__all__ = (
+    "gone_after_ms",
+    "near_every_ms",
+    "outside_every_ms",
+    "watch_rest_ms",
+    "watch_wait_ms",
+    "watcher_gone_after_ms",
+)
+
+# Words to the own data centre, whose figures also spread the load; longer apart for each VM in
+# it, so that what a VM sends and reads stays at about 60 datagrams a second.
+NEAR_EVERY_MS = 100
+NEAR_EVERY_PER_VM_MS = 16
+# Words to one VM of each other data centre, which passes them on within its own.
+OUTSIDE_EVERY_MS = 400
+OUTSIDE_EVERY_PER_VM_MS = 8
+MOST_OUTSIDE_EVERY_MS = 1_500
+# A VM that wasn't heard for so many words that it should have sent counts as gone, and not
+# before the least time.
+HEARD_TIMES = 4
+LEAST_HEARD_MS = 1_500
+LEAST_WATCHER_HEARD_MS = 1_200
+# After a change the watch rests, so that changes which come together cost one call: each change
+# wakes every watcher. With more of them it rests for longer.
+REST_MS = 400
+REST_PER_WATCHER_MS = 40
+MOST_REST_MS = 1_200
+# A quiet watch is asked again after this long for each watcher, within bounds: one whose
+# connection went silent is found by the first VM that asks again, whose word wakes the others.
+WAIT_PER_WATCHER_MS = 1_000
+LEAST_WAIT_MS = 6_000
+MOST_WAIT_MS = 20_000
+
+
+def near_every_ms(near: int) -> int:
+    """Return the time between words to a data centre with so many other VMs."""
+    return max(NEAR_EVERY_MS, NEAR_EVERY_PER_VM_MS * near)
+
+
+def outside_every_ms(vms: int) -> int:
+    """Return the time between words to each other data centre, in a fleet of so many VMs."""
+    return max(OUTSIDE_EVERY_MS, min(MOST_OUTSIDE_EVERY_MS, OUTSIDE_EVERY_PER_VM_MS * vms))
+
+
+def gone_after_ms(*, near: int, vms: int) -> int:
+    """Return after which silence any VM counts as gone; its words may come by way of another."""
+    return max(LEAST_HEARD_MS, HEARD_TIMES * (near_every_ms(near) + outside_every_ms(vms)))
+
+
+def watcher_gone_after_ms(near: int) -> int:
+    """Return after which silence a watcher of the data centre is not relied on any more."""
+    return max(LEAST_WATCHER_HEARD_MS, HEARD_TIMES * near_every_ms(near))
+
+
+def watch_rest_ms(watchers: int) -> int:
+    """Return how long a watch rests after a call that brought changes."""
+    return max(REST_MS, min(MOST_REST_MS, REST_PER_WATCHER_MS * watchers))
+
+
+def watch_wait_ms(watchers: int) -> int:
+    """Return how long one call of a watch waits at the store."""
+    return max(LEAST_WAIT_MS, min(MOST_WAIT_MS, WAIT_PER_WATCHER_MS * watchers))
--- /dev/null
+++ b/tests/policy/pacing.feature
@@ -0,0 +1,12 @@
+Feature: intervals that keep what a VM sends, reads and asks bounded as the fleet grows
+
+  Scenario Outline: words and watches at the sizes of today, of the grown fleets and of the target
+    Then with <near> other VMs near of <vms>, <watchers> watching, words are <near_ms> and <outside_ms> ms apart
+    And a VM is gone after <gone> ms, a watcher after <watcher_gone> ms
+    And a watch rests <rest> ms and waits <wait> ms
+
+    Examples:
+      | near | vms | watchers | near_ms | outside_ms | gone | watcher_gone | rest | wait  |
+      | 2    | 9   | 9        | 100     | 400        | 2000 | 1200         | 400  | 9000  |
+      | 14   | 85  | 12       | 224     | 680        | 3616 | 1200         | 480  | 12000 |
+      | 42   | 390 | 18       | 672     | 1500       | 8688 | 2688         | 720  | 18000 |
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -410,7 +410,7 @@
     async def older():
         config = {**first_config(), "version": version}
         item = KeyValue("op/config", msgspec.json.encode(config), 1_000_000)
-        context.rig.vms[vm].feed._apply(WatchBatch(1_000_000, (item,)))
+        context.rig.vms[vm].feed._learn(WatchBatch(1_000_000, (item,)))
 
     context.call(older)
 
