--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -18,6 +18,7 @@
 from absl import logging
 
 from hickorybeam.http1.head import Incoming, answer_bytes, find, framing_fault
+from hickorybeam.http1.reply import Reply
 from hickorybeam.model.routing import CallerRules
 from hickorybeam.sockets import bound_socket
 
@@ -27,7 +28,6 @@
     from anyio.abc import TaskGroup
 
     from hickorybeam.clock import Clock
-    from hickorybeam.http1.head import RawHeaders
 
     # Answers one request.
     Handler = Callable[[Incoming, "Reply"], Awaitable[None]]
@@ -41,97 +41,9 @@
 MAX_AHEAD_BYTES = 262_144
 # An answer that the caller does not take is given up after this long without progress, in ms.
 STALL_MS = 5_000
-LAST_CHUNK = b"0\r\n\r\n"
 
 
-class Reply:
-    """The answer to one request: whole, or a head and chunks.
-
-    Nothing is written after the caller has left; ``gone`` tells.
-    """
-
-    __slots__ = ("_close", "_conn", "_head_only", "_on_gone", "done", "gone", "started")
-
-    def __init__(self, conn: _CallerConnection, *, close: bool, head_only: bool) -> None:
-        self._conn = conn
-        self._close = close
-        self._head_only = head_only
-        self._on_gone: Callable[[], None] | None = None
-        self.started = False
-        self.done = False
-        self.gone = False
-
-    def on_gone(self, callback: Callable[[], None] | None) -> None:
-        """Call back once when the caller leaves before its answer is complete."""
-        self._on_gone = callback
-        if self.gone and callback is not None:
-            callback()
-
-    def close_after(self) -> None:
-        """End the connection after this answer."""
-        self._close = True
-
-    def whole(
-        self, status: int, headers: RawHeaders = (), body: bytes = b"", *, close: bool = False
-    ) -> None:
-        """Send a complete answer."""
-        close = close or self._close or self._conn.server.closing
-        head = answer_bytes(status, headers, length=len(body), close=close)
-        self.started = True
-        self._conn.write(head if self._head_only else head + body)
-        self._finish(close=close)
-
-    def begin(self, status: int, headers: RawHeaders) -> None:
-        """Send the head of an answer whose body follows in chunks."""
-        self._close = self._close or self._conn.server.closing
-        self._conn.write(answer_bytes(status, headers, length=None, close=self._close))
-        self.started = True
-
-    async def chunk(self, data: bytes) -> None:
-        """Send a part of the body, waiting while the caller is slow to take it."""
-        if data and not self._head_only:
-            self._conn.write(b"%x\r\n%s\r\n" % (len(data), data))
-            await self._conn.flushed()
-
-    def end(self) -> None:
-        """Mark the proper end of the chunks."""
-        if not self._head_only:
-            self._conn.write(LAST_CHUNK)
-        self._finish(close=self._close)
-
-    def abort(self) -> None:
-        """End the connection so that the answer cannot look complete."""
-        self.done = True
-        self._conn.abort()
-
-    def raw(self, data: bytes) -> None:
-        """Send bytes as they are; for stand-ins of servers that answer wrongly."""
-        self.started = True
-        self._conn.write(data)
-
-    def reset(self) -> None:
-        """End the connection with a reset; for stand-ins of servers that crash."""
-        self.done = True
-        self._conn.reset()
-
-    def end_of_connection(self) -> None:
-        """End an answer by closing the connection in order."""
-        self._finish(close=True)
-
-    def lost(self) -> None:
-        """Take note that the connection has ended."""
-        if self.done or self.gone:
-            return
-        self.gone = True
-        if self._on_gone is not None:
-            self._on_gone()
-
-    def _finish(self, *, close: bool) -> None:
-        self.done = True
-        self._conn.answered(close=close)
-
-
-class _CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol):
     """One caller's connection; the server's sweep enforces its time limits."""
 
     def __init__(self, server: HttpServer) -> None:
@@ -347,7 +259,7 @@
         self.clock = clock
         self.limits = limits
         self.malformed = on_malformed
-        self.conns: set[_CallerConnection] = set()
+        self.conns: set[CallerConnection] = set()
         self.closing = False
         self.in_flight = 0
         self.port = 0
@@ -363,7 +275,7 @@
         """Start to accept connections on a bound socket."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _CallerConnection(self), sock=sock, backlog=BACKLOG
+            lambda: CallerConnection(self), sock=sock, backlog=BACKLOG
         )
         self.port = sock.getsockname()[1]
         self._tasks.start_soon(self._sweep)
