A word about a change that came meanwhile makes nobody read anew

Cause: since when another VM had been ahead was forgotten only when entries changed. A VM that asks others often learns that nothing changed up to a revision; the mark stayed, and the next word, any time later, made it read all entries. The scenario failed before (run by itself).

--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -90,7 +90,9 @@
         self._source: Address | None = None
         self._news = anyio.Event()
         self._seeds = cfg.gateway.seeds if cfg.gateway else ()
+        # Since when another VM has known a later change, and which.
         self._behind_since_ms: int | None = None
+        self._missing = 0
         self._watching = anyio.CancelScope()
         self._pool = UpstreamPool(clock, connect_ms=300, silent_ms=SEED_LIMIT_MS)
         self._version = counters.gauge("config_version", "Version of the configuration in force")
@@ -221,11 +223,13 @@
 
         :param revision: the latest change that the other VM knows.
         """
+        if self._complete >= self._missing:
+            self._behind_since_ms = None
         if revision <= self._complete or not self._store_ok:
             # While the store is out, the attempts to reach it go on anyway.
             return
         if self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
+            self._behind_since_ms, self._missing = now_ms, revision
         rests = 2 if self.watches else 1
         if now_ms - self._behind_since_ms > BEHIND_MS + rests * self._store.watch_rest_ms:
             logging.info("another VM knows of change %d, reading anew", revision)
--- a/tests/gateway/store.feature
+++ b/tests/gateway/store.feature
@@ -66,3 +66,14 @@
     And a call of "n1" finds the store silent and the next one works
     And a caller of "large" asks "n1" for "/look/x" within 2 s of that
     Then the caller gets 401
+
+  Scenario: a word about a change that came meanwhile makes nobody read anew
+    # Another VM was ahead for a moment; what it knew came here as no change to any entry. Long
+    # after that it is ahead again, for a moment. Taken for the same wait, every VM would read
+    # all entries anew at each change.
+    Given a small gateway
+    When another VM knows a change that "n1" lacks, and it comes as no change to any entry
+    And another VM knows a later change 10 s after that
+    Then "n1" reads nothing anew
+    When it still lacks that change after 4 s more
+    Then "n1" reads all anew
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -970,3 +970,37 @@
 def step_counted_as(context, vm, kind):
     counters = context.rig.vms[vm].relay._counters
     assert counters.refusals.labels(kind)._value.get() == 1
+
+
+@when('another VM knows a change that "{vm}" lacks, and it comes as no change to any entry')
+def step_ahead(context, vm):
+    async def ahead():
+        feed = context.feed = context.rig.vms[vm].feed
+        context.at = SystemClock().now()
+        context.reads = context.rig.app.stand_in.calls["range"]
+        missing = feed._complete + 1
+        feed.told(missing, context.at, source=None)
+        feed._learn(WatchBatch(missing))
+
+    context.call(ahead)
+
+
+@when("another VM knows a later change {seconds:d} s after that")
+@when("it still lacks that change after {seconds:d} s more")
+def step_ahead_later(context, seconds):
+    async def later():
+        context.at += seconds * 1_000
+        context.feed.told(context.feed._complete + 1, context.at, source=None)
+        await anyio.sleep(0.2)
+
+    context.call(later)
+
+
+@then('"{vm}" reads nothing anew')
+def step_no_read(context, vm):
+    assert context.rig.app.stand_in.calls["range"] == context.reads
+
+
+@then('"{vm}" reads all anew')
+def step_read(context, vm):
+    assert context.rig.app.stand_in.calls["range"] == context.reads + 1
