A silent server is left only for a server of this region

A region's room is known only when it is asked. Kept for what callers get: no failure where the answer was still to come. The scenario failed before.

--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -9,6 +9,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.admission import Admission
+from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.gateway.endings import Endings, hop_mark
 from hickorybeam.gateway.line import Lines
 from hickorybeam.gateway.placing import Full, Placing
@@ -115,7 +116,7 @@
             progress.sends += 1
             progress.tried.add(name_of(target))
             await self._sending.send(
-                target, errand, progress, leave=lambda: self._leaves(errand, progress)
+                target, errand, progress, leave=lambda: self._leaves(target, errand, progress)
             )
             if progress.reply.done:
                 return
@@ -139,21 +140,32 @@
             return None
         return found
 
-    def _leaves(self, errand: Errand, progress: Progress) -> bool:
-        """Whether a request leaves a server that has been silent for long.
+    def _leaves(self, target: Target, errand: Errand, progress: Progress) -> bool:
+        """Whether a request leaves a target that has been silent for long.
 
-        Only where another one takes it now and the budget allows it. With nowhere to go, it
-        would be answered as failed while its server still reads its prompt behind others.
+        Only where a server of this region has room for it now and the budget allows it. With
+        nowhere to go, it would be answered as failed while its server still reads its prompt
+        behind others; so it would where another region is asked and refuses. One VM leaves for
+        another only if the silent one is heard no more.
         """
         progress.arrived = True
-        target = self._choose(errand, progress)
-        if target is None or isinstance(target, Full):
+        onward = self._choose(errand, progress)
+        if onward is None or isinstance(onward, Full):
+            return False
+        if isinstance(onward, ToPeer) and not self._is_gone(target):
             return False
         if not self._may_send(errand, progress):
             return False
-        progress.onward = target
+        progress.onward = onward
         return True
 
+    def _is_gone(self, target: Target) -> bool:
+        match target:
+            case ToPeer(peer):
+                return not self._fleet.peers.is_heard(peer)
+            case ToServer():
+                return False
+
     def _may_send(self, errand: Errand, progress: Progress) -> bool:
         if progress.sends == 0:
             return True
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -68,8 +68,11 @@
 
     def heard(self) -> int:
         """Return how many VMs are heard."""
-        now = self._clock.now()
-        return sum(it.heard(now, self.heard_limit_ms) for it in self.by_name.values())
+        return sum(self.is_heard(it) for it in self.by_name.values())
+
+    def is_heard(self, peer: Peer) -> bool:
+        """Whether a VM was heard lately."""
+        return peer.heard(self._clock.now(), self.heard_limit_ms)
 
     def known(self) -> int:
         """Return how many VMs there are, those left out that are leaving."""
--- a/tests/gateway/repeats.feature
+++ b/tests/gateway/repeats.feature
@@ -129,3 +129,14 @@
     When a caller of "small" streams "/plan/x" from "n1"
     Then the stream is whole with events 1 to 6
     And "model" ran 1 requests
+
+  Scenario: a stream stays with its silent server while another region may only refuse it
+    # The server of this region is silent for longer than the patience. The other region would
+    # be asked, but its server is full: the caller would get a failure, though the first one
+    # still reads the prompt.
+    Given a small gateway with a southern region
+    And server "m1" takes 150 ms for each event
+    And server "m9" has fault "full" 9 times
+    When a caller of "small" streams "/plan/x" from "n1"
+    Then the stream is whole with events 1 to 6
+    And server "m9" ran 0 requests
