Changes kept for other VMs are bounded in bytes

Read in the review: the log kept 1,000 changes whatever their size. At most 4 MB are kept; whoever lacks an older change reads the store.

--- a/src/hickorybeam/gateway/changes.py
+++ b/src/hickorybeam/gateway/changes.py
@@ -10,8 +10,11 @@
 
 __all__ = ("ChangeLog", "Changes", "decode_changes")
 
-# Changes kept for others: about a minute of the heaviest played day (20 a second).
+# What is kept for others: about a minute of the heaviest played day (20 changes a second), and no
+# more bytes than this. Configurations may have a megabyte each: without the bound, a day's 890
+# changes would take a VM's whole memory. Whoever lacks more reads the store.
 MOST_KEPT = 1_000
+MOST_KEPT_BYTES = 4_000_000
 
 
 class _Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -25,6 +28,10 @@
     puts: list[_Entry]
     deletes: list[str]
 
+    def size(self) -> int:
+        """Return the bytes of its values and keys."""
+        return sum(len(it.key) + len(it.value) for it in self.puts) + sum(map(len, self.deletes))
+
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
     """What one VM tells another that asked for the changes after a revision.
@@ -53,22 +60,28 @@
     """The latest changes that this VM learned, in order."""
 
     def __init__(self) -> None:
-        self._batches: deque[_Batch] = deque(maxlen=MOST_KEPT)
+        self._batches: deque[_Batch] = deque()
+        self._bytes = 0
         self._complete_after: int | None = None
 
     def restart(self, revision: int) -> None:
         """Forget all: everything was read anew, as of a revision."""
         self._batches.clear()
+        self._bytes = 0
         self._complete_after = revision
 
     def add(self, batch: WatchBatch) -> None:
         """Keep a batch that a watch brought; empty ones are not kept."""
         if not batch.puts and not batch.deletes:
             return
-        if len(self._batches) == MOST_KEPT:
-            self._complete_after = self._batches[0].revision
         puts = [_Entry(it.key, it.value, it.mod_revision) for it in batch.puts]
-        self._batches.append(_Batch(batch.revision, puts, list(batch.deletes)))
+        kept = _Batch(batch.revision, puts, list(batch.deletes))
+        self._batches.append(kept)
+        self._bytes += kept.size()
+        while len(self._batches) > MOST_KEPT or self._bytes > MOST_KEPT_BYTES:
+            oldest = self._batches.popleft()
+            self._bytes -= oldest.size()
+            self._complete_after = oldest.revision
 
     def after(self, revision: int, *, complete_to: int, trouble_ms: int) -> Changes | None:
         """Return the changes after a revision, or ``None`` where they are not known any more."""
