--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -135,6 +135,7 @@
         while True:
             try:
                 if not self._loaded:
+                    await self._ask_beside()
                     await self._load()
                 pause = FIRST_RETRY_MS
                 with anyio.CancelScope() as self._watching:
@@ -144,15 +145,15 @@
                 self._loaded = False
                 self._trouble_ms = self._clock.now()
                 self._lost(exc)
-                await self._ask_beside()
             await self._clock.sleep(pause)
             pause = min(LONGEST_RETRY_MS, pause * 2)
 
     async def _ask_beside(self) -> None:
-        """Ask a VM that follows the store for changes, while this one doesn't reach it.
+        """Ask a VM that follows the store for changes, before this one reads it anew.
 
         A store that turns this VM away may serve the ones beside it. Without their word it would
-        act on old entries for as long as that lasts.
+        act on old entries for as long as that lasts; asked only after the attempts to read had
+        failed, it sent at the full rate to servers that turned cold for 3.3 s more (played day).
         """
         if self._source is None or not self._complete:
             return
--- a/tests/gateway/store.feature
+++ b/tests/gateway/store.feature
@@ -78,3 +78,12 @@
     When other changes come meanwhile
     And it still lacks that change after 4 s more
     Then "n1" reads all anew
+
+  Scenario: a VM whose calls of the store stay unanswered learns from the one beside it
+    # The store leaves one VM's calls unanswered and serves the others. That VM hears that it
+    # lacks a change, and each of its own attempts to read takes seconds to fail; until then it
+    # would let a withdrawn key work, and send to servers that turned cold.
+    Given a small gateway with VMs "n1, n2"
+    When the store leaves calls of "n1" unanswered and the key of "large" is withdrawn
+    And a caller of "large" asks "n1" for "/look/x" within 3 s of that
+    Then the caller gets 401
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -1018,3 +1018,22 @@
 def step_read(context, vm):
     calls = context.rig.app.stand_in.calls
     context.call(lambda: context.rig.until(lambda: calls["range"] == context.reads + 1))
+
+
+@when('the store leaves calls of "{vm}" unanswered and the key of "{name}" is withdrawn')
+def step_unanswered(context, vm, name):
+    async def silence():
+        rig = context.rig
+        feed = rig.vms[vm].feed
+
+        async def unanswered(kind, method, path, body, *, limit_ms, write=False):
+            await anyio.sleep(limit_ms / 1000)
+            raise GatewayError(ErrorKind.PLATFORM_OUT, kind)
+
+        feed._store._call = unanswered
+        feed._watching.cancel()
+        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
+        rig.config["version"] += 1
+        rig.configure()
+
+    context.call(silence)
