--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -60,7 +60,7 @@
     """The request was surely not run: not sent, or the other end promises so.
 
     :param unreachable: no connection could be made.
-    :param arrived: a server got the request and rejected it.
+    :param rejected: a server got the request and rejected it.
     :param come_back_ms: when there will be room at the other end, where it says so.
     """
 
@@ -69,12 +69,12 @@
         text: str,
         *,
         unreachable: bool = False,
-        arrived: bool = False,
+        rejected: bool = False,
         come_back_ms: int | None = None,
     ) -> None:
         super().__init__(text)
         self.unreachable = unreachable
-        self.arrived = arrived
+        self.rejected = rejected
         self.come_back_ms = come_back_ms
 
 
@@ -172,7 +172,7 @@
             after = find(head.headers, HOP_COME_BACK) or b""
             raise NotSentError(
                 "the other region did not run it",
-                arrived=hop != NOT_ASKED,
+                rejected=hop != NOT_ASKED,
                 come_back_ms=int(after) if after.isdigit() else None,
             )
         return head, decode_answer(head)
--- a/src/hickorybeam/gateway/changes.py
+++ b/src/hickorybeam/gateway/changes.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from hickorybeam.store import KeyValue, WatchBatch
 
-__all__ = ("ChangeLog", "Changes", "decode_changes")
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ("ChangeLog", "Changes", "decode_changes", "decode_entries", "encode_entries")
 
 # What is kept for others: about a minute of the heaviest played day (20 changes a second), and no
 # more bytes than this. Configurations may have a megabyte each: without the bound, a day's 890
@@ -22,6 +26,10 @@
     value: bytes
     revision: int
 
+    def as_item(self) -> KeyValue:
+        """Return it as the store gives it out."""
+        return KeyValue(self.key, self.value, self.revision)
+
 
 class _Batch(msgspec.Struct, frozen=True, array_like=True):
     revision: int
@@ -49,13 +57,29 @@
         return [
             WatchBatch(
                 it.revision,
-                tuple(KeyValue(put.key, put.value, put.revision) for put in it.puts),
+                tuple(put.as_item() for put in it.puts),
                 tuple(it.deletes),
             )
             for it in self.batches
         ]
 
 
+def encode_entries(items: Iterable[KeyValue]) -> bytes:
+    """Write entries for a VM that cannot reach the store, without their revisions.
+
+    What it learns so must give way to whatever it reads from the store later.
+    """
+    return msgspec.msgpack.encode([_Entry(it.key, it.value, 0) for it in items])
+
+
+def decode_entries(data: bytes) -> list[KeyValue]:
+    """Read another VM's entries.
+
+    :raises msgspec.MsgspecError: they cannot be read.
+    """
+    return [it.as_item() for it in msgspec.msgpack.decode(data, type=list[_Entry])]
+
+
 class ChangeLog:
     """The latest changes that this VM learned, in order."""
 
--- a/src/hickorybeam/gateway/endings.py
+++ b/src/hickorybeam/gateway/endings.py
@@ -8,7 +8,7 @@
 from hickorybeam.gateway.attempt import HOP_COME_BACK, HOP_NOT_RUN, NOT_ASKED, REJECTED
 from hickorybeam.gateway.progress import name_of
 from hickorybeam.platform import answer_headers, refusal_headers
-from hickorybeam.policy.come_back import LEAST_MS, come_back_ms, longest_wait_ms
+from hickorybeam.policy.come_back import bounded_ms, come_back_ms
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -21,7 +21,7 @@
     from hickorybeam.telemetry import Counters
     from hickorybeam.telemetry.decisions import DecisionLog
 
-__all__ = ("Endings", "hop_mark")
+__all__ = ("Endings",)
 
 
 def hop_mark(progress: Progress, come_back_ms: int | None) -> RawHeaders:
@@ -81,15 +81,14 @@
         else:
             kind, after = ErrorKind.BACKEND_UNKNOWN, None
         exc = GatewayError(kind, progress.why, retry_after_ms=after)
-        self.refuse(errand.call, reply, exc, hop_mark(progress, after))
+        self.refuse(errand.call, reply, exc, progress)
 
     def _not_run(self, errand: Errand, progress: Progress) -> tuple[ErrorKind, int]:
         """Return why nothing ran a request, and when its caller should come back."""
         now = self._clock.now()
         left_ms = errand.deadline_ms - now
         if progress.room_in_ms is not None:
-            most_ms = longest_wait_ms(left_ms)
-            return ErrorKind.OVERLOADED, max(LEAST_MS, min(progress.room_in_ms, most_ms))
+            return ErrorKind.OVERLOADED, bounded_ms(progress.room_in_ms, left_ms)
         after = come_back_ms(
             away_ms=self._placing.away_ms(errand.service, now),
             settling_ms=self._feed.settling_ms(now),
@@ -98,11 +97,11 @@
         return ErrorKind.NO_BACKEND, after
 
     def refuse(
-        self, call: RelayCall, reply: Reply, exc: GatewayError, extra: RawHeaders = ()
+        self, call: RelayCall, reply: Reply, exc: GatewayError, progress: Progress | None = None
     ) -> None:
         """Send an answer of the gateway's own.
 
-        :param extra: headers for the VM that handed the request over, if it surely did not run.
+        :param progress: what has happened to the request, if it was admitted.
         """
         answer = answer_for(exc.kind)
         config = self._feed.knowledge.config
@@ -117,8 +116,8 @@
             config=config.version if config else None,
         )
         headers = refusal_headers(call.request_id, retry_after_ms=exc.retry_after_ms)
-        if answer.ran is Ran.NO:
-            headers = (*headers, *extra)
+        if answer.ran is Ran.NO and progress is not None:
+            headers = (*headers, *hop_mark(progress, exc.retry_after_ms))
         reply.whole(answer.status, headers, close=exc.kind is ErrorKind.DRAINING)
 
     def count(self, errand: Errand, outcome: str) -> None:
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import base64
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
@@ -17,7 +16,7 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.gateway.changes import ChangeLog, decode_changes
+from hickorybeam.gateway.changes import ChangeLog, decode_changes, decode_entries, encode_entries
 from hickorybeam.gateway.knowledge import Knowledge
 from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
 from hickorybeam.http1.head import request_bytes
@@ -115,12 +114,7 @@
 
     def state(self) -> bytes:
         """Return all entries as this VM knows them, for a VM that cannot reach the store."""
-        return msgspec.json.encode(
-            [
-                {"key": it.key, "value": base64.b64encode(it.value).decode()}
-                for it in self._items.values()
-            ]
-        )
+        return encode_entries(self._items.values())
 
     async def main(self, started: Started) -> None:
         """Follow the store until cancelled."""
@@ -148,19 +142,25 @@
             await self._clock.sleep(pause)
             pause = min(LONGEST_RETRY_MS, pause * 2)
 
-    async def _ask_beside(self) -> None:
+    async def _ask_beside(self) -> bool:
         """Ask a VM that follows the store for changes, before this one reads it anew.
 
+        :return: whether it told them. One that didn't is not asked again before it is heard to
+            know something new.
+
         A store that turns this VM away may serve the ones beside it. Without their word it would
         act on old entries for as long as that lasts; asked only after the attempts to read had
         failed, it sent at the full rate to servers that turned cold for 3.3 s more (played day).
         """
         if self._source is None or not self._complete:
-            return
+            return False
         try:
             await self._ask_changes(self._source)
         except GatewayError as exc:
             logging.info("no changes from another VM: %s", exc)
+            self._source = None
+            return False
+        return True
 
     def _lost(self, exc: GatewayError) -> None:
         if exc.kind is ErrorKind.WATCH_COMPACTED:
@@ -180,12 +180,8 @@
         while True:
             await self._news.wait()
             self._news = anyio.Event()
-            if self._source is None:
-                continue
-            try:
-                await self._ask_changes(self._source)
-            except GatewayError as exc:
-                logging.info("no changes from another VM, reading anew: %s", exc)
+            # Without a source, the VM that had news was asked before and didn't tell them.
+            if self._source is not None and not await self._ask_beside():
                 self._loaded = False
                 return
 
@@ -370,11 +366,10 @@
         if address[0] == self._cfg.vm.host:
             return
         try:
-            entries = msgspec.json.decode(await self._get(address, STATE_PATH))
-        except (GatewayError, msgspec.DecodeError) as exc:
+            items = decode_entries(await self._get(address, STATE_PATH))
+        except (GatewayError, msgspec.MsgspecError) as exc:
             logging.info("seed %s tells nothing: %r", seed, exc)
             return
-        items = [KeyValue(it["key"], base64.b64decode(it["value"]), 0) for it in entries]
         logging.info("%d entries learned from %s", len(items), seed)
         if self.knowledge.config is None:
             self._apply(WatchBatch(0, tuple(items)), latest=0)
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -10,7 +10,7 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.admission import Admission
 from hickorybeam.gateway.attempt import ToPeer, ToServer
-from hickorybeam.gateway.endings import Endings, hop_mark
+from hickorybeam.gateway.endings import Endings
 from hickorybeam.gateway.line import Lines
 from hickorybeam.gateway.placing import Full, Placing
 from hickorybeam.gateway.progress import Progress, name_of
@@ -18,7 +18,7 @@
 from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.attempt_budget import AttemptBudget, RepeatBounds
-from hickorybeam.policy.come_back import LEAST_MS, longest_wait_ms
+from hickorybeam.policy.come_back import bounded_ms, longest_wait_ms
 from hickorybeam.policy.wait_line import patience_ms
 
 if TYPE_CHECKING:
@@ -148,7 +148,6 @@
         behind others; so it would where another region is asked and refuses. One VM leaves for
         another only if the silent one is heard no more.
         """
-        progress.arrived = True
         onward = self._choose(errand, progress)
         if onward is None or isinstance(onward, Full):
             return False
@@ -218,11 +217,11 @@
             self._endings.give_up(errand, progress)
             return
         now = self._clock.now()
-        most_ms = longest_wait_ms(errand.deadline_ms - now)
+        left_ms = errand.deadline_ms - now
         line = self._lines.of(errand.service).policy
-        after = max(LEAST_MS, line.come_back_ms(errand.urgency, most_ms, now))
-        exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=after)
-        self._endings.refuse(errand.call, progress.reply, exc, hop_mark(progress, after))
+        after = line.come_back_ms(errand.urgency, longest_wait_ms(left_ms), now)
+        exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=bounded_ms(after, left_ms))
+        self._endings.refuse(errand.call, progress.reply, exc, progress)
 
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -10,15 +10,14 @@
 from absl import logging
 
 from hickorybeam.model.routing import GatewayVm
+from hickorybeam.policy.pacing import LEAST_HEARD_MS
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.tell import ServerFigures
 
-__all__ = ("HEARD_MS", "YOUNG_MS", "Peer", "PeerTable", "RegionForecast")
+__all__ = ("YOUNG_MS", "Peer", "PeerTable", "RegionForecast")
 
-# What is not heard for this long is not named to callers and holds no part of a quota.
-HEARD_MS = 1_500
 # A VM that has just registered may not have been heard yet.
 YOUNG_MS = 2_500
 
@@ -30,7 +29,7 @@
     vm: GatewayVm
     known_ms: int
     registered: bool = True
-    heard_ms: int = -HEARD_MS
+    heard_ms: int = -LEAST_HEARD_MS
     leaving: bool = False
     leaving_since_ms: int = 0
     follows: bool = False
@@ -63,7 +62,7 @@
     def __init__(self, clock: Clock, me: GatewayVm) -> None:
         self._clock = clock
         self._me = me
-        self.heard_limit_ms = HEARD_MS
+        self.heard_limit_ms = LEAST_HEARD_MS
         self.by_name: dict[str, Peer] = {}
 
     def heard(self) -> int:
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -21,7 +21,7 @@
     """What has happened to one request so far.
 
     ``runs`` counts sends that may have run; ``flying`` one whose outcome is still open.
-    ``arrived``: a server has got it, or may have; it rejected it where there were no runs.
+    ``rejected``: a server got it and said that it did not run it.
     ``failed`` is a server's own failing answer, kept in case that no better one comes.
     ``refused`` names regions whose VM said that it did not run it.
     ``room_in_ms`` is when the first of them expects to have room.
@@ -33,7 +33,7 @@
     sends: int = 0
     runs: int = 0
     flying: bool = False
-    arrived: bool = False
+    rejected: bool = False
     tried: set[str] = field(default_factory=set)
     refused: set[str] = field(default_factory=set)
     failed: tuple[AnswerHead, AnswerFacts, bytes] | None = None
@@ -54,6 +54,11 @@
         """Whether it has run or may have."""
         return self.runs > 0 or self.flying
 
+    @property
+    def arrived(self) -> bool:
+        """Whether a server has got it, or may have."""
+        return self.rejected or self.ran
+
 
 def name_of(target: Target) -> str:
     """Return the name of a target, for logs and to know it again."""
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -249,7 +249,7 @@
 
     async def _state(self, req: Incoming, reply: Reply) -> None:
         if req.target.decode("latin-1") == STATE_PATH and self._feed.knowledge.config:
-            reply.whole(200, JSON, self._feed.state())
+            reply.whole(200, MSGPACK, self._feed.state())
         else:
             reply.whole(404)
 
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -85,7 +85,7 @@
             progress.flying = False
         except NotSentError as exc:
             progress.flying = False
-            progress.arrived |= exc.arrived
+            progress.rejected |= exc.rejected
             progress.why = str(exc)
             match target:
                 case _ if exc.unreachable:
@@ -95,7 +95,6 @@
             self._endings.note("not_sent", errand, target, why=progress.why)
         except BrokenAnswerError as exc:
             progress.flying = False
-            progress.arrived = True
             progress.runs += 1
             progress.why = str(exc)
             self._broke(exc, target, attempt)
@@ -170,7 +169,7 @@
             attempt.kept()
             if standing is not None and facts.other_server:
                 standing.unreachable(self._clock.now())
-            raise NotSentError(f"status {facts.status}: not run", arrived=True)
+            raise NotSentError(f"status {facts.status}: not run", rejected=True)
         good = OK <= facts.status < FIRST_ERROR
         if good and not facts.signed:
             raise BrokenAnswerError("a success that no server signed")
@@ -194,7 +193,6 @@
         errand: Errand,
         progress: Progress,
     ) -> None:
-        progress.arrived = True
         progress.runs += 1
         if facts.status >= SERVER_ERROR or facts.promises or progress.reply.started:
             # A failure, or a whole answer where a stream was to go on.
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -175,6 +175,10 @@
             self._waiting.discard(waiting)
         raise GatewayError(ErrorKind.PLATFORM_OUT, "watch: other calls failed and work again")
 
+    def _failed(self, kind: str, outcome: str) -> None:
+        self._failed_ms = self._clock.now()
+        self._count(kind, outcome)
+
     def _worked(self) -> None:
         """End the watches that were asked before a call failed, now that one works again.
 
@@ -219,14 +223,12 @@
         try:
             status, raw = await self._exchange(method, path, body, limit_ms=limit_ms)
         except ConnectFailedError as exc:
-            self._failed_ms = self._clock.now()
-            self._count(kind, "out")
+            self._failed(kind, "out")
             raise GatewayError(ErrorKind.PLATFORM_OUT, str(exc)) from exc
         except (BrokenAnswerError, TimeoutError) as exc:
             # One silent connection may stand for all; the next call opens a new one.
             self._pool.forget(self._address)
-            self._failed_ms = self._clock.now()
-            self._count(kind, "unknown")
+            self._failed(kind, "unknown")
             lost = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
             raise GatewayError(lost, f"{kind}: {exc!r}") from exc
         return self._checked(kind, status, raw)
@@ -250,8 +252,7 @@
 
     def _checked(self, kind: str, status: int, raw: bytes) -> tuple[int, Mapping[str, Any]]:
         if status not in (OK, NOT_FOUND, GONE, CONFLICT):
-            self._failed_ms = self._clock.now()
-            self._count(kind, "refused")
+            self._failed(kind, "refused")
             raise GatewayError(ErrorKind.PLATFORM_OUT, f"{kind}: status {status}")
         try:
             reply = msgspec.json.decode(raw) if raw else {}
--- a/src/hickorybeam/policy/come_back.py
+++ b/src/hickorybeam/policy/come_back.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-__all__ = ("LEAST_MS", "come_back_ms", "longest_wait_ms")
+__all__ = ("bounded_ms", "come_back_ms", "longest_wait_ms")
 
 # The least that a caller is told, in ms: a server that starts or a watch that reads anew
 # takes about that.
@@ -27,6 +27,14 @@
     return max(LEAST_MS, int(left_ms * SHARE_OF_TIME_LEFT))
 
 
+def bounded_ms(wanted_ms: float, left_ms: float) -> int:
+    """Return the time that a caller is told, within what it can be told.
+
+    :param left_ms: what is left until its deadline.
+    """
+    return min(int(max(LEAST_MS, wanted_ms)), longest_wait_ms(left_ms))
+
+
 def come_back_ms(*, away_ms: float, settling_ms: float, left_ms: float) -> int:
     """Return in how many ms a caller should come back.
 
@@ -35,5 +43,4 @@
         come back.
     :param left_ms: what is left until its deadline.
     """
-    wanted = max(LEAST_MS, settling_ms + away_ms)
-    return min(int(wanted), longest_wait_ms(left_ms))
+    return bounded_ms(settling_ms + away_ms, left_ms)
--- a/src/hickorybeam/policy/pacing.py
+++ b/src/hickorybeam/policy/pacing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 __all__ = (
+    "LEAST_HEARD_MS",
     "gone_after_ms",
     "near_every_ms",
     "outside_every_ms",
@@ -27,7 +28,7 @@
 OUTSIDE_EVERY_PER_VM_MS = 8
 MOST_OUTSIDE_EVERY_MS = 1_500
 # A VM that wasn't heard for so many words that it should have sent counts as gone, and not
-# before the least time.
+# before the least time: it is not named to callers and holds no part of a quota.
 HEARD_TIMES = 4
 LEAST_HEARD_MS = 1_500
 LEAST_WATCHER_HEARD_MS = 1_200
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -19,7 +19,7 @@
 from hickorybeam.settings import load_settings
 from hickorybeam.standins.deployment import HOST, KEYS, caller_headers, first_config
 from hickorybeam.store import KeyValue, Put, WatchBatch
-from support.gateway import ran, small_gateway
+from support.gateway import drop_key, ran, small_gateway, withdraw_key
 
 BODY = b"{}"
 
@@ -397,9 +397,7 @@
 def step_withdraw(context, name, version):
     async def withdraw():
         rig = context.rig
-        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
-        rig.config["version"] = version
-        rig.configure()
+        withdraw_key(rig, name, version=version)
         await rig.settled()
 
     context.call(withdraw)
@@ -420,8 +418,7 @@
     async def compact():
         rig = context.rig
         store = rig.app.stand_in.store
-        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
-        rig.config["version"] += 1
+        drop_key(rig, name)
         # Written with no word to the watches, as while they hear nothing.
         store.txn((), (Put("op/config", msgspec.json.encode(rig.config)),))
         store.compact()
@@ -657,9 +654,7 @@
         rig.app.deaf_watches = 1
         rig.vms[vm].feed._watching.cancel()
         await rig.until(lambda: rig.app.deaf_watches == 0)
-        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
-        rig.config["version"] += 1
-        rig.configure()
+        withdraw_key(rig, name)
 
     context.call(silence)
 
@@ -1032,8 +1027,6 @@
 
         feed._store._call = unanswered
         feed._watching.cancel()
-        rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
-        rig.config["version"] += 1
-        rig.configure()
+        withdraw_key(rig, name)
 
     context.call(silence)
--- a/tests/steps/gateway/watchers_steps.py
+++ b/tests/steps/gateway/watchers_steps.py
@@ -5,18 +5,13 @@
 from behave import then, when
 
 from hickorybeam.errors import ErrorKind, GatewayError
+from support.gateway import withdraw_key
 
 
 def watchers(rig):
     return {name: vm for name, vm in rig.vms.items() if vm.feed.watches}
 
 
-def withdraw(rig, name):
-    rig.config["tenants"] = [it for it in rig.config["tenants"] if it["name"] != name]
-    rig.config["version"] += 1
-    rig.configure()
-
-
 @when("{count:d} VMs watch the store")
 def step_watch(context, count):
     rig = context.rig
@@ -32,7 +27,7 @@
 def step_withdraw(context, name):
     async def change():
         context.calls_before = context.rig.app.stand_in.calls["watch"]
-        withdraw(context.rig, name)
+        withdraw_key(context.rig, name)
 
     context.call(change)
 
@@ -45,7 +40,7 @@
             vm.kill()
             await vm.ended.wait()
             del context.left[vm_name]
-        withdraw(rig, name)
+        withdraw_key(rig, name)
 
     context.call(change)
 
@@ -57,7 +52,7 @@
         for vm_name, vm in watchers(rig).items():
             turn_away(vm)
             del context.left[vm_name]
-        withdraw(rig, name)
+        withdraw_key(rig, name)
 
     context.call(change)
 
@@ -75,7 +70,7 @@
     async def change():
         for vm in watchers(context.rig).values():
             vm.feed.changes_after = lambda revision: None
-        withdraw(context.rig, name)
+        withdraw_key(context.rig, name)
 
     context.call(change)
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -40,3 +40,18 @@
         if service in (None, server.service)
         for it in server.ran
     ]
+
+
+def drop_key(fleet, name, *, version=None):
+    """Take an account and its key out of the next configuration, which is not written yet.
+
+    :param version: its number; the next one if left out.
+    """
+    fleet.config["tenants"] = [it for it in fleet.config["tenants"] if it["name"] != name]
+    fleet.config["version"] = version or fleet.config["version"] + 1
+
+
+def withdraw_key(fleet, name, *, version=None):
+    """Write a configuration without an account's key, as the operator does."""
+    drop_key(fleet, name, version=version)
+    fleet.configure()
