The platform's stand-in server can be a model engine: tokens in batches, parts of prompts kept, a full queue rejects

The batch of the OpenAI-style stand-in serves both; what it keeps of prompts is a class of its own and knows parts (it knew only a prompt's start).

--- a/src/hickorybeam/standins/batch.py
+++ b/src/hickorybeam/standins/batch.py
@@ -11,12 +11,25 @@
 
 import anyio
 
+from hickorybeam.standins.prefix_cache import CachedPart, PrefixCache
+
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from hickorybeam.clock import Clock
 
-__all__ = ("Batch", "CacheEvent", "EngineShape", "LoadSnapshot", "Stream", "token_text")
+__all__ = (
+    "Batch",
+    "CacheEvent",
+    "EngineShape",
+    "LoadSnapshot",
+    "Stream",
+    "start_of",
+    "token_text",
+)
 
 PREFIX_CHARS = 64
+CHARS_PER_TOKEN = 4
 KEPT_STREAMS = 4_096
 KEPT_EVENTS = 4_096
 REPORTED_PREFIXES = 64
@@ -80,7 +93,7 @@
     max_tokens: int
     priority: int
     arrival: int
-    prefix: str
+    parts: tuple[CachedPart, ...]
     produced: int = 0
     done: bool = False
     cancelled: bool = False
@@ -105,7 +118,7 @@
         self._order = itertools.count()
         self._waiting: list[tuple[int, int, Stream]] = []
         self._running: list[Stream] = []
-        self._cache: OrderedDict[str, int] = OrderedDict()
+        self._cache = PrefixCache(shape.cache_tokens, self._tell_event)
         self._events: deque[CacheEvent] = deque(maxlen=KEPT_EVENTS)
         self._event_seq = itertools.count(1)
         self._history: deque[LoadSnapshot] = deque()
@@ -120,9 +133,12 @@
         prompt_tokens: int,
         max_tokens: int,
         priority: int,
-        prefix: str = "",
+        parts: Sequence[CachedPart] = (),
     ) -> Stream:
-        """Queue a sequence; a higher priority starts first."""
+        """Queue a sequence; a higher priority starts first.
+
+        :param parts: what its prompt is made of; left out, only its start can be shared.
+        """
         stream = Stream(
             id=stream_id,
             model=model,
@@ -131,7 +147,7 @@
             max_tokens=max_tokens,
             priority=priority,
             arrival=next(self._order),
-            prefix=prefix or prefix_of(model, prompt),
+            parts=tuple(parts) or (start_of(model, prompt, prompt_tokens),),
         )
         self.streams[stream_id] = stream
         while len(self.streams) > KEPT_STREAMS:
@@ -165,6 +181,16 @@
             await self._clock.sleep((step + prefill / self.shape.prefill_per_ms) * self.slowdown)
             self._step()
 
+    @property
+    def running(self) -> int:
+        """How many sequences are in the batch now."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """How many sequences wait for a place in the batch now."""
+        return sum(not stream.done for _, _, stream in self._waiting)
+
     def load(self) -> LoadSnapshot:
         """Return the newest snapshot that is at least as old as the lag."""
         self._note_load()
@@ -190,7 +216,7 @@
             _, _, stream = heapq.heappop(self._waiting)
             if stream.done:
                 continue
-            stream.cached_tokens = self._touch_prefix(stream)
+            stream.cached_tokens = self._cache.read(stream.parts)
             prefill += stream.prompt_tokens - stream.cached_tokens
             self._running.append(stream)
         return prefill
@@ -205,19 +231,6 @@
         self._running = [stream for stream in self._running if not stream.done]
         self._note_load()
 
-    def _touch_prefix(self, stream: Stream) -> int:
-        prefix = stream.prefix
-        tokens = min(stream.prompt_tokens, PREFIX_CHARS // 4)
-        if prefix in self._cache:
-            self._cache.move_to_end(prefix)
-            return tokens
-        self._cache[prefix] = tokens
-        self._tell_event("stored", prefix)
-        while sum(self._cache.values()) > self.shape.cache_tokens:
-            evicted, _ = self._cache.popitem(last=False)
-            self._tell_event("evicted", evicted)
-        return 0
-
     def _tell_event(self, kind: str, prefix: str) -> None:
         self._events.append(
             CacheEvent(seq=next(self._event_seq), at_ms=self._clock.now(), kind=kind, prefix=prefix)
@@ -237,11 +250,15 @@
                 stream.prompt_tokens + stream.max_tokens - stream.produced
                 for stream in (*waiting, *running)
             ),
-            cached_prefixes=tuple(itertools.islice(reversed(self._cache), REPORTED_PREFIXES)),
+            cached_prefixes=tuple(itertools.islice(self._cache.newest(), REPORTED_PREFIXES)),
         )
         self._history.append(snapshot)
 
 
-def prefix_of(model: str, prompt: str) -> str:
-    """Return the digest of a prompt's start, which names a cached prefix."""
-    return hashlib.sha256(f"{model}\n{prompt[:PREFIX_CHARS]}".encode()).hexdigest()[:16]
+def start_of(model: str, prompt: str, prompt_tokens: int, *, name: str = "") -> CachedPart:
+    """Return the start of a prompt that doesn't tell its parts.
+
+    :param name: what its caller calls it; its digest if left out.
+    """
+    name = name or hashlib.sha256(f"{model}\n{prompt[:PREFIX_CHARS]}".encode()).hexdigest()[:16]
+    return CachedPart(name, min(prompt_tokens, PREFIX_CHARS // CHARS_PER_TOKEN))
--- a/src/hickorybeam/standins/engine.py
+++ b/src/hickorybeam/standins/engine.py
@@ -18,7 +18,7 @@
 
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.httpserve import listening
-from hickorybeam.standins.batch import Batch, EngineShape, Stream, token_text
+from hickorybeam.standins.batch import Batch, EngineShape, Stream, start_of, token_text
 from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults, Served, run_process
 
 if TYPE_CHECKING:
@@ -207,14 +207,16 @@
 
     def _submit(self, exchange: Exchange, body: dict[str, Any]) -> Stream:
         prompt = prompt_of(body)
+        tokens = max(1, len(prompt) // CHARS_PER_TOKEN)
+        name = exchange.headers.get("x-prefix", "")
         return self.batch.submit(
             stream_id=f"{self.name}-{next(self._ids)}",
             model=body["model"],
             prompt=prompt,
-            prompt_tokens=max(1, len(prompt) // CHARS_PER_TOKEN),
+            prompt_tokens=tokens,
             max_tokens=max_tokens_of(body),
             priority=int(exchange.headers.get("x-priority", "0")),
-            prefix=exchange.headers.get("x-prefix", ""),
+            parts=(start_of(body["model"], prompt, tokens, name=name),),
         )
 
     async def _answer_whole(
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -1,4 +1,8 @@
-"""A stand-in backend server that registers itself and answers requests, with fault switches."""
+"""A stand-in backend server that registers itself and answers requests, with fault switches.
+
+Given a shape, it is a model engine: prompts are read and tokens made in one batch, parts of
+prompts that it has read are kept, and it rejects what its queue doesn't hold.
+"""
 
 from __future__ import annotations
 
@@ -12,18 +16,26 @@
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.http1 import HttpServer, find
 from hickorybeam.http1.head import answer_bytes
-from hickorybeam.platform import names
+from hickorybeam.platform import decode_call, names
+from hickorybeam.standins.batch import Batch
+from hickorybeam.standins.prefix_cache import CachedPart
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from hickorybeam.http1 import Incoming, RawHeaders, Reply
+    from hickorybeam.standins.batch import EngineShape, Stream
     from hickorybeam.standins.keyvalue import KeyValueApp
 
 __all__ = ("Arrival", "ServerFaults", "ServerStandIn", "serve_server")
 
 EVENTS = 6
 EVENT_EVERY_MS = 4
+EVENT_STREAM = (b"content-type", b"text/event-stream")
+# Requests that an engine keeps waiting, for each of its slots.
+QUEUED_PER_SLOT = 2
+# What a request that tells no urgency counts as; 0 is the most urgent.
+USUAL_URGENCY = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,9 +93,17 @@
     running: int = 0
     most_running: int = 0
     cancelled: int = 0
+    shape: EngineShape | None = None
+    batch: Batch | None = None
     faults: ServerFaults = field(default_factory=ServerFaults)
     arrivals: list[Arrival] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Make the batch of a model engine."""
+        if self.shape is not None:
+            self.slots = self.shape.slots
+            self.batch = Batch(self.shape, self.clock)
+
     @property
     def ran(self) -> list[Arrival]:
         """The requests that it ran."""
@@ -131,10 +151,13 @@
         expected = find(req.headers, names.EXPECT_SERVER)
         if self.faults.take("misread") or (expected and expected.decode() != self.id):
             return 421, ((names.SERVER_ID, self.id.encode()),)
-        if self.faults.take("full"):
+        if self.faults.take("full") or self._is_full():
             return 503, ((names.NOT_RUN, b"1"),)
         return None
 
+    def _is_full(self) -> bool:
+        return self.batch is not None and self.batch.waiting >= QUEUED_PER_SLOT * self.slots
+
     async def _run(self, req: Incoming, reply: Reply, request_id: bytes) -> None:
         if self.faults.take("hung"):
             await anyio.sleep_forever()
@@ -146,7 +169,10 @@
         if self.faults.take("errors"):
             reply.whole(500, headers, b"failed")
         elif find(req.headers, names.TOKENS) is not None:
-            await self._stream(req, reply, headers)
+            if self.batch is None:
+                await self._stream(req, reply, headers)
+            else:
+                await self._generate(self.batch, req, reply, headers)
         elif self.faults.take("unframed"):
             reply.raw(b"HTTP/1.1 200 OK\r\n" + lines(headers) + b"\r\nunframed")
             reply.end_of_connection()
@@ -162,7 +188,7 @@
 
     async def _stream(self, req: Incoming, reply: Reply, headers: RawHeaders) -> None:
         first = int(find(req.headers, names.LAST_EVENT) or 0) + 1
-        reply.begin(200, (*headers, (b"content-type", b"text/event-stream")))
+        reply.begin(200, (*headers, EVENT_STREAM))
         for number in range(first, self.events + 1):
             await self.clock.sleep(EVENT_EVERY_MS)
             if number == self.events // 2 + 1 and self.faults.take("cut"):
@@ -170,17 +196,59 @@
                 await self.clock.sleep(EVENT_EVERY_MS)
                 reply.abort()
                 return
-            await reply.chunk(b"id: %d\ndata: event %d\n\n" % (number, number))
+            await reply.chunk(event(number))
         reply.end()
 
+    async def _generate(
+        self, batch: Batch, req: Incoming, reply: Reply, headers: RawHeaders
+    ) -> None:
+        """Stream a token an event; an engine whose caller leaves stops."""
+        stream = submitted(batch, req)
+        sent = 0
+        try:
+            while sent < stream.max_tokens:
+                while stream.produced == sent:
+                    await stream.changed.wait()
+                if not reply.started:
+                    reply.begin(200, (*headers, EVENT_STREAM))
+                for number in range(sent + 1, stream.produced + 1):
+                    await reply.chunk(event(number))
+                sent = stream.produced
+            reply.end()
+        finally:
+            if not stream.done:
+                batch.cancel(stream.id)
+
     def _headers(self, request_id: bytes) -> RawHeaders:
-        load = b"%d,0,%d" % (self.running, self.slots)
+        running = self.running if self.batch is None else self.batch.running
+        waiting = 0 if self.batch is None else self.batch.waiting
+        load = b"%d,%d,%d" % (running, waiting, self.slots)
         headers = [(names.REQUEST_ID, request_id), (names.LOAD, load)]
         if not self.faults.take("unsigned"):
             headers.append((names.SIGNATURE, b"signed-" + self.id.encode()))
         return tuple(headers)
 
 
+def submitted(batch: Batch, req: Incoming) -> Stream:
+    """Queue a request as its headers tell it."""
+    call = decode_call(req)
+    urgency = find(req.headers, names.URGENCY)
+    return batch.submit(
+        stream_id=call.request_id,
+        model="",
+        prompt="",
+        prompt_tokens=call.prompt_tokens,
+        max_tokens=call.output_tokens,
+        priority=-int(urgency or USUAL_URGENCY),
+        parts=[CachedPart(part.id, part.tokens) for part in call.parts],
+    )
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: event %d\n\n" % (number, number)
+
+
 def lines(headers: RawHeaders) -> bytes:
     """Return headers as they go over the wire."""
     return b"".join(b"%s: %s\r\n" % pair for pair in headers)
@@ -193,6 +261,8 @@
         server = HttpServer(stand_in.answer, clock=SystemClock(), tasks=tg)
         await server.listen("127.0.0.1", 0)
         stand_in.port = server.port
+        if stand_in.batch is not None:
+            tg.start_soon(stand_in.batch.run)
         stand_in.register()
         try:
             yield stand_in
