A server is drawn by its wait and by what the region's other VMs send unseen

Each VM took the server with the shortest wait that it knew, and 30 VMs knew the same one until the next word.

Now the work that the others send within a word's time is laid over the known waits, and the server is drawn by what it takes up of it.

--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from hickorybeam.model.routing import GatewayVm
-from hickorybeam.policy.pacing import LEAST_HEARD_MS
+from hickorybeam.policy.pacing import LEAST_HEARD_MS, near_every_ms, outside_every_ms
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -105,6 +105,20 @@
         here = self._me.data_centre
         return [it for it in self.by_name.values() if it.vm.data_centre == here]
 
+    def region_lag_ms(self) -> float:
+        """Return how late the other VMs of this region are heard, added up over them.
+
+        Words of other data centres come by way of a VM of this one.
+        """
+        now = self._clock.now()
+        near = aside = 0
+        for peer in self.by_name.values():
+            if self.here(peer) and peer.heard(now, self.heard_limit_ms):
+                beside = peer.vm.data_centre == self._me.data_centre
+                near, aside = near + beside, aside + (not beside)
+        every_ms = near_every_ms(near)
+        return near * every_ms + aside * (outside_every_ms(1 + self.known()) + every_ms)
+
     def centres(self) -> Counter[str]:
         """Return how many VMs each data centre has, this one included."""
         found = Counter(it.vm.data_centre for it in self.by_name.values())
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.policy.cold_limit import cold_owners
+from hickorybeam.policy.old_word import RecentWork
 from hickorybeam.policy.server_choice import READ_TOKENS_PER_MS, choose_server, wait_ms
 
 if TYPE_CHECKING:
@@ -62,6 +64,7 @@
         self._fleet = fleet
         self._lines = lines
         self._rng = random.Random()
+        self._recent: defaultdict[str, RecentWork] = defaultdict(RecentWork)
         self._nothing_since: dict[str, int] = {}
 
     def choose(
@@ -138,9 +141,22 @@
             parts=call.parts,
             tokens=call.prompt_tokens,
             now_ms=now_ms,
+            rng=self._rng,
+            unseen_ms=self._unseen_ms(errand.service, now_ms),
             data_centre=self._fleet.me.data_centre,
         )
 
+    def sent(self, service: str, reading: int) -> None:
+        """Take note that this VM sent a server so many prompt tokens to read."""
+        self._recent[service].sent(reading / READ_TOKENS_PER_MS, self._clock.now())
+
+    def _unseen_ms(self, service: str, now_ms: int) -> float:
+        """Return the reading that the region's other VMs sent since they were heard.
+
+        VMs of a region get about as much each, since callers choose them at random.
+        """
+        return self._recent[service].rate(now_ms) * self._fleet.peers.region_lag_ms()
+
     def _usable(self, service: str, now_ms: int) -> list[ServerStanding]:
         """Return this region's servers that may get a request now."""
         found = []
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -120,6 +120,7 @@
             return 0
         call = errand.call
         reading = standing.memory.missing(call.parts) if call.parts else call.prompt_tokens
+        self._placing.sent(errand.service, reading)
         standing.running += 1
         standing.reading += reading
         standing.holding += size_of(call)
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -5,7 +5,8 @@
 tokens that still have to be read there, the part of this prompt that it doesn't hold yet, and
 a place in its queue once its slots are taken. Prompts with the same last shared part prefer the
 same server (by hashing, so all VMs agree without a word) until its wait exceeds another's by
-more than the reading it saves.
+more than the reading it saves. Among many VMs the server is drawn by these waits
+(``policy/old_word.py``).
 """
 
 from __future__ import annotations
@@ -15,8 +16,10 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.policy.cold_limit import rendezvous
+from hickorybeam.policy.old_word import draw
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable, Sequence
 
     from hickorybeam.model.routing import PromptPart, RegisteredServer
@@ -168,10 +171,17 @@
     parts: Sequence[PromptPart],
     tokens: int,
     now_ms: int,
+    rng: random.Random,
+    unseen_ms: float = 0.0,
     data_centre: str = "",
 ) -> ServerStanding | None:
     """Return the server with the shortest wait; a prompt's own server wins ties of reading.
 
+    Drawing in place of the shortest known wait gained 0.04 and 0.06 of worth on two played days
+    of 85 and 64 VMs without processor time; waits in simulated time: ``bench.server_choice``.
+
+    :param unseen_ms: reading that other VMs have sent here since they were heard, in ms of one
+        server; with none, the shortest wait is taken.
     :param data_centre: where the choosing VM is; its servers are preferred.
     """
     if not standings:
@@ -180,8 +190,9 @@
     if len(parts) > 1:
         near = [it for it in standings if it.server.data_centre == data_centre] or standings
         home = rendezvous(parts[-2].id, [it.server.id for it in near])[0]
-    ranked = []
-    for standing in standings:
+    ordered = sorted(standings, key=lambda it: it.server.id)
+    waits = []
+    for standing in ordered:
         wait = wait_ms(standing, parts, tokens, now_ms)
         if standing.server.id == home:
             # As if it held the shared parts: it will from now on.
@@ -189,5 +200,5 @@
             wait -= min(shared, standing.memory.missing(parts)) / READ_TOKENS_PER_MS
         if data_centre and standing.server.data_centre != data_centre:
             wait += OTHER_CENTRE_MS
-        ranked.append((wait, standing.server.id, standing))
-    return min(ranked, key=lambda entry: entry[:2])[2]
+        waits.append(wait)
+    return ordered[draw(waits, unseen_ms, rng)]
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -133,7 +133,9 @@
 
 
 def choose(standings, parts, tokens=0, now=NOW):
-    return choose_server(list(standings), parts=parts, tokens=tokens, now_ms=now).server.id
+    return choose_server(
+        list(standings), parts=parts, tokens=tokens, now_ms=now, rng=random.Random(1)
+    ).server.id
 
 
 @then('{count:d} prompts of subject "{subject}" all go to one server, whichever VM asks')
@@ -211,6 +213,7 @@
         parts=parts,
         tokens=tokens,
         now_ms=context.now,
+        rng=random.Random(1),
         data_centre=centre,
     ).server.id
 
