--- a/src/hickorybeam/demo/platform.py
+++ b/src/hickorybeam/demo/platform.py
@@ -44,6 +44,8 @@
 
 SETTLE_LIMIT_S = 8.0
 CALL_LIMIT_S = 10.0
+# How long a VM of the demo may take to stop.
+GRACE_S = 2.0
 
 
 class Answer:
@@ -104,6 +106,7 @@
         self.servers: dict[str, ServerStandIn] = {}
         self.vms: dict[str, RunningVm] = {}
         self.config = first_config()
+        self.grace_s = GRACE_S
         self._stack = stack
         self._pool = UpstreamPool(SystemClock(), connect_ms=500, silent_ms=2_000)
         self._numbers = iter(range(1, 1_000_000))
@@ -131,7 +134,9 @@
             vm=VmSettings(name=name, region=REGIONS[data_centre], data_centre=data_centre),
             platform=PlatformSettings(urls=(self.url,), prefix="hickorybeam/", timeout_ms=600),
             peers=PeerSettings(tls=TlsSettings(plain=True)),
-            gateway=GatewaySettings(regions=REGIONS, grace_s=2.0, seeds=seeds, repeat_allowance=40),
+            gateway=GatewaySettings(
+                regions=REGIONS, grace_s=self.grace_s, seeds=seeds, repeat_allowance=40
+            ),
         )
         async with _running(build(cfg)) as vm:
             self.vms[name] = vm
