Tickets set routes: a host and a path prefix lead to a plain service

Until now only the platform's configuration had routes; by ticket, callers had to name the service in /v1/services/... A route's word on repeating and its time-out go before the service's. Checked with the ticket: host, prefix (the gateway's own paths are refused), the service, and that no two are alike. The table of prefixes is the one of the gateway.

The size that a refusal of a large ticket names grew by 12 bytes, the new field's: the expected figure of that scenario is exact as before.

--- a/src/hickorybeam/front/gate.py
+++ b/src/hickorybeam/front/gate.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from hickorybeam.errors import ErrorKind, GatewayError, Retry, answer_for
 from hickorybeam.front.identity import Identity, identify, is_operator, secret_of
 from hickorybeam.model import VmState
 from hickorybeam.policy.entries import entry_order
+from hickorybeam.policy.route_table import PrefixTable
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
     from hickorybeam.front.memory import MemoryGate
     from hickorybeam.front.request import Request
     from hickorybeam.kernel import Kernel
-    from hickorybeam.model import EntryVm
+    from hickorybeam.model import EntryVm, ServiceRoute
     from hickorybeam.ports import ConfigView, Dispatch, Members, Once
     from hickorybeam.settings import Settings
     from hickorybeam.telemetry import Counters
@@ -42,6 +43,18 @@
     once: Once | None
     memory: MemoryGate
     draining: bool = False
+    # The routes of the state at this position, made into a table once for each state.
+    _routes: tuple[int, PrefixTable[ServiceRoute]] = field(
+        default_factory=lambda: (0, PrefixTable(()))
+    )
+
+    def route_of(self, req: Request) -> ServiceRoute | None:
+        """Return the configured route that leads from a request's host and path to a service."""
+        state = self.config.current()
+        if self._routes[0] != state.position:
+            self._routes = (state.position, PrefixTable(state.routes.values()))
+        host = req.header(b"host").lower().partition(":")[0]
+        return self._routes[1].match(host, req.path)
 
     def secret(self, req: Request) -> str:
         """Return the key that came with a request."""
--- a/src/hickorybeam/front/routes.py
+++ b/src/hickorybeam/front/routes.py
@@ -36,13 +36,17 @@
 }
 SERVICE_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 SERVICE_ROUTES: Mapping[str, Handler] = dict.fromkeys(SERVICE_METHODS, work.plain_service)
+CONFIGURED_ROUTES: Mapping[str, Handler] = dict.fromkeys(SERVICE_METHODS, work.routed)
 
 
-def find(req: Request) -> Mapping[str, Handler] | None:
-    """Return the handlers of a path by method."""
+def find(gate: Gate, req: Request) -> Mapping[str, Handler] | None:
+    """Return the handlers of a path by method: the gateway's own, then configured ones."""
     if req.path.startswith(work.SERVICES_PREFIX):
         return SERVICE_ROUTES
-    return ROUTES.get(req.path)
+    found = ROUTES.get(req.path)
+    if found is None and gate.route_of(req) is not None:
+        return CONFIGURED_ROUTES
+    return found
 
 
 async def answer(gate: Gate, req: Request) -> None:
@@ -70,12 +74,12 @@
     finally:
         gate.memory.release(req.held_bytes)
         req.held_bytes = 0
-    gate.counters.requests.labels(route_label(req), outcome).inc()
+    gate.counters.requests.labels(route_label(gate, req), outcome).inc()
 
 
 async def handle(gate: Gate, req: Request) -> None:
     """Find the handler and run it."""
-    handlers = find(req)
+    handlers = find(gate, req)
     if handlers is None:
         raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
     handler = handlers.get(req.method)
@@ -86,11 +90,13 @@
     await handler(gate, req)
 
 
-def route_label(req: Request) -> str:
+def route_label(gate: Gate, req: Request) -> str:
     """Return the path's name in metrics; a closed list, whatever callers ask for."""
     if req.path.startswith(work.SERVICES_PREFIX):
         return "services"
-    return req.path.rsplit("/", 1)[-1] if req.path in ROUTES else "unknown"
+    if req.path in ROUTES:
+        return req.path.rsplit("/", 1)[-1]
+    return "routed" if gate.route_of(req) is not None else "unknown"
 
 
 def log_fault(req: Request, exc: Exception) -> None:
--- a/src/hickorybeam/front/work.py
+++ b/src/hickorybeam/front/work.py
@@ -16,9 +16,9 @@
     from hickorybeam.front.gate import Gate
     from hickorybeam.front.identity import Identity
     from hickorybeam.front.request import Request
-    from hickorybeam.model import AnswerPart, ClientAccount, Header
+    from hickorybeam.model import AnswerPart, ClientAccount, Header, ServiceRoute
 
-__all__ = ("chat", "completion", "plain_service")
+__all__ = ("chat", "completion", "plain_service", "routed")
 
 IDEMPOTENCY_KEY = b"idempotency-key"
 DEADLINE = b"x-hickorybeam-deadline-ms"
@@ -72,11 +72,42 @@
     """Any method of ``/v1/services/{service}/{path}``."""
     identity = gate.admit(req)
     name, path = split_target(req)
+    await service_call(gate, req, identity, name=name, path=path)
+
+
+async def routed(gate: Gate, req: Request) -> None:
+    """Any method of a path that a route of the configuration leads to a service."""
+    identity = gate.admit(req)
+    route = gate.route_of(req)
+    if route is None:
+        raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
+    await service_call(gate, req, identity, name=route.service, path=target(req), route=route)
+
+
+async def service_call(
+    gate: Gate,
+    req: Request,
+    identity: Identity,
+    *,
+    name: str,
+    path: str,
+    route: ServiceRoute | None = None,
+) -> None:
+    """Run a call of a plain service.
+
+    :param path: the target that the service gets.
+    :param route: what led to the service; its terms go before the service's own.
+    """
     state = gate.config.current()
     service = state.services.get(name)
     allowed = identity.account.services
     if service is None or (allowed and name not in allowed):
         raise GatewayError(ErrorKind.SERVICE_UNKNOWN)
+    idempotent = req.method not in service.non_idempotent
+    longest_ms = deadline_ms(gate, req)
+    if route is not None:
+        idempotent = idempotent if route.idempotent is None else route.idempotent
+        longest_ms = min(longest_ms, route.timeout_ms or longest_ms)
     body = await read_work(gate, req, identity)
     call = Call(
         request_id=req.id,
@@ -88,11 +119,11 @@
         path=path,
         headers=text_headers(gate, req),
         body=body,
-        idempotent=req.method not in service.non_idempotent,
+        idempotent=idempotent,
         idempotency_key=idempotency_key(req),
         priority=identity.account.priority,
         cost=service.cost,
-        deadline_ms=deadline_ms(gate, req),
+        deadline_ms=longest_ms,
         position=state.position,
     )
     await run(gate, req, call, identity)
@@ -142,17 +173,22 @@
 
 def split_target(req: Request) -> tuple[str, str]:
     """Return the service's name and the rest of the target with its query, as sent."""
-    target = req.raw_path + (b"?" + req.query if req.query else b"")
-    try:
-        rest = target.decode("ascii").removeprefix(SERVICES_PREFIX)
-    except UnicodeDecodeError as exc:
-        raise GatewayError(ErrorKind.BAD_REQUEST, "the target is not ASCII") from exc
+    rest = target(req).removeprefix(SERVICES_PREFIX)
     name, _, path = rest.partition("/")
     if not name:
         raise GatewayError(ErrorKind.ROUTE_UNKNOWN)
     return name, f"/{path}"
 
 
+def target(req: Request) -> str:
+    """Return the whole target of a request, with its query, as sent."""
+    sent = req.raw_path + (b"?" + req.query if req.query else b"")
+    try:
+        return sent.decode("ascii")
+    except UnicodeDecodeError as exc:
+        raise GatewayError(ErrorKind.BAD_REQUEST, "the target is not ASCII") from exc
+
+
 def text_headers(gate: Gate, req: Request) -> tuple[Header, ...]:
     """Return the caller's headers without any that carry its key, whatever their name."""
     secret = gate.secret(req).encode("latin-1")
--- a/src/hickorybeam/model/__init__.py
+++ b/src/hickorybeam/model/__init__.py
@@ -16,6 +16,7 @@
     PlainService,
     Region,
     ResidencyRule,
+    ServiceRoute,
     key_digest,
     ref_of,
 )
@@ -38,6 +39,7 @@
     "PlainService",
     "Region",
     "ResidencyRule",
+    "ServiceRoute",
     "Versioned",
     "key_digest",
     "ref_of",
--- a/src/hickorybeam/model/config.py
+++ b/src/hickorybeam/model/config.py
@@ -18,6 +18,7 @@
     "PlainService",
     "Region",
     "ResidencyRule",
+    "ServiceRoute",
     "key_digest",
     "ref_of",
 )
@@ -32,6 +33,7 @@
     KEY = "keys"
     MODEL = "models"
     SERVICE = "services"
+    ROUTE = "routes"
     BACKEND = "backends"
 
 
@@ -124,6 +126,23 @@
     timeout_ms: int = 10_000
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceRoute:
+    """Requests of one host under a path prefix, which go to a plain service as they are.
+
+    ``prefix`` begins and ends with a slash; the longest one that begins a path wins.
+    ``idempotent`` tells whether they may be repeated; ``None`` leaves it to the method, as the
+    service says. ``timeout_ms`` 0 is the service's own.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    idempotent: bool | None = None
+    timeout_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServer:
     """One backend server as its operator declares it.
@@ -148,7 +167,14 @@
 
 
 ConfigObject = (
-    Region | ResidencyRule | ClientAccount | ClientKey | ModelService | PlainService | BackendServer
+    Region
+    | ResidencyRule
+    | ClientAccount
+    | ClientKey
+    | ModelService
+    | PlainService
+    | ServiceRoute
+    | BackendServer
 )
 
 _KINDS: dict[type, ObjectKind] = {
@@ -158,6 +184,7 @@
     ClientKey: ObjectKind.KEY,
     ModelService: ObjectKind.MODEL,
     PlainService: ObjectKind.SERVICE,
+    ServiceRoute: ObjectKind.ROUTE,
     BackendServer: ObjectKind.BACKEND,
 }
 
--- a/src/hickorybeam/model/state.py
+++ b/src/hickorybeam/model/state.py
@@ -17,6 +17,7 @@
     PlainService,
     Region,
     ResidencyRule,
+    ServiceRoute,
 )
 
 if TYPE_CHECKING:
@@ -81,6 +82,11 @@
         """Plain services by name."""
         return self._table(ObjectKind.SERVICE, PlainService)
 
+    @cached_property
+    def routes(self) -> Mapping[str, ServiceRoute]:
+        """Routes to plain services by name."""
+        return self._table(ObjectKind.ROUTE, ServiceRoute)
+
     @cached_property
     def backends(self) -> Mapping[str, BackendServer]:
         """Backend servers by name."""
--- a/src/hickorybeam/model/ticket.py
+++ b/src/hickorybeam/model/ticket.py
@@ -14,6 +14,7 @@
     PlainService,
     Region,
     ResidencyRule,
+    ServiceRoute,
     ref_of,
 )
 
@@ -34,6 +35,7 @@
     keys: tuple[ClientKey, ...] = ()
     models: tuple[ModelService, ...] = ()
     services: tuple[PlainService, ...] = ()
+    routes: tuple[ServiceRoute, ...] = ()
     backends: tuple[BackendServer, ...] = ()
     deleted: tuple[ObjectRef, ...] = ()
     note: str = ""
@@ -47,6 +49,7 @@
             *self.keys,
             *self.models,
             *self.services,
+            *self.routes,
             *self.backends,
         )
 
--- a/src/hickorybeam/policy/route_table.py
+++ b/src/hickorybeam/policy/route_table.py
@@ -2,17 +2,34 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+
+from hickorybeam.model.routing import Route
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from hickorybeam.model.routing import Route
+__all__ = ("PrefixTable", "RouteTable", "pick_target")
+
+
+class Placed(Protocol):
+    """Whatever takes the requests of a host under a path prefix."""
+
+    @property
+    def host(self) -> str:
+        """The host that callers ask for, in lower case."""
+        ...
 
-__all__ = ("RouteTable", "pick_target")
+    @property
+    def prefix(self) -> str:
+        """What its paths begin with, a slash at both ends."""
+        ...
 
 
-class RouteTable:
+T = TypeVar("T", bound=Placed)
+
+
+class PrefixTable(Generic[T]):
     """Routes by host and prefix.
 
     Every prefix begins and ends with a slash, so a path has as many candidates as it has
@@ -20,8 +37,24 @@
     added at once), which a scan would make every request pay.
     """
 
-    def __init__(self, routes: Iterable[Route]) -> None:
+    def __init__(self, routes: Iterable[T]) -> None:
         self._routes = {(route.host, route.prefix): route for route in routes}
+
+    def match(self, host: str, path: str) -> T | None:
+        """Return the route of a path, or ``None``."""
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._routes.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+
+class RouteTable(PrefixTable[Route]):
+    """Routes of the gateway, with the homes of each host."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        super().__init__(routes)
         self._homes: dict[str, frozenset[str]] = {}
         for route in self._routes.values():
             if route.homes:
@@ -35,15 +68,6 @@
         """
         return self._homes.get(host, frozenset())
 
-    def match(self, host: str, path: str) -> Route | None:
-        """Return the route of a path, or ``None``."""
-        end = len(path)
-        while (end := path.rfind("/", 0, end)) >= 0:
-            route = self._routes.get((host, path[: end + 1]))
-            if route is not None:
-                return route
-        return None
-
 
 def pick_target(route: Route, draw: float) -> str:
     """Return the service that gets a request.
--- a/src/hickorybeam/tickets/checks.py
+++ b/src/hickorybeam/tickets/checks.py
@@ -22,6 +22,7 @@
     PlainService,
     Region,
     ResidencyRule,
+    ServiceRoute,
     ref_of,
 )
 
@@ -36,10 +37,13 @@
 MAX_TICKET_BYTES = 900_000
 MAX_PORT = 65_535
 MAX_NOTE = 1_000
+OWN_PATHS = "/v1/"
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 _MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@-]{0,127}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
+_HOST = re.compile(r"[a-z0-9][a-z0-9.-]{0,252}")
+_PREFIX = re.compile(r"/(?:[!-~]*/)?")
 _METHOD = re.compile(r"[A-Z]{1,20}")
 _KINDS = frozenset(kind.value for kind in ObjectKind)
 
@@ -120,6 +124,9 @@
                 for method in obj.non_idempotent
                 if not _METHOD.fullmatch(method)
             )
+        case ServiceRoute():
+            yield from _not_below(0, timeout_ms=obj.timeout_ms)
+            yield from _place_faults(obj)
         case BackendServer():
             yield from _above(0, slots=obj.slots, tokens_per_s=obj.tokens_per_s)
             if not 1 <= obj.port <= MAX_PORT:
@@ -128,6 +135,15 @@
                 yield f"host: expected an IP number, found {obj.host!r}"
 
 
+def _place_faults(route: ServiceRoute) -> Iterator[str]:
+    if not _HOST.fullmatch(route.host):
+        yield f"host: expected lower-case letters, digits, dots and hyphens, found {route.host!r}"
+    if not _PREFIX.fullmatch(route.prefix):
+        yield f"prefix: expected a path that begins and ends with a slash, found {route.prefix!r}"
+    elif route.prefix.startswith(OWN_PATHS):
+        yield f"prefix: paths under {OWN_PATHS!r} are the gateway's own"
+
+
 def _reference_faults(after: ConfigState, ticket: ChangeTicket) -> Iterator[str]:
     deleted = frozenset(ticket.deleted)
     for ref, entry in after.objects.items():
@@ -161,6 +177,8 @@
                 yield from _refs(ObjectKind.MODEL, obj.adapter_of)
         case PlainService():
             yield from _refs(ObjectKind.REGION, *obj.regions)
+        case ServiceRoute():
+            yield from _refs(ObjectKind.SERVICE, obj.service)
         case BackendServer():
             yield from _refs(ObjectKind.REGION, obj.region)
             engine = obj.kind is BackendKind.ENGINE
@@ -173,6 +191,12 @@
             region = after.regions.get(obj.region)
             if region is not None and obj.data_centre not in region.data_centres:
                 yield f"data centre {obj.data_centre!r} is not in region {obj.region!r}"
+        case ServiceRoute():
+            yield from (
+                f"{name!r} has the same host and prefix"
+                for name, other in after.routes.items()
+                if name < obj.name and (other.host, other.prefix) == (obj.host, obj.prefix)
+            )
         case ModelService(adapter_of=str(base)):
             found = after.models.get(base)
             if found is not None and found.adapter_of is not None:
--- a/src/hickorybeam/tickets/codec.py
+++ b/src/hickorybeam/tickets/codec.py
@@ -20,6 +20,7 @@
     PlainService,
     Region,
     ResidencyRule,
+    ServiceRoute,
     Versioned,
 )
 from hickorybeam.tickets.apply import LogState, UsedNumber
@@ -48,6 +49,7 @@
     ObjectKind.KEY.value: ClientKey,
     ObjectKind.MODEL.value: ModelService,
     ObjectKind.SERVICE.value: PlainService,
+    ObjectKind.ROUTE.value: ServiceRoute,
     ObjectKind.BACKEND.value: BackendServer,
 }
 
--- a/tests/steps/front/rig.py
+++ b/tests/steps/front/rig.py
@@ -22,6 +22,7 @@
     PlainService,
     Region,
     ResidencyRule,
+    ServiceRoute,
     VmId,
     key_digest,
 )
@@ -196,6 +197,16 @@
             ClientKey(name=key_digest(SECRET), account="family"),
             ModelService(name="small", regions=("here",)),
             PlainService(name="bookings", regions=("here",), timeout_ms=300),
+            ServiceRoute(name="all", host="shop.example", prefix="/", service="bookings"),
+            ServiceRoute(
+                name="look",
+                host="shop.example",
+                prefix="/look/",
+                service="bookings",
+                idempotent=True,
+                timeout_ms=700,
+            ),
+            ServiceRoute(name="lost", host="shop.example", prefix="/none/", service="nothing"),
         )
 
     def server(self, name, kind, port):
--- a/tests/steps/tickets/checks_steps.py
+++ b/tests/steps/tickets/checks_steps.py
@@ -13,8 +13,10 @@
     ClientKey,
     ModelService,
     ObjectRef,
+    PlainService,
     Region,
     ResidencyRule,
+    ServiceRoute,
 )
 from hickorybeam.store import MAX_VALUE_BYTES
 from hickorybeam.tickets import LogState, apply, judge
@@ -55,6 +57,18 @@
     context.state = apply(LogState(), ticket)
 
 
+def route_that(field, value, last):
+    """Return a service and a route to it with one field set, or two alike."""
+    way = ServiceRoute(name="way", host="shop.example", prefix="/a/", service="desk")
+    way = replace(way, **{"prefix" if field == "path" else field: value})
+    found = {"services": (PlainService(name="desk", regions=("here",)),), "routes": (way,)}
+    if last == "twice":
+        found["routes"] = (way, replace(way, name="other"))
+    if last == "none":
+        found["routes"] = (replace(way, service="none"),)
+    return found
+
+
 def ticket_that(change):
     words = re.findall(r'"[^"]*"|\S+', change)
     last = words[-1].strip('"')
@@ -84,6 +98,8 @@
             return {"backends": (replace(ENGINE, serves=(last,)),)}
         case ["makes", _]:
             return {"models": (replace(MODEL, adapter_of="base"),)}
+        case ["routes", field]:
+            return route_that(field, words[2].strip('"'), last)
         case ["touches", _]:
             return {}
         case ["has", "number"]:
--- a/tests/tickets/checks.feature
+++ b/tests/tickets/checks.feature
@@ -25,9 +25,14 @@
       | gives engine "e1" port 0                 | backends 'e1': port: expected 1 to 65535, found 0 |
       | lets engine "e1" serve "other"           | backends 'e1': refers to models 'other', which does not exist |
       | makes model "base" an adapter of itself  | models 'base': adapter_of: 'base' is an adapter itself |
+      | routes host "Shop" to service "desk"     | routes 'way': host: expected lower-case letters, digits, dots and hyphens, found 'Shop' |
+      | routes path "/a" to service "desk"       | routes 'way': prefix: expected a path that begins and ends with a slash, found '/a' |
+      | routes path "/v1/x/" to service "desk"   | routes 'way': prefix: paths under '/v1/' are the gateway's own |
+      | routes path "/a/" to service "none"      | routes 'way': refers to services 'none', which does not exist |
+      | routes path "/a/" twice                  | routes 'way': 'other' has the same host and prefix |
       | touches nothing                          | the ticket touches no object |
       | has number 0                             | number: expected 1 to 9007199254740991, found 0 |
-      | adds a model of 910000 bytes             | the ticket has 910224 bytes, at most 900000 are allowed |
+      | adds a model of 910000 bytes             | the ticket has 910236 bytes, at most 900000 are allowed |
       | sets account "shop" twice                | accounts 'shop': stands 2 times in the ticket |
 
   Scenario: all faults of one ticket are named at once
