--- a/src/hickorybeam/dispatch/load_task.py
+++ b/src/hickorybeam/dispatch/load_task.py
@@ -97,8 +97,12 @@
         """Hear the latest before the first call after a rest is judged.
 
         What is known then is up to ``IDLE_TICK_MS`` old: a call would be refused although
-        another region has told of room meanwhile.
+        another region has told of room meanwhile. A configuration that came into force since
+        counts at once: within a tick after the ticket that brought a model's first engine, calls
+        were refused as without any (5 of 42 starts of the demo).
         """
+        if self._seen is None or self._seen[0] != self._config.current().position:
+            self.refresh()
         now = self._clock.now()
         if now - self._taken_in >= TICK_MS:
             self._take_in(now)
--- a/tests/dispatch/dispatch.feature
+++ b/tests/dispatch/dispatch.feature
@@ -6,6 +6,15 @@
     Then the dispatch caller gets "whole"
     And 15 tokens were spent at dispatch
 
+  Scenario: a call that comes right after a ticket is judged by it
+    # The ticket brings the first engine and is in force. A call that comes within the same tenth
+    # of a second finds the engines as they were looked over before, none: it was refused, and told
+    # to come back in 40 s.
+    Given a dispatch gateway with engines "none"
+    When a ticket at dispatch "adds the first engine"
+    And a dispatch caller of account "family" asks
+    Then the dispatch caller gets "whole"
+
   Scenario Outline: a call that may not run here is refused before it costs anything
     # The entry VM checked the call, then a ticket changed the rule, or a peer with an older
     # view forwarded it. The check at the executing VM refuses it as not run.
--- a/tests/steps/dispatch/dispatch_steps.py
+++ b/tests/steps/dispatch/dispatch_steps.py
@@ -63,6 +63,8 @@
 @when('a ticket at dispatch "{change}"')
 def step_ticket(context, change):
     gw = context.gw
+    if change == "adds the first engine":
+        gw.engines.append(fakes.engine("e1"))
     objects = fakes.base_objects(gw.engines)
     deleted = []
     if change == "withdraws the key":
@@ -71,7 +73,7 @@
         objects = [
             replace(obj, residency="there-only") if obj.name == "family" else obj for obj in objects
         ]
-    else:
+    elif change != "adds the first engine":
         raise ValueError(change)
     objects = [obj for obj in objects if obj not in deleted]
     state = fakes.state_of(objects, position=gw.config.state.position + 1, deleted=deleted)
