--- a/src/hickorybeam/demo/fleet.py
+++ b/src/hickorybeam/demo/fleet.py
@@ -11,6 +11,7 @@
 from hickorybeam.daemon import Daemon
 from hickorybeam.demo.backends import start_backends
 from hickorybeam.demo.links import start_links
+from hickorybeam.ports import MEMBERS, Members
 from hickorybeam.standins import platform
 from hickorybeam.standins.relay import LinkState
 
@@ -27,6 +28,9 @@
 
 __all__ = ("Fleet", "start_fleet")
 
+MEET_LIMIT_S = 20.0
+MEET_POLL_S = 0.02
+
 
 @dataclass(slots=True)
 class Fleet:
@@ -46,6 +50,17 @@
         """Return the names of a region's entry VMs."""
         return [cfg.vm.name for cfg in self.deployment.vms if cfg.vm.region == region]
 
+    async def met(self) -> None:
+        """Wait until every entry VM knows every other one.
+
+        Whoever makes an account's ledger splits it over the VMs that it knows. One that isn't
+        known yet gets its part two rounds later, and refuses until then if it is cut off.
+        """
+        views = [it.kernel.find(MEMBERS, Members) for it in self.daemons.values()]  # type: ignore[type-abstract]
+        with anyio.fail_after(MEET_LIMIT_S):
+            while any(len(view.vms()) < len(views) for view in views):  # noqa: ASYNC110 - set by others
+                await anyio.sleep(MEET_POLL_S)
+
     async def cut(self, region: str) -> None:
         """Cut a region off from the other regions and from the platform."""
         await self.links.set_region(region, LinkState.CUT)
--- a/src/hickorybeam/demo/story.py
+++ b/src/hickorybeam/demo/story.py
@@ -102,7 +102,8 @@
                 await anyio.sleep(0.01)
 
     async def first_ticket(self) -> None:
-        """Configure the deployment."""
+        """Configure the deployment, once its entry VMs have met."""
+        await self.fleet.met()
         took = await self.submit(self.ticket)
         self.say(f"ticket 1 in force on {len(self.fleet.daemons)} entry VMs after {took:.0f} ms")
 
--- a/tests/demo/deployments.feature
+++ b/tests/demo/deployments.feature
@@ -17,8 +17,16 @@
     Examples:
       | deployment    |
       | tour-de-terre |
+      | umoja         |
 
-    @known_red
-    Examples: failed once, see KNOWN-RED.txt
-      | deployment |
-      | umoja      |
+  Scenario Outline: a region that is cut off right after the first ticket serves its own callers
+    # Nothing has been asked for yet when the region is cut. Its VMs have the model's engines and
+    # their parts of the account that the ticket made, and go on by themselves.
+    When the first ticket of example "<deployment>" is in force and a region is cut at once
+    Then the story says "answers its own caller" 2 times
+    And the story says "the ticket accepted meanwhile is in force there"
+
+    Examples:
+      | deployment    |
+      | tour-de-terre |
+      | umoja         |
