--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -17,6 +17,7 @@
 import msgspec
 from absl import logging
 
+from hickorybeam.gateway.datagrams import Datagrams
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.peers import YOUNG_MS, PeerTable
 from hickorybeam.gateway.registration import Registration
@@ -71,6 +72,8 @@
         self.holders = PrefixHolders()
         self.leaving = False
         self.forecast: dict[str, float] = {}
+        # How late the region's other VMs are heard, added up over them, in ms.
+        self.region_lag_ms = 0.0
         self.me = GatewayVm(
             name=cfg.vm.name,
             incarnation=secrets.token_hex(4),
@@ -137,7 +140,7 @@
         self._peer_socket = bound_socket(self._cfg.vm.host, self.me.peer_port)
         port = self._peer_socket.getsockname()[1]
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(self), local_addr=(self._cfg.vm.host, port)
+            lambda: Datagrams(self.receive), local_addr=(self._cfg.vm.host, port)
         )
         self.me = replace(self.me, peer_port=port)
         started()
@@ -216,6 +219,7 @@
         self._store.watch_wait_ms = watch_wait_ms(watching)
         heard = self.peers.heard_near(watcher_gone_after_ms(near))
         self._feed.watch_itself(watches_itself(self.me.name, heard))
+        self.region_lag_ms = self.peers.region_lag_ms()
 
     def _spread(self, now_ms: int) -> None:
         """Add up what the region's other VMs have at each backend server."""
@@ -386,14 +390,3 @@
         if tell.fresh and tell.up_ms < up_ms:
             audience = Audience.ASIDE if self.peers.here(peer) else Audience.FAR
             self._send(self._encoded(audience, answer=True), peer)
-
-
-class _Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, fleet: FleetService) -> None:
-        self._fleet = fleet
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._fleet.receive(data)
-
-    def error_received(self, exc: Exception) -> None:
-        logging.debug("datagram not delivered: %s", exc)
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -155,7 +155,7 @@
 
         VMs of a region get about as much each, since callers choose them at random.
         """
-        return self._recent[service].rate(now_ms) * self._fleet.peers.region_lag_ms()
+        return self._recent[service].rate(now_ms) * self._fleet.region_lag_ms
 
     def _usable(self, service: str, now_ms: int) -> list[ServerStanding]:
         """Return this region's servers that may get a request now."""
--- a/tests/gateway/fleet.feature
+++ b/tests/gateway/fleet.feature
@@ -38,6 +38,14 @@
     When a caller of "large" spends 400 tokens at "n1"
     Then within 3 s every VM has charged 400 tokens of "large" to "n1"
 
+  Scenario: a VM knows how late it hears the other VMs of its region, by which it draws servers
+    # Of the region's other VMs one is of the same data centre and tells it every 100 ms; two are
+    # of another one and tell a VM here every 400 ms, which passes it on. The south doesn't count.
+    Given a small gateway over data centres with VMs "n1, n2" and "o1, o2" and a southern region
+    Then within 2 s "n1" reckons that it hears them 1100 ms late, added up
+    When VM "n2" has crashed and "n1" hears it no more
+    Then within 2 s "n1" reckons that it hears them 1000 ms late, added up
+
   Scenario: a region whose VMs are all stopped within one grace period
     # VMs are stopped one after the other, faster than they come back. The last one that still
     # accepts is named rather than a VM of a region that may not process the requests, and it
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -1060,3 +1060,22 @@
 @when('the store answers "{vm}" again')
 def step_answers_again(context, vm):
     context.rig.vms[vm].feed._store._call = context.answering
+
+
+@then('within {limit:d} s "{vm}" reckons that it hears them {ms:d} ms late, added up')
+def step_lag(context, limit, vm, ms):
+    fleet = context.rig.vms[vm].fleet
+    context.call(lambda: context.rig.until(lambda: fleet.region_lag_ms == ms, limit_s=limit))
+
+
+@when('VM "{gone}" has crashed and "{vm}" hears it no more')
+def step_unheard(context, gone, vm):
+    async def crash():
+        rig = context.rig
+        rig.vms[gone].kill()
+        peers = rig.vms[vm].fleet.peers
+        await rig.until(
+            lambda: gone not in peers.by_name or not peers.is_heard(peers.by_name[gone])
+        )
+
+    context.call(crash)
