--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -79,7 +79,10 @@
 
 @dataclass(eq=False)
 class ServerStandIn:
-    """One backend server: its entry in the store and its answers."""
+    """One backend server: its entry in the store and its answers.
+
+    With a ``shape`` it is a model engine, which answers what tells its tokens from its ``batch``.
+    """
 
     id: str
     service: str
