The directory goes by the homes of a host also while VMs shut down or have just started

(1) A VM that had just started answered the directory before it had read any configuration: it knew no homes and no other VM, and named itself to callers of all regions. (2) A VM that shuts down left itself out of its answers, though it takes requests for 2.4 s more.

Change: the order stands in policy/directory.py; a VM without configuration names nobody, one that is 2.5 s old at most leads nobody out of a region; a VM that shuts down takes what ends in time for 4.6 s instead of 4 (of 8).

Excluded: the server's side, since each refusal says no_backend with nothing tried.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -70,7 +70,7 @@
         allowance = cfg.gateway.quota_allowance if cfg.gateway else 0.0
         self.quota = FleetQuota(allowance=allowance)
         self.holders = PrefixHolders()
-        self.leaving = False
+        self._leaving_since_ms: int | None = None
         self.forecast: dict[str, float] = {}
         # How late the region's other VMs are heard, added up over them, in ms.
         self.region_lag_ms = 0.0
@@ -98,6 +98,11 @@
         alive = counters.gauge("vms_heard", "VMs of the fleet that are heard, this one included")
         alive.set_function(lambda: self.heard())
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this VM shuts down."""
+        return self._leaving_since_ms is not None
+
     def bind(self, kernel: Kernel) -> None:
         """Look up the store and the feed."""
         self._store = kernel.find(PLATFORM, PacedPlatform)  # type: ignore[type-abstract]
@@ -111,6 +116,10 @@
         """Start new accounts with this allowance from now on."""
         self.quota.allowance = cfg.quota_allowance
 
+    def settled(self) -> bool:
+        """Whether this VM has run for long enough to have heard of all others."""
+        return self._clock.now() - self._started_ms >= YOUNG_MS
+
     def heard(self) -> int:
         """Return how many VMs are heard, this one included."""
         return 1 + self.peers.heard()
@@ -126,6 +135,13 @@
             found.append(self.me)
         return found
 
+    def leaving_vms(self, region: str) -> list[tuple[GatewayVm, int]]:
+        """Return the VMs of a region that shut down, and for how long each has, in ms."""
+        found = self.peers.leaving(region)
+        if region == self.me.region and self._leaving_since_ms is not None:
+            found.append((self.me, self._clock.now() - self._leaving_since_ms))
+        return found
+
     def near_names(self) -> list[str]:
         """Return the names of the VMs of this region, this one included."""
         return [self.me.name, *(vm.name for vm in self.peers.serving(self.me.region))]
@@ -167,7 +183,7 @@
 
     async def leave(self) -> None:
         """Tell peers and the store that callers should go elsewhere."""
-        self.leaving = True
+        self._leaving_since_ms = self._clock.now()
         self._tell_near()
         words: dict[Audience, bytes] = {}
         for peers in self.peers.outside().values():
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -88,16 +88,13 @@
             and peer.alive(now, self.heard_limit_ms)
         ]
 
-    def still_accepting(self, region: str, for_ms: float) -> list[GatewayVm]:
-        """Return the VMs of a region that began to leave less than ``for_ms`` ago."""
+    def leaving(self, region: str) -> list[tuple[GatewayVm, int]]:
+        """Return the VMs of a region that shut down, and for how long each has, in ms."""
         now = self._clock.now()
         return [
-            peer.vm
+            (peer.vm, now - peer.leaving_since_ms)
             for peer in self.by_name.values()
-            if peer.vm.region == region
-            and peer.leaving
-            and peer.heard(now, self.heard_limit_ms)
-            and now - peer.leaving_since_ms < for_ms
+            if peer.vm.region == region and peer.leaving and peer.heard(now, self.heard_limit_ms)
         ]
 
     def near(self) -> list[Peer]:
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -24,12 +24,14 @@
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import Repeat, Route
 from hickorybeam.platform import decode_call, decode_query, directory_answer
+from hickorybeam.policy.directory import RegionVms, vms_to_name
 from hickorybeam.ports import FEED, FLEET, RELAY
 from hickorybeam.sockets import bound_socket, split_address
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Sequence
 
     from hickorybeam.clock import Clock
     from hickorybeam.http1 import Incoming, Reply
@@ -54,9 +56,9 @@
 PLAIN = ((b"content-type", b"text/plain; version=0.0.4"),)
 # Shutdown, in shares of the time it may take: new requests are served while callers still hold
 # lists that name this VM, then only those that surely end in time, then no connection is taken
-# any more.
+# any more. The last VM of a caller's homes is used up to there.
 SERVE_ON_SHARE = 0.3
-ACCEPT_ON_SHARE = 0.5
+ACCEPT_ON_SHARE = 0.57
 END_MARGIN_MS = 400
 DRAIN_POLL_MS = 25
 
@@ -232,20 +234,29 @@
         answer = directory_answer(addresses, ttl_ms=LIST_VALID_MS)
         reply.whole(200, JSON, answer)
 
-    def _named(self, host: str, region: str) -> list[GatewayVm]:
-        """Return the VMs of the caller's region, of those that leave if there are no others.
+    def _named(self, host: str, region: str) -> Sequence[GatewayVm]:
+        """Return the VMs that a caller of a region should use."""
+        knowledge = self._feed.knowledge
+        if knowledge.config is None:
+            # Homes aren't known yet; a caller led out of them can't be served there.
+            return ()
+        return vms_to_name(
+            region,
+            homes=knowledge.table.homes(host.lower()),
+            regions={it: self._vms_of(it) for it in set(self._gateway.regions.values())},
+            settled=self._fleet.settled(),
+        )
 
-        Where it has none at all, those of another region: first of one that all routes of the
-        host may be processed in. A VM elsewhere would take a request that it has to hand on.
-        """
-        accepting_ms = self._gateway.grace_s * MS_PER_SECOND * SERVE_ON_SHARE
-        found = self._fleet.region_vms(region)
-        found = found or self._fleet.peers.still_accepting(region, accepting_ms)
-        homes = self._feed.knowledge.table.homes(host.lower())
-        others = sorted(set(self._gateway.regions.values()), key=lambda it: (it not in homes, it))
-        for other in others:
-            found = found or self._fleet.region_vms(other)
-        return found
+    def _vms_of(self, region: str) -> RegionVms:
+        """Sort a region's VMs by what they still take."""
+        grace_ms = self._gateway.grace_s * MS_PER_SECOND
+        serve_on_ms, accept_on_ms = grace_ms * SERVE_ON_SHARE, grace_ms * ACCEPT_ON_SHARE
+        leaving = self._fleet.leaving_vms(region)
+        return RegionVms(
+            serving=self._fleet.region_vms(region),
+            closing=[vm for vm, for_ms in leaving if for_ms < serve_on_ms],
+            finishing=[vm for vm, for_ms in leaving if serve_on_ms <= for_ms < accept_on_ms],
+        )
 
     async def _state(self, req: Incoming, reply: Reply) -> None:
         if req.target.decode("latin-1") == STATE_PATH and self._feed.knowledge.config:
--- /dev/null
+++ b/src/hickorybeam/policy/directory.py
@@ -0,0 +1,80 @@
+"""Which VMs the directory names to a caller.
+
+Load it answers: VMs that are stopped and started in turn, faster than the ones before are back,
+until a region has only VMs that shut down. A caller led out of its homes costs two ways between
+regions and may be refused there; one that is named a VM which has just stopped taking requests
+is refused as well, but comes back. So homes go before VMs that take everything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterator, Mapping, Sequence
+
+    from hickorybeam.model.routing import GatewayVm
+
+__all__ = ("NO_VMS", "RegionVms", "vms_to_name")
+
+
+@dataclass(frozen=True, slots=True)
+class RegionVms:
+    """The VMs of one region, by what they still take.
+
+    ``closing`` VMs shut down and take everything for a moment yet; ``finishing`` ones take only
+    requests that surely end before they do.
+    """
+
+    serving: Sequence[GatewayVm] = ()
+    closing: Sequence[GatewayVm] = ()
+    finishing: Sequence[GatewayVm] = ()
+
+
+NO_VMS = RegionVms()
+
+
+def vms_to_name(
+    region: str,
+    *,
+    homes: Collection[str],
+    regions: Mapping[str, RegionVms],
+    settled: bool,
+) -> Sequence[GatewayVm]:
+    """Return the VMs that a caller of a region should use, none if it should ask elsewhere.
+
+    :param homes: regions that the routes of the caller's host are bound to, empty for none.
+    :param settled: this VM has had the time to hear of all others. One that has just started
+        knows few of them; it would lead callers out of their homes past VMs that it doesn't
+        know yet. Told nothing, they ask another VM or keep the answer that they have.
+    """
+    for choice in _choices(region, homes, regions, settled=settled):
+        if choice:
+            return choice
+    return ()
+
+
+def _choices(
+    region: str,
+    homes: Collection[str],
+    regions: Mapping[str, RegionVms],
+    *,
+    settled: bool,
+) -> Iterator[Sequence[GatewayVm]]:
+    """Yield what may be named, best first."""
+    own = regions.get(region, NO_VMS)
+    yield own.serving
+    yield own.closing
+    at_home = [regions[it] for it in sorted(homes) if it in regions]
+    yield from (it.serving for it in at_home)
+    yield from (it.closing for it in at_home)
+    if homes:
+        yield own.finishing
+    yield from (it.finishing for it in at_home)
+    if not settled:
+        return
+    others = [regions[it] for it in sorted(regions) if it != region]
+    yield from (it.serving for it in others)
+    yield from (it.closing for it in others)
+    yield own.finishing
--- /dev/null
+++ b/tests/steps/policy/directory_steps.py
@@ -0,0 +1,41 @@
+from __future__ import annotations
+
+import re
+
+from behave import given, then
+
+from hickorybeam.model.routing import GatewayVm
+from hickorybeam.policy.directory import RegionVms, vms_to_name
+
+PART = re.compile(r'(serving|closing|finishing) "(\w+)"')
+
+
+def vm(name, region):
+    return GatewayVm(
+        name=name,
+        incarnation="1",
+        region=region,
+        data_centre=region,
+        host="10.0.0.1",
+        caller_port=1,
+        peer_port=2,
+    )
+
+
+@given("the directory knows {region} with {text}")
+def step_region(context, region, text):
+    kinds = {kind: (vm(name, region),) for kind, name in PART.findall(text)}
+    context.directory = {**getattr(context, "directory", {}), region: RegionVms(**kinds)}
+    context.settled = True
+
+
+@given("the directory has just started")
+def step_started(context):
+    context.settled = False
+
+
+@then('a caller in {region} bound to "{homes}" is named "{names}"')
+def step_named(context, region, homes, names):
+    bound = {it.strip() for it in homes.split(",")} - {"no region"}
+    found = vms_to_name(region, homes=bound, regions=context.directory, settled=context.settled)
+    assert (", ".join(it.name for it in found) or "nobody") == names, found
