A late answer is logged with where its time went

So far nothing in the log led from a late answer to its cause. The line tells the time in line, the wait that its server promised, the first byte, the longest pause between events and the sends; counted as outcome late.

--- a/src/hickorybeam/gateway/endings.py
+++ b/src/hickorybeam/gateway/endings.py
@@ -120,6 +120,32 @@
             headers = (*headers, *hop_mark(progress, exc.retry_after_ms))
         reply.whole(answer.status, headers, close=exc.kind is ErrorKind.DRAINING)
 
+    def answered(self, errand: Errand, target: Target, progress: Progress) -> None:
+        """Count a good answer, and log why it was late if it was.
+
+        A request that another VM handed over is judged there, where its objective is known.
+        """
+        pace, route = progress.pace, errand.route
+        first_ms = (pace.first_ms or self._clock.now()) - errand.call.arrived_ms
+        too_late = errand.elapsed_ms + first_ms > route.target_ms
+        paused = 0 < route.gap_ms < pace.longest_gap_ms
+        if progress.here_only or not (too_late or paused):
+            self.count(errand, "answered")
+            return
+        self.count(errand, "late")
+        self.note(
+            "late",
+            errand,
+            target,
+            first_ms=first_ms,
+            asked_ms_before=errand.elapsed_ms,
+            in_line_ms=progress.waited_ms,
+            foreseen_ms=round(progress.foreseen_ms),
+            longest_gap_ms=pace.longest_gap_ms,
+            prompt_tokens=errand.call.prompt_tokens,
+            sends=progress.sends,
+        )
+
     def count(self, errand: Errand, outcome: str) -> None:
         """Count how a request ended."""
         self._counters.requests.labels(errand.route.name, outcome).inc()
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -199,6 +199,7 @@
                         return target
             return Full(line.policy.estimate_ms(errand.urgency, self._clock.now()))
         finally:
+            progress.waited_ms += self._clock.now() - now
             line.leave(place)
 
     def _choose(self, errand: Errand, progress: Progress) -> Target | Full | None:
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -13,7 +13,24 @@
     from hickorybeam.http1 import AnswerHead, Reply
     from hickorybeam.platform import AnswerFacts
 
-__all__ = ("Progress", "name_of")
+__all__ = ("Pace", "Progress", "name_of")
+
+
+@dataclass(slots=True)
+class Pace:
+    """When the parts of an answer came, in ms on this VM's clock."""
+
+    first_ms: int | None = None
+    last_ms: int = 0
+    longest_gap_ms: int = 0
+
+    def came(self, now_ms: int) -> None:
+        """Take note of some bytes of the answer."""
+        if self.first_ms is None:
+            self.first_ms = now_ms
+        else:
+            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - self.last_ms)
+        self.last_ms = now_ms
 
 
 @dataclass(slots=True)
@@ -27,6 +44,7 @@
     ``room_in_ms`` is when the first of them expects to have room.
     ``onward`` is where it goes next, chosen when it was decided to leave a silent server.
     ``here_only``: it came from another VM, so it is run in this region or not at all.
+    ``waited_ms`` is the time in line, ``foreseen_ms`` the wait that the last target promised.
     """
 
     reply: Reply
@@ -42,6 +60,9 @@
     why: str = ""
     onward: Target | None = None
     here_only: bool = False
+    waited_ms: int = 0
+    foreseen_ms: float = 0.0
+    pace: Pace = field(default_factory=Pace)
 
     def refused_by(self, region: str, room_in_ms: int | None) -> None:
         """Take note that a region did not run it, and when it expects to have room."""
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -68,7 +68,8 @@
         """
         standing = target.standing if isinstance(target, ToServer) else None
         copy_from = self._placing.copy_from(standing, errand)
-        patience_ms = self._first_byte_ms(standing, errand, progress)
+        progress.foreseen_ms = self._foreseen_ms(standing, errand)
+        patience_ms = self._first_byte_ms(errand, progress)
         reading = self._begin(standing, errand)
         attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
@@ -83,6 +84,8 @@
                 self._take_facts(standing, facts)
             await self._take_answer(attempt, head, facts, errand, progress, standing)
             progress.flying = False
+            if progress.reply.done:
+                self._endings.answered(errand, target, progress)
         except NotSentError as exc:
             progress.flying = False
             progress.rejected |= exc.rejected
@@ -139,15 +142,15 @@
         standing.holding -= size_of(errand.call)
         self._lines.of(errand.service).departed()
 
-    def _first_byte_ms(
-        self, standing: ServerStanding | None, errand: Errand, progress: Progress
-    ) -> float | None:
-        foreseen_ms = 0.0
-        if standing is not None:
-            call, now = errand.call, self._clock.now()
-            foreseen_ms = wait_ms(standing, call.parts, call.prompt_tokens, now)
+    def _foreseen_ms(self, standing: ServerStanding | None, errand: Errand) -> float:
+        if standing is None:
+            return 0.0
+        call, now = errand.call, self._clock.now()
+        return wait_ms(standing, call.parts, call.prompt_tokens, now)
+
+    def _first_byte_ms(self, errand: Errand, progress: Progress) -> float | None:
         runs_left = errand.route.max_attempts - progress.runs - 1
-        return first_byte_ms(errand.route, runs_left=runs_left, foreseen_ms=foreseen_ms)
+        return first_byte_ms(errand.route, runs_left=runs_left, foreseen_ms=progress.foreseen_ms)
 
     def _take_facts(self, standing: ServerStanding, facts: AnswerFacts) -> None:
         now = self._clock.now()
@@ -201,7 +204,7 @@
             progress.why = f"status {facts.status}"
             return
         progress.reply.whole(facts.status, answer_headers(head.headers), body)
-        self._endings.count(errand, "answered")
+        progress.pace.came(self._clock.now())
 
     async def _relay_stream(
         self, attempt: Attempt, head: AnswerHead, errand: Errand, progress: Progress
@@ -211,6 +214,7 @@
             reply.begin(head.status, answer_headers(head.headers))
         try:
             while data := await attempt.chunk():
+                progress.pace.came(self._clock.now())
                 await reply.chunk(cutter.whole(data) if errand.route.resumable else data)
         except BrokenAnswerError:
             errand.resume_after = cutter.last_id or errand.resume_after
@@ -220,7 +224,6 @@
         progress.runs += 1
         await reply.chunk(cutter.rest())
         reply.end()
-        self._endings.count(errand, "answered")
 
     def _unreachable(self, target: Target, attempt: Attempt) -> None:
         """Leave a target that took no connection or fell silent, with its idle connections."""
