VMs that hear of no changes ask their servers whether they are cold

Excluded: cold owners, which agree in a region of two VMs; words between VMs, which were cut as well.

Change: a service cold_asking. While neither the store nor a VM of the data centre tells changes, the two owners of each server that can turn cold ask for its health each 300 ms and tell the region's others. The stand-in server answers such questions.

--- /dev/null
+++ b/src/hickorybeam/gateway/cold_asking.py
@@ -0,0 +1,104 @@
+"""The service ``cold_asking``: finds servers that turn cold while nobody tells changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+import anyio
+
+from hickorybeam.clock import MS_PER_SECOND
+from hickorybeam.gateway.feed import FeedService
+from hickorybeam.gateway.fleet import FleetService
+from hickorybeam.http1 import BrokenAnswerError, ConnectFailedError, UpstreamPool
+from hickorybeam.http1.head import request_bytes
+from hickorybeam.kernel import Service
+from hickorybeam.platform import decode_answer
+from hickorybeam.policy.cold_watch import ASK_EVERY_MS, servers_to_ask
+from hickorybeam.ports import COLD_ASKING, FEED, FLEET
+from hickorybeam.telemetry.decisions import DecisionLog
+
+if TYPE_CHECKING:
+    from hickorybeam.clock import Clock
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.model.routing import RegisteredServer
+    from hickorybeam.settings import Settings
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("ColdAskingService",)
+
+# A server that has a free place answers at once.
+ANSWER_LIMIT_MS = 250
+HOST_HEADER = ((b"host", b"server"),)
+
+
+class ColdAskingService(Service):
+    """Asks servers of this region for their health while this VM hears of no changes."""
+
+    name: ClassVar[str] = COLD_ASKING
+    needs: ClassVar[tuple[str, ...]] = (FEED, FLEET)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._regions = cfg.gateway.regions if cfg.gateway else {}
+        self._clock = clock
+        self._log = DecisionLog(clock)
+        self._pool = UpstreamPool(clock, connect_ms=ANSWER_LIMIT_MS, silent_ms=ANSWER_LIMIT_MS)
+        self._asked = counters.counter("health_questions", "Health questions to backend servers")
+
+    def bind(self, kernel: Kernel) -> None:
+        """Look up neighbours."""
+        self._feed = kernel.find(FEED, FeedService)
+        self._fleet = kernel.find(FLEET, FleetService)
+
+    async def main(self, started: Started) -> None:
+        """Ask until cancelled."""
+        started()
+        while True:
+            await self._clock.sleep(ASK_EVERY_MS)
+            if self._feed.is_told or self._fleet.told_beside():
+                continue
+            async with anyio.create_task_group() as tg:
+                for server in self._due():
+                    tg.start_soon(self._ask, server)
+
+    def _due(self) -> list[RegisteredServer]:
+        """Return this VM's servers of services that tell how much a cold one bears."""
+        knowledge = self._feed.knowledge
+        services = knowledge.config.services if knowledge.config else {}
+        found = {}
+        for service, spec in services.items():
+            for standing in knowledge.servers(service) if spec.cold_per_s > 0 else ():
+                if self._regions.get(standing.server.data_centre) == self._fleet.me.region:
+                    found[standing.server.id] = standing.server
+        mine = servers_to_ask(self._fleet.me.name, servers=found, vms=self._fleet.near_names())
+        return [found[name] for name in mine]
+
+    async def _ask(self, server: RegisteredServer) -> None:
+        address = (server.host, server.port)
+        try:
+            with anyio.fail_after(ANSWER_LIMIT_MS / MS_PER_SECOND):
+                cold_ms = await self._cold_ms(server, address)
+        except (ConnectFailedError, BrokenAnswerError, TimeoutError) as exc:
+            self._log.note("no_health", server=server.id, why=repr(exc))
+            self._pool.forget(address)
+            return
+        if cold_ms:
+            self._feed.knowledge.cold(server.id, cold_ms, self._clock.now())
+            self._fleet.found_cold(server.id, cold_ms)
+
+    async def _cold_ms(self, server: RegisteredServer, address: tuple[str, int]) -> int | None:
+        """Return for how long a server stays cold by its own word."""
+        config = self._feed.knowledge.config
+        spec = config.services.get(server.service) if config else None
+        if spec is None:
+            return None
+        self._asked.inc()
+        conn = await self._pool.take(address)
+        try:
+            conn.send(request_bytes("GET", spec.health_path.encode(), HOST_HEADER, b""))
+            facts = decode_answer(await conn.head())
+            await conn.body()
+        except BaseException:
+            conn.abort()
+            raise
+        self._pool.give_back(address, conn)
+        return facts.cold_ms
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -72,6 +72,8 @@
         self.holders = PrefixHolders()
         self._leaving_since_ms: int | None = None
         self.forecast: dict[str, float] = {}
+        # Servers that this VM found cold itself.
+        self._cold_until: dict[str, int] = {}
         # How late the region's other VMs are heard, added up over them, in ms.
         self.region_lag_ms = 0.0
         self.me = GatewayVm(
@@ -146,6 +148,15 @@
         """Return the names of the VMs of this region, this one included."""
         return [self.me.name, *(vm.name for vm in self.peers.serving(self.me.region))]
 
+    def told_beside(self) -> bool:
+        """Whether a VM of this data centre tells this one what changes in the store."""
+        limit_ms = watcher_gone_after_ms(len(self.peers.near()))
+        return any(self.peers.heard_near(limit_ms).values())
+
+    def found_cold(self, server_id: str, cold_ms: int) -> None:
+        """Tell the region's VMs that a server said of itself that it is cold."""
+        self._cold_until[server_id] = self._clock.now() + cold_ms
+
     def elsewhere(self, service: str) -> list[RegionForecast]:
         """Return VMs of other regions that take requests for a service, best first."""
         return self.peers.elsewhere(service)
@@ -325,8 +336,14 @@
             # Peers may not know it: a VM that restarts while the store is out isn't registered.
             vm=None if self._registration.held else self.me,
             holds={} if answer else self.holders.news(audience.value),
+            cold={} if far else self._cold_left(),
         )
 
+    def _cold_left(self) -> dict[str, int]:
+        now = self._clock.now()
+        self._cold_until = {name: due for name, due in self._cold_until.items() if due > now}
+        return {name: due - now for name, due in self._cold_until.items()}
+
     def _spends(self, *, whole: bool) -> dict[str, float]:
         """Return totals by account, or only what changed since this data centre was told.
 
@@ -381,6 +398,8 @@
         if self.peers.here(peer):
             kept = {} if tell.whole or peer.servers is None else peer.servers
             peer.servers = kept | tell.servers
+            for server, cold_ms in tell.cold.items():
+                self._feed.knowledge.cold(server, cold_ms, now)
         else:
             peer.forecasts = tell.forecasts
         younger = tell.up_ms < now - self._started_ms
--- a/src/hickorybeam/gateway/tell.py
+++ b/src/hickorybeam/gateway/tell.py
@@ -28,7 +28,8 @@
 
     Where ``whole`` is false, ``spent`` and ``servers`` hold only what changed since it was told
     last; a lost datagram is made good by the next whole one. ``follows``: it watches the store
-    and reaches it.
+    and reaches it. ``cold`` tells for how many ms servers stay cold that it found so itself; told
+    on by others, it would grow by the way of each word.
     """
 
     name: str
@@ -46,3 +47,4 @@
     holds: dict[str, str] = {}
     relayed: list[Tell] = []
     follows: bool = False
+    cold: dict[str, int] = {}
--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -27,6 +27,7 @@
 __all__ = (
     "BACKENDS",
     "BUDGET",
+    "COLD_ASKING",
     "CONFIG",
     "CONTROL",
     "DISPATCH",
@@ -65,6 +66,7 @@
 FEED = "feed"
 FLEET = "fleet"
 RELAY = "relay"
+COLD_ASKING = "cold_asking"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -31,6 +31,7 @@
 
 EVENTS = 6
 EVENT_EVERY_MS = 4
+HEALTH_PATH = b"/health"
 EVENT_STREAM = (b"content-type", b"text/event-stream")
 # Requests that an engine keeps waiting, for each of its slots.
 QUEUED_PER_SLOT = 2
@@ -92,6 +93,8 @@
     slots: int = 8
     events: int = EVENTS
     work_ms: int = 1
+    cold_ms: int = 0
+    health_questions: int = 0
     port: int = 0
     running: int = 0
     most_running: int = 0
@@ -133,6 +136,11 @@
 
     async def answer(self, req: Incoming, reply: Reply) -> None:
         """Answer one request, or fail it as the switches say."""
+        if req.target == HEALTH_PATH:
+            self.health_questions += 1
+            cold = ((names.COLD, b"%d" % self.cold_ms),) if self.cold_ms else ()
+            reply.whole(200, ((names.SERVER_ID, self.id.encode()), *cold))
+            return
         rejection = self._rejection(req)
         request_id = find(req.headers, names.REQUEST_ID) or b""
         arrival = Arrival(request_id.decode(), req.headers, req.body, rejection is None)
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -37,6 +37,22 @@
     And 6 callers of "small" ask "n1" for "/chat/x" by POST
     Then server "m1" ran at most 2 requests
 
+  Scenario: a server that turns cold while nobody tells changes is found by asking it
+    # The store is out for all VMs, or this data centre is cut off from it. A server that it goes
+    # on sending to turns cold; its entry in the store would have told. Sent to at the full rate,
+    # it crashes. One VM asks it for its health and tells the other, which did not.
+    Given a small gateway with servers "m1:model, b1:books"
+    When the store goes out and is known to be out
+    And server "m1" turns cold for 4000 ms
+    Then within 2 s every VM knows that server "m1" is cold
+    When 6 callers of "small" ask "n1" for "/chat/x" by POST
+    Then server "m1" ran at most 2 requests
+
+  Scenario: servers are not asked while the store tells changes
+    Given a small gateway with servers "m1:model, b1:books"
+    When 1.5 s pass
+    Then no VM has asked a server for its health
+
   Scenario: an entry that another writer left names no server and harms no other
     Given a small gateway
     When the store gets foreign entries for servers
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -463,6 +463,37 @@
     context.call(lapse)
 
 
+@when("the store goes out and is known to be out")
+def step_known_out(context):
+    async def out():
+        rig = context.rig
+        rig.app.stand_in.faults.set_out(True)
+        await rig.until(lambda: not any(vm.feed.is_told for vm in rig.vms.values()))
+
+    context.call(out)
+
+
+@when('server "{name}" turns cold for {ms:d} ms')
+def step_turns_cold(context, name, ms):
+    context.rig.servers[name].cold_ms = ms
+
+
+@then('within {limit:d} s every VM knows that server "{name}" is cold')
+def step_known_cold(context, limit, name):
+    async def known():
+        vms = context.rig.vms.values()
+        with anyio.fail_after(limit):
+            while not all(vm.knowledge.is_cold(name, SystemClock().now()) for vm in vms):
+                await anyio.sleep(0.02)
+
+    context.call(known)
+
+
+@then("no VM has asked a server for its health")
+def step_not_asked(context):
+    assert not any(server.health_questions for server in context.rig.servers.values())
+
+
 @when("the store is back")
 def step_back(context):
     async def back():
