--- a/src/hickorybeam/gateway/endings.py
+++ b/src/hickorybeam/gateway/endings.py
@@ -138,6 +138,8 @@
             errand,
             target,
             first_ms=first_ms,
+            target_ms=route.target_ms,
+            paused=paused,
             asked_ms_before=errand.elapsed_ms,
             in_line_ms=progress.waited_ms,
             foreseen_ms=round(progress.foreseen_ms),
