A VM that has just started holds its callers until it has read the configuration

The stand-in gateway without a configuration has a server now, so that the scenario can see an answer.

--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -14,6 +14,7 @@
 import msgspec
 from absl import logging
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.asking import VmAsker
 from hickorybeam.gateway.changes import ChangeLog, decode_changes, decode_entries, encode_entries
@@ -84,6 +85,7 @@
         self.watches = True
         self._source: Address | None = None
         self._news = anyio.Event()
+        self._configured = anyio.Event()
         self._seeds = cfg.gateway.seeds if cfg.gateway else ()
         # Since when another VM has known a later change, and which.
         self._behind_since_ms: int | None = None
@@ -192,6 +194,11 @@
             self._learn(batch)
         self._complete = max(self._complete, changes.revision)
 
+    async def configured(self, limit_ms: float) -> None:
+        """Wait until any configuration is known, or until the limit has passed."""
+        with anyio.move_on_after(limit_ms / MS_PER_SECOND):
+            await self._configured.wait()
+
     def changes_after(self, revision: int) -> bytes | None:
         """Return the changes after a revision for another VM, if they are all known."""
         if not self._loaded:
@@ -338,6 +345,7 @@
                 if self.knowledge.take_config(config):
                     logging.info("configuration %d is in force", config.version)
                     self._version.set(config.version)
+                    self._configured.set()
                     for listener in self._config_listeners:
                         listener()
             case ServerSeen(server):
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -35,6 +35,10 @@
 
 # Sends of one request, those included that were surely not run.
 MOST_SENDS = 4
+# A VM that has just started reads the configuration within this time, in ms: two ways to a store
+# in another region and a start of its own. Until then its callers wait here; refused, they would
+# come back after as long and have no further try. One that still knows none refuses at once.
+STARTING_MS = 1_000
 
 
 class RequestPath:
@@ -54,7 +58,9 @@
         self._cfg = cfg
         self._clock = clock
         self._counters = counters
+        self._feed = feed
         self._knowledge = feed.knowledge
+        self._started_ms = clock.now()
         self._fleet = fleet
         self._budgets: dict[str, AttemptBudget] = {}
         self._lines = Lines(clock)
@@ -83,6 +89,8 @@
     async def answer(self, req: Incoming, reply: Reply) -> None:
         """Answer one request of a caller."""
         call = decode_call(req)
+        if self._knowledge.config is None:
+            await self._feed.configured(self._started_ms + STARTING_MS - self._clock.now())
         try:
             errand = self._admission.admit(call)
         except GatewayError as exc:
--- a/tests/gateway/store.feature
+++ b/tests/gateway/store.feature
@@ -34,6 +34,14 @@
     Then the caller gets 503 with a time to come back
     And "n1" is not ready
 
+  Scenario: a VM that has just started holds its callers until it has read the configuration
+    # All VMs were killed and start again. Callers connect at once, half a second before the VM
+    # has read the configuration from a store in another region. Refused as not run, they come
+    # back after that time, and one that was refused before has no further try.
+    Given a gateway without a configuration
+    When the operator writes the first configuration 300 ms after a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200
+
   Scenario: servers that lapsed with the store are kept until it has been back for a while
     # The leases of all servers run out while the store is out; the servers are alive and
     # register again about 2 s after its return. Dropped at once, every request would fail.
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -69,6 +69,7 @@
     async def bare():
         async with start_platform_fleet() as fleet:
             fleet.app.delete("op/config")
+            await fleet.add_server("b1", "books", "north-1")
             await fleet.add_vm("n1", "north-1")
             yield fleet
 
@@ -394,6 +395,26 @@
     context.call(foreign)
 
 
+@when(
+    "the operator writes the first configuration {ms:d} ms after "
+    'a caller of "{key}" asks "{vm}" for "{path}"'
+)
+def step_first_config(context, ms, key, vm, path):
+    rig = context.rig
+
+    async def ask_then_configure():
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(configure)
+            return await rig.call(vm, path, key=key)
+
+    async def configure():
+        await anyio.sleep(ms / 1000)
+        rig.configure()
+
+    context.reply = context.call(ask_then_configure)
+    context.replies = [context.reply]
+
+
 @when("the store goes silent")
 def step_silent(context):
     context.rig.app.silent = True
