Servers' reading speeds are learned, and a long prompt goes where few streams run

Change: reading a prompt costs its time and 0.15 of it for each request that runs there; servers and regions are compared by that, and regions tell how many run. Reading speeds are learned per server from first events (policy/server_pace.py) instead of one figure for all.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -45,7 +45,7 @@
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.peers import Peer, RegionForecast
-    from hickorybeam.gateway.tell import ServerFigures
+    from hickorybeam.gateway.tell import RegionFigures, ServerFigures
     from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import GatewaySettings, Settings
@@ -71,7 +71,7 @@
         self.quota = FleetQuota(allowance=allowance)
         self.holders = PrefixHolders()
         self._leaving_since_ms: int | None = None
-        self.forecast: dict[str, float] = {}
+        self.forecast: dict[str, RegionFigures] = {}
         # Servers that this VM found cold itself.
         self._cold_until: dict[str, int] = {}
         # How late the region's other VMs are heard, added up over them, in ms.
@@ -329,7 +329,7 @@
             fresh=self._fresh,
             spent=self._spends(whole=whole),
             servers={} if far else self._server_figures(whole=whole),
-            forecasts={name: round(wait) for name, wait in self.forecast.items()} if far else {},
+            forecasts=self.forecast if far else {},
             whole=whole,
             relayed=list(relayed),
             levels=self.quota.levels() if answer else None,
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -26,6 +26,7 @@
     from hickorybeam.gateway.attempt import Errand, Target
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.tell import RegionFigures
     from hickorybeam.http1 import Incoming, Reply, UpstreamPool
     from hickorybeam.settings import GatewaySettings
     from hickorybeam.telemetry import Counters
@@ -238,8 +239,8 @@
             budget = self._budgets[service] = AttemptBudget(bounds_of(self._cfg))
         return budget
 
-    def forecasts(self) -> dict[str, float]:
-        """Return the wait of an empty prompt in this region, by service that has servers."""
+    def forecasts(self) -> dict[str, RegionFigures]:
+        """Return what other regions are told of this one, by service that has servers."""
         return self._placing.forecasts()
 
     def reload(self, cfg: GatewaySettings) -> None:
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.tell import ServerFigures
+    from hickorybeam.gateway.tell import RegionFigures, ServerFigures
 
 __all__ = ("YOUNG_MS", "Peer", "PeerTable", "RegionForecast")
 
@@ -34,7 +34,7 @@
     leaving_since_ms: int = 0
     follows: bool = False
     servers: dict[str, ServerFigures] | None = None
-    forecasts: dict[str, float] | None = None
+    forecasts: dict[str, RegionFigures] | None = None
 
     def alive(self, now_ms: int, heard_limit_ms: int) -> bool:
         """Whether it was heard, or is too new to have been."""
@@ -47,10 +47,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RegionForecast:
-    """A VM of another region that takes requests for a service, and the wait there in ms."""
+    """A VM of another region that takes requests for a service, and what it tells of it.
+
+    ``wait_ms`` is that of an empty prompt, ``running`` the requests at the server of that wait.
+    """
 
     peer: Peer
     wait_ms: float
+    running: int
 
 
 class PeerTable:
@@ -149,7 +153,7 @@
         """Return VMs of other regions that take requests for a service, best first."""
         now = self._clock.now()
         found = [
-            RegionForecast(peer, peer.forecasts[service])
+            RegionForecast(peer, *peer.forecasts[service])
             for peer in self.by_name.values()
             if not self.here(peer)
             and not peer.leaving
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -9,7 +9,8 @@
 
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.policy.cold_limit import cold_owners
-from hickorybeam.policy.server_choice import READ_TOKENS_PER_MS, choose_server, wait_ms
+from hickorybeam.policy.server_choice import choose_server, reading_cost_ms, wait_ms
+from hickorybeam.policy.server_pace import FIRST_READ_TOKENS_PER_MS
 from hickorybeam.policy.stale_load import RecentWork
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.knowledge import Knowledge
     from hickorybeam.gateway.line import Lines
+    from hickorybeam.gateway.tell import RegionFigures
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.cold_limit import ColdLimit
     from hickorybeam.policy.server_choice import ServerStanding
@@ -146,9 +148,9 @@
             data_centre=self._fleet.me.data_centre,
         )
 
-    def sent(self, service: str, reading: int) -> None:
-        """Take note that this VM sent a server so many prompt tokens to read."""
-        self._recent[service].sent(reading / READ_TOKENS_PER_MS, self._clock.now())
+    def sent(self, service: str, reading_ms: float) -> None:
+        """Take note that this VM sent a server prompts that it reads for so long."""
+        self._recent[service].sent(reading_ms, self._clock.now())
 
     def _unseen_ms(self, service: str, now_ms: int) -> float:
         """Return the reading that the region's other VMs sent since they were heard.
@@ -192,8 +194,9 @@
         # Peers of one region tell nearly the same wait; the same one for all would be flooded.
         best = [it for it in found if it.wait_ms <= found[0].wait_ms + SAME_WAIT_MS]
         pick = self._rng.choice(best)
-        reading = errand.call.prompt_tokens / READ_TOKENS_PER_MS
-        return ToPeer(pick.peer), pick.wait_ms + reading + REGION_WAY_MS
+        reading_ms = errand.call.prompt_tokens / FIRST_READ_TOKENS_PER_MS
+        cost_ms = reading_cost_ms(reading_ms, pick.running)
+        return ToPeer(pick.peer), pick.wait_ms + cost_ms + REGION_WAY_MS
 
     def _allowed(self, errand: Errand, region: str) -> bool:
         homes = [errand.route.homes]
@@ -216,18 +219,19 @@
             return None
         return f"{holder.server.host}:{holder.server.port}"
 
-    def forecasts(self) -> dict[str, float]:
-        """Return the wait of an empty prompt in this region, by service that has servers."""
+    def forecasts(self) -> dict[str, RegionFigures]:
+        """Return what other regions are told of this one, by service that has servers."""
         config = self._knowledge.config
         now = self._clock.now()
-        found = {}
+        found: dict[str, RegionFigures] = {}
         for service in config.services if config else ():
             usable = self._usable(service, now)
-            waits = [wait_ms(it, (), 0, now) for it in usable if it.has_room(0, now)]
-            if waits:
-                found[service] = min(waits)
+            free = [it for it in usable if it.has_room(0, now)]
+            if free:
+                found[service] = min((round(wait_ms(it, (), 0, now)), it.busy(now)) for it in free)
             elif usable:
-                found[service] = self._lines.of(service).policy.estimate_ms(0, now) + FULL_MS
+                wait = self._lines.of(service).policy.estimate_ms(0, now) + FULL_MS
+                found[service] = (round(wait), min(it.busy(now) for it in usable))
         return found
 
 
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hickorybeam.clock import MS_PER_SECOND
@@ -35,6 +36,19 @@
 DEFAULT_CACHE_TOKENS = 200_000
 
 
+@dataclass(slots=True)
+class Burden:
+    """What one send adds to its server's reading.
+
+    ``reading`` prompt tokens are its own, as long as they aren't read; ``ahead`` were to be read
+    there when it was sent at ``sent_ms``, its own and known others.
+    """
+
+    reading: int = 0
+    ahead: int = 0
+    sent_ms: int = 0
+
+
 class Sending:
     """Sends requests to servers and to other VMs, and takes note of how it went."""
 
@@ -70,7 +84,7 @@
         copy_from = self._placing.copy_from(standing, errand)
         progress.foreseen_ms = self._foreseen_ms(standing, errand)
         patience_ms = self._first_byte_ms(errand, progress)
-        reading = self._begin(standing, errand)
+        burden = self._begin(standing, errand)
         attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
         try:
@@ -79,8 +93,7 @@
             )
             self._observe_first_byte(errand)
             if standing is not None:
-                standing.reading -= reading
-                reading = 0
+                self._has_read(standing, burden, copied=copy_from is not None)
                 self._take_facts(standing, facts)
             await self._take_answer(attempt, head, facts, errand, progress, standing)
             progress.flying = False
@@ -104,7 +117,7 @@
             self._endings.note("broken", errand, target, why=progress.why)
         finally:
             if standing is not None:
-                self._end(standing, errand, reading)
+                self._end(standing, errand, burden)
             attempt.close()
 
     def _broke(self, exc: BrokenAnswerError, target: Target, attempt: Attempt) -> None:
@@ -118,12 +131,12 @@
         took_ms = self._clock.now() - errand.call.arrived_ms
         self._first_byte.labels(errand.route.name).observe(took_ms / MS_PER_SECOND)
 
-    def _begin(self, standing: ServerStanding | None, errand: Errand) -> int:
+    def _begin(self, standing: ServerStanding | None, errand: Errand) -> Burden:
         if standing is None:
-            return 0
+            return Burden()
         call = errand.call
         reading = standing.memory.missing(call.parts) if call.parts else call.prompt_tokens
-        self._placing.sent(errand.service, reading)
+        self._placing.sent(errand.service, standing.pace.reading_ms(reading))
         standing.running += 1
         standing.reading += reading
         standing.holding += size_of(call)
@@ -133,12 +146,23 @@
         standing.memory_tokens = room
         standing.memory.sent(call.parts, room or DEFAULT_CACHE_TOKENS)
         self._fleet.holders.sent(call.parts, standing.server.id, self._clock.now())
-        return reading
+        ahead = standing.reading + standing.reading_elsewhere
+        return Burden(reading=reading, ahead=ahead, sent_ms=self._clock.now())
+
+    def _has_read(self, standing: ServerStanding, burden: Burden, *, copied: bool) -> None:
+        """Take the first sign of an answer: its prompt is read.
+
+        :param copied: parts of it were copied instead of being read.
+        """
+        if not copied:
+            standing.pace.has_read(burden.ahead, self._clock.now() - burden.sent_ms)
+        standing.reading -= burden.reading
+        burden.reading = 0
 
-    def _end(self, standing: ServerStanding, errand: Errand, reading: int) -> None:
-        """Take back what ``_begin`` counted; ``reading`` is what is left of it."""
+    def _end(self, standing: ServerStanding, errand: Errand, burden: Burden) -> None:
+        """Take back what ``_begin`` counted and is left of it."""
         standing.running -= 1
-        standing.reading -= reading
+        standing.reading -= burden.reading
         standing.holding -= size_of(errand.call)
         self._lines.of(errand.service).departed()
 
--- a/src/hickorybeam/gateway/tell.py
+++ b/src/hickorybeam/gateway/tell.py
@@ -8,11 +8,14 @@
 
 from hickorybeam.model.routing import GatewayVm  # noqa: TC001 - msgspec reads the annotation
 
-__all__ = ("NOTHING", "Audience", "ServerFigures", "Tell")
+__all__ = ("NOTHING", "Audience", "RegionFigures", "ServerFigures", "Tell")
 
 # Requests that run at a server, prompt tokens that are still to be read there, tokens held.
 ServerFigures = tuple[int, int, int]
 NOTHING: ServerFigures = (0, 0, 0)
+# How long an empty prompt would wait in a region, in ms, and how many requests run at the server
+# where it would.
+RegionFigures = tuple[int, int]
 
 
 class Audience(Enum):
@@ -40,7 +43,7 @@
     fresh: bool
     spent: dict[str, float]
     servers: dict[str, ServerFigures]
-    forecasts: dict[str, float]
+    forecasts: dict[str, RegionFigures]
     whole: bool = True
     levels: dict[str, float] | None = None
     vm: GatewayVm | None = None
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.policy.cold_limit import rendezvous
+from hickorybeam.policy.server_pace import ServerPace
 from hickorybeam.policy.stale_load import draw
 
 if TYPE_CHECKING:
@@ -24,15 +25,16 @@
 
     from hickorybeam.model.routing import PromptPart, RegisteredServer
 
-__all__ = ("PrefixMemory", "ServerStanding", "choose_server", "wait_ms")
+__all__ = ("PrefixMemory", "ServerStanding", "choose_server", "reading_cost_ms", "wait_ms")
 
-# Prompt tokens that an engine reads in a ms; the order of size of today's engines. It only
-# weighs reading against queueing, so that a factor of two changes few choices.
-READ_TOKENS_PER_MS = 40.0
 # What one more request in a full server's queue waits, in ms.
 QUEUED_MS = 60.0
 # What each running request adds through larger batches, in ms; decides among idle servers.
 RUNNING_MS = 1.0
+# A prompt is read in pieces between the events of the streams that run there, and slows each of
+# them by the piece's time: events come late, and whole streams with them. So each running
+# request adds this share of the prompt's reading time; long prompts go where few streams run.
+INTERFERENCE_SHARE = 0.15
 # A told load older than this says nothing any more, in ms.
 TOLD_VALID_MS = 1_500
 # What a server that fails all requests costs the next one, in ms, counted from the share of
@@ -108,6 +110,7 @@
     paused_until_ms: int = 0
     pause_ms: int = 0
     memory: PrefixMemory = field(default_factory=PrefixMemory)
+    pace: ServerPace = field(default_factory=ServerPace)
 
     def told(self, *, busy: int, now_ms: int) -> None:
         """Take what the server says of itself: requests that run or wait there."""
@@ -146,19 +149,30 @@
         return not self.memory_tokens or held + tokens <= self.memory_tokens * MEMORY_SHARE
 
 
+def reading_cost_ms(reading_ms: float, running: int) -> float:
+    """Return what reading a prompt costs, those included whose streams it slows.
+
+    :param running: requests that run at the server.
+    """
+    return reading_ms * (1 + running * INTERFERENCE_SHARE)
+
+
 def wait_ms(
     standing: ServerStanding, parts: Sequence[PromptPart], tokens: int, now_ms: int
 ) -> float:
     """Return how long a request would wait for its first byte at a server.
 
+    What it costs the streams that run there is counted as if it waited for it.
+
     :param tokens: size of the prompt, where its parts aren't told.
     """
     missing = standing.memory.missing(parts) if parts else tokens
-    reading = standing.reading + standing.reading_elsewhere + missing
+    ahead = standing.reading + standing.reading_elsewhere
     busy = standing.busy(now_ms)
     queued = max(0, busy + 1 - standing.server.slots)
     return (
-        reading / READ_TOKENS_PER_MS
+        standing.pace.reading_ms(ahead)
+        + reading_cost_ms(standing.pace.reading_ms(missing), busy)
         + queued * QUEUED_MS
         + busy * RUNNING_MS
         + max(0.0, standing.failing - USUAL_FAILING) * FAILURE_MS
@@ -197,7 +211,7 @@
         if standing.server.id == home:
             # As if it held the shared parts: it will from now on.
             shared = sum(part.tokens for part in parts[:-1])
-            wait -= min(shared, standing.memory.missing(parts)) / READ_TOKENS_PER_MS
+            wait -= standing.pace.reading_ms(min(shared, standing.memory.missing(parts)))
         if data_centre and standing.server.data_centre != data_centre:
             wait += OTHER_CENTRE_MS
         waits.append(wait)
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -229,6 +229,7 @@
     assert {choose_in(context, centre, prompt(f"s{n}")) for n in range(count)} == {name}
 
 
+@given('server "{name}" has {running:d} requests running and {waiting:d} waiting')
 @when('server "{name}" has {running:d} requests running and {waiting:d} waiting')
 def step_has(context, name, running, waiting):
     context.standings[name].running = running + waiting
