No guess at when a caller first asked

Streams' callers were taken for ones that came back when their patience was shorter than the route's time-out.

--- a/src/hickorybeam/gateway/admission.py
+++ b/src/hickorybeam/gateway/admission.py
@@ -8,7 +8,7 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.attempt import Errand
 from hickorybeam.model import key_digest
-from hickorybeam.model.routing import Repeat, Unit
+from hickorybeam.model.routing import Unit
 from hickorybeam.policy.come_back import come_back_ms
 from hickorybeam.policy.route_table import pick_target
 
@@ -74,7 +74,6 @@
             deadline_ms=deadline,
             resume_after=call.resume_after,
             cost=cost,
-            elapsed_ms=elapsed_of(call, route),
         )
 
     def _ready_in_ms(self, call: RelayCall) -> int:
@@ -113,17 +112,6 @@
     return float(call.prompt_tokens + call.output_tokens)
 
 
-def elapsed_of(call: RelayCall, route: Route) -> int:
-    """Return how long ago a stream's caller probably asked first.
-
-    Callers whose patience is the route's time-out and who come back have less of it left.
-    """
-    if route.repeat is not Repeat.STREAM:
-        return 0
-    patience = call.deadline_ms - call.arrived_ms
-    return max(0, route.timeout_ms - patience) if patience >= route.timeout_ms // 4 else 0
-
-
 def urgency_of(route: Route, terms: AccountTerms | None) -> int:
     """Return how urgent a request is at a server, 0 first; an account's rank goes first."""
     if terms is None or terms.rank is None:
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -104,8 +104,7 @@
     """A request with all that was decided about it.
 
     ``resume_after`` is the id of the last event that the caller has; it moves as a stream goes
-    on. ``elapsed_ms`` is how long before its arrival the caller first asked.
-    ``deadline_ms`` is on this VM's clock.
+    on. ``deadline_ms`` is on this VM's clock.
     """
 
     call: RelayCall
@@ -116,7 +115,6 @@
     deadline_ms: int
     resume_after: str | None
     cost: float = 0.0
-    elapsed_ms: int = 0
 
 
 class Attempt:
--- a/src/hickorybeam/gateway/endings.py
+++ b/src/hickorybeam/gateway/endings.py
@@ -127,7 +127,7 @@
         """
         pace, route = progress.pace, errand.route
         first_ms = (pace.first_ms or self._clock.now()) - errand.call.arrived_ms
-        too_late = errand.elapsed_ms + first_ms > route.target_ms
+        too_late = first_ms > route.target_ms
         paused = 0 < route.gap_ms < pace.longest_gap_ms
         if progress.here_only or not (too_late or paused):
             self.count(errand, "answered")
@@ -140,7 +140,6 @@
             first_ms=first_ms,
             target_ms=route.target_ms,
             paused=paused,
-            asked_ms_before=errand.elapsed_ms,
             in_line_ms=progress.waited_ms,
             foreseen_ms=round(progress.foreseen_ms),
             longest_gap_ms=pace.longest_gap_ms,
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -195,7 +195,7 @@
         now = self._clock.now()
         patience = patience_ms(
             target_ms=errand.route.target_ms,
-            elapsed_ms=errand.elapsed_ms + now - errand.call.arrived_ms,
+            elapsed_ms=now - errand.call.arrived_ms,
         )
         place = line.policy.enter(errand.urgency, patience, now)
         if place is None:
--- a/src/hickorybeam/policy/wait_line.py
+++ b/src/hickorybeam/policy/wait_line.py
@@ -35,7 +35,7 @@
 def patience_ms(*, target_ms: int, elapsed_ms: int) -> int:
     """Return how long a request may wait for a place.
 
-    :param elapsed_ms: how long ago its caller first asked, as far as is known.
+    :param elapsed_ms: how long ago it arrived.
     """
     left = int(target_ms * SHARE_OF_TARGET) - elapsed_ms
     return left if left > 0 else LATE_PATIENCE_MS
--- a/tools/lost.py
+++ b/tools/lost.py
@@ -81,7 +81,7 @@
 def cause_of(late: dict[str, Any]) -> str:
     """Name what made an answer late, from its log line."""
     if late["first_ms"] <= late["target_ms"]:
-        return "a pause between events" if late["paused"] else "asked before"
+        return "a pause between events"
     if late["in_line_ms"] > IN_LINE_SHARE * late["target_ms"]:
         return "its place in line"
     if late["sends"] > 1:
