--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -235,7 +235,8 @@
 
     async def _talk_outside(self) -> None:
         while True:
-            await self._clock.sleep(outside_every_ms(self.known()))
+            young = not self.settled()
+            await self._clock.sleep(outside_every_ms(self.known(), young=young))
             self._tell_outside()
 
     def _adapt(self) -> None:
--- a/src/hickorybeam/policy/pacing.py
+++ b/src/hickorybeam/policy/pacing.py
@@ -27,6 +27,10 @@
 OUTSIDE_EVERY_MS = 400
 OUTSIDE_EVERY_PER_VM_MS = 8
 MOST_OUTSIDE_EVERY_MS = 1_500
+# After all VMs were killed, those of a region hear of no other for as long as these words are
+# apart, while every caller comes back at once: its own servers got a second's worth of prompts
+# beside idle ones elsewhere.
+YOUNG_OUTSIDE_EVERY_MS = 100
 # A VM that wasn't heard for so many words that it should have sent counts as gone, and not
 # before the least time: it is not named to callers and holds no part of a quota.
 HEARD_TIMES = 4
@@ -49,8 +53,13 @@
     return max(NEAR_EVERY_MS, NEAR_EVERY_PER_VM_MS * near)
 
 
-def outside_every_ms(vms: int) -> int:
-    """Return the time between words to each other data centre, in a fleet of so many VMs."""
+def outside_every_ms(vms: int, *, young: bool = False) -> int:
+    """Return the time between words to each other data centre, in a fleet of so many VMs.
+
+    :param young: the VM has just started and is to be heard soon.
+    """
+    if young:
+        return YOUNG_OUTSIDE_EVERY_MS
     return max(OUTSIDE_EVERY_MS, min(MOST_OUTSIDE_EVERY_MS, OUTSIDE_EVERY_PER_VM_MS * vms))
 
 
--- a/tests/steps/policy/pacing_steps.py
+++ b/tests/steps/policy/pacing_steps.py
@@ -27,3 +27,8 @@
     _, _, watchers = context.sizes
     assert pacing.watch_rest_ms(watchers) == rest
     assert pacing.watch_wait_ms(watchers) == wait
+
+
+@then("a young VM of {vms:d} tells other data centres each {ms:d} ms")
+def step_young(context, vms, ms):
+    assert pacing.outside_every_ms(vms, young=True) == ms
