A prompt that can only be late waits here until a server has little to read

Excluded: capacity; bounds of 12,000 and 24,000 tokens ahead had refused more than they gained.

Change: such a prompt waits in the line, for up to 2.5 times its objective, until its best server has less than 50 ms to read; then, or when its patience is over, it is sent. Nobody is refused for it. The flags of choosing a target are one type now.

--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -12,14 +12,14 @@
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.gateway.endings import Endings
 from hickorybeam.gateway.line import Lines
-from hickorybeam.gateway.placing import Full, Placing
+from hickorybeam.gateway.placing import Full, OpenTargets, Placing
 from hickorybeam.gateway.progress import Progress, name_of
 from hickorybeam.gateway.sending import Sending
 from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.attempt_budget import AttemptBudget, RepeatBounds
 from hickorybeam.policy.come_back import bounded_ms, longest_wait_ms
-from hickorybeam.policy.wait_line import patience_ms
+from hickorybeam.policy.wait_line import late_patience_ms, patience_ms
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -140,7 +140,9 @@
             return target
         found = self._choose(errand, progress)
         if isinstance(found, Full):
-            found = await self._wait(errand, progress)
+            found = await self._wait(errand, progress, found)
+            if isinstance(found, Full):
+                found = self._choose(errand, progress, late_waits=False)
         if isinstance(found, Full):
             self._overloaded(errand, progress)
             return None
@@ -189,14 +191,14 @@
         self._counters.retries.labels("repeat").inc()
         return True
 
-    async def _wait(self, errand: Errand, progress: Progress) -> Target | Full | None:
-        """Wait in the service's line for room, within what the request's objective leaves."""
+    async def _wait(self, errand: Errand, progress: Progress, found: Full) -> Target | Full | None:
+        """Wait in the service's line for room, within what the request's objective leaves.
+
+        :param found: why it was not placed at once.
+        """
         line = self._lines.of(errand.service)
         now = self._clock.now()
-        patience = patience_ms(
-            target_ms=errand.route.target_ms,
-            elapsed_ms=now - errand.call.arrived_ms,
-        )
+        patience = patience_of(errand, now, late=found.late)
         place = line.policy.enter(errand.urgency, patience, now)
         if place is None:
             return Full(line.policy.estimate_ms(errand.urgency, now))
@@ -211,15 +213,18 @@
             progress.waited_ms += self._clock.now() - now
             line.leave(place)
 
-    def _choose(self, errand: Errand, progress: Progress) -> Target | Full | None:
+    def _choose(
+        self, errand: Errand, progress: Progress, *, late_waits: bool = True
+    ) -> Target | Full | None:
         repeatable = errand.route.repeat is Repeat.IDEMPOTENT
-        return self._placing.choose(
-            errand,
-            progress.tried,
+        targets = OpenTargets(
+            tried=progress.tried,
+            refused=progress.refused,
             again=repeatable and progress.failed is not None,
             here_only=progress.here_only,
-            refused=progress.refused,
+            late_waits=late_waits,
         )
+        return self._placing.choose(errand, targets)
 
     def _overloaded(self, errand: Errand, progress: Progress) -> None:
         """Refuse a request for which there is no room in time, and say when there will be."""
@@ -259,6 +264,20 @@
         self._admission.draining = True
 
 
+def patience_of(errand: Errand, now_ms: int, *, late: bool) -> int:
+    """Return how long a request may wait in line.
+
+    :param late: it waits since it could only be late.
+    """
+    target_ms, elapsed_ms = errand.route.target_ms, now_ms - errand.call.arrived_ms
+    usual = patience_ms(target_ms=target_ms, elapsed_ms=elapsed_ms)
+    if not late:
+        return usual
+    left_ms = errand.deadline_ms - now_ms
+    longer = late_patience_ms(target_ms=target_ms, elapsed_ms=elapsed_ms, left_ms=left_ms)
+    return max(usual, longer)
+
+
 def bounds_of(cfg: GatewaySettings) -> RepeatBounds:
     """Return the bounds on repeats that the settings give."""
     return RepeatBounds(
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -9,6 +9,7 @@
 
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.policy.cold_limit import cold_owners
+from hickorybeam.policy.late_work import gives_way
 from hickorybeam.policy.server_choice import choose_server, reading_cost_ms, wait_ms
 from hickorybeam.policy.server_pace import FIRST_READ_TOKENS_PER_MS
 from hickorybeam.policy.stale_load import RecentWork
@@ -24,9 +25,9 @@
     from hickorybeam.gateway.tell import RegionFigures
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.cold_limit import ColdLimit
-    from hickorybeam.policy.server_choice import ServerStanding
+from hickorybeam.policy.server_choice import ServerStanding
 
-__all__ = ("Full", "Placing", "size_of")
+__all__ = ("Full", "OpenTargets", "Placing", "size_of")
 
 # The way to another region and back, in ms, and by how much its wait has to be shorter.
 REGION_WAY_MS = 160.0
@@ -40,9 +41,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Full:
-    """Servers that may take a request have no room; about when there will be."""
+    """Servers that may take a request have no room; about when there will be.
+
+    ``late``: they have, but it could only be late there, and gives way to others.
+    """
 
     wait_ms: float
+    late: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OpenTargets:
+    """Which targets are open to a request.
+
+    ``tried`` names those that it was sent to before; ``again``: one of them may be tried again
+    where there is no other. ``refused`` names regions that have refused it: another VM of one
+    has the same servers. ``here_only``: it came from another VM, so it is run in this region or
+    not at all. ``late_waits``: if it can only be late, it waits for a server with little to read.
+    """
+
+    tried: Collection[str] = ()
+    refused: Collection[str] = ()
+    again: bool = False
+    here_only: bool = False
+    late_waits: bool = True
 
 
 class Placing:
@@ -69,27 +91,13 @@
         self._recent: defaultdict[str, RecentWork] = defaultdict(RecentWork)
         self._nothing_since: dict[str, int] = {}
 
-    def choose(
-        self,
-        errand: Errand,
-        tried: set[str],
-        *,
-        again: bool,
-        here_only: bool,
-        refused: Collection[str] = (),
-    ) -> Target | Full | None:
-        """Pick a server of this region, or a VM of another one whose wait is much shorter.
-
-        :param tried: names of targets that the request was sent to before.
-        :param again: a server that was tried may be tried again where there is no other.
-        :param here_only: it came from another VM, so it is run in this region or not at all.
-        :param refused: regions that have refused it; another VM of one has the same servers.
-        """
+    def choose(self, errand: Errand, targets: OpenTargets) -> Target | Full | None:
+        """Pick a server of this region, or a VM of another one whose wait is much shorter."""
         now = self._clock.now()
-        found = self._chosen(errand, tried, now, again=again, here_only=here_only, refused=refused)
+        found = self._chosen(errand, targets, now)
         if found is not None:
             self._nothing_since.pop(errand.service, None)
-        elif not tried:
+        elif not targets.tried:
             self._nothing_since.setdefault(errand.service, now)
         return found
 
@@ -97,20 +105,11 @@
         """Return for how long nothing has been found that could take a service's requests."""
         return now_ms - self._nothing_since.get(service, now_ms)
 
-    def _chosen(
-        self,
-        errand: Errand,
-        tried: set[str],
-        now: int,
-        *,
-        again: bool,
-        here_only: bool,
-        refused: Collection[str],
-    ) -> Target | Full | None:
+    def _chosen(self, errand: Errand, targets: OpenTargets, now: int) -> Target | Full | None:
         here: ServerStanding | Full | None = None
-        if here_only or self._allowed(errand, self._fleet.me.region):
-            here = self._choose_here(errand, tried, now, again=again)
-        away = None if here_only else self._choose_away(errand, tried, refused)
+        if targets.here_only or self._allowed(errand, self._fleet.me.region):
+            here = self._choose_here(errand, targets, now)
+        away = None if targets.here_only else self._choose_away(errand, targets)
         if here is None:
             return away[0] if away else None
         if away is not None and self._wait_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
@@ -127,18 +126,18 @@
         return wait_ms(here, errand.call.parts, errand.call.prompt_tokens, now_ms)
 
     def _choose_here(
-        self, errand: Errand, tried: set[str], now_ms: int, *, again: bool
+        self, errand: Errand, targets: OpenTargets, now_ms: int
     ) -> ServerStanding | Full | None:
         usable = self._usable(errand.service, now_ms)
-        fresh = [it for it in usable if it.server.id not in tried]
-        if not fresh and again:
+        fresh = [it for it in usable if it.server.id not in targets.tried]
+        if not fresh and targets.again:
             fresh = usable
         call = errand.call
         size = size_of(call)
         with_room = [it for it in fresh if it.has_room(size, now_ms)]
         if fresh and not with_room:
             return Full(self._lines.of(errand.service).policy.estimate_ms(errand.urgency, now_ms))
-        return choose_server(
+        found = choose_server(
             with_room,
             parts=call.parts,
             tokens=call.prompt_tokens,
@@ -147,6 +146,26 @@
             unseen_ms=self._unseen_ms(errand.service, now_ms),
             data_centre=self._fleet.me.data_centre,
         )
+        if found is None or targets.here_only or not targets.late_waits:
+            return found
+        return self._unless_late(found, errand, now_ms)
+
+    def _unless_late(
+        self, standing: ServerStanding, errand: Errand, now_ms: int
+    ) -> ServerStanding | Full:
+        """Return the server, or for how long a prompt that can only be late would wait there."""
+        call, pace = errand.call, standing.pace
+        if not call.parts:
+            return standing
+        ahead_ms = pace.reading_ms(standing.reading + standing.reading_elsewhere)
+        reading_ms = pace.reading_ms(standing.memory.missing(call.parts))
+        late = gives_way(
+            target_ms=errand.route.target_ms,
+            gone_ms=now_ms - call.arrived_ms,
+            ahead_ms=ahead_ms,
+            reading_ms=reading_ms,
+        )
+        return Full(ahead_ms + reading_ms, late=True) if late else standing
 
     def sent(self, service: str, reading_ms: float) -> None:
         """Take note that this VM sent a server prompts that it reads for so long."""
@@ -179,15 +198,13 @@
     def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
         return self._knowledge.cold_limit(standing.server, now_ms)
 
-    def _choose_away(
-        self, errand: Errand, tried: set[str], refused: Collection[str]
-    ) -> tuple[Target, float] | None:
+    def _choose_away(self, errand: Errand, targets: OpenTargets) -> tuple[Target, float] | None:
         found = [
             it
             for it in self._fleet.elsewhere(errand.service)
             if self._allowed(errand, it.peer.vm.region)
-            and it.peer.vm.name not in tried
-            and it.peer.vm.region not in refused
+            and it.peer.vm.name not in targets.tried
+            and it.peer.vm.region not in targets.refused
         ]
         if not found:
             return None
--- a/src/hickorybeam/policy/wait_line.py
+++ b/src/hickorybeam/policy/wait_line.py
@@ -14,9 +14,13 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ("Place", "WaitLine", "patience_ms")
+__all__ = ("Place", "WaitLine", "late_patience_ms", "patience_ms")
 
 MS_PER_SECOND = 1000
+# One that can only be late at its servers waits until this many times its objective, and for no
+# more than this share of what is left.
+LATE_TIMES_TARGET = 2.5
+LATE_SHARE_OF_LEFT = 0.5
 # Departures are counted over this span, in ms: long enough for a few of them at the least
 # load that fills a server, short enough to follow a server that is lost.
 SPAN_MS = 1_000
@@ -41,6 +45,17 @@
     return left if left > 0 else LATE_PATIENCE_MS
 
 
+def late_patience_ms(*, target_ms: int, elapsed_ms: int, left_ms: int) -> int:
+    """Return how long a request that can only be late may wait for its servers to be idle.
+
+    Callers of streams leave after four times their objective without an event.
+
+    :param elapsed_ms: how long ago it arrived.
+    :param left_ms: what is left until its deadline.
+    """
+    return int(min(target_ms * LATE_TIMES_TARGET - elapsed_ms, left_ms * LATE_SHARE_OF_LEFT))
+
+
 @dataclass(order=True, slots=True)
 class Place:
     """One waiting request; the least comes first."""
