A home region whose VMs all shut down still gets what surely ends there

Change: where no other VM may take it, a request goes to one that shuts down and surely ends it before it does (policy/shutdown.py, which holds the times of a shutdown for the relay as well).

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -157,9 +157,12 @@
         """Tell the region's VMs that a server said of itself that it is cold."""
         self._cold_until[server_id] = self._clock.now() + cold_ms
 
-    def elsewhere(self, service: str) -> list[RegionForecast]:
-        """Return VMs of other regions that take requests for a service, best first."""
-        return self.peers.elsewhere(service)
+    def elsewhere(self, service: str, *, leaving: bool = False) -> list[RegionForecast]:
+        """Return VMs of other regions that take requests for a service, best first.
+
+        :param leaving: those that shut down instead of those that stay.
+        """
+        return self.peers.elsewhere(service, leaving=leaving)
 
     async def main(self, started: Started) -> None:
         """Register and talk until cancelled."""
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -19,6 +19,7 @@
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.attempt_budget import AttemptBudget, RepeatBounds
 from hickorybeam.policy.come_back import bounded_ms, longest_wait_ms
+from hickorybeam.policy.shutdown import Shutdown
 from hickorybeam.policy.wait_line import late_patience_ms, patience_ms
 
 if TYPE_CHECKING:
@@ -32,7 +33,7 @@
     from hickorybeam.telemetry import Counters
     from hickorybeam.telemetry.decisions import DecisionLog
 
-__all__ = ("RequestPath",)
+__all__ = ("RequestPath", "shutdown_of")
 
 # Sends of one request, those included that were surely not run.
 MOST_SENDS = 4
@@ -68,6 +69,7 @@
         self._admission = Admission(clock=clock, knowledge=feed.knowledge, quota=fleet.quota)
         self._placing = Placing(
             regions=cfg.regions,
+            shutdown=shutdown_of(cfg),
             clock=clock,
             knowledge=feed.knowledge,
             fleet=fleet,
@@ -252,6 +254,7 @@
         """Take over other bounds on repeats, and other regions."""
         self._cfg = cfg
         self._placing.regions = cfg.regions
+        self._placing.shutdown = shutdown_of(cfg)
         for budget in self._budgets.values():
             budget.change(bounds_of(cfg))
 
@@ -278,6 +281,11 @@
     return max(usual, longer)
 
 
+def shutdown_of(cfg: GatewaySettings) -> Shutdown:
+    """Return the times of a shutdown that the settings give."""
+    return Shutdown(cfg.grace_s * MS_PER_SECOND)
+
+
 def bounds_of(cfg: GatewaySettings) -> RepeatBounds:
     """Return the bounds on repeats that the settings give."""
     return RepeatBounds(
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -149,14 +149,17 @@
         """Whether a VM is of this region."""
         return peer.vm.region == self._me.region
 
-    def elsewhere(self, service: str) -> list[RegionForecast]:
-        """Return VMs of other regions that take requests for a service, best first."""
+    def elsewhere(self, service: str, *, leaving: bool = False) -> list[RegionForecast]:
+        """Return VMs of other regions that take requests for a service, best first.
+
+        :param leaving: those that shut down instead of those that stay.
+        """
         now = self._clock.now()
         found = [
             RegionForecast(peer, *peer.forecasts[service])
             for peer in self.by_name.values()
             if not self.here(peer)
-            and not peer.leaving
+            and peer.leaving == leaving
             and peer.heard(now, self.heard_limit_ms)
             and peer.forecasts is not None
             and service in peer.forecasts
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -15,16 +15,18 @@
 from hickorybeam.policy.stale_load import RecentWork
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.attempt import Errand, Target
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.knowledge import Knowledge
     from hickorybeam.gateway.line import Lines
+    from hickorybeam.gateway.peers import RegionForecast
     from hickorybeam.gateway.tell import RegionFigures
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.cold_limit import ColdLimit
+    from hickorybeam.policy.shutdown import Shutdown
 from hickorybeam.policy.server_choice import ServerStanding
 
 __all__ = ("Full", "OpenTargets", "Placing", "size_of")
@@ -71,18 +73,21 @@
     """Chooses targets by what this VM knows now.
 
     :param regions: leads from data centres to regions.
+    :param shutdown: what VMs that shut down still take.
     """
 
     def __init__(
         self,
         *,
         regions: Mapping[str, str],
+        shutdown: Shutdown,
         clock: Clock,
         knowledge: Knowledge,
         fleet: FleetService,
         lines: Lines,
     ) -> None:
         self.regions = regions
+        self.shutdown = shutdown
         self._clock = clock
         self._knowledge = knowledge
         self._fleet = fleet
@@ -199,13 +204,9 @@
         return self._knowledge.cold_limit(standing.server, now_ms)
 
     def _choose_away(self, errand: Errand, targets: OpenTargets) -> tuple[Target, float] | None:
-        found = [
-            it
-            for it in self._fleet.elsewhere(errand.service)
-            if self._allowed(errand, it.peer.vm.region)
-            and it.peer.vm.name not in targets.tried
-            and it.peer.vm.region not in targets.refused
-        ]
+        found = self._elsewhere(errand, targets, self._fleet.elsewhere(errand.service))
+        if not found:
+            found = self._elsewhere(errand, targets, self._finishing(errand))
         if not found:
             return None
         # Peers of one region tell nearly the same wait; the same one for all would be flooded.
@@ -215,6 +216,32 @@
         cost_ms = reading_cost_ms(reading_ms, pick.running)
         return ToPeer(pick.peer), pick.wait_ms + cost_ms + REGION_WAY_MS
 
+    def _elsewhere(
+        self, errand: Errand, targets: OpenTargets, told: Iterable[RegionForecast]
+    ) -> list[RegionForecast]:
+        """Return those other regions' VMs that a request may go to."""
+        return [
+            it
+            for it in told
+            if self._allowed(errand, it.peer.vm.region)
+            and it.peer.vm.name not in targets.tried
+            and it.peer.vm.region not in targets.refused
+        ]
+
+    def _finishing(self, errand: Errand) -> list[RegionForecast]:
+        """Return VMs of other regions that shut down and surely end a request before they do.
+
+        While a region's VMs are replaced in turn, all of them may be shutting down. Requests that
+        may run nowhere else would be refused for seconds, though these VMs still take them.
+        """
+        now = self._clock.now()
+        left_ms = errand.deadline_ms - now
+        return [
+            it
+            for it in self._fleet.elsewhere(errand.service, leaving=True)
+            if self.shutdown.finishes(since_ms=now - it.peer.leaving_since_ms, left_ms=left_ms)
+        ]
+
     def _allowed(self, errand: Errand, region: str) -> bool:
         homes = [errand.route.homes]
         config = self._knowledge.config
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -8,7 +8,6 @@
 import anyio
 from absl import logging
 
-from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import (
     HOP_ACCOUNT,
     HOP_LEFT,
@@ -19,7 +18,7 @@
 )
 from hickorybeam.gateway.feed import CHANGES_PATH, STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
-from hickorybeam.gateway.path import RequestPath
+from hickorybeam.gateway.path import RequestPath, shutdown_of
 from hickorybeam.http1 import HttpServer, UpstreamPool, find
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import Repeat, Route
@@ -56,12 +55,6 @@
 JSON = ((b"content-type", b"application/json"),)
 MSGPACK = ((b"content-type", b"application/msgpack"),)
 PLAIN = ((b"content-type", b"text/plain; version=0.0.4"),)
-# Shutdown, in shares of the time it may take: new requests are served while callers still hold
-# lists that name this VM, then only those that surely end in time, then no connection is taken
-# any more. The last VM of a caller's homes is used up to there.
-SERVE_ON_SHARE = 0.3
-ACCEPT_ON_SHARE = 0.57
-END_MARGIN_MS = 400
 DRAIN_POLL_MS = 25
 
 
@@ -163,14 +156,14 @@
         """
         begun = self._clock.now()
         self._leaving = True
-        grace_ms = self._gateway.grace_s * MS_PER_SECOND
-        end = begun + grace_ms - END_MARGIN_MS
+        times = shutdown_of(self._gateway)
+        end = begun + times.end_ms
         for server in self._servers:
             server.closing = True
         await self._fleet.leave()
-        await self._until(begun + grace_ms * SERVE_ON_SHARE)
+        await self._until(begun + times.serve_on_ms)
         self._path.take_until(round(end))
-        await self._until(begun + grace_ms * ACCEPT_ON_SHARE)
+        await self._until(begun + times.accept_on_ms)
         self._path.drain()
         for server in self._servers:
             server.stop_accepting()
@@ -251,13 +244,14 @@
 
     def _vms_of(self, region: str) -> RegionVms:
         """Sort a region's VMs by what they still take."""
-        grace_ms = self._gateway.grace_s * MS_PER_SECOND
-        serve_on_ms, accept_on_ms = grace_ms * SERVE_ON_SHARE, grace_ms * ACCEPT_ON_SHARE
+        times = shutdown_of(self._gateway)
         leaving = self._fleet.leaving_vms(region)
         return RegionVms(
             serving=self._fleet.region_vms(region),
-            closing=[vm for vm, for_ms in leaving if for_ms < serve_on_ms],
-            finishing=[vm for vm, for_ms in leaving if serve_on_ms <= for_ms < accept_on_ms],
+            closing=[vm for vm, for_ms in leaving if for_ms < times.serve_on_ms],
+            finishing=[
+                vm for vm, for_ms in leaving if times.serve_on_ms <= for_ms < times.accept_on_ms
+            ],
         )
 
     async def _state(self, req: Incoming, reply: Reply) -> None:
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -6,6 +6,15 @@
     When a caller of "small" asks "n1" for "/local/x"
     Then the caller gets 200 with body "done by b9" and its signature
 
+  Scenario: a home region whose only VM shuts down still gets what surely ends there
+    # VMs are replaced in turn, and for seconds all of the south's shut down. Requests that may run
+    # nowhere else reach a VM in the north, which refused them although the one in the south
+    # goes on taking what ends before it does.
+    Given a small gateway with a southern region, whose VMs may take 4 s to stop
+    When VM "s1" begins to leave
+    And a caller of "small" asks "n1" for "/local/x" waiting 500 ms
+    Then the caller gets 200 with body "done by b9" and its signature
+
   Scenario: an account whose home and the route's exclude each other is served nowhere
     Given a small gateway with a southern region
     When a caller of "northern" asks "n1" for "/local/x"
