--- a/src/hickorybeam/dispatch/load_task.py
+++ b/src/hickorybeam/dispatch/load_task.py
@@ -99,7 +99,7 @@
         What is known then is up to ``IDLE_TICK_MS`` old: a call would be refused although
         another region has told of room meanwhile. A configuration that came into force since
         counts at once: within a tick after the ticket that brought a model's first engine, calls
-        were refused as without any (5 of 42 starts of the demo).
+        would be refused as without any.
         """
         if self._seen is None or self._seen[0] != self._config.current().position:
             self.refresh()
--- a/src/hickorybeam/gateway/changes.py
+++ b/src/hickorybeam/gateway/changes.py
@@ -14,9 +14,9 @@
 
 __all__ = ("ChangeLog", "Changes", "decode_changes", "decode_entries", "encode_entries")
 
-# What is kept for others: about a minute of the heaviest played day (20 changes a second), and no
-# more bytes than this. Configurations may have a megabyte each: without the bound, a day's 890
-# changes would take a VM's whole memory. Whoever lacks more reads the store.
+# What is kept for others: about a minute of 20 changes a second, and no more bytes than this.
+# Configurations may have a megabyte each: without the bound, a day's changes would take a VM's
+# whole memory. Whoever lacks more reads the store.
 MOST_KEPT = 1_000
 MOST_KEPT_BYTES = 4_000_000
 
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -147,8 +147,8 @@
             know something new.
 
         A store that turns this VM away may serve the ones beside it. Without their word it would
-        act on old entries for as long as that lasts; asked only after the attempts to read had
-        failed, it sent at the full rate to servers that turned cold for 3.3 s more (played day).
+        act on old entries for as long as that lasts. Asked only after the attempts to read had
+        failed, they would tell it seconds later of servers that turned cold.
         """
         if self._source is None or not self._complete:
             return False
@@ -287,9 +287,9 @@
     async def _read_while_hearing(self) -> ReadResult:
         """Read all keys, and go on learning from the VM beside while the answer is waited for.
 
-        A read that the store leaves unanswered takes seconds to fail. Deaf meanwhile, a VM learned
-        of an evacuation 4.5 s late and sent at the full rate to a server that had turned cold
-        (hunted day of 8 VMs, three of them turned away).
+        A read that the store leaves unanswered takes seconds to fail. Deaf meanwhile, a VM would
+        learn of an evacuation that much later and send at the full rate to a server that had
+        turned cold.
         """
         found: ReadResult | GatewayError
         async with anyio.create_task_group() as tg:
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -283,8 +283,7 @@
         """Tell one VM of each other data centre, each in its turn; it passes the figures on.
 
         A full mesh over all data centres would cost each VM as many datagrams as there are VMs,
-        and bytes between data centres are paid for: 0.03 to 0.04 of a day's worth at 64 VMs
-        with a mesh over the two data centres of each region.
+        and bytes between data centres are paid for.
         """
         words: dict[Audience, bytes] = {}
         for centre, peers in self.peers.outside().items():
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -183,9 +183,9 @@
         """End the watches that were asked before a call failed, now that one works again.
 
         A store that was silent never answers what it was asked meanwhile, and the connection
-        shows no error. The watch would wait its time out: changes made in an outage of 5.6 s
-        were in force 4.4 s after its end (a played day), though a lease's renewal had worked
-        2 s before. One read and one call of a watch more for each outage.
+        shows no error. The watch would wait its time out, and changes made in an outage would be
+        in force seconds after its end, though other calls work. One read and one call of a watch
+        more for each outage.
         """
         if self._failed_ms is None:
             return
--- a/src/hickorybeam/policy/come_back.py
+++ b/src/hickorybeam/policy/come_back.py
@@ -2,10 +2,9 @@
 
 Load it answers: a data centre is evacuated, the only servers of a service are gone, or all VMs
 have just started while the store is out. Every caller is refused at once. Told the same short
-time, all of them came back together, found it unchanged, and most have no further try: 563
-refusals for 420 requests in 8 s of a played day. What has been away for some time is away for
-about as long again, so each one is told the time that it has been away: the longer it lasts,
-the later they come, one after the other.
+time, all of them would come back together and find it unchanged, and most have no further try.
+What has been away for some time is away for about as long again, so each one is told the time
+that it has been away: the longer it lasts, the later they come, one after the other.
 """
 
 from __future__ import annotations
--- a/src/hickorybeam/policy/health.py
+++ b/src/hickorybeam/policy/health.py
@@ -40,8 +40,7 @@
 SLOW_FLOOR_MS = 25.0
 # Late ones in a row, sent over at least this time. A bunch of prompts that arrive together
 # at a healthy server makes several late at once, but is read within a few hundred ms; a slow
-# server stays late. With 3 times and 400 ms a measured burst ejected four healthy engines;
-# with these figures none, in burst, peak and overload 2x (bench/load_policy.py, seed 1).
+# server stays late.
 SLOW_IN_A_ROW = 3
 SLOW_SPAN_MS = 800
 # A single one that is this many times later still. Calls that never get a first token keep
--- a/src/hickorybeam/policy/pacing.py
+++ b/src/hickorybeam/policy/pacing.py
@@ -19,8 +19,8 @@
 
 # Words to the own data centre, whose figures also spread the load; longer apart for each VM in
 # it, so that what a VM sends and reads stays at about 140 datagrams a second. A prompt is read in
-# about 200 ms: at 14 VMs, words 224 ms apart told of prompts that were read already, and VMs
-# crowded on one server (286 of 2,509 long prompts late in a quiet played day; 147 with 100 ms).
+# about 200 ms: words further apart tell of prompts that are read already, and VMs crowd on one
+# server.
 NEAR_EVERY_MS = 100
 NEAR_EVERY_PER_VM_MS = 7
 # Words to one VM of each other data centre, which passes them on within its own.
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -38,8 +38,8 @@
 # A told load older than this says nothing any more, in ms.
 TOLD_VALID_MS = 1_500
 # What a server that fails all requests costs the next one, in ms, counted from the share of
-# failures that healthy services have by themselves: requests of which one in seven fails for
-# reasons of its own sent 405 of 1,300 to another region before (played day, 52 s).
+# failures that healthy services have by themselves: where one request in seven fails wherever
+# it runs, a third of all would go to another region for it.
 FAILURE_MS = 2_000.0
 USUAL_FAILING = 0.25
 # Another data centre's server is used when it saves this much: bytes between data centres are
@@ -191,9 +191,6 @@
 ) -> ServerStanding | None:
     """Return the server with the shortest wait; a prompt's own server wins ties of reading.
 
-    Drawing in place of the shortest known wait gained 0.02 and 0.08 of worth on two played days
-    of 85 and 64 VMs without processor time; waits in simulated time: ``bench.server_choice``.
-
     :param unseen_ms: reading that other VMs have sent here since they were heard, in ms of one
         server; with none, the shortest wait is taken.
     :param data_centre: where the choosing VM is; its servers are preferred.
--- a/src/hickorybeam/policy/watchers.py
+++ b/src/hickorybeam/policy/watchers.py
@@ -1,7 +1,7 @@
 """Which VMs of a data centre watch the store; the others learn changes from them.
 
-Load it answers: a fleet of 85 VMs in a day with many changes. Each change ends the waiting call
-of every watch, and every VM asks again: 85 calls for one change, and calls are paid for. With
+Load it answers: a large fleet in a day with many changes. Each change ends the waiting call of
+every watch, and every VM asks again: as many calls as VMs for one change, all paid for. With
 two watchers a data centre the calls grow with the data centres and no longer with the VMs.
 A VM stops watching only while it hears enough others that follow the store, so that a watcher
 that dies, leaves or loses the store is followed by the next one in order, without a word.
@@ -20,7 +20,7 @@
 
 # Watchers of a data centre: one can be lost, cut off or turned away, and the other goes on.
 WATCHERS = 2
-# In smaller data centres all watch: what it saves is less than a thousandth of a day's worth.
+# In smaller data centres all watch: leaving it to others would save few calls.
 MOST_THAT_ALL_WATCH = 4
 ORDER = "watches the store"
 
