What a prompt costs others is no part of the wait that is foreseen for it

Cause, found when reading the diff: the foreseen wait, doubled, is also how long a silent server is waited for and what the late line tells; with the streams' share in it, a silent server with 20 streams was waited for up to four times as long. The cost decides where a prompt goes, the wait what is expected.

--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -10,7 +10,7 @@
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.policy.cold_limit import cold_owners
 from hickorybeam.policy.late_work import gives_way
-from hickorybeam.policy.server_choice import choose_server, reading_cost_ms, wait_ms
+from hickorybeam.policy.server_choice import choose_server, cost_ms, interference_ms, wait_ms
 from hickorybeam.policy.server_pace import FIRST_READ_TOKENS_PER_MS
 from hickorybeam.policy.stale_load import RecentWork
 
@@ -117,7 +117,7 @@
         away = None if targets.here_only else self._choose_away(errand, targets)
         if here is None:
             return away[0] if away else None
-        if away is not None and self._wait_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
+        if away is not None and self._cost_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
             return away[0]
         if isinstance(here, Full):
             return here
@@ -125,10 +125,10 @@
             self._cold_limit(here, now).take(now)
         return ToServer(here)
 
-    def _wait_here(self, here: ServerStanding | Full, errand: Errand, now_ms: int) -> float:
+    def _cost_here(self, here: ServerStanding | Full, errand: Errand, now_ms: int) -> float:
         if isinstance(here, Full):
             return here.wait_ms
-        return wait_ms(here, errand.call.parts, errand.call.prompt_tokens, now_ms)
+        return cost_ms(here, errand.call.parts, errand.call.prompt_tokens, now_ms)
 
     def _choose_here(
         self, errand: Errand, targets: OpenTargets, now_ms: int
@@ -213,8 +213,8 @@
         best = [it for it in found if it.wait_ms <= found[0].wait_ms + SAME_WAIT_MS]
         pick = self._rng.choice(best)
         reading_ms = errand.call.prompt_tokens / FIRST_READ_TOKENS_PER_MS
-        cost_ms = reading_cost_ms(reading_ms, pick.running)
-        return ToPeer(pick.peer), pick.wait_ms + cost_ms + REGION_WAY_MS
+        others_ms = interference_ms(reading_ms, pick.running)
+        return ToPeer(pick.peer), pick.wait_ms + reading_ms + others_ms + REGION_WAY_MS
 
     def _elsewhere(
         self, errand: Errand, targets: OpenTargets, told: Iterable[RegionForecast]
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -11,7 +11,7 @@
 from hickorybeam.http1 import BrokenAnswerError
 from hickorybeam.platform import answer_headers
 from hickorybeam.policy.first_byte import first_byte_ms
-from hickorybeam.policy.server_choice import wait_ms
+from hickorybeam.policy.server_choice import missing_of, wait_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -135,7 +135,7 @@
         if standing is None:
             return Burden()
         call = errand.call
-        reading = standing.memory.missing(call.parts) if call.parts else call.prompt_tokens
+        reading = missing_of(standing, call.parts, call.prompt_tokens)
         self._placing.sent(errand.service, standing.pace.reading_ms(reading))
         standing.running += 1
         standing.reading += reading
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -25,7 +25,15 @@
 
     from hickorybeam.model.routing import PromptPart, RegisteredServer
 
-__all__ = ("PrefixMemory", "ServerStanding", "choose_server", "reading_cost_ms", "wait_ms")
+__all__ = (
+    "PrefixMemory",
+    "ServerStanding",
+    "choose_server",
+    "cost_ms",
+    "interference_ms",
+    "missing_of",
+    "wait_ms",
+)
 
 # What one more request in a full server's queue waits, in ms.
 QUEUED_MS = 60.0
@@ -149,12 +157,12 @@
         return not self.memory_tokens or held + tokens <= self.memory_tokens * MEMORY_SHARE
 
 
-def reading_cost_ms(reading_ms: float, running: int) -> float:
-    """Return what reading a prompt costs, those included whose streams it slows.
+def interference_ms(reading_ms: float, running: int) -> float:
+    """Return what reading a prompt costs the streams beside it, in ms of waiting.
 
     :param running: requests that run at the server.
     """
-    return reading_ms * (1 + running * INTERFERENCE_SHARE)
+    return reading_ms * running * INTERFERENCE_SHARE
 
 
 def wait_ms(
@@ -162,23 +170,33 @@
 ) -> float:
     """Return how long a request would wait for its first byte at a server.
 
-    What it costs the streams that run there is counted as if it waited for it.
-
     :param tokens: size of the prompt, where its parts aren't told.
     """
-    missing = standing.memory.missing(parts) if parts else tokens
-    ahead = standing.reading + standing.reading_elsewhere
+    reading = standing.reading + standing.reading_elsewhere + missing_of(standing, parts, tokens)
     busy = standing.busy(now_ms)
     queued = max(0, busy + 1 - standing.server.slots)
     return (
-        standing.pace.reading_ms(ahead)
-        + reading_cost_ms(standing.pace.reading_ms(missing), busy)
+        standing.pace.reading_ms(reading)
         + queued * QUEUED_MS
         + busy * RUNNING_MS
         + max(0.0, standing.failing - USUAL_FAILING) * FAILURE_MS
     )
 
 
+def cost_ms(
+    standing: ServerStanding, parts: Sequence[PromptPart], tokens: int, now_ms: int
+) -> float:
+    """Return a request's wait at a server, and what it costs the streams that run there."""
+    reading_ms = standing.pace.reading_ms(missing_of(standing, parts, tokens))
+    wait = wait_ms(standing, parts, tokens, now_ms)
+    return wait + interference_ms(reading_ms, standing.busy(now_ms))
+
+
+def missing_of(standing: ServerStanding, parts: Sequence[PromptPart], tokens: int) -> int:
+    """Return the tokens of a prompt that a server would have to read."""
+    return standing.memory.missing(parts) if parts else tokens
+
+
 def choose_server(
     standings: Sequence[ServerStanding],
     *,
@@ -189,7 +207,7 @@
     unseen_ms: float = 0.0,
     data_centre: str = "",
 ) -> ServerStanding | None:
-    """Return the server with the shortest wait; a prompt's own server wins ties of reading.
+    """Return the server of the least cost; a prompt's own server wins ties of reading.
 
     :param unseen_ms: reading that other VMs have sent here since they were heard, in ms of one
         server; with none, the shortest wait is taken.
@@ -204,7 +222,7 @@
     ordered = sorted(standings, key=lambda it: it.server.id)
     waits = []
     for standing in ordered:
-        wait = wait_ms(standing, parts, tokens, now_ms)
+        wait = cost_ms(standing, parts, tokens, now_ms)
         if standing.server.id == home:
             # As if it held the shared parts: it will from now on.
             shared = sum(part.tokens for part in parts[:-1])
