--- a/src/hickorybeam/policy/directory.py
+++ b/src/hickorybeam/policy/directory.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterator, Mapping, Sequence
+    from collections.abc import Iterator, Mapping, Sequence
 
     from hickorybeam.model.routing import GatewayVm
 
@@ -38,13 +38,14 @@
 def vms_to_name(
     region: str,
     *,
-    homes: Collection[str],
+    homes: Sequence[str],
     regions: Mapping[str, RegionVms],
     settled: bool,
 ) -> Sequence[GatewayVm]:
     """Return the VMs that a caller of a region should use, none if it should ask elsewhere.
 
-    :param homes: regions that the routes of the caller's host are bound to, empty for none.
+    :param homes: regions that the routes of the caller's host are bound to, those of most routes
+        first; empty for none.
     :param settled: this VM has had the time to hear of all others. One that has just started
         knows few of them; it would lead callers out of their homes past VMs that it doesn't
         know yet. Told nothing, they ask another VM or keep the answer that they have.
@@ -57,7 +58,7 @@
 
 def _choices(
     region: str,
-    homes: Collection[str],
+    homes: Sequence[str],
     regions: Mapping[str, RegionVms],
     *,
     settled: bool,
@@ -66,7 +67,7 @@
     own = regions.get(region, NO_VMS)
     yield own.serving
     yield own.closing
-    at_home = [regions[it] for it in sorted(homes) if it in regions]
+    at_home = [regions[it] for it in homes if it in regions]
     yield from (it.serving for it in at_home)
     yield from (it.closing for it in at_home)
     if homes:
--- a/src/hickorybeam/policy/route_table.py
+++ b/src/hickorybeam/policy/route_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from hickorybeam.model.routing import Route
@@ -55,18 +56,20 @@
 
     def __init__(self, routes: Iterable[Route]) -> None:
         super().__init__(routes)
-        self._homes: dict[str, frozenset[str]] = {}
+        bound: defaultdict[str, Counter[str]] = defaultdict(Counter)
         for route in self._routes.values():
-            if route.homes:
-                known = self._homes.get(route.host, route.homes)
-                self._homes[route.host] = known & route.homes or known
+            bound[route.host].update(route.homes)
+        self._homes = {
+            host: tuple(sorted(regions, key=lambda it: (-regions[it], it)))
+            for host, regions in bound.items()
+        }
 
-    def homes(self, host: str) -> frozenset[str]:
-        """Return the regions that every route of a host may be processed in.
+    def homes(self, host: str) -> tuple[str, ...]:
+        """Return the regions that a host's routes are bound to, those of most routes first.
 
         Empty where none of its routes has homes.
         """
-        return self._homes.get(host, frozenset())
+        return self._homes.get(host, ())
 
 
 def pick_target(route: Route, draw: float) -> str:
--- a/tests/policy/gateway_decisions.feature
+++ b/tests/policy/gateway_decisions.feature
@@ -14,6 +14,21 @@
       | y    | /z       | none  |
       | w    | /a/      | none  |
 
+  # What a caller sees: both VMs of the first home are being replaced, and the directory leads it to
+  # a region that may not run its request, though the second home's VMs are there: another route of
+  # the host is bound to the first home only.
+  Scenario Outline: a host's homes are those of all its routes, of most routes first
+    Given routes of one host bound to "<bound>"
+    Then the host's homes are "<homes>"
+
+    Examples:
+      | bound                       | homes        |
+      | north+south, north          | north, south |
+      | north+south, south, -       | south, north |
+      | north+south, north+south    | north, south |
+      | north, south                | north, south |
+      | -                           | none         |
+
   Scenario: a split route keeps its weights
     Given a route split 90 to "old" and 10 to "new"
     Then of 1000 even draws 900 go to "old" and 100 to "new"
--- a/tests/steps/policy/directory_steps.py
+++ b/tests/steps/policy/directory_steps.py
@@ -36,6 +36,6 @@
 
 @then('a caller in {region} bound to "{homes}" is named "{names}"')
 def step_named(context, region, homes, names):
-    bound = {it.strip() for it in homes.split(",")} - {"no region"}
+    bound = [it.strip() for it in homes.split(",") if it != "no region"]
     found = vms_to_name(region, homes=bound, regions=context.directory, settled=context.settled)
     assert (", ".join(it.name for it in found) or "nobody") == names, found
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -39,6 +39,20 @@
     assert (found.name if found else "none") == name, found
 
 
+@given('routes of one host bound to "{bound}"')
+def step_bound(context, bound):
+    routes = []
+    for number, homes in enumerate(bound.split(",")):
+        regions = frozenset(homes.strip().split("+")) - {"-"}
+        routes.append(replace(plain_route("x", f"/{number}/"), homes=regions))
+    context.routes = RouteTable(routes)
+
+
+@then('the host\'s homes are "{homes}"')
+def step_homes(context, homes):
+    assert (", ".join(context.routes.homes("x")) or "none") == homes
+
+
 @given('a route split {a:d} to "{first}" and {b:d} to "{second}"')
 def step_split(context, a, first, b, second):
     targets = (WeightedService(first, a), WeightedService(second, b))
