--- a/src/hickorybeam/gateway/cold_asking.py
+++ b/src/hickorybeam/gateway/cold_asking.py
@@ -21,7 +21,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.model.routing import RegisteredServer
-    from hickorybeam.settings import Settings
+    from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("ColdAskingService",)
@@ -49,12 +49,16 @@
         self._feed = kernel.find(FEED, FeedService)
         self._fleet = kernel.find(FLEET, FleetService)
 
+    def reload(self, cfg: GatewaySettings) -> None:
+        """Ask the servers of these regions from now on."""
+        self._regions = cfg.regions
+
     async def main(self, started: Started) -> None:
         """Ask until cancelled."""
         started()
         while True:
             await self._clock.sleep(ASK_EVERY_MS)
-            if self._feed.is_told or self._fleet.told_beside():
+            if self._feed.follows or self._fleet.told_beside():
                 continue
             async with anyio.create_task_group() as tg:
                 for server in self._due():
@@ -64,13 +68,15 @@
         """Return this VM's servers of services that tell how much a cold one bears."""
         knowledge = self._feed.knowledge
         services = knowledge.config.services if knowledge.config else {}
-        found = {}
-        for service, spec in services.items():
-            for standing in knowledge.servers(service) if spec.cold_per_s > 0 else ():
-                if self._regions.get(standing.server.data_centre) == self._fleet.me.region:
-                    found[standing.server.id] = standing.server
-        mine = servers_to_ask(self._fleet.me.name, servers=found, vms=self._fleet.near_names())
-        return [found[name] for name in mine]
+        here = {
+            it.server.id: it.server
+            for service, spec in services.items()
+            if spec.cold_per_s > 0
+            for it in knowledge.servers(service)
+            if self._regions.get(it.server.data_centre) == self._fleet.me.region
+        }
+        mine = servers_to_ask(self._fleet.me.name, servers=here, vms=self._fleet.near_names())
+        return [here[name] for name in mine]
 
     async def _ask(self, server: RegisteredServer) -> None:
         address = (server.host, server.port)
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -212,11 +212,6 @@
         """Whether this VM watches the store and reaches it, so that others may ask it."""
         return self.watches and self._loaded and self._store_ok
 
-    @property
-    def is_told(self) -> bool:
-        """Whether this VM's own watch brings it what changes."""
-        return self.follows
-
     def watch_itself(self, watches: bool) -> None:
         """Watch the store from now on, or leave that to others of the data centre."""
         if watches != self.watches:
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -43,8 +43,7 @@
 __all__ = ("Ports", "RelayService")
 
 # How long callers keep a directory's answer, and some of them three times as long: they go on
-# using a VM that has begun to shut down, or is gone, until then. Within it, a VM that shuts down
-# still takes everything.
+# using a VM that is gone, or has begun to shut down, until then; it still takes everything.
 LIST_VALID_MS = 800
 CONNECT_MS = 600
 SILENT_MS = 2_000
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -489,7 +489,7 @@
     async def out():
         rig = context.rig
         rig.app.stand_in.faults.set_out(True)
-        await rig.until(lambda: not any(vm.feed.is_told for vm in rig.vms.values()))
+        await rig.until(lambda: not any(vm.feed.follows for vm in rig.vms.values()))
 
     context.call(out)
 
