Read once more: nothing worked out twice, regions and own figures kept in one place

- A server's missing tokens were worked out two to three times for each server at each choice, and again at the send; wait_ms and cost_ms take them now.
- Which data centres are of this region stood in three services, each read anew on reload; fleet tells it.
The configuration was searched again for each health question's path.
- How long a watcher is relied on was reckoned in two places of fleet.
- tools/lost.py reads log lines as JSON; a scenario waits as the others do.

No change of behaviour meant.

--- a/src/hickorybeam/gateway/cold_asking.py
+++ b/src/hickorybeam/gateway/cold_asking.py
@@ -19,9 +19,10 @@
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
+    from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.model.routing import RegisteredServer
-    from hickorybeam.settings import GatewaySettings, Settings
+    from hickorybeam.settings import Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("ColdAskingService",)
@@ -38,7 +39,6 @@
     needs: ClassVar[tuple[str, ...]] = (FEED, FLEET)
 
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
-        self._regions = cfg.gateway.regions if cfg.gateway else {}
         self._clock = clock
         self._log = DecisionLog(clock)
         self._pool = UpstreamPool(clock, connect_ms=ANSWER_LIMIT_MS, silent_ms=ANSWER_LIMIT_MS)
@@ -49,10 +49,6 @@
         self._feed = kernel.find(FEED, FeedService)
         self._fleet = kernel.find(FLEET, FleetService)
 
-    def reload(self, cfg: GatewaySettings) -> None:
-        """Ask the servers of these regions from now on."""
-        self._regions = cfg.regions
-
     async def main(self, started: Started) -> None:
         """Ask until cancelled."""
         started()
@@ -61,28 +57,31 @@
             if self._feed.follows or self._fleet.told_beside():
                 continue
             async with anyio.create_task_group() as tg:
-                for server in self._due():
-                    tg.start_soon(self._ask, server)
+                for server, health_path in self._due():
+                    tg.start_soon(self._ask, server, health_path)
+
+    def _due(self) -> list[tuple[RegisteredServer, str]]:
+        """Return this VM's servers of services that tell how much a cold one bears.
 
-    def _due(self) -> list[RegisteredServer]:
-        """Return this VM's servers of services that tell how much a cold one bears."""
+        Beside each is the path at which it is asked.
+        """
         knowledge = self._feed.knowledge
         services = knowledge.config.services if knowledge.config else {}
         here = {
-            it.server.id: it.server
+            it.server.id: (it.server, spec.health_path)
             for service, spec in services.items()
             if spec.cold_per_s > 0
             for it in knowledge.servers(service)
-            if self._regions.get(it.server.data_centre) == self._fleet.me.region
+            if self._fleet.is_here(it.server.data_centre)
         }
         mine = servers_to_ask(self._fleet.me.name, servers=here, vms=self._fleet.near_names())
         return [here[name] for name in mine]
 
-    async def _ask(self, server: RegisteredServer) -> None:
+    async def _ask(self, server: RegisteredServer, health_path: str) -> None:
         address = (server.host, server.port)
         try:
             with anyio.fail_after(ANSWER_LIMIT_MS / MS_PER_SECOND):
-                cold_ms = await self._cold_ms(server, address)
+                cold_ms = await self._cold_ms(address, health_path)
         except (ConnectFailedError, BrokenAnswerError, TimeoutError) as exc:
             self._log.note("no_health", server=server.id, why=repr(exc))
             self._pool.forget(address)
@@ -91,16 +90,12 @@
             self._feed.knowledge.cold(server.id, cold_ms, self._clock.now())
             self._fleet.found_cold(server.id, cold_ms)
 
-    async def _cold_ms(self, server: RegisteredServer, address: tuple[str, int]) -> int | None:
+    async def _cold_ms(self, address: Address, health_path: str) -> int | None:
         """Return for how long a server stays cold by its own word."""
-        config = self._feed.knowledge.config
-        spec = config.services.get(server.service) if config else None
-        if spec is None:
-            return None
         self._asked.inc()
         conn = await self._pool.take(address)
         try:
-            conn.send(request_bytes("GET", spec.health_path.encode(), HOST_HEADER, b""))
+            conn.send(request_bytes("GET", health_path.encode(), HOST_HEADER, b""))
             facts = decode_answer(await conn.head())
             await conn.body()
         except BaseException:
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -19,6 +19,7 @@
 
 from hickorybeam.gateway.datagrams import Datagrams
 from hickorybeam.gateway.feed import FeedService
+from hickorybeam.gateway.figures import OwnFigures
 from hickorybeam.gateway.peers import YOUNG_MS, PeerTable
 from hickorybeam.gateway.registration import Registration
 from hickorybeam.gateway.tell import NOTHING, Audience, Tell
@@ -67,13 +68,13 @@
         self._cfg = cfg
         self._clock = clock
         self._started_ms = clock.now()
+        self._regions = cfg.gateway.regions if cfg.gateway else {}
         allowance = cfg.gateway.quota_allowance if cfg.gateway else 0.0
         self.quota = FleetQuota(allowance=allowance)
+        self._figures = OwnFigures(clock, self.quota)
         self.holders = PrefixHolders()
         self._leaving_since_ms: int | None = None
         self.forecast: dict[str, RegionFigures] = {}
-        # Servers that this VM found cold itself.
-        self._cold_until: dict[str, int] = {}
         # How late the region's other VMs are heard, added up over them, in ms.
         self.region_lag_ms = 0.0
         self.me = GatewayVm(
@@ -87,8 +88,6 @@
         )
         self.peers = PeerTable(clock, self.me)
         self._relayed: list[Tell] = []
-        self._spends_told: dict[str, float] = {}
-        self._told: dict[str, tuple[int, int, int]] = {}
         self._times = 0
         self._turns: dict[str, int] = {}
         self._fresh = True
@@ -115,8 +114,13 @@
         self._registration = Registration(self._store, self._clock, key)
 
     def reload(self, cfg: GatewaySettings) -> None:
-        """Start new accounts with this allowance from now on."""
+        """Start new accounts with this allowance, and use these regions, from now on."""
         self.quota.allowance = cfg.quota_allowance
+        self._regions = cfg.regions
+
+    def is_here(self, data_centre: str) -> bool:
+        """Whether a data centre is of this VM's region."""
+        return self._regions.get(data_centre) == self.me.region
 
     def settled(self) -> bool:
         """Whether this VM has run for long enough to have heard of all others."""
@@ -150,12 +154,11 @@
 
     def told_beside(self) -> bool:
         """Whether a VM of this data centre tells this one what changes in the store."""
-        limit_ms = watcher_gone_after_ms(len(self.peers.near()))
-        return any(self.peers.heard_near(limit_ms).values())
+        return any(self._heard_near().values())
 
     def found_cold(self, server_id: str, cold_ms: int) -> None:
         """Tell the region's VMs that a server said of itself that it is cold."""
-        self._cold_until[server_id] = self._clock.now() + cold_ms
+        self._figures.found_cold(server_id, cold_ms)
 
     def elsewhere(self, service: str, *, leaving: bool = False) -> list[RegionForecast]:
         """Return VMs of other regions that take requests for a service, best first.
@@ -248,10 +251,13 @@
         self.peers.heard_limit_ms = gone_after_ms(near=near, vms=self.known())
         self._store.watch_rest_ms = watch_rest_ms(watching)
         self._store.watch_wait_ms = watch_wait_ms(watching)
-        heard = self.peers.heard_near(watcher_gone_after_ms(near))
-        self._feed.watch_itself(watches_itself(self.me.name, heard))
+        self._feed.watch_itself(watches_itself(self.me.name, self._heard_near()))
         self.region_lag_ms = self.peers.region_lag_ms()
 
+    def _heard_near(self) -> dict[str, bool]:
+        """Return the VMs of this data centre that are relied on, and whether each watches."""
+        return self.peers.heard_near(watcher_gone_after_ms(len(self.peers.near())))
+
     def _spread(self, now_ms: int) -> None:
         """Add up what the region's other VMs have at each backend server."""
         totals: dict[str, ServerFigures] = {}
@@ -330,8 +336,8 @@
             revision=self._feed.revision,
             follows=self._feed.follows,
             fresh=self._fresh,
-            spent=self._spends(whole=whole),
-            servers={} if far else self._server_figures(whole=whole),
+            spent=self._figures.spends(whole=whole),
+            servers={} if far else self._figures.servers(self._feed.knowledge, whole=whole),
             forecasts=self.forecast if far else {},
             whole=whole,
             relayed=list(relayed),
@@ -339,39 +345,9 @@
             # Peers may not know it: a VM that restarts while the store is out isn't registered.
             vm=None if self._registration.held else self.me,
             holds={} if answer else self.holders.news(audience.value),
-            cold={} if far else self._cold_left(),
+            cold={} if far else self._figures.cold_left(),
         )
 
-    def _cold_left(self) -> dict[str, int]:
-        now = self._clock.now()
-        self._cold_until = {name: due for name, due in self._cold_until.items() if due > now}
-        return {name: due - now for name, due in self._cold_until.items()}
-
-    def _spends(self, *, whole: bool) -> dict[str, float]:
-        """Return totals by account, or only what changed since this data centre was told.
-
-        Only words to the data centre are not whole; what others are told in between must not
-        count as told to it.
-        """
-        now = {name: round(total, 1) for name, total in self.quota.totals().items()}
-        if whole:
-            return now
-        before, self._spends_told = self._spends_told, now
-        return {name: total for name, total in now.items() if before.get(name) != total}
-
-    def _server_figures(self, *, whole: bool) -> dict[str, ServerFigures]:
-        """Return what this VM has at each server, or only what changed since it was told."""
-        now = {
-            name: (it.running, it.reading, it.holding)
-            for name, it in self._feed.knowledge.standings.items()
-            if it.running or it.reading
-        }
-        if whole:
-            return now
-        before, self._told = self._told, now
-        changed = {name: told for name, told in now.items() if before.get(name) != told}
-        return changed | {name: NOTHING for name in before if name not in now}
-
     def receive(self, data: bytes) -> None:
         """Take what a peer says of itself."""
         try:
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -68,7 +68,6 @@
         self._lines = Lines(clock)
         self._admission = Admission(clock=clock, knowledge=feed.knowledge, quota=fleet.quota)
         self._placing = Placing(
-            regions=cfg.regions,
             shutdown=shutdown_of(cfg),
             clock=clock,
             knowledge=feed.knowledge,
@@ -251,9 +250,8 @@
         return self._placing.forecasts()
 
     def reload(self, cfg: GatewaySettings) -> None:
-        """Take over other bounds on repeats, and other regions."""
+        """Take over other bounds on repeats, and other times of a shutdown."""
         self._cfg = cfg
-        self._placing.regions = cfg.regions
         self._placing.shutdown = shutdown_of(cfg)
         for budget in self._budgets.values():
             budget.change(bounds_of(cfg))
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -10,12 +10,19 @@
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.policy.cold_limit import cold_owners
 from hickorybeam.policy.late_work import gives_way
-from hickorybeam.policy.server_choice import choose_server, cost_ms, interference_ms, wait_ms
+from hickorybeam.policy.server_choice import (
+    ServerStanding,
+    choose_server,
+    cost_ms,
+    interference_ms,
+    missing_of,
+    wait_ms,
+)
 from hickorybeam.policy.server_pace import FIRST_READ_TOKENS_PER_MS
 from hickorybeam.policy.stale_load import RecentWork
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Iterable
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.attempt import Errand, Target
@@ -27,7 +34,6 @@
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.cold_limit import ColdLimit
     from hickorybeam.policy.shutdown import Shutdown
-from hickorybeam.policy.server_choice import ServerStanding
 
 __all__ = ("Full", "OpenTargets", "Placing", "size_of")
 
@@ -72,21 +78,18 @@
 class Placing:
     """Chooses targets by what this VM knows now.
 
-    :param regions: leads from data centres to regions.
     :param shutdown: what VMs that shut down still take.
     """
 
     def __init__(
         self,
         *,
-        regions: Mapping[str, str],
         shutdown: Shutdown,
         clock: Clock,
         knowledge: Knowledge,
         fleet: FleetService,
         lines: Lines,
     ) -> None:
-        self.regions = regions
         self.shutdown = shutdown
         self._clock = clock
         self._knowledge = knowledge
@@ -128,7 +131,8 @@
     def _cost_here(self, here: ServerStanding | Full, errand: Errand, now_ms: int) -> float:
         if isinstance(here, Full):
             return here.wait_ms
-        return cost_ms(here, errand.call.parts, errand.call.prompt_tokens, now_ms)
+        call = errand.call
+        return cost_ms(here, missing_of(here, call.parts, call.prompt_tokens), now_ms)
 
     def _choose_here(
         self, errand: Errand, targets: OpenTargets, now_ms: int
@@ -187,7 +191,7 @@
         """Return this region's servers that may get a request now."""
         found = []
         for standing in self._knowledge.servers(service):
-            if self.regions.get(standing.server.data_centre) != self._fleet.me.region:
+            if not self._fleet.is_here(standing.server.data_centre):
                 continue
             if standing.paused_until_ms > now_ms:
                 continue
@@ -272,7 +276,7 @@
             usable = self._usable(service, now)
             free = [it for it in usable if it.has_room(0, now)]
             if free:
-                found[service] = min((round(wait_ms(it, (), 0, now)), it.busy(now)) for it in free)
+                found[service] = min((round(wait_ms(it, 0, now)), it.busy(now)) for it in free)
             elif usable:
                 wait = self._lines.of(service).policy.estimate_ms(0, now) + FULL_MS
                 found[service] = (round(wait), min(it.busy(now) for it in usable))
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -237,7 +237,8 @@
         return vms_to_name(
             region,
             homes=knowledge.table.homes(host.lower()),
-            regions={it: self._vms_of(it) for it in set(self._gateway.regions.values())},
+            regions=set(self._gateway.regions.values()),
+            vms_of=self._vms_of,
             settled=self._fleet.settled(),
         )
 
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -82,9 +82,13 @@
         """
         standing = target.standing if isinstance(target, ToServer) else None
         copy_from = self._placing.copy_from(standing, errand)
-        progress.foreseen_ms = self._foreseen_ms(standing, errand)
+        missing = 0
+        progress.foreseen_ms = 0.0
+        if standing is not None:
+            missing = missing_of(standing, errand.call.parts, errand.call.prompt_tokens)
+            progress.foreseen_ms = wait_ms(standing, missing, self._clock.now())
         patience_ms = self._first_byte_ms(errand, progress)
-        burden = self._begin(standing, errand)
+        burden = self._begin(standing, errand, missing)
         attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
         try:
@@ -131,14 +135,13 @@
         took_ms = self._clock.now() - errand.call.arrived_ms
         self._first_byte.labels(errand.route.name).observe(took_ms / MS_PER_SECOND)
 
-    def _begin(self, standing: ServerStanding | None, errand: Errand) -> Burden:
+    def _begin(self, standing: ServerStanding | None, errand: Errand, missing: int) -> Burden:
         if standing is None:
             return Burden()
         call = errand.call
-        reading = missing_of(standing, call.parts, call.prompt_tokens)
-        self._placing.sent(errand.service, standing.pace.reading_ms(reading))
+        self._placing.sent(errand.service, standing.pace.reading_ms(missing))
         standing.running += 1
-        standing.reading += reading
+        standing.reading += missing
         standing.holding += size_of(call)
         config = self._knowledge.config
         spec = config.services.get(errand.service) if config else None
@@ -147,7 +150,7 @@
         standing.memory.sent(call.parts, room or DEFAULT_CACHE_TOKENS)
         self._fleet.holders.sent(call.parts, standing.server.id, self._clock.now())
         ahead = standing.reading + standing.reading_elsewhere
-        return Burden(reading=reading, ahead=ahead, sent_ms=self._clock.now())
+        return Burden(reading=missing, ahead=ahead, sent_ms=self._clock.now())
 
     def _has_read(self, standing: ServerStanding, burden: Burden, *, copied: bool) -> None:
         """Take the first sign of an answer: its prompt is read.
@@ -166,12 +169,6 @@
         standing.holding -= size_of(errand.call)
         self._lines.of(errand.service).departed()
 
-    def _foreseen_ms(self, standing: ServerStanding | None, errand: Errand) -> float:
-        if standing is None:
-            return 0.0
-        call, now = errand.call, self._clock.now()
-        return wait_ms(standing, call.parts, call.prompt_tokens, now)
-
     def _first_byte_ms(self, errand: Errand, progress: Progress) -> float | None:
         runs_left = errand.route.max_attempts - progress.runs - 1
         return first_byte_ms(errand.route, runs_left=runs_left, foreseen_ms=progress.foreseen_ms)
--- a/src/hickorybeam/policy/directory.py
+++ b/src/hickorybeam/policy/directory.py
@@ -12,11 +12,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping, Sequence
+    from collections.abc import Callable, Collection, Iterator, Sequence
 
     from hickorybeam.model.routing import GatewayVm
 
-__all__ = ("NO_VMS", "RegionVms", "vms_to_name")
+__all__ = ("RegionVms", "vms_to_name")
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,25 +32,24 @@
     finishing: Sequence[GatewayVm] = ()
 
 
-NO_VMS = RegionVms()
-
-
 def vms_to_name(
     region: str,
     *,
     homes: Sequence[str],
-    regions: Mapping[str, RegionVms],
+    regions: Collection[str],
+    vms_of: Callable[[str], RegionVms],
     settled: bool,
 ) -> Sequence[GatewayVm]:
     """Return the VMs that a caller of a region should use, none if it should ask elsewhere.
 
     :param homes: regions that the routes of the caller's host are bound to, those of most routes
         first; empty for none.
+    :param vms_of: asked for other regions only where the caller's own has no VMs.
     :param settled: this VM has had the time to hear of all others. One that has just started
         knows few of them; it would lead callers out of their homes past VMs that it doesn't
         know yet. Told nothing, they ask another VM or keep the answer that they have.
     """
-    for choice in _choices(region, homes, regions, settled=settled):
+    for choice in _choices(region, homes, regions, vms_of, settled=settled):
         if choice:
             return choice
     return ()
@@ -59,15 +58,16 @@
 def _choices(
     region: str,
     homes: Sequence[str],
-    regions: Mapping[str, RegionVms],
+    regions: Collection[str],
+    vms_of: Callable[[str], RegionVms],
     *,
     settled: bool,
 ) -> Iterator[Sequence[GatewayVm]]:
     """Yield what may be named, best first."""
-    own = regions.get(region, NO_VMS)
+    own = vms_of(region)
     yield own.serving
     yield own.closing
-    at_home = [regions[it] for it in homes if it in regions]
+    at_home = [vms_of(it) for it in homes]
     yield from (it.serving for it in at_home)
     yield from (it.closing for it in at_home)
     if homes:
@@ -75,7 +75,7 @@
     yield from (it.finishing for it in at_home)
     if not settled:
         return
-    others = [regions[it] for it in sorted(regions) if it != region]
+    others = [vms_of(it) for it in sorted(regions) if it != region]
     yield from (it.serving for it in others)
     yield from (it.closing for it in others)
     yield own.finishing
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -165,14 +165,12 @@
     return reading_ms * running * INTERFERENCE_SHARE
 
 
-def wait_ms(
-    standing: ServerStanding, parts: Sequence[PromptPart], tokens: int, now_ms: int
-) -> float:
+def wait_ms(standing: ServerStanding, missing: int, now_ms: int) -> float:
     """Return how long a request would wait for its first byte at a server.
 
-    :param tokens: size of the prompt, where its parts aren't told.
+    :param missing: tokens of its prompt that the server would have to read.
     """
-    reading = standing.reading + standing.reading_elsewhere + missing_of(standing, parts, tokens)
+    reading = standing.reading + standing.reading_elsewhere + missing
     busy = standing.busy(now_ms)
     queued = max(0, busy + 1 - standing.server.slots)
     return (
@@ -183,17 +181,21 @@
     )
 
 
-def cost_ms(
-    standing: ServerStanding, parts: Sequence[PromptPart], tokens: int, now_ms: int
-) -> float:
-    """Return a request's wait at a server, and what it costs the streams that run there."""
-    reading_ms = standing.pace.reading_ms(missing_of(standing, parts, tokens))
-    wait = wait_ms(standing, parts, tokens, now_ms)
-    return wait + interference_ms(reading_ms, standing.busy(now_ms))
+def cost_ms(standing: ServerStanding, missing: int, now_ms: int) -> float:
+    """Return a request's wait at a server, and what it costs the streams that run there.
+
+    :param missing: tokens of its prompt that the server would have to read.
+    """
+    reading_ms = standing.pace.reading_ms(missing)
+    others_ms = interference_ms(reading_ms, standing.busy(now_ms))
+    return wait_ms(standing, missing, now_ms) + others_ms
 
 
 def missing_of(standing: ServerStanding, parts: Sequence[PromptPart], tokens: int) -> int:
-    """Return the tokens of a prompt that a server would have to read."""
+    """Return the tokens of a prompt that a server would have to read.
+
+    :param tokens: size of the prompt, where its parts aren't told.
+    """
     return standing.memory.missing(parts) if parts else tokens
 
 
@@ -222,11 +224,12 @@
     ordered = sorted(standings, key=lambda it: it.server.id)
     waits = []
     for standing in ordered:
-        wait = cost_ms(standing, parts, tokens, now_ms)
+        missing = missing_of(standing, parts, tokens)
+        wait = cost_ms(standing, missing, now_ms)
         if standing.server.id == home:
             # As if it held the shared parts: it will from now on.
             shared = sum(part.tokens for part in parts[:-1])
-            wait -= standing.pace.reading_ms(min(shared, standing.memory.missing(parts)))
+            wait -= standing.pace.reading_ms(min(shared, missing))
         if data_centre and standing.server.data_centre != data_centre:
             wait += OTHER_CENTRE_MS
         waits.append(wait)
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -501,11 +501,12 @@
 
 @then('within {limit:d} s every VM knows that server "{name}" is cold')
 def step_known_cold(context, limit, name):
+    clock, vms = SystemClock(), context.rig.vms.values()
+
     async def known():
-        vms = context.rig.vms.values()
-        with anyio.fail_after(limit):
-            while not all(vm.knowledge.is_cold(name, SystemClock().now()) for vm in vms):
-                await anyio.sleep(0.02)
+        await context.rig.until(
+            lambda: all(vm.knowledge.is_cold(name, clock.now()) for vm in vms), limit_s=limit
+        )
 
     context.call(known)
 
--- a/tests/steps/policy/directory_steps.py
+++ b/tests/steps/policy/directory_steps.py
@@ -37,5 +37,11 @@
 @then('a caller in {region} bound to "{homes}" is named "{names}"')
 def step_named(context, region, homes, names):
     bound = [it.strip() for it in homes.split(",") if it != "no region"]
-    found = vms_to_name(region, homes=bound, regions=context.directory, settled=context.settled)
+    found = vms_to_name(
+        region,
+        homes=bound,
+        regions=context.directory,
+        vms_of=lambda it: context.directory.get(it, RegionVms()),
+        settled=context.settled,
+    )
     assert (", ".join(it.name for it in found) or "nobody") == names, found
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -260,7 +260,7 @@
     standing = context.standings[name]
     context.waits = []
     for _ in range(count):
-        context.waits.append(wait_ms(standing, (), 800, context.now))
+        context.waits.append(wait_ms(standing, 800, context.now))
         standing.failed() if rng.random() < 1 / share else standing.succeeded()
 
 
--- a/tools/lost.py
+++ b/tools/lost.py
@@ -11,7 +11,6 @@
 
 import argparse
 import json
-import re
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
@@ -20,7 +19,7 @@
 
 # A late answer keeps this share of its worth.
 LATE_KEEPS = 0.3
-LATE_LINE = re.compile(r'^\s*(-?[\d.]+) (\S+) .*"text": "late (\{.*\})"\}\s*$')
+LATE = "late "
 # A request that waited for longer than this share of its objective was late for its place in line.
 IN_LINE_SHARE = 0.3
 WORST_WINDOWS = 4
@@ -72,9 +71,11 @@
 def take_output(losses: Losses, text: str) -> None:
     """Add the causes of late answers from the VMs' logs."""
     for line in text.splitlines():
-        found = LATE_LINE.match(line)
-        if found is not None:
-            late = json.loads(found[3].replace('\\"', '"'))
+        # A VM's line follows its time and name.
+        _, found, log_line = line.partition("{")
+        text = json.loads(found + log_line)["text"] if LATE in log_line else ""
+        if text.startswith(LATE):
+            late = json.loads(text.removeprefix(LATE))
             losses.causes[cause_of(late)] += 1 + late.get("left_out", 0)
 
 
