A VM's own standstill is not another VM's silence; one left out of a view comes back when it is heard of

Cause of the known red of membership.feature (a VM that nobody can connect to, one of six VMs no longer saw it). Two, both shown by new scenarios that failed first: - A VM asked whether it heard a suspect answered by its clock alone. After it had stood still itself (250 ms of a limit of 100) it said no, with the heartbeats unread in its socket, and the suspect was accused. - A VM that reached no witness left the suspect out of its own view, and took it back only on hearing it itself. One that is no heartbeat partner of the suspect never does: it stayed out for good (8 s in the scenario) though all witnesses said that they heard it. Now the time by which a heartbeat was late is left out of the others' silence, and a witness's word takes the suspect back.

--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -211,7 +211,10 @@
                 # After its last word a VM is in no view, its own included, and tells no more.
                 if not self._exchange.mine.gone:
                     self._tick()
-                await self._clock.sleep(self._interval())
+                pause_ms = self._interval()
+                due = self._clock.now() + pause_ms
+                await self._clock.sleep(pause_ms)
+                self._allow_for_stall(self._clock.now() - due)
 
     async def drain(self) -> None:
         """Say the last word to the neighbours and leave the platform's list."""
@@ -386,6 +389,8 @@
                 self._unreachable.add(vm.id)
             case Verdict.REACHED_BY_OTHERS:
                 self._suspects[vm.id] = Suspect(self._clock.now())
+                # It may never be heard here itself: only its own partners are.
+                self._unreachable.discard(vm.id)
         self._cached = (-1, ())
 
     def _witnesses(self, suspect: EntryVm) -> list[EntryVm]:
@@ -417,6 +422,19 @@
             return Probed(reached=self._heard_lately(probe.suspect.id))
         return Probed(reached=True)
 
+    def _allow_for_stall(self, late_ms: float) -> None:
+        """Leave the time that this process stood still out of the others' silence.
+
+        Without a turn on a busy machine it reads nothing: heartbeats wait in its sockets. Asked
+        by another VM just then, it would say that it has not heard a VM which was never silent,
+        and that VM would vanish from all views.
+
+        :param late_ms: by how much a heartbeat was late.
+        """
+        now = self._clock.now()
+        for suspect in self._suspects.values():
+            suspect.excuse(round(late_ms), now)
+
     def _heard_lately(self, vm: VmId) -> bool:
         suspect = self._suspects.get(vm)
         limit_ms = HEARD_LATELY * self._cfg.peers.heartbeat_ms
--- a/src/hickorybeam/peers/suspicion.py
+++ b/src/hickorybeam/peers/suspicion.py
@@ -38,6 +38,10 @@
         self.heard_ms = now_ms
         self.failures = 0
 
+    def excuse(self, ms: int, now_ms: int) -> None:
+        """Leave out a time in which this VM could not hear anything."""
+        self.heard_ms = min(now_ms, self.heard_ms + ms)
+
     def failed(self, now_ms: int, *, refused: bool, silent_after_ms: int) -> bool:
         """Note an unanswered heartbeat.
 
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -107,6 +107,21 @@
     When nobody can connect to fleet VM "dakar-1.1" any longer
     Then for 1200 ms the other VMs of the fleet see exactly the running VMs
 
+  Scenario: A VM that nobody can connect to, while the asked VMs stand still now and then
+    # A process without a turn reads no heartbeats: they wait in its socket. On waking it must
+    # not tell others that a VM was silent because it had not listened itself.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When nobody can connect to fleet VM "dakar-1.1" any longer
+    Then through 8 standstills of 250 ms the other VMs of the fleet see exactly the running VMs
+
+  Scenario: A VM that nobody can connect to, and whose word could not be confirmed for a while
+    # Its neighbour reached no witness and left it out of its own view. Once the witnesses answer
+    # that they hear it, it is named to callers again.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When nobody can connect to fleet VM "dakar-1.1" any longer
+    And a VM that never hears "dakar-1.1" itself reaches no witness for a while
+    Then the other VMs of the fleet see exactly the running VMs again
+
   Scenario: A VM goes silent without its connections closing
     # The VM is stopped, or its switch port is dead: nothing refuses, nothing answers.
     Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
--- a/tests/steps/peers/partition_steps.py
+++ b/tests/steps/peers/partition_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 
 import anyio
@@ -11,6 +12,7 @@
 from support.fleet import HEARTBEAT_MS, of, start, until
 
 POLL_S = 0.02
+BETWEEN_STANDSTILLS_MS = 150
 
 
 def member(context, name):
@@ -130,6 +132,46 @@
     keeps(context, lambda: all(found.sees() == ids for found in rest), ms)
 
 
+@then(
+    "through {count:d} standstills of {ms:d} ms "
+    "the other VMs of the fleet see exactly the running VMs"
+)
+def step_keeps_through_standstills(context, count, ms):
+    for _ in range(count):
+        context.call(stand_still, ms)
+        step_keeps_others(context, BETWEEN_STANDSTILLS_MS)
+
+
+async def stand_still(ms):
+    time.sleep(ms / 1000)  # noqa: ASYNC251 - it holds up every VM of this process
+
+
+@when('a VM that never hears "{name}" itself reaches no witness for a while')
+def step_no_witness(context, name):
+    names = [found.id.name for found in of(context, "dakar-1")]
+    heard_by = ring.fingers(name, names)
+    (deaf,) = (it for it in names if it != name and it not in heard_by)
+    lost = member(context, name).id
+    witnesses = [found for found in others(context, name) if found.id.name != deaf]
+
+    async def run():
+        apart = member(context, deaf)
+        before = len(context.fleet.links)
+        await context.fleet.cut([apart], witnesses)
+        await until(lambda: lost not in apart.sees())
+        for link in context.fleet.links[before:]:
+            await link.set(LinkState.PASS)
+
+    context.call(run)
+
+
+@then("the other VMs of the fleet see exactly the running VMs again")
+def step_see_again(context):
+    ids = {found.id for found in context.fleet.members.values()}
+    rest = others(context, context.apart)
+    context.call(until, lambda: all(found.sees() == ids for found in rest))
+
+
 @then("no VM of the fleet was accused")
 def step_not_accused(context):
     for found in context.fleet.members.values():
