Log lines are flat, go through a bounded queue, and one thread writes them

Cause: lines were formatted by hand with a decision's fields inside one text, and written in the event loop's thread, so a reader of standard error that stalled stopped the process. python-json-logger formats, logging.handlers carries (QueueHandler, QueueListener); the last lines get half a second at the end. Six scenarios: a pipe that nobody reads while a caller is answered, a burst beyond the queue, the end with and without a reader.

--- a/src/entry.py
+++ b/src/entry.py
@@ -20,8 +20,8 @@
     """Run until SIGTERM."""
     path = os.environ[SETTINGS_VARIABLE]
     cfg = load_settings(path)
-    logs.configure(cfg.log)
-    anyio.run(run, cfg, path)
+    with logs.logged(cfg.log):
+        anyio.run(run, cfg, path)
 
 
 if __name__ == "__main__":
--- a/src/hickorybeam/cli/main.py
+++ b/src/hickorybeam/cli/main.py
@@ -42,15 +42,15 @@
         from hickorybeam.telemetry import logs
 
         cfg = load_settings(settings)
-        logs.configure(cfg.log)
-        if cfg.gateway is not None:
-            from hickorybeam import gateway
+        with logs.logged(cfg.log):
+            if cfg.gateway is not None:
+                from hickorybeam import gateway
 
-            anyio.run(gateway.run, cfg, settings)
-            return
-        from hickorybeam import daemon
+                anyio.run(gateway.run, cfg, settings)
+                return
+            from hickorybeam import daemon
 
-        anyio.run(daemon.run, cfg)
+            anyio.run(daemon.run, cfg)
 
     def check(self, *settings: str) -> str:
         """Check settings files; every fault is named."""
--- a/src/hickorybeam/telemetry/counters.py
+++ b/src/hickorybeam/telemetry/counters.py
@@ -9,6 +9,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from hickorybeam.telemetry.logs import lost_lines
+
 __all__ = ("Counters",)
 
 WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
@@ -22,6 +24,10 @@
         self.refusals = self.counter("refusals", "Requests refused", ("kind",))
         self.retries = self.counter("retries", "Calls sent again", ("reason",))
         self.requests = self.counter("requests", "Requests answered", ("kind", "outcome"))
+        lost = self.gauge(
+            "log_lines_lost", "Log lines dropped, since nobody read those before them"
+        )
+        lost.set_function(lost_lines)
         self.position = self.gauge("config_position", "Position of the ticket log in force")
 
     def counter(self, name: str, text: str, labels: tuple[str, ...] = ()) -> Counter:
--- a/src/hickorybeam/telemetry/decisions.py
+++ b/src/hickorybeam/telemetry/decisions.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -29,6 +28,7 @@
         self._per_s = per_s
         self._budgets: dict[str, tuple[int, int, int]] = {}
 
+    @logging.skip_log_prefix
     def note(self, event: str, **fields: object) -> None:
         """Write a line, or count it where there are too many of its kind."""
         second = self._clock.now() // MS_PER_SECOND
@@ -41,4 +41,4 @@
         if dropped:
             fields["left_out"] = dropped
         self._budgets[event] = (since, written + 1, 0)
-        logging.info("%s %s", event, json.dumps(fields, default=str))
+        logging.info(event, extra=fields)
--- a/src/hickorybeam/telemetry/logs.py
+++ b/src/hickorybeam/telemetry/logs.py
@@ -1,43 +1,45 @@
-"""Logging: text for people or one JSON object per line for programs.
-
-Request ids go in by the message's text; keys, prompts and answers never do.
-"""
+"""Logging of a whole process: level, format, and the queue that its lines go through."""
 
 from __future__ import annotations
 
-import json
 import logging as std
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from absl import flags, logging
 
+from hickorybeam.telemetry.log_lines import JsonLines, TextLines
+from hickorybeam.telemetry.log_queue import LineQueue, LineWriter
+
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from hickorybeam.settings import LogSettings
 
-__all__ = ("JsonFormatter", "configure")
+__all__ = ("logged", "lost_lines")
 
+STANDARD_ERROR = 2
+# How long the end of the process waits for a reader of its last lines, in s.
+LAST_LINES_S = 0.5
 
-class JsonFormatter(std.Formatter):
-    """One JSON object per record."""
 
-    def format(self, record: std.LogRecord) -> str:
-        """Return the record as one line."""
-        line = {
-            "time": round(record.created, 3),
-            "level": record.levelname.lower(),
-            "where": f"{record.filename}:{record.lineno}",
-            "text": record.getMessage(),
-        }
-        if record.exc_info:
-            line["error"] = self.formatException(record.exc_info)
-        return json.dumps(line)
+def lost_lines() -> int:
+    """Return how many lines found no room, since nobody read those before them."""
+    return sum(it.lost for it in std.getLogger().handlers if isinstance(it, LineQueue))
 
 
-def configure(cfg: LogSettings) -> None:
-    """Set level and format for the whole process."""
+@contextmanager
+def logged(cfg: LogSettings, *, descriptor: int = STANDARD_ERROR) -> Iterator[None]:
+    """Write this process's log lines, and its last ones before the end."""
     # absl warns on each line until its flags are parsed; our settings take their place.
     flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
     logging.set_verbosity(cfg.level)
-    if cfg.format == "json":
-        logging.get_absl_handler().setFormatter(JsonFormatter())
+    lines = LineQueue()
+    writer = LineWriter(lines, descriptor, JsonLines() if cfg.format == "json" else TextLines())
+    std.getLogger().addHandler(lines)
+    writer.start()
+    try:
+        yield
+    finally:
+        std.getLogger().removeHandler(lines)
+        writer.finish(LAST_LINES_S)
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -1,7 +1,7 @@
 """Play days of a deployment with one change at a time, on several seeds, and compare worth.
 
     python tools/ablate.py --bench BENCH --scratch DIR --site SITE --days scale-1,trouble-3 \
-        --seeds 1,2,3 [--jobs 3] [--with-cpu] [--revision REV] [NAME=PATCH ...]
+        --seeds 1,2,3 [--jobs 3] [--with-cpu] [--small] [--revision REV] [NAME=PATCH ...]
 
 Each ``PATCH`` is a file for ``git apply``, laid over REV in a clone of its own below DIR; the
 clone without a patch is the base. The table gives the mean over days and seeds, the difference
@@ -77,6 +77,7 @@
     parser.add_argument("--seeds", default="1,2,3")
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--with-cpu", action="store_true")
+    parser.add_argument("--small", action="store_true", help="play small twins of large days")
     parser.add_argument("--revision", default="HEAD")
     parser.add_argument("variants", nargs="*", metavar="NAME=PATCH")
     return parser.parse_args(argv)
@@ -100,6 +101,7 @@
     )
     cmd = [args.bench, "run", args.site, play.day, "--seed", str(play.seed)]
     cmd += ["--report", f"{report}.json", *([] if args.with_cpu else ["--no-cpu"])]
+    cmd += ["--small"] if args.small else []
     done = subprocess.run(
         cmd, cwd=tree, capture_output=True, text=True, check=False, timeout=PLAY_LIMIT_S
     )
--- a/tools/lost.py
+++ b/tools/lost.py
@@ -19,7 +19,7 @@
 
 # A late answer keeps this share of its worth.
 LATE_KEEPS = 0.3
-LATE = "late "
+LATE = '"event":"late"'
 # A request that waited for longer than this share of its objective was late for its place in line.
 IN_LINE_SHARE = 0.3
 WORST_WINDOWS = 4
@@ -73,9 +73,8 @@
     for line in text.splitlines():
         # A VM's line follows its time and name.
         _, found, log_line = line.partition("{")
-        text = json.loads(found + log_line)["text"] if LATE in log_line else ""
-        if text.startswith(LATE):
-            late = json.loads(text.removeprefix(LATE))
+        if LATE in log_line:
+            late = json.loads(found + log_line)
             losses.causes[cause_of(late)] += 1 + late.get("left_out", 0)
 
 
