What can't be answered whole before its deadline is refused at once

How long a server writes an answer is learned now (weight 0.1), and a request that its reading and half of that don't fit is refused as not run.

--- a/src/hickorybeam/gateway/burden.py
+++ b/src/hickorybeam/gateway/burden.py
@@ -23,7 +23,8 @@
     are its own, as long as they aren't read; ``ahead`` were to be read there when it was sent at
     ``sent_ms``, its own and known others. ``size`` is what it holds in the server's memory, in
     tokens. ``wait_ms`` was foreseen until its first event. Parts of it are copied from
-    ``copy_from``, a server's ``host:port``, if any.
+    ``copy_from``, a server's ``host:port``, if any. Its answer has ``output`` tokens at most, the
+    first of them at ``read_ms``.
     """
 
     clock: Clock
@@ -36,6 +37,8 @@
     sent_ms: int
     wait_ms: float
     copy_from: str | None
+    output: int
+    read_ms: int | None = None
     ended: bool = False
 
     def begin(self) -> None:
@@ -48,12 +51,15 @@
             self.standing.pace.has_read(self.ahead, self.clock.now() - self.sent_ms)
         self._add(0, -self.reading, 0)
         self.reading = 0
+        self.read_ms = self.clock.now()
 
-    def end(self) -> None:
+    def end(self, ending: Ending) -> None:
         """Take it off its server, once."""
         if self.ended:
             return
         self.ended = True
+        if ending is Ending.ANSWERED and self.read_ms is not None:
+            self.standing.pace.has_written(self.output, self.clock.now() - self.read_ms)
         self._add(-1, -self.reading, -self.size)
         self.line.departed()
 
@@ -71,7 +77,7 @@
                 self.standing.unreachable(self.clock.now())
             case Ending.LEFT:
                 pass
-        self.end()
+        self.end(ending)
 
     def _add(self, running: int, reading: int, holding: int) -> None:
         it = self.standing
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -177,17 +177,22 @@
 
         :param silent: VMs that did not answer lately.
         """
+        order = self._in_order(service)
+        return next((name for name in order if name not in silent), self.me.name)
+
+    def _in_order(self, service: str) -> list[str]:
+        """Return the VMs that place a service's requests, in order."""
         order = self._placers.get(service)
         if order is None:
             steady = self.peers.steady()
             if not self.leaving and self.settled():
                 steady.append(self.me.name)
             order = self._placers[service] = placers(service, steady)
-        return next((name for name in order if name not in silent), self.me.name)
+        return order
 
     def places(self, service: str) -> bool:
         """Whether this VM places a service's requests for the others of the region."""
-        return self.placer(service) == self.me.name
+        return self._in_order(service)[:1] == [self.me.name]
 
     def told_beside(self) -> bool:
         """Whether a VM of this data centre tells this one what changes in the store."""
--- a/src/hickorybeam/gateway/grants.py
+++ b/src/hickorybeam/gateway/grants.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.attempt import Errand, ToPeer, ToServer
-from hickorybeam.gateway.place_words import Placed, Verdict, Wanted
+from hickorybeam.gateway.place_words import Ending, Placed, Verdict, Wanted
 from hickorybeam.gateway.placing import Full, OpenTargets
 from hickorybeam.model.routing import PromptPart, RelayCall, Repeat, Route
 
@@ -74,13 +74,13 @@
                 self._fleet.say(word.vm, Placed(word.number, Verdict.WAITS))
                 self._tasks.start_soon(self._wait, key, errand, targets, place)
                 return
-            found = self._queueing.at_last(errand, targets)
+            found = self._queueing.at_last(errand, targets, found)
         self._answer(key, errand, found)
 
     async def _wait(self, key: Key, errand: Errand, targets: OpenTargets, place: Place) -> None:
         found = await self._queueing.wait(errand, targets, place)
         if isinstance(found, Full):
-            found = self._queueing.at_last(errand, targets)
+            found = self._queueing.at_last(errand, targets, found)
         if key in self._waiting:
             self._waiting.discard(key)
             self._answer(key, errand, found)
@@ -121,7 +121,7 @@
         known_by_ms = self._clock.now() - UNDER_WAY_MS
         for key, (burden, _) in tuple(self._burdens.items()):
             if key[0] == word.vm and key[1] not in held and burden.sent_ms < known_by_ms:
-                burden.end()
+                burden.end(Ending.LEFT)
                 del self._burdens[key]
 
     def _tidy(self) -> None:
@@ -130,7 +130,7 @@
         heard = set(self._fleet.near_names())
         for key, (burden, due) in tuple(self._burdens.items()):
             if due < now or key[0] not in heard:
-                burden.end()
+                burden.end(Ending.LEFT)
                 del self._burdens[key]
         self._answers = {key: it for key, it in self._answers.items() if it[1] > now}
 
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -10,6 +10,7 @@
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.gateway.burden import Burden
 from hickorybeam.policy.cold_limit import cold_owners
+from hickorybeam.policy.in_time import can_end
 from hickorybeam.policy.late_work import gives_way
 from hickorybeam.policy.server_choice import (
     ServerStanding,
@@ -54,12 +55,14 @@
 class Full:
     """Servers that may take a request have no room; about when there will be.
 
-    ``late``: they have, but it could only be late there, and gives way to others.
+    ``late``: they have, but it could only be late there, and gives way to others. ``in_vain``:
+    it couldn't end before its deadline, so no wait helps.
     ``come_back_ms``: when its caller should come back, where another VM has said so.
     """
 
     wait_ms: float
     late: bool = False
+    in_vain: bool = False
     come_back_ms: int | None = None
 
 
@@ -127,12 +130,14 @@
         if targets.here_only or self._allowed(errand, self._fleet.me.region):
             here = self._choose_here(errand, targets, now)
         away = None if targets.here_only else self._choose_away(errand, targets)
-        if here is None:
-            return away[0] if away else None
-        if away is not None and self._cost_here(here, errand, now) > away[1] + SPILL_MARGIN_MS:
-            return away[0]
-        if isinstance(here, Full):
+        if away is not None and (
+            here is None or self._cost_here(here, errand, now) > away[1] + SPILL_MARGIN_MS
+        ):
+            return away[0] if self._in_time_away(errand, now) else Full(0.0, in_vain=True)
+        if here is None or isinstance(here, Full):
             return here
+        if not self._in_time(here, errand, now):
+            return Full(0.0, in_vain=True)
         if self._knowledge.is_cold(here.server.id, now):
             self._cold_limit(here, now).take(now)
         return ToServer(here)
@@ -143,6 +148,26 @@
         call = errand.call
         return cost_ms(here, missing_of(here, call.parts, call.prompt_tokens), now_ms)
 
+    def _in_time(self, standing: ServerStanding, errand: Errand, now_ms: int) -> bool:
+        """Whether a server could answer a request before its deadline."""
+        call, pace = errand.call, standing.pace
+        to_read = standing.to_read() + missing_of(standing, call.parts, call.prompt_tokens)
+        return can_end(
+            left_ms=errand.deadline_ms - now_ms,
+            first_ms=pace.reading_ms(to_read),
+            writing_ms=pace.writing_ms(call.output_tokens),
+        )
+
+    def _in_time_away(self, errand: Errand, now_ms: int) -> bool:
+        """Whether another region could answer a request before its deadline, if it is idle."""
+        own = errand.call.parts[-1].tokens if errand.call.parts else errand.call.prompt_tokens
+        reading_ms = own / FIRST_READ_TOKENS_PER_MS
+        return can_end(
+            left_ms=errand.deadline_ms - now_ms,
+            first_ms=REGION_WAY_MS + reading_ms,
+            writing_ms=0.0,
+        )
+
     def _choose_here(
         self, errand: Errand, targets: OpenTargets, now_ms: int
     ) -> ServerStanding | Full | None:
@@ -203,6 +228,7 @@
             sent_ms=now,
             wait_ms=wait_ms(standing, missing, now),
             copy_from=self.copy_from(standing, errand),
+            output=call.output_tokens,
         )
         if not given:
             self._recent[errand.service].sent(standing.pace.reading_ms(missing), now)
@@ -250,7 +276,7 @@
     def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
         return self._knowledge.cold_limit(standing.server, now_ms)
 
-    def _choose_away(self, errand: Errand, targets: OpenTargets) -> tuple[Target, float] | None:
+    def _choose_away(self, errand: Errand, targets: OpenTargets) -> tuple[ToPeer, float] | None:
         found = self._elsewhere(errand, targets, self._fleet.elsewhere(errand.service))
         if not found:
             found = self._elsewhere(errand, targets, self._finishing(errand))
--- a/src/hickorybeam/gateway/queueing.py
+++ b/src/hickorybeam/gateway/queueing.py
@@ -34,13 +34,15 @@
         place = self.enter(errand, found)
         if place is not None:
             found = await self.wait(errand, targets, place)
-        return self.at_last(errand, targets) if isinstance(found, Full) else found
+        return self.at_last(errand, targets, found) if isinstance(found, Full) else found
 
     def enter(self, errand: Errand, found: Full) -> Place | None:
         """Take a place in line, or none where the wait would be longer than it may wait.
 
         :param found: why it was not placed at once.
         """
+        if found.in_vain:
+            return None
         now = self._clock.now()
         patience = patience_of(errand, now, late=found.late)
         return self._lines.of(errand.service).policy.enter(errand.urgency, patience, now)
@@ -54,14 +56,16 @@
             while await line.pause(place):
                 if line.is_next(place):
                     target = self._placing.choose(errand, targets)
-                    if not isinstance(target, Full):
+                    if not isinstance(target, Full) or target.in_vain:
                         return target
             return Full(line.policy.estimate_ms(errand.urgency, self._clock.now()))
         finally:
             line.leave(place)
 
-    def at_last(self, errand: Errand, targets: OpenTargets) -> Target | Full | None:
+    def at_last(self, errand: Errand, targets: OpenTargets, found: Full) -> Target | Full | None:
         """Choose once more for one that need not wait any longer for being late."""
+        if found.in_vain:
+            return found
         return self._placing.choose(errand, targets.without_patience())
 
     def come_back_ms(self, errand: Errand) -> int:
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -51,7 +51,7 @@
 
     def end(self, ending: Ending) -> None:
         """Give the place up."""
-        self._burden.end()
+        self._burden.end(ending)
         if self._grant is not None:
             self._grant.end(ending)
 
--- a/src/hickorybeam/policy/server_pace.py
+++ b/src/hickorybeam/policy/server_pace.py
@@ -1,4 +1,4 @@
-"""How quickly a server reads prompts, as its answers show.
+"""How quickly a server reads prompts and writes answers, as its answers show.
 
 Load it answers: engines of unlike speed in one region, and engines much slower or faster than
 those of another deployment. With one speed for all, a slow engine looks as good as its
@@ -28,6 +28,7 @@
     """What is believed of one life of a server."""
 
     read_tokens_per_ms: float = FIRST_READ_TOKENS_PER_MS
+    write_ms_per_token: float = 0.0
 
     def reading_ms(self, tokens: float) -> float:
         """Return how long the server reads so many prompt tokens."""
@@ -44,3 +45,22 @@
         seen = tokens / (took_ms - START_MS)
         seen = min(MOST_READ_TOKENS_PER_MS, max(LEAST_READ_TOKENS_PER_MS, seen))
         self.read_tokens_per_ms *= (seen / self.read_tokens_per_ms) ** ANSWER_WEIGHT
+
+    def writing_ms(self, tokens: int) -> float:
+        """Return how long the server usually takes for an answer of at most so many tokens.
+
+        0 before it has given one.
+        """
+        return tokens * self.write_ms_per_token
+
+    def has_written(self, tokens: int, took_ms: float) -> None:
+        """Learn from the end of an answer.
+
+        :param tokens: the most that it could have.
+        :param took_ms: the time from its first event to its end.
+        """
+        if tokens <= 0:
+            return
+        seen = took_ms / tokens
+        known = self.write_ms_per_token or seen
+        self.write_ms_per_token = known + (seen - known) * ANSWER_WEIGHT
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -78,6 +78,15 @@
     And a caller of "small" asks "s1" for a prompt of parts "5c1e:3000,a2:20"
     Then server "m9" was told to copy from "m1"
 
+  Scenario: a prompt that can't be read before its deadline is refused at once
+    # A caller comes back with 400 ms left and a prompt whose reading alone takes a second. Sent on,
+    # its server would read for nothing, and the caller would hear of it at the deadline.
+    Given a small gateway with a southern region
+    When a caller of "large" that waits 400 ms asks "n1" for a prompt of 40000 tokens
+    Then the caller gets 503 with a time to come back
+    And it got it within 150 ms
+    And no server got the prompt
+
   Scenario: a region that refused a request is not asked again for it
     # The caller's own region has no server that may be used. Two VMs of the other region share
     # its only server, which is full: the second would ask the same one once more.
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -692,6 +692,26 @@
     assert context.reply.status == 200
 
 
+@when('a caller of "{key}" that waits {ms:d} ms asks "{vm}" for a prompt of {tokens:d} tokens')
+def step_long_prompt(context, key, ms, vm, tokens):
+    more = ((b"x-hickorybeam-prompt-prefix", b"a1:%d" % tokens),)
+    options = {"wait_ms": ms, "tokens": b"%d,10" % tokens, "more": more}
+    context.began = time.monotonic()
+    ask(context, vm, "/plan/x", key=key, method="POST", body=BODY, **options)
+    context.took_ms = (time.monotonic() - context.began) * 1000
+
+
+@then("it got it within {ms:d} ms")
+def step_got_within(context, ms):
+    assert context.took_ms < ms, context.took_ms
+
+
+@then("no server got the prompt")
+def step_no_server(context):
+    assert not ran(context.rig, "model")
+    assert not any(it.arrivals for it in context.rig.servers.values() if it.service == "model")
+
+
 @when("the VMs have told each other")
 def step_told_other(context):
     vm = context.rig.vms["s1"]
