While a server is cold, the VM that places its service's prompts may choose it

Cause, found on reading: two VMs found by hashing the server may send to a cold one, each at half of its rate; the VM that is asked for all places is seldom one of them, so engines that had come back stood idle for as long as they were cold. Where one VM places, it and the next in order are these two. The scenario failed first (no prompt in 1 s).

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -26,6 +26,7 @@
 from hickorybeam.gateway.tell import Audience, Tell
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
+from hickorybeam.policy.cold_limit import OWNERS, cold_owners
 from hickorybeam.policy.fleet_quota import FleetQuota
 from hickorybeam.policy.pacing import (
     gone_after_ms,
@@ -52,6 +53,7 @@
     from hickorybeam.gateway.tell import Granted, RegionFigures, ServerFigures
     from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.model.routing import RegisteredServer
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
@@ -190,6 +192,14 @@
             order = self._placers[service] = placers(service, steady)
         return order
 
+    def warming(self, server: RegisteredServer) -> list[str]:
+        """Return the VMs that may choose a server while it is cold.
+
+        Where one VM places for all, it is one of them: others would hardly ever be asked to.
+        """
+        order = self._in_order(server.service)
+        return order[:OWNERS] if order else cold_owners(server.id, self.near_names())
+
     def places(self, service: str) -> bool:
         """Whether this VM places a service's requests for the others of the region."""
         return self._in_order(service)[:1] == [self.me.name]
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -9,7 +9,6 @@
 
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.gateway.burden import Burden
-from hickorybeam.policy.cold_limit import cold_owners
 from hickorybeam.policy.in_time import can_end
 from hickorybeam.policy.late_work import gives_way
 from hickorybeam.policy.server_choice import (
@@ -270,7 +269,7 @@
         return found
 
     def _may_warm(self, standing: ServerStanding, now_ms: int) -> bool:
-        owners = cold_owners(standing.server.id, self._fleet.near_names())
+        owners = self._fleet.warming(standing.server)
         return self._fleet.me.name in owners and self._cold_limit(standing, now_ms).ready(now_ms)
 
     def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
--- a/src/hickorybeam/policy/cold_limit.py
+++ b/src/hickorybeam/policy/cold_limit.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ("ColdLimit", "cold_owners", "rendezvous")
+__all__ = ("OWNERS", "ColdLimit", "cold_owners", "rendezvous")
 
 MS_PER_SECOND = 1000
 OWNERS = 2
--- a/tests/gateway/placing.feature
+++ b/tests/gateway/placing.feature
@@ -30,3 +30,11 @@
   Scenario: a caller who leaves while its request is placed leaves no place taken
     When callers ask every VM for 4 prompts and leave at once
     Then within 2 s no VM counts a request at any server
+
+  Scenario: a cold server gets work from the VM that places, within its bound
+    # Only two VMs may choose a server while it is cold. Were they found without regard to who
+    # places, the one that is asked for all places could hardly ever use it: engines that came back
+    # would stand idle for as long as they are cold.
+    When the only model server starts anew and is cold for 1500 ms
+    And callers ask every VM for prompts during 1000 ms
+    Then the cold server got at least 1 and at most 6 of them
--- a/tests/steps/gateway/placing_steps.py
+++ b/tests/steps/gateway/placing_steps.py
@@ -6,6 +6,7 @@
 import anyio
 from behave import given, then, when
 
+from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.place_words import Placed, Still, Told, Wanted
 from support.gateway import ran
 
@@ -132,3 +133,40 @@
         )
 
     context.call(lambda: context.rig.until(nothing, limit_s=limit))
+
+
+@when("the only model server starts anew and is cold for {ms:d} ms")
+def step_cold(context, ms):
+    rig = context.rig
+
+    async def cold():
+        rig.servers["m1"].register(cold_ms=ms, born=77)
+        clock = SystemClock()
+        vms = list(rig.vms.values())
+        await rig.until(lambda: all(vm.knowledge.is_cold("m1", clock.now()) for vm in vms))
+
+    context.call(cold)
+    context.before = len(ran(rig, MODEL))
+
+
+@when("callers ask every VM for prompts during {ms:d} ms")
+def step_ask_for(context, ms):
+    context.answers = []
+    numbers = itertools.count(1)
+
+    async def keep_asking(vm):
+        while True:
+            await ask(context, vm, next(numbers))
+
+    async def run():
+        with anyio.move_on_after(ms / 1000):
+            async with anyio.create_task_group() as tg:
+                for vm in context.rig.vms:
+                    tg.start_soon(keep_asking, vm)
+
+    context.call(run)
+
+
+@then("the cold server got at least {least:d} and at most {most:d} of them")
+def step_cold_got(context, least, most):
+    assert least <= len(ran(context.rig, MODEL)) - context.before <= most
