--- a/src/hickorybeam/gateway/cold_asking.py
+++ b/src/hickorybeam/gateway/cold_asking.py
@@ -74,7 +74,9 @@
             for it in knowledge.servers(service)
             if self._fleet.is_here(it.server.data_centre)
         }
-        mine = servers_to_ask(self._fleet.me.name, servers=here, vms=self._fleet.near_names())
+        mine = servers_to_ask(
+            self._fleet.me.name, servers=here, vms=self._fleet.who_places.serving()
+        )
         return [here[name] for name in mine]
 
     async def _ask(self, server: RegisteredServer, health_path: str) -> None:
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -24,9 +24,9 @@
 from hickorybeam.gateway.place_words import Placed, Still, Told, Wanted
 from hickorybeam.gateway.registration import Registration
 from hickorybeam.gateway.tell import Audience, Tell
+from hickorybeam.gateway.who_places import WhoPlaces
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
-from hickorybeam.policy.cold_limit import OWNERS, cold_owners
 from hickorybeam.policy.fleet_quota import FleetQuota
 from hickorybeam.policy.pacing import (
     gone_after_ms,
@@ -36,7 +36,6 @@
     watch_wait_ms,
     watcher_gone_after_ms,
 )
-from hickorybeam.policy.placers import placers
 from hickorybeam.policy.prefix_holders import PrefixHolders
 from hickorybeam.policy.watchers import watchers_of, watches_itself
 from hickorybeam.ports import FEED, FLEET, PLATFORM
@@ -45,7 +44,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable, Collection, Sequence
+    from collections.abc import Callable, Sequence
     from typing import Any
 
     from hickorybeam.clock import Clock
@@ -53,7 +52,6 @@
     from hickorybeam.gateway.tell import Granted, RegionFigures, ServerFigures
     from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
-    from hickorybeam.model.routing import RegisteredServer
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
@@ -94,9 +92,8 @@
             peer_port=cfg.vm.peer_port,
         )
         self.peers = PeerTable(clock, self.me)
+        self.who_places = WhoPlaces(self.me, self.peers, self._stays)
         self._words: dict[type[Word], Callable[[Any], None]] = {Tell: self._take_word}
-        # The VMs that place a service's requests, in order, until the next word.
-        self._placers: dict[str, list[str]] = {}
         # What this VM has at servers by places that others gave it.
         self.granted: Callable[[], Granted] = dict
         self._relayed: list[Tell] = []
@@ -134,6 +131,9 @@
         """Whether a data centre is of this VM's region."""
         return self._regions.get(data_centre) == self.me.region
 
+    def _stays(self) -> bool:
+        return self.settled() and not self.leaving
+
     def settled(self) -> bool:
         """Whether this VM has run for long enough to have heard of all others."""
         return self._clock.now() - self._started_ms >= YOUNG_MS
@@ -160,10 +160,6 @@
             found.append((self.me, self._clock.now() - self._leaving_since_ms))
         return found
 
-    def near_names(self) -> list[str]:
-        """Return the names of the VMs of this region, this one included."""
-        return [self.me.name, *(vm.name for vm in self.peers.serving(self.me.region))]
-
     def on_word(self, kind: type[Word], take: Callable[[Any], None]) -> None:
         """Hand words of a kind on; without anyone to take them, they are dropped."""
         self._words[kind] = take
@@ -174,36 +170,6 @@
         if peer is not None:
             self._send(msgspec.msgpack.encode(word), peer)
 
-    def placer(self, service: str, *, silent: Collection[str] = ()) -> str:
-        """Return the VM that places a service's requests for the region.
-
-        :param silent: VMs that did not answer lately.
-        """
-        order = self._in_order(service)
-        return next((name for name in order if name not in silent), self.me.name)
-
-    def _in_order(self, service: str) -> list[str]:
-        """Return the VMs that place a service's requests, in order."""
-        order = self._placers.get(service)
-        if order is None:
-            steady = self.peers.steady()
-            if not self.leaving and self.settled():
-                steady.append(self.me.name)
-            order = self._placers[service] = placers(service, steady)
-        return order
-
-    def warming(self, server: RegisteredServer) -> list[str]:
-        """Return the VMs that may choose a server while it is cold.
-
-        Where one VM places for all, it is one of them: others would hardly ever be asked to.
-        """
-        order = self._in_order(server.service)
-        return order[:OWNERS] if order else cold_owners(server.id, self.near_names())
-
-    def places(self, service: str) -> bool:
-        """Whether this VM places a service's requests for the others of the region."""
-        return self._in_order(service)[:1] == [self.me.name]
-
     def told_beside(self) -> bool:
         """Whether a VM of this data centre tells this one what changes in the store."""
         return any(self._heard_near().values())
@@ -286,7 +252,7 @@
             await self._clock.sleep(near_every_ms(len(self.peers.near())))
             now = self._clock.now()
             self.peers.prune()
-            self._placers.clear()
+            self.who_places.look_again()
             self._adapt()
             self.quota.reach(self.heard(), self.known(), now)
             heard = [it for it in self.peers.by_name.values() if self.peers.is_heard(it)]
--- a/src/hickorybeam/gateway/grants.py
+++ b/src/hickorybeam/gateway/grants.py
@@ -127,7 +127,7 @@
     def _tidy(self) -> None:
         """Free places of VMs that are gone, and those whose time is long over."""
         now = self._clock.now()
-        heard = set(self._fleet.near_names())
+        heard = set(self._fleet.who_places.serving())
         for key, (burden, due) in tuple(self._burdens.items()):
             if due < now or key[0] not in heard:
                 burden.end(Ending.LEFT)
--- a/src/hickorybeam/gateway/place_asking.py
+++ b/src/hickorybeam/gateway/place_asking.py
@@ -120,7 +120,7 @@
         self._silent = {vm: until for vm, until in self._silent.items() if until > now}
         if len(self._silent) >= MOST_SILENT:
             return self._fleet.me.name
-        return self._fleet.placer(service, silent=self._silent)
+        return self._fleet.who_places.placer(service, silent=self._silent)
 
     async def run(self) -> None:
         """Tell once more what may have been lost."""
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -251,7 +251,7 @@
         VMs of a region get about as much each, since callers choose them at random. One that
         places for the others knows what they send.
         """
-        if self._fleet.places(service):
+        if self._fleet.who_places.places(service):
             return 0.0
         return self._recent[service].rate(now_ms) * self._fleet.region_lag_ms
 
@@ -269,7 +269,7 @@
         return found
 
     def _may_warm(self, standing: ServerStanding, now_ms: int) -> bool:
-        owners = self._fleet.warming(standing.server)
+        owners = self._fleet.who_places.warming(standing.server)
         return self._fleet.me.name in owners and self._cold_limit(standing, now_ms).ready(now_ms)
 
     def _cold_limit(self, standing: ServerStanding, now_ms: int) -> ColdLimit:
--- a/tests/steps/gateway/placing_steps.py
+++ b/tests/steps/gateway/placing_steps.py
@@ -21,12 +21,12 @@
 
     def agreed():
         return (
-            len({fleet.placer(service) for fleet in fleets}) == 1
-            and sum(fleet.places(service) for fleet in fleets) == 1
+            len({fleet.who_places.placer(service) for fleet in fleets}) == 1
+            and sum(fleet.who_places.places(service) for fleet in fleets) == 1
         )
 
     context.call(lambda: rig.until(agreed))
-    context.placer = fleets[0].placer(service)
+    context.placer = fleets[0].who_places.placer(service)
 
 
 async def ask(context, vm, number):
@@ -81,7 +81,7 @@
 
 @when("the VM that would be the last to place hears nobody any more")
 def step_deaf(context):
-    name = context.deaf = context.rig.vms[context.placer].fleet._in_order(MODEL)[-1]
+    name = context.deaf = context.rig.vms[context.placer].fleet.who_places.order(MODEL)[-1]
     context.rig.vms[name].fleet._transport.get_protocol()._receive = lambda data: None
 
 
