--- a/src/hickorybeam/gateway/grants.py
+++ b/src/hickorybeam/gateway/grants.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from hickorybeam.gateway.attempt import Errand, ToPeer, ToServer
 from hickorybeam.gateway.place_words import Ending, Placed, Verdict, Wanted
 from hickorybeam.gateway.placing import Full, OpenTargets
@@ -45,7 +47,7 @@
         self._queueing = queueing
         self._burdens: dict[Key, tuple[Burden, int]] = {}
         self._answers: dict[Key, tuple[Placed, int]] = {}
-        self._waiting: set[Key] = set()
+        self._waiting: dict[Key, anyio.CancelScope] = {}
         self._tasks: TaskGroup | None = None
 
     async def run(self, tasks: TaskGroup) -> None:
@@ -70,7 +72,7 @@
         if isinstance(found, Full):
             place = self._queueing.enter(errand, found)
             if place is not None and self._tasks is not None:
-                self._waiting.add(key)
+                self._waiting[key] = anyio.CancelScope()
                 self._fleet.say(word.vm, Placed(word.number, Verdict.WAITS))
                 self._tasks.start_soon(self._wait, key, errand, targets, place)
                 return
@@ -78,12 +80,14 @@
         self._answer(key, errand, found)
 
     async def _wait(self, key: Key, errand: Errand, targets: OpenTargets, place: Place) -> None:
-        found = await self._queueing.wait(errand, targets, place)
+        with self._waiting[key] as left:
+            found = await self._queueing.wait(errand, targets, place)
+        del self._waiting[key]
+        if left.cancelled_caught:
+            return
         if isinstance(found, Full):
             found = self._queueing.at_last(errand, targets, found)
-        if key in self._waiting:
-            self._waiting.discard(key)
-            self._answer(key, errand, found)
+        self._answer(key, errand, found)
 
     def _answer(self, key: Key, errand: Errand, found: Target | Full | None) -> None:
         vm, number = key
@@ -108,7 +112,8 @@
         """Take how requests go on that were given places."""
         for number, ending in word.endings:
             key = (word.vm, number)
-            self._waiting.discard(key)
+            if key in self._waiting:
+                self._waiting[key].cancel()
             found = self._burdens.get(key)
             if found is not None:
                 found[0].told(ending)
