Only the first in line look again by themselves; who places has much processor; ends are told once

In the burst a region of 65 VMs has some 850 prompts a second and hundreds in the placing VM's line, each of which looked for room every 25 ms; VMs of half a core answered late, and the others decided alone by old words.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -90,6 +90,7 @@
             host=cfg.vm.host,
             caller_port=0,
             peer_port=cfg.vm.peer_port,
+            power=cfg.vm.power,
         )
         self.peers = PeerTable(clock, self.me)
         self.who_places = WhoPlaces(self.me, self.peers, self._stays)
--- a/src/hickorybeam/gateway/line.py
+++ b/src/hickorybeam/gateway/line.py
@@ -34,13 +34,18 @@
     def departed(self) -> None:
         """Count a departure and wake who is next."""
         self.policy.departed(self._clock.now())
-        for place in self.policy.first(WOKEN):
-            self._events[place.number].set()
+        self._wake()
 
     async def pause(self, place: Place) -> bool:
-        """Wait until it is worth looking for room; :return: whether there is patience left."""
+        """Wait until it is worth looking for room; :return: whether there is patience left.
+
+        Only the first look again by themselves: on a VM that places for its region hundreds
+        wait, and all of them looking would take the processor that the first need.
+        """
         event = self._events[place.number] = anyio.Event()
-        with anyio.move_on_after(LOOK_AGAIN_MS / MS_PER_SECOND):
+        left_ms = place.due_ms - self._clock.now()
+        wait_ms = min(LOOK_AGAIN_MS, left_ms) if self.is_next(place) else left_ms
+        with anyio.move_on_after(max(0, wait_ms) / MS_PER_SECOND):
             await event.wait()
         return self._clock.now() < place.due_ms
 
@@ -49,9 +54,16 @@
         return place in self.policy.first(WOKEN)
 
     def leave(self, place: Place) -> None:
-        """Give a place up."""
+        """Give a place up; who comes up behind it looks."""
         self.policy.leave(place)
         self._events.pop(place.number, None)
+        self._wake()
+
+    def _wake(self) -> None:
+        for place in self.policy.first(WOKEN):
+            event = self._events.get(place.number)
+            if event is not None:
+                event.set()
 
 
 class Lines:
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -93,17 +93,20 @@
             and peer.alive(now, self.heard_limit_ms)
         ]
 
-    def steady(self) -> list[str]:
-        """Return the VMs of this region that are heard, stay, and have been known for a while."""
+    def steady(self) -> dict[str, float]:
+        """Return the VMs of this region that are heard, stay, and have been known for a while.
+
+        Each with its processor, in usual cores.
+        """
         now = self._clock.now()
-        return [
-            name
+        return {
+            name: peer.vm.power
             for name, peer in self.by_name.items()
             if self.here(peer)
             and not peer.leaving
             and self.is_heard(peer)
             and now - peer.known_ms > YOUNG_MS
-        ]
+        }
 
     def leaving(self, region: str) -> list[tuple[GatewayVm, int]]:
         """Return the VMs of a region that shut down, and for how long each has, in ms."""
--- a/src/hickorybeam/gateway/place_asking.py
+++ b/src/hickorybeam/gateway/place_asking.py
@@ -4,7 +4,6 @@
 
 import itertools
 import random
-from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -31,17 +30,15 @@
 # An answer takes a few ms; after this long the question or the answer was lost, in ms.
 ASK_AGAIN_MS = 40
 # One that waits in line is asked for again after this long, in case that its answer was lost.
-WAITING_AGAIN_MS = 150
+WAITING_AGAIN_MS = 300
 # After so many unanswered questions the VM decides alone, and asks the next one in order.
 MOST_UNANSWERED = 3
 SILENT_FOR_MS = 2_000
 # While so many VMs are silent, it is this one that is cut off: it asks nobody. Asking one after
 # the other, it would hold each request for a tenth of a second.
 MOST_SILENT = 2
-# What is told of a request's end is told once more after this long, in case that it was lost.
-TELL_AGAIN_MS = 200
-# After so many of these, what is still held is told whole.
-STILL_EVERY = 4
+# What is still held is told whole this often, in case that the word on an end was lost.
+STILL_EVERY_MS = 800
 FIRST_NUMBER_BITS = 40
 
 
@@ -107,7 +104,6 @@
         self._grants: dict[int, Grant] = {}
         self._silent: dict[str, int] = {}
         self._services: set[str] = set()
-        self._again: deque[tuple[str, int, Ending]] = deque()
         self._asked = counters.counter("places", "Places asked for", ("answer",))
 
     def applies(self, errand: Errand) -> bool:
@@ -123,15 +119,10 @@
         return self._fleet.who_places.placer(service, silent=self._silent)
 
     async def run(self) -> None:
-        """Tell once more what may have been lost."""
-        ticks = itertools.count()
+        """Tell what is still held, until cancelled."""
         while True:
-            await self._clock.sleep(TELL_AGAIN_MS)
-            again, self._again = self._again, deque()
-            for placer, number, ending in again:
-                self._say(placer, number, ending)
-            if next(ticks) % STILL_EVERY == 0:
-                self._tell_still()
+            await self._clock.sleep(STILL_EVERY_MS)
+            self._tell_still()
 
     def _tell_still(self) -> None:
         """Tell who gives places which of them are still held."""
@@ -160,7 +151,6 @@
             if not done:
                 # Its caller has left, or nobody answered: a place that is given yet is nobody's.
                 self._say(placer, number, Ending.LEFT)
-                self._again.append((placer, number, Ending.LEFT))
 
     async def _answer(
         self, placer: str, number: int, question: Question, errand: Errand, targets: OpenTargets
@@ -244,7 +234,6 @@
         """Tell how a request's send ended."""
         if self._grants.pop(grant.number, None) is not None:
             self._say(grant.placer, grant.number, ending)
-            self._again.append((grant.placer, grant.number, ending))
 
     def granted(self) -> Granted:
         """Return what this VM has at servers by places that others gave it."""
--- a/src/hickorybeam/gateway/who_places.py
+++ b/src/hickorybeam/gateway/who_places.py
@@ -63,6 +63,6 @@
         if order is None:
             steady = self._peers.steady()
             if self._stays():
-                steady.append(self._me.name)
+                steady[self._me.name] = self._me.power
             order = self._orders[service] = placers(service, steady)
         return order
--- a/src/hickorybeam/model/routing.py
+++ b/src/hickorybeam/model/routing.py
@@ -164,7 +164,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewayVm:
-    """How callers and peers reach one VM of the gateway, in one life of it."""
+    """How callers and peers reach one VM of the gateway, in one life of it.
+
+    ``power`` is its processor, in usual cores.
+    """
 
     name: str
     incarnation: str
@@ -173,6 +176,7 @@
     host: str
     caller_port: int
     peer_port: int
+    power: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/policy/placers.py
+++ b/src/hickorybeam/policy/placers.py
@@ -15,7 +15,7 @@
 from hickorybeam.policy.cold_limit import rendezvous
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Mapping
 
 __all__ = ("placers",)
 
@@ -23,13 +23,20 @@
 # what is sent: asking another one would gain nothing.
 MOST_THAT_DECIDE_ALONE = 4
 ORDER = "places"
+# Placing takes a good part of a small VM's processor. Those with this share of what the strongest
+# has count as equals.
+STRONG_SHARE = 0.75
 
 
-def placers(service: str, vms: Collection[str]) -> list[str]:
+def placers(service: str, vms: Mapping[str, float]) -> list[str]:
     """Return the VMs that place a service's requests, in order; none where each decides alone.
 
-    :param vms: VMs of the region that are heard and stay.
+    Those with much processor come first.
+
+    :param vms: VMs of the region that are heard and stay, with their processor in usual cores.
     """
     if len(vms) <= MOST_THAT_DECIDE_ALONE:
         return []
-    return rendezvous(f"{ORDER} {service}", vms)
+    strong = max(vms.values()) * STRONG_SHARE
+    order = rendezvous(f"{ORDER} {service}", vms)
+    return sorted(order, key=lambda name: vms[name] < strong)
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VmSettings:
-    """Who this entry VM is and where it listens; port 0 takes a free one."""
+    """Who this entry VM is and where it listens; port 0 takes a free one.
+
+    It has ``core_share`` of a core that is ``core_speed`` times as fast as the usual one.
+    """
 
     name: str
     region: str
@@ -32,6 +35,13 @@
     host: str = "127.0.0.1"
     http_port: int = 0
     peer_port: int = 0
+    core_share: float = 1.0
+    core_speed: float = 1.0
+
+    @property
+    def power(self) -> float:
+        """Its processor, in usual cores."""
+        return self.core_share * self.core_speed
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/policy/placers.feature
+++ b/tests/policy/placers.feature
@@ -6,6 +6,18 @@
     And without its first VM the order for "m" is the same otherwise
     And for "m" and "n" the order is not the same
 
+  Scenario: the VM with much processor places
+    # Placing for dozens of VMs takes a good part of a small one's processor: its answers would be
+    # late, and the others would decide alone.
+    Given VMs "a, b, c, d, e, f" of a region
+    And VM "d" has 4 times the processor of the others
+    Then "d" places for every one of 20 services
+
+  Scenario: among about equals the duty is spread
+    Given VMs "a, b, c, d, e, f" of a region
+    And VM "d" has 1.2 times the processor of the others
+    Then each places for some of 60 services
+
   Scenario: in a small region each decides alone
     Given VMs "a, b, c, d" of a region
     Then nobody places for "m"
--- a/tests/steps/policy/placers_steps.py
+++ b/tests/steps/policy/placers_steps.py
@@ -13,20 +13,20 @@
 
 @given('VMs "{names}" of a region')
 def step_vms(context, names):
-    context.vms = names.split(", ")
+    context.vms = dict.fromkeys(names.split(", "), 1.0)
 
 
 @then('they agree on an order of {count:d} VMs for service "{service}"')
 def step_agree(context, count, service):
     order = placers(service, context.vms)
     assert len(order) == count
-    assert order == placers(service, context.vms[::-1])
+    assert order == placers(service, dict(reversed(context.vms.items())))
 
 
 @then('without its first VM the order for "{service}" is the same otherwise')
 def step_next(context, service):
     first, *rest = placers(service, context.vms)
-    assert placers(service, [it for it in context.vms if it != first]) == rest
+    assert placers(service, {it: 1.0 for it in context.vms if it != first}) == rest
 
 
 @then('for "{one}" and "{other}" the order is not the same')
@@ -34,6 +34,21 @@
     assert placers(one, context.vms) != placers(other, context.vms)
 
 
+@given('VM "{name}" has {times:g} times the processor of the others')
+def step_strong(context, name, times):
+    context.vms[name] *= times
+
+
+@then('"{name}" places for every one of {count:d} services')
+def step_strong_places(context, name, count):
+    assert all(placers(str(it), context.vms)[0] == name for it in range(count))
+
+
+@then("each places for some of {count:d} services")
+def step_each_places(context, count):
+    assert {placers(str(it), context.vms)[0] for it in range(count)} == set(context.vms)
+
+
 @then('nobody places for "{service}"')
 def step_nobody(context, service):
     assert placers(service, context.vms) == []
