--- a/bench/load/many_vms.py
+++ b/bench/load/many_vms.py
@@ -13,6 +13,7 @@
 import random
 from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from hickorybeam.model.routing import PromptPart, RegisteredServer
@@ -123,11 +124,9 @@
 
     def run(self) -> Result:
         """Play until no request is left."""
-        for vm in self.vms:
-            if len(self.vms) > 1:
-                self.at(
-                    self.rng.uniform(0, self.pattern.word_every_ms), lambda vm=vm: self.tell(vm)
-                )  # type: ignore[misc]
+        if len(self.vms) > 1:
+            for vm in self.vms:
+                self.at(self.rng.uniform(0, self.pattern.word_every_ms), partial(self.tell, vm))
         self.arrive(self.pattern.questions_per_s, self.question)
         self.arrive(self.pattern.prompts_per_s, self.prompt)
         while self._events and self.now < self.pattern.seconds * 2_000:
--- a/src/hickorybeam/gateway/path.py
+++ b/src/hickorybeam/gateway/path.py
@@ -15,7 +15,7 @@
 from hickorybeam.gateway.line import Lines
 from hickorybeam.gateway.place_asking import PlaceAsker
 from hickorybeam.gateway.place_words import Placed, Still, Told, Wanted
-from hickorybeam.gateway.placing import Full, OpenTargets, Placing
+from hickorybeam.gateway.placing import Full, Nowhere, OpenTargets, Placing
 from hickorybeam.gateway.progress import Progress, name_of
 from hickorybeam.gateway.queueing import Queueing
 from hickorybeam.gateway.sending import Sending
@@ -173,7 +173,7 @@
         try:
             if self._asker.applies(errand):
                 found = await self._asker.place(errand, targets)
-                if isinstance(found, Placed):
+                if isinstance(found, Nowhere):
                     return None
                 if found is not None:
                     return found
--- a/src/hickorybeam/gateway/place_asking.py
+++ b/src/hickorybeam/gateway/place_asking.py
@@ -12,7 +12,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import ToPeer, ToServer
 from hickorybeam.gateway.place_words import Ending, Placed, Still, Told, Verdict, Wanted
-from hickorybeam.gateway.placing import Full
+from hickorybeam.gateway.placing import Full, Nowhere
 from hickorybeam.gateway.tell import NOTHING, added
 
 if TYPE_CHECKING:
@@ -131,11 +131,11 @@
             if placer != self._fleet.me.name:
                 self._fleet.say(placer, Still(self._fleet.me.name, numbers))
 
-    async def place(self, errand: Errand, targets: OpenTargets) -> Target | Full | Placed | None:
+    async def place(self, errand: Errand, targets: OpenTargets) -> Target | Full | Nowhere | None:
         """Ask where a request goes.
 
-        :return: a target, or that there is no room; ``None`` if this VM has to decide itself. An
-            answer as it came means that nothing can take the request.
+        :return: a target, or that there is none or no room; ``None`` if this VM has to decide
+            itself.
         """
         placer = self.placer(errand.service)
         self._services.add(errand.service)
@@ -191,7 +191,7 @@
             here_only=targets.here_only,
         )
 
-    def _found(self, answer: Placed, placer: str, number: int) -> Target | Full | Placed | None:
+    def _found(self, answer: Placed, placer: str, number: int) -> Target | Full | Nowhere | None:
         match answer.verdict:
             case Verdict.SERVER:
                 return self._granted(answer, placer, number)
@@ -201,7 +201,7 @@
             case Verdict.FULL:
                 return Full(answer.wait_ms, come_back_ms=round(answer.wait_ms))
             case _:
-                return answer
+                return Nowhere()
 
     def _granted(self, answer: Placed, placer: str, number: int) -> Target | None:
         standing = self._knowledge.standings.get(answer.target)
--- a/src/hickorybeam/gateway/place_words.py
+++ b/src/hickorybeam/gateway/place_words.py
@@ -33,8 +33,8 @@
     """A request that wants a place; said again with the same number until it is answered.
 
     ``gone_ms`` of its objective have passed, ``left_ms`` are left until its deadline. ``tried``
-    names targets that it was sent to, ``refused`` regions that refused it. ``shared`` are the
-    parts of its prompt, by id and tokens.
+    names targets that it was sent to, ``refused`` regions that refused it. ``parts`` are
+    those of its prompt, by id and tokens.
     """
 
     vm: str
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -36,7 +36,7 @@
     from hickorybeam.policy.cold_limit import ColdLimit
     from hickorybeam.policy.shutdown import Shutdown
 
-__all__ = ("Full", "OpenTargets", "Placing", "size_of")
+__all__ = ("Full", "Nowhere", "OpenTargets", "Placing", "size_of")
 
 # The way to another region and back, in ms, and by how much its wait has to be shorter.
 REGION_WAY_MS = 160.0
@@ -65,6 +65,11 @@
     come_back_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Nowhere:
+    """The VM that places says that nothing can take a request."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OpenTargets:
     """Which targets are open to a request.
