Cut-off VMs share the accounts' rates out sooner

Before, the region's overload refused what the accounts' rates would have had to. Now a VM without any word for 1.2 s takes itself for cut off, and others count as spending alone after two rounds of words (3.4 s there; 2.0 s as before in small fleets).

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -255,7 +255,7 @@
             self.peers.prune()
             self.who_places.look_again()
             self._adapt()
-            self.quota.reach(self.heard(), self.known(), now)
+            self.quota.reach(1 + self.peers.spending_together(), self.known(), now)
             heard = [it for it in self.peers.by_name.values() if self.peers.is_heard(it)]
             spread(self._feed.knowledge, heard, me=self.me.name)
             self._tell_near()
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -10,7 +10,13 @@
 from absl import logging
 
 from hickorybeam.model.routing import GatewayVm
-from hickorybeam.policy.pacing import LEAST_HEARD_MS, near_every_ms, outside_every_ms
+from hickorybeam.policy.pacing import (
+    LEAST_HEARD_MS,
+    near_every_ms,
+    outside_every_ms,
+    quiet_after_ms,
+    spends_alone_after_ms,
+)
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -74,6 +80,16 @@
         """Return how many VMs are heard."""
         return sum(self.is_heard(it) for it in self.by_name.values())
 
+    def spending_together(self) -> int:
+        """Return how many VMs are heard well enough to share the accounts' rates with them."""
+        now = self._clock.now()
+        heard = [now - it.heard_ms for it in self.by_name.values()]
+        near = len(self.near())
+        if min(heard, default=0) > quiet_after_ms(near):
+            return 0
+        limit_ms = spends_alone_after_ms(near=near, vms=1 + self.known())
+        return sum(ago_ms < limit_ms for ago_ms in heard)
+
     def is_heard(self, peer: Peer) -> bool:
         """Whether a VM was heard lately."""
         return peer.heard(self._clock.now(), self.heard_limit_ms)
--- a/src/hickorybeam/policy/pacing.py
+++ b/src/hickorybeam/policy/pacing.py
@@ -12,6 +12,8 @@
     "gone_after_ms",
     "near_every_ms",
     "outside_every_ms",
+    "quiet_after_ms",
+    "spends_alone_after_ms",
     "watch_rest_ms",
     "watch_wait_ms",
     "watcher_gone_after_ms",
@@ -36,6 +38,9 @@
 HEARD_TIMES = 4
 LEAST_HEARD_MS = 1_500
 LEAST_WATCHER_HEARD_MS = 1_200
+# For quotas, words missed are taken for a cut sooner, and not before the least time.
+ALONE_TIMES = 2
+LEAST_ALONE_MS = 2_000
 # After a change the watch rests, so that changes which come together cost one call: each change
 # wakes every watcher. With more of them it rests for longer.
 REST_MS = 400
@@ -68,6 +73,21 @@
     return max(LEAST_HEARD_MS, HEARD_TIMES * (near_every_ms(near) + outside_every_ms(vms)))
 
 
+def quiet_after_ms(near: int) -> int:
+    """Return after which time without any word at all a VM takes itself for cut off."""
+    return watcher_gone_after_ms(near)
+
+
+def spends_alone_after_ms(*, near: int, vms: int) -> int:
+    """Return after which silence another VM counts as spending out of a part of its own.
+
+    In a fleet of hundreds a VM counts as gone only after most of a quota's window. Until then
+    both sides of a cut would spend whole rates.
+    """
+    words_ms = near_every_ms(near) + outside_every_ms(vms)
+    return min(gone_after_ms(near=near, vms=vms), max(LEAST_ALONE_MS, ALONE_TIMES * words_ms))
+
+
 def watcher_gone_after_ms(near: int) -> int:
     """Return after which silence a watcher of the data centre is not relied on any more."""
     return max(LEAST_WATCHER_HEARD_MS, HEARD_TIMES * near_every_ms(near))
