Placing: a request's burden holds the place it was given

One class instead of two that each knew half: HeldPlace is gone, Burden tells the VM that gave the place. Where a prompt's parts are copied from is worked out once, by who places; before, the VM that sends worked it out again for itself and could learn a reading pace from a prompt that was copied.

--- a/src/hickorybeam/gateway/burden.py
+++ b/src/hickorybeam/gateway/burden.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.line import Line
+    from hickorybeam.gateway.place_asking import Grant
     from hickorybeam.policy.server_choice import ServerStanding
 
 __all__ = ("Burden",)
@@ -24,7 +25,8 @@
     ``sent_ms``, its own and known others. ``size`` is what it holds in the server's memory, in
     tokens. ``wait_ms`` was foreseen until its first event. Parts of it are copied from
     ``copy_from``, a server's ``host:port``, if any. Its answer has ``output`` tokens at most, the
-    first of them at ``read_ms``.
+    first of them at ``read_ms``. Where another VM gave it its place by a ``grant``, that one is
+    told how it goes on.
     """
 
     clock: Clock
@@ -38,12 +40,15 @@
     wait_ms: float
     copy_from: str | None
     output: int
+    grant: Grant | None = None
     read_ms: int | None = None
     ended: bool = False
 
     def begin(self) -> None:
         """Count it at its server."""
         self._add(1, self.reading, self.size)
+        if self.grant is not None:
+            self.grant.begin(reading=self.reading, size=self.size)
 
     def has_read(self) -> None:
         """Take the first sign of an answer: its prompt is read."""
@@ -52,6 +57,8 @@
         self._add(0, -self.reading, 0)
         self.reading = 0
         self.read_ms = self.clock.now()
+        if self.grant is not None:
+            self.grant.has_read()
 
     def end(self, ending: Ending) -> None:
         """Take it off its server, once."""
@@ -62,6 +69,8 @@
             self.standing.pace.has_written(self.output, self.clock.now() - self.read_ms)
         self._add(-1, -self.reading, -self.size)
         self.line.departed()
+        if self.grant is not None:
+            self.grant.end(ending)
 
     def told(self, ending: Ending) -> None:
         """Take what the VM that sends it says of it."""
--- a/src/hickorybeam/gateway/place_asking.py
+++ b/src/hickorybeam/gateway/place_asking.py
@@ -112,8 +112,9 @@
 
     def placer(self, service: str) -> str:
         """Return the VM to ask, this one where it decides itself."""
-        now = self._clock.now()
-        self._silent = {vm: until for vm, until in self._silent.items() if until > now}
+        if self._silent:
+            now = self._clock.now()
+            self._silent = {vm: until for vm, until in self._silent.items() if until > now}
         if len(self._silent) >= MOST_SILENT:
             return self._fleet.me.name
         return self._fleet.who_places.placer(service, silent=self._silent)
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -31,6 +31,7 @@
     from hickorybeam.gateway.knowledge import Knowledge
     from hickorybeam.gateway.line import Lines
     from hickorybeam.gateway.peers import RegionForecast
+    from hickorybeam.gateway.place_asking import Grant
     from hickorybeam.gateway.tell import RegionFigures
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.cold_limit import ColdLimit
@@ -214,13 +215,26 @@
         )
         return Full(ahead_ms + reading_ms, late=True) if late else standing
 
-    def begin(self, standing: ServerStanding, errand: Errand, *, given: bool = False) -> Burden:
+    def begin(
+        self,
+        standing: ServerStanding,
+        errand: Errand,
+        *,
+        given: bool = False,
+        grant: Grant | None = None,
+    ) -> Burden:
         """Count a request that is sent to a server from now on.
 
         :param given: another VM sends it.
+        :param grant: the place that another VM gave it.
         """
         call, now = errand.call, self._clock.now()
         missing = missing_of(standing, call.parts, call.prompt_tokens)
+        if grant is None:
+            foreseen_ms = wait_ms(standing, missing, now)
+            copy_from = self.copy_from(standing, errand)
+        else:
+            foreseen_ms, copy_from = grant.wait_ms, grant.copy_from
         burden = Burden(
             clock=self._clock,
             line=self._lines.of(errand.service),
@@ -230,9 +244,10 @@
             reading=missing,
             ahead=standing.to_read() + missing,
             sent_ms=now,
-            wait_ms=wait_ms(standing, missing, now),
-            copy_from=self.copy_from(standing, errand),
+            wait_ms=foreseen_ms,
+            copy_from=copy_from,
             output=call.output_tokens,
+            grant=grant,
         )
         if not given:
             self._recent[errand.service].sent(standing.pace.reading_ms(missing), now)
--- a/src/hickorybeam/gateway/sending.py
+++ b/src/hickorybeam/gateway/sending.py
@@ -19,7 +19,6 @@
     from hickorybeam.gateway.burden import Burden
     from hickorybeam.gateway.endings import Endings
     from hickorybeam.gateway.knowledge import Knowledge
-    from hickorybeam.gateway.place_asking import Grant
     from hickorybeam.gateway.placing import Placing
     from hickorybeam.gateway.progress import Progress
     from hickorybeam.http1 import AnswerHead, UpstreamPool
@@ -32,30 +31,6 @@
 OK, FIRST_ERROR, SERVER_ERROR = 200, 300, 500
 
 
-class HeldPlace:
-    """A request's place at a server: as this VM counts it, and as it was given if it was."""
-
-    def __init__(self, burden: Burden, grant: Grant | None) -> None:
-        self._burden = burden
-        self._grant = grant
-        self.wait_ms = grant.wait_ms if grant else burden.wait_ms
-        self.copy_from = grant.copy_from if grant else burden.copy_from
-        if grant is not None:
-            grant.begin(reading=burden.reading, size=burden.size)
-
-    def has_read(self) -> None:
-        """Take the first sign of an answer."""
-        self._burden.has_read()
-        if self._grant is not None:
-            self._grant.has_read()
-
-    def end(self, ending: Ending) -> None:
-        """Give the place up."""
-        self._burden.end(ending)
-        if self._grant is not None:
-            self._grant.end(ending)
-
-
 class Sending:
     """Sends requests to servers and to other VMs, and takes note of how it went."""
 
@@ -84,10 +59,11 @@
         :param leave: whether to go elsewhere, asked when a server has been silent for long.
         """
         standing = target.standing if isinstance(target, ToServer) else None
-        place = self._place(target, errand)
-        progress.foreseen_ms = place.wait_ms if place else 0.0
+        burden = self._burden(target, errand)
+        progress.foreseen_ms = burden.wait_ms if burden else 0.0
         patience_ms = self._first_byte_ms(errand, progress)
-        attempt = Attempt(self._pool, target, errand, copy_from=place.copy_from if place else None)
+        copy_from = burden.copy_from if burden else None
+        attempt = Attempt(self._pool, target, errand, copy_from=copy_from)
         progress.flying = True
         ending = Ending.LEFT
         try:
@@ -95,8 +71,8 @@
                 self._clock.now(), patience_ms=patience_ms, leave=leave
             )
             self._observe_first_byte(errand)
-            if place is not None:
-                place.has_read()
+            if burden is not None:
+                burden.has_read()
             if standing is not None:
                 self._take_facts(standing, facts)
             await self._take_answer(attempt, head, facts, errand, progress, standing)
@@ -122,15 +98,15 @@
             ending = self._broke(exc, target, attempt)
             self._endings.note("broken", errand, target, why=progress.why)
         finally:
-            if place is not None:
-                place.end(ending)
+            if burden is not None:
+                burden.end(ending)
             attempt.close()
 
-    def _place(self, target: Target, errand: Errand) -> HeldPlace | None:
+    def _burden(self, target: Target, errand: Errand) -> Burden | None:
         """Count a request at the server that it is sent to."""
         if not isinstance(target, ToServer):
             return None
-        return HeldPlace(self._placing.begin(target.standing, errand), target.grant)
+        return self._placing.begin(target.standing, errand, grant=target.grant)
 
     def _broke(self, exc: BrokenAnswerError, target: Target, attempt: Attempt) -> Ending:
         match exc, target:
