Placing: servers near the VM that asks are preferred, not near the one that places

Cause: the placing VM chose as for itself, so prompts from the region's other data centre were sent to servers of its own, as if every way there were free, up to 80 ms of waiting; these crowded beside idle ones at home, and bytes between data centres were paid for both ways. Change: the choice prefers servers of the data centre of the VM that sends.

--- a/src/hickorybeam/gateway/grants.py
+++ b/src/hickorybeam/gateway/grants.py
@@ -67,7 +67,7 @@
         if key in self._waiting:
             self._fleet.say(word.vm, Placed(word.number, Verdict.WAITS))
             return
-        errand, targets = errand_of(word, self._clock.now()), targets_of(word)
+        errand, targets = errand_of(word, self._clock.now()), self._targets_of(word)
         found = self._placing.choose(errand, targets)
         if isinstance(found, Full):
             place = self._queueing.enter(errand, found)
@@ -108,6 +108,17 @@
         self._answers[key] = (answer, errand.deadline_ms)
         self._fleet.say(vm, answer)
 
+    def _targets_of(self, word: Wanted) -> OpenTargets:
+        """Return the targets that are open to another VM's request, as seen from there."""
+        peer = self._fleet.peers.by_name.get(word.vm)
+        return OpenTargets(
+            tried=set(word.tried),
+            refused=set(word.refused),
+            again=word.again,
+            here_only=word.here_only,
+            sent_from=peer.vm.data_centre if peer else "",
+        )
+
     def told(self, word: Told) -> None:
         """Take how requests go on that were given places."""
         for number, ending in word.endings:
@@ -175,13 +186,3 @@
         deadline_ms=call.deadline_ms,
         resume_after=None,
     )
-
-
-def targets_of(word: Wanted) -> OpenTargets:
-    """Return the targets that are open to another VM's request."""
-    return OpenTargets(
-        tried=set(word.tried),
-        refused=set(word.refused),
-        again=word.again,
-        here_only=word.here_only,
-    )
--- a/src/hickorybeam/gateway/placing.py
+++ b/src/hickorybeam/gateway/placing.py
@@ -79,6 +79,7 @@
     where there is no other. ``refused`` names regions that have refused it: another VM of one
     has the same servers. ``here_only``: it came from another VM, so it is run in this region or
     not at all. ``late_waits``: if it can only be late, it waits for a server with little to read.
+    ``sent_from`` is the data centre whose servers are preferred, that of the VM which sends it.
     """
 
     tried: Collection[str] = ()
@@ -86,6 +87,7 @@
     again: bool = False
     here_only: bool = False
     late_waits: bool = True
+    sent_from: str = ""
 
     def without_patience(self) -> OpenTargets:
         """Return the same for a request that doesn't wait for being late."""
@@ -192,7 +194,7 @@
             now_ms=now_ms,
             rng=self._rng,
             unseen_ms=self._unseen_ms(errand.service, now_ms),
-            data_centre=self._fleet.me.data_centre,
+            data_centre=targets.sent_from or self._fleet.me.data_centre,
         )
         if found is None or targets.here_only or not targets.late_waits:
             return found
--- a/tests/steps/gateway/placing_steps.py
+++ b/tests/steps/gateway/placing_steps.py
@@ -2,18 +2,33 @@
 
 import itertools
 import time
+from contextlib import asynccontextmanager
 
 import anyio
 from behave import given, then, when
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.place_words import Placed, Still, Told, Wanted
-from support.gateway import ran
+from support.gateway import ran, small_gateway
 
 LEAVES_AFTER_S = 0.004
 MODEL = "model"
 
 
+@asynccontextmanager
+async def two_centres():
+    async with small_gateway(vms=("n1", "n2", "n3"), second=("t1", "t2", "t3")) as rig:
+        await rig.add_server("m2", MODEL, "north-2")
+        await rig.settled()
+        yield rig
+
+
+@given("a gateway of two data centres with three VMs and a model server in each")
+def step_two_centres(context):
+    manager = context.portal.wrap_async_context_manager(two_centres())
+    context.rig = context.stack.enter_context(manager)
+
+
 @given('one VM places the prompts of service "{service}" for all')
 def step_places(context, service):
     rig = context.rig
@@ -63,6 +78,29 @@
     ask_all(context, count)
 
 
+@when("callers ask every VM for {count:d} prompts, one VM after the other")
+def step_ask_in_turn(context, count):
+    context.answers = []
+    context.asked = count * len(context.rig.vms)
+    context.by_vm = {}
+    numbers = itertools.count(1)
+    for vm in context.rig.vms:
+        known = {it.request_id for it in ran(context.rig, MODEL)}
+        context.call(ask_in_turn, context, vm, [next(numbers) for _ in range(count)])
+        context.by_vm[vm] = {it.request_id for it in ran(context.rig, MODEL)} - known
+
+
+@then("each prompt ran in the data centre of the VM that was asked")
+def step_near(context):
+    rig = context.rig
+    where = {
+        it.request_id: server.data_centre for server in rig.servers.values() for it in server.ran
+    }
+    for name, ids in context.by_vm.items():
+        home = rig.vms[name].fleet.me.data_centre
+        assert {where[it] for it in ids} == {home}, (name, context.placer, ids, where)
+
+
 @when("callers ask every VM for {count:d} prompts and leave at once")
 def step_leave(context, count):
     ask_all(context, count, leave_after_s=LEAVES_AFTER_S)
