Placing: VMs that start together agree on who places after one second, not two and a half

Change: a VM that is heard and known for 1 s counts among those that place (it has heard words of all near VMs after 0.23 s, and of the region's others after about 0.5 s). tests/gateway/young: counts on all others after 1.2 s (failed before at 2.5 s).

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -20,7 +20,7 @@
 from hickorybeam.gateway.datagrams import Datagrams
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.figures import OwnFigures, spread
-from hickorybeam.gateway.peers import YOUNG_MS, PeerTable
+from hickorybeam.gateway.peers import STEADY_MS, YOUNG_MS, PeerTable
 from hickorybeam.gateway.place_words import Placed, Still, Told, Wanted
 from hickorybeam.gateway.registration import Registration
 from hickorybeam.gateway.tell import Audience, Tell
@@ -134,7 +134,7 @@
         return self._regions.get(data_centre) == self.me.region
 
     def _stays(self) -> bool:
-        return self.settled() and not self.leaving
+        return self._clock.now() - self._started_ms >= STEADY_MS and not self.leaving
 
     def settled(self) -> bool:
         """Whether this VM has run for long enough to have heard of all others."""
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -22,10 +22,14 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.tell import Granted, RegionFigures, ServerFigures
 
-__all__ = ("YOUNG_MS", "Peer", "PeerTable", "RegionForecast")
+__all__ = ("STEADY_MS", "YOUNG_MS", "Peer", "PeerTable", "RegionForecast")
 
 # A VM that has just registered may not have been heard yet.
 YOUNG_MS = 2_500
+# A VM that is known for so long has been heard by its region's others, so that they agree on who
+# places. Longer, and each would decide alone after all were killed at once, just while every
+# caller comes back.
+STEADY_MS = 1_000
 
 
 @dataclass(slots=True, eq=False)
@@ -121,7 +125,7 @@
             if self.here(peer)
             and not peer.leaving
             and self.is_heard(peer)
-            and now - peer.known_ms > YOUNG_MS
+            and now - peer.known_ms > STEADY_MS
         }
 
     def leaving(self, region: str) -> list[tuple[GatewayVm, int]]:
--- a/tests/steps/gateway/cut_off_steps.py
+++ b/tests/steps/gateway/cut_off_steps.py
@@ -67,3 +67,22 @@
 def step_left(context, ms):
     pass_to(context, ms)
     assert context.left_table.spending_together() == len(context.left) - 1
+
+
+@when("all of them have just started")
+def step_started(context):
+    context.left = context.vms
+    context.left_table = table_of(context.clock, context.vms, context.vms[0])
+    context.begun = context.clock.now()
+
+
+@then("after {ms:d} ms none counts on another to place")
+def step_none_steady(context, ms):
+    pass_to(context, ms)
+    assert not context.left_table.steady()
+
+
+@then("after {ms:d} ms each counts on all others of its region")
+def step_all_steady(context, ms):
+    pass_to(context, ms)
+    assert set(context.left_table.steady()) == {it.name for it in context.vms[1:]}
