Pacing: VMs that started together don't tell other data centres in step

All 195 VMs start together and speak to other data centres each 1.5 s, so all in the same moment: nobody learns anything for 1.5 s, then everything. Change: these words come up to half of their time earlier or later. The simulated fleet of the tests starts in step now, as the product's does.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
 from dataclasses import replace
 from typing import TYPE_CHECKING, ClassVar
@@ -31,6 +32,7 @@
 from hickorybeam.policy.pacing import (
     gone_after_ms,
     near_every_ms,
+    out_of_step_ms,
     outside_every_ms,
     spends_alone_after_ms,
     watch_rest_ms,
@@ -99,6 +101,7 @@
         # What this VM has at servers by places that others gave it.
         self.granted: Callable[[], Granted] = dict
         self._relayed: list[Tell] = []
+        self._rng = random.Random()
         self._times = 0
         self._turns: dict[str, int] = {}
         self._fresh = True
@@ -264,7 +267,8 @@
     async def _talk_outside(self) -> None:
         while True:
             young = not self.settled()
-            await self._clock.sleep(outside_every_ms(self.known(), young=young))
+            every_ms = outside_every_ms(self.known(), young=young)
+            await self._clock.sleep(out_of_step_ms(every_ms, self._rng))
             self._tell_outside()
 
     def _adapt(self) -> None:
--- a/src/hickorybeam/policy/pacing.py
+++ b/src/hickorybeam/policy/pacing.py
@@ -7,6 +7,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
 __all__ = (
     "LEAST_ALONE_MS",
     "LEAST_HEARD_MS",
@@ -14,6 +19,7 @@
     "near_every_ms",
     "outside_every_ms",
     "quiet_after_ms",
+    "out_of_step_ms",
     "spends_alone_after_ms",
     "watch_rest_ms",
     "watch_wait_ms",
@@ -34,6 +40,10 @@
 # apart, while every caller comes back at once: its own servers got a second's worth of prompts
 # beside idle ones elsewhere.
 YOUNG_OUTSIDE_EVERY_MS = 100
+# Words to other data centres come by up to this share of their time earlier or later. VMs that
+# started together would speak together: all learn nothing for a second and a half, and then
+# everything at once.
+OUT_OF_STEP = 0.5
 # A VM that wasn't heard for so many words that it should have sent counts as gone, and not
 # before the least time: it is not named to callers and holds no part of a quota.
 HEARD_TIMES = 4
@@ -69,6 +79,11 @@
     return max(OUTSIDE_EVERY_MS, min(MOST_OUTSIDE_EVERY_MS, OUTSIDE_EVERY_PER_VM_MS * vms))
 
 
+def out_of_step_ms(every_ms: int, rng: random.Random) -> float:
+    """Return the time until the next word to other data centres, about the usual one."""
+    return every_ms * rng.uniform(1 - OUT_OF_STEP, 1 + OUT_OF_STEP)
+
+
 def gone_after_ms(*, near: int, vms: int) -> int:
     """Return after which silence any VM counts as gone; its words may come by way of another."""
     return max(LEAST_HEARD_MS, HEARD_TIMES * (near_every_ms(near) + outside_every_ms(vms)))
--- a/tests/steps/policy/spread_fleet.py
+++ b/tests/steps/policy/spread_fleet.py
@@ -9,6 +9,7 @@
 from hickorybeam.policy.fleet_quota import FleetQuota
 from hickorybeam.policy.pacing import (
     near_every_ms,
+    out_of_step_ms,
     outside_every_ms,
     quiet_after_ms,
     spends_alone_after_ms,
@@ -42,13 +43,15 @@
         self.vms = [FleetQuota(allowance=allowance, silent_ms=self.alone_ms) for _ in range(size)]
         for vm in self.vms:
             vm.configure([AccountTerms(name=NAME, rate_per_s=RATE, burst=RATE)], self.now)
-        self.next_near = [self.now + self.rng.uniform(0, self.near_ms) for _ in self.vms]
-        self.next_outside = [self.now + self.rng.uniform(0, self.outside_ms) for _ in self.vms]
+        # All started together.
+        self.next_near = [self.now] * size
+        self.next_outside = [self.now] * size
         self.on_their_way = []
         self.cut = frozenset()
         self.cut_ms = 0
         self.spends = []
-        self.asked = 0
+        self.asked = []
+        self.costs = (COST,)
 
     def run(self, ms, times=0.0):
         """Let time pass while the account sends so many times its rate, at VMs by chance."""
@@ -56,19 +59,20 @@
         for _ in range(0, ms, STEP_MS):
             self.now += STEP_MS
             self.talk()
-            owed += times * RATE * STEP_MS / 1000 / COST
-            while owed >= 1:
-                owed -= 1
-                self.spend(self.rng.randrange(self.size))
+            owed += times * RATE * STEP_MS / 1000
+            while owed > 0:
+                cost = self.rng.choice(self.costs)
+                owed -= cost
+                self.spend(self.rng.randrange(self.size), cost)
 
     def cut_off(self, count):
         """Let so many VMs hear nobody and be heard by nobody."""
         self.cut, self.cut_ms = frozenset(range(count)), self.now
 
-    def spend(self, index):
-        self.asked += 1
-        if self.vms[index].take(NAME, COST, self.now) is None:
-            self.spends.append(self.now)
+    def spend(self, index, cost):
+        self.asked.append(cost)
+        if self.vms[index].take(NAME, cost, self.now) is None:
+            self.spends.append((self.now, cost))
 
     def talk(self):
         for index in range(self.size):
@@ -77,7 +81,7 @@
                 self.tell(index, index % self.centres, self.vms[index].totals())
                 self.notice(index)
             if self.now >= self.next_outside[index]:
-                self.next_outside[index] = self.now + self.outside_ms + self.rng.uniform(0, LATE_MS)
+                self.next_outside[index] = self.now + out_of_step_ms(self.outside_ms, self.rng)
                 self.tell_outside(index)
         while self.on_their_way and self.on_their_way[0][0] <= self.now:
             _, index, centre, totals = heapq.heappop(self.on_their_way)
@@ -105,9 +109,11 @@
         self.vms[index].reach(heard, self.size, self.now)
 
     def most_in_a_window(self):
-        most = begin = 0
-        for end, at in enumerate(self.spends):
-            while at - self.spends[begin] > WINDOW_MS:
+        most = begin = spent = 0
+        for at, cost in self.spends:
+            spent += cost
+            while at - self.spends[begin][0] > WINDOW_MS:
+                spent -= self.spends[begin][1]
                 begin += 1
-            most = max(most, (end - begin + 1) * COST)
+            most = max(most, spent)
         return most
