Quota: only a VM that hears nobody scales a debt to its own part

The usual cost is counted by the bucket, not by what looked like a question. tests/policy/fleet_quota as before.

--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -6,9 +6,9 @@
 
 Every VM keeps the whole fleet's bucket. It takes its own spends at once and learns those of
 the others from their running totals, a few times a second in a small fleet and each second and
-a half in one of hundreds. Between two words it takes it that a peer goes on spending as it did
-between the last two; the next word corrects that. What the fleet overspends still when an account
-suddenly gets hot is a debt, worked off before anyone admits again. A VM that doesn't hear from
+a half in one of hundreds. Between two words it takes it that a peer goes on spending as it lately
+did; the next word corrects that. What the fleet overspends still when an account suddenly gets
+hot is a debt, worked off before anyone admits again. A VM that doesn't hear from
 others holds itself to the fraction of the rate that the VMs it hears make up: both sides of a cut
 together stay within the whole, also before they notice it.
 
@@ -58,6 +58,10 @@
     at_ms: int
     usual: float = 0.0
 
+    def asked(self, cost: float) -> None:
+        """Count a request's cost among the usual ones."""
+        self.usual += (cost - self.usual) * (COST_WEIGHT if self.usual else 1.0)
+
 
 @dataclass(slots=True)
 class _Peer:
@@ -117,7 +121,7 @@
             return
         for bucket in self._buckets.values():
             self._refill(bucket, now_ms)
-            if bucket.level < 0 and fraction < self._fraction:
+            if heard == 1 and bucket.level < 0:
                 # The fleet's debt, worked off out of a VM's own fraction, would last for minutes.
                 bucket.level *= fraction / self._fraction
         self._fraction = fraction
@@ -131,6 +135,7 @@
         if bucket is None or bucket.terms.rate_per_s <= 0:
             return None
         self._refill(bucket, now_ms)
+        bucket.asked(cost)
         needed = self._needed(bucket, cost)
         if bucket.level >= needed:
             bucket.level -= cost
@@ -141,7 +146,6 @@
 
     def _needed(self, bucket: _Bucket, cost: float) -> float:
         """Return the level from which a request is admitted."""
-        bucket.usual += (cost - bucket.usual) * (COST_WEIGHT if bucket.usual else 1.0)
         cap = self._cap(bucket)
         left = max(0.0, 1 - bucket.usual / cost) * LEFT_TO_CHEAPER * cap if cost > 0 else 0.0
         return min(cost + left, cap)
