Membership: a VM that stood still itself neither accuses nor leaves out another

Traced by logging each verdict: 1. after the process stood still, contact with a whole data centre seemed older than the limit, and the data centre counted as cut off; 2. witnesses asked before or during a standstill seemed not to have answered, or said that they had not heard the VM, since their own sockets weren't read yet: calls that timed out end first on waking. Change: a standstill is left out of silences between data centres too; a verdict against a VM is dropped if the process stood still since it asked; a witness whose heartbeat is overdue waits for it first. None of this takes time where no heartbeat is overdue.

--- a/src/hickorybeam/peers/exchange.py
+++ b/src/hickorybeam/peers/exchange.py
@@ -180,6 +180,11 @@
         """Return for how long no VM of this data centre has heard from another one, in ms."""
         return now_ms - self._contact_ms.get(data_centre, self._began_ms)
 
+    def excuse(self, ms: int, now_ms: int) -> None:
+        """Leave out of all silences a time in which this VM could not hear anything."""
+        for name, heard_ms in self._contact_ms.items():
+            self._contact_ms[name] = min(now_ms, heard_ms + ms)
+
     def owes(self, to: VmId) -> bool:
         """Whether a peer has not been told something that should not wait."""
         link = self._links.get(to, Link())
--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -48,6 +48,8 @@
 LIST_EVERY = 20
 # News that should not wait goes out at once, but several pieces in a row go together.
 PUSH_SPACING_MS = 50
+# A heartbeat that is later than this tells that the process had no turn for about as long.
+STOOD_STILL_MS = 50
 # Three partners each reach a data centre in about as many steps as all of them would, with half
 # the messages; whoever is missed hears by the usual heartbeats.
 PUSH_FANOUT = 3
@@ -95,6 +97,9 @@
         self._asking: set[VmId] = set()
         self._partners = Partners(self._exchange, cfg.peers)
         self._ticks = 0
+        self._ticked = anyio.Event()
+        self._due_ms = float(clock.now())
+        self._stood_still_ms = clock.now()
         self._push = anyio.Event()
         self._cached: tuple[int, tuple[EntryVm, ...]] = (-1, ())
         self._tasks: TaskGroup | None = None
@@ -212,9 +217,11 @@
                 if not self._exchange.mine.gone:
                     self._tick()
                 pause_ms = self._interval()
-                due = self._clock.now() + pause_ms
+                self._due_ms = self._clock.now() + pause_ms
                 await self._clock.sleep(pause_ms)
-                self._allow_for_stall(self._clock.now() - due)
+                self._allow_for_stall(self._clock.now() - self._due_ms)
+                self._ticked.set()
+                self._ticked = anyio.Event()
 
     async def drain(self) -> None:
         """Say the last word to the neighbours and leave the platform's list."""
@@ -371,6 +378,7 @@
         if vm.id in self._asking:
             return
         self._asking.add(vm.id)
+        began_ms = self._clock.now()
         reached: list[bool | None] = []
         try:
             async with anyio.create_task_group() as tg:
@@ -379,6 +387,9 @@
         finally:
             self._asking.discard(vm.id)
         verdict = judge(reached)
+        if verdict is not Verdict.REACHED_BY_OTHERS and await self._stood_still_since(began_ms):
+            # Answers that came meanwhile were read too late; the next miss asks again.
+            return
         self._verdicts.labels(verdict.value).inc()
         match verdict:
             case Verdict.SILENT:
@@ -419,6 +430,7 @@
         except GatewayError:
             # Nobody may be able to connect to a VM that still reaches others: then its
             # heartbeats prove it alive, and to accuse it would start a quarrel without end.
+            await self._catch_up()
             return Probed(reached=self._heard_lately(probe.suspect.id))
         return Probed(reached=True)
 
@@ -432,9 +444,26 @@
         :param late_ms: by how much a heartbeat was late.
         """
         now = self._clock.now()
+        if late_ms > STOOD_STILL_MS:
+            self._stood_still_ms = now
+            self._exchange.excuse(round(late_ms), now)
         for suspect in self._suspects.values():
             suspect.excuse(round(late_ms), now)
 
+    async def _stood_still_since(self, began_ms: int) -> bool:
+        """Whether this process stood still since then."""
+        await self._catch_up()
+        return self._stood_still_ms >= began_ms
+
+    async def _catch_up(self) -> None:
+        """Wait for the heartbeat that takes note of a standstill, if one has just ended.
+
+        Calls that timed out meanwhile end first on waking, and what others sent isn't read yet:
+        a VM that only some can connect to would be called silent and vanish from all views.
+        """
+        if self._clock.now() - self._due_ms > STOOD_STILL_MS:
+            await self._ticked.wait()
+
     def _heard_lately(self, vm: VmId) -> bool:
         suspect = self._suspects.get(vm)
         limit_ms = HEARD_LATELY * self._cfg.peers.heartbeat_ms
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -114,6 +114,13 @@
     When nobody can connect to fleet VM "dakar-1.1" any longer
     Then through 8 standstills of 250 ms the other VMs of the fleet see exactly the running VMs
 
+  Scenario: A VM that nobody can connect to, while all stand still for longer than a call may take
+    # Every call that was under way ends unanswered, those to witnesses and to other data centres
+    # as well. A VM that stood still itself must take neither for their silence.
+    Given a fleet with 4 VMs in "dakar-1" and 2 VMs in "thies-1"
+    When nobody can connect to fleet VM "dakar-1.1" any longer
+    Then through 8 standstills of 700 ms the other VMs of the fleet see exactly the running VMs
+
   Scenario: A VM that nobody can connect to, and whose word could not be confirmed for a while
     # Its neighbour reached no witness and left it out of its own view. Once the witnesses answer
     # that they hear it, it is named to callers again.
