tests/gateway: a VM that hears nobody: what it waited for in vain is counted, not timed

The verdict hung on how quickly a busy machine answers. What the scenario guards against is one question after the other into the void: now at most 3 of the 10 prompts may have had no answer from who places (before: at most 3 slow ones), and at least one must have.

--- a/tests/gateway/placing.feature
+++ b/tests/gateway/placing.feature
@@ -24,7 +24,7 @@
     When the VM that would be the last to place hears nobody any more
     And a caller asks it for 10 prompts one after the other
     Then all prompts are answered and ran once
-    And all but 3 of them were answered within 100 ms
+    And for at most 3 of them it waited for an answer in vain
 
   Scenario: what was lost on the way is said again
     # Datagrams are lost now and then. A lost question or answer must not hold a request up, and
--- a/tests/steps/gateway/placing_steps.py
+++ b/tests/steps/gateway/placing_steps.py
@@ -130,10 +130,10 @@
     context.call(ask_in_turn, context, context.deaf, range(1, count + 1))
 
 
-@then("all but {count:d} of them were answered within {ms:d} ms")
-def step_quickly(context, count, ms):
-    slow = [took for _, took in context.answers if took > ms]
-    assert len(slow) <= count, slow
+@then("for at most {count:d} of them it waited for an answer in vain")
+def step_in_vain(context, count):
+    vain = places(context.rig.vms[context.deaf], "silent")
+    assert 0 < vain <= count, vain
 
 
 @when("every third datagram about places is lost")
@@ -167,9 +167,9 @@
         assert places(vm) == wanted, (name, places(vm))
 
 
-def places(vm):
+def places(vm, answer="server"):
     text = vm.relay._counters.text().decode()
-    line = 'hickorybeam_places_total{answer="server"} '
+    line = f'hickorybeam_places_total{{answer="{answer}"}} '
     found = [it for it in text.splitlines() if it.startswith(line)]
     return float(found[0].removeprefix(line)) if found else 0
 
