Membership: what counts as a standstill follows the time after which a VM is silent

Read in the diff: with 50 ms for all settings a busy machine whose heartbeats are always some 50 ms late would never accuse a VM that is gone.

--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -48,8 +48,10 @@
 LIST_EVERY = 20
 # News that should not wait goes out at once, but several pieces in a row go together.
 PUSH_SPACING_MS = 50
-# A heartbeat that is later than this tells that the process had no turn for about as long.
-STOOD_STILL_MS = 50
+# A heartbeat that is late by this part of the time after which a VM counts as silent tells that the
+# process had no turn for long enough to miss answers. Shorter delays are usual on a busy machine,
+# which must go on noticing that others have failed.
+STOOD_STILL_SHARE = 1 / 8
 # Three partners each reach a data centre in about as many steps as all of them would, with half
 # the messages; whoever is missed hears by the usual heartbeats.
 PUSH_FANOUT = 3
@@ -100,6 +102,7 @@
         self._ticked = anyio.Event()
         self._due_ms = float(clock.now())
         self._stood_still_ms = clock.now()
+        self._long_ms = STOOD_STILL_SHARE * cfg.peers.silent_after_ms
         self._push = anyio.Event()
         self._cached: tuple[int, tuple[EntryVm, ...]] = (-1, ())
         self._tasks: TaskGroup | None = None
@@ -444,7 +447,7 @@
         :param late_ms: by how much a heartbeat was late.
         """
         now = self._clock.now()
-        if late_ms > STOOD_STILL_MS:
+        if late_ms > self._long_ms:
             self._stood_still_ms = now
             self._exchange.excuse(round(late_ms), now)
         for suspect in self._suspects.values():
@@ -461,7 +464,7 @@
         Calls that timed out meanwhile end first on waking, and what others sent isn't read yet:
         a VM that only some can connect to would be called silent and vanish from all views.
         """
-        if self._clock.now() - self._due_ms > STOOD_STILL_MS:
+        if self._clock.now() - self._due_ms > self._long_ms:
             await self._ticked.wait()
 
     def _heard_lately(self, vm: VmId) -> bool:
