Quota: a VM's own debt is worked off whole again

Read in the diff: since the paces of peers were taken in, each refill cut debts at four seconds of the rate, a VM's own too; before, only what peers told was cut. An account with a burst of 1,000 and a rate of 1,000 a second that spent 9,000 at once was served again after 4.2 s instead of some 8 s: nearly twice its rate. The cut is back where peers' spends are charged. tests/policy/fleet_quota: the new scenario failed before.

--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -201,8 +201,8 @@
         if bucket is None:
             return
         self._refill(bucket, now_ms)
-        bucket.level -= cost
-        self._bound(bucket)
+        floor = -DEBT_S * bucket.terms.rate_per_s
+        bucket.level = max(floor, min(self._cap(bucket), bucket.level - cost))
 
     def _take_to_spend(self, peer: _Peer, paces: dict[str, float], now_ms: int) -> None:
         """Take it from now on that a peer spends so much in a ms, by account."""
@@ -214,10 +214,6 @@
             self._paces[name] = self._paces.get(name, 0.0) + change
         peer.paces = paces
 
-    def _bound(self, bucket: _Bucket) -> None:
-        floor = -DEBT_S * bucket.terms.rate_per_s
-        bucket.level = max(floor, min(self._cap(bucket), bucket.level))
-
     def _cap(self, bucket: _Bucket) -> float:
         terms = bucket.terms
         return max(terms.burst, terms.rate_per_s * 0.1) * self._fraction
@@ -225,6 +221,6 @@
     def _refill(self, bucket: _Bucket, now_ms: int) -> None:
         rate = bucket.terms.rate_per_s * self._fraction / MS_PER_SECOND
         gain = rate - self._paces.get(bucket.terms.name, 0.0)
-        bucket.level += gain * (now_ms - bucket.at_ms)
+        gained = gain * (now_ms - bucket.at_ms)
+        bucket.level = min(self._cap(bucket), bucket.level + gained)
         bucket.at_ms = now_ms
-        self._bound(bucket)
--- a/tests/policy/fleet_quota.feature
+++ b/tests/policy/fleet_quota.feature
@@ -49,6 +49,12 @@
     When 100 is spent and given back
     Then 100 can be spent again
 
+  Scenario: a request of many times its account's burst is worked off whole
+    # Cut short, the debt would let such requests come at twice the account's rate.
+    Given 1 VMs that hear each other every 300 ms, for an account of 1000 a second
+    When a request of 9000 is spent
+    Then for 7500 ms nothing can be spent, and after 9500 ms it can
+
   Scenario: an account that is taken away and given back is charged as before
     # Its bucket is new, its total must not be: peers would take the fall for spends given back,
     # and hand out what was spent already once more.
--- a/tests/steps/policy/fleet_quota_steps.py
+++ b/tests/steps/policy/fleet_quota_steps.py
@@ -186,3 +186,20 @@
     vm = fleet.vms[1]
     vm.refund(NAME, 0, fleet.now)
     assert vm.levels()[NAME] <= level + (fleet.now - at) * RATE / 1000 - COST + 1, vm.levels()
+
+
+@when("a request of {cost:d} is spent")
+def step_large(context, cost):
+    fleet = context.quota
+    assert fleet.vms[0].take(NAME, cost, fleet.now) is None
+
+
+@then("for {refused:d} ms nothing can be spent, and after {admitted:d} ms it can")
+def step_worked_off(context, refused, admitted):
+    fleet = context.quota
+    began = fleet.now
+    while fleet.now < began + refused:
+        fleet.run(100)
+        assert fleet.vms[0].take(NAME, COST, fleet.now) is not None, fleet.now - began
+    fleet.run(admitted - refused)
+    assert fleet.vms[0].take(NAME, COST, fleet.now) is None
