One place for what the read of the diff found twice

When a VM counts as spending by itself was worked out in two places from the same figures; the table of peers says it now. Words on ends went out in two ways, only one of which repeated the last ones: all of them, also that nobody takes a place any more, go through the same one (told twice, they change nothing). What a peer spent was looked up twice a word and account.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -34,7 +34,6 @@
     near_every_ms,
     out_of_step_ms,
     outside_every_ms,
-    spends_alone_after_ms,
     watch_rest_ms,
     watch_wait_ms,
     watcher_gone_after_ms,
@@ -275,7 +274,7 @@
         """Fit intervals to the fleet's size, and watch the store or leave it to others."""
         near, watching = len(self.peers.near()), watchers_of(self.peers.centres())
         self.peers.heard_limit_ms = gone_after_ms(near=near, vms=self.known())
-        self.quota.silent_ms = spends_alone_after_ms(near=near, vms=self.known())
+        self.quota.silent_ms = self.peers.spends_alone_after_ms()
         self._store.watch_rest_ms = watch_rest_ms(watching)
         self._store.watch_wait_ms = watch_wait_ms(watching)
         self._feed.watch_itself(watches_itself(self.me.name, self._heard_near()))
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -88,12 +88,15 @@
         """Return how many VMs are heard well enough to share the accounts' rates with them."""
         now = self._clock.now()
         heard = [now - it.heard_ms for it in self.by_name.values()]
-        near = len(self.near())
-        if min(heard, default=0) > quiet_after_ms(near):
+        if min(heard, default=0) > quiet_after_ms(len(self.near())):
             return 0
-        limit_ms = spends_alone_after_ms(near=near, vms=1 + self.known())
+        limit_ms = self.spends_alone_after_ms()
         return sum(ago_ms < limit_ms for ago_ms in heard)
 
+    def spends_alone_after_ms(self) -> int:
+        """Return after which silence a VM of this fleet counts as spending by itself."""
+        return spends_alone_after_ms(near=len(self.near()), vms=1 + self.known())
+
     def is_heard(self, peer: Peer) -> bool:
         """Whether a VM was heard lately."""
         return peer.heard(self._clock.now(), self.heard_limit_ms)
--- a/src/hickorybeam/gateway/place_asking.py
+++ b/src/hickorybeam/gateway/place_asking.py
@@ -158,7 +158,7 @@
             del self._questions[number]
             if not done:
                 # Its caller has left, or nobody answered: a place that is given yet is nobody's.
-                self._say(placer, number, Ending.LEFT)
+                self._end(placer, number, Ending.LEFT)
 
     async def _answer(
         self, placer: str, number: int, question: Question, errand: Errand, targets: OpenTargets
@@ -215,7 +215,7 @@
         standing = self._knowledge.standings.get(answer.target)
         if standing is None or not self._knowledge.takes_work(standing):
             # This VM knows something later of the server than the one that chose it.
-            self._say(placer, number, Ending.LEFT)
+            self._end(placer, number, Ending.LEFT)
             return None
         grant = Grant(
             asker=self,
@@ -236,14 +236,12 @@
 
     def tell(self, grant: Grant, ending: Ending) -> None:
         """Tell how a request goes on."""
-        self._say(grant.placer, grant.number, ending)
+        self._say(grant.placer, [(grant.number, ending)])
 
     def ended(self, grant: Grant, ending: Ending) -> None:
         """Tell how a request's send ended."""
         if self._grants.pop(grant.number, None) is not None:
-            ends = self._ends[grant.placer]
-            ends.append((grant.number, ending))
-            self._fleet.say(grant.placer, Told(self._fleet.me.name, list(ends)))
+            self._end(grant.placer, grant.number, ending)
 
     def granted(self) -> Granted:
         """Return what this VM has at servers by places that others gave it."""
@@ -254,5 +252,11 @@
             figures[server] = added(figures.get(server, NOTHING), grant.figures)
         return found
 
-    def _say(self, placer: str, number: int, ending: Ending) -> None:
-        self._fleet.say(placer, Told(self._fleet.me.name, [(number, ending)]))
+    def _end(self, placer: str, number: int, ending: Ending) -> None:
+        """Tell an end, and those before it once more."""
+        ends = self._ends[placer]
+        ends.append((number, ending))
+        self._say(placer, list(ends))
+
+    def _say(self, placer: str, endings: list[tuple[int, Ending]]) -> None:
+        self._fleet.say(placer, Told(self._fleet.me.name, endings))
--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -166,11 +166,8 @@
                 known.totals = dict(totals)
         passed_ms = now_ms - known.heard_ms
         known.heard_ms = now_ms
-        spent = {
-            name: total - known.totals.get(name, 0.0)
-            for name, total in totals.items()
-            if total != known.totals.get(name, 0.0)
-        }
+        before = {name: known.totals.get(name, 0.0) for name in totals}
+        spent = {name: it - before[name] for name, it in totals.items() if it != before[name]}
         known.totals.update(totals)
         if passed_ms > self.silent_ms:
             self._take_to_spend(known, {}, now_ms)
