Gateway: targets, hop headers and slot grants get modules of their own

attempt, placement_client, target_selector and in_flight imported types from each other in a circle.

--- a/src/hickorybeam/gateway/admission.py
+++ b/src/hickorybeam/gateway/admission.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.gateway.attempt import AdmittedRequest
+from hickorybeam.gateway.targets import AdmittedRequest
 from hickorybeam.model import key_digest
 from hickorybeam.model.routing import Unit
 from hickorybeam.policy.retry_after import outage_retry_after_ms
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 
 from hickorybeam.clock import MS_PER_SECOND
+from hickorybeam.gateway.hop import HOP_NOT_RUN, HOP_RETRY_AFTER_MS, NO_SERVER_ASKED, hop_headers
+from hickorybeam.gateway.targets import PeerTarget, ServerTarget, address_of
 from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, find_header
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import REQUEST_ID, decode_response, server_headers
@@ -15,45 +16,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hickorybeam.gateway.peers import Peer
-    from hickorybeam.gateway.placement_client import SlotGrant
+    from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import RawHeaders, ResponseHead, UpstreamConnection, UpstreamPool
-    from hickorybeam.model.routing import RelayCall, Route
     from hickorybeam.platform import ResponseInfo
-    from hickorybeam.policy.server_choice import ServerState
 
 __all__ = (
-    "HOP_ACCOUNT",
-    "HOP_NOT_RUN",
-    "HOP_RESUME_AFTER",
-    "HOP_RETRY_AFTER_MS",
-    "HOP_SERVICE",
-    "HOP_TIME_LEFT_MS",
-    "HOP_URGENCY",
-    "NO_SERVER_ASKED",
-    "REJECTED",
-    "AdmittedRequest",
     "Attempt",
     "FirstByteTimeoutError",
     "NotRunError",
-    "PeerTarget",
-    "ServerTarget",
-    "Target",
 )
 
-# Request headers between VMs. The sending VM sets them; callers can't reach the port that reads
-# them.
-HOP_SERVICE = b"hop-service"
-HOP_ACCOUNT = b"hop-account"
-HOP_TIME_LEFT_MS = b"hop-left-ms"
-HOP_URGENCY = b"hop-urgency"
-HOP_RESUME_AFTER = b"hop-resume-after"
-# Response header between VMs: the request was not run, and the response comes from no backend
-# server. Its value tells whether a server rejected the request or none was asked.
-HOP_NOT_RUN = b"hop-not-run"
-REJECTED, NO_SERVER_ASKED = b"rejected", b"not-asked"
-# Sent along with HOP_NOT_RUN: in how many ms the region expects to have a free slot.
-HOP_RETRY_AFTER_MS = b"hop-come-back-ms"
 FAILOVER_CHECK_INTERVAL_MS = 200
 
 
@@ -83,42 +55,6 @@
     """No first byte came within the timeout; the request may have run."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServerTarget:
-    """A backend server of this region, with the slot grant if another VM granted its slot."""
-
-    server_state: ServerState
-    grant: SlotGrant | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class PeerTarget:
-    """A VM of another region, which selects one of its servers."""
-
-    peer: Peer
-
-
-Target = ServerTarget | PeerTarget
-
-
-@dataclass(slots=True, kw_only=True)
-class AdmittedRequest:
-    """A request with the decisions made at its admission.
-
-    ``resume_after`` is the id of the last event that the caller has received; it advances when a
-    stream breaks off. ``deadline_ms`` is on this VM's clock.
-    """
-
-    call: RelayCall
-    route: Route
-    service: str
-    account: str | None
-    urgency: int
-    deadline_ms: int
-    resume_after: str | None
-    cost: float = 0.0
-
-
 class Attempt:
     """One attempt to send a request; whoever opens it must ``close`` it.
 
@@ -254,26 +190,3 @@
             self.close()
         else:
             self.release()
-
-
-def address_of(target: Target) -> tuple[str, int]:
-    """Return the host and port of a target."""
-    match target:
-        case ServerTarget(server_state):
-            return (server_state.server.host, server_state.server.port)
-        case PeerTarget(peer):
-            return (peer.vm.host, peer.vm.peer_port)
-
-
-def hop_headers(request: AdmittedRequest, left_ms: int) -> RawHeaders:
-    """Return the headers that a VM adds to the caller's own when it forwards a request."""
-    headers = [
-        (HOP_SERVICE, request.service.encode("latin-1")),
-        (HOP_TIME_LEFT_MS, b"%d" % max(1, left_ms)),
-        (HOP_URGENCY, b"%d" % request.urgency),
-    ]
-    if request.account is not None:
-        headers.append((HOP_ACCOUNT, request.account.encode("latin-1")))
-    if request.resume_after is not None:
-        headers.append((HOP_RESUME_AFTER, request.resume_after.encode("latin-1")))
-    return tuple(headers)
--- a/src/hickorybeam/gateway/final_responses.py
+++ b/src/hickorybeam/gateway/final_responses.py
@@ -5,22 +5,22 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.errors import ErrorKind, GatewayError, Ran, error_response
-from hickorybeam.gateway.attempt import (
+from hickorybeam.gateway.hop import (
     HOP_NOT_RUN,
     HOP_RETRY_AFTER_MS,
     NO_SERVER_ASKED,
     REJECTED,
 )
-from hickorybeam.gateway.progress import target_name
+from hickorybeam.gateway.targets import target_name
 from hickorybeam.platform import refusal_headers, response_headers
 from hickorybeam.policy.retry_after import clamp_retry_after_ms, outage_retry_after_ms
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.attempt import AdmittedRequest, Target
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.progress import RequestProgress
     from hickorybeam.gateway.target_selector import TargetSelector
+    from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import RawHeaders, ResponseWriter
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.telemetry import Counters
--- /dev/null
+++ b/src/hickorybeam/gateway/hop.py
@@ -0,0 +1,79 @@
+"""Headers of requests that a VM forwards to a VM of another region, and of the responses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorybeam.gateway.targets import AdmittedRequest
+from hickorybeam.http1 import find_header
+from hickorybeam.model.routing import Repeat, Route
+from hickorybeam.platform import decode_call
+
+if TYPE_CHECKING:
+    from hickorybeam.http1 import IncomingRequest, RawHeaders
+
+__all__ = (
+    "HOP_NOT_RUN",
+    "HOP_RETRY_AFTER_MS",
+    "NO_SERVER_ASKED",
+    "REJECTED",
+    "decode_forwarded_request",
+    "hop_headers",
+)
+
+# Request headers between VMs. The sending VM sets them; callers can't reach the port that reads
+# them.
+HOP_SERVICE = b"hop-service"
+HOP_ACCOUNT = b"hop-account"
+HOP_TIME_LEFT_MS = b"hop-left-ms"
+HOP_URGENCY = b"hop-urgency"
+HOP_RESUME_AFTER = b"hop-resume-after"
+# Response header between VMs: the request was not run, and the response comes from no backend
+# server. Its value tells whether a server rejected the request or none was asked.
+HOP_NOT_RUN = b"hop-not-run"
+REJECTED, NO_SERVER_ASKED = b"rejected", b"not-asked"
+# Sent along with HOP_NOT_RUN: in how many ms the region expects to have a free slot.
+HOP_RETRY_AFTER_MS = b"hop-come-back-ms"
+DEFAULT_URGENCY = 5
+
+
+def hop_headers(request: AdmittedRequest, left_ms: int) -> RawHeaders:
+    """Return the headers that a VM adds to the caller's own when it forwards a request."""
+    headers = [
+        (HOP_SERVICE, request.service.encode("latin-1")),
+        (HOP_TIME_LEFT_MS, b"%d" % max(1, left_ms)),
+        (HOP_URGENCY, b"%d" % request.urgency),
+    ]
+    if request.account is not None:
+        headers.append((HOP_ACCOUNT, request.account.encode("latin-1")))
+    if request.resume_after is not None:
+        headers.append((HOP_RESUME_AFTER, request.resume_after.encode("latin-1")))
+    return tuple(headers)
+
+
+def decode_forwarded_request(req: IncomingRequest) -> AdmittedRequest | None:
+    """Decode a request forwarded by another VM, ``None`` if it isn't one."""
+    service = find_header(req.headers, HOP_SERVICE)
+    time_left_ms = find_header(req.headers, HOP_TIME_LEFT_MS)
+    if service is None or time_left_ms is None or not time_left_ms.isdigit():
+        return None
+    call = decode_call(req)
+    account, resume_after = (
+        find_header(req.headers, HOP_ACCOUNT),
+        find_header(req.headers, HOP_RESUME_AFTER),
+    )
+    route = Route(name="hop", host="", prefix="/", repeat=Repeat.ONCE, targets=())
+    return AdmittedRequest(
+        call=call,
+        route=route,
+        service=service.decode("latin-1"),
+        account=None if account is None else account.decode("latin-1"),
+        urgency=decode_urgency(find_header(req.headers, HOP_URGENCY)),
+        deadline_ms=req.arrived_ms + int(time_left_ms),
+        resume_after=None if resume_after is None else resume_after.decode("latin-1"),
+    )
+
+
+def decode_urgency(value: bytes | None) -> int:
+    """Return the urgency set by another VM, the default if it is missing or invalid."""
+    return int(value) if value is not None and value.isdigit() else DEFAULT_URGENCY
--- a/src/hickorybeam/gateway/in_flight.py
+++ b/src/hickorybeam/gateway/in_flight.py
@@ -9,8 +9,8 @@
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.placement_client import SlotGrant
     from hickorybeam.gateway.service_queue import ServiceQueue
+    from hickorybeam.gateway.slot_grant import SlotGrant
     from hickorybeam.policy.server_choice import ServerState
 
 __all__ = ("InFlightRequest",)
--- a/src/hickorybeam/gateway/local_placement.py
+++ b/src/hickorybeam/gateway/local_placement.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.target_selector import NoCapacity
+from hickorybeam.gateway.targets import NoCapacity
 from hickorybeam.policy.retry_after import clamp_retry_after_ms, max_retry_after_ms
 from hickorybeam.policy.wait_queue import max_deferral_ms, max_queue_wait_ms
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.attempt import AdmittedRequest, Target
     from hickorybeam.gateway.service_queue import ServiceQueues
-    from hickorybeam.gateway.target_selector import TargetFilter, TargetSelector
+    from hickorybeam.gateway.target_selector import TargetSelector
+    from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
     from hickorybeam.policy.wait_queue import QueueEntry
 
 __all__ = ("LocalPlacement",)
--- a/src/hickorybeam/gateway/placement_client.py
+++ b/src/hickorybeam/gateway/placement_client.py
@@ -11,7 +11,6 @@
 import anyio
 
 from hickorybeam.clock import MS_PER_SECOND
-from hickorybeam.gateway.attempt import PeerTarget, ServerTarget
 from hickorybeam.gateway.placement_messages import (
     HeldPlacements,
     PlacementRequest,
@@ -20,20 +19,19 @@
     PlacementUpdate,
     SendStatus,
 )
+from hickorybeam.gateway.slot_grant import SlotGrant
 from hickorybeam.gateway.status_report import NO_USAGE, add_usage
-from hickorybeam.gateway.target_selector import NoCapacity, NoTarget
+from hickorybeam.gateway.targets import NoCapacity, NoTarget, PeerTarget, ServerTarget
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.attempt import AdmittedRequest, Target
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.routing_state import RoutingState
-    from hickorybeam.gateway.status_report import GrantedUsage, ServerUsage
-    from hickorybeam.gateway.target_selector import TargetFilter
-    from hickorybeam.policy.server_choice import ServerState
+    from hickorybeam.gateway.status_report import GrantedUsage
+    from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
     from hickorybeam.telemetry import Counters
 
-__all__ = ("PlacementClient", "SlotGrant")
+__all__ = ("PlacementClient",)
 
 # A response takes a few ms; after this long the request or the response was lost.
 RESPONSE_TIMEOUT_MS = 40
@@ -75,36 +73,6 @@
         return found
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class SlotGrant:
-    """A slot at a server that the coordinator granted to a request of this VM.
-
-    ``usage`` is what this VM counts at the server for the request.
-    """
-
-    client: PlacementClient
-    coordinator: str
-    number: int
-    server_state: ServerState
-    copy_from: str | None
-    expected_wait_ms: float
-    usage: ServerUsage = NO_USAGE
-
-    def start(self, *, prefill_tokens: int, held_tokens: int) -> None:
-        """Record what this VM counts at the server when it sends the request."""
-        self.usage = (1, prefill_tokens, held_tokens)
-
-    def report_prefill(self) -> None:
-        """Report that the request's prompt is prefilled."""
-        requests, _, held_tokens = self.usage
-        self.usage = (requests, 0, held_tokens)
-        self.client.report_status(self, SendStatus.READ)
-
-    def report_end(self, status: SendStatus) -> None:
-        """Report how the request's send ended."""
-        self.client.report_end(self, status)
-
-
 class PlacementClient:
     """Sends placement requests, and reports the status of the requests that were granted a slot."""
 
@@ -258,7 +226,7 @@
             self._report_end(coordinator, number, SendStatus.LEFT)
             return None
         grant = SlotGrant(
-            client=self,
+            reporter=self,
             coordinator=coordinator,
             number=number,
             server_state=server_state,
--- a/src/hickorybeam/gateway/placement_coordinator.py
+++ b/src/hickorybeam/gateway/placement_coordinator.py
@@ -6,26 +6,31 @@
 
 import anyio
 
-from hickorybeam.gateway.attempt import AdmittedRequest, PeerTarget, ServerTarget
 from hickorybeam.gateway.placement_messages import (
     PlacementRequest,
     PlacementResponse,
     PlacementResult,
     SendStatus,
 )
-from hickorybeam.gateway.target_selector import NoCapacity, TargetFilter
+from hickorybeam.gateway.targets import (
+    AdmittedRequest,
+    NoCapacity,
+    PeerTarget,
+    ServerTarget,
+    TargetFilter,
+)
 from hickorybeam.model.routing import PromptPart, RelayCall, Repeat, Route
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.attempt import Target
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.in_flight import InFlightRequest
     from hickorybeam.gateway.local_placement import LocalPlacement
     from hickorybeam.gateway.placement_messages import HeldPlacements, PlacementUpdate
     from hickorybeam.gateway.target_selector import TargetSelector
+    from hickorybeam.gateway.targets import Target
     from hickorybeam.policy.wait_queue import QueueEntry
 
 __all__ = ("PlacementCoordinator",)
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -5,15 +5,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.attempt import PeerTarget, ServerTarget
 from hickorybeam.gateway.event_splitter import EventSplitter
 
 if TYPE_CHECKING:
-    from hickorybeam.gateway.attempt import Target
+    from hickorybeam.gateway.targets import Target
     from hickorybeam.http1 import ResponseHead, ResponseWriter
     from hickorybeam.platform import ResponseInfo
 
-__all__ = ("RequestProgress", "ResponseTiming", "target_name")
+__all__ = ("RequestProgress", "ResponseTiming")
 
 
 @dataclass(slots=True)
@@ -82,12 +81,3 @@
     def may_have_arrived(self) -> bool:
         """Whether a server has received the request or may have."""
         return self.rejected or self.may_have_run
-
-
-def target_name(target: Target) -> str:
-    """Return the server's id or the VM's name, for logs and to recognise a target tried before."""
-    match target:
-        case ServerTarget(server_state):
-            return server_state.server.id
-        case PeerTarget(peer):
-            return peer.vm.name
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -8,21 +8,13 @@
 import anyio
 from absl import logging
 
-from hickorybeam.gateway.attempt import (
-    HOP_ACCOUNT,
-    HOP_RESUME_AFTER,
-    HOP_SERVICE,
-    HOP_TIME_LEFT_MS,
-    HOP_URGENCY,
-    AdmittedRequest,
-)
 from hickorybeam.gateway.feed import CHANGES_PATH, STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
+from hickorybeam.gateway.hop import decode_forwarded_request
 from hickorybeam.gateway.request_handler import RequestHandler, shutdown_times
-from hickorybeam.http1 import HttpServer, UpstreamPool, find_header
+from hickorybeam.http1 import HttpServer, UpstreamPool
 from hickorybeam.kernel import Service
-from hickorybeam.model.routing import Repeat, Route
-from hickorybeam.platform import decode_call, decode_query, directory_response
+from hickorybeam.platform import decode_query, directory_response
 from hickorybeam.policy.directory_listing import RegionVms, vms_to_list
 from hickorybeam.ports import FEED, FLEET, RELAY
 from hickorybeam.sockets import bind_socket, split_address
@@ -50,7 +42,6 @@
 FORECAST_INTERVAL_MS = 100
 METRICS_PATH = b"/metrics"
 CHANGES_PREFIX = CHANGES_PATH.encode()
-DEFAULT_URGENCY = 5
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 MSGPACK_HEADERS = ((b"content-type", b"application/msgpack"),)
 METRICS_HEADERS = ((b"content-type", b"text/plain; version=0.0.4"),)
@@ -269,11 +260,6 @@
             reply.send(404)
 
 
-def decode_urgency(value: bytes | None) -> int:
-    """Return the urgency set by another VM, the default if it is missing or invalid."""
-    return int(value) if value is not None and value.isdigit() else DEFAULT_URGENCY
-
-
 def bind_address(address: str, bound_port: int) -> socket.socket:
     """Return a socket bound to ``host:port``.
 
@@ -281,26 +267,3 @@
     """
     host, port = split_address(address)
     return bind_socket(host, bound_port or port)
-
-
-def decode_forwarded_request(req: IncomingRequest) -> AdmittedRequest | None:
-    """Decode a request forwarded by another VM, ``None`` if it isn't one."""
-    service = find_header(req.headers, HOP_SERVICE)
-    time_left_ms = find_header(req.headers, HOP_TIME_LEFT_MS)
-    if service is None or time_left_ms is None or not time_left_ms.isdigit():
-        return None
-    call = decode_call(req)
-    account, resume_after = (
-        find_header(req.headers, HOP_ACCOUNT),
-        find_header(req.headers, HOP_RESUME_AFTER),
-    )
-    route = Route(name="hop", host="", prefix="/", repeat=Repeat.ONCE, targets=())
-    return AdmittedRequest(
-        call=call,
-        route=route,
-        service=service.decode("latin-1"),
-        account=None if account is None else account.decode("latin-1"),
-        urgency=decode_urgency(find_header(req.headers, HOP_URGENCY)),
-        deadline_ms=req.arrived_ms + int(time_left_ms),
-        resume_after=None if resume_after is None else resume_after.decode("latin-1"),
-    )
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -9,7 +9,6 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.admission import Admission
-from hickorybeam.gateway.attempt import PeerTarget, ServerTarget
 from hickorybeam.gateway.final_responses import FinalResponses
 from hickorybeam.gateway.local_placement import LocalPlacement
 from hickorybeam.gateway.placement_client import PlacementClient
@@ -20,10 +19,18 @@
     PlacementResponse,
     PlacementUpdate,
 )
-from hickorybeam.gateway.progress import RequestProgress, target_name
+from hickorybeam.gateway.progress import RequestProgress
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.service_queue import ServiceQueues
-from hickorybeam.gateway.target_selector import NoCapacity, NoTarget, TargetFilter, TargetSelector
+from hickorybeam.gateway.target_selector import TargetSelector
+from hickorybeam.gateway.targets import (
+    NoCapacity,
+    NoTarget,
+    PeerTarget,
+    ServerTarget,
+    TargetFilter,
+    target_name,
+)
 from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.fleet_retry_budget import FleetRetryBudget, FleetRetryLimits
@@ -31,10 +38,10 @@
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.attempt import AdmittedRequest, Target
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.status_report import WaitForecast
+    from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import IncomingRequest, ResponseWriter, UpstreamPool
     from hickorybeam.settings import GatewaySettings
     from hickorybeam.telemetry import Counters
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -5,14 +5,9 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.clock import MS_PER_SECOND
-from hickorybeam.gateway.attempt import (
-    Attempt,
-    FirstByteTimeoutError,
-    NotRunError,
-    PeerTarget,
-    ServerTarget,
-)
+from hickorybeam.gateway.attempt import Attempt, FirstByteTimeoutError, NotRunError
 from hickorybeam.gateway.placement_messages import SendStatus
+from hickorybeam.gateway.targets import PeerTarget, ServerTarget
 from hickorybeam.http1 import BrokenResponseError
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
@@ -21,12 +16,12 @@
     from collections.abc import Callable
 
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.attempt import AdmittedRequest, Target
     from hickorybeam.gateway.final_responses import FinalResponses
     from hickorybeam.gateway.in_flight import InFlightRequest
     from hickorybeam.gateway.progress import RequestProgress
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.gateway.target_selector import TargetSelector
+    from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import ResponseHead, UpstreamPool
     from hickorybeam.platform import ResponseInfo
     from hickorybeam.policy.server_choice import ServerState
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -4,11 +4,10 @@
 
 import random
 from collections import defaultdict
-from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.attempt import PeerTarget, ServerTarget
 from hickorybeam.gateway.in_flight import InFlightRequest
+from hickorybeam.gateway.targets import NoCapacity, PeerTarget, ServerTarget
 from hickorybeam.policy.deadline_check import can_finish
 from hickorybeam.policy.deferral import should_defer
 from hickorybeam.policy.server_choice import (
@@ -23,21 +22,21 @@
 from hickorybeam.policy.stale_load import WorkRate
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
 
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.attempt import AdmittedRequest, Target
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.peers import RemoteCandidate
-    from hickorybeam.gateway.placement_client import SlotGrant
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.gateway.service_queue import ServiceQueues
+    from hickorybeam.gateway.slot_grant import SlotGrant
     from hickorybeam.gateway.status_report import WaitForecast
+    from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.cold_limit import ColdServerLimiter
     from hickorybeam.policy.shutdown import ShutdownSchedule
 
-__all__ = ("NoCapacity", "NoTarget", "TargetFilter", "TargetSelector", "held_tokens_of")
+__all__ = ("TargetSelector", "held_tokens_of")
 
 # Round trip to another region.
 REGION_ROUND_TRIP_MS = 160.0
@@ -52,50 +51,6 @@
 DEFAULT_CACHE_TOKENS = 200_000
 
 
-@dataclass(frozen=True, slots=True)
-class NoCapacity:
-    """No server that may take the request has a free slot now.
-
-    ``wait_ms`` is the expected time until one has. ``deferred``: there are free slots, but the
-    request would miss its objective there and lets others go first. ``misses_deadline``: it can't
-    finish before its deadline, so waiting doesn't help. ``retry_after_ms`` is the retry-after for
-    its caller, if another VM gave one.
-    """
-
-    wait_ms: float
-    deferred: bool = False
-    misses_deadline: bool = False
-    retry_after_ms: int | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class NoTarget:
-    """The placement coordinator responded that nothing can take the request."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TargetFilter:
-    """Which targets a request may go to.
-
-    ``tried`` names targets that it was sent to before; with ``retry_tried`` one of these may be
-    used again if there is no other. ``refused_regions`` have refused it: their other VMs have the
-    same servers. ``own_region_only``: another VM forwarded it, so it is run in this region or not
-    at all. ``may_defer``: if it will miss its objective, it waits for a server with little to
-    prefill. ``origin_data_centre`` is that of the VM which sends it, whose servers are preferred.
-    """
-
-    tried: Collection[str] = ()
-    refused_regions: Collection[str] = ()
-    retry_tried: bool = False
-    own_region_only: bool = False
-    may_defer: bool = True
-    origin_data_centre: str = ""
-
-    def without_deferral(self) -> TargetFilter:
-        """Return the same filter for a request that is not deferred any longer."""
-        return replace(self, may_defer=False)
-
-
 class TargetSelector:
     """Selects targets by what this VM knows now.
 
--- /dev/null
+++ b/src/hickorybeam/gateway/targets.py
@@ -0,0 +1,124 @@
+"""Admitted requests, the targets that they may be sent to, and why there may be none."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from hickorybeam.gateway.peers import Peer
+    from hickorybeam.gateway.slot_grant import SlotGrant
+    from hickorybeam.model.routing import RelayCall, Route
+    from hickorybeam.policy.server_choice import ServerState
+
+__all__ = (
+    "AdmittedRequest",
+    "NoCapacity",
+    "NoTarget",
+    "PeerTarget",
+    "ServerTarget",
+    "Target",
+    "TargetFilter",
+    "address_of",
+    "target_name",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerTarget:
+    """A backend server of this region, with the slot grant if another VM granted its slot."""
+
+    server_state: ServerState
+    grant: SlotGrant | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerTarget:
+    """A VM of another region, which selects one of its servers."""
+
+    peer: Peer
+
+
+Target = ServerTarget | PeerTarget
+
+
+@dataclass(slots=True, kw_only=True)
+class AdmittedRequest:
+    """A request with the decisions made at its admission.
+
+    ``resume_after`` is the id of the last event that the caller has received; it advances when a
+    stream breaks off. ``deadline_ms`` is on this VM's clock.
+    """
+
+    call: RelayCall
+    route: Route
+    service: str
+    account: str | None
+    urgency: int
+    deadline_ms: int
+    resume_after: str | None
+    cost: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NoCapacity:
+    """No server that may take the request has a free slot now.
+
+    ``wait_ms`` is the expected time until one has. ``deferred``: there are free slots, but the
+    request would miss its objective there and lets others go first. ``misses_deadline``: it can't
+    finish before its deadline, so waiting doesn't help. ``retry_after_ms`` is the retry-after for
+    its caller, if another VM gave one.
+    """
+
+    wait_ms: float
+    deferred: bool = False
+    misses_deadline: bool = False
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NoTarget:
+    """The placement coordinator responded that nothing can take the request."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetFilter:
+    """Which targets a request may go to.
+
+    ``tried`` names targets that it was sent to before; with ``retry_tried`` one of these may be
+    used again if there is no other. ``refused_regions`` have refused it: their other VMs have the
+    same servers. ``own_region_only``: another VM forwarded it, so it is run in this region or not
+    at all. ``may_defer``: if it will miss its objective, it waits for a server with little to
+    prefill. ``origin_data_centre`` is that of the VM which sends it, whose servers are preferred.
+    """
+
+    tried: Collection[str] = ()
+    refused_regions: Collection[str] = ()
+    retry_tried: bool = False
+    own_region_only: bool = False
+    may_defer: bool = True
+    origin_data_centre: str = ""
+
+    def without_deferral(self) -> TargetFilter:
+        """Return the same filter for a request that is not deferred any longer."""
+        return replace(self, may_defer=False)
+
+
+def address_of(target: Target) -> tuple[str, int]:
+    """Return the host and port of a target."""
+    match target:
+        case ServerTarget(server_state):
+            return (server_state.server.host, server_state.server.port)
+        case PeerTarget(peer):
+            return (peer.vm.host, peer.vm.peer_port)
+
+
+def target_name(target: Target) -> str:
+    """Return the server's id or the VM's name, for logs and to recognise a target tried before."""
+    match target:
+        case ServerTarget(server_state):
+            return server_state.server.id
+        case PeerTarget(peer):
+            return peer.vm.name
