A forwarded request brings its objective and how much of it is used up

Cause: the other region knew neither and let a request wait in its queue for up to half of a usual objective of 1,000 ms, counted from its arrival there: a question with 615 ms had spent 160 ms on the way and up to 500 ms more in that queue. Change: two headers of the hop; the way there and back counts as used. The round trip between regions stood twice (target_selector, region_choice) and is policy/region_path.py now.

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -96,7 +96,7 @@
         """
         timeout_s = None if first_byte_timeout_ms is None else first_byte_timeout_ms / MS_PER_SECOND
         with anyio.move_on_after(timeout_s):
-            conn = await self._send(self._request.deadline_ms - now_ms)
+            conn = await self._send(now_ms)
             head = await conn.read_head()
             return await self._decode(head)
         sent_on = self._conn
@@ -120,10 +120,10 @@
             )
         return head, decode_response(head)
 
-    async def _send(self, left_ms: int) -> UpstreamConnection:
+    async def _send(self, now_ms: int) -> UpstreamConnection:
         """Send on an idle connection, or on a new one if the idle one has just been closed."""
         call = self._request.call
-        data = request_bytes(call.method, call.target, self._headers(left_ms), call.body)
+        data = request_bytes(call.method, call.target, self._headers(now_ms), call.body)
         expected = (REQUEST_ID, call.request_id.encode("latin-1")) if call.request_id else None
         for fresh in (False, True):
             try:
@@ -139,8 +139,9 @@
                 return self._conn
         raise NotRunError(reason)
 
-    def _headers(self, left_ms: int) -> RawHeaders:
+    def _headers(self, now_ms: int) -> RawHeaders:
         request = self._request
+        left_ms = request.deadline_ms - now_ms
         match self._target:
             case ServerTarget(server_state):
                 return server_headers(
@@ -153,7 +154,7 @@
                     copy_from=self._copy_from,
                 )
             case PeerTarget():
-                return (*request.call.headers, *hop_headers(request, left_ms))
+                return (*request.call.headers, *hop_headers(request, now_ms))
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the response's body, empty at its proper end."""
--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.targets import AdmittedRequest
 from hickorybeam.http1 import find_header
 from hickorybeam.model.routing import Repeat, Route
 from hickorybeam.platform import decode_call
+from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 
 if TYPE_CHECKING:
     from hickorybeam.http1 import IncomingRequest, RawHeaders
@@ -28,6 +30,11 @@
 HOP_TIME_LEFT_MS = b"hop-left-ms"
 HOP_URGENCY = b"hop-urgency"
 HOP_RESUME_AFTER = b"hop-resume-after"
+# The request's latency objective, and how much of it is used up: the time since it arrived, and the
+# way to the other region and back. Without them, the other region would let a request wait for
+# half of a usual objective after most of its own has passed.
+HOP_TARGET_MS = b"hop-target-ms"
+HOP_ELAPSED_MS = b"hop-elapsed-ms"
 # Response header between VMs: the request was not run, and the response comes from no backend
 # server. Its value tells whether a server rejected the request or none was asked.
 HOP_NOT_RUN = b"hop-not-run"
@@ -35,14 +42,19 @@
 # Sent along with HOP_NOT_RUN: in how many ms the region expects to have a free slot.
 HOP_RETRY_AFTER_MS = b"hop-come-back-ms"
 DEFAULT_URGENCY = 5
+DEFAULT_TARGET_MS = 1_000
 
 
-def hop_headers(request: AdmittedRequest, left_ms: int) -> RawHeaders:
+def hop_headers(request: AdmittedRequest, now_ms: int) -> RawHeaders:
     """Return the headers that a VM adds to the caller's own when it forwards a request."""
+    left_ms = request.deadline_ms - now_ms
+    elapsed_ms = now_ms - request.call.arrived_ms
     headers = [
         (HOP_SERVICE, request.service.encode("latin-1")),
         (HOP_TIME_LEFT_MS, b"%d" % max(1, left_ms)),
         (HOP_URGENCY, b"%d" % request.urgency),
+        (HOP_TARGET_MS, b"%d" % request.route.target_ms),
+        (HOP_ELAPSED_MS, b"%d" % (max(0, elapsed_ms) + REGION_ROUND_TRIP_MS)),
     ]
     if request.account is not None:
         headers.append((HOP_ACCOUNT, request.account.encode("latin-1")))
@@ -62,18 +74,26 @@
         find_header(req.headers, HOP_ACCOUNT),
         find_header(req.headers, HOP_RESUME_AFTER),
     )
-    route = Route(name="hop", host="", prefix="/", repeat=Repeat.ONCE, targets=())
+    elapsed_ms = decode_int(find_header(req.headers, HOP_ELAPSED_MS), 0)
+    route = Route(
+        name="hop",
+        host="",
+        prefix="/",
+        repeat=Repeat.ONCE,
+        targets=(),
+        target_ms=decode_int(find_header(req.headers, HOP_TARGET_MS), DEFAULT_TARGET_MS),
+    )
     return AdmittedRequest(
-        call=call,
+        call=replace(call, arrived_ms=call.arrived_ms - elapsed_ms),
         route=route,
         service=service.decode("latin-1"),
         account=None if account is None else account.decode("latin-1"),
-        urgency=decode_urgency(find_header(req.headers, HOP_URGENCY)),
+        urgency=decode_int(find_header(req.headers, HOP_URGENCY), DEFAULT_URGENCY),
         deadline_ms=req.arrived_ms + int(time_left_ms),
         resume_after=None if resume_after is None else resume_after.decode("latin-1"),
     )
 
 
-def decode_urgency(value: bytes | None) -> int:
-    """Return the urgency set by another VM, the default if it is missing or invalid."""
-    return int(value) if value is not None and value.isdigit() else DEFAULT_URGENCY
+def decode_int(value: bytes | None, default: int) -> int:
+    """Return the number in a header set by another VM, a default if it is missing or invalid."""
+    return int(value) if value is not None and value.isdigit() else default
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -10,6 +10,7 @@
 from hickorybeam.gateway.targets import NoCapacity, PeerTarget, ServerTarget
 from hickorybeam.policy.deadline_check import can_finish
 from hickorybeam.policy.deferral import should_defer
+from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 from hickorybeam.policy.server_choice import (
     ServerState,
     choose_server,
@@ -38,8 +39,6 @@
 
 __all__ = ("TargetSelector", "held_tokens_of")
 
-# Round trip to another region.
-REGION_ROUND_TRIP_MS = 160.0
 # Another region is used only if its wait is shorter by more than this.
 SPILL_MARGIN_MS = 150.0
 # VMs of one region forecast waits that differ by less than this for the same servers.
--- a/src/hickorybeam/policy/region_choice.py
+++ b/src/hickorybeam/policy/region_choice.py
@@ -23,6 +23,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.policy.job import Reason
+from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,8 +34,6 @@
 
 __all__ = ("RegionChoice", "RegionQuota")
 
-# One-way delay between regions is about 80 ms in both deployments.
-ROUND_TRIP_MS = 160.0
 # Load reports that are older are ignored: four heartbeats of the peers (500 ms each).
 MAX_LOAD_AGE_MS = 2_000
 # A report's free tokens are offered to every region that may send, and a region's own callers
@@ -176,7 +175,7 @@
         self._refill(link, now)
         if quota.tokens_left <= 0 or link.bytes_left < job.body_bytes:
             return math.inf
-        return quota.load.wait_ms + ROUND_TRIP_MS + self._price_penalty_ms(region)
+        return quota.load.wait_ms + REGION_ROUND_TRIP_MS + self._price_penalty_ms(region)
 
     def _price_penalty_ms(self, region: str) -> float:
         here = self._costs.get(self._here, 1.0)
