Forwarded requests use open connections to the other region

Change: of the chosen region's VMs one with an idle connection gets the request, and while a region in use has two idle ones or fewer, each request opens one more (gateway/peer_connections).

--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -11,6 +11,7 @@
 from hickorybeam.gateway.admission import Admission
 from hickorybeam.gateway.final_responses import FinalResponses
 from hickorybeam.gateway.local_placement import LocalPlacement
+from hickorybeam.gateway.peer_connections import PeerConnections
 from hickorybeam.gateway.placement_client import PlacementClient
 from hickorybeam.gateway.placement_coordinator import PlacementCoordinator
 from hickorybeam.gateway.placement_messages import (
@@ -102,6 +103,7 @@
         self._placement_coordinator = PlacementCoordinator(
             clock=clock, fleet=fleet, selector=self._selector, local_placement=self._local_placement
         )
+        self._peer_connections = PeerConnections(fleet=fleet, pool=pool)
         self._sender = Sender(
             clock=clock,
             counters=counters,
@@ -120,6 +122,7 @@
         self._fleet.granted_usage = self._placement_client.granted_usage
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._placement_client.run)
+            tg.start_soon(self._peer_connections.run)
             await self._placement_coordinator.run(tg)
 
     async def handle(self, req: IncomingRequest, response: ResponseWriter) -> None:
@@ -193,6 +196,10 @@
         if found is None or not self._may_send(request, progress):
             self._final_responses.give_up(request, progress)
             return None
+        if isinstance(found, PeerTarget):
+            return self._peer_connections.connected(
+                found, service=request.service, tried=progress.tried
+            )
         return found
 
     async def _place(
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -62,11 +62,25 @@
                 return conn
         return await self._open(address, connect_ms or self._connect_ms)
 
+    async def open_idle(self, address: Address) -> None:
+        """Open a connection for a later request.
+
+        :raises ConnectFailedError: it cannot be opened.
+        """
+        self._keep(address, await self._open(address, self._connect_ms))
+
+    def idle_count(self, address: Address) -> int:
+        """Return how many idle connections may be used."""
+        return sum(self._is_usable(conn) for conn in self._idle.get(address, ()))
+
     def release(self, address: Address, conn: UpstreamConnection) -> None:
         """Keep a connection whose response was read completely; close any other."""
         if not conn.reusable or conn.closed:
             conn.abort()
             return
+        self._keep(address, conn)
+
+    def _keep(self, address: Address, conn: UpstreamConnection) -> None:
         conn.idle_since_ms = self._clock.now()
         self._idle.setdefault(address, []).append(conn)
         conn.on_close = lambda closed: self._remove(address, closed)
@@ -82,11 +96,15 @@
         while idle:
             conn = idle.pop()
             conn.on_close = None
-            if not conn.closed and self._clock.now() - conn.idle_since_ms < self._max_idle_ms(conn):
+            if self._is_usable(conn):
                 return conn
             conn.abort()
         return None
 
+    def _is_usable(self, conn: UpstreamConnection) -> bool:
+        idle_ms = self._clock.now() - conn.idle_since_ms
+        return not conn.closed and idle_ms < self._max_idle_ms(conn)
+
     def _max_idle_ms(self, conn: UpstreamConnection) -> float:
         if conn.keep_alive_s is None:
             return DEFAULT_MAX_IDLE_MS
