The wait in a server's own queue is learned from how long requests hold a slot

Cause: each request ahead in a full server's queue counted 60 ms, whatever the server. A lookup of 22 ms and one of 90 looked alike. Change: a server's slots are freed by what ends there; the mean time a request holds one, over the slots, is the wait for each ahead. Bounded, 60 ms until one has ended; estimates refuse times that are not finite (a scenario draws them).

--- a/src/hickorybeam/gateway/in_flight.py
+++ b/src/hickorybeam/gateway/in_flight.py
@@ -24,9 +24,10 @@
     tokens of its prompt that the server still has to prefill; ``backlog_tokens`` are those that
     the server had to prefill when it was sent at ``sent_ms``: its own and all known others.
     ``held_tokens`` is what it takes of the server's memory. ``expected_wait_ms`` was expected
-    until its first event. ``copy_from`` is the ``host:port`` of a server that parts of its prompt
-    are copied from, if any. Its response has at most ``max_output_tokens``, the first of them at
-    ``first_event_ms``. If another VM granted its slot, ``grant`` reports its progress there.
+    until its first event, ``queue_wait_ms`` of it in the server's own queue. ``copy_from`` is the
+    ``host:port`` of a server that parts of its prompt are copied from, if any. Its response has at
+    most ``max_output_tokens``, the first of them at ``first_event_ms``. If another VM granted its
+    slot, ``grant`` reports its progress there.
     """
 
     clock: Clock
@@ -38,6 +39,7 @@
     backlog_tokens: int
     sent_ms: int
     expected_wait_ms: float
+    queue_wait_ms: float
     copy_from: str | None
     max_output_tokens: int
     grant: SlotGrant | None = None
@@ -68,9 +70,9 @@
             return
         self.ended = True
         if status is SendStatus.ANSWERED and self.first_event_ms is not None:
-            self.server_state.speed.record_decode(
-                self.max_output_tokens, self.clock.now() - self.first_event_ms
-            )
+            now, speed = self.clock.now(), self.server_state.speed
+            speed.record_decode(self.max_output_tokens, now - self.first_event_ms)
+            speed.record_slot(now - self.sent_ms - self.queue_wait_ms)
         self._add(-1, -self.prefill_tokens, -self.held_tokens)
         self.queue.record_departure()
         if self.grant is not None:
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -37,8 +37,6 @@
     "uncached_prompt_tokens",
 )
 
-# Wait for each request ahead in the queue of a full server.
-WAIT_PER_QUEUED_MS = 60.0
 # Delay that each request in flight adds through larger batches; decides among idle servers.
 DELAY_PER_IN_FLIGHT_MS = 1.0
 # An engine prefills a prompt in chunks between the decode steps of its streams, which delays all
@@ -157,6 +155,12 @@
             return max(known, self.reported_requests)
         return known
 
+    def queue_wait_ms(self, now_ms: int) -> float:
+        """Return how long a new request waits in the server's own queue for a slot."""
+        slots = self.server.slots
+        queued = max(0, self.in_flight(now_ms) + 1 - slots)
+        return queued * self.speed.queue_step_ms(slots)
+
     def pending_prefill_tokens(self) -> int:
         """Return how many prompt tokens are known to be still to be prefilled there."""
         return self.own_prefill_tokens + self.granted_prefill_tokens + self.peer_prefill_tokens
@@ -183,12 +187,10 @@
     :param uncached: tokens of its prompt that the server would have to prefill.
     """
     pending = state.pending_prefill_tokens() + uncached
-    in_flight = state.in_flight(now_ms)
-    queued = max(0, in_flight + 1 - state.server.slots)
     return (
         state.speed.prefill_ms(pending)
-        + queued * WAIT_PER_QUEUED_MS
-        + in_flight * DELAY_PER_IN_FLIGHT_MS
+        + state.queue_wait_ms(now_ms)
+        + state.in_flight(now_ms) * DELAY_PER_IN_FLIGHT_MS
         + max(0.0, state.failure_rate - BASELINE_FAILURE_RATE) * FAILURE_PENALTY_MS
     )
 
--- a/tests/policy/server_speed.feature
+++ b/tests/policy/server_speed.feature
@@ -33,3 +33,26 @@
     And server "b" responds to 40 prompts of 8000 tokens, each 12 ms after prefilling 60 tokens a ms
     And server "b" has 12000 tokens to prefill
     Then a prompt of 12000 tokens goes to "b"
+
+  # Guards against a queue of short lookups being taken for one of long streams: with one wait for
+  # all, a server whose queue moves on each 4 ms looked as full as one where it takes 60 ms, and
+  # requests left for another region though they would have been on time.
+  Scenario Outline: the wait for each request ahead in a full server's queue is learned
+    Given idle servers "a"
+    When <count> requests hold a slot of server "a" for <ms> ms each
+    Then with <slots> slots each request ahead there costs <least> to <most> ms
+
+    Examples:
+      | count | ms      | slots | least | most |
+      | 0     | 0       | 6     | 60    | 60   |
+      | 1     | 90      | 6     | 15    | 15   |
+      | 20    | 22      | 6     | 3     | 4    |
+      | 20    | 2000    | 48    | 40    | 43   |
+      | 20    | 9000000 | 1     | 300   | 300  |
+      | 20    | 1       | 64    | 0.5   | 0.5  |
+      | 20    | 2000    | 0     | 300   | 300  |
+
+  # Guards against a clock that jumps, or a server that reports nonsense, making a server look so fast
+  # or so slow that every request goes there, or none.
+  Scenario: no sequence of observations moves an estimate out of its bounds
+    Then estimates stay within their bounds whatever times and sizes are observed
