--- a/src/hickorybeam/gateway/local_placement.py
+++ b/src/hickorybeam/gateway/local_placement.py
@@ -95,9 +95,9 @@
     :param deferred: it waits because it would miss its objective at any server.
     """
     target_ms, elapsed_ms = request.route.target_ms, now_ms - request.call.arrived_ms
-    usual_ms = max_queue_wait_ms(target_ms=target_ms, elapsed_ms=elapsed_ms)
+    left_ms = request.deadline_ms - now_ms
+    usual_ms = max_queue_wait_ms(target_ms=target_ms, elapsed_ms=elapsed_ms, left_ms=left_ms)
     if not deferred:
         return usual_ms
-    left_ms = request.deadline_ms - now_ms
     deferral_ms = max_deferral_ms(target_ms=target_ms, elapsed_ms=elapsed_ms, left_ms=left_ms)
     return max(usual_ms, deferral_ms)
--- a/src/hickorybeam/policy/wait_queue.py
+++ b/src/hickorybeam/policy/wait_queue.py
@@ -16,10 +16,10 @@
 __all__ = ("QueueEntry", "WaitQueue", "max_deferral_ms", "max_queue_wait_ms")
 
 MS_PER_SECOND = 1000
-# A request that would be late at any server is deferred until this many times its objective, and
-# for no more than this share of the time left until its deadline.
+# A request that would be late at any server is deferred until this many times its objective.
 MAX_DEFERRAL_IN_TARGETS = 2.5
-MAX_DEFERRAL_SHARE_OF_TIME_LEFT = 0.5
+# No request waits for more than this share of the time left until its deadline.
+MAX_WAIT_SHARE_OF_TIME_LEFT = 0.5
 # Window in which departures are counted: long enough for a few of them at the least load that
 # fills a server, short enough to follow the loss of a server.
 RATE_WINDOW_MS = 1_000
@@ -34,14 +34,17 @@
 MIN_DEPARTURES_PER_S = 4.0
 
 
-def max_queue_wait_ms(*, target_ms: int, elapsed_ms: int) -> int:
+def max_queue_wait_ms(*, target_ms: int, elapsed_ms: int, left_ms: int) -> int:
     """Return how long a request may wait in the queue.
 
     :param target_ms: its latency objective.
     :param elapsed_ms: time since it arrived.
+    :param left_ms: time left until its deadline. One that waited until then would be held for
+        nothing, though its caller could have come back meanwhile.
     """
     left = int(target_ms * MAX_WAIT_SHARE_OF_TARGET) - elapsed_ms
-    return left if left > 0 else MAX_LATE_WAIT_MS
+    wait_ms = left if left > 0 else MAX_LATE_WAIT_MS
+    return min(wait_ms, int(left_ms * MAX_WAIT_SHARE_OF_TIME_LEFT))
 
 
 def max_deferral_ms(*, target_ms: int, elapsed_ms: int, left_ms: int) -> int:
@@ -56,7 +59,7 @@
     return int(
         min(
             target_ms * MAX_DEFERRAL_IN_TARGETS - elapsed_ms,
-            left_ms * MAX_DEFERRAL_SHARE_OF_TIME_LEFT,
+            left_ms * MAX_WAIT_SHARE_OF_TIME_LEFT,
         )
     )
 
--- a/tests/policy/wait_queue.feature
+++ b/tests/policy/wait_queue.feature
@@ -24,15 +24,19 @@
     Then a request of urgency 5 with a maximum wait of 200 ms is refused at once
     But a request of urgency 5 with a maximum wait of 300 ms may wait
 
+  # The last two guard against a request that has missed its objective waiting until its deadline
+  # and getting its refusal when its caller can't come back any more.
   Scenario Outline: the maximum wait is what the objective leaves, or a fixed time if it is missed
-    Then a request with objective <target> ms, <elapsed> ms old, waits up to <max_wait> ms
+    Then a request with objective <target> ms, <elapsed> ms old, and <left> ms left waits up to <max_wait> ms
 
     Examples:
-      | target | elapsed | max_wait |
-      | 600    | 0       | 300      |
-      | 600    | 200     | 100      |
-      | 600    | 300     | 1500     |
-      | 600    | 5000    | 1500     |
+      | target | elapsed | left | max_wait |
+      | 600    | 0       | 9000 | 300      |
+      | 600    | 200     | 9000 | 100      |
+      | 600    | 300     | 9000 | 1500     |
+      | 600    | 5000    | 9000 | 1500     |
+      | 600    | 8000    | 1400 | 700      |
+      | 600    | 9300    | 100  | 50       |
 
   Scenario: refused callers get retry-after times one after the other
     # A burst is refused. With the same time, all would return at once and be refused again.
--- a/tests/steps/policy/wait_queue_steps.py
+++ b/tests/steps/policy/wait_queue_steps.py
@@ -71,9 +71,12 @@
     context.now += ms
 
 
-@then("a request with objective {target:d} ms, {elapsed:d} ms old, waits up to {ms:d} ms")
-def step_max_wait(context, target, elapsed, ms):
-    assert max_queue_wait_ms(target_ms=target, elapsed_ms=elapsed) == ms
+@then(
+    "a request with objective {target:d} ms, {elapsed:d} ms old, and {left:d} ms left "
+    "waits up to {ms:d} ms"
+)
+def step_max_wait(context, target, elapsed, left, ms):
+    assert max_queue_wait_ms(target_ms=target, elapsed_ms=elapsed, left_ms=left) == ms
 
 
 @when("{count:d} callers are refused at once, with a retry-after of {most:d} ms at most")
