--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -55,9 +55,11 @@
 # Weight of the latest request in the average failure rate. With one failure in seven the average
 # is below the baseline 19 times out of 20; a server that fails half exceeds it after 7 requests.
 FAILURE_WEIGHT = 0.08
-# Requests in a server's own queue beyond its slots: enough that a free slot is taken at once, few
-# enough that none waits there for long.
-MAX_QUEUED_AT_SERVER = 4
+# Requests in a server's own queue beyond its slots, as a share of them and at least: enough that a
+# free slot is taken at once, few enough that none waits there for long. More slots come free at
+# once than are heard of one by one.
+MAX_QUEUED_SHARE_OF_SLOTS = 1 / 6
+MIN_QUEUED_AT_SERVER = 4
 # Share of an engine's cache that requests may reserve. An engine that runs out of cache preempts
 # a request in the middle of its stream and prefills it again.
 MAX_CACHE_SHARE = 0.9
@@ -171,7 +173,9 @@
 
     def has_room(self, tokens: int, now_ms: int) -> bool:
         """Return whether a request that holds this many tokens can start there soon."""
-        if self.in_flight(now_ms) >= self.server.slots + MAX_QUEUED_AT_SERVER:
+        slots = self.server.slots
+        queued = max(MIN_QUEUED_AT_SERVER, int(slots * MAX_QUEUED_SHARE_OF_SLOTS))
+        if self.in_flight(now_ms) >= slots + queued:
             return False
         held = self.own_held_tokens + self.granted_held_tokens + self.peer_held_tokens
         return not self.cache_tokens or held + tokens <= self.cache_tokens * MAX_CACHE_SHARE
--- a/tests/policy/gateway_decisions.feature
+++ b/tests/policy/gateway_decisions.feature
@@ -93,6 +93,22 @@
     When server "b" has 8 requests running and 5 waiting
     Then a question sent from "here" goes to another server
 
+  # Guards against a server of many slots being taken for full while several of its slots are coming
+  # free, and against a queue in a server of few slots in which a request waits for long.
+  Scenario Outline: a server takes some requests beyond its slots, the more slots the more
+    Given idle servers "a"
+    When server "a" has <slots> slots and as many requests in flight
+    Then it takes <more> requests more
+
+    Examples:
+      | slots | more |
+      | 1     | 4    |
+      | 6     | 4    |
+      | 12    | 4    |
+      | 32    | 5    |
+      | 48    | 8    |
+      | 64    | 10   |
+
   Scenario: a baseline of failures drives no request to another region
     # One request in seven fails on any server. Counted as the server's fault, these failures
     # sent a third of all requests to another region, at the cost of the round trip.
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -287,3 +287,19 @@
     )
     found = first_byte_timeout_ms(route, attempts_left=left, expected_ms=expected)
     assert (str(found) if found is None else f"{found:g}") == timeout, found
+
+
+@when('server "{name}" has {slots:d} slots and as many requests in flight')
+def step_full(context, name, slots):
+    context.state = context.states[name]
+    context.state.server = replace(context.state.server, slots=slots)
+    context.state.own_requests = slots
+
+
+@then("it takes {more:d} requests more")
+def step_takes(context, more):
+    taken = 0
+    while context.state.has_room(0, NOW):
+        context.state.own_requests += 1
+        taken += 1
+    assert taken == more, taken
