Excess goes to another region by its latest forecast and by what was sent there since

Cause: a region's forecast counted the shortest of what its VMs had told, often the oldest, and nothing that was sent there since. Change: the latest forecast of a region counts, and the prompts sent there count as waiting at its servers until a forecast can show them (policy/remote_work). Selecting a region moved to gateway/remote_selector.py, and is skipped for what waits no longer at home than the way there costs.

--- a/bench/placing_cost.py
+++ b/bench/placing_cost.py
@@ -18,6 +18,7 @@
 from hickorybeam.gateway.local_placement import LocalPlacement
 from hickorybeam.gateway.placement_coordinator import PlacementCoordinator
 from hickorybeam.gateway.placement_messages import PlacementRequest, PlacementUpdate, SendStatus
+from hickorybeam.gateway.remote_selector import RemoteSelector
 from hickorybeam.gateway.routing_state import RoutingState
 from hickorybeam.gateway.service_queue import ServiceQueues
 from hickorybeam.gateway.target_selector import TargetSelector
@@ -66,11 +67,16 @@
     )
     lines = ServiceQueues(clock)
     placing = TargetSelector(
-        shutdown=ShutdownSchedule(8_000),
         clock=clock,
         routing_state=routing_state,
         fleet=fleet,
         queues=lines,
+        remote_selector=RemoteSelector(
+            shutdown=ShutdownSchedule(8_000),
+            clock=clock,
+            routing_state=routing_state,
+            fleet=fleet,
+        ),
     )
     queueing = LocalPlacement(clock=clock, queues=lines, selector=placing)
     grants = PlacementCoordinator(
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -138,9 +138,13 @@
         self.quota.allowance = cfg.quota_allowance
         self._regions = cfg.regions
 
+    def region_of(self, data_centre: str) -> str | None:
+        """Return the region of a data centre, ``None`` if it isn't in the settings."""
+        return self._regions.get(data_centre)
+
     def in_own_region(self, data_centre: str) -> bool:
         """Return whether a data centre is in this VM's region."""
-        return self._regions.get(data_centre) == self.own_vm.region
+        return self.region_of(data_centre) == self.own_vm.region
 
     def _is_stable(self) -> bool:
         return self._clock.now() - self._started_ms >= MIN_STABLE_MS and not self.leaving
@@ -190,7 +194,7 @@
         self._own_usage.mark_cold(server_id, cold_ms)
 
     def remote_candidates(self, service: str, *, leaving: bool = False) -> list[RemoteCandidate]:
-        """Return VMs of other regions that accept requests for a service, shortest wait first.
+        """Return VMs of other regions that accept requests for a service.
 
         :param leaving: return VMs that are shutting down instead of those that are not.
         """
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -61,12 +61,13 @@
     """A VM of another region that accepts requests for a service, with its forecast.
 
     ``wait_ms`` is the expected wait of an empty prompt, ``running`` the number of requests in
-    flight at the server with that wait.
+    flight at the server with that wait, as they were ``age_ms`` ago.
     """
 
     peer: Peer
     wait_ms: float
     running: int
+    age_ms: int
 
 
 class PeerTable:
@@ -196,13 +197,13 @@
         return peer.vm.region == self._own_vm.region
 
     def remote_candidates(self, service: str, *, leaving: bool = False) -> list[RemoteCandidate]:
-        """Return VMs of other regions that accept requests for a service, shortest wait first.
+        """Return VMs of other regions that accept requests for a service.
 
         :param leaving: return VMs that are shutting down instead of those that are not.
         """
         now = self._clock.now()
-        found = [
-            RemoteCandidate(peer, *peer.forecasts[service])
+        return [
+            RemoteCandidate(peer, *peer.forecasts[service], age_ms=now - peer.last_seen_ms)
             for peer in self.by_name.values()
             if not self.in_own_region(peer)
             and peer.leaving == leaving
@@ -210,7 +211,6 @@
             and peer.forecasts is not None
             and service in peer.forecasts
         ]
-        return sorted(found, key=lambda it: (it.wait_ms, it.peer.vm.name))
 
     def apply_registration(self, value: bytes) -> None:
         """Apply a VM's registration; a new incarnation replaces the old one's record."""
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -21,6 +21,7 @@
     PlacementUpdate,
 )
 from hickorybeam.gateway.progress import RequestProgress
+from hickorybeam.gateway.remote_selector import RemoteSelector
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.service_queue import ServiceQueues
 from hickorybeam.gateway.target_selector import TargetSelector
@@ -84,12 +85,18 @@
         self._admission = Admission(
             clock=clock, routing_state=feed.routing_state, quota=fleet.quota
         )
-        self._selector = TargetSelector(
+        self._remote_selector = RemoteSelector(
             shutdown=shutdown_times(cfg),
             clock=clock,
             routing_state=feed.routing_state,
             fleet=fleet,
+        )
+        self._selector = TargetSelector(
+            clock=clock,
+            routing_state=feed.routing_state,
+            fleet=fleet,
             queues=self._queues,
+            remote_selector=self._remote_selector,
         )
         self._final_responses = FinalResponses(
             clock=clock, counters=counters, feed=feed, selector=self._selector, log=log
@@ -296,7 +303,7 @@
     def reload(self, cfg: GatewaySettings) -> None:
         """Apply new retry limits and a new shutdown grace period."""
         self._cfg = cfg
-        self._selector.shutdown = shutdown_times(cfg)
+        self._remote_selector.shutdown = shutdown_times(cfg)
         for budget in self._retry_budgets.values():
             budget.reconfigure(retry_limits_of(cfg))
 
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -15,7 +15,7 @@
 from hickorybeam.policy.server_choice import ServerState
 
 if TYPE_CHECKING:
-    from hickorybeam.model.routing import RegisteredServer
+    from hickorybeam.model.routing import RegisteredServer, Route
 
 __all__ = ("RoutingState",)
 
@@ -50,6 +50,14 @@
         self.route_table = RouteTable(config.routes)
         return True
 
+    def may_run_in(self, route: Route, account: str | None, region: str) -> bool:
+        """Return whether a region is a home region of a request's route and of its account."""
+        homes = [route.homes]
+        terms = self.config.accounts.get(account or "") if self.config else None
+        if terms is not None:
+            homes.append(terms.homes)
+        return all(not home or region in home for home in homes)
+
     def update_server(self, server: RegisteredServer, now_ms: int) -> None:
         """Apply a server's registration; a new incarnation starts with a new state."""
         state = self.server_states.get(server.id)
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -2,32 +2,28 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.in_flight import InFlightRequest
-from hickorybeam.gateway.targets import NoCapacity, PeerTarget, ServerTarget
+from hickorybeam.gateway.targets import NoCapacity, ServerTarget
 from hickorybeam.policy.deadline_check import can_finish
 from hickorybeam.policy.deferral import should_defer
-from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 from hickorybeam.policy.server_choice import (
     ServerState,
     choose_server,
     expected_wait_ms,
-    interference_ms,
     placement_cost_ms,
     uncached_prompt_tokens,
 )
-from hickorybeam.policy.server_speed import INITIAL_PREFILL_TOKENS_PER_MS
 from hickorybeam.policy.stale_load import WorkRate
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
-    from hickorybeam.gateway.peers import RemoteCandidate
+    from hickorybeam.gateway.remote_selector import RemoteSelector
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.gateway.service_queue import ServiceQueues
     from hickorybeam.gateway.slot_grant import SlotGrant
@@ -35,14 +31,9 @@
     from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.cold_limit import ColdServerLimiter
-    from hickorybeam.policy.shutdown import ShutdownSchedule
 
 __all__ = ("TargetSelector", "held_tokens_of")
 
-# Another region is used only if its wait is shorter by more than this.
-SPILL_MARGIN_MS = 150.0
-# VMs of one region forecast waits that differ by less than this for the same servers.
-EQUAL_WAIT_MARGIN_MS = 20
 # Added to the forecast wait of a region without a free slot: other regions then send it only what
 # would wait much longer at home.
 NO_CAPACITY_PENALTY_MS = 500.0
@@ -51,27 +42,24 @@
 
 
 class TargetSelector:
-    """Selects targets by what this VM knows now.
-
-    :param shutdown: what VMs that are shutting down still accept.
-    """
+    """Selects targets by what this VM knows now."""
 
     def __init__(
         self,
         *,
-        shutdown: ShutdownSchedule,
         clock: Clock,
         routing_state: RoutingState,
         fleet: FleetService,
         queues: ServiceQueues,
+        remote_selector: RemoteSelector,
     ) -> None:
-        self.shutdown = shutdown
         self._clock = clock
         self._routing_state = routing_state
         self._fleet = fleet
         self._queues = queues
         self._rng = random.Random()
         self._work_rates: defaultdict[str, WorkRate] = defaultdict(WorkRate)
+        self._remote_selector = remote_selector
         self._no_target_since_ms: dict[str, int] = {}
 
     def choose(self, request: AdmittedRequest, targets: TargetFilter) -> Target | NoCapacity | None:
@@ -92,18 +80,13 @@
         self, request: AdmittedRequest, targets: TargetFilter, now: int
     ) -> Target | NoCapacity | None:
         server: ServerState | NoCapacity | None = None
-        if targets.own_region_only or self._may_run_in(request, self._fleet.own_vm.region):
+        if targets.own_region_only or self._may_run_here(request):
             server = self._choose_server(request, targets, now)
-        peer = None if targets.own_region_only else self._choose_peer(request, targets)
-        if peer is not None and (
-            server is None
-            or self._own_region_cost_ms(server, request, now) > peer[1] + SPILL_MARGIN_MS
-        ):
-            return (
-                peer[0]
-                if self._can_finish_remotely(request, now)
-                else NoCapacity(0.0, misses_deadline=True)
-            )
+        if not targets.own_region_only:
+            home_ms = self._own_region_cost_ms(server, request, now)
+            found = self._remote_selector.choose(request, targets, home_ms=home_ms)
+            if found is not None:
+                return found
         if server is None or isinstance(server, NoCapacity):
             return server
         if not self._can_finish_at(server, request, now):
@@ -112,9 +95,16 @@
             self._cold_limiter(server, now).take(now)
         return ServerTarget(server)
 
+    def _may_run_here(self, request: AdmittedRequest) -> bool:
+        region = self._fleet.own_vm.region
+        return self._routing_state.may_run_in(request.route, request.account, region)
+
     def _own_region_cost_ms(
-        self, server: ServerState | NoCapacity, request: AdmittedRequest, now_ms: int
+        self, server: ServerState | NoCapacity | None, request: AdmittedRequest, now_ms: int
     ) -> float:
+        """Return a request's cost in this region, infinite if it can't be run here."""
+        if server is None:
+            return math.inf
         if isinstance(server, NoCapacity):
             return server.wait_ms
         call = request.call
@@ -136,18 +126,6 @@
             decode_ms=speed.decode_ms(call.output_tokens),
         )
 
-    def _can_finish_remotely(self, request: AdmittedRequest, now_ms: int) -> bool:
-        """Return whether an idle other region could finish a request before its deadline."""
-        unshared_tokens = (
-            request.call.parts[-1].tokens if request.call.parts else request.call.prompt_tokens
-        )
-        prefill_ms = unshared_tokens / INITIAL_PREFILL_TOKENS_PER_MS
-        return can_finish(
-            left_ms=request.deadline_ms - now_ms,
-            first_event_ms=REGION_ROUND_TRIP_MS + prefill_ms,
-            decode_ms=0.0,
-        )
-
     def _choose_server(
         self, request: AdmittedRequest, targets: TargetFilter, now_ms: int
     ) -> ServerState | NoCapacity | None:
@@ -281,63 +259,6 @@
     def _cold_limiter(self, server_state: ServerState, now_ms: int) -> ColdServerLimiter:
         return self._routing_state.cold_limit(server_state.server, now_ms)
 
-    def _choose_peer(
-        self, request: AdmittedRequest, targets: TargetFilter
-    ) -> tuple[PeerTarget, float] | None:
-        """Return a VM of another region with its cost in ms, comparable with an own server's."""
-        found = self._eligible(request, targets, self._fleet.remote_candidates(request.service))
-        if not found:
-            found = self._eligible(request, targets, self._leaving_candidates(request))
-        if not found:
-            return None
-        # VMs of one region forecast nearly equal waits; always taking the least would flood one.
-        best = [it for it in found if it.wait_ms <= found[0].wait_ms + EQUAL_WAIT_MARGIN_MS]
-        pick = self._rng.choice(best)
-        prefill_ms = request.call.prompt_tokens / INITIAL_PREFILL_TOKENS_PER_MS
-        others_ms = interference_ms(prefill_ms, pick.running)
-        return (
-            PeerTarget(pick.peer),
-            pick.wait_ms + prefill_ms + others_ms + REGION_ROUND_TRIP_MS,
-        )
-
-    def _eligible(
-        self,
-        request: AdmittedRequest,
-        targets: TargetFilter,
-        candidates: Iterable[RemoteCandidate],
-    ) -> list[RemoteCandidate]:
-        """Return the candidates that a request may go to."""
-        return [
-            it
-            for it in candidates
-            if self._may_run_in(request, it.peer.vm.region)
-            and it.peer.vm.name not in targets.tried
-            and it.peer.vm.region not in targets.refused_regions
-        ]
-
-    def _leaving_candidates(self, request: AdmittedRequest) -> list[RemoteCandidate]:
-        """Return VMs of other regions that are shutting down but will finish a request first.
-
-        While a region's VMs are replaced in turn, all of them may be shutting down. Requests that
-        may run nowhere else would be refused for seconds, though these VMs still accept them.
-        """
-        now = self._clock.now()
-        left_ms = request.deadline_ms - now
-        return [
-            it
-            for it in self._fleet.remote_candidates(request.service, leaving=True)
-            if self.shutdown.accepts(since_ms=now - it.peer.leaving_since_ms, left_ms=left_ms)
-        ]
-
-    def _may_run_in(self, request: AdmittedRequest, region: str) -> bool:
-        """Return whether a region is a home region of the request's route and account."""
-        homes = [request.route.homes]
-        config = self._routing_state.config
-        terms = config.accounts.get(request.account or "") if config else None
-        if terms is not None:
-            homes.append(terms.homes)
-        return all(not home or region in home for home in homes)
-
     def copy_source(self, server_state: ServerState | None, request: AdmittedRequest) -> str | None:
         """Return the address of a server from which a prompt's shared parts can be copied."""
         parts = request.call.parts
--- a/tests/steps/gateway/peer_connections_steps.py
+++ b/tests/steps/gateway/peer_connections_steps.py
@@ -51,7 +51,9 @@
     for region, names in regions.items():
         for name in names.split(", "):
             context.peers[name] = peer_of(name, region, 1_000 + len(context.peers))
-    candidates = [RemoteCandidate(it, wait_ms=0, running=0) for it in context.peers.values()]
+    candidates = [
+        RemoteCandidate(it, wait_ms=0, running=0, age_ms=0) for it in context.peers.values()
+    ]
     fleet = SimpleNamespace(remote_candidates=lambda service: candidates)
     context.pool = FakePool()
     context.connections = PeerConnections(fleet=fleet, pool=context.pool)
