--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -5,9 +5,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.targets import AdmittedRequest
+from hickorybeam.gateway.targets import AdmittedRequest, foreign_route
 from hickorybeam.http1 import find_header
-from hickorybeam.model.routing import Repeat, Route
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 
@@ -75,17 +74,10 @@
         find_header(req.headers, HOP_RESUME_AFTER),
     )
     elapsed_ms = decode_int(find_header(req.headers, HOP_ELAPSED_MS), 0)
-    route = Route(
-        name="hop",
-        host="",
-        prefix="/",
-        repeat=Repeat.ONCE,
-        targets=(),
-        target_ms=decode_int(find_header(req.headers, HOP_TARGET_MS), DEFAULT_TARGET_MS),
-    )
+    target_ms = decode_int(find_header(req.headers, HOP_TARGET_MS), DEFAULT_TARGET_MS)
     return AdmittedRequest(
         call=replace(call, arrived_ms=call.arrived_ms - elapsed_ms),
-        route=route,
+        route=foreign_route("hop", target_ms=target_ms),
         service=service.decode("latin-1"),
         account=None if account is None else account.decode("latin-1"),
         urgency=decode_int(find_header(req.headers, HOP_URGENCY), DEFAULT_URGENCY),
--- a/src/hickorybeam/gateway/placement_coordinator.py
+++ b/src/hickorybeam/gateway/placement_coordinator.py
@@ -18,8 +18,9 @@
     PeerTarget,
     ServerTarget,
     TargetFilter,
+    foreign_route,
 )
-from hickorybeam.model.routing import PromptPart, RelayCall, Repeat, Route
+from hickorybeam.model.routing import PromptPart, RelayCall
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -186,15 +187,6 @@
 
 def request_from(message: PlacementRequest, now_ms: int) -> AdmittedRequest:
     """Return another VM's request as far as placement needs it."""
-    route = Route(
-        name="placed",
-        host="",
-        prefix="/",
-        repeat=Repeat.ONCE,
-        targets=(),
-        target_ms=message.target_ms,
-        homes=frozenset(message.homes),
-    )
     call = RelayCall(
         request_id="",
         method="",
@@ -212,7 +204,7 @@
     )
     return AdmittedRequest(
         call=call,
-        route=route,
+        route=foreign_route("placed", target_ms=message.target_ms, homes=frozenset(message.homes)),
         service=message.service,
         account=message.account,
         urgency=message.urgency,
--- a/src/hickorybeam/gateway/targets.py
+++ b/src/hickorybeam/gateway/targets.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from hickorybeam.model.routing import Repeat, Route
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from hickorybeam.gateway.peers import Peer
     from hickorybeam.gateway.slot_grant import SlotGrant
-    from hickorybeam.model.routing import RelayCall, Route
+    from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.server_choice import ServerState
 
 __all__ = (
@@ -22,6 +24,7 @@
     "Target",
     "TargetFilter",
     "address_of",
+    "foreign_route",
     "target_name",
 )
 
@@ -106,6 +109,22 @@
         return replace(self, may_defer=False)
 
 
+def foreign_route(name: str, *, target_ms: int, homes: frozenset[str] = frozenset()) -> Route:
+    """Return a route for a request that another VM has admitted, as far as placement needs it.
+
+    The other VM keeps the request's attempts, so it is run at most once here.
+    """
+    return Route(
+        name=name,
+        host="",
+        prefix="/",
+        repeat=Repeat.ONCE,
+        targets=(),
+        target_ms=target_ms,
+        homes=homes,
+    )
+
+
 def address_of(target: Target) -> tuple[str, int]:
     """Return the host and port of a target."""
     match target:
