What another region's servers prefill as it comes doesn't count as waiting there

Cause: all that was sent in the last second or two counted, also what the other region's idle servers had worked off by then. Change: half of a server's time counts as left for what other regions send.

--- a/src/hickorybeam/policy/remote_work.py
+++ b/src/hickorybeam/policy/remote_work.py
@@ -1,10 +1,11 @@
 """Estimate the wait in another region from its last forecast and what was sent there since.
 
-A region tells its shortest wait, and its word is up to two seconds old where the work arrives. In a
-burst the other regions send it all their excess on one such word: a region of three servers that
-told no wait got prompts for two seconds, its own callers and those sent there were late, and by
-then it told a wait that drove all of them away again. What this region has sent is known here at
-once; spread over the other region's servers it counts as waiting there until a word can show it.
+A region's forecast is up to two seconds old when what it attracts arrives. In a burst the others
+send it all their excess on one forecast: a region of three servers that told no wait gets prompts
+for seconds, its own callers and those sent there are late, and by then it tells a wait that drives
+all of them away again. What this region has sent is known here at once. As far as the other
+region's servers can't prefill it as it comes, it counts as waiting there until a forecast can
+show it.
 """
 
 from __future__ import annotations
@@ -16,6 +17,10 @@
 
 __all__ = ("RemoteWork",)
 
+# Share of a server's time that is left for what other regions send. Counted in full, all that is on
+# its way would look like a queue, and a region at its peak would keep what others could serve.
+SPARE_SHARE = 0.5
+
 
 class RemoteWork:
     """Prefill work sent to other regions, by service and region."""
@@ -39,5 +44,5 @@
             before, and what had left here half a round trip before that wasn't there yet.
         :param servers: how many servers of the service the region has.
         """
-        rate = self._rates[service, region].rate(now_ms)
-        return rate * (age_ms + REGION_ROUND_TRIP_MS) / max(1, servers)
+        rate = self._rates[service, region].rate(now_ms) / max(1, servers)
+        return max(0.0, rate - SPARE_SHARE) * (age_ms + REGION_ROUND_TRIP_MS)
