--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -67,7 +67,6 @@
         self._head_only = False
         self._skipping = False
         self._ends_at_close = False
-        self.response_began = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -96,7 +95,6 @@
             self.reusable = False
             self.abort()
             return
-        self.response_began = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -71,10 +71,10 @@
         for sock in sockets or ():
             sock.close()
 
-    def end(self, *, at_once: bool) -> None:
-        """Stop accepting, and abort open requests if ``at_once``."""
+    def end(self) -> None:
+        """Stop accepting, and don't wait for open requests."""
         self.should_exit = True
-        self.force_exit = at_once
+        self.force_exit = True
         self.end_event.set()
 
 
@@ -96,13 +96,9 @@
         """The number of open connections."""
         return len(self._server.server_state.connections)
 
-    def stop_gracefully(self) -> None:
-        """Stop accepting; open requests finish, then their connections close."""
-        self._server.end(at_once=False)
-
     def abort(self) -> None:
         """Stop at once and abort every open connection."""
-        self._server.end(at_once=True)
+        self._server.end()
         for conn in tuple(self._server.server_state.connections):
             if isinstance(conn, HttpProtocol):
                 conn.abort()
@@ -153,6 +149,6 @@
 
 async def _run_server(server: _Server, sock: socket.socket) -> None:
     # Shielded, because a cancelled uvicorn leaves its sockets open, and the port would stay in use
-    # after a restart. ``abort`` or ``stop_gracefully`` ends it within one tick of 0.1 s.
+    # after a restart. ``abort`` ends it within one tick of 0.1 s.
     with anyio.CancelScope(shield=True):
         await server.serve(sockets=[sock])
--- a/src/hickorybeam/peers/suspicion.py
+++ b/src/hickorybeam/peers/suspicion.py
@@ -28,15 +28,13 @@
 
 @dataclass(slots=True)
 class PeerContact:
-    """When this VM last received a message from a peer, by its own clock, and failures since."""
+    """When this VM last received a message from a peer, by its own clock."""
 
     last_seen_ms: int
-    failures: int = 0
 
     def record_contact(self, now_ms: int) -> None:
         """Record a message received from the peer."""
         self.last_seen_ms = now_ms
-        self.failures = 0
 
     def exclude_pause(self, ms: int, now_ms: int) -> None:
         """Exclude a pause of this process from the time since the peer was last seen."""
@@ -48,7 +46,6 @@
         :param refused: the peer's machine replied that the process is not there.
         :return: whether witnesses are to be asked now.
         """
-        self.failures += 1
         return refused or now_ms - self.last_seen_ms >= silent_after_ms
 
 
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -51,7 +51,6 @@
 # in which a change must then be in force.
 WATCH_POLL_TIMEOUT_MS = 6_000
 WATCH_POLL_MARGIN_MS = 900
-WATCH_CONNECTION_AGE_MS = 60_000
 OK, NOT_FOUND, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 404, 410, 412, 429, 503
 JSON = ((b"content-type", b"application/json"),)
 
--- a/src/hickorybeam/policy/backend_choice.py
+++ b/src/hickorybeam/policy/backend_choice.py
@@ -53,11 +53,6 @@
     tokens: float
     free: bool
 
-    @property
-    def load(self) -> float:
-        """Seconds of work at the server."""
-        return self.tokens / self.speed
-
 
 @dataclass(slots=True)
 class PeerLoad:
--- a/src/hickorybeam/policy/forecast.py
+++ b/src/hickorybeam/policy/forecast.py
@@ -35,7 +35,6 @@
         self._drained = 0.0
         self._offered = 0.0
         self._updated_ms: int | None = None
-        self._prior_capacity = 0.0
 
     def advance(self, now: int, *, capacity: float, waiting: bool) -> None:
         """Account for the time since the last call.
--- a/src/hickorybeam/policy/spending_lease.py
+++ b/src/hickorybeam/policy/spending_lease.py
@@ -27,12 +27,11 @@
     neighbours' promises not to take over.
     """
 
-    __slots__ = ("_lease_until_ms", "_promise_until_ms", "alone")
+    __slots__ = ("_lease_until_ms", "_promise_until_ms")
 
     def __init__(self) -> None:
         self._lease_until_ms = -1
         self._promise_until_ms = -1
-        self.alone = False
 
     def lease_renewed(self, sent_ms: int, ttl_ms: int) -> None:
         """Extend the lease, renewed by the platform on a call sent at ``sent_ms``."""
