--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -204,7 +204,7 @@
             self._final_responses.give_up(request, progress)
             return None
         if isinstance(found, PeerTarget):
-            return self._peer_connections.connected(
+            return self._peer_connections.prefer_connected(
                 found, service=request.service, tried=progress.tried
             )
         return found
--- a/tests/steps/gateway/peer_connections_steps.py
+++ b/tests/steps/gateway/peer_connections_steps.py
@@ -93,7 +93,7 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(context.connections.run)
         for _ in range(count):
-            context.target = context.connections.connected(
+            context.target = context.connections.prefer_connected(
                 PeerTarget(context.peers[name]), service=SERVICE, tried=tried
             )
         await anyio.wait_all_tasks_blocked()
