--- a/src/hickorybeam/policy/remote_work.py
+++ b/src/hickorybeam/policy/remote_work.py
@@ -1,11 +1,10 @@
 """Estimate the wait in another region from its last forecast and what was sent there since.
 
 A region's forecast is up to two seconds old when what it attracts arrives. In a burst the others
-send it all their excess on one forecast: a region of three servers that told no wait gets prompts
-for seconds, its own callers and those sent there are late, and by then it tells a wait that drives
-all of them away again. What this region has sent is known here at once. As far as the other
-region's servers can't prefill it as it comes, it counts as waiting there until a forecast can
-show it.
+send it all their excess on one forecast: a region of three servers that expects no wait gets
+prompts for seconds, its own callers and those sent there are late, and its next forecast drives all
+of them away again. What this region has sent is known here at once. As far as the other region's
+servers can't prefill it as it comes, it counts as waiting there until a forecast can show it.
 """
 
 from __future__ import annotations
--- a/tests/policy/remote_work.feature
+++ b/tests/policy/remote_work.feature
@@ -1,8 +1,8 @@
-Feature: what was sent to another region counts there before that region can tell
+Feature: what was sent to another region counts there before a forecast shows it
 
   # Guards against a small region being buried by others' excess. Two regions at their peak have
   # more prompts than their servers prefill in time; a third one with three servers has room and
-  # tells so once a second. Both take that for true until its next forecast, so all of their excess
+  # forecasts so once a second. Both rely on that until its next forecast, so all of their excess
   # of that time goes there at once: those prompts are late, and so are its own callers'.
   Scenario: two regions at their peak don't bury a small third one
     Given two regions of 6 servers, and a third of 3 whose forecast is 500 to 1500 ms old
@@ -12,7 +12,7 @@
 
   Scenario Outline: what its servers can't prefill as it comes waits there
     Given <count> prompts of 100 ms were sent to a region of <servers> servers <ago> ms ago
-    Then its servers wait <least> to <most> ms more than it told <age> ms ago
+    Then its servers wait <least> to <most> ms more than its forecast <age> ms ago
 
     Examples:
       | count | servers | ago  | age  | least | most |
--- a/tests/steps/policy/remote_work_steps.py
+++ b/tests/steps/policy/remote_work_steps.py
@@ -45,7 +45,7 @@
         self.busy = [Region(context.busy_servers) for _ in range(2)]
         self.third = Region(context.third_servers)
         self.sent = [RemoteWork() for _ in self.busy]
-        self.told = [(-self.most_age, 0.0)]
+        self.forecasts = [(-self.most_age, 0.0)]
 
     def run(self, seed, *, per_s, third_per_s, seconds):
         rng = random.Random(seed)
@@ -55,9 +55,9 @@
             for at in arrival_times(rng, rate, seconds * 1_000)
         )
         for now, number in arrivals:
-            while self.told[-1][0] + self.most_age - self.least_age <= now:
-                at = self.told[-1][0] + self.most_age - self.least_age
-                self.told.append((at, self.third.wait_ms(at)))
+            while self.forecasts[-1][0] + self.most_age - self.least_age <= now:
+                at = self.forecasts[-1][0] + self.most_age - self.least_age
+                self.forecasts.append((at, self.third.wait_ms(at)))
             region = self.third if number is None else self.busy[number]
             region.asked += 1
             first_ms = self._first_event_ms(region, number, now)
@@ -67,12 +67,12 @@
     def _first_event_ms(self, region, number, now):
         if number is None:
             return region.run(now, self.work_ms)
-        told_at, told_ms = [it for it in self.told if it[0] + self.least_age <= now][-1]
-        age_ms = int(now - told_at)
+        at, wait_ms = [it for it in self.forecasts if it[0] + self.least_age <= now][-1]
+        age_ms = int(now - at)
         unseen_ms = self.sent[number].unseen_ms(
             SERVICE, THIRD, age_ms=age_ms, servers=self.third.servers, now_ms=int(now)
         )
-        there_ms = told_ms + REGION_ROUND_TRIP_MS + (unseen_ms if self.counts_sent else 0)
+        there_ms = wait_ms + REGION_ROUND_TRIP_MS + (unseen_ms if self.counts_sent else 0)
         if region.wait_ms(now) <= there_ms + SPILL_MARGIN_MS:
             return region.run(now, self.work_ms)
         self.sent[number].record(SERVICE, THIRD, self.work_ms, int(now))
@@ -146,7 +146,7 @@
         context.work.record(SERVICE, THIRD, work, context.now - ago)
 
 
-@then("its servers wait {least:d} to {most:d} ms more than it told {age:d} ms ago")
+@then("its servers wait {least:d} to {most:d} ms more than its forecast {age:d} ms ago")
 def step_unseen(context, least, most, age):
     found = context.work.unseen_ms(
         SERVICE, THIRD, age_ms=age, servers=context.servers, now_ms=context.now
