--- a/tools/compare.py
+++ b/tools/compare.py
@@ -33,12 +33,11 @@
 import json5
 from tqdm import tqdm
 
-from comparison import Comparison, Outcome, Play, compare, table, verdicts
+from comparison import TOLERATED_LOSS, Comparison, Outcome, Play, compare, table, verdicts
 
 ROOT = Path(__file__).resolve().parent.parent
 BASE = "base"
 PLAY_LIMIT_S = 3_000
-TOLERANCE_LINES = (-0.03, 0.03)
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,7 +214,7 @@
     axes.errorbar(
         [it.difference for it in shown], positions, xerr=[it.error for it in shown], fmt="o"
     )
-    for line in (0.0, *TOLERANCE_LINES):
+    for line in (0.0, -TOLERATED_LOSS, TOLERATED_LOSS):
         axes.axvline(line, color="grey", linewidth=0.8, linestyle="--" if line else "-")
     axes.set_yticks(positions, [f"{it.site}: {it.variant}" for it in shown])
     axes.set_xlabel("difference in worth")
--- a/tools/comparison.py
+++ b/tools/comparison.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-__all__ = ("Comparison", "Outcome", "Play", "compare", "table", "verdicts")
+__all__ = ("TOLERATED_LOSS", "Comparison", "Outcome", "Play", "compare", "table", "verdicts")
 
 # A site may fall by this much before a variant counts as worse there.
 TOLERATED_LOSS = 0.03
