Adapter, routing state, metrics: the rate limit that a server names is decoded, logged and counted

Now the first answer with a limit, a changed one and its end write a line, and servers_limited counts by service. An invalid value (sign, exponent, nan, 16 digits) says nothing; an answer of another server at a reused address doesn't either. No decision reads it yet.

--- a/src/hickorybeam/gateway/learned_metrics.py
+++ b/src/hickorybeam/gateway/learned_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from statistics import median
 from typing import TYPE_CHECKING
@@ -10,14 +11,13 @@
     from collections.abc import Iterable
 
     from hickorybeam.policy.server_choice import ServerState
-    from hickorybeam.policy.server_speed import ServerSpeed
     from hickorybeam.telemetry import Counters
 
 __all__ = ("LearnedMetrics",)
 
 
 class LearnedMetrics:
-    """Gauges by service, the medians over its servers; updated when metrics are read."""
+    """Gauges by service, medians or counts over its servers; updated when metrics are read."""
 
     def __init__(self, counters: Counters) -> None:
         self._prefill = counters.gauge(
@@ -26,12 +26,17 @@
         self._slot = counters.gauge(
             "server_slot_ms", "Learned time for which a request holds a slot", ("service",)
         )
+        self._limited = counters.gauge(
+            "servers_limited", "Servers that named a limit to their request rate", ("service",)
+        )
 
     def update(self, states: Iterable[ServerState]) -> None:
         """Set the gauges from what is known of all servers."""
-        by_service: defaultdict[str, list[ServerSpeed]] = defaultdict(list)
+        by_service: defaultdict[str, list[ServerState]] = defaultdict(list)
         for state in states:
-            by_service[state.server.service].append(state.speed)
-        for service, speeds in by_service.items():
+            by_service[state.server.service].append(state)
+        for service, found in by_service.items():
+            speeds = [it.speed for it in found]
             self._prefill.labels(service).set(median(it.prefill_tokens_per_ms for it in speeds))
             self._slot.labels(service).set(median(it.slot_ms for it in speeds))
+            self._limited.labels(service).set(sum(math.isfinite(it.limit_per_s) for it in found))
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -1,6 +1,7 @@
 """State that requests are routed by: configuration, backend servers, evacuations.
 
-The feed writes it; status reports, health checks and responses only mark servers as cold.
+The feed writes it; status reports, health checks and responses only mark servers as cold and
+record the limits that servers name.
 """
 
 from __future__ import annotations
@@ -101,6 +102,21 @@
             )
         return limiter
 
+    def record_limit(self, state: ServerState, per_s: float, heard_ms: int) -> None:
+        """Record the rate limit that a server named in a response.
+
+        :param per_s: requests per second, infinite if it named none.
+        """
+        before = state.limit_per_s
+        if state.record_limit(per_s, heard_ms):
+            logging.info(
+                "server %s of service %s limits its rate to %g requests/s, before: %g",
+                state.server.id,
+                state.server.service,
+                per_s,
+                before,
+            )
+
     def available_servers(self, service: str) -> list[ServerState]:
         """Return the available servers of a service."""
         found = self._by_service.get(service, {}).values()
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from hickorybeam.clock import MS_PER_SECOND
@@ -146,6 +147,18 @@
             server_state.record_load(busy=info.load.running + info.load.waiting, now_ms=now)
         if info.cold_ms:
             self._routing_state.mark_cold(server_state.server.id, info.cold_ms, now)
+        self._record_limit(server_state, info, now)
+
+    def _record_limit(self, server_state: ServerState, info: ResponseInfo, now_ms: int) -> None:
+        """Record the rate limit that a response names, or that it names none.
+
+        Another server may respond at a reused address. A rejection without a limit doesn't end
+        one: it need not come from the part of the server that knows its load.
+        """
+        if info.misdirected or info.limit_per_s is None:
+            return
+        if info.signed or math.isfinite(info.limit_per_s):
+            self._routing_state.record_limit(server_state, info.limit_per_s, now_ms)
 
     async def _handle_response(
         self,
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -17,6 +19,7 @@
 # A caller takes these to mean that the request was not run. Only the gateway, or a server that
 # states it, may use them.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+DECIMAL = re.compile(rb"\d{1,15}(?:\.\d{1,15})?")
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +37,8 @@
 
     ``not_run``: the server states that it did not run the request. ``implies_not_run``: the status
     would tell the caller so. ``signed``: the response comes from the server itself.
+    ``limit_per_s``: requests per second that the server takes from all VMs together, infinite if
+    it names no limit, ``None`` if what it names is invalid.
     """
 
     status: int
@@ -43,6 +48,7 @@
     implies_not_run: bool
     load: ServerLoad | None
     cold_ms: int | None
+    limit_per_s: float | None
     streamed: bool
 
 
@@ -58,6 +64,7 @@
         implies_not_run=head.status in NOT_RUN_STATUSES,
         load=decode_load(find_header(headers, names.LOAD)),
         cold_ms=decode_cold(find_header(headers, names.COLD)),
+        limit_per_s=decode_limit(find_header(headers, names.LIMIT)),
         streamed=(find_header(headers, b"content-type") or b"").startswith(b"text/event-stream"),
     )
 
@@ -77,6 +84,17 @@
     return int(digits) if digits.isdigit() else None
 
 
+def decode_limit(value: bytes | None) -> float | None:
+    """Decode the limit that a server names, in requests per second; infinite without a header."""
+    return math.inf if value is None else decode_decimal(value)
+
+
+def decode_decimal(value: bytes) -> float | None:
+    """Decode a non-negative decimal number; signs, exponents and names of numbers are invalid."""
+    digits = value.strip()
+    return float(digits) if DECIMAL.fullmatch(digits) else None
+
+
 def response_headers(headers: RawHeaders) -> RawHeaders:
     """Drop hop-by-hop headers and those meant for the gateway only."""
     dropped = names.HOP_BY_HOP | {names.LOAD, names.COLD}
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -103,7 +104,9 @@
     Load consists of requests, prompt tokens that are not prefilled yet, and tokens held in the
     engine's cache. ``own_...`` is the load of this VM's requests, ``granted_...`` that of slots
     which this VM granted to other VMs, ``peer_...`` what the region's other VMs have there
-    besides. ``cache_tokens`` is the size of the cache, 0 where it isn't declared.
+    besides. ``cache_tokens`` is the size of the cache, 0 where it isn't declared. ``limit_per_s``
+    is the rate that the server has last named as its limit for all VMs together, infinite if it
+    names none, as of the response at ``limit_heard_ms``.
     """
 
     server: RegisteredServer
@@ -124,6 +127,20 @@
     backoff_ms: int = 0
     prefixes: PrefixCacheEstimate = field(default_factory=PrefixCacheEstimate)
     speed: ServerSpeed = field(default_factory=ServerSpeed)
+    limit_per_s: float = math.inf
+    limit_heard_ms: int | None = None
+
+    def record_limit(self, per_s: float, heard_ms: int) -> bool:
+        """Record the limit of a response, unless a later response is known.
+
+        :param per_s: requests per second, infinite if the response named no limit.
+        :return: whether the limit has changed.
+        """
+        if self.limit_heard_ms is not None and heard_ms < self.limit_heard_ms:
+            return False
+        changed = per_s != self.limit_per_s
+        self.limit_per_s, self.limit_heard_ms = per_s, heard_ms
+        return changed
 
     def record_load(self, *, busy: int, now_ms: int) -> None:
         """Record the load that the server reports of itself.
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -41,12 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """One request as it reached the server; ``ran`` unless it was rejected."""
+    """One request as it reached the server at ``at_ms``; ``ran`` unless it was rejected."""
 
     request_id: str
     headers: RawHeaders
     body: bytes
     ran: bool
+    at_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -83,6 +84,7 @@
     """One backend server: its entry in the store and its answers.
 
     With a ``shape`` it is a model engine, which answers what tells its tokens from its ``batch``.
+    ``limit`` is the value of the header in which all its answers name a rate limit, if any.
     """
 
     id: str
@@ -94,6 +96,7 @@
     events: int = EVENTS
     work_ms: int = 1
     cold_ms: int = 0
+    limit: bytes | None = None
     health_questions: int = 0
     port: int = 0
     running: int = 0
@@ -139,14 +142,17 @@
         if req.target == HEALTH_PATH:
             self.health_questions += 1
             cold = ((names.COLD, b"%d" % self.cold_ms),) if self.cold_ms else ()
-            reply.send(200, ((names.SERVER_ID, self.id.encode()), *cold))
+            reply.send(200, ((names.SERVER_ID, self.id.encode()), *cold, *self._notices()))
             return
         rejection = self._rejection(req)
         request_id = find_header(req.headers, names.REQUEST_ID) or b""
-        arrival = Arrival(request_id.decode(), req.headers, req.body, rejection is None)
+        arrival = Arrival(
+            request_id.decode(), req.headers, req.body, rejection is None, self.clock.now()
+        )
         self.arrivals.append(arrival)
         if rejection is not None:
-            reply.send(*rejection)
+            status, headers = rejection
+            reply.send(status, (*headers, *self._notices()))
             return
         self.running += 1
         self.most_running = max(self.most_running, self.running)
@@ -239,7 +245,11 @@
         headers = [(names.REQUEST_ID, request_id), (names.LOAD, load)]
         if not self.faults.take("unsigned"):
             headers.append((names.SIGNATURE, b"signed-" + self.id.encode()))
-        return tuple(headers)
+        return (*headers, *self._notices())
+
+    def _notices(self) -> RawHeaders:
+        """Return the headers in which every answer says what the server needs."""
+        return () if self.limit is None else ((names.LIMIT, self.limit),)
 
 
 def submitted(batch: Batch, req: IncomingRequest) -> Stream:
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -55,4 +55,12 @@
       | 200    |                                      | signed      | False |
       | 200    | X-Hickorybeam-Cold-Milliseconds: 900 | cold_ms     | 900   |
       | 200    | X-Hickorybeam-Server-Load: 1,2       | load        | None  |
+      | 200    |                                      | limit_per_s | inf   |
+      | 200    | Server-Limit: 2.1                    | limit_per_s | 2.1   |
+      | 503    | Server-Limit: 0                      | limit_per_s | 0.0   |
+      | 200    | Server-Limit: 3e9                    | limit_per_s | None  |
+      | 200    | Server-Limit: -1                     | limit_per_s | None  |
+      | 200    | Server-Limit: nan                    | limit_per_s | None  |
+      | 200    | Server-Limit: 1234567890123456       | limit_per_s | None  |
+      | 200    | Server-Limit: a few                  | limit_per_s | None  |
       | 200    | Content-Type: text/event-stream      | streamed    | True  |
