policy/cold_limit is split into policy/rendezvous and policy/server_rate; gateway/server_rates keeps the limiters

ColdServerLimiter is now ShareLimiter, cold_server_owners limited_server_senders, OWNERS_PER_COLD_SERVER MIN_SENDERS, cold_server_senders senders. A server's rate limit is one value (RateLimit) whatever its reason, so that another reason than cold needs no path of its own.

--- a/src/hickorybeam/gateway/coordinator_ranking.py
+++ b/src/hickorybeam/gateway/coordinator_ranking.py
@@ -1,17 +1,18 @@
-"""Rank the VMs of this region as placement coordinators and as senders to cold servers."""
+"""Rank the VMs of this region as placement coordinators and as senders to limited servers."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.policy.cold_limit import OWNERS_PER_COLD_SERVER, cold_server_owners
 from hickorybeam.policy.coordinators import rank_coordinators
+from hickorybeam.policy.server_rate import limited_server_senders
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
     from hickorybeam.gateway.peers import PeerTable
     from hickorybeam.model.routing import GatewayVm, RegisteredServer
+    from hickorybeam.policy.server_rate import RateLimit
 
 __all__ = ("CoordinatorRanking",)
 
@@ -46,17 +47,17 @@
         """Return whether this VM places a service's prompts for the others of the region."""
         return self.ranking(service)[:1] == [self._own_vm.name]
 
-    def cold_server_senders(self, server: RegisteredServer) -> list[str]:
-        """Return the VMs that may choose a server while it is cold.
+    def senders(self, server: RegisteredServer, limit: RateLimit) -> list[str]:
+        """Return the VMs that may choose a server while it has a rate limit.
 
         The placement coordinator is one of them: it places all prompts, so other VMs would hardly
         ever get to choose the server.
         """
         ranking = self.ranking(server.service)
         return (
-            ranking[:OWNERS_PER_COLD_SERVER]
+            ranking[: limit.max_senders]
             if ranking
-            else cold_server_owners(server.id, self.serving_vms())
+            else limited_server_senders(server.id, self.serving_vms(), limit.max_senders)
         )
 
     def serving_vms(self) -> list[str]:
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -29,6 +29,7 @@
     PlacementUpdate,
 )
 from hickorybeam.gateway.registration import Registration
+from hickorybeam.gateway.server_rates import ServerRates
 from hickorybeam.gateway.status_report import Audience, StatusReport
 from hickorybeam.gateway.usage_reporting import OwnUsage, apply_peer_usage
 from hickorybeam.kernel import Service
@@ -130,6 +131,11 @@
         self._feed = kernel.find(FEED, FeedService)
         self._feed.on_batch(self._apply_batch)
         self._feed.on_config(self._apply_config)
+        self.server_rates = ServerRates(
+            routing_state=self._feed.routing_state,
+            coordinators=self.coordinators,
+            own_name=self.own_vm.name,
+        )
         key = f"{self._cfg.platform.prefix}vm/{self.own_vm.name}"
         self._registration = Registration(self._store, self._clock, key)
 
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -11,12 +11,13 @@
 from absl import logging
 
 from hickorybeam.model.routing import CallerLimits, RoutingConfig
-from hickorybeam.policy.cold_limit import ColdServerLimiter
 from hickorybeam.policy.route_table import RouteTable
 from hickorybeam.policy.server_choice import ServerState
+from hickorybeam.policy.server_rate import cold_rate_limit
 
 if TYPE_CHECKING:
     from hickorybeam.model.routing import RegisteredServer, Route
+    from hickorybeam.policy.server_rate import RateLimit
 
 __all__ = ("RoutingState",)
 
@@ -31,7 +32,6 @@
         self.evacuated_data_centres: frozenset[str] = frozenset()
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self._cold_until: dict[str, int] = {}
-        self._cold_limiters: dict[str, ColdServerLimiter] = {}
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits on callers' requests that are in force."""
@@ -79,7 +79,6 @@
         if self._remove(server_id):
             logging.info("server %s removed", server_id)
             self._cold_until.pop(server_id, None)
-            self._cold_limiters.pop(server_id, None)
 
     def mark_cold(self, server_id: str, cold_ms: int, now_ms: int) -> None:
         """Record that a server stays cold for at least this long from now on."""
@@ -91,16 +90,12 @@
         """Return whether a server is still cold."""
         return now_ms < self._cold_until.get(server_id, 0)
 
-    def cold_limit(self, server: RegisteredServer, now_ms: int) -> ColdServerLimiter:
-        """Return the rate limiter of this VM's requests to a cold server."""
-        limiter = self._cold_limiters.get(server.id)
-        if limiter is None:
-            spec = self.config.services.get(server.service) if self.config else None
-            rate_per_s = spec.cold_per_s if spec else 0.0
-            limiter = self._cold_limiters[server.id] = ColdServerLimiter(
-                rate_per_s=rate_per_s, now_ms=now_ms
-            )
-        return limiter
+    def rate_limit(self, server: RegisteredServer, now_ms: int) -> RateLimit | None:
+        """Return the limit on the requests of all VMs to a server, ``None`` if there is none."""
+        if not self.is_cold(server.id, now_ms):
+            return None
+        spec = self.config.services.get(server.service) if self.config else None
+        return cold_rate_limit(spec.cold_per_s if spec else 0.0)
 
     def record_limit(self, state: ServerState, per_s: float, heard_ms: int) -> None:
         """Record the rate limit that a server named in a response.
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -30,7 +30,6 @@
     from hickorybeam.gateway.status_report import WaitForecast
     from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
     from hickorybeam.model.routing import RelayCall
-    from hickorybeam.policy.cold_limit import ColdServerLimiter
 
 __all__ = ("TargetSelector", "held_tokens_of")
 
@@ -91,8 +90,7 @@
             return server
         if not self._can_finish_at(server, request, now):
             return NoCapacity(0.0, misses_deadline=True)
-        if self._routing_state.is_cold(server.server.id, now):
-            self._cold_limiter(server, now).take(now)
+        self._fleet.server_rates.record_send(server.server, now)
         return ServerTarget(server)
 
     def _may_run_here(self, request: AdmittedRequest) -> bool:
@@ -245,20 +243,10 @@
                 continue
             if server_state.backoff_until_ms > now_ms:
                 continue
-            cold = self._routing_state.is_cold(server_state.server.id, now_ms)
-            if not cold or self._may_send_to_cold(server_state, now_ms):
+            if self._fleet.server_rates.may_send(server_state.server, now_ms):
                 found.append(server_state)
         return found
 
-    def _may_send_to_cold(self, server_state: ServerState, now_ms: int) -> bool:
-        senders = self._fleet.coordinators.cold_server_senders(server_state.server)
-        return self._fleet.own_vm.name in senders and self._cold_limiter(
-            server_state, now_ms
-        ).ready(now_ms)
-
-    def _cold_limiter(self, server_state: ServerState, now_ms: int) -> ColdServerLimiter:
-        return self._routing_state.cold_limit(server_state.server, now_ms)
-
     def copy_source(self, server_state: ServerState | None, request: AdmittedRequest) -> str | None:
         """Return the address of a server from which a prompt's shared parts can be copied."""
         parts = request.call.parts
--- a/src/hickorybeam/policy/cold_health_checks.py
+++ b/src/hickorybeam/policy/cold_health_checks.py
@@ -11,7 +11,7 @@
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.policy.cold_limit import cold_server_owners
+from hickorybeam.policy.server_rate import MIN_SENDERS, limited_server_senders
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,10 +26,10 @@
 def servers_to_check(me: str, *, servers: Iterable[str], vms: Iterable[str]) -> list[str]:
     """Return the servers that this VM checks, out of those that may turn cold.
 
-    Each server is checked by its two owners among the region's VMs, which inform the others.
+    Each server is checked by those that may send to it while it is cold; they inform the others.
 
     :param me: this VM's name.
     :param vms: names of the region's VMs, this one included.
     """
     names = tuple(vms)
-    return [server for server in servers if me in cold_server_owners(server, names)]
+    return [it for it in servers if me in limited_server_senders(it, names, MIN_SENDERS)]
--- a/src/hickorybeam/policy/coordinators.py
+++ b/src/hickorybeam/policy/coordinators.py
@@ -12,7 +12,7 @@
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.policy.cold_limit import rendezvous_order
+from hickorybeam.policy.rendezvous import rendezvous_order
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from hickorybeam.policy.cold_limit import rendezvous_first
+from hickorybeam.policy.rendezvous import rendezvous_first
 from hickorybeam.policy.server_speed import ServerSpeed
 from hickorybeam.policy.stale_load import draw_server
 
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -12,11 +12,11 @@
     Route,
     WeightedService,
 )
-from hickorybeam.policy.cold_limit import ColdServerLimiter, cold_server_owners
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
 from hickorybeam.policy.fleet_retry_budget import FleetRetryBudget, FleetRetryLimits
 from hickorybeam.policy.route_table import RouteTable, pick_target
 from hickorybeam.policy.server_choice import ServerState, choose_server, expected_wait_ms
+from hickorybeam.policy.server_rate import ShareLimiter, cold_rate_limit, limited_server_senders
 
 NOW = 1_000_000
 
@@ -102,17 +102,19 @@
 @given("a cold server that is allowed {per_s:g} requests a second, and {vms:d} VMs that send to it")
 def step_cold(context, per_s, vms):
     names = [f"vm-{number}" for number in range(vms)]
-    context.cold = [
-        ColdServerLimiter(rate_per_s=per_s, now_ms=NOW)
-        for name in names
-        if name in cold_server_owners("i-1", names)
-    ]
+    limit = cold_rate_limit(per_s)
+    senders = limited_server_senders("i-1", names, limit.max_senders)
+    context.share_per_s = limit.share_per_s(senders)
+    context.cold = [ShareLimiter(NOW) for name in names if name in senders]
 
 
 @when("every VM sends all that it may for {seconds:d} s")
 def step_send_cold(context, seconds):
     context.sent = [
-        at for at in range(NOW, NOW + seconds * 1000, 10) for it in context.cold if it.take(at)
+        at
+        for at in range(NOW, NOW + seconds * 1000, 10)
+        for it in context.cold
+        if it.take(context.share_per_s, at)
     ]
 
 
