Adapter, notices, metrics: the rest that a rejecting server asks for is decoded, logged and counted

Now each such response writes server_rest with the time, and server_rests counts by service. Seconds with a fraction; a sign, inf, a date or text say nothing, and more than an hour counts as an hour. No decision reads it yet.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -103,6 +103,7 @@
         )
         self.peers = PeerTable(clock, self.own_vm)
         self.coordinators = CoordinatorRanking(self.own_vm, self.peers, self._is_stable)
+        self._counters = counters
         self._message_handlers: dict[type[PeerMessage], Callable[[Any], None]] = {
             StatusReport: self._handle_report
         }
@@ -132,7 +133,7 @@
         self._feed = kernel.find(FEED, FeedService)
         self._feed.on_batch(self._apply_batch)
         self._feed.on_config(self._apply_config)
-        self.server_notices = ServerNotices(self._clock, self._feed.routing_state)
+        self.server_notices = ServerNotices(self._clock, self._feed.routing_state, self._counters)
         self.server_rates = ServerRates(
             routing_state=self._feed.routing_state,
             coordinators=self.coordinators,
--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hickorybeam.telemetry.decisions import DecisionLog
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -18,6 +20,7 @@
     from hickorybeam.gateway.status_report import ReportedLimit
     from hickorybeam.platform import ResponseInfo
     from hickorybeam.policy.server_choice import ServerState
+    from hickorybeam.telemetry import Counters
 
 __all__ = ("ServerNotices",)
 
@@ -34,9 +37,13 @@
 class ServerNotices:
     """Records what responses say of their servers, and exchanges it with other VMs."""
 
-    def __init__(self, clock: Clock, routing_state: RoutingState) -> None:
+    def __init__(self, clock: Clock, routing_state: RoutingState, counters: Counters) -> None:
         self._clock = clock
         self._routing_state = routing_state
+        self._log = DecisionLog(clock)
+        self._rests = counters.counter(
+            "server_rests", "Responses in which a server asked this VM for rest", ("service",)
+        )
         # Servers that have named a limit to this VM, with what their last response to it named.
         self._heard_limits: dict[str, HeardLimit] = {}
 
@@ -51,6 +58,20 @@
         if info.cold_ms:
             self._routing_state.mark_cold(state.server.id, info.cold_ms, now)
         self._record_limit(state, info, now)
+        if info.rest_ms:
+            self._record_rest(state, info, now)
+
+    def _record_rest(self, state: ServerState, info: ResponseInfo, now_ms: int) -> None:
+        """Record for how long a server that turned a request of this VM away wants rest."""
+        state.record_rest(info.rest_ms, now_ms)
+        self._rests.labels(state.server.service).inc()
+        self._log.write(
+            "server_rest",
+            server=state.server.id,
+            service=state.server.service,
+            status=info.status,
+            rest_ms=info.rest_ms,
+        )
 
     def _record_limit(self, state: ServerState, info: ResponseInfo, now_ms: int) -> None:
         """Record the limit that a response names, or that it names none.
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.http1 import find_header
 from hickorybeam.platform import names
 
@@ -19,6 +20,10 @@
 # A caller takes these to mean that the request was not run. Only the gateway, or a server that
 # states it, may use them.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# With these, a server that turns a request away may say for how long it wants rest.
+REST_STATUSES = (429, 503)
+# A server that asks for a longer rest is asked once an hour.
+MAX_REST_MS = 3_600_000
 DECIMAL = re.compile(rb"\d{1,15}(?:\.\d{1,15})?")
 
 
@@ -38,7 +43,8 @@
     ``not_run``: the server states that it did not run the request. ``implies_not_run``: the status
     would tell the caller so. ``signed``: the response comes from the server itself.
     ``limit_per_s``: requests per second that the server takes from all VMs together, infinite if
-    it names no limit, ``None`` if what it names is invalid.
+    it names no limit, ``None`` if what it names is invalid. ``rest_ms``: for how long the server
+    wants no requests of this VM, 0 if it doesn't say.
     """
 
     status: int
@@ -49,6 +55,7 @@
     load: ServerLoad | None
     cold_ms: int | None
     limit_per_s: float | None
+    rest_ms: int
     streamed: bool
 
 
@@ -65,6 +72,7 @@
         load=decode_load(find_header(headers, names.LOAD)),
         cold_ms=decode_cold(find_header(headers, names.COLD)),
         limit_per_s=decode_limit(find_header(headers, names.LIMIT)),
+        rest_ms=decode_rest(head.status, find_header(headers, names.RETRY_AFTER)),
         streamed=(find_header(headers, b"content-type") or b"").startswith(b"text/event-stream"),
     )
 
@@ -89,6 +97,12 @@
     return math.inf if value is None else decode_decimal(value)
 
 
+def decode_rest(status: int, value: bytes | None) -> int:
+    """Decode for how long a server wants rest, in ms; 0 if it doesn't say, or invalidly."""
+    seconds = decode_decimal(value or b"") if status in REST_STATUSES else None
+    return 0 if seconds is None else math.ceil(min(seconds * MS_PER_SECOND, MAX_REST_MS))
+
+
 def decode_decimal(value: bytes) -> float | None:
     """Decode a non-negative decimal number; signs, exponents and names of numbers are invalid."""
     digits = value.strip()
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -106,7 +106,8 @@
     which this VM granted to other VMs, ``peer_...`` what the region's other VMs have there
     besides. ``cache_tokens`` is the size of the cache, 0 where it isn't declared. ``limit_per_s``
     is the rate that the server has last named as its limit for all VMs together, infinite if it
-    names none, as of the response at ``limit_heard_ms``.
+    names none, as of the response at ``limit_heard_ms``. Until ``rest_until_ms`` the server wants
+    no requests of this VM.
     """
 
     server: RegisteredServer
@@ -129,6 +130,7 @@
     speed: ServerSpeed = field(default_factory=ServerSpeed)
     limit_per_s: float = math.inf
     limit_heard_ms: int | None = None
+    rest_until_ms: int = 0
 
     @property
     def names_limit(self) -> bool:
@@ -147,6 +149,14 @@
         self.limit_per_s, self.limit_heard_ms = per_s, heard_ms
         return changed
 
+    def record_rest(self, rest_ms: int, now_ms: int) -> None:
+        """Record that the server asked this VM for rest; a shorter one doesn't end a longer one."""
+        self.rest_until_ms = max(self.rest_until_ms, now_ms + rest_ms)
+
+    def is_resting(self, now_ms: int) -> bool:
+        """Return whether the server wants no requests of this VM."""
+        return now_ms < self.rest_until_ms
+
     def record_load(self, *, busy: int, now_ms: int) -> None:
         """Record the load that the server reports of itself.
 
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -63,4 +63,14 @@
       | 200    | Server-Limit: nan                    | limit_per_s | None  |
       | 200    | Server-Limit: 1234567890123456       | limit_per_s | None  |
       | 200    | Server-Limit: a few                  | limit_per_s | None  |
+      | 503    | Retry-After: 3                       | rest_ms     | 3000  |
+      | 503    | Retry-After: 0.2504                  | rest_ms     | 251   |
+      | 429    | Retry-After: 1                       | rest_ms     | 1000  |
+      | 200    | Retry-After: 3                       | rest_ms     | 0     |
+      | 503    |                                      | rest_ms     | 0     |
+      | 503    | Retry-After: 0                       | rest_ms     | 0     |
+      | 503    | Retry-After: -3                      | rest_ms     | 0     |
+      | 503    | Retry-After: inf                     | rest_ms     | 0     |
+      | 503    | Retry-After: 999999999999999         | rest_ms     | 3600000 |
+      | 503    | Retry-After: Thu, 03 Dec 2026        | rest_ms     | 0     |
       | 200    | Content-Type: text/event-stream      | streamed    | True  |
