--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -85,6 +85,7 @@
 
     With a ``shape`` it is a model engine, which answers what tells its tokens from its ``batch``.
     ``limit`` is the value of the header in which all its answers name a rate limit, if any.
+    ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
     ``health_checks`` holds the times at which its health was checked.
     """
 
@@ -98,6 +99,7 @@
     work_ms: int = 1
     cold_ms: int = 0
     limit: bytes | None = None
+    rest_s: bytes | None = None
     port: int = 0
     running: int = 0
     most_running: int = 0
@@ -170,7 +172,8 @@
         if self.faults.take("misread") or (expected and expected.decode() != self.id):
             return 421, ((names.SERVER_ID, self.id.encode()),)
         if self.faults.take("full") or self._is_full():
-            return 503, ((names.NOT_RUN, b"1"),)
+            rest = () if self.rest_s is None else ((names.RETRY_AFTER, self.rest_s),)
+            return 503, ((names.NOT_RUN, b"1"), *rest)
         return None
 
     def _is_full(self) -> bool:
--- a/tests/steps/gateway/server_limit_steps.py
+++ b/tests/steps/gateway/server_limit_steps.py
@@ -9,6 +9,8 @@
 WINDOW_MS = 4_000
 CALLERS_PER_VM = 2
 PAUSE_S = 0.02
+# Prompts with the same shared part go to the same server.
+SHARED_PARTS = 8
 # Every answer that is on its way has been recorded by then.
 RECORDED_AFTER_S = 0.5
 
@@ -39,7 +41,7 @@
     """Send a request as a caller does; a path of the model service asks with a prompt."""
     if not path.startswith("/chat"):
         return await rig.call(vm, path, key="large", wait_ms=600)
-    parts = f"5c1e:300,{number:x}:20".encode()
+    parts = f"5c1e{number % SHARED_PARTS}:300,{number:x}:20".encode()
     return await rig.call(
         vm,
         path,
