A backend server that says in its answers that it is leaving gets no new work in its region

Before: the word was not read; a VM went on sending until the entry changed.

Change: any response, a rejection's and a health check's too, marks the server's present start as leaving, and is_available, which every path reads, leaves it out; so do copies of prompt parts. VMs report it with the server's start, so that the word of an earlier start doesn't shut out the new one. Only the value 1 counts; another server's answer at a reused address counts for none.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -388,6 +388,7 @@
             cold={} if far else self._own_usage.remaining_cold_ms(),
             granted=granted,
             limits={} if far else self.server_notices.heard_limits(),
+            departing={} if far else self.server_notices.heard_leaving(),
         )
 
     def _server_usage(self, granted: GrantedUsage, *, whole: bool) -> dict[str, ServerUsage]:
@@ -432,6 +433,7 @@
             for server, cold_ms in report.cold.items():
                 self._feed.routing_state.mark_cold(server, cold_ms, now)
             self.server_notices.apply_limits(report.limits)
+            self.server_notices.apply_leaving(report.departing)
         else:
             peer.forecasts = report.forecasts
         started_later = report.up_ms < now - self._started_ms
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -1,7 +1,7 @@
 """State that requests are routed by: configuration, backend servers, evacuations.
 
-The feed writes it; status reports, health checks and responses only mark servers as cold and
-record the limits that servers name.
+The feed writes it; status reports, health checks and responses only record what servers say of
+themselves: that they are cold or leaving, and the limits that they name.
 """
 
 from __future__ import annotations
@@ -124,6 +124,19 @@
                 before,
             )
 
+    def mark_leaving(self, state: ServerState) -> None:
+        """Record that a server said that it is leaving, to this VM or another one.
+
+        This holds until it starts again: its entry in the store may say otherwise for longer.
+        """
+        if not state.said_leaving:
+            state.said_leaving = True
+            logging.info(
+                "server %s of service %s says that it is leaving",
+                state.server.id,
+                state.server.service,
+            )
+
     def available_servers(self, service: str) -> list[ServerState]:
         """Return the available servers of a service."""
         found = self._by_service.get(service, {}).values()
@@ -137,7 +150,9 @@
     def is_available(self, state: ServerState) -> bool:
         """Return whether a server is neither leaving nor in an evacuated data centre."""
         server = state.server
-        return not server.leaving and server.data_centre not in self.evacuated_data_centres
+        if server.leaving or state.said_leaving:
+            return False
+        return server.data_centre not in self.evacuated_data_centres
 
     def _remove(self, server_id: str) -> bool:
         """Remove a server's state.
--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -46,6 +46,7 @@
         )
         # Servers that have named a limit to this VM, with what their last response to it named.
         self._heard_limits: dict[str, HeardLimit] = {}
+        self._heard_leaving: dict[str, ServerState] = {}
 
     def record(self, state: ServerState, info: ResponseInfo) -> None:
         """Record what a response to this VM says of its server."""
@@ -60,6 +61,9 @@
         self._record_limit(state, info, now)
         if info.rest_ms:
             self._record_rest(state, info, now)
+        if info.leaving:
+            self._heard_leaving[state.server.id] = state
+            self._routing_state.mark_leaving(state)
 
     def _record_rest(self, state: ServerState, info: ResponseInfo, now_ms: int) -> None:
         """Record for how long a server that turned a request of this VM away wants rest."""
@@ -91,9 +95,9 @@
 
         What a server's earlier incarnation named is left out.
         """
-        now, states = self._clock.now(), self._routing_state.server_states
+        now = self._clock.now()
         self._heard_limits = {
-            name: it for name, it in self._heard_limits.items() if states.get(name) is it.state
+            name: it for name, it in self._heard_limits.items() if self._is_current(it.state)
         }
         return {name: (it.per_s, now - it.heard_ms) for name, it in self._heard_limits.items()}
 
@@ -104,3 +108,27 @@
             state = self._routing_state.server_states.get(name)
             if state is not None:
                 self._routing_state.record_limit(state, per_s, now - age_ms)
+
+    def heard_leaving(self) -> dict[str, int]:
+        """Return the servers that told this VM that they are leaving, each with its start.
+
+        :return: by server id, the time of its start in ms, as its entry in the store names it.
+        """
+        self._heard_leaving = {
+            name: state for name, state in self._heard_leaving.items() if self._is_current(state)
+        }
+        return {name: state.server.born_ms for name, state in self._heard_leaving.items()}
+
+    def apply_leaving(self, reported: Mapping[str, int]) -> None:
+        """Record which servers told another VM that they are leaving.
+
+        What an earlier incarnation told is left out: it would shut the new one out until its end.
+        """
+        for name, born_ms in reported.items():
+            state = self._routing_state.server_states.get(name)
+            if state is not None and state.server.born_ms == born_ms:
+                self._routing_state.mark_leaving(state)
+
+    def _is_current(self, state: ServerState) -> bool:
+        """Return whether a state is that of a server's present incarnation."""
+        return self._routing_state.server_states.get(state.server.id) is state
--- a/src/hickorybeam/gateway/status_report.py
+++ b/src/hickorybeam/gateway/status_report.py
@@ -49,7 +49,8 @@
     reaches it. ``cold``: remaining ms of servers that it found cold itself; relayed by others, the
     time would grow by each message's delay. ``granted``: usage in slots that other VMs granted,
     not included in ``servers``. ``limits``: by server, the rate limit that its last response to the
-    reporting VM named. ``fresh``: the VM has just started and needs quota levels, which
+    reporting VM named. ``departing``: by server, the start of those that told it that they are
+    leaving. ``fresh``: the VM has just started and needs quota levels, which
     an older VM sends it in ``levels``. ``holds``: servers to which shared prompt parts were sent,
     by part id.
     """
@@ -72,6 +73,7 @@
     cold: dict[str, int] = {}
     granted: GrantedUsage = {}
     limits: dict[str, ReportedLimit] = {}
+    departing: dict[str, int] = {}
 
 
 def add_usage(one: ServerUsage, other: ServerUsage) -> ServerUsage:
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -272,7 +272,9 @@
         if holder is None or holder is server_state:
             return None
         server = holder.server
-        if holder.backoff_until_ms > now or holder.is_resting(now) or server.leaving:
+        if holder.backoff_until_ms > now or holder.is_resting(now):
+            return None
+        if server.leaving or holder.said_leaving:
             return None
         if server.service != server_state.server.service:
             return None
--- a/src/hickorybeam/platform/names.py
+++ b/src/hickorybeam/platform/names.py
@@ -19,6 +19,7 @@
 NOT_RUN = b"x-hickorybeam-not-executed"
 COLD = b"x-hickorybeam-cold-milliseconds"
 LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 URGENCY = b"x-hickorybeam-request-urgency"
 # Address of a server to copy the prompt's KV cache from.
 COPY_FROM = b"kv-fetch"
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -44,7 +44,7 @@
     would tell the caller so. ``signed``: the response comes from the server itself.
     ``limit_per_s``: requests per second that the server takes from all VMs together, infinite if
     it names no limit, ``None`` if what it names is invalid. ``rest_ms``: for how long the server
-    wants no requests of this VM, 0 if it doesn't say.
+    wants no requests of this VM, 0 if it doesn't say. ``leaving``: the server will end soon.
     """
 
     status: int
@@ -56,6 +56,7 @@
     cold_ms: int | None
     limit_per_s: float | None
     rest_ms: int
+    leaving: bool
     streamed: bool
 
 
@@ -72,6 +73,7 @@
         load=decode_load(find_header(headers, names.LOAD)),
         cold_ms=decode_cold(find_header(headers, names.COLD)),
         limit_per_s=decode_limit(find_header(headers, names.LIMIT)),
+        leaving=(find_header(headers, names.LEAVING) or b"").strip() == b"1",
         rest_ms=decode_rest(head.status, find_header(headers, names.RETRY_AFTER)),
         streamed=(find_header(headers, b"content-type") or b"").startswith(b"text/event-stream"),
     )
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -107,7 +107,7 @@
     besides. ``cache_tokens`` is the size of the cache, 0 where it isn't declared. ``limit_per_s``
     is the rate that the server has last named as its limit for all VMs together, infinite if it
     names none, as of the response at ``limit_heard_ms``. Until ``rest_until_ms`` the server wants
-    no requests of this VM.
+    no requests of this VM. ``said_leaving``: a response said that the server will end soon.
     """
 
     server: RegisteredServer
@@ -131,6 +131,7 @@
     limit_per_s: float = math.inf
     limit_heard_ms: int | None = None
     rest_until_ms: int = 0
+    said_leaving: bool = False
 
     @property
     def names_limit(self) -> bool:
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -85,6 +85,7 @@
 
     With a ``shape`` it is a model engine, which answers what tells its tokens from its ``batch``.
     ``limit`` is the value of the header in which all its answers name a rate limit, if any.
+    If it is ``leaving``, all its answers say so.
     ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
     ``health_checks`` holds the times at which its health was checked.
     """
@@ -99,6 +100,7 @@
     work_ms: int = 1
     cold_ms: int = 0
     limit: bytes | None = None
+    leaving: bool = False
     rest_s: bytes | None = None
     port: int = 0
     running: int = 0
@@ -253,7 +255,8 @@
 
     def _notices(self) -> RawHeaders:
         """Return the headers in which every answer says what the server needs."""
-        return () if self.limit is None else ((names.LIMIT, self.limit),)
+        limit = () if self.limit is None else ((names.LIMIT, self.limit),)
+        return (*limit, (names.LEAVING, b"1")) if self.leaving else limit
 
 
 def submitted(batch: Batch, req: IncomingRequest) -> Stream:
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -63,6 +63,13 @@
       | 200    | Server-Limit: nan                    | limit_per_s | None  |
       | 200    | Server-Limit: 1234567890123456       | limit_per_s | None  |
       | 200    | Server-Limit: a few                  | limit_per_s | None  |
+      | 200    | Server-Leaving: 1                    | leaving     | True  |
+      | 503    | Server-Leaving: 1                    | leaving     | True  |
+      | 200    |                                      | leaving     | False |
+      | 200    | Server-Leaving: 0                    | leaving     | False |
+      | 200    | Server-Leaving: -1                   | leaving     | False |
+      | 200    | Server-Leaving: 11                   | leaving     | False |
+      | 200    | Server-Leaving: soon                 | leaving     | False |
       | 503    | Retry-After: 3                       | rest_ms     | 3000  |
       | 503    | Retry-After: 0.2504                  | rest_ms     | 251   |
       | 429    | Retry-After: 1                       | rest_ms     | 1000  |
