A server's limit is reported with the server's start; that of an earlier start counts for none

Found by reading the change: a VM that hasn't heard of a restart yet still reports the earlier limit. A VM that isn't among the server's senders then never hears that the new start names none, and sends it nothing until the server ends. The scenario fails without the comparison of starts (not within 1 s).

--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hickorybeam.gateway.status_report import ReportedLimit
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
@@ -17,7 +18,6 @@
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.routing_state import RoutingState
-    from hickorybeam.gateway.status_report import ReportedLimit
     from hickorybeam.platform import ResponseInfo
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
@@ -99,15 +99,21 @@
         self._heard_limits = {
             name: it for name, it in self._heard_limits.items() if self._is_current(it.state)
         }
-        return {name: (it.per_s, now - it.heard_ms) for name, it in self._heard_limits.items()}
+        return {
+            name: ReportedLimit(it.per_s, now - it.heard_ms, it.state.server.born_ms)
+            for name, it in self._heard_limits.items()
+        }
 
     def apply_limits(self, reported: Mapping[str, ReportedLimit]) -> None:
-        """Record what servers named to another VM, where this VM has heard nothing later."""
+        """Record what servers named to another VM, where this VM has heard nothing later.
+
+        What an earlier incarnation named is left out: no VM would ever hear of its end.
+        """
         now = self._clock.now()
-        for name, (per_s, age_ms) in reported.items():
+        for name, limit in reported.items():
             state = self._routing_state.server_states.get(name)
-            if state is not None:
-                self._routing_state.record_limit(state, per_s, now - age_ms)
+            if state is not None and state.server.born_ms == limit.born_ms:
+                self._routing_state.record_limit(state, limit.per_s, now - limit.age_ms)
 
     def heard_leaving(self) -> dict[str, int]:
         """Return the servers that told this VM that they are leaving, each with its start.
--- a/src/hickorybeam/gateway/status_report.py
+++ b/src/hickorybeam/gateway/status_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 
@@ -28,9 +29,18 @@
 # Expected wait of an empty prompt in a region, in ms, and the number of requests in flight at the
 # server with that wait.
 WaitForecast = tuple[int, int]
-# Rate limit that a server named, in requests per second, infinite for none, and the age of the
-# response in ms.
-ReportedLimit = tuple[float, int]
+
+
+class ReportedLimit(NamedTuple):
+    """The rate limit that a server's last response to a VM named.
+
+    ``per_s`` is infinite if it named none. ``born_ms`` is the server's start, as its entry in the
+    store names it.
+    """
+
+    per_s: float
+    age_ms: int
+    born_ms: int
 
 
 class Audience(Enum):
--- a/tests/gateway/server_limit.feature
+++ b/tests/gateway/server_limit.feature
@@ -84,6 +84,14 @@
     And server "b1" restarts and is cold for 0 ms
     Then within 3 s every VM knows that server "b1" names no limit
 
+  Scenario: what a server named before it restarted does not count when another VM reports it late
+    # The other VM has not heard of the restart yet. A VM that sends to no limited server would never
+    # hear that the new start names no limit.
+    Given a small gateway with VMs "n1, n2"
+    When server "b1" restarts and is cold for 0 ms
+    And "n2" reports that server "b1" limits its rate to 1 requests a second, for its earlier start
+    Then within 1 s every VM knows that server "b1" names no limit
+
   Scenario: another server at a reused address names no limit for the one that is gone
     Given a small gateway
     And server "b1" names a limit of 1 requests a second
--- a/tests/steps/gateway/server_limit_steps.py
+++ b/tests/steps/gateway/server_limit_steps.py
@@ -6,11 +6,14 @@
 import anyio
 from behave import given, then, when
 
+from hickorybeam.gateway.status_report import ReportedLimit
+
 WINDOW_MS = 4_000
 CALLERS_PER_VM = 2
 PAUSE_S = 0.02
 # Prompts with the same shared part go to the same server.
 SHARED_PARTS = 8
+EARLIER_START_MS = 0
 # Every answer that is on its way has been recorded by then.
 RECORDED_AFTER_S = 0.5
 
@@ -140,3 +143,18 @@
 @then('within {limit_s:d} s every VM knows that server "{name}" names no limit')
 def step_no_limit_known(context, limit_s, name):
     step_limit_known(context, limit_s, name, math.inf)
+
+
+@when(
+    '"{vm}" reports that server "{name}" limits its rate to {per_s:g} requests a second, '
+    "for its earlier start"
+)
+def step_late_report(context, vm, name, per_s):
+    async def deliver():
+        for other, running in context.rig.vms.items():
+            if other != vm:
+                running.fleet.server_notices.apply_limits(
+                    {name: ReportedLimit(per_s, 0, EARLIER_START_MS)}
+                )
+
+    context.call(deliver)
