The end of a server's limit is reported by every VM that heard it, also one that never heard the limit

Found by reading the change: if the senders that heard the end are restarted, those that take over never named the server in their reports, and a VM that still holds to the limit without being a sender never hears of the end.

--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -44,8 +44,10 @@
         self._rests = counters.counter(
             "server_rests", "Responses in which a server asked this VM for rest", ("service",)
         )
-        # Servers that have named a limit to this VM, with what their last response to it named.
+        # What the last response of each server to this VM named.
         self._heard_limits: dict[str, HeardLimit] = {}
+        # Servers that have named a limit to any VM; what others said is not reported.
+        self._once_limited: set[str] = set()
         self._heard_leaving: dict[str, ServerState] = {}
 
     def record(self, state: ServerState, info: ResponseInfo) -> None:
@@ -86,14 +88,16 @@
         per_s = info.limit_per_s
         if per_s is None or not (info.signed or math.isfinite(per_s)):
             return
-        if math.isfinite(per_s) or state.server.id in self._heard_limits:
-            self._heard_limits[state.server.id] = HeardLimit(state, per_s, now_ms)
+        if math.isfinite(per_s):
+            self._once_limited.add(state.server.id)
+        self._heard_limits[state.server.id] = HeardLimit(state, per_s, now_ms)
         self._routing_state.record_limit(state, per_s, now_ms)
 
     def heard_limits(self) -> dict[str, ReportedLimit]:
-        """Return what servers named to this VM, by server id; ended limits too, for lost reports.
+        """Return what servers with a limit named to this VM, by server id; ended limits too.
 
-        What a server's earlier incarnation named is left out.
+        An end is reported for good: a VM that doesn't send to a limited server hears of it only by
+        reports. What a server's earlier incarnation named is left out.
         """
         now = self._clock.now()
         self._heard_limits = {
@@ -102,6 +106,7 @@
         return {
             name: ReportedLimit(it.per_s, now - it.heard_ms, it.state.server.born_ms)
             for name, it in self._heard_limits.items()
+            if name in self._once_limited
         }
 
     def apply_limits(self, reported: Mapping[str, ReportedLimit]) -> None:
@@ -113,6 +118,7 @@
         for name, limit in reported.items():
             state = self._routing_state.server_states.get(name)
             if state is not None and state.server.born_ms == limit.born_ms:
+                self._once_limited.add(name)
                 self._routing_state.record_limit(state, limit.per_s, now - limit.age_ms)
 
     def heard_leaving(self) -> dict[str, int]:
--- a/tests/gateway/server_limit.feature
+++ b/tests/gateway/server_limit.feature
@@ -92,6 +92,14 @@
     And "n2" reports that server "b1" limits its rate to 1 requests a second, for its earlier start
     Then within 1 s every VM knows that server "b1" names no limit
 
+  Scenario: a VM that still holds to an ended limit hears of its end from VMs that never heard the limit
+    # The VMs that heard the end were restarted since. The one that is left is not among the server's
+    # senders, so that no response ends the limit for it.
+    Given a small gateway with VMs "n1, n2"
+    When a caller of "small" asks "n1" for "/look/x"
+    And "n2" reports that server "b1" limits its rate to 1 requests a second, heard 9000 ms ago
+    Then within 1 s every VM knows that server "b1" names no limit
+
   Scenario: another server at a reused address names no limit for the one that is gone
     Given a small gateway
     And server "b1" names a limit of 1 requests a second
--- a/tests/steps/gateway/server_limit_steps.py
+++ b/tests/steps/gateway/server_limit_steps.py
@@ -150,11 +150,24 @@
     "for its earlier start"
 )
 def step_late_report(context, vm, name, per_s):
-    async def deliver():
-        for other, running in context.rig.vms.items():
-            if other != vm:
-                running.fleet.server_notices.apply_limits(
-                    {name: ReportedLimit(per_s, 0, EARLIER_START_MS)}
-                )
-
-    context.call(deliver)
+    report_limit(context, vm, name, ReportedLimit(per_s, 0, EARLIER_START_MS))
+
+
+@when(
+    '"{vm}" reports that server "{name}" limits its rate to {per_s:g} requests a second, '
+    "heard {age_ms:d} ms ago"
+)
+def step_old_report(context, vm, name, per_s, age_ms):
+    limit = ReportedLimit(per_s, age_ms, EARLIER_START_MS)
+    context.call(apply_limit, context.rig.vms[vm], name, limit)
+    report_limit(context, vm, name, limit)
+
+
+async def apply_limit(vm, name, limit):
+    vm.fleet.server_notices.apply_limits({name: limit})
+
+
+def report_limit(context, vm, name, limit):
+    for other, running in context.rig.vms.items():
+        if other != vm:
+            context.call(apply_limit, running, name, limit)
