What another server says at a reused address is recorded for none, health checks included

Found in the search for other places of the LIMIT cause: a health check names no server that it expects, so a server of another service at the address of one that is gone could make that one cold, limited or leaving.

--- a/src/hickorybeam/gateway/cold_health_checks.py
+++ b/src/hickorybeam/gateway/cold_health_checks.py
@@ -9,6 +9,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
+from hickorybeam.gateway.server_notices import is_from
 from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, UpstreamPool
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.kernel import Service
@@ -107,7 +108,7 @@
             self._pool.close_idle(address)
             return
         self._fleet.server_notices.record(state, info)
-        if info.cold_ms:
+        if info.cold_ms and is_from(state, info):
             self._fleet.report_cold(server.id, info.cold_ms)
 
     async def _query(self, address: Address, health_path: str) -> ResponseInfo:
--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -22,7 +22,12 @@
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
 
-__all__ = ("ServerNotices",)
+__all__ = ("ServerNotices", "is_from")
+
+
+def is_from(state: ServerState, info: ResponseInfo) -> bool:
+    """Return whether a response comes from a server, as far as it says."""
+    return not info.misdirected and info.server_id in (None, state.server.id)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,9 +56,11 @@
         self._heard_leaving: dict[str, ServerState] = {}
 
     def record(self, state: ServerState, info: ResponseInfo) -> None:
-        """Record what a response to this VM says of its server."""
-        if info.misdirected:
-            # Another server responded, at an address that has been reused.
+        """Record what a response to this VM says of its server.
+
+        Nothing is recorded if another server responded, at an address that has been reused.
+        """
+        if not is_from(state, info):
             return
         now = self._clock.now()
         if info.load is not None:
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -45,6 +45,7 @@
     ``limit_per_s``: requests per second that the server takes from all VMs together, infinite if
     it names no limit, ``None`` if what it names is invalid. ``rest_ms``: for how long the server
     wants no requests of this VM, 0 if it doesn't say. ``leaving``: the server will end soon.
+    ``server_id``: which server responded, if it says so.
     """
 
     status: int
@@ -57,6 +58,7 @@
     limit_per_s: float | None
     rest_ms: int
     leaving: bool
+    server_id: str | None
     streamed: bool
 
 
@@ -74,6 +76,7 @@
         cold_ms=decode_cold(find_header(headers, names.COLD)),
         limit_per_s=decode_limit(find_header(headers, names.LIMIT)),
         leaving=(find_header(headers, names.LEAVING) or b"").strip() == b"1",
+        server_id=decode_server_id(find_header(headers, names.SERVER_ID)),
         rest_ms=decode_rest(head.status, find_header(headers, names.RETRY_AFTER)),
         streamed=(find_header(headers, b"content-type") or b"").startswith(b"text/event-stream"),
     )
@@ -105,6 +108,11 @@
     return 0 if seconds is None else math.ceil(min(seconds * MS_PER_SECOND, MAX_REST_MS))
 
 
+def decode_server_id(value: bytes | None) -> str | None:
+    """Decode the id of the server that responded."""
+    return value.strip().decode("latin-1") if value else None
+
+
 def decode_decimal(value: bytes) -> float | None:
     """Decode a non-negative decimal number; signs, exponents and names of numbers are invalid."""
     digits = value.strip()
--- a/tests/gateway/server_leaving.feature
+++ b/tests/gateway/server_leaving.feature
@@ -49,3 +49,12 @@
     And server "b1" has fault "misread" 1 times
     When a caller of "small" asks "n1" for "/look/x" by POST
     Then "n1" doesn't know that server "b1" is leaving
+
+  Scenario: another server that answers a health check at a reused address doesn't speak for it either
+    Given a small gateway with servers "m1:model, b1:books"
+    When the store becomes unavailable and every VM has noticed
+    And another server takes the address of "m1", cold, leaving, and with a limit of 1 requests a second
+    And 0.8 s pass
+    Then "n1" doesn't know that server "m1" is leaving
+    And within 1 s every VM knows that server "m1" names no limit
+    And "n1" doesn't know that server "m1" is cold
--- a/tests/steps/gateway/server_leaving_steps.py
+++ b/tests/steps/gateway/server_leaving_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from hickorybeam.clock import SystemClock
 from steps.gateway.gateway_steps import split_names
 from steps.gateway.server_limit_steps import ask
 
@@ -61,3 +62,20 @@
 @then('"{vm}" doesn\'t know that server "{name}" is leaving')
 def step_leaving_unknown(context, vm, name):
     assert not knows_leaving(context, vm, name)
+
+
+@when(
+    'another server takes the address of "{name}", cold, leaving, and with a limit of {limit} '
+    "requests a second"
+)
+def step_address_reused(context, name, limit):
+    server = context.rig.servers[name]
+    server.id, server.cold_ms, server.leaving = "another", 4_000, True
+    server.limit = limit.encode()
+    server.health_checks.clear()
+    context.call(context.rig.until, lambda: server.health_checks)
+
+
+@then('"{vm}" doesn\'t know that server "{name}" is cold')
+def step_cold_unknown(context, vm, name):
+    assert not context.rig.vms[vm].routing_state.is_cold(name, SystemClock().now())
