The choice of a server asks each one for its rest and limit without building sets

A set of resting servers and three calls for each server were built for every choice, which a coordinator makes hundreds of times a second.

--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -96,14 +96,14 @@
 
     def rate_limit(self, state: ServerState, now_ms: int) -> RateLimit | None:
         """Return the limit on the requests of all VMs to a server, ``None`` if there is none."""
-        named = named_rate_limit(state.limit_per_s) if state.names_limit else None
-        return stricter_limit(named, self._cold_rate_limit(state.server, now_ms))
-
-    def _cold_rate_limit(self, server: RegisteredServer, now_ms: int) -> RateLimit | None:
-        if not self.is_cold(server.id, now_ms):
-            return None
-        spec = self.service_spec(server.service)
-        return cold_rate_limit(spec.cold_per_s if spec else 0.0)
+        cold = None
+        if self.is_cold(state.server.id, now_ms):
+            spec = self.service_spec(state.server.service)
+            cold = cold_rate_limit(spec.cold_per_s if spec else 0.0)
+        if not state.names_limit:
+            return cold
+        named = named_rate_limit(state.limit_per_s)
+        return named if cold is None else stricter_limit(named, cold)
 
     def service_spec(self, service: str) -> ServiceSpec | None:
         """Return what the configuration says of a service."""
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -244,13 +244,13 @@
 
         :param resting: servers that asked the VM which sends for rest; ``None`` if this VM sends.
         """
-        if resting is None:
-            resting = self._routing_state.resting_servers(service, now_ms)
         found = []
         for server_state in self._routing_state.available_servers(service):
             if not self._fleet.in_own_region(server_state.server.data_centre):
                 continue
-            if server_state.backoff_until_ms > now_ms or server_state.server.id in resting:
+            if server_state.backoff_until_ms > now_ms:
+                continue
+            if is_resting(server_state, resting, now_ms):
                 continue
             if self._fleet.server_rates.may_send(server_state, now_ms):
                 found.append(server_state)
@@ -315,6 +315,16 @@
         return found
 
 
+def is_resting(state: ServerState, resting: Collection[str] | None, now_ms: int) -> bool:
+    """Return whether a server asked the VM that would send to it for rest.
+
+    :param resting: servers that asked that VM for rest; ``None`` if it is this VM.
+    """
+    if resting is None:
+        return state.is_resting(now_ms)
+    return state.server.id in resting
+
+
 def held_tokens_of(call: RelayCall) -> int:
     """Return the tokens that a request holds in a server's memory, beyond its shared parts."""
     unshared_tokens = call.parts[-1].tokens if call.parts else call.prompt_tokens
--- a/src/hickorybeam/policy/server_rate.py
+++ b/src/hickorybeam/policy/server_rate.py
@@ -76,10 +76,8 @@
     return RateLimit(max(per_s, MIN_NAMED_RATE_PER_S), max_senders)
 
 
-def stricter_limit(one: RateLimit | None, other: RateLimit | None) -> RateLimit | None:
+def stricter_limit(one: RateLimit, other: RateLimit) -> RateLimit:
     """Return a limit that keeps to both."""
-    if one is None or other is None:
-        return one or other
     return RateLimit(min(one.per_s, other.per_s), min(one.max_senders, other.max_senders))
 
 
