dispatch: an engine that refuses a call and asks for rest gets no call in that time

Failing before: tests/dispatch/load.feature, 5 calls where 1 is allowed; tests/backends/engine.feature, no retry-after on the error. Now the error carries it, the end of the run brings it to the health table, and a resting server has no weight, whatever its other calls come to; where no other can serve, the caller is told to come back then. One parser of such values for both paths (http1/values.py).

--- a/src/hickorybeam/backends/http_client.py
+++ b/src/hickorybeam/backends/http_client.py
@@ -7,6 +7,7 @@
 
 from hickorybeam.backends.exchange import Exchange, ExchangeError
 from hickorybeam.errors import ErrorKind, GatewayError, Ran
+from hickorybeam.http1 import parse_retry_after_ms
 
 if TYPE_CHECKING:
     from hickorybeam.backends.headers import RawHeaders
@@ -89,12 +90,20 @@
 
 
 def check_refusal(exchange: Exchange, backend: BackendServer) -> None:
-    """Raise ``BACKEND_REFUSED`` if the backend server reports that it ran nothing."""
+    """Raise ``BACKEND_REFUSED`` if the backend server reports that it ran nothing.
+
+    The error's retry-after is the time for which the server wants no calls, if it says so.
+    """
     if (
         exchange.status in (SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS)
         and exchange.header(b"x-ran") == RAN_NO
     ):
-        raise GatewayError(ErrorKind.BACKEND_REFUSED, f"{backend.name} takes no work")
+        rest_ms = parse_retry_after_ms(exchange.header(b"retry-after").encode("latin-1"))
+        raise GatewayError(
+            ErrorKind.BACKEND_REFUSED,
+            f"{backend.name} takes no work",
+            retry_after_ms=rest_ms or None,
+        )
 
 
 def lost_response_error(
--- a/src/hickorybeam/dispatch/attempts.py
+++ b/src/hickorybeam/dispatch/attempts.py
@@ -123,7 +123,7 @@
 
     async def _run_on_backend(self, name: str) -> AsyncGenerator[ResponsePart, None]:
         services, running, job = self._services, self._running, self._job
-        outcome = Outcome.CANCELLED
+        outcome, rest_ms = Outcome.CANCELLED, 0
         self._used_tokens = 0
         parts: AsyncIterator[ResponsePart] | None = None
         try:
@@ -147,9 +147,13 @@
                 yield part
         except GatewayError as exc:
             outcome = self._outcome_of(exc)
+            if outcome is Outcome.REFUSED:
+                rest_ms = exc.retry_after_ms or 0
             raise
         finally:
-            services.scheduler.mailbox.post(RunEnded(job, name, outcome, self._used_tokens))
+            services.scheduler.mailbox.post(
+                RunEnded(job, name, outcome, self._used_tokens, rest_ms)
+            )
             if parts is not None:
                 await close_parts(parts)
 
--- a/src/hickorybeam/dispatch/messages.py
+++ b/src/hickorybeam/dispatch/messages.py
@@ -54,12 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEnded:
-    """A run on a backend server ended."""
+    """A run on a backend server ended; it wants no calls for ``rest_ms``."""
 
     job: Job
     backend: str
     outcome: Outcome
     used_tokens: int
+    rest_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/dispatch/scheduler_task.py
+++ b/src/hickorybeam/dispatch/scheduler_task.py
@@ -142,8 +142,10 @@
                 retry_reply.set(self._scheduler.retry(job, now, tried))
             case FirstToken(job=job, backend=backend):
                 self._scheduler.first_token(job, backend, now)
-            case RunEnded(job=job, backend=backend, outcome=outcome, used_tokens=used_tokens):
-                self._scheduler.run_ended(job, backend, now, outcome, used_tokens)
+            case RunEnded(
+                job=job, backend=backend, outcome=outcome, used_tokens=used, rest_ms=rest
+            ):
+                self._scheduler.run_ended(job, backend, now, outcome, used, rest_ms=rest)
             case ForwardEnded(region=region, responded=True):
                 self._scheduler.regions.record_success(region)
             case ForwardEnded(region=region):
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -12,6 +12,7 @@
 from hickorybeam.http1.pool import ConnectFailedError, UpstreamPool
 from hickorybeam.http1.server import HttpServer, ResponseWriter
 from hickorybeam.http1.upstream import BrokenResponseError, UpstreamConnection
+from hickorybeam.http1.values import parse_decimal, parse_retry_after_ms
 
 __all__ = (
     "ResponseHead",
@@ -25,4 +26,6 @@
     "UpstreamPool",
     "find_header",
     "has_ambiguous_framing",
+    "parse_decimal",
+    "parse_retry_after_ms",
 )
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import math
-import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hickorybeam.clock import MS_PER_SECOND
-from hickorybeam.http1 import find_header
+from hickorybeam.http1 import find_header, parse_decimal, parse_retry_after_ms
 from hickorybeam.platform import names
 
 if TYPE_CHECKING:
@@ -22,9 +20,6 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # With these, a server that turns a request away may say for how long it wants rest.
 REST_STATUSES = (429, 503)
-# A server that asks for a longer rest is asked once an hour.
-MAX_REST_MS = 3_600_000
-DECIMAL = re.compile(rb"\d{1,15}(?:\.\d{1,15})?")
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,13 +94,12 @@
 
 def decode_limit(value: bytes | None) -> float | None:
     """Decode the limit that a server names, in requests per second; infinite without a header."""
-    return math.inf if value is None else decode_decimal(value)
+    return math.inf if value is None else parse_decimal(value)
 
 
 def decode_rest(status: int, value: bytes | None) -> int:
     """Decode for how long a server wants rest, in ms; 0 if it doesn't say, or invalidly."""
-    seconds = decode_decimal(value or b"") if status in REST_STATUSES else None
-    return 0 if seconds is None else math.ceil(min(seconds * MS_PER_SECOND, MAX_REST_MS))
+    return parse_retry_after_ms(value or b"") if status in REST_STATUSES else 0
 
 
 def decode_server_id(value: bytes | None) -> str | None:
@@ -113,12 +107,6 @@
     return value.strip().decode("latin-1") if value else None
 
 
-def decode_decimal(value: bytes) -> float | None:
-    """Decode a non-negative decimal number; signs, exponents and names of numbers are invalid."""
-    digits = value.strip()
-    return float(digits) if DECIMAL.fullmatch(digits) else None
-
-
 def response_headers(headers: RawHeaders) -> RawHeaders:
     """Drop hop-by-hop headers and those meant for the gateway only."""
     dropped = names.HOP_BY_HOP | {names.LOAD, names.COLD}
--- a/src/hickorybeam/policy/backend_table.py
+++ b/src/hickorybeam/policy/backend_table.py
@@ -198,8 +198,13 @@
             server.limit.record_first_token(sample, now, in_flight=len(server.runs))
         return sample
 
-    def record_end(self, job: Job, name: str, now: int, outcome: Outcome) -> None:
-        """Record the end of a job at a server and update health and limit by its outcome."""
+    def record_end(
+        self, job: Job, name: str, now: int, outcome: Outcome, *, rest_ms: int = 0
+    ) -> None:
+        """Record the end of a job at a server and update health and limit by its outcome.
+
+        :param rest_ms: for how long a server that refused it wants no calls.
+        """
         server = self._servers.get(name)
         run = server.runs.pop(job.id, None) if server is not None else None
         if server is None or run is None:
@@ -215,6 +220,7 @@
             case Outcome.REFUSED:
                 server.limit.record_congestion(now)
                 self.health.record_failure(name, job.id, now, self._pools.get(job.served, ()))
+                self.health.record_rest(name, rest_ms, now)
             case Outcome.CANCELLED:
                 self.health.discard_job(name, job.id)
 
--- a/src/hickorybeam/policy/health.py
+++ b/src/hickorybeam/policy/health.py
@@ -11,6 +11,8 @@
 - All servers fail together when the cause is the input, the network or the gateway. Ejecting all
   would turn a partial failure into a complete one, so at most half of the servers of one model
   or service are ejected at a time.
+- A server that rejects at once always looks idle. One that says for how long it wants rest gets
+  nothing until then, whatever its other calls come to.
 - A server returns with cold caches, and full load at once would make it the next outlier. Its
   weight climbs from that of a probe to 1 over ``RAMP_MS``.
 """
@@ -89,6 +91,7 @@
     ejection_ms: int = INITIAL_EJECTION_MS
     failures_in_a_row: int = 0
     backoff_until_ms: int = 0
+    rest_until_ms: int = 0
     failures: float = 0.0
     last_failure_ms: int = 0
     first_token_ms: float = 0.0
@@ -173,6 +176,11 @@
         if health.state is HealthState.PROBING or health.failures_in_a_row >= EJECT_AFTER_FAILURES:
             self._eject(server, now_ms, peers)
 
+    def record_rest(self, server: str, rest_ms: int, now_ms: int) -> None:
+        """Record for how long a server wants no calls; success of another call doesn't end it."""
+        health = self.record(server)
+        health.rest_until_ms = max(health.rest_until_ms, now_ms + rest_ms)
+
     def discard_job(self, server: str, job: int) -> None:
         """Forget a job that ended for a reason unrelated to the server's health."""
         self.record(server).awaiting_first_token.pop(job, None)
@@ -197,6 +205,8 @@
     def weight(self, server: str, now_ms: int) -> float:
         """Return the share of its normal load that a server should get now, 0 for none."""
         health = self.record(server)
+        if now_ms < health.rest_until_ms:
+            return 0.0
         match health.state:
             case HealthState.EJECTED:
                 return 0.0
@@ -257,12 +267,13 @@
         return min(waits, default=math.inf)
 
     def _ms_until_available(self, health: Health, now_ms: int) -> float:
+        until_ms = health.backoff_until_ms
         if health.state is HealthState.EJECTED:
-            return max(0, health.since_ms + health.ejection_ms - now_ms)
-        return max(0, health.backoff_until_ms - now_ms)
+            until_ms = health.since_ms + health.ejection_ms
+        return max(0, until_ms - now_ms, health.rest_until_ms - now_ms)
 
     def _is_failing(self, health: Health, now_ms: int) -> bool:
-        if health.state is HealthState.EJECTED:
+        if health.state is HealthState.EJECTED or now_ms < health.rest_until_ms:
             return True
         if health.state is HealthState.PROBING:
             return bool(health.awaiting_first_token)
--- a/src/hickorybeam/policy/scheduler.py
+++ b/src/hickorybeam/policy/scheduler.py
@@ -184,15 +184,18 @@
             pool = self._pool(job.served)
             pool.first_token_ms += FIRST_TOKEN_WEIGHT * (sample - pool.first_token_ms)
 
-    def run_ended(self, job: Job, backend: str, now: int, outcome: Outcome, used: int) -> None:
+    def run_ended(
+        self, job: Job, backend: str, now: int, outcome: Outcome, used: int, *, rest_ms: int = 0
+    ) -> None:
         """Record the end of a run on a server.
 
         :param used: tokens that the job used.
+        :param rest_ms: for how long a server that refused it wants no calls.
         """
         if self._running.pop(job.id, None) is None:
             return
         self._pool(job.served).queue.settle(job.account, job.cost, used)
-        self.backends.record_end(job, backend, now, outcome)
+        self.backends.record_end(job, backend, now, outcome, rest_ms=rest_ms)
 
     def call_ended(self, job: Job, now: int) -> None:
         """Release what a call holds, however it ended; safe to call twice."""
--- a/tests/backends/engine.feature
+++ b/tests/backends/engine.feature
@@ -103,3 +103,9 @@
     Then the load report at the backends rig names engine "engine"
     When the backends rig's engine is stopped
     Then the backends rig has no load report
+
+  Scenario: a refusal tells for how long the engine wants no calls
+    Given the backends rig's engine has fault "refuse" after 0 tokens, 1 times
+    When the backends rig sends an engine call, streamed: yes
+    Then the backends rig's caller got error "backend_refused" with ran "no"
+    And the engine asked for 1000 ms of rest
--- a/tests/dispatch/load.feature
+++ b/tests/dispatch/load.feature
@@ -40,6 +40,15 @@
     Then every dispatch caller gets one of "backend_failed overloaded deadline"
     And at most 27 dispatch engine calls were made
 
+  Scenario: an engine that refuses a call and asks for rest gets no call in that time
+    # The engine rejects at once and so always looks idle. Without the rest it would be called again
+    # after each back-off, 100 ms at first, also once a call that it still runs succeeds.
+    Given a dispatch gateway with engines "e1"
+    And every dispatch engine has plan "rest"
+    When 16 dispatch callers send a call one after the other
+    And 2000 ms pass at dispatch
+    Then 1 dispatch engine calls were made
+
   Scenario: callers are queued while the engine is full and get the next free slot
     # One engine has one slot. The second call waits in the queue and not at the engine; when the
     # first caller disconnects, the second call gets the slot.
--- a/tests/steps/backends/backends_steps.py
+++ b/tests/steps/backends/backends_steps.py
@@ -222,3 +222,8 @@
     names = {name for name, _ in context.received.head.headers}
     assert kept in names, names
     assert not names & set(dropped.split()), names
+
+
+@then("the engine asked for {ms:d} ms of rest")
+def step_engine_rest(context, ms):
+    assert context.received.error.retry_after_ms == ms, context.received.error.retry_after_ms
--- a/tests/steps/dispatch/fakes.py
+++ b/tests/steps/dispatch/fakes.py
@@ -174,8 +174,8 @@
     """Responds to each call by the plan of its backend server.
 
     A plan is one of ``ok``, ``hang`` (head, one chunk of 3 tokens, then nothing), ``silent``
-    (nothing at all), ``cut`` (stops without its end), ``refuse`` (ran: no) or ``fail``
-    (ran: unknown).
+    (nothing at all), ``cut`` (stops without its end), ``refuse`` (ran: no), ``rest``
+    (ran: no, and no calls for 3 s) or ``fail`` (ran: unknown).
     """
 
     name = "backends"
@@ -201,6 +201,8 @@
                 await anyio.sleep_forever()
             if plan == "refuse":
                 raise GatewayError(ErrorKind.BACKEND_REFUSED)
+            if plan == "rest":
+                raise GatewayError(ErrorKind.BACKEND_REFUSED, retry_after_ms=3_000)
             if plan == "fail":
                 raise GatewayError(ErrorKind.BACKEND_FAILED)
             yield ResponseHead(200)
