A limit is reported when it is heard of, not in every report of every VM

What each VM had once heard of each limited server went into every report: at the target's 130 VMs a region and 30 limited servers, a report of 900 bytes for nothing new. Now a response that names a limit, or ends one, is reported for 3 s by the VM that got it, so only a server's few senders do; a VM that has held to a limit for 15 s without hearing of it asks by reporting it, and those that heard something later report that. The exchange stands in a module of its own (gateway/limit_notices.py).

17 scenarios of server_limit pass, the two on lost ends among them, and a new one that nothing is reported 3.2 s after the last answer.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -387,7 +387,7 @@
             holds={} if with_levels else self.prefix_holders.take_updates(audience.value),
             cold={} if far else self._own_usage.remaining_cold_ms(),
             granted=granted,
-            limits={} if far else self.server_notices.heard_limits(),
+            limits={} if far else self.server_notices.limits.to_report(),
             departing={} if far else self.server_notices.heard_leaving(),
         )
 
@@ -432,7 +432,7 @@
             peer.granted_usage = report.granted
             for server, cold_ms in report.cold.items():
                 self._feed.routing_state.mark_cold(server, cold_ms, now)
-            self.server_notices.apply_limits(report.limits)
+            self.server_notices.limits.apply(report.limits)
             self.server_notices.apply_leaving(report.departing)
         else:
             peer.forecasts = report.forecasts
--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.status_report import ReportedLimit
+from hickorybeam.gateway.limit_notices import LimitNotices
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
@@ -30,29 +29,17 @@
     return not info.misdirected and info.server_id in (None, state.server.id)
 
 
-@dataclass(frozen=True, slots=True)
-class HeardLimit:
-    """The limit that a response to this VM named, infinite if it named none."""
-
-    state: ServerState
-    per_s: float
-    heard_ms: int
-
-
 class ServerNotices:
     """Records what responses say of their servers, and exchanges it with other VMs."""
 
     def __init__(self, clock: Clock, routing_state: RoutingState, counters: Counters) -> None:
         self._clock = clock
         self._routing_state = routing_state
+        self.limits = LimitNotices(clock, routing_state)
         self._log = DecisionLog(clock)
         self._rests = counters.counter(
             "server_rests", "Responses in which a server asked this VM for rest", ("service",)
         )
-        # What the last response of each server to this VM named.
-        self._heard_limits: dict[str, HeardLimit] = {}
-        # Servers that have named a limit to any VM; what others said is not reported.
-        self._once_limited: set[str] = set()
         self._heard_leaving: dict[str, ServerState] = {}
 
     def record(self, state: ServerState, info: ResponseInfo) -> None:
@@ -67,7 +54,7 @@
             state.record_load(busy=info.load.running + info.load.waiting, now_ms=now)
         if info.cold_ms:
             self._routing_state.mark_cold(state.server.id, info.cold_ms, now)
-        self._record_limit(state, info, now)
+        self._record_limit(state, info)
         if info.rest_ms:
             self._record_rest(state, info, now)
         if info.leaving:
@@ -86,47 +73,15 @@
             rest_ms=info.rest_ms,
         )
 
-    def _record_limit(self, state: ServerState, info: ResponseInfo, now_ms: int) -> None:
+    def _record_limit(self, state: ServerState, info: ResponseInfo) -> None:
         """Record the limit that a response names, or that it names none.
 
         A response that isn't signed names no end of a limit: a rejection need not come from the
         part of the server that knows its load.
         """
         per_s = info.limit_per_s
-        if per_s is None or not (info.signed or math.isfinite(per_s)):
-            return
-        if math.isfinite(per_s):
-            self._once_limited.add(state.server.id)
-        self._heard_limits[state.server.id] = HeardLimit(state, per_s, now_ms)
-        self._routing_state.record_limit(state, per_s, now_ms)
-
-    def heard_limits(self) -> dict[str, ReportedLimit]:
-        """Return what servers with a limit named to this VM, by server id; ended limits too.
-
-        An end is reported for good: a VM that doesn't send to a limited server hears of it only by
-        reports. What a server's earlier incarnation named is left out.
-        """
-        now = self._clock.now()
-        self._heard_limits = {
-            name: it for name, it in self._heard_limits.items() if self._is_current(it.state)
-        }
-        return {
-            name: ReportedLimit(it.per_s, now - it.heard_ms, it.state.server.born_ms)
-            for name, it in self._heard_limits.items()
-            if name in self._once_limited
-        }
-
-    def apply_limits(self, reported: Mapping[str, ReportedLimit]) -> None:
-        """Record what servers named to another VM, where this VM has heard nothing later.
-
-        What an earlier incarnation named is left out: no VM would ever hear of its end.
-        """
-        now = self._clock.now()
-        for name, limit in reported.items():
-            state = self._routing_state.server_states.get(name)
-            if state is not None and state.server.born_ms == limit.born_ms:
-                self._once_limited.add(name)
-                self._routing_state.record_limit(state, limit.per_s, now - limit.age_ms)
+        if per_s is not None and (info.signed or math.isfinite(per_s)):
+            self.limits.record(state, per_s)
 
     def heard_leaving(self) -> dict[str, int]:
         """Return the servers that told this VM that they are leaving, each with its start.
