--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -5,9 +5,9 @@
 
 Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in
 order and started again; the store falls silent, turns VMs away, loses answers, its history or
-entries; servers lose, spoil and cut answers, leave, come back cold or under a new address; keys
-are withdrawn. Callers go on all the while. What they and the servers saw is judged; exits 1 on
-a broken promise.
+entries; servers lose, spoil and cut answers, leave, come back cold or under a new address, name
+limits and ask for rest; keys are withdrawn. Callers go on all the while. What they and the servers
+saw is judged; exits 1 on a broken promise.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 import anyio
 import fire
 from bench.gateway_cost import start_daemon
+from bench.soak.server_notices import ask_for_rest, name_limit, say_leaving
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.deployment import free_ports
@@ -117,6 +118,11 @@
             ),
         )
 
+    @property
+    def vm_count(self) -> int:
+        """How many VMs run."""
+        return len(self._centres)
+
     async def run(self, seconds: float) -> None:
         """Play the faults, then a calm span in which everything has to come back."""
         self.configure()
@@ -213,21 +219,22 @@
         if not (answer.whole and answer.status == 200):
             return
         if key == "nobody's":
-            self._broken(f"{request_id}: an unknown key was served")
+            self.broken(f"{request_id}: an unknown key was served")
         gone = self.withdrawn.get(key)
         if gone is not None and sent > max(gone, self.store_well_since) + IN_FORCE_S:
-            self._broken(f"{request_id}: a key withdrawn {sent - gone:.1f} s before was served")
+            self.broken(f"{request_id}: a key withdrawn {sent - gone:.1f} s before was served")
         ran_at = [it.id for it in self.servers if any(a.request_id == request_id for a in it.ran)]
         if not ran_at:
-            self._broken(f"{request_id}: 200 and no server ran it")
+            self.broken(f"{request_id}: 200 and no server ran it")
         if path.startswith(("/chat", "/plan")):
             events = [int(x[4:]) for x in answer.body.split(b"\n") if x.startswith(b"id: ")]
             if events != list(range(1, ALL_EVENTS + 1)):
-                self._broken(f"{request_id}: a whole stream has events {events}")
+                self.broken(f"{request_id}: a whole stream has events {events}")
         elif answer.body.removeprefix(b"done by ").decode() not in (*ran_at, "unframed"):
-            self._broken(f"{request_id}: the answer {answer.body!r} is another server's")
+            self.broken(f"{request_id}: the answer {answer.body!r} is another server's")
 
-    def _broken(self, text: str) -> None:
+    def broken(self, text: str) -> None:
+        """Record a broken promise."""
         self.seen.violations.append(text)
 
     async def _fault(self) -> None:
@@ -265,7 +272,7 @@
         while self._vms[i].poll() is None and time.monotonic() - begun < 2 * GRACE_S:
             await anyio.sleep(0.05)
         if self._vms[i].poll() is None:
-            self._broken(f"vm-{i} did not end within twice its grace period")
+            self.broken(f"vm-{i} did not end within twice its grace period")
             self._vms[i].kill()
         self._vms[i].wait()
         self._vms[i] = self._start(i)
@@ -337,20 +344,20 @@
         for i in range(len(self._centres)):
             answer = await self._look(i)
             if answer.status != 200:
-                self._broken(f"vm-{i} answers {answer.status} after a calm span")
+                self.broken(f"vm-{i} answers {answer.status} after a calm span")
 
     def check_runs(self) -> None:
         """Judge what servers ran against what callers were told."""
         runs = Counter(a.request_id for it in self.servers for a in it.ran)
         for request_id in self.seen.orders:
             if runs[request_id] > 1:
-                self._broken(f"{request_id}: an order ran {runs[request_id]} times")
+                self.broken(f"{request_id}: an order ran {runs[request_id]} times")
             if request_id in self.seen.not_run and runs[request_id]:
-                self._broken(f"{request_id}: said not to have run, and it ran")
+                self.broken(f"{request_id}: said not to have run, and it ran")
         for server in self.servers:
             for arrival in server.ran:
                 if any(name == b"authorization" for name, _ in arrival.headers):
-                    self._broken(f"{arrival.request_id}: a server saw a caller's key")
+                    self.broken(f"{arrival.request_id}: a server saw a caller's key")
 
 
 FAULTS: dict[str, Any] = {
@@ -368,7 +375,7 @@
         "leave",
         "withdraw_key",
     )
-}
+} | {"name_limit": name_limit, "ask_for_rest": ask_for_rest, "say_leaving": say_leaving}
 
 
 async def soak(seed: int, seconds: float, *, north: int) -> Seen:
