A VM that has just started is told the limits that others hold to

The LIMIT cause at another moment: with nothing sent to a limited server, a limit was reported again only after 15 s, and a VM that started meanwhile sent at the full rate until its own first answer. The scenario failed before (not within 3 s); now the report that answers a new VM names all limits held. 28 passed in server_limit, fleet, fleet_start.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -387,7 +387,7 @@
             holds={} if with_levels else self.prefix_holders.take_updates(audience.value),
             cold={} if far else self._own_usage.remaining_cold_ms(),
             granted=granted,
-            limits={} if far else self.server_notices.limits.to_report(),
+            limits={} if far else self.server_notices.limits.to_report(to_new_vm=with_levels),
             departing={} if far else self.server_notices.heard_leaving(),
         )
 
--- a/src/hickorybeam/gateway/limit_notices.py
+++ b/src/hickorybeam/gateway/limit_notices.py
@@ -77,20 +77,24 @@
         self._heard = {name: it for name, it in self._heard.items() if name in known}
         self._once_limited &= known.keys()
 
-    def to_report(self) -> dict[str, ReportedLimit]:
-        """Return the limits and ends of limits to report, by server id."""
+    def to_report(self, *, to_new_vm: bool = False) -> dict[str, ReportedLimit]:
+        """Return the limits and ends of limits to report, by server id.
+
+        :param to_new_vm: the report goes to a VM that has just started and knows none yet.
+        """
         states = self._routing_state.server_states
         limited = [states[name] for name in self._once_limited if name in states]
-        found = {it.server.id: self._limit_to_report(it) for it in limited}
+        held_for_ms = 0 if to_new_vm else UNCONFIRMED_MS
+        found = {it.server.id: self._limit_to_report(it, held_for_ms) for it in limited}
         return {name: limit for name, limit in found.items() if limit is not None}
 
-    def _limit_to_report(self, state: ServerState) -> ReportedLimit | None:
+    def _limit_to_report(self, state: ServerState, held_for_ms: int) -> ReportedLimit | None:
         now, heard = self._clock.now(), self._heard_of(state)
         born_ms = state.server.born_ms
         if now < heard.report_until_ms:
             return ReportedLimit(heard.per_s, now - heard.heard_ms, born_ms)
         held_ms = state.limit_heard_ms
-        if state.names_limit and held_ms is not None and now - held_ms > UNCONFIRMED_MS:
+        if state.names_limit and held_ms is not None and now - held_ms >= held_for_ms:
             return ReportedLimit(state.limit_per_s, now - held_ms, born_ms)
         return None
 
--- a/tests/gateway/server_limit.feature
+++ b/tests/gateway/server_limit.feature
@@ -100,6 +100,14 @@
     And "n2" reports that server "b1" limits its rate to 1 requests a second, heard 20000 ms ago
     Then within 1 s every VM knows that server "b1" names no limit
 
+  Scenario: a VM that starts while nothing is sent to a limited server learns the limit
+    Given a small gateway with VMs "n1, n2"
+    And server "b1" names a limit of 1 requests a second
+    When every VM has got an answer of server "b1" for "/look/x"
+    And 3.2 s pass
+    Given VM "n3" has started in the data centre of "n1"
+    Then within 3 s every VM knows that server "b1" limits its rate to 1 requests a second
+
   Scenario: VMs that hear nothing new of a limit don't report it again and again
     Given a small gateway with VMs "n1, n2, n3"
     And server "b1" names a limit of 1 requests a second
