--- a/tests/steps/peers/transport_steps.py
+++ b/tests/steps/peers/transport_steps.py
@@ -285,10 +285,16 @@
 
 @when("peer node A forwards {count:d} calls to B at once")
 def step_many(context, count):
+    context.errors = []
+
+    async def forward():
+        _, error = await collect(context.a.peers.forward(make_call(), context.b.vm))
+        context.errors.append(error)
+
     async def run():
         async with anyio.create_task_group() as tg:
             for _ in range(count):
-                tg.start_soon(collect, context.a.peers.forward(make_call(), context.b.vm))
+                tg.start_soon(forward)
             # Ends a hung run; the time until the calls run is not checked.
             with anyio.move_on_after(30):
                 while context.b.dispatch.produced < count:
@@ -301,7 +307,7 @@
 
 @then("peer node B runs {count:d} forwarded calls at once")
 def step_at_once(context, count):
-    assert context.at_once == count, context.at_once
+    assert context.at_once == count, (context.at_once, context.errors)
 
 
 @given("peer node B's configuration {change}")
