--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -94,6 +95,10 @@
         """Return whether a server is still cold."""
         return now_ms < self._cold_until.get(server_id, 0)
 
+    def is_rate_limited(self, state: ServerState, now_ms: int) -> bool:
+        """Return whether a server limits the rate that it takes, or is cold."""
+        return state.limit_per_s != math.inf or now_ms < self._cold_until.get(state.server.id, 0)
+
     def rate_limit(self, state: ServerState, now_ms: int) -> RateLimit | None:
         """Return the limit on the requests of all VMs to a server, ``None`` if there is none."""
         cold = None
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -250,9 +250,14 @@
                 continue
             if server_state.backoff_until_ms > now_ms:
                 continue
-            if is_resting(server_state, resting, now_ms):
+            # Written out, since a coordinator looks at every server hundreds of times a second.
+            if resting is None:
+                if server_state.rest_until_ms > now_ms:
+                    continue
+            elif server_state.server.id in resting:
                 continue
-            if self._fleet.server_rates.may_send(server_state, now_ms):
+            limited = self._routing_state.is_rate_limited(server_state, now_ms)
+            if not limited or self._fleet.server_rates.may_send(server_state, now_ms):
                 found.append(server_state)
         return found
 
@@ -315,16 +320,6 @@
         return found
 
 
-def is_resting(state: ServerState, resting: Collection[str] | None, now_ms: int) -> bool:
-    """Return whether a server asked the VM that would send to it for rest.
-
-    :param resting: servers that asked that VM for rest; ``None`` if it is this VM.
-    """
-    if resting is None:
-        return state.is_resting(now_ms)
-    return state.server.id in resting
-
-
 def held_tokens_of(call: RelayCall) -> int:
     """Return the tokens that a request holds in a server's memory, beyond its shared parts."""
     unshared_tokens = call.parts[-1].tokens if call.parts else call.prompt_tokens
