--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -157,6 +157,8 @@
     def adopt_notices(self, earlier: ServerState) -> None:
         """Adopt what the server said of itself before its entry was gone for a while."""
         self.limit_per_s, self.limit_heard_ms = earlier.limit_per_s, earlier.limit_heard_ms
+        self.rest_until_ms = earlier.rest_until_ms
+        self.said_leaving = earlier.said_leaving
 
     def is_resting(self, now_ms: int) -> bool:
         """Return whether the server wants no requests of this VM."""
--- a/tests/dispatch/load.feature
+++ b/tests/dispatch/load.feature
@@ -41,8 +41,7 @@
     And at most 27 dispatch engine calls were made
 
   Scenario: an engine that refuses a call and asks for rest gets no call in that time
-    # The engine rejects at once and so always looks idle. Without the rest it would be called again
-    # after each back-off, 100 ms at first, also once a call that it still runs succeeds.
+    # The engine rejects at once and so always looks idle; a back-off starts at 100 ms.
     Given a dispatch gateway with engines "e1"
     And every dispatch engine has plan "rest"
     When 16 dispatch callers send a call one after the other
--- a/tests/gateway/server_leaving.feature
+++ b/tests/gateway/server_leaving.feature
@@ -58,3 +58,11 @@
     Then "n1" doesn't know that server "m1" is leaving
     And within 1 s every VM knows that server "m1" names no limit
     And "n1" doesn't know that server "m1" is cold
+
+  Scenario: a server whose entry expires and returns is still leaving
+    # Entries expire while the store is out and return for the same start of the server.
+    Given a small gateway
+    And server "b1" says in its answers that it is leaving
+    When server "b1" has answered "n1" for "/look/x"
+    And the entry of server "b1" expires and returns
+    Then within 1 s the VMs "n1" know that server "b1" is leaving
--- a/tests/gateway/server_rest.feature
+++ b/tests/gateway/server_rest.feature
@@ -52,6 +52,15 @@
     And callers ask "n1" for "/chat/x" during 3 s
     Then server "m1" got at most 2 requests since, health checks included
 
+  Scenario: a server whose entry expires and returns is still held to the rest
+    # Entries expire while the store is out and return for the same start of the server.
+    Given a small gateway
+    And server "b1" asks for 4 s of rest with its next rejection only
+    When server "b1" has asked "n1" for rest, for requests to "/look/x"
+    And the entry of server "b1" expires and returns
+    And callers ask "n1" for "/look/x" during 2 s
+    Then server "b1" got at most 2 requests since
+
   Scenario: another VM that has not been asked goes on, and so does the VM after the rest
     Given a small gateway with VMs "n1, n2"
     And server "b1" asks for 1 s of rest with its next rejection only
