policy/fleet_quota: a peer's report is charged in one pass over its accounts

Change: a bucket keeps its capacity and rate for this VM's share, and one loop refills, charges and updates the peer's rates.

--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -33,6 +33,8 @@
 # Debt from peers' spending is limited to this many seconds of the rate; with more, an account
 # that flooded the fleet once would stay locked out for longer than the limit's own window.
 MAX_PEER_DEBT_S = 4.0
+# A bucket holds at least this many seconds of the rate, whatever the burst.
+MIN_CAPACITY_S = 0.1
 # Over a shorter interval, as when a report is late, one request would look like a high rate.
 MIN_REPORT_INTERVAL_MS = 100
 # Averaging time of a peer's rate: at the limit VMs alternately refuse and admit, and the rate
@@ -44,9 +46,19 @@
 
 @dataclass(slots=True)
 class _Bucket:
+    """An account's bucket; ``capacity`` and ``rate_per_ms`` are this VM's part of the limit."""
+
     terms: AccountTerms
     level: float
     at_ms: int
+    capacity: float = 0.0
+    rate_per_ms: float = 0.0
+
+    def set_share(self, share: float) -> None:
+        """Set what part of the account's limit this VM grants."""
+        rate_per_s = self.terms.rate_per_s
+        self.capacity = max(self.terms.burst, rate_per_s * MIN_CAPACITY_S) * share
+        self.rate_per_ms = rate_per_s * share / MS_PER_SECOND
 
 
 @dataclass(slots=True)
@@ -95,7 +107,8 @@
             else:
                 self._refill(bucket, now_ms)
                 bucket.terms = terms
-                bucket.level = min(bucket.level, self._capacity(bucket))
+            bucket.set_share(self._live_share)
+            bucket.level = min(bucket.level, bucket.capacity)
             updated[terms.name] = bucket
         self._buckets = updated
 
@@ -114,6 +127,7 @@
             if live == 1 and bucket.level < 0:
                 # Paying the fleet's debt from one VM's share of the rate would take minutes.
                 bucket.level *= live_share / self._live_share
+            bucket.set_share(live_share)
         self._live_share = live_share
 
     def take(self, account: str, cost: float, now_ms: int) -> int | None:
@@ -125,13 +139,12 @@
         if bucket is None or bucket.terms.rate_per_s <= 0:
             return None
         self._refill(bucket, now_ms)
-        needed = min(cost, self._capacity(bucket))
+        needed = min(cost, bucket.capacity)
         if bucket.level >= needed:
             bucket.level -= cost
             self._spent[account] = self._spent.get(account, 0.0) + cost
             return None
-        rate = bucket.terms.rate_per_s * self._live_share
-        return max(1, int((needed - bucket.level) / rate * MS_PER_SECOND) + 1)
+        return max(1, int((needed - bucket.level) / bucket.rate_per_ms) + 1)
 
     def refund(self, account: str, cost: float, now_ms: int) -> None:
         """Refund the cost of a request that was not run."""
@@ -139,7 +152,7 @@
         if bucket is None or bucket.terms.rate_per_s <= 0:
             return
         self._refill(bucket, now_ms)
-        bucket.level = min(self._capacity(bucket), bucket.level + cost)
+        bucket.level = min(bucket.capacity, bucket.level + cost)
         self._spent[account] = self._spent.get(account, 0.0) - cost
 
     def spent_totals(self) -> dict[str, float]:
@@ -155,7 +168,7 @@
         for name, level in levels.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
-                bucket.level = min(level, self._capacity(bucket))
+                bucket.level = min(level, bucket.capacity)
                 bucket.at_ms = now_ms
 
     def apply_totals(
@@ -174,42 +187,47 @@
                 known.totals = dict(totals)
         elapsed_ms = now_ms - known.last_report_ms
         known.last_report_ms = now_ms
-        before = {name: known.totals.get(name, 0.0) for name in totals}
+        before = known.totals
         spent = {
-            name: total - before[name] for name, total in totals.items() if total != before[name]
+            name: total - before.get(name, 0.0)
+            for name, total in totals.items()
+            if total != before.get(name, 0.0)
         }
-        known.totals.update(totals)
+        before.update(totals)
         if elapsed_ms > self.peer_timeout_ms:
             self._set_peer_rates(known, {}, now_ms)
-            return
-        for name in spent.keys() | known.rates_per_ms.keys():
-            estimated = known.rates_per_ms.get(name, 0.0) * elapsed_ms
-            self._charge(name, spent.get(name, 0.0) - estimated, now_ms)
-        self._set_peer_rates(known, self._updated_rates(known, spent, elapsed_ms), now_ms)
-
-    def _updated_rates(
-        self, peer: _Peer, spent: Mapping[str, float], elapsed_ms: int
-    ) -> dict[str, float]:
-        """Return a peer's spending rates, averaged over this report and those before it."""
+        elif spent or known.rates_per_ms:
+            self._charge_peer(known, spent, elapsed_ms, now_ms)
+
+    def _charge_peer(
+        self, peer: _Peer, spent: Mapping[str, float], elapsed_ms: int, now_ms: int
+    ) -> None:
+        """Charge what a peer spent beyond its estimate, and update its estimated rates.
+
+        Written as one loop: a VM applies several reports for each request that it handles.
+        """
         between_ms = max(elapsed_ms, MIN_REPORT_INTERVAL_MS)
         weight = 1 - math.exp(-between_ms / RATE_AVERAGING_MS)
         rates_per_ms = {}
         for name in spent.keys() | peer.rates_per_ms.keys():
+            rate = peer.rates_per_ms.get(name, 0.0)
+            cost = spent.get(name, 0.0)
+            updated = 0.0
             bucket = self._buckets.get(name)
-            current = spent.get(name, 0.0) / between_ms
-            rate = (1 - weight) * peer.rates_per_ms.get(name, 0.0) + weight * current
-            if bucket is not None and abs(rate) > MIN_RATE_SHARE_PER_MS * bucket.terms.rate_per_s:
-                rates_per_ms[name] = rate
-        return rates_per_ms
-
-    def _charge(self, account: str, cost: float, now_ms: int) -> None:
-        """Charge what a peer spent beyond its estimate; a negative cost is credited."""
-        bucket = self._buckets.get(account)
-        if bucket is None:
-            return
-        self._refill(bucket, now_ms)
-        floor = -MAX_PEER_DEBT_S * bucket.terms.rate_per_s
-        bucket.level = max(floor, min(self._capacity(bucket), bucket.level - cost))
+            if bucket is not None:
+                self._refill(bucket, now_ms)
+                rate_per_s = bucket.terms.rate_per_s
+                level = min(bucket.capacity, bucket.level - cost + rate * elapsed_ms)
+                bucket.level = max(-MAX_PEER_DEBT_S * rate_per_s, level)
+                updated = (1 - weight) * rate + weight * cost / between_ms
+                if abs(updated) > MIN_RATE_SHARE_PER_MS * rate_per_s:
+                    rates_per_ms[name] = updated
+                else:
+                    updated = 0.0
+            if updated != rate:
+                all_peers = self._peer_rates_per_ms.get(name, 0.0)
+                self._peer_rates_per_ms[name] = all_peers + updated - rate
+        peer.rates_per_ms = rates_per_ms
 
     def _set_peer_rates(self, peer: _Peer, rates_per_ms: dict[str, float], now_ms: int) -> None:
         """Assume from now on that a peer spends at these rates, by account."""
@@ -221,13 +239,8 @@
             self._peer_rates_per_ms[name] = self._peer_rates_per_ms.get(name, 0.0) + change
         peer.rates_per_ms = rates_per_ms
 
-    def _capacity(self, bucket: _Bucket) -> float:
-        terms = bucket.terms
-        return max(terms.burst, terms.rate_per_s * 0.1) * self._live_share
-
     def _refill(self, bucket: _Bucket, now_ms: int) -> None:
-        rate = bucket.terms.rate_per_s * self._live_share / MS_PER_SECOND
-        net_rate = rate - self._peer_rates_per_ms.get(bucket.terms.name, 0.0)
-        gained = net_rate * (now_ms - bucket.at_ms)
-        bucket.level = min(self._capacity(bucket), bucket.level + gained)
+        net_rate = bucket.rate_per_ms - self._peer_rates_per_ms.get(bucket.terms.name, 0.0)
+        level = bucket.level + net_rate * (now_ms - bucket.at_ms)
+        bucket.level = min(bucket.capacity, level)
         bucket.at_ms = now_ms
