http1: a stream's events are passed on from the read callback, without waking a task for each

Cause: each event of a stream set an anyio event, which woke the request's task in another round of the event loop: two polls of the kernel, a future and two event objects for one read and one write. Change: UpstreamConnection.forward_body passes bytes on as they are parsed; the task sleeps until the end, a failure, or a receiver that takes no more. Attempt.read_chunk is gone (forward_body).

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -14,7 +14,7 @@
 from hickorybeam.platform import REQUEST_ID, decode_response, server_headers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import RawHeaders, ResponseHead, UpstreamConnection, UpstreamPool
@@ -156,11 +156,17 @@
             case PeerTarget():
                 return (*request.call.headers, *hop_headers(request, now_ms))
 
-    async def read_chunk(self) -> bytes:
-        """Return the next bytes of the response's body, empty at its proper end."""
+    async def forward_body(
+        self, forward: Callable[[bytes], bool], wait_ready: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Pass the response's body on as it arrives, until its proper end.
+
+        :param forward: takes bytes, and returns whether the receiver takes more at once.
+        :param wait_ready: waits until the receiver takes more.
+        """
         if self._conn is None:
             raise BrokenResponseError("the attempt has no open connection", sent=False)
-        return await self._conn.read_chunk()
+        await self._conn.forward_body(forward, wait_ready)
 
     async def read_body(self) -> bytes:
         """Return the whole body of the response."""
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -201,12 +201,14 @@
         response, splitter = progress.response, progress.splitter
         if not response.started:
             response.start(head.status, response_headers(head.headers))
+
+        def forward(data: bytes) -> bool:
+            progress.timing.record_chunk(self._clock.now())
+            whole = splitter.take_whole(data) if request.route.resumable else data
+            return response.write_chunk(whole)
+
         try:
-            while data := await attempt.read_chunk():
-                progress.timing.record_chunk(self._clock.now())
-                await response.send_chunk(
-                    splitter.take_whole(data) if request.route.resumable else data
-                )
+            await attempt.forward_body(forward, response.wait_writable)
         except BrokenResponseError:
             request.resume_after = splitter.last_id or request.resume_after
             splitter.discard_partial()
--- a/src/hickorybeam/http1/response_writer.py
+++ b/src/hickorybeam/http1/response_writer.py
@@ -70,9 +70,18 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the body, and wait while the caller's buffer is full."""
+        if not self.write_chunk(data):
+            await self.wait_writable()
+
+    def write_chunk(self, data: bytes) -> bool:
+        """Send a chunk of the body; return whether the caller's buffer has room for more."""
         if data and not self._head_only:
             self._conn.write(b"%x\r\n%s\r\n" % (len(data), data))
-            await self._conn.wait_writable()
+        return self._conn.writable
+
+    async def wait_writable(self) -> None:
+        """Wait while the caller's buffer is full."""
+        await self._conn.wait_writable()
 
     def end(self) -> None:
         """Send the last chunk, which ends the body."""
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -186,6 +186,11 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    @property
+    def writable(self) -> bool:
+        """Whether the write buffer has room."""
+        return self._writable.is_set()
+
     async def wait_writable(self) -> None:
         """Wait until the write buffer has room."""
         if not self._writable.is_set():
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -12,7 +12,7 @@
 from hickorybeam.http1.head import ResponseHead, find_header
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
 __all__ = ("BrokenResponseError", "UpstreamConnection")
 
@@ -67,6 +67,7 @@
         self._head_only = False
         self._skipping = False
         self._ends_at_close = False
+        self._forward: Callable[[bytes], bool] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -101,7 +102,20 @@
             if not self._complete:
                 self._failure = f"invalid HTTP: {exc}"
             self.abort()
-        self._progress.set()
+        if self._forward is None or not self._forward_chunks():
+            self._progress.set()
+
+    def _forward_chunks(self) -> bool:
+        """Pass buffered bytes on; return whether the task that reads the response may sleep on."""
+        if self._forward is None or self._complete or self._failure:
+            return False
+        if not self._chunks:
+            return True
+        if not self._forward(self._take_chunks()):
+            # Until its task has waited for the receiver, further bytes are buffered.
+            self._forward = None
+            return False
+        return True
 
     def on_message_begin(self) -> None:
         """Start a head; one after the response's end makes the connection unfit for reuse."""
@@ -190,6 +204,36 @@
                 self._awaiting_response = False
                 return b""
             await self._wait_for_data()
+        return self._take_chunks()
+
+    async def forward_body(
+        self, forward: Callable[[bytes], bool], wait_ready: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Pass the body's bytes on as they arrive, until its end.
+
+        They are passed on from the event loop's read callback: to wake a task for each event of a
+        stream costs as much as reading and writing the event.
+
+        :param forward: takes bytes, and returns whether the receiver takes more at once.
+        :param wait_ready: waits until the receiver takes more.
+        :raises BrokenResponseError: the body ended early.
+        """
+        try:
+            while self._chunks or not self._complete:
+                self._forward = None
+                if self._chunks:
+                    if not forward(self._take_chunks()):
+                        await wait_ready()
+                    continue
+                self._forward = forward
+                await self._wait_for_data()
+                if self._forward is None:
+                    await wait_ready()
+            self._awaiting_response = False
+        finally:
+            self._forward = None
+
+    def _take_chunks(self) -> bytes:
         data = b"".join(self._chunks)
         self._chunks.clear()
         if self._buffered > MAX_BUFFERED_BYTES and self._transport is not None:
--- /dev/null
+++ b/tests/http1/upstream.feature
@@ -0,0 +1,30 @@
+Feature: the body of another server's response is passed on as it arrives
+
+  Background:
+    Given a request was sent on a connection whose response is passed on
+
+  Scenario: events are passed on without waking the task that reads the response
+    When the events "a, b, c" arrive one by one
+    Then the receiver got "abc" before its task ran
+
+  # Guards against a slow caller whose bytes are lost, or overtaken by those that arrive later.
+  Scenario: bytes that arrive while the receiver is not ready follow in order once it is
+    Given the receiver is not ready after 1 more piece
+    When the events "a, b, c" arrive one by one
+    Then the receiver got "a" before its task ran
+    When the receiver is ready and the response ends with "d"
+    Then the receiver got "abcd" in all and the response is complete
+
+  # Guards against a truncated response that looks complete, or loses what came before its end.
+  Scenario: a connection that ends early fails the response after the bytes that came
+    When the events "a, b" arrive one by one
+    And the connection is lost
+    Then the receiver got "ab" in all and the response is broken
+
+  # Guards against a caller that never reads: its server's bytes must not fill the VM's memory.
+  Scenario: reading from the server pauses while the receiver is not ready
+    Given the receiver is not ready after 1 more piece
+    When 3 pieces of 600000 bytes arrive
+    Then reading from the server is paused
+    When the receiver is ready and the response ends with "d"
+    Then reading from the server goes on
--- /dev/null
+++ b/tests/steps/http1/upstream_steps.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+import anyio
+from behave import given, then, when
+
+from hickorybeam.http1 import BrokenResponseError, UpstreamConnection
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class FakeTransport:
+    """Transport that only keeps whether reading is paused."""
+
+    def __init__(self):
+        self.reading = True
+
+    def write(self, data):
+        pass
+
+    def is_closing(self):
+        return False
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+
+class Receiver:
+    """Receiver that takes ``pieces`` before it is not ready any more, ``None`` for all."""
+
+    def __init__(self):
+        self.got = b""
+        self.pieces = None
+        self.ready = anyio.Event()
+
+    def take(self, data):
+        self.got += data
+        if self.pieces is not None:
+            self.pieces -= 1
+        return self.pieces is None or self.pieces > 0
+
+    async def wait_ready(self):
+        await self.ready.wait()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def settle():
+    for _ in range(5):
+        await anyio.sleep(0)
+
+
+@given("a request was sent on a connection whose response is passed on")
+def step_connection(context):
+    context.conn, context.transport = UpstreamConnection(), FakeTransport()
+    context.end = None
+
+    async def forward():
+        try:
+            await context.conn.forward_body(context.receiver.take, context.receiver.wait_ready)
+            context.end = "complete"
+        except BrokenResponseError:
+            context.end = "broken"
+
+    async def start():
+        context.receiver = Receiver()
+        context.conn.connection_made(context.transport)
+        context.conn.send(b"GET / HTTP/1.1\r\n\r\n")
+        context.conn.data_received(HEAD)
+        await context.conn.read_head()
+
+    context.call(start)
+    task = context.portal.start_task_soon(forward)
+    context.stack.callback(task.cancel)
+    context.call(settle)
+
+
+@given("the receiver is not ready after {count:d} more piece")
+def step_not_ready(context, count):
+    context.receiver.pieces = count
+
+
+@when('the events "{events}" arrive one by one')
+def step_arrive(context, events):
+    async def arrive():
+        for event in events.split(", "):
+            context.conn.data_received(chunk(event.encode()))
+        context.got_at_once = context.receiver.got
+        await settle()
+
+    context.call(arrive)
+
+
+@when("{count:d} pieces of {size:d} bytes arrive")
+def step_large(context, count, size):
+    async def arrive():
+        for _ in range(count):
+            context.conn.data_received(chunk(b"x" * size))
+
+    context.call(arrive)
+
+
+@when('the receiver is ready and the response ends with "{data}"')
+def step_ready(context, data):
+    async def end():
+        context.receiver.pieces = None
+        context.receiver.ready.set()
+        await settle()
+        context.conn.data_received(chunk(data.encode()) + LAST_CHUNK)
+        await settle()
+
+    context.call(end)
+
+
+@when("the connection is lost")
+def step_lost(context):
+    async def lose():
+        context.conn.connection_lost(None)
+        await settle()
+
+    context.call(lose)
+
+
+@then('the receiver got "{data}" before its task ran')
+def step_got_at_once(context, data):
+    assert context.got_at_once == data.encode(), context.got_at_once
+
+
+@then('the receiver got "{data}" in all and the response is {end}')
+def step_got(context, data, end):
+    assert (context.receiver.got, context.end) == (data.encode(), end)
+
+
+@then("reading from the server is paused")
+def step_paused(context):
+    assert not context.transport.reading
+
+
+@then("reading from the server goes on")
+def step_resumed(context):
+    assert context.transport.reading
+    assert context.end == "complete"
