Placing is flat in servers and waiting requests; accounts share an overloaded service

A freed slot went to whichever newcomer met it first, and an account at six times its usual, inside its rate, took the room of all others. Change: lists of available servers by region and of other regions' candidates are kept until they change or for 20 ms; a large region's servers are ranked a few times a second and a prompt is held against the first ones; the queue finds places by bisection; a request that is refused at once is not searched for twice. In an overload (policy/overload.py) accounts share the service by virtual times (policy/account_shares.py), newcomers let those that wait go first, and a retry-after is a promise (policy/return_promises.py). NoCapacity.misses_deadline is NoCapacity.final now, LocalPlacement.choose_without_deferral search_without_deferral, retry_after_ms refuse.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -109,6 +109,12 @@
         }
         # Returns this VM's usage of servers in slots that other VMs granted.
         self.granted_usage: Callable[[], GrantedUsage] = dict
+        # Returns accounts' leads at overloaded services that this VM places for its region.
+        self.account_leads: Callable[[], dict[str, dict[str, float]]] = dict
+        # Called with a region and the leads that its placement coordinator told.
+        self.on_leads: Callable[[str, dict[str, dict[str, float]]], None] = lambda region, leads: (
+            None
+        )
         self._relayed: list[StatusReport] = []
         self._rng = random.Random()
         self._local_report_count = 0
@@ -146,6 +152,8 @@
         """Use the new regions, and the new allowance for accounts that are added from now on."""
         self.quota.allowance = cfg.quota_allowance
         self._regions = cfg.regions
+        # Servers may be in other regions now.
+        self._feed.routing_state.servers_revision += 1
 
     def region_of(self, data_centre: str) -> str | None:
         """Return the region of a data centre, ``None`` if it isn't in the settings."""
@@ -389,6 +397,7 @@
             granted=granted,
             limits={} if far else self.server_notices.limits.to_report(to_new_vm=with_levels),
             departing={} if far else self.server_notices.heard_leaving(),
+            leads=self.account_leads(),
         )
 
     def _server_usage(self, granted: GrantedUsage, *, whole: bool) -> dict[str, ServerUsage]:
@@ -436,6 +445,8 @@
             self.server_notices.apply_leaving(report.departing)
         else:
             peer.forecasts = report.forecasts
+        if report.leads:
+            self.on_leads(peer.vm.region, report.leads)
         started_later = report.up_ms < now - self._started_ms
         incarnation = f"{report.name}/{report.incarnation}"
         self.quota.apply_totals(incarnation, report.spent, now, started_later=started_later)
--- a/src/hickorybeam/gateway/in_flight.py
+++ b/src/hickorybeam/gateway/in_flight.py
@@ -12,6 +12,7 @@
     from hickorybeam.gateway.service_queue import ServiceQueue
     from hickorybeam.gateway.slot_grant import SlotGrant
     from hickorybeam.policy.server_choice import ServerState
+    from hickorybeam.policy.shortlist import Shortlist
 
 __all__ = ("InFlightRequest",)
 
@@ -32,6 +33,7 @@
 
     clock: Clock
     queue: ServiceQueue
+    shortlist: Shortlist
     server_state: ServerState
     granted: bool
     held_tokens: int
@@ -74,6 +76,7 @@
             speed.record_decode(self.max_output_tokens, now - self.first_event_ms)
             speed.record_slot(now - self.sent_ms - self.queue_wait_ms)
         self._add(-1, -self.prefill_tokens, -self.held_tokens)
+        self.shortlist.offer(self.server_state)
         self.queue.record_departure()
         if self.grant is not None:
             self.grant.report_end(status)
--- a/src/hickorybeam/gateway/placement_coordinator.py
+++ b/src/hickorybeam/gateway/placement_coordinator.py
@@ -88,7 +88,7 @@
             )
             return
         request, targets = request_from(message, self._clock.now()), self._filter_from(message)
-        found = self._selector.choose(request, targets)
+        found = self._local_placement.search(request, targets)
         if isinstance(found, NoCapacity):
             entry = self._local_placement.enqueue(request, found)
             if entry is not None and self._tasks is not None:
@@ -98,7 +98,7 @@
                 )
                 self._tasks.start_soon(self._wait, key, request, targets, entry)
                 return
-            found = self._local_placement.choose_without_deferral(request, targets, found)
+            found = self._local_placement.search_without_deferral(request, targets, found)
         self._respond(key, request, found)
 
     async def _wait(
@@ -113,8 +113,6 @@
         del self._queued[key]
         if scope.cancelled_caught:
             return
-        if isinstance(found, NoCapacity):
-            found = self._local_placement.choose_without_deferral(request, targets, found)
         self._respond(key, request, found)
 
     def _respond(
@@ -135,7 +133,7 @@
             case PeerTarget(peer):
                 response = PlacementResponse(number, PlacementResult.OTHER_REGION, peer.vm.name)
             case NoCapacity():
-                retry_after_ms = self._local_placement.retry_after_ms(request)
+                retry_after_ms = self._local_placement.refuse(request, found)
                 response = PlacementResponse(number, PlacementResult.FULL, wait_ms=retry_after_ms)
             case None:
                 response = PlacementResponse(number, PlacementResult.NOTHING)
--- a/src/hickorybeam/gateway/reload.py
+++ b/src/hickorybeam/gateway/reload.py
@@ -23,7 +23,7 @@
 # Fields of the section `gateway` that apply without a restart; all others need one.
 RELOADABLE_FIELDS = frozenset(
     {"seeds", "regions", "grace_s", "repeat_ratio", "repeat_allowance", "repeat_window_s"}
-    | {"quota_allowance"}
+    | {"quota_allowance", "fair_share"}
 )
 
 
--- a/src/hickorybeam/gateway/remote_selector.py
+++ b/src/hickorybeam/gateway/remote_selector.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections import Counter, defaultdict
+from collections import defaultdict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.targets import NoCapacity, PeerTarget
@@ -19,6 +20,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.peers import RemoteCandidate
+    from hickorybeam.gateway.region_servers import RegionServers
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.gateway.targets import AdmittedRequest, TargetFilter
     from hickorybeam.policy.shutdown import ShutdownSchedule
@@ -29,6 +31,16 @@
 SPILL_MARGIN_MS = 150.0
 # A request that waits no longer than this in its own region stays there, however idle others are.
 MIN_HOME_WAIT_MS = REGION_ROUND_TRIP_MS + SPILL_MARGIN_MS
+# Forecasts come each 0.4 s at most, so a list of them may be used for this long.
+MAX_LIST_AGE_MS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class _CandidateList:
+    """VMs of other regions that accept requests, by region, the latest forecast first."""
+
+    listed_ms: int
+    by_region: dict[str, list[RemoteCandidate]]
 
 
 class RemoteSelector:
@@ -44,6 +56,7 @@
         clock: Clock,
         routing_state: RoutingState,
         fleet: FleetService,
+        servers: RegionServers,
     ) -> None:
         self.shutdown = shutdown
         self._clock = clock
@@ -51,6 +64,8 @@
         self._fleet = fleet
         self._rng = random.Random()
         self._work = RemoteWork()
+        self._servers = servers
+        self._listed: dict[str, _CandidateList] = {}
 
     def choose(
         self, request: AdmittedRequest, targets: TargetFilter, *, home_ms: float
@@ -69,35 +84,49 @@
         if home_ms <= costs_ms[region] + SPILL_MARGIN_MS:
             return None
         if not self._can_finish(request):
-            return NoCapacity(0.0, misses_deadline=True)
+            return NoCapacity(0.0, final=True)
         self._record_sent(request, region)
         return PeerTarget(self._rng.choice(candidates[region]).peer)
 
     def _candidates(
         self, request: AdmittedRequest, targets: TargetFilter
     ) -> dict[str, list[RemoteCandidate]]:
-        """Return the VMs that a request may go to, by region."""
-        found = self._eligible(request, targets, self._fleet.remote_candidates(request.service))
-        found = found or self._eligible(request, targets, self._leaving_candidates(request))
-        by_region: defaultdict[str, list[RemoteCandidate]] = defaultdict(list)
-        for candidate in found:
-            by_region[candidate.peer.vm.region].append(candidate)
-        return by_region
+        """Return the VMs that a request may go to, by region, the latest forecast first."""
+        found = self._eligible(request, targets, self._list(request.service))
+        if found:
+            return found
+        return self._eligible(request, targets, by_region(self._leaving_candidates(request)))
+
+    def _list(self, service: str) -> dict[str, list[RemoteCandidate]]:
+        """Return the VMs that accept requests for a service, by region."""
+        now = self._clock.now()
+        listed = self._listed.get(service)
+        if listed is None or now - listed.listed_ms >= MAX_LIST_AGE_MS:
+            found = by_region(self._fleet.remote_candidates(service))
+            listed = self._listed[service] = _CandidateList(now, found)
+        return listed.by_region
 
     def _eligible(
         self,
         request: AdmittedRequest,
         targets: TargetFilter,
-        candidates: Iterable[RemoteCandidate],
-    ) -> list[RemoteCandidate]:
-        """Return the candidates that a request may go to."""
-        return [
-            it
-            for it in candidates
-            if self._routing_state.may_run_in(request.route, request.account, it.peer.vm.region)
-            and it.peer.vm.name not in targets.tried
-            and it.peer.vm.region not in targets.refused_regions
-        ]
+        regions: dict[str, list[RemoteCandidate]],
+    ) -> dict[str, list[RemoteCandidate]]:
+        """Return the candidates that a request may go to, by region."""
+        found = {}
+        for region, candidates in regions.items():
+            if region in targets.refused_regions:
+                continue
+            if not self._routing_state.may_run_in(request.route, request.account, region):
+                continue
+            usable = [
+                it
+                for it in candidates
+                if it.peer.forecasts is not None and it.peer.vm.name not in targets.tried
+            ]
+            if usable:
+                found[region] = usable
+        return found
 
     def _leaving_candidates(self, request: AdmittedRequest) -> list[RemoteCandidate]:
         """Return VMs of other regions that are shutting down but will finish a request first.
@@ -117,12 +146,10 @@
         self, request: AdmittedRequest, candidates: dict[str, list[RemoteCandidate]]
     ) -> dict[str, float]:
         """Return the cost of a request in each region, comparable with one in its own."""
-        servers = Counter(
-            self._fleet.region_of(it.server.data_centre)
-            for it in self._routing_state.available_servers(request.service)
-        )
         return {
-            region: self._cost_ms(request, region, found, servers=servers[region])
+            region: self._cost_ms(
+                request, region, found, servers=self._servers.count(request.service, region)
+            )
             for region, found in candidates.items()
         }
 
@@ -138,8 +165,10 @@
 
         All VMs of a region forecast the same servers, so the latest forecast counts: the shortest
         one is often the oldest.
+
+        :param candidates: the region's VMs, the latest forecast first.
         """
-        latest = min(candidates, key=lambda it: (it.age_ms, it.peer.vm.name))
+        latest = candidates[0]
         unseen_ms = self._work.unseen_ms(
             request.service,
             region,
@@ -176,6 +205,14 @@
         self._work.record(request.service, region, work_ms, self._clock.now())
 
 
+def by_region(candidates: Iterable[RemoteCandidate]) -> dict[str, list[RemoteCandidate]]:
+    """Return candidates by region, the latest forecast first."""
+    found: defaultdict[str, list[RemoteCandidate]] = defaultdict(list)
+    for candidate in sorted(candidates, key=lambda it: (it.age_ms, it.peer.vm.name)):
+        found[candidate.peer.vm.region].append(candidate)
+    return found
+
+
 def remote_prefill_ms(request: AdmittedRequest) -> float:
     """Return how long another region's server takes to prefill a prompt that it has no part of."""
     return request.call.prompt_tokens / INITIAL_PREFILL_TOKENS_PER_MS
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -21,6 +21,7 @@
     PlacementUpdate,
 )
 from hickorybeam.gateway.progress import RequestProgress
+from hickorybeam.gateway.region_servers import RegionServers
 from hickorybeam.gateway.remote_selector import RemoteSelector
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.service_queue import ServiceQueues
@@ -39,6 +40,8 @@
 from hickorybeam.policy.shutdown import ShutdownSchedule
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
@@ -81,15 +84,17 @@
         self._started_ms = clock.now()
         self._fleet = fleet
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
-        self._queues = ServiceQueues(clock)
+        self._queues = ServiceQueues(clock, counters, fair=cfg.fair_share)
         self._admission = Admission(
             clock=clock, routing_state=feed.routing_state, quota=fleet.quota
         )
+        servers = RegionServers(routing_state=feed.routing_state, fleet=fleet)
         self._remote_selector = RemoteSelector(
             shutdown=shutdown_times(cfg),
             clock=clock,
             routing_state=feed.routing_state,
             fleet=fleet,
+            servers=servers,
         )
         self._selector = TargetSelector(
             clock=clock,
@@ -97,12 +102,16 @@
             fleet=fleet,
             queues=self._queues,
             remote_selector=self._remote_selector,
+            servers=servers,
         )
         self._final_responses = FinalResponses(
             clock=clock, counters=counters, feed=feed, selector=self._selector, log=log
         )
         self._local_placement = LocalPlacement(
-            clock=clock, queues=self._queues, selector=self._selector
+            clock=clock,
+            queues=self._queues,
+            selector=self._selector,
+            routing_state=feed.routing_state,
         )
         self._placement_client = PlacementClient(
             clock=clock, counters=counters, fleet=fleet, routing_state=feed.routing_state
@@ -127,6 +136,8 @@
         self._fleet.on_message(HeldPlacements, self._placement_coordinator.handle_held)
         self._fleet.on_message(PlacementResponse, self._placement_client.handle_response)
         self._fleet.granted_usage = self._placement_client.granted_usage
+        self._fleet.account_leads = self._account_leads
+        self._fleet.on_leads = self._apply_leads
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._placement_client.run)
             tg.start_soon(self._peer_connections.run)
@@ -284,12 +295,27 @@
         if progress.runs or progress.response.started:
             self._final_responses.give_up(request, progress)
             return
-        retry_after_ms = found.retry_after_ms
-        if retry_after_ms is None:
-            retry_after_ms = self._local_placement.retry_after_ms(request)
+        retry_after_ms = self._local_placement.refuse(request, found)
         exc = GatewayError(ErrorKind.OVERLOADED, retry_after_ms=retry_after_ms)
         self._final_responses.refuse(request.call, progress.response, exc, progress)
 
+    def _account_leads(self) -> dict[str, dict[str, float]]:
+        """Return accounts' leads at the overloaded services that this VM places for its region."""
+        return {
+            service: leads
+            for service, leads in self._queues.told_leads().items()
+            if self._fleet.coordinators.is_coordinator(service)
+        }
+
+    def _apply_leads(self, region: str, leads: Mapping[str, Mapping[str, float]]) -> None:
+        """Apply the leads that the placement coordinator of this region or another one told."""
+        for service, by_account in leads.items():
+            queue = self._queues.for_service(service)
+            if region != self._fleet.own_vm.region:
+                queue.note_leads_elsewhere(region, by_account)
+            elif not self._fleet.coordinators.is_coordinator(service):
+                queue.take_over_leads(by_account)
+
     def _budget(self, service: str) -> FleetRetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
@@ -304,6 +330,7 @@
         """Apply new retry limits and a new shutdown grace period."""
         self._cfg = cfg
         self._remote_selector.shutdown = shutdown_times(cfg)
+        self._queues.set_fair(cfg.fair_share)
         for budget in self._retry_budgets.values():
             budget.reconfigure(retry_limits_of(cfg))
 
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from statistics import fmean
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -38,12 +39,25 @@
         self.config: RoutingConfig | None = None
         self.route_table = RouteTable(())
         self.server_states: dict[str, ServerState] = {}
-        self.evacuated_data_centres: frozenset[str] = frozenset()
+        # Grows with each change of the available servers, so that lists of them can be kept.
+        self.servers_revision = 0
+        self._evacuated_data_centres: frozenset[str] = frozenset()
+        self._mean_rate_per_s = 0.0
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self._cold_until: dict[str, int] = {}
         # Servers whose entries are gone, in the order of their removal.
         self._removed: dict[str, ServerState] = {}
 
+    @property
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """The data centres whose servers get no new requests."""
+        return self._evacuated_data_centres
+
+    @evacuated_data_centres.setter
+    def evacuated_data_centres(self, data_centres: frozenset[str]) -> None:
+        self._evacuated_data_centres = data_centres
+        self.servers_revision += 1
+
     def caller_limits(self) -> CallerLimits:
         """Return the limits on callers' requests that are in force."""
         return self.config.callers if self.config else CallerLimits()
@@ -60,6 +74,8 @@
             return False
         self.config = config
         self.route_table = RouteTable(config.routes)
+        rates = [it.rate_per_s for it in config.accounts.values() if it.rate_per_s > 0]
+        self._mean_rate_per_s = fmean(rates) if rates else 0.0
         return True
 
     def may_run_in(self, route: Route, account: str | None, region: str) -> bool:
@@ -81,7 +97,10 @@
                 state.adopt_notices(removed)
             self.server_states[server.id] = state
             self._by_service.setdefault(server.service, {})[server.id] = state
+            self.servers_revision += 1
             logging.info("server %s of service %s registered", server.id, server.service)
+        elif is_listed_differently(state.server, server):
+            self.servers_revision += 1
         if server.leaving and not state.server.leaving:
             logging.info("server %s of service %s is leaving", server.id, server.service)
         state.server = server
@@ -127,6 +146,16 @@
         """Return what the configuration says of a service."""
         return self.config.services.get(service) if self.config else None
 
+    def account_weight(self, account: str | None) -> float:
+        """Return an account's share of a service that all accounts want, relative to others.
+
+        It is the account's rate over the mean of all that have one; without a rate, the mean.
+        """
+        terms = self.config.accounts.get(account or "") if self.config else None
+        if terms is None or terms.rate_per_s <= 0 or not self._mean_rate_per_s:
+            return 1.0
+        return terms.rate_per_s / self._mean_rate_per_s
+
     def record_limit(self, state: ServerState, per_s: float, heard_ms: int) -> None:
         """Record the rate limit that a server named in a response to this VM or another one.
 
@@ -149,6 +178,7 @@
         """
         if not state.said_leaving:
             state.said_leaving = True
+            self.servers_revision += 1
             logging.info(
                 "server %s of service %s says that it is leaving",
                 state.server.id,
@@ -170,7 +200,7 @@
         server = state.server
         if server.leaving or state.said_leaving:
             return False
-        return server.data_centre not in self.evacuated_data_centres
+        return server.data_centre not in self._evacuated_data_centres
 
     def _remove(self, server_id: str) -> bool:
         """Remove a server's state.
@@ -181,9 +211,15 @@
         if state is None:
             return False
         del self._by_service[state.server.service][server_id]
+        self.servers_revision += 1
         return True
 
 
 def same_incarnation(old: RegisteredServer, new: RegisteredServer) -> bool:
     """Return whether two registrations with one id are of the same start of a server."""
     return old.born_ms == new.born_ms and old.service == new.service
+
+
+def is_listed_differently(old: RegisteredServer, new: RegisteredServer) -> bool:
+    """Return whether a new registration may change whether and where a server is available."""
+    return old.leaving != new.leaving or old.data_centre != new.data_centre
--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -2,37 +2,180 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 
 from hickorybeam.clock import MS_PER_SECOND
+from hickorybeam.gateway.overload_report import OverloadReport
+from hickorybeam.policy.account_shares import AccountShares
+from hickorybeam.policy.overload import OverloadDetector
+from hickorybeam.policy.return_promises import ReturnPromises
 from hickorybeam.policy.wait_queue import WaitQueue
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from hickorybeam.clock import Clock
+    from hickorybeam.policy.return_promises import Promise
     from hickorybeam.policy.wait_queue import QueueEntry
+    from hickorybeam.telemetry import Counters
 
-__all__ = ("ServiceQueue", "ServiceQueues")
+__all__ = ("ServiceQueue", "ServiceQueues", "Ticket")
 
 # Slots also come free by other VMs' status reports, which wake no task, so the first tasks poll.
 POLL_INTERVAL_MS = 25
-# Number of entries at the front that a freed slot wakes: the very first may be unable to use it.
+# Number of entries at the front that may use a freed slot: the very first may be unable to.
 FRONT_ENTRIES = 2
+# Leads that another region has not told again for this long are over.
+MAX_LEADS_AGE_MS = 3_000
+# Accounts whose leads are told to other VMs, the largest first.
+MAX_LEADS = 64
 
 
-class ServiceQueue:
-    """Queue of one service on this VM."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """What a request asks of a service, on the account of its caller.
+
+    ``cost_ms`` is the server time that it takes, ``weight`` that of its account. ``promise`` is
+    kept by the VM that refused it before, if its caller comes back in its time.
+    """
+
+    account: str
+    urgency: int
+    weight: float = 1.0
+    cost_ms: float = 1.0
+    promise: Promise | None = None
+
+
+@dataclass(slots=True)
+class _RegionLeads:
+    """The leads of accounts in another region, as told at ``told_ms``."""
+
+    leads: Mapping[str, float]
+    told_ms: int
 
-    def __init__(self, clock: Clock) -> None:
-        self.wait_queue = WaitQueue()
-        self._clock = clock
-        self._wake_events: dict[int, anyio.Event] = {}
+
+@dataclass(slots=True)
+class ServiceQueue:
+    """Queue of one service on this VM, and how its accounts share it while it is overloaded.
+
+    :param fair: whether accounts share the service in an overload.
+    """
+
+    clock: Clock
+    service: str
+    report: OverloadReport
+    fair: bool = True
+    wait_queue: WaitQueue = field(default_factory=WaitQueue)
+    shares: AccountShares = field(default_factory=AccountShares)
+    promises: ReturnPromises = field(default_factory=ReturnPromises)
+    _detector: OverloadDetector = field(default_factory=OverloadDetector)
+    _wake_events: dict[int, anyio.Event] = field(default_factory=dict)
+    _elsewhere: dict[str, _RegionLeads] = field(default_factory=dict)
+    _is_overloaded: bool = False
+
+    @property
+    def overloaded(self) -> bool:
+        """Whether the service is overloaded, so that its accounts share it."""
+        if self._is_overloaded:
+            self._update_overload()
+        return self._is_overloaded
+
+    def _update_overload(self) -> None:
+        now = self.clock.now()
+        lasts_ms = self._detector.overloaded_ms(now) if self.fair else None
+        if lasts_ms is None and self._is_overloaded:
+            self.report.end(self.service, now, waiting=len(self.wait_queue))
+            self.shares.settle()
+            self.promises.clear()
+        elif lasts_ms is not None and not self._is_overloaded:
+            self.report.begin(self.service, now, waiting=len(self.wait_queue))
+        self._is_overloaded = lasts_ms is not None
+
+    def turn_of(self, ticket: Ticket) -> float:
+        """Return when a request is due; the same for all without an overload."""
+        if not self.overloaded:
+            return self.shares.now
+        if ticket.promise is not None:
+            return ticket.promise.turn
+        oldest_ms = self.clock.now() - MAX_LEADS_AGE_MS
+        elsewhere = (
+            it.leads.get(ticket.account, 0.0)
+            for it in self._elsewhere.values()
+            if it.told_ms > oldest_ms
+        )
+        return self.shares.turn(ticket.account, max(elsewhere, default=0.0))
+
+    def must_wait(self, ticket: Ticket) -> bool:
+        """Return whether a new request has to let waiting ones go first."""
+        return self.overloaded and self.wait_queue.must_wait(ticket.urgency, self.turn_of(ticket))
+
+    def enter(self, ticket: Ticket, max_wait_ms: int, *, deferred: bool) -> QueueEntry | None:
+        """Add a request, or return ``None`` if its turn can't come in time.
+
+        In an overload, entries whose turns can't come in time because of it are evicted.
+        """
+        entry = self.wait_queue.enter(
+            ticket.urgency,
+            max_wait_ms,
+            self.clock.now(),
+            turn=self.turn_of(ticket),
+            deferred=deferred,
+            keeps_place=ticket.promise is not None,
+        )
+        if entry is not None and self.overloaded:
+            self.shares.charge(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
+            for evicted in self.wait_queue.evict_hopeless(self.clock.now()):
+                self._wake(evicted)
+        return entry
+
+    def record_start(self, ticket: Ticket, entry: QueueEntry | None = None) -> None:
+        """Record a request that got a slot, from the queue or without a wait."""
+        now = self.clock.now()
+        if entry is not None:
+            self._detector.record(ticket.urgency, entry.waited_share(now), now)
+        elif not self.wait_queue.must_wait(ticket.urgency, self.shares.now):
+            # One that found a slot before those that wait doesn't show that there is no delay.
+            self._detector.record(ticket.urgency, 0.0, now)
+        self._update_overload()
+        self.wait_queue.record_start(ticket.urgency)
+        self.report.count_start(self.service, ticket.account, ticket.cost_ms)
+        if not self._is_overloaded:
+            return
+        turn = entry.turn if entry else self.turn_of(ticket)
+        if entry is None:
+            self.shares.charge(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
+        self.shares.advance(turn)
+
+    def record_no_slot(self, ticket: Ticket) -> None:
+        """Record that an entry left the queue without a slot."""
+        if self.overloaded:
+            self.shares.refund(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
+
+    def record_refusal(self, ticket: Ticket) -> None:
+        """Record a request that was refused for want of a slot."""
+        self._detector.record(ticket.urgency, 1.0, self.clock.now())
+        self._update_overload()
+        self.report.count_refusal(self.service, ticket.account)
+
+    def told_leads(self) -> dict[str, float]:
+        """Return the leads that other VMs need, none without an overload."""
+        return self.shares.leads(MAX_LEADS) if self.overloaded else {}
+
+    def take_over_leads(self, leads: Mapping[str, float]) -> None:
+        """Take over the leads at the VM that places for this region, in case that it ends."""
+        self.shares.replace(leads)
+
+    def note_leads_elsewhere(self, region: str, leads: Mapping[str, float]) -> None:
+        """Note the leads of accounts in another region."""
+        self._elsewhere[region] = _RegionLeads(leads, self.clock.now())
 
     def record_departure(self) -> None:
-        """Record that a request left a server, and wake the front entries."""
-        self.wait_queue.record_departure(self._clock.now())
-        self._wake_front()
+        """Record that a request left a server, and wake the first entry."""
+        self.wait_queue.record_departure(self.clock.now())
+        self._wake_front(0)
 
     async def wait_for_turn(self, entry: QueueEntry) -> bool:
         """Wait until a search for a slot may succeed, or until the entry expires.
@@ -40,42 +183,69 @@
         Only the front entries poll: on a placement coordinator hundreds of tasks wait, and if all
         of them polled, they would use up the CPU that the first ones need.
 
-        :return: whether the entry has not expired yet.
+        :return: whether the entry still waits.
         """
         event = self._wake_events[entry.number] = anyio.Event()
-        left_ms = entry.expires_ms - self._clock.now()
+        left_ms = entry.expires_ms - self.clock.now()
         wait_ms = min(POLL_INTERVAL_MS, left_ms) if self.is_near_front(entry) else left_ms
         with anyio.move_on_after(max(0, wait_ms) / MS_PER_SECOND):
             await event.wait()
-        return self._clock.now() < entry.expires_ms
+        return not entry.evicted and self.clock.now() < entry.expires_ms
 
     def is_near_front(self, entry: QueueEntry) -> bool:
         """Return whether an entry is among those that may search for a slot."""
-        return entry in self.wait_queue.first(FRONT_ENTRIES)
+        return any(it is entry for it in self.wait_queue.first(FRONT_ENTRIES))
+
+    def pass_on(self, entry: QueueEntry) -> None:
+        """Let the next front entry search, since this one found no slot that it can use."""
+        front = self.wait_queue.first(FRONT_ENTRIES)
+        if front and front[0] is entry:
+            self._wake_front(1)
 
     def leave(self, entry: QueueEntry) -> None:
-        """Remove an entry, and wake the front entries."""
+        """Remove an entry, and wake the first one."""
         self.wait_queue.leave(entry)
         self._wake_events.pop(entry.number, None)
-        self._wake_front()
+        self._wake_front(0)
 
-    def _wake_front(self) -> None:
-        for entry in self.wait_queue.first(FRONT_ENTRIES):
-            event = self._wake_events.get(entry.number)
-            if event is not None:
-                event.set()
+    def _wake_front(self, index: int) -> None:
+        front = self.wait_queue.first(FRONT_ENTRIES)
+        if index < len(front):
+            self._wake(front[index])
+
+    def _wake(self, entry: QueueEntry) -> None:
+        event = self._wake_events.get(entry.number)
+        if event is not None:
+            event.set()
 
 
 class ServiceQueues:
-    """Queues of all services on this VM."""
+    """Queues of all services on this VM.
+
+    :param fair: whether accounts share a service in an overload.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, counters: Counters, *, fair: bool = True) -> None:
         self._clock = clock
+        self._report = OverloadReport(clock, counters)
+        self._fair = fair
         self._queues: dict[str, ServiceQueue] = {}
 
     def for_service(self, service: str) -> ServiceQueue:
         """Return the queue of a service."""
         queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[service] = ServiceQueue(self._clock)
+            queue = ServiceQueue(self._clock, service, self._report, self._fair)
+            self._queues[service] = queue
         return queue
+
+    def set_fair(self, fair: bool) -> None:
+        """Have accounts share services in an overload, or not."""
+        self._fair = fair
+        for queue in self._queues.values():
+            queue.fair = fair
+
+    def told_leads(self) -> dict[str, dict[str, float]]:
+        """Return the leads that other VMs need, by service that is overloaded."""
+        found = {name: queue.told_leads() for name, queue in self._queues.items()}
+        return {name: leads for name, leads in found.items() if leads}
--- a/src/hickorybeam/gateway/status_report.py
+++ b/src/hickorybeam/gateway/status_report.py
@@ -60,9 +60,10 @@
     time would grow by each message's delay. ``granted``: usage in slots that other VMs granted,
     not included in ``servers``. ``limits``: by server, the rate limit that its last response to the
     reporting VM named. ``departing``: by server, the start of those that told it that they are
-    leaving. ``fresh``: the VM has just started and needs quota levels, which
-    an older VM sends it in ``levels``. ``holds``: servers to which shared prompt parts were sent,
-    by part id.
+    leaving. ``leads``: by overloaded service that the VM places for its region, how much more
+    server time than their shares accounts have used, in ms. ``fresh``: the VM has just started and
+    needs quota levels, which an older VM sends it in ``levels``. ``holds``: servers to which shared
+    prompt parts were sent, by part id.
     """
 
     name: str
@@ -84,6 +85,7 @@
     granted: GrantedUsage = {}
     limits: dict[str, ReportedLimit] = {}
     departing: dict[str, int] = {}
+    leads: dict[str, dict[str, float]] = {}
 
 
 def add_usage(one: ServerUsage, other: ServerUsage) -> ServerUsage:
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -9,6 +9,7 @@
 
 from hickorybeam.gateway.in_flight import InFlightRequest
 from hickorybeam.gateway.targets import NoCapacity, ServerTarget
+from hickorybeam.policy.account_shares import server_time_ms
 from hickorybeam.policy.deadline_check import can_finish
 from hickorybeam.policy.deferral import should_defer
 from hickorybeam.policy.server_choice import (
@@ -18,19 +19,21 @@
     placement_cost_ms,
     uncached_prompt_tokens,
 )
+from hickorybeam.policy.shortlist import Shortlist
 from hickorybeam.policy.stale_load import WorkRate
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable, Sequence
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.region_servers import RegionServers
     from hickorybeam.gateway.remote_selector import RemoteSelector
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.gateway.service_queue import ServiceQueues
     from hickorybeam.gateway.slot_grant import SlotGrant
     from hickorybeam.gateway.status_report import WaitForecast
-    from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
+    from hickorybeam.gateway.targets import AdmittedRequest, PeerTarget, Target, TargetFilter
     from hickorybeam.model.routing import RelayCall
 
 __all__ = ("TargetSelector", "held_tokens_of")
@@ -38,6 +41,8 @@
 # Added to the forecast wait of a region without a free slot: other regions then send it only what
 # would wait much longer at home.
 NO_CAPACITY_PENALTY_MS = 500.0
+# The last part of a prompt is its own; those before it are shared.
+MIN_PARTS_WITH_SHARED = 2
 # Cache size of one server if its service doesn't declare it.
 DEFAULT_CACHE_TOKENS = 200_000
 
@@ -53,6 +58,7 @@
         fleet: FleetService,
         queues: ServiceQueues,
         remote_selector: RemoteSelector,
+        servers: RegionServers,
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
@@ -61,6 +67,8 @@
         self._rng = random.Random()
         self._work_rates: defaultdict[str, WorkRate] = defaultdict(WorkRate)
         self._remote_selector = remote_selector
+        self._servers = servers
+        self._shortlists: defaultdict[str, Shortlist] = defaultdict(Shortlist)
         self._no_target_since_ms: dict[str, int] = {}
 
     def choose(self, request: AdmittedRequest, targets: TargetFilter) -> Target | NoCapacity | None:
@@ -73,6 +81,21 @@
             self._no_target_since_ms.setdefault(request.service, now)
         return found
 
+    def choose_elsewhere(
+        self, request: AdmittedRequest, targets: TargetFilter, *, wait_ms: float
+    ) -> PeerTarget | NoCapacity:
+        """Choose a VM of another region for a request that would have to wait here.
+
+        The servers here are not looked at: those that wait go first.
+
+        :param wait_ms: its expected wait in this region.
+        """
+        here = NoCapacity(wait_ms)
+        if targets.own_region_only:
+            return here
+        home_ms = wait_ms if self._may_run_here(request) else math.inf
+        return self._remote_selector.choose(request, targets, home_ms=home_ms) or here
+
     def outage_ms(self, service: str, now_ms: int) -> int:
         """Return for how long there has been no target for a service's requests."""
         return now_ms - self._no_target_since_ms.get(service, now_ms)
@@ -91,7 +114,7 @@
         if server is None or isinstance(server, NoCapacity):
             return server
         if not self._can_finish_at(server, request, now):
-            return NoCapacity(0.0, misses_deadline=True)
+            return NoCapacity(0.0, final=True)
         self._fleet.server_rates.record_send(server, now)
         return ServerTarget(server)
 
@@ -129,19 +152,22 @@
     def _choose_server(
         self, request: AdmittedRequest, targets: TargetFilter, now_ms: int
     ) -> ServerState | NoCapacity | None:
-        usable = self._usable_servers(request.service, now_ms, resting=targets.resting)
-        untried = [it for it in usable if it.server.id not in targets.tried]
-        if not untried and targets.retry_tried:
-            untried = usable
+        listed = self._listed_servers(request)
+        untried = self._untried(listed, targets, now_ms)
         call = request.call
         held_tokens = held_tokens_of(call)
         with_room = [it for it in untried if it.has_room(held_tokens, now_ms)]
+        servers = self._servers.own(request.service)
+        if not with_room and not self._shortlists[request.service].is_exhaustive(servers):
+            untried = self._untried(servers, targets, now_ms)
+            with_room = [it for it in untried if it.has_room(held_tokens, now_ms)]
         if untried and not with_room:
             return NoCapacity(
                 self._queues.for_service(request.service).wait_queue.expected_wait_ms(
                     request.urgency, now_ms
                 )
             )
+        data_centre = targets.origin_data_centre or self._fleet.own_vm.data_centre
         found = choose_server(
             with_room,
             parts=call.parts,
@@ -149,12 +175,45 @@
             now_ms=now_ms,
             rng=self._rng,
             unreported_ms=self._unreported_ms(request.service, now_ms),
-            data_centre=targets.origin_data_centre or self._fleet.own_vm.data_centre,
+            data_centre=data_centre,
+            ranking=self._ranking(request, data_centre),
         )
         if found is None or targets.own_region_only or not targets.may_defer:
             return found
         return self._defer_if_late(found, request, now_ms)
 
+    def _listed_servers(self, request: AdmittedRequest) -> Sequence[ServerState]:
+        """Return the servers that a request is held against.
+
+        These are the least loaded ones, and those that probably hold its prompt's shared parts.
+        """
+        service = request.service
+        servers = self._servers.own(service)
+        listed = self._shortlists[service].candidates(servers, self._clock.now())
+        parts = request.call.parts
+        if listed is servers or len(parts) < MIN_PARTS_WITH_SHARED:
+            return listed
+        holder = self._fleet.prefix_holders.find_holder(parts, self._clock.now())
+        names = {holder, *self._ranking(request, self._fleet.own_vm.data_centre)[:1]}
+        held = [self._routing_state.server_states.get(name or "") for name in names]
+        more = [it for it in held if it is not None and it in servers and it not in listed]
+        return [*listed, *more] if more else listed
+
+    def _untried(
+        self, servers: Sequence[ServerState], targets: TargetFilter, now_ms: int
+    ) -> list[ServerState]:
+        """Return the servers that a request may be sent to now."""
+        usable = self._usable_servers(servers, now_ms, resting=targets.resting)
+        untried = [it for it in usable if it.server.id not in targets.tried]
+        return usable if not untried and targets.retry_tried else untried
+
+    def _ranking(self, request: AdmittedRequest, data_centre: str) -> Sequence[str]:
+        """Return the servers that a prompt's last shared part prefers, best first."""
+        parts = request.call.parts
+        if len(parts) < MIN_PARTS_WITH_SHARED:
+            return ()
+        return self._servers.ranking(request.service, parts[-2].id, data_centre)
+
     def _defer_if_late(
         self, server_state: ServerState, request: AdmittedRequest, now_ms: int
     ) -> ServerState | NoCapacity:
@@ -195,6 +254,7 @@
         in_flight = InFlightRequest(
             clock=self._clock,
             queue=self._queues.for_service(request.service),
+            shortlist=self._shortlists[request.service],
             server_state=server_state,
             granted=granted,
             held_tokens=held_tokens_of(call),
@@ -238,16 +298,18 @@
         return self._work_rates[service].rate(now_ms) * self._fleet.report_lag_ms
 
     def _usable_servers(
-        self, service: str, now_ms: int, *, resting: Collection[str] | None = None
+        self,
+        servers: Iterable[ServerState],
+        now_ms: int,
+        *,
+        resting: Collection[str] | None = None,
     ) -> list[ServerState]:
-        """Return this region's servers that may get a request now.
+        """Return the servers of this region that may get a request now.
 
         :param resting: servers that asked the VM which sends for rest; ``None`` if this VM sends.
         """
         found = []
-        for server_state in self._routing_state.available_servers(service):
-            if not self._fleet.in_own_region(server_state.server.data_centre):
-                continue
+        for server_state in servers:
             if server_state.backoff_until_ms > now_ms:
                 continue
             # Written out, since a coordinator looks at every server hundreds of times a second.
@@ -288,14 +350,24 @@
     def rest_left_ms(self, service: str, now_ms: int) -> int:
         """Return when the first server of this region wants requests again; 0 if one does now."""
         return min(
-            (
-                max(0, it.rest_until_ms - now_ms)
-                for it in self._routing_state.available_servers(service)
-                if self._fleet.in_own_region(it.server.data_centre)
-            ),
+            (max(0, it.rest_until_ms - now_ms) for it in self._servers.own(service)),
             default=0,
         )
 
+    def server_time_ms(self, request: AdmittedRequest) -> float:
+        """Return the server time that a request takes, in ms; 1 where no server is known."""
+        servers = self._servers.own(request.service)
+        if not servers:
+            return 1.0
+        call, server_state = request.call, servers[0]
+        own_tokens = call.parts[-1].tokens if call.parts else call.prompt_tokens
+        return server_time_ms(
+            server_state.speed,
+            slots=server_state.server.slots,
+            prompt_tokens=own_tokens,
+            output_tokens=call.output_tokens,
+        )
+
     def forecasts(self) -> dict[str, WaitForecast]:
         """Return the wait forecasts for other regions, by service that has usable servers.
 
@@ -305,7 +377,7 @@
         now = self._clock.now()
         found: dict[str, WaitForecast] = {}
         for service in config.services if config else ():
-            usable = self._usable_servers(service, now)
+            usable = self._usable_servers(self._servers.own(service), now)
             with_room = [it for it in usable if it.has_room(0, now) and not it.names_limit]
             if with_room:
                 found[service] = min(
--- a/src/hickorybeam/gateway/targets.py
+++ b/src/hickorybeam/gateway/targets.py
@@ -70,14 +70,14 @@
     """No server that may take the request has a free slot now.
 
     ``wait_ms`` is the expected time until one has. ``deferred``: there are free slots, but the
-    request would miss its objective there and lets others go first. ``misses_deadline``: it can't
-    finish before its deadline, so waiting doesn't help. ``retry_after_ms`` is the retry-after for
-    its caller, if another VM gave one.
+    request would miss its objective there and lets others go first. ``final``: neither a wait nor
+    another search helps; it can't finish before its deadline, came back too early, or gave up its
+    place in the queue. ``retry_after_ms`` is the retry-after for its caller, if it is known.
     """
 
     wait_ms: float
     deferred: bool = False
-    misses_deadline: bool = False
+    final: bool = False
     retry_after_ms: int | None = None
 
 
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -16,6 +16,7 @@
 import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from hickorybeam.policy.rendezvous import rendezvous_first
@@ -275,20 +276,26 @@
     rng: random.Random,
     unreported_ms: float = 0.0,
     data_centre: str = "",
+    ranking: Sequence[str] | None = None,
 ) -> ServerState | None:
     """Return the server with the least cost, favouring the one that the prompt's prefix prefers.
 
     :param unreported_ms: prefill work that other VMs have sent since their last status reports,
         in ms of one server; with none, the server with the least cost is taken.
     :param data_centre: data centre of the VM that sends; its servers are preferred.
+    :param ranking: ids of servers by the preference of the prompt's last shared part, if they are
+        ranked already.
     """
     if not states:
         return None
+    ordered = sorted(states, key=attrgetter("server.id"))
     preferred = None
-    if len(parts) > 1:
+    if ranking:
+        names = {it.server.id for it in states}
+        preferred = next((name for name in ranking if name in names), None)
+    if preferred is None and len(parts) > 1:
         local = [it for it in states if it.server.data_centre == data_centre] or states
         preferred = rendezvous_first(parts[-2].id, [it.server.id for it in local])
-    ordered = sorted(states, key=lambda it: it.server.id)
     costs = []
     for state in ordered:
         uncached = uncached_prompt_tokens(state, parts, prompt_tokens)
--- a/src/hickorybeam/policy/wait_queue.py
+++ b/src/hickorybeam/policy/wait_queue.py
@@ -4,6 +4,10 @@
 servers' own queues until their callers have left, and every one of them would be late. Here they
 wait in order of urgency, only for as long as they can still meet their latency objective. One that
 can't is refused on arrival, with the time after which there will be room.
+
+While the service is overloaded, requests of one urgency wait in the turns of their accounts
+(``policy/account_shares.py``) rather than in the order of arrival. One whose turn is pushed back so
+far by others that it can't come in time gives up its place at once.
 """
 
 from __future__ import annotations
@@ -12,6 +16,7 @@
 import itertools
 from collections import deque
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 __all__ = ("QueueEntry", "WaitQueue", "max_deferral_ms", "max_queue_wait_ms")
 
@@ -30,6 +35,11 @@
 # Share of the slots coming free that is promised to callers with a retry-after; the rest goes to
 # those who come first meanwhile.
 PROMISED_SHARE = 0.5
+# After so many more urgent requests one of the next urgency gets a slot, so that it isn't starved.
+MAX_PASSED = 7
+# Entries at the front that may all be deferred; a search behind more of them costs more than it
+# saves.
+MAX_LOOKED_AT = 16
 # Assumed at least, so that the first request to wait isn't refused.
 MIN_DEPARTURES_PER_S = 4.0
 
@@ -66,11 +76,25 @@
 
 @dataclass(order=True, slots=True)
 class QueueEntry:
-    """A waiting request; entries are ordered by urgency (0 first), then by arrival."""
+    """A waiting request; entries are ordered by urgency (0 first), then by turn and arrival.
+
+    ``turn`` is the same for all unless the service is overloaded. ``deferred``: it waits though
+    there are free slots, so others may pass it. ``keeps_place``: it was promised its place.
+    ``evicted``: its turn can't come in time any more.
+    """
 
     urgency: int
+    turn: float
     number: int
+    entered_ms: int = field(compare=False)
     expires_ms: int = field(compare=False)
+    deferred: bool = field(default=False, compare=False)
+    keeps_place: bool = field(default=False, compare=False)
+    evicted: bool = field(default=False, compare=False)
+
+    def waited_share(self, now_ms: int) -> float:
+        """Return how long it has waited, as a share of the longest wait that it bears."""
+        return (now_ms - self.entered_ms) / max(1, self.expires_ms - self.entered_ms)
 
 
 class WaitQueue:
@@ -81,6 +105,8 @@
         self._numbers = itertools.count()
         self._departures: deque[int] = deque()
         self._promised_until_ms = 0.0
+        # Requests in a row that got a slot while a less urgent one waited.
+        self._passed = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -92,9 +118,14 @@
 
     def expected_wait_ms(self, urgency: int, now_ms: int) -> float:
         """Return the expected wait of a new request of this urgency."""
-        rate = self._departures_per_s(now_ms)
-        ahead = sum(entry.urgency <= urgency for entry in self._entries)
-        return (ahead + 1) / rate * MS_PER_SECOND
+        return self._wait_ms(self._count_until(urgency), now_ms)
+
+    def _wait_ms(self, ahead: int, now_ms: int) -> float:
+        return (ahead + 1) / self._departures_per_s(now_ms) * MS_PER_SECOND
+
+    def _count_until(self, urgency: int) -> int:
+        """Return how many entries are at least as urgent."""
+        return bisect.bisect_right(self._entries, urgency, key=attrgetter("urgency"))
 
     def retry_after_ms(self, urgency: int, max_ms: int, now_ms: int) -> int:
         """Return when a refused caller should retry, each one later than the one before.
@@ -111,21 +142,79 @@
         self._promised_until_ms = max(self._promised_until_ms, due)
         return int(due - now_ms)
 
-    def enter(self, urgency: int, max_wait_ms: int, now_ms: int) -> QueueEntry | None:
-        """Add a request, or return ``None`` if its expected wait exceeds ``max_wait_ms``."""
-        if self.expected_wait_ms(urgency, now_ms) > max_wait_ms:
+    def enter(
+        self,
+        urgency: int,
+        max_wait_ms: int,
+        now_ms: int,
+        *,
+        turn: float = 0.0,
+        deferred: bool = False,
+        keeps_place: bool = False,
+    ) -> QueueEntry | None:
+        """Add a request, or return ``None`` if its expected wait exceeds ``max_wait_ms``.
+
+        :param turn: orders requests of one urgency.
+        :param keeps_place: it enters whatever its expected wait.
+        """
+        entry = QueueEntry(
+            urgency=urgency,
+            turn=turn,
+            number=next(self._numbers),
+            entered_ms=now_ms,
+            expires_ms=now_ms + max_wait_ms,
+            deferred=deferred,
+            keeps_place=keeps_place,
+        )
+        index = bisect.bisect_left(self._entries, entry)
+        if not keeps_place and self._wait_ms(index, now_ms) > max_wait_ms:
             return None
-        entry = QueueEntry(urgency, next(self._numbers), now_ms + max_wait_ms)
-        bisect.insort(self._entries, entry)
+        self._entries.insert(index, entry)
         return entry
 
+    def evict_hopeless(self, now_ms: int) -> list[QueueEntry]:
+        """Remove the last entries as far as their turns can't come in time, and return them.
+
+        They are refused now rather than when their time is over.
+        """
+        evicted: list[QueueEntry] = []
+        while self._entries:
+            last = self._entries[-1]
+            wait_ms = self._wait_ms(len(self._entries) - 1, now_ms)
+            if last.keeps_place or last.deferred or now_ms + wait_ms <= last.expires_ms:
+                break
+            last.evicted = True
+            evicted.append(self._entries.pop())
+        return evicted
+
     def leave(self, entry: QueueEntry) -> None:
         """Remove a request that goes on or is refused."""
-        if entry in self._entries:
-            self._entries.remove(entry)
+        index = bisect.bisect_left(self._entries, entry)
+        if index < len(self._entries) and self._entries[index] is entry:
+            del self._entries[index]
+
+    def must_wait(self, urgency: int, turn: float) -> bool:
+        """Return whether a new request has to let waiting ones go first."""
+        for entry in self._entries[:MAX_LOOKED_AT]:
+            if not entry.deferred:
+                return (entry.urgency, entry.turn) <= (urgency, turn) or self._owes_turn()
+        return False
+
+    def record_start(self, urgency: int) -> None:
+        """Count a request that got a slot, for the turns of the less urgent that wait."""
+        is_last_level = self._count_until(urgency) == len(self._entries)
+        self._passed = 0 if is_last_level else self._passed + 1
+
+    def _owes_turn(self) -> bool:
+        """Return whether the most urgent have passed the less urgent for long enough."""
+        return self._passed >= MAX_PASSED
 
     def first(self, count: int) -> list[QueueEntry]:
         """Return the next entries."""
+        if self._owes_turn():
+            index = self._count_until(self._entries[0].urgency) if self._entries else 0
+            if index < len(self._entries):
+                return [self._entries[index], *self._entries[: count - 1]]
         return self._entries[:count]
 
     def _departures_per_s(self, now_ms: int) -> float:
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -186,7 +186,8 @@
     centres to regions. ``grace_s`` is the time limit of a shutdown, in seconds. Over all VMs and in
     each ``repeat_window_s``, retries are limited to ``repeat_ratio`` of the requests plus
     ``repeat_allowance``. ``quota_allowance`` is what an account may spend over all VMs beyond its
-    rate and burst in any window.
+    rate and burst in any window. ``fair_share``: while a service is overloaded, accounts share it
+    by their rates.
     """
 
     callers: str = "127.0.0.1:0"
@@ -200,6 +201,7 @@
     repeat_allowance: float = 20.0
     repeat_window_s: float = 10.0
     quota_allowance: float = 0.0
+    fair_share: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/steps/gateway/service_queue_steps.py
+++ b/tests/steps/gateway/service_queue_steps.py
@@ -5,12 +5,19 @@
 from behave import given, then, when
 
 from hickorybeam.clock import SystemClock
+from hickorybeam.gateway.overload_report import OverloadReport
 from hickorybeam.gateway.service_queue import ServiceQueue
+from hickorybeam.telemetry import Counters
+
+
+async def counted_wait(context, entry):
+    context.waits += 1
+    return await context.queue.wait_for_turn(entry)
 
 
 async def wait(context, entry):
     context.ended[entry.number] = False
-    while not context.left.get(entry.number) and await context.queue.wait_for_turn(entry):
+    while not context.left.get(entry.number) and await counted_wait(context, entry):
         if context.queue.is_near_front(entry):
             context.polls.append(entry.number)
     context.waits += 1
@@ -21,15 +28,10 @@
 @given("a queue in which {count:d} requests wait for {ms:d} ms")
 def step_queue(context, count, ms):
     clock = SystemClock()
-    context.queue, context.polls, context.waits = ServiceQueue(clock), [], 0
+    report = OverloadReport(clock, Counters())
+    context.queue = ServiceQueue(clock, "model", report)
+    context.polls, context.waits = [], 0
     context.ended, context.left = {}, {}
-    wait_for_turn = context.queue.wait_for_turn
-
-    async def counted(entry):
-        context.waits += 1
-        return await wait_for_turn(entry)
-
-    context.queue.wait_for_turn = counted
 
     async def start():
         # Enough departures that no request is refused an entry in the queue.
--- a/tests/steps/http1/upstream_steps.py
+++ b/tests/steps/http1/upstream_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import anyio
+import anyio.lowlevel
 from behave import given, then, when
 
 from hickorybeam.http1 import BrokenResponseError, UpstreamConnection
@@ -55,7 +56,7 @@
 
 async def settle():
     for _ in range(5):
-        await anyio.sleep(0)
+        await anyio.lowlevel.checkpoint()
 
 
 @given("a request was sent on a connection whose response is passed on")
