--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from hickorybeam.policy.account_shares import AccountShares
 from hickorybeam.policy.overload import OverloadDetector
 from hickorybeam.policy.return_promises import ReturnPromises
+from hickorybeam.policy.stale_load import WorkRate
 from hickorybeam.policy.wait_queue import WaitQueue
 
 if TYPE_CHECKING:
@@ -30,6 +32,9 @@
 FRONT_ENTRIES = 2
 # Leads that another region has not told again for this long are over.
 MAX_LEADS_AGE_MS = 3_000
+# Share of its longest wait that a request may expect behind its account's own: the rate of slots
+# that is left to the account varies.
+OUTRUN_SHARE = 0.8
 # Accounts whose leads are told to other VMs, the largest first.
 MAX_LEADS = 64
 
@@ -57,6 +62,19 @@
     told_ms: int
 
 
+@dataclass(slots=True)
+class _AccountFlow:
+    """How many requests of an account wait, and the rate at which they got slots in an overload."""
+
+    waiting: int = 0
+    starts: WorkRate = field(default_factory=WorkRate)
+
+    def wait_ms(self, now_ms: int) -> float:
+        """Return the wait of its next request behind its own ones, at their present rate."""
+        per_ms = self.starts.rate(now_ms)
+        return (self.waiting + 1) / per_ms if per_ms else 0.0
+
+
 @dataclass(slots=True)
 class ServiceQueue:
     """Queue of one service on this VM, and how its accounts share it while it is overloaded.
@@ -74,6 +92,9 @@
     _detector: OverloadDetector = field(default_factory=OverloadDetector)
     _wake_events: dict[int, anyio.Event] = field(default_factory=dict)
     _elsewhere: dict[str, _RegionLeads] = field(default_factory=dict)
+    _flows: defaultdict[str, _AccountFlow] = field(
+        default_factory=lambda: defaultdict(_AccountFlow)
+    )
     _is_overloaded: bool = False
 
     @property
@@ -90,9 +111,11 @@
             self.report.end(self.service, now, waiting=len(self.wait_queue))
             self.shares.settle()
             self.promises.clear()
+            for account in [name for name, flow in self._flows.items() if not flow.waiting]:
+                del self._flows[account]
         elif lasts_ms is not None and not self._is_overloaded:
             self.report.begin(self.service, now, waiting=len(self.wait_queue))
-        self._is_overloaded = lasts_ms is not None
+        self._is_overloaded = self.wait_queue.sharing = lasts_ms is not None
 
     def turn_of(self, ticket: Ticket) -> float:
         """Return when a request is due; the same for all without an overload."""
@@ -117,20 +140,37 @@
 
         In an overload, entries whose turns can't come in time because of it are evicted.
         """
+        turn = self.turn_of(ticket)
+        if self._is_outrun(ticket, turn, max_wait_ms):
+            return None
         entry = self.wait_queue.enter(
             ticket.urgency,
             max_wait_ms,
             self.clock.now(),
-            turn=self.turn_of(ticket),
+            turn=turn,
             deferred=deferred,
             keeps_place=ticket.promise is not None,
         )
-        if entry is not None and self.overloaded:
+        if entry is None:
+            return None
+        self._flows[ticket.account].waiting += 1
+        if self._is_overloaded:
             self.shares.charge(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
             for evicted in self.wait_queue.evict_hopeless(self.clock.now()):
                 self._wake(evicted)
         return entry
 
+    def _is_outrun(self, ticket: Ticket, turn: float, max_wait_ms: int) -> bool:
+        """Return whether a request would wait in vain, as others will come before it.
+
+        Those are requests of accounts that have used less: as long as they come, the account's own
+        requests get slots at the rate that is left to it.
+        """
+        if not self._is_overloaded or ticket.promise is not None or turn <= self.shares.now:
+            return False
+        wait_ms = self._flows[ticket.account].wait_ms(self.clock.now())
+        return wait_ms > max_wait_ms * OUTRUN_SHARE
+
     def record_start(self, ticket: Ticket, entry: QueueEntry | None = None) -> None:
         """Record a request that got a slot, from the queue or without a wait."""
         now = self.clock.now()
@@ -142,8 +182,11 @@
         self._update_overload()
         self.wait_queue.record_start(ticket.urgency)
         self.report.count_start(self.service, ticket.account, ticket.cost_ms)
+        if entry is not None:
+            self._flows[ticket.account].waiting -= 1
         if not self._is_overloaded:
             return
+        self._flows[ticket.account].starts.record(1, now)
         turn = entry.turn if entry else self.turn_of(ticket)
         if entry is None:
             self.shares.charge(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
@@ -151,6 +194,7 @@
 
     def record_no_slot(self, ticket: Ticket) -> None:
         """Record that an entry left the queue without a slot."""
+        self._flows[ticket.account].waiting -= 1
         if self.overloaded:
             self.shares.refund(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
 
--- a/src/hickorybeam/policy/overload.py
+++ b/src/hickorybeam/policy/overload.py
@@ -15,7 +15,7 @@
 # Share of the longest wait that its caller bears; a request that waited less was served promptly.
 PROMPT_SHARE = 0.25
 # A burst shorter than this is no overload.
-BEGIN_MS = 400
+BEGIN_MS = 250
 END_MS = 1_500
 
 
--- a/src/hickorybeam/policy/wait_queue.py
+++ b/src/hickorybeam/policy/wait_queue.py
@@ -98,9 +98,14 @@
 
 
 class WaitQueue:
-    """The requests that wait for one service, and the rate at which slots come free."""
+    """The requests that wait for one service, and the rate at which slots come free.
+
+    While ``sharing``, each urgency gets at least one slot in so many, however many urgent requests
+    come.
+    """
 
     def __init__(self) -> None:
+        self.sharing = False
         self._entries: list[QueueEntry] = []
         self._numbers = itertools.count()
         self._departures: deque[int] = deque()
@@ -118,10 +123,15 @@
 
     def expected_wait_ms(self, urgency: int, now_ms: int) -> float:
         """Return the expected wait of a new request of this urgency."""
-        return self._wait_ms(self._count_until(urgency), now_ms)
+        return self._wait_ms(self._count_until(urgency), urgency, now_ms)
 
-    def _wait_ms(self, ahead: int, now_ms: int) -> float:
-        return (ahead + 1) / self._departures_per_s(now_ms) * MS_PER_SECOND
+    def _wait_ms(self, ahead: int, urgency: int, now_ms: int) -> float:
+        """Return the expected wait of a request with so many others ahead of it."""
+        slots = ahead + 1
+        if self.sharing:
+            ahead_at_level = ahead - self._count_until(urgency - 1)
+            slots = min(slots, (ahead_at_level + 1) * (MAX_PASSED + 1))
+        return slots / self._departures_per_s(now_ms) * MS_PER_SECOND
 
     def _count_until(self, urgency: int) -> int:
         """Return how many entries are at least as urgent."""
@@ -167,7 +177,7 @@
             keeps_place=keeps_place,
         )
         index = bisect.bisect_left(self._entries, entry)
-        if not keeps_place and self._wait_ms(index, now_ms) > max_wait_ms:
+        if not keeps_place and self._wait_ms(index, urgency, now_ms) > max_wait_ms:
             return None
         self._entries.insert(index, entry)
         return entry
@@ -180,7 +190,7 @@
         evicted: list[QueueEntry] = []
         while self._entries:
             last = self._entries[-1]
-            wait_ms = self._wait_ms(len(self._entries) - 1, now_ms)
+            wait_ms = self._wait_ms(len(self._entries) - 1, last.urgency, now_ms)
             if last.keeps_place or last.deferred or now_ms + wait_ms <= last.expires_ms:
                 break
             last.evicted = True
@@ -207,7 +217,7 @@
 
     def _owes_turn(self) -> bool:
         """Return whether the most urgent have passed the less urgent for long enough."""
-        return self._passed >= MAX_PASSED
+        return self.sharing and self._passed >= MAX_PASSED
 
     def first(self, count: int) -> list[QueueEntry]:
         """Return the next entries."""
