What servers say of their speed is decoded, shared and used

Cause: a load header of four figures was dropped whole, so neither load nor speed of such servers reached anybody. Change: the fourth figure is how long work takes at the moment (policy/time_factor.py), apart from the learned speed; a figure that makes no sense is dropped and counted, the load kept. It counts in the expected wait, the room, the deadline check and what other regions are told; it goes with updates to the placement coordinator and in status reports of the region; idle servers are asked one at a time (policy/load_checks.py).

--- a/src/hickorybeam/gateway/cold_health_checks.py
+++ b/src/hickorybeam/gateway/cold_health_checks.py
@@ -1,4 +1,8 @@
-"""The service ``cold_asking``: detects servers that turn cold while no store changes arrive."""
+"""The service ``cold_asking``: health checks of servers that say what is not heard otherwise.
+
+It detects servers that turn cold while no store changes arrive, and asks idle servers that tell
+their speed how fast they are.
+"""
 
 from __future__ import annotations
 
@@ -15,6 +19,7 @@
 from hickorybeam.kernel import Service
 from hickorybeam.platform import decode_response
 from hickorybeam.policy.cold_health_checks import HEALTH_CHECK_INTERVAL_MS, servers_to_check
+from hickorybeam.policy.load_checks import LOAD_CHECK_INTERVAL_MS, server_to_ask
 from hickorybeam.ports import COLD_HEALTH_CHECKS, FEED, FLEET
 from hickorybeam.telemetry.decisions import DecisionLog
 
@@ -35,7 +40,7 @@
 
 
 class ColdHealthCheckService(Service):
-    """Checks the health of this region's servers while this VM receives no changes of the store."""
+    """Checks the health of this region's servers: those that may turn cold, and idle ones."""
 
     name: ClassVar[str] = COLD_HEALTH_CHECKS
     needs: ClassVar[tuple[str, ...]] = (FEED, FLEET)
@@ -56,6 +61,12 @@
     async def main(self, started: Started) -> None:
         """Check at intervals until cancelled."""
         started()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._check_cold)
+            tg.start_soon(self._check_idle)
+
+    async def _check_cold(self) -> None:
+        """Check the servers that may turn cold while this VM receives no changes of the store."""
         while True:
             await self._clock.sleep(HEALTH_CHECK_INTERVAL_MS)
             if self._feed.watches_store or self._fleet.has_local_watcher():
@@ -64,6 +75,32 @@
                 for state, health_path in self._servers_to_check():
                     tg.start_soon(self._check, state, health_path)
 
+    async def _check_idle(self) -> None:
+        """Ask an idle server of each service how fast it is, where that may change a choice.
+
+        Of all VMs of the region, only the placement coordinator of the service asks.
+        """
+        while True:
+            await self._clock.sleep(LOAD_CHECK_INTERVAL_MS)
+            config = self._feed.routing_state.config
+            async with anyio.create_task_group() as tg:
+                for service, spec in (config.services if config else {}).items():
+                    state = self._server_to_ask(service)
+                    if state is not None and self._take_check(state):
+                        tg.start_soon(self._check, state, spec.health_path)
+
+    def _server_to_ask(self, service: str) -> ServerState | None:
+        coordinators = self._fleet.coordinators
+        if coordinators.first_vm(service) != self._fleet.own_vm.name:
+            return None
+        now = self._clock.now()
+        states = [
+            it
+            for it in self._feed.routing_state.available_servers(service)
+            if self._fleet.in_own_region(it.server.data_centre) and it.backoff_until_ms <= now
+        ]
+        return server_to_ask(states, now)
+
     def _servers_to_check(self) -> list[tuple[ServerState, str]]:
         """Return the servers that this VM has to check, each with its health path.
 
--- a/src/hickorybeam/gateway/coordinator_ranking.py
+++ b/src/hickorybeam/gateway/coordinator_ranking.py
@@ -47,6 +47,10 @@
         """Return whether this VM places a service's prompts for the others of the region."""
         return self.ranking(service)[:1] == [self._own_vm.name]
 
+    def first_vm(self, service: str) -> str:
+        """Return the VM that acts for the region: the coordinator, or the first by name."""
+        return next(iter(self.ranking(service)), min(self.serving_vms()))
+
     def places(self, service: str) -> bool:
         """Return whether a coordinator places a service's prompts for the region."""
         return bool(self.ranking(service))
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -398,6 +398,7 @@
             limits={} if far else self.server_notices.limits.to_report(to_new_vm=with_levels),
             departing={} if far else self.server_notices.heard_leaving(),
             leads=self.account_leads(),
+            loads={} if far else self.server_notices.loads.to_report(),
         )
 
     def _server_usage(self, granted: GrantedUsage, *, whole: bool) -> dict[str, ServerUsage]:
@@ -443,6 +444,7 @@
                 self._feed.routing_state.mark_cold(server, cold_ms, now)
             self.server_notices.limits.apply(report.limits)
             self.server_notices.apply_leaving(report.departing)
+            self.server_notices.loads.apply(report.loads)
         else:
             peer.forecasts = report.forecasts
         if report.leads:
--- a/src/hickorybeam/gateway/in_flight.py
+++ b/src/hickorybeam/gateway/in_flight.py
@@ -28,7 +28,8 @@
     until its first event, ``queue_wait_ms`` of it in the server's own queue. ``copy_from`` is the
     ``host:port`` of a server that parts of its prompt are copied from, if any. Its response has at
     most ``max_output_tokens``, the first of them at ``first_event_ms``. If another VM granted its
-    slot, ``grant`` reports its progress there.
+    slot, ``grant`` reports its progress there. ``sent_factor`` is how long work took at the server
+    when it was sent, relative to usual.
     """
 
     clock: Clock
@@ -44,6 +45,7 @@
     queue_wait_ms: float
     copy_from: str | None
     max_output_tokens: int
+    sent_factor: float = 1.0
     grant: SlotGrant | None = None
     first_event_ms: int | None = None
     ended: bool = False
@@ -56,13 +58,15 @@
 
     def record_prefill(self) -> None:
         """Record the first sign of a response: its prompt is prefilled."""
+        now = self.clock.now()
         if self.copy_from is None:
+            factor = (self.sent_factor + self.server_state.time_factor.at(now)) / 2
             self.server_state.speed.record_prefill(
-                self.backlog_tokens, self.clock.now() - self.sent_ms
+                self.backlog_tokens, (now - self.sent_ms) / factor
             )
         self._add(0, -self.prefill_tokens, 0)
         self.prefill_tokens = 0
-        self.first_event_ms = self.clock.now()
+        self.first_event_ms = now
         if self.grant is not None:
             self.grant.report_prefill()
 
@@ -73,8 +77,10 @@
         self.ended = True
         if status is SendStatus.ANSWERED and self.first_event_ms is not None:
             now, speed = self.clock.now(), self.server_state.speed
-            speed.record_decode(self.max_output_tokens, now - self.first_event_ms)
-            speed.record_slot(now - self.sent_ms - self.queue_wait_ms)
+            # It took longer than the factor changes, so its average counts.
+            factor = self.server_state.time_factor.average
+            speed.record_decode(self.max_output_tokens, (now - self.first_event_ms) / factor)
+            speed.record_slot((now - self.sent_ms - self.queue_wait_ms) / factor)
         self._add(-1, -self.prefill_tokens, -self.held_tokens)
         self.shortlist.offer(self.server_state)
         self.queue.record_departure()
--- a/src/hickorybeam/gateway/placement_client.py
+++ b/src/hickorybeam/gateway/placement_client.py
@@ -27,7 +27,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.routing_state import RoutingState
-    from hickorybeam.gateway.status_report import GrantedUsage
+    from hickorybeam.gateway.status_report import GrantedUsage, ReportedLoad
     from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
@@ -250,8 +250,11 @@
             pending.set_response(message)
 
     def report_status(self, grant: SlotGrant, status: SendStatus) -> None:
-        """Report the status of a request that goes on."""
-        self._send_update(grant.coordinator, [(grant.number, status)])
+        """Report the status of a request that goes on, and what its server said of itself."""
+        server_state = grant.server_state
+        notice = self._fleet.server_notices.loads.notice_of(server_state)
+        loads = {} if notice is None else {server_state.server.id: notice}
+        self._send_update(grant.coordinator, [(grant.number, status)], loads)
 
     def report_end(self, grant: SlotGrant, status: SendStatus) -> None:
         """Report how a request's send ended; further calls do nothing."""
@@ -273,5 +276,11 @@
         ends.append((number, status))
         self._send_update(coordinator, list(ends))
 
-    def _send_update(self, coordinator: str, statuses: list[tuple[int, SendStatus]]) -> None:
-        self._fleet.send_message(coordinator, PlacementUpdate(self._fleet.own_vm.name, statuses))
+    def _send_update(
+        self,
+        coordinator: str,
+        statuses: list[tuple[int, SendStatus]],
+        loads: dict[str, ReportedLoad] | None = None,
+    ) -> None:
+        update = PlacementUpdate(self._fleet.own_vm.name, statuses, loads or {})
+        self._fleet.send_message(coordinator, update)
--- a/src/hickorybeam/gateway/placement_coordinator.py
+++ b/src/hickorybeam/gateway/placement_coordinator.py
@@ -154,6 +154,8 @@
 
     def handle_update(self, message: PlacementUpdate) -> None:
         """Apply the status of other VMs' requests, in the queue or in granted slots."""
+        if message.loads:
+            self._fleet.server_notices.loads.apply(message.loads)
         for number, status in message.endings:
             key = (message.vm, number)
             if key in self._queued:
--- a/src/hickorybeam/gateway/placement_messages.py
+++ b/src/hickorybeam/gateway/placement_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from hickorybeam.gateway.status_report import ReportedLoad  # noqa: TC001 - read by msgspec
+
 __all__ = (
     "HeldPlacements",
     "PlacementRequest",
@@ -86,10 +88,14 @@
 
 
 class PlacementUpdate(msgspec.Struct, frozen=True, array_like=True, tag="told"):
-    """Reports the status of placed requests, by number."""
+    """Reports the status of placed requests, by number.
+
+    ``loads``: by server, what its response to one of them said.
+    """
 
     vm: str
     endings: list[tuple[int, SendStatus]]
+    loads: dict[str, ReportedLoad] = {}
 
 
 class HeldPlacements(msgspec.Struct, frozen=True, array_like=True, tag="still"):
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -189,7 +189,8 @@
         A forwarded request is run by a server of this region.
         """
         if req.target == METRICS_PATH:
-            self._learned_metrics.update(self._feed.routing_state.server_states.values())
+            states = self._feed.routing_state.server_states.values()
+            self._learned_metrics.update(states, self._clock.now())
             reply.send(200, METRICS_HEADERS, self._counters.text())
             return
         if req.target.startswith(CHANGES_PREFIX):
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -80,10 +80,10 @@
                 should_fail_over=should_fail_over,
             )
             self._observe_first_byte(request)
-            if in_flight is not None:
-                in_flight.record_prefill()
             if server_state is not None:
                 self._server_notices.record(server_state, info)
+            if in_flight is not None:
+                in_flight.record_prefill()
             await self._handle_response(attempt, head, info, request, progress, server_state)
             status = SendStatus.FAILED if progress.failed_response else SendStatus.ANSWERED
             progress.outcome_open = False
--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.limit_notices import LimitNotices
+from hickorybeam.gateway.load_notices import LoadNotices
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         self._clock = clock
         self._routing_state = routing_state
         self.limits = LimitNotices(clock, routing_state)
+        self.loads = LoadNotices(clock, routing_state, counters)
         self._log = DecisionLog(clock)
         self._rests = counters.counter(
             "server_rests", "Responses in which a server asked this VM for rest", ("service",)
@@ -51,7 +53,7 @@
             return
         now = self._clock.now()
         if info.load is not None:
-            state.record_load(busy=info.load.running + info.load.waiting, now_ms=now)
+            self.loads.record(state, info.load)
         if info.cold_ms:
             self._routing_state.mark_cold(state.server.id, info.cold_ms, now)
         self._record_limit(state, info)
--- a/src/hickorybeam/gateway/status_report.py
+++ b/src/hickorybeam/gateway/status_report.py
@@ -14,6 +14,7 @@
     "Audience",
     "GrantedUsage",
     "ReportedLimit",
+    "ReportedLoad",
     "WaitForecast",
     "ServerUsage",
     "StatusReport",
@@ -43,6 +44,19 @@
     born_ms: int
 
 
+class ReportedLoad(NamedTuple):
+    """What a server's last response to a VM said of its load and speed.
+
+    ``factor`` is how long work took there, relative to usual; ``busy`` counts running and waiting
+    requests. ``born_ms`` is the server's start, as its entry in the store names it.
+    """
+
+    factor: float
+    busy: int
+    age_ms: int
+    born_ms: int
+
+
 class Audience(Enum):
     """Receivers of a report: the own data centre, the region's other ones, or other regions."""
 
@@ -61,9 +75,10 @@
     not included in ``servers``. ``limits``: by server, the rate limit that its last response to the
     reporting VM named. ``departing``: by server, the start of those that told it that they are
     leaving. ``leads``: by overloaded service that the VM places for its region, how much more
-    server time than their shares accounts have used, in ms. ``fresh``: the VM has just started and
-    needs quota levels, which an older VM sends it in ``levels``. ``holds``: servers to which shared
-    prompt parts were sent, by part id.
+    server time than their shares accounts have used, in ms. ``loads``: by server, what
+    its last response to the reporting VM said. ``fresh``: the VM has just started and needs quota
+    levels, which an older VM sends it in ``levels``. ``holds``: servers to which shared prompt
+    parts were sent, by part id.
     """
 
     name: str
@@ -86,6 +101,7 @@
     limits: dict[str, ReportedLimit] = {}
     departing: dict[str, int] = {}
     leads: dict[str, dict[str, float]] = {}
+    loads: dict[str, ReportedLoad] = {}
 
 
 def add_usage(one: ServerUsage, other: ServerUsage) -> ServerUsage:
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -145,7 +145,7 @@
         )
         return can_finish(
             left_ms=request.deadline_ms - now_ms,
-            first_event_ms=speed.prefill_ms(prefill_tokens),
+            first_event_ms=server_state.prefill_ms(prefill_tokens, now_ms),
             decode_ms=speed.decode_ms(call.output_tokens),
         )
 
@@ -218,11 +218,12 @@
         self, server_state: ServerState, request: AdmittedRequest, now_ms: int
     ) -> ServerState | NoCapacity:
         """Return the server, or how long a prompt that will miss its objective waits there."""
-        call, speed = request.call, server_state.speed
+        call = request.call
         if not call.parts:
             return server_state
-        backlog_ms = speed.prefill_ms(server_state.pending_prefill_tokens())
-        prefill_ms = speed.prefill_ms(server_state.prefixes.uncached_tokens(call.parts))
+        backlog_ms = server_state.prefill_ms(server_state.pending_prefill_tokens(), now_ms)
+        uncached_tokens = server_state.prefixes.uncached_tokens(call.parts)
+        prefill_ms = server_state.prefill_ms(uncached_tokens, now_ms)
         deferred = should_defer(
             target_ms=request.route.target_ms,
             elapsed_ms=now_ms - call.arrived_ms,
@@ -265,11 +266,12 @@
             queue_wait_ms=server_state.queue_wait_ms(server_state.in_flight(now)),
             copy_from=copy_from,
             max_output_tokens=call.output_tokens,
+            sent_factor=server_state.time_factor.at(now),
             grant=grant,
         )
         if not granted:
             self._work_rates[request.service].record(
-                server_state.speed.prefill_ms(prefill_tokens), now
+                server_state.prefill_ms(prefill_tokens, now), now
             )
         in_flight.start()
         self._record_cached_parts(server_state, request, now)
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -8,6 +8,7 @@
 
 from hickorybeam.http1 import find_header, parse_decimal, parse_retry_after_ms
 from hickorybeam.platform import names
+from hickorybeam.policy.time_factor import MAX_TIME_FACTOR
 
 if TYPE_CHECKING:
     from hickorybeam.http1 import RawHeaders, ResponseHead
@@ -18,17 +19,25 @@
 # A caller takes these to mean that the request was not run. Only the gateway, or a server that
 # states it, may use them.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Running, waiting and slots; a server may add how long work takes there.
+LOAD_FIGURES = 3
+MAX_DIGITS = 9
 # With these, a server that turns a request away may say for how long it wants rest.
 REST_STATUSES = (429, 503)
 
 
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Load that a backend server reports: running requests, waiting requests, and its slots."""
+    """Load that a backend server reports: running requests, waiting requests, and its slots.
+
+    ``time_factor`` is how long work takes there at the moment, relative to usual, if it says so.
+    """
 
     running: int
     waiting: int
     slots: int
+    time_factor: float | None = None
+    has_invalid_factor: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,10 +89,27 @@
 def decode_load(value: bytes | None) -> ServerLoad | None:
     """Decode the load that a server reports, if it reports a valid one."""
     figures = [part.strip() for part in (value or b"").split(b",")]
-    if len(figures) != 3 or not all(figure.isdigit() for figure in figures):
+    if len(figures) not in (LOAD_FIGURES, LOAD_FIGURES + 1):
         return None
-    running, waiting, slots = map(int, figures)
-    return ServerLoad(running, waiting, slots)
+    counts = figures[:LOAD_FIGURES]
+    if not all(is_count(figure) for figure in counts):
+        return None
+    running, waiting, slots = map(int, counts)
+    if len(figures) == LOAD_FIGURES:
+        return ServerLoad(running, waiting, slots)
+    factor = decode_time_factor(figures[LOAD_FIGURES])
+    return ServerLoad(running, waiting, slots, factor, has_invalid_factor=factor is None)
+
+
+def is_count(figure: bytes) -> bool:
+    """Return whether a figure is a whole number of a size that makes sense."""
+    return figure.isdigit() and len(figure) <= MAX_DIGITS
+
+
+def decode_time_factor(figure: bytes) -> float | None:
+    """Decode how long work takes, stated in percent of usual; ``None`` if it makes no sense."""
+    factor = int(figure) / 100 if is_count(figure) else 0.0
+    return factor if 0 < factor <= MAX_TIME_FACTOR else None
 
 
 def decode_cold(value: bytes | None) -> int | None:
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -22,6 +22,7 @@
 from hickorybeam.policy.rendezvous import rendezvous_first
 from hickorybeam.policy.server_speed import ServerSpeed
 from hickorybeam.policy.stale_load import draw_server
+from hickorybeam.policy.time_factor import TimeFactor
 
 if TYPE_CHECKING:
     import random
@@ -129,6 +130,7 @@
     backoff_ms: int = 0
     prefixes: PrefixCacheEstimate = field(default_factory=PrefixCacheEstimate)
     speed: ServerSpeed = field(default_factory=ServerSpeed)
+    time_factor: TimeFactor = field(default_factory=TimeFactor)
     limit_per_s: float = math.inf
     limit_heard_ms: int | None = None
     rest_until_ms: int = 0
@@ -197,8 +199,12 @@
             return max(known, self.reported_requests)
         return known
 
+    def prefill_ms(self, tokens: float, now_ms: int) -> float:
+        """Return how long the server takes to prefill this many tokens as fast as it is now."""
+        return self.speed.prefill_ms(tokens) * self.time_factor.at(now_ms)
+
     def queue_wait_ms(self, in_flight: int) -> float:
-        """Return how long a new request waits in the server's own queue for a slot.
+        """Return how long a new request usually waits in the server's own queue for a slot.
 
         :param in_flight: requests that run or wait there.
         """
@@ -215,6 +221,9 @@
         """Return whether a request that holds this many tokens can start there soon."""
         slots = self.server.slots
         queued = max(MIN_QUEUED_AT_SERVER, int(slots * MAX_QUEUED_SHARE_OF_SLOTS))
+        if self.time_factor.is_slow(now_ms):
+            # What would wait there waits here: until a slot is free, another may be faster.
+            queued = 0
         if self.in_flight(now_ms) >= slots + queued:
             return False
         held = self.own_held_tokens + self.granted_held_tokens + self.peer_held_tokens
@@ -234,7 +243,7 @@
 
     :param uncached: tokens of its prompt that the server would have to prefill.
     """
-    return _wait_ms(state, uncached, state.in_flight(now_ms))
+    return _wait_ms(state, uncached, state.in_flight(now_ms), state.time_factor.at(now_ms))
 
 
 def placement_cost_ms(state: ServerState, uncached: int, now_ms: int) -> float:
@@ -242,17 +251,20 @@
 
     :param uncached: tokens of its prompt that the server would have to prefill.
     """
-    in_flight = state.in_flight(now_ms)
-    delay_ms = interference_ms(state.speed.prefill_ms(uncached), in_flight)
-    return _wait_ms(state, uncached, in_flight) + delay_ms
+    in_flight, factor = state.in_flight(now_ms), state.time_factor.at(now_ms)
+    delay_ms = interference_ms(state.speed.prefill_ms(uncached) * factor, in_flight)
+    return _wait_ms(state, uncached, in_flight, factor) + delay_ms
 
 
-def _wait_ms(state: ServerState, uncached: int, in_flight: int) -> float:
+def _wait_ms(state: ServerState, uncached: int, in_flight: int, factor: float) -> float:
     pending = state.pending_prefill_tokens() + uncached
-    return (
+    usual_ms = (
         state.speed.prefill_ms(pending)
         + state.queue_wait_ms(in_flight)
         + in_flight * DELAY_PER_IN_FLIGHT_MS
+    )
+    return (
+        usual_ms * factor
         + max(0.0, state.failure_rate - BASELINE_FAILURE_RATE) * FAILURE_PENALTY_MS
     )
 
@@ -303,7 +315,7 @@
         if state.server.id == preferred:
             # Counted as if it held the shared parts already: from now on it will.
             shared = sum(part.tokens for part in parts[:-1])
-            cost -= state.speed.prefill_ms(min(shared, uncached))
+            cost -= state.prefill_ms(min(shared, uncached), now_ms)
         if data_centre and state.server.data_centre != data_centre:
             cost += REMOTE_DATA_CENTRE_PENALTY_MS
         costs.append(cost)
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -87,6 +87,8 @@
     ``limit`` is the value of the header in which all its answers name a rate limit, if any.
     If it is ``leaving``, all its answers say so.
     ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
+    ``time_factor`` is the percentage of the usual time that its work takes, as its answers tell it
+    if it is set.
     ``health_checks`` holds the times at which its health was checked.
     """
 
@@ -102,6 +104,7 @@
     limit: bytes | None = None
     leaving: bool = False
     rest_s: bytes | None = None
+    time_factor: bytes | None = None
     port: int = 0
     running: int = 0
     most_running: int = 0
@@ -147,7 +150,8 @@
         if req.target == HEALTH_PATH:
             self.health_checks.append(self.clock.now())
             cold = ((names.COLD, b"%d" % self.cold_ms),) if self.cold_ms else ()
-            reply.send(200, ((names.SERVER_ID, self.id.encode()), *cold, *self._notices()))
+            headers = ((names.SERVER_ID, self.id.encode()), self._load(), *cold, *self._notices())
+            reply.send(200, headers)
             return
         rejection = self._rejection(req)
         request_id = find_header(req.headers, names.REQUEST_ID) or b""
@@ -245,14 +249,20 @@
                 batch.cancel(stream.id)
 
     def _headers(self, request_id: bytes) -> RawHeaders:
-        running = self.running if self.batch is None else self.batch.running
-        waiting = 0 if self.batch is None else self.batch.waiting
-        load = b"%d,%d,%d" % (running, waiting, self.slots)
-        headers = [(names.REQUEST_ID, request_id), (names.LOAD, load)]
+        headers = [(names.REQUEST_ID, request_id), self._load()]
         if not self.faults.take("unsigned"):
             headers.append((names.SIGNATURE, b"signed-" + self.id.encode()))
         return (*headers, *self._notices())
 
+    def _load(self) -> tuple[bytes, bytes]:
+        """Return the header that tells its load, and how long work takes if it tells that."""
+        running = self.running if self.batch is None else self.batch.running
+        waiting = 0 if self.batch is None else self.batch.waiting
+        figures = [b"%d" % it for it in (running, waiting, self.slots)]
+        if self.time_factor is not None:
+            figures.append(self.time_factor)
+        return (names.LOAD, b",".join(figures))
+
     def _notices(self) -> RawHeaders:
         """Return the headers in which every answer says what the server needs."""
         limit = () if self.limit is None else ((names.LIMIT, self.limit),)
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -55,6 +55,15 @@
       | 200    |                                      | signed      | False |
       | 200    | X-Hickorybeam-Cold-Milliseconds: 900 | cold_ms     | 900   |
       | 200    | X-Hickorybeam-Server-Load: 1,2       | load        | None  |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,8     | load        | ServerLoad(running=3, waiting=1, slots=8, time_factor=None, has_invalid_factor=False) |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,8,250 | load        | ServerLoad(running=3, waiting=1, slots=8, time_factor=2.5, has_invalid_factor=False) |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,8,0   | load        | ServerLoad(running=3, waiting=1, slots=8, time_factor=None, has_invalid_factor=True) |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,8,-9  | load        | ServerLoad(running=3, waiting=1, slots=8, time_factor=None, has_invalid_factor=True) |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,8,nan | load        | ServerLoad(running=3, waiting=1, slots=8, time_factor=None, has_invalid_factor=True) |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,8,9999999 | load    | ServerLoad(running=3, waiting=1, slots=8, time_factor=None, has_invalid_factor=True) |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,8,100,7   | load    | None  |
+      | 200    | X-Hickorybeam-Server-Load: 3,-1,8,100    | load    | None  |
+      | 200    | X-Hickorybeam-Server-Load: 3,1,99999999999999999999,100 | load | None |
       | 200    |                                      | limit_per_s | inf   |
       | 200    | Server-Limit: 2.1                    | limit_per_s | 2.1   |
       | 503    | Server-Limit: 0                      | limit_per_s | 0.0   |
