--- a/src/entry.py
+++ b/src/entry.py
@@ -21,7 +21,7 @@
     path = os.environ[SETTINGS_PATH_VARIABLE]
     cfg = load_settings(path)
     with logs.process_logging(cfg.log):
-        anyio.run(run, cfg, path)
+        anyio.run(run, cfg, path, backend_options={"use_uvloop": True})
 
 
 if __name__ == "__main__":
