A server that said it is full has room as soon as its requests end

Cause: found by the soak's new flood: a server's own count of its requests was held against its slots for 1.5 s, though those requests had ended; nobody was sent there, so no response brought a smaller count. 534 prompts of a flood ran in 6 s and 10,047 were refused, all of another account among them. Change: only what a server runs beside the known requests counts on. The soak learns servers that change their speed, an account that floods, callers that read nothing.

--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -6,8 +6,9 @@
 Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in
 order and started again; the store falls silent, turns VMs away, loses answers, its history or
 entries; servers lose, spoil and cut answers, leave, come back cold or under a new address, name
-limits and ask for rest; keys are withdrawn. Callers go on all the while. What they and the servers
-saw is judged; exits 1 on a broken promise.
+limits, ask for rest and change their speed; keys are withdrawn, an account floods a service,
+callers read nothing. Other callers go on all the while. What they and the servers saw is judged;
+exits 1 on a broken promise.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
 import anyio
 import fire
 from bench.gateway_cost import start_daemon
+from bench.soak.hard_load import change_speed, flood, read_nothing
 from bench.soak.server_notices import ask_for_rest, name_limit, say_leaving
 
 from hickorybeam.clock import SystemClock
@@ -63,6 +65,8 @@
 IN_FORCE_S = 4.0
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 ALL_EVENTS = 6
+# A VM knows all others this long after its start.
+STARTED_S = 5.0
 
 
 @dataclass(slots=True)
@@ -88,6 +92,7 @@
         self.withdrawn: dict[str, float] = {}
         self.store_well_since = time.monotonic()
         self.over = False
+        self._last_start = 0.0
         self._pool = UpstreamPool(SystemClock(), connect_ms=400, silent_ms=3_000)
         self._numbers = iter(range(1, 10_000_000))
         self._ports = free_ports(5 * len(self._centres))
@@ -150,6 +155,7 @@
         self.app.configure(self.config)
 
     def _start(self, i: int) -> subprocess.Popen[bytes]:
+        self._last_start = time.monotonic()
         return start_daemon(self._cfgs[i], self._paths[i])
 
     async def _ready(self) -> None:
@@ -189,6 +195,20 @@
         data = request_bytes(method.decode(), path.encode(), headers, body)
         return request_id, await self._exchange(self._ports[5 * i], data)
 
+    @property
+    def caller_ports(self) -> list[int]:
+        """The ports on which VMs take callers' requests."""
+        return self._ports[::5]
+
+    async def prompt(self, key: str, wait_ms: int) -> bool:
+        """Send a prompt with a part of its own to some VM, and return whether it was served."""
+        request_id = f"{next(self._numbers):016x}"
+        headers = caller_headers(request_id, key=key, wait_ms=wait_ms, tokens=b"50,10")
+        part = (b"x-hickorybeam-prompt-prefix", b"5c1e:30,%s:20" % request_id.encode())
+        data = request_bytes("POST", b"/chat/x", (*headers, part), b"{}")
+        answer = await self._exchange(self.rng.choice(self.caller_ports), data)
+        return answer.whole and answer.status == 200
+
     async def _exchange(self, port: int, data: bytes) -> Answer:
         parts: list[bytes] = []
         status, headers = 0, ()
@@ -233,6 +253,12 @@
         elif answer.body.removeprefix(b"done by ").decode() not in (*ran_at, "unframed"):
             self.broken(f"{request_id}: the answer {answer.body!r} is another server's")
 
+    @property
+    def disturbed(self) -> bool:
+        """Whether servers fail or VMs start, so that refusals may have other reasons."""
+        spoilt = any(server.faults != ServerFaults() for server in self.servers)
+        return spoilt or time.monotonic() - self._last_start < STARTED_S
+
     def broken(self, text: str) -> None:
         """Record a broken promise."""
         self.seen.violations.append(text)
@@ -375,7 +401,10 @@
         "leave",
         "withdraw_key",
     )
-} | {"name_limit": name_limit, "ask_for_rest": ask_for_rest, "say_leaving": say_leaving}
+} | {
+    task.__name__: task
+    for task in (name_limit, ask_for_rest, say_leaving, change_speed, flood, read_nothing)
+}
 
 
 async def soak(seed: int, seconds: float, *, north: int) -> Seen:
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -106,10 +106,12 @@
     Load consists of requests, prompt tokens that are not prefilled yet, and tokens held in the
     engine's cache. ``own_...`` is the load of this VM's requests, ``granted_...`` that of slots
     which this VM granted to other VMs, ``peer_...`` what the region's other VMs have there
-    besides. ``cache_tokens`` is the size of the cache, 0 where it isn't declared. ``limit_per_s``
-    is the rate that the server has last named as its limit for all VMs together, infinite if it
-    names none, as of the response at ``limit_heard_ms``. Until ``rest_until_ms`` the server wants
-    no requests of this VM. ``said_leaving``: a response said that the server will end soon.
+    besides. ``reported_requests`` run or wait there as the server said at ``reported_ms``,
+    ``unknown_requests`` of them beside those that were known here then. ``cache_tokens`` is the
+    size of the cache, 0 where it isn't declared. ``limit_per_s`` is the rate that the server has
+    last named as its limit for all VMs together, infinite if it names none, as of the response at
+    ``limit_heard_ms``. Until ``rest_until_ms`` the server wants no requests of this VM.
+    ``said_leaving``: a response said that the server will end soon.
     """
 
     server: RegisteredServer
@@ -124,6 +126,7 @@
     peer_prefill_tokens: int = 0
     peer_held_tokens: int = 0
     reported_requests: int = 0
+    unknown_requests: int = 0
     reported_ms: int = -MAX_LOAD_AGE_MS
     failure_rate: float = 0.0
     backoff_until_ms: int = 0
@@ -173,6 +176,7 @@
         :param busy: requests that run or wait there.
         """
         self.reported_requests = busy
+        self.unknown_requests = max(0, busy - self.known_requests)
         self.reported_ms = now_ms
 
     def record_success(self) -> None:
@@ -192,12 +196,21 @@
         self.backoff_ms = min(MAX_BACKOFF_MS, max(INITIAL_BACKOFF_MS, self.backoff_ms * 2))
         self.backoff_until_ms = now_ms + self.backoff_ms
 
+    @property
+    def known_requests(self) -> int:
+        """How many requests the region's VMs are known to have there."""
+        return self.own_requests + self.granted_requests + self.peer_requests
+
     def in_flight(self, now_ms: int) -> int:
-        """Return how many requests are known to run or wait there."""
-        known = self.own_requests + self.granted_requests + self.peer_requests
+        """Return how many requests are known to run or wait there.
+
+        What the server reported beyond those known then still runs; of the known ones, the ends
+        are known as well. Taken for as busy as it said, a server that was full once would get
+        nothing until its report is too old, though its slots are free.
+        """
         if now_ms - self.reported_ms < MAX_LOAD_AGE_MS:
-            return max(known, self.reported_requests)
-        return known
+            return self.known_requests + self.unknown_requests
+        return self.known_requests
 
     def prefill_ms(self, tokens: float, now_ms: int) -> float:
         """Return how long the server takes to prefill this many tokens as fast as it is now."""
--- a/tests/policy/gateway_decisions.feature
+++ b/tests/policy/gateway_decisions.feature
@@ -149,3 +149,18 @@
       | stream     | yes       | 1    | 0        | 720     |
       | stream     | yes       | 1    | 500      | 1400    |
       | stream     | yes       | 0    | 0        | None    |
+
+  # Guards against a full region that refuses everything beside free slots: a server says that it is
+  # full in its last response before its requests end, and says nothing more since it gets none.
+  Scenario: a server that said it was full has room as soon as its requests end
+    Given idle servers "a"
+    When server "a" runs 12 requests of this VM and says that 12 are there
+    Then server "a" has no room
+    When 6 of them end at server "a"
+    Then server "a" has room
+
+  Scenario: what a server runs beside the known requests counts on while that is news
+    Given idle servers "a"
+    When server "a" runs 2 requests of this VM and says that 12 are there
+    And 2 of them end at server "a"
+    Then server "a" counts 10 requests now and 0 after 1600 ms
--- /dev/null
+++ b/tests/policy/shortlist.feature
@@ -0,0 +1,35 @@
+Feature: a prompt is held against a short list of a region's servers
+
+  Scenario Outline: the list doesn't grow with the region, except where the region is small
+    Given <servers> servers of 8 slots, some busier than others
+    Then a prompt is held against at most <most> of them
+
+    Examples:
+      | servers | most |
+      | 3       | 3    |
+      | 12      | 12   |
+      | 30      | 12   |
+      | 200     | 12   |
+
+  # The load: prompts come so quickly that only one server in ten has a free slot at any moment.
+  Scenario Outline: prompts find the free slots of a large region that is nearly full
+    Given <servers> servers of 8 slots, some busier than others
+    When 2000 prompts are placed there, each as soon as an earlier one ends
+    Then no prompt found all listed servers full while another had room
+    And the waits at the chosen servers are at most 1.1 times those of the best ones on average
+
+    Examples:
+      | servers |
+      | 30      |
+      | 200     |
+
+  # Guards against a queue that waits beside an idle slot until the servers are ranked again.
+  Scenario: a server whose request has just ended is listed at once
+    Given 30 servers of 8 slots, all of them full
+    When a request ends at one server
+    Then that server is among those that the next prompt is held against
+
+  Scenario: a server that is gone is not listed any more
+    Given 30 servers of 8 slots, some busier than others
+    When the least busy server leaves
+    Then it is not among those that the next prompt is held against
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -327,3 +327,31 @@
         context.state.own_requests += 1
         taken += 1
     assert taken == more, taken
+
+
+@when('server "{name}" runs {count:d} requests of this VM and says that {busy:d} are there')
+def step_says_busy(context, name, count, busy):
+    state = context.states[name]
+    state.own_requests = count
+    state.record_load(busy=busy, now_ms=context.now)
+
+
+@when('{count:d} of them end at server "{name}"')
+def step_some_end(context, count, name):
+    context.states[name].own_requests -= count
+
+
+@then('server "{name}" has no room')
+def step_has_no_room(context, name):
+    assert not context.states[name].has_room(0, context.now)
+
+
+@then('server "{name}" has room')
+def step_has_room_now(context, name):
+    assert context.states[name].has_room(0, context.now)
+
+
+@then('server "{name}" counts {busy:d} requests now and {later:d} after {ms:d} ms')
+def step_counts(context, name, busy, later, ms):
+    state = context.states[name]
+    assert (state.in_flight(context.now), state.in_flight(context.now + ms)) == (busy, later)
