A server that has left the list is not listed again when its last request ends there

Requests went on there and ended, and each end put the server into the short list that prompts are held against. Change: only available servers are listed.

--- a/src/hickorybeam/policy/shortlist.py
+++ b/src/hickorybeam/policy/shortlist.py
@@ -61,8 +61,13 @@
         return len(servers) <= SHORTLIST_SIZE or not self._truncated
 
     def offer(self, state: ServerState) -> None:
-        """List a server that has become less busy."""
-        if len(self._servers) > SHORTLIST_SIZE and state not in self._listed:
+        """List a server that has become less busy, unless it is none of the available ones.
+
+        Requests also end at servers that are leaving or evacuated, which get no new ones.
+        """
+        if len(self._servers) <= SHORTLIST_SIZE or state in self._listed:
+            return
+        if state in self._servers:
             self._listed.append(state)
 
     def _rank(self, servers: Sequence[ServerState], now_ms: int) -> None:
--- a/tests/policy/shortlist.feature
+++ b/tests/policy/shortlist.feature
@@ -33,3 +33,10 @@
     Given 30 servers of 8 slots, some busier than others
     When the least busy server leaves
     Then it is not among those that the next prompt is held against
+
+  # Guards against new requests to a server in an evacuated data centre when its last ones end there.
+  Scenario: a server that is gone is not listed when its last request ends
+    Given 30 servers of 8 slots, some busier than others
+    When the least busy server leaves
+    And a prompt is placed, and then the last request of the server that left ends
+    Then it is not among those that the next prompt is held against
--- a/tests/steps/policy/shortlist_steps.py
+++ b/tests/steps/policy/shortlist_steps.py
@@ -117,6 +117,12 @@
     context.servers = [it for it in context.servers if it is not context.freed]
 
 
+@when("a prompt is placed, and then the last request of the server that left ends")
+def step_last_ends(context):
+    listed(context)
+    context.shortlist.offer(context.freed)
+
+
 @then("it is not among those that the next prompt is held against")
 def step_not_listed(context):
     assert context.freed not in listed(context)
