The less urgent's part of an overloaded service counts in server time; reported requests count once

Cause: one slot in eight for the less urgent is a third of the server time where their requests take longer. Change: the more urgent get at most 15 times the server time of the next urgency while both wait; what a server is taken to run is no more than it said or is known.

--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -148,6 +148,7 @@
             max_wait_ms,
             self.clock.now(),
             turn=turn,
+            cost_ms=ticket.cost_ms,
             deferred=deferred,
             keeps_place=ticket.promise is not None,
         )
@@ -180,7 +181,7 @@
             # One that found a slot before those that wait doesn't show that there is no delay.
             self._detector.record(ticket.urgency, 0.0, now)
         self._update_overload()
-        self.wait_queue.record_start(ticket.urgency)
+        self.wait_queue.record_start(ticket.urgency, ticket.cost_ms)
         self.report.count_start(self.service, ticket.account, ticket.cost_ms)
         if entry is not None:
             self._flows[ticket.account].waiting -= 1
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -176,7 +176,8 @@
         :param busy: requests that run or wait there.
         """
         self.reported_requests = busy
-        self.unknown_requests = max(0, busy - self.known_requests)
+        known = self.own_requests + self.granted_requests + self.peer_requests
+        self.unknown_requests = max(0, busy - known)
         self.reported_ms = now_ms
 
     def record_success(self) -> None:
@@ -196,21 +197,18 @@
         self.backoff_ms = min(MAX_BACKOFF_MS, max(INITIAL_BACKOFF_MS, self.backoff_ms * 2))
         self.backoff_until_ms = now_ms + self.backoff_ms
 
-    @property
-    def known_requests(self) -> int:
-        """How many requests the region's VMs are known to have there."""
-        return self.own_requests + self.granted_requests + self.peer_requests
-
     def in_flight(self, now_ms: int) -> int:
         """Return how many requests are known to run or wait there.
 
-        What the server reported beyond those known then still runs; of the known ones, the ends
-        are known as well. Taken for as busy as it said, a server that was full once would get
-        nothing until its report is too old, though its slots are free.
+        What the server reported beyond those known then still runs, while of the known ones the
+        ends are known as well. Taken for as busy as it said, a server that was full once would get
+        nothing until its report is too old, though its slots are free. Others' requests become
+        known by their reports later, so there are no more than the server said or are known.
         """
-        if now_ms - self.reported_ms < MAX_LOAD_AGE_MS:
-            return self.known_requests + self.unknown_requests
-        return self.known_requests
+        known = self.own_requests + self.granted_requests + self.peer_requests
+        if now_ms - self.reported_ms >= MAX_LOAD_AGE_MS:
+            return known
+        return max(known, min(self.reported_requests, known + self.unknown_requests))
 
     def prefill_ms(self, tokens: float, now_ms: int) -> float:
         """Return how long the server takes to prefill this many tokens as fast as it is now."""
--- a/src/hickorybeam/policy/wait_queue.py
+++ b/src/hickorybeam/policy/wait_queue.py
@@ -35,8 +35,9 @@
 # Share of the slots coming free that is promised to callers with a retry-after; the rest goes to
 # those who come first meanwhile.
 PROMISED_SHARE = 0.5
-# After so many more urgent requests one of the next urgency gets a slot, so that it isn't starved.
-MAX_PASSED = 7
+# While both wait, the more urgent get at most so many times the server time of the next urgency, so
+# that none is starved.
+MAX_TIMES_PASSED = 15
 # Entries at the front that may all be deferred; a search behind more of them costs more than it
 # saves.
 MAX_LOOKED_AT = 16
@@ -88,6 +89,7 @@
     number: int
     entered_ms: int = field(compare=False)
     expires_ms: int = field(compare=False)
+    cost_ms: float = field(default=1.0, compare=False)
     deferred: bool = field(default=False, compare=False)
     keeps_place: bool = field(default=False, compare=False)
     evicted: bool = field(default=False, compare=False)
@@ -100,7 +102,7 @@
 class WaitQueue:
     """The requests that wait for one service, and the rate at which slots come free.
 
-    While ``sharing``, each urgency gets at least one slot in so many, however many urgent requests
+    While ``sharing``, each urgency gets its part of the server time, however many urgent requests
     come.
     """
 
@@ -110,8 +112,8 @@
         self._numbers = itertools.count()
         self._departures: deque[int] = deque()
         self._promised_until_ms = 0.0
-        # Requests in a row that got a slot while a less urgent one waited.
-        self._passed = 0
+        # Server time of requests that got a slot while less urgent ones waited.
+        self._passed_ms = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -130,7 +132,7 @@
         slots = ahead + 1
         if self.sharing:
             ahead_at_level = ahead - self._count_until(urgency - 1)
-            slots = min(slots, (ahead_at_level + 1) * (MAX_PASSED + 1))
+            slots = min(slots, (ahead_at_level + 1) * (MAX_TIMES_PASSED + 1))
         return slots / self._departures_per_s(now_ms) * MS_PER_SECOND
 
     def _count_until(self, urgency: int) -> int:
@@ -159,12 +161,14 @@
         now_ms: int,
         *,
         turn: float = 0.0,
+        cost_ms: float = 1.0,
         deferred: bool = False,
         keeps_place: bool = False,
     ) -> QueueEntry | None:
         """Add a request, or return ``None`` if its expected wait exceeds ``max_wait_ms``.
 
         :param turn: orders requests of one urgency.
+        :param cost_ms: server time that it takes.
         :param keeps_place: it enters whatever its expected wait.
         """
         entry = QueueEntry(
@@ -173,6 +177,7 @@
             number=next(self._numbers),
             entered_ms=now_ms,
             expires_ms=now_ms + max_wait_ms,
+            cost_ms=cost_ms,
             deferred=deferred,
             keeps_place=keeps_place,
         )
@@ -210,21 +215,30 @@
                 return (entry.urgency, entry.turn) <= (urgency, turn) or self._owes_turn()
         return False
 
-    def record_start(self, urgency: int) -> None:
-        """Count a request that got a slot, for the turns of the less urgent that wait."""
-        is_last_level = self._count_until(urgency) == len(self._entries)
-        self._passed = 0 if is_last_level else self._passed + 1
+    def record_start(self, urgency: int, cost_ms: float) -> None:
+        """Count a request that got a slot, for the turns of the less urgent that wait.
+
+        :param cost_ms: server time that it takes.
+        """
+        if self._count_until(urgency) < len(self._entries):
+            self._passed_ms += cost_ms
+        else:
+            self._passed_ms = max(0.0, self._passed_ms - MAX_TIMES_PASSED * cost_ms)
 
     def _owes_turn(self) -> bool:
         """Return whether the most urgent have passed the less urgent for long enough."""
-        return self.sharing and self._passed >= MAX_PASSED
+        if not self.sharing or not self._entries:
+            return False
+        index = self._count_until(self._entries[0].urgency)
+        if index == len(self._entries):
+            return False
+        return self._passed_ms >= MAX_TIMES_PASSED * self._entries[index].cost_ms
 
     def first(self, count: int) -> list[QueueEntry]:
         """Return the next entries."""
         if self._owes_turn():
-            index = self._count_until(self._entries[0].urgency) if self._entries else 0
-            if index < len(self._entries):
-                return [self._entries[index], *self._entries[: count - 1]]
+            index = self._count_until(self._entries[0].urgency)
+            return [self._entries[index], *self._entries[: count - 1]]
         return self._entries[:count]
 
     def _departures_per_s(self, now_ms: int) -> float:
--- a/tests/policy/gateway_decisions.feature
+++ b/tests/policy/gateway_decisions.feature
@@ -164,3 +164,11 @@
     When server "a" runs 2 requests of this VM and says that 12 are there
     And 2 of them end at server "a"
     Then server "a" counts 10 requests now and 0 after 1600 ms
+
+  # Guards against free slots that nobody uses: each of a region's VMs hears from a server how many
+  # requests are there before it hears from the other VMs that these are theirs.
+  Scenario: requests that become known by reports are not counted twice
+    Given idle servers "a"
+    When server "a" runs 2 requests of this VM and says that 12 are there
+    And other VMs report 10 requests at server "a"
+    Then server "a" counts 12 requests now and 12 after 1600 ms
--- a/tests/steps/policy/gateway_decisions_steps.py
+++ b/tests/steps/policy/gateway_decisions_steps.py
@@ -355,3 +355,8 @@
 def step_counts(context, name, busy, later, ms):
     state = context.states[name]
     assert (state.in_flight(context.now), state.in_flight(context.now + ms)) == (busy, later)
+
+
+@when('other VMs report {count:d} requests at server "{name}"')
+def step_reported(context, count, name):
+    context.states[name].peer_requests = count
