--- a/bench/soak/hard_load.py
+++ b/bench/soak/hard_load.py
@@ -15,7 +15,7 @@
 from hickorybeam.standins.deployment import caller_headers
 
 if TYPE_CHECKING:
-    from bench.soak.gateway import Soak
+    from bench.soak.target import SoakTarget
 
 __all__ = ("change_speed", "flood", "read_nothing")
 
@@ -37,7 +37,7 @@
 SILENT_S = 1.0
 
 
-async def change_speed(soak: Soak) -> None:
+async def change_speed(soak: SoakTarget) -> None:
     """Let servers say another speed each time, some of which make no sense."""
     for _ in range(SPEED_CHANGES):
         for server in soak.servers:
@@ -47,7 +47,7 @@
         server.time_factor = None
 
 
-async def flood(soak: Soak) -> None:
+async def flood(soak: SoakTarget) -> None:
     """Let one account ask for more than all servers bear; the other one is served on."""
     for server in soak.servers:
         server.work_ms = FLOOD_WORK_MS
@@ -65,12 +65,12 @@
         soak.broken(f"in a flood {served} of another account's {OTHERS_ASKED} prompts were served")
 
 
-async def _ask_on(soak: Soak) -> None:
+async def _ask_on(soak: SoakTarget) -> None:
     while True:
         await soak.prompt("large", FLOOD_WAIT_MS)
 
 
-async def read_nothing(soak: Soak) -> None:
+async def read_nothing(soak: SoakTarget) -> None:
     """Let callers send requests and read nothing; a VM answers others meanwhile."""
     port = soak.rng.choice(soak.caller_ports)
     headers = caller_headers("0" * 16, key="small", wait_ms=FLOOD_WAIT_MS, tokens=b"50,10")
--- a/bench/soak/server_notices.py
+++ b/bench/soak/server_notices.py
@@ -14,7 +14,7 @@
 from hickorybeam.standins.server import ServerFaults
 
 if TYPE_CHECKING:
-    from bench.soak.gateway import Soak
+    from bench.soak.target import SoakTarget
 
     from hickorybeam.standins.server import ServerStandIn
 
@@ -33,7 +33,7 @@
 ALL = 1_000_000
 
 
-async def name_limit(soak: Soak) -> None:
+async def name_limit(soak: SoakTarget) -> None:
     """Let a server name a limit; all VMs together keep to it."""
     server = soak.rng.choice(soak.servers)
     per_s = soak.rng.choice(LIMITS_PER_S)
@@ -46,7 +46,7 @@
         soak.broken(f"{server.id} named {per_s:g} requests/s and got {arrived}, allowed {allowed}")
 
 
-async def ask_for_rest(soak: Soak) -> None:
+async def ask_for_rest(soak: SoakTarget) -> None:
     """Let a server turn all VMs away and ask for rest; none of them goes on sending."""
     server = soak.rng.choice(soak.servers)
     server.rest_s, server.faults.full = b"%g" % REST_S, ALL
@@ -58,7 +58,7 @@
         soak.broken(f"{server.id} asked for rest and got {arrived} requests, allowed {allowed}")
 
 
-async def say_leaving(soak: Soak) -> None:
+async def say_leaving(soak: SoakTarget) -> None:
     """Let a server say that it is leaving, and start anew afterwards; it gets nothing meanwhile."""
     server = soak.rng.choice(soak.servers)
     server.leaving = True
--- /dev/null
+++ b/bench/soak/target.py
@@ -0,0 +1,43 @@
+"""What the faults of the gateway's soak need of the run that they disturb."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from hickorybeam.standins.server import ServerStandIn
+
+__all__ = ("SoakTarget",)
+
+
+class SoakTarget(Protocol):
+    """A run of the soak: its VMs, its servers, and the callers that faults need."""
+
+    rng: random.Random
+    servers: list[ServerStandIn]
+
+    @property
+    def vm_count(self) -> int:
+        """How many VMs run."""
+        ...
+
+    @property
+    def caller_ports(self) -> Sequence[int]:
+        """The ports on which VMs take callers' requests."""
+        ...
+
+    @property
+    def disturbed(self) -> bool:
+        """Whether servers fail or VMs start, so that refusals may have other reasons."""
+        ...
+
+    async def prompt(self, key: str, wait_ms: int) -> bool:
+        """Send a prompt with a part of its own to some VM, and return whether it was served."""
+        ...
+
+    def broken(self, text: str) -> None:
+        """Record a broken promise."""
+        ...
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -29,6 +29,7 @@
     PlacementUpdate,
 )
 from hickorybeam.gateway.registration import Registration
+from hickorybeam.gateway.report_receiver import ReportReceiver
 from hickorybeam.gateway.server_notices import ServerNotices
 from hickorybeam.gateway.server_rates import ServerRates
 from hickorybeam.gateway.status_report import Audience, StatusReport
@@ -64,7 +65,6 @@
         ServerUsage,
         WaitForecast,
     )
-    from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
@@ -109,22 +109,14 @@
         self.peers = PeerTable(clock, self.own_vm)
         self.coordinators = CoordinatorRanking(self.own_vm, self.peers, self._is_stable)
         self._counters = counters
-        self._message_handlers: dict[type[PeerMessage], Callable[[Any], None]] = {
-            StatusReport: self._handle_report
-        }
+        self._message_handlers: dict[type[PeerMessage], Callable[[Any], None]] = {}
         # Returns this VM's usage of servers in slots that other VMs granted.
         self.granted_usage: Callable[[], GrantedUsage] = dict
         # Returns accounts' leads at overloaded services that this VM places for its region.
         self.account_leads: Callable[[], dict[str, dict[str, float]]] = dict
-        # Called with a region and the leads that its placement coordinator told.
-        self.on_leads: Callable[[str, dict[str, dict[str, float]]], None] = lambda region, leads: (
-            None
-        )
-        self._relayed: list[StatusReport] = []
         self._rng = random.Random()
         self._local_report_count = 0
         self._report_turns: dict[str, int] = {}
-        self._needs_levels = True
         self._serving = anyio.Event()
         # Bound to the TCP side of the peers' port, for the service that listens there.
         self._peer_socket: socket.socket | None = None
@@ -150,6 +142,17 @@
             coordinators=self.coordinators,
             own_name=self.own_vm.name,
         )
+        self.reports = ReportReceiver(
+            clock=self._clock,
+            own_vm=self.own_vm,
+            feed=self._feed,
+            peers=self.peers,
+            quota=self.quota,
+            prefix_holders=self.prefix_holders,
+            server_notices=self.server_notices,
+            send_levels=self._send_levels,
+        )
+        self.on_message(StatusReport, self.reports.receive)
         key = f"{self._cfg.platform.prefix}vm/{self.own_vm.name}"
         self._registration = Registration(self._store, self._clock, key)
 
@@ -329,7 +332,7 @@
         """Send a report to every VM of this data centre, with those received from other ones."""
         self._local_report_count += 1
         whole = self._local_report_count % WHOLE_REPORT_EVERY == 0
-        relayed, self._relayed = self._relayed, []
+        relayed = self.reports.take_to_relay()
         data = self._encode_report(Audience.NEAR, whole=whole, relayed=relayed)
         for peer in self.peers.local_peers():
             self._send_datagram(data, peer)
@@ -388,7 +391,7 @@
             leaving=self.leaving,
             revision=self._feed.revision,
             follows=self._feed.watches_store,
-            fresh=self._needs_levels,
+            fresh=self.reports.needs_levels,
             spent=self._own_usage.spent(whole=whole),
             servers={} if far else self._server_usage(granted, whole=whole),
             forecasts=self.region_forecasts if far else {},
@@ -427,60 +430,7 @@
         if handle is not None:
             handle(message)
 
-    def _handle_report(self, report: StatusReport) -> None:
-        """Apply a VM's report and those that it relays."""
-        sender = self._apply_report(report)
-        for relayed in report.relayed:
-            if relayed.name != self.own_vm.name:
-                self._apply_report(relayed)
-        if sender is not None and sender.vm.data_centre != self.own_vm.data_centre:
-            # Relayed to the VMs of this data centre with the next report.
-            self._relayed.append(report)
-
-    def _apply_report(self, report: StatusReport) -> Peer | None:
-        peer = self.peers.record_report(report.name, report.vm)
-        if peer is None:
-            return None
-        now = self._clock.now()
-        if report.leaving and not peer.leaving:
-            peer.leaving_since_ms = now
-        peer.leaving = report.leaving
-        peer.watches_store = report.follows
-        self._feed.note_peer_revision(report.revision, now, source=self._change_source(peer))
-        self.prefix_holders.merge(report.holds, now)
-        if self.peers.in_own_region(peer):
-            known = {} if report.whole or peer.servers is None else peer.servers
-            peer.servers = known | report.servers
-            peer.granted_usage = report.granted
-            for server, cold_ms in report.cold.items():
-                self._feed.routing_state.mark_cold(server, cold_ms, now)
-            self.server_notices.limits.apply(report.limits)
-            self.server_notices.apply_leaving(report.departing)
-            self.server_notices.loads.apply(report.loads)
-        else:
-            peer.forecasts = report.forecasts
-        if report.leads:
-            self.on_leads(peer.vm.region, report.leads)
-        started_later = report.up_ms < now - self._started_ms
-        incarnation = f"{report.name}/{report.incarnation}"
-        self.quota.apply_totals(incarnation, report.spent, now, started_later=started_later)
-        self._exchange_levels(report, peer, now)
-        return peer
-
-    def _change_source(self, peer: Peer) -> Address | None:
-        """Return the address to request changes from if the VM is local and watches the store."""
-        if not peer.watches_store or peer.vm.data_centre != self.own_vm.data_centre:
-            return None
-        return (peer.vm.host, peer.vm.peer_port)
-
-    def _exchange_levels(self, report: StatusReport, peer: Peer, now_ms: int) -> None:
-        """Adopt the quota levels of an older VM, or send this VM's to a younger one."""
-        up_ms = now_ms - self._started_ms
-        if report.levels is not None and self._needs_levels and report.up_ms > up_ms:
-            self._needs_levels = False
-            self.quota.adopt_levels(report.levels, now_ms)
-        if self._needs_levels and up_ms > DISCOVERY_MS:
-            self._needs_levels = False
-        if report.fresh and report.up_ms < up_ms:
-            audience = Audience.ASIDE if self.peers.in_own_region(peer) else Audience.FAR
-            self._send_datagram(self._encode_report(audience, with_levels=True), peer)
+    def _send_levels(self, peer: Peer) -> None:
+        """Send this VM's quota levels to one that has just started."""
+        audience = Audience.ASIDE if self.peers.in_own_region(peer) else Audience.FAR
+        self._send_datagram(self._encode_report(audience, with_levels=True), peer)
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -137,7 +137,7 @@
         self._fleet.on_message(PlacementResponse, self._placement_client.handle_response)
         self._fleet.granted_usage = self._placement_client.granted_usage
         self._fleet.account_leads = self._account_leads
-        self._fleet.on_leads = self._apply_leads
+        self._fleet.reports.on_leads = self._apply_leads
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._placement_client.run)
             tg.start_soon(self._peer_connections.run)
--- a/src/hickorybeam/http1/response_writer.py
+++ b/src/hickorybeam/http1/response_writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from hickorybeam.http1.head import response_head_bytes
 
@@ -10,13 +10,46 @@
     from collections.abc import Callable
 
     from hickorybeam.http1.head import RawHeaders
-    from hickorybeam.http1.server import CallerConnection
 
-__all__ = ("ResponseWriter",)
+__all__ = ("ResponseConnection", "ResponseWriter")
 
 LAST_CHUNK = b"0\r\n\r\n"
 
 
+class ResponseConnection(Protocol):
+    """What a response needs of the connection that it is written to."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether the server is shutting down, so that connections end with their responses."""
+        ...
+
+    @property
+    def writable(self) -> bool:
+        """Whether the write buffer has room."""
+        ...
+
+    def write(self, data: bytes) -> None:
+        """Write unless the connection is closing."""
+        ...
+
+    async def wait_writable(self) -> None:
+        """Wait until the write buffer has room."""
+        ...
+
+    def end_response(self, *, close: bool) -> None:
+        """Start the next request, or close the connection."""
+        ...
+
+    def abort(self) -> None:
+        """Abort the connection."""
+        ...
+
+    def reset(self) -> None:
+        """Reset the connection, so that the caller sees an error and no orderly close."""
+        ...
+
+
 class ResponseWriter:
     """Writes the response to one request: complete, or as a head and chunks.
 
@@ -33,7 +66,7 @@
         "started",
     )
 
-    def __init__(self, conn: CallerConnection, *, close: bool, head_only: bool) -> None:
+    def __init__(self, conn: ResponseConnection, *, close: bool, head_only: bool) -> None:
         self._conn = conn
         self._close = close
         self._head_only = head_only
@@ -56,7 +89,7 @@
         self, status: int, headers: RawHeaders = (), body: bytes = b"", *, close: bool = False
     ) -> None:
         """Send a complete response."""
-        close = close or self._close or self._conn.server.closing
+        close = close or self._close or self._conn.draining
         head = response_head_bytes(status, headers, length=len(body), close=close)
         self.started = True
         self._conn.write(head if self._head_only else head + body)
@@ -64,7 +97,7 @@
 
     def start(self, status: int, headers: RawHeaders) -> None:
         """Send the head of a response whose body follows in chunks."""
-        self._close = self._close or self._conn.server.closing
+        self._close = self._close or self._conn.draining
         self._conn.write(response_head_bytes(status, headers, length=None, close=self._close))
         self.started = True
 
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -186,6 +186,11 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    @property
+    def draining(self) -> bool:
+        """Whether the server is shutting down, so that connections end with their responses."""
+        return self.server.closing
+
     @property
     def writable(self) -> bool:
         """Whether the write buffer has room."""
