Leads that make no sense count for nothing; a slot's request has a name of its own

Leads of other VMs that are no positive number, or would shut an account out for a minute, are dropped.

--- a/src/hickorybeam/gateway/local_placement.py
+++ b/src/hickorybeam/gateway/local_placement.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.service_queue import Ticket
+from hickorybeam.gateway.service_queue import SlotRequest
 from hickorybeam.gateway.targets import NoCapacity, ServerTarget
 from hickorybeam.policy.retry_after import clamp_retry_after_ms, max_retry_after_ms
 from hickorybeam.policy.return_promises import Promise
@@ -53,17 +53,17 @@
     def search(self, request: AdmittedRequest, targets: TargetFilter) -> Target | NoCapacity | None:
         """Search for a target now, unless others that wait go first or the caller is too early."""
         queue = self._queues.for_service(request.service)
-        ticket = self._ticket(request)
+        slot_request = self._slot_request(request)
         now = self._clock.now()
-        early_ms = ticket.promise.early_ms(now) if ticket.promise else 0
+        early_ms = slot_request.promise.early_ms(now) if slot_request.promise else 0
         if early_ms:
             return NoCapacity(early_ms, final=True, retry_after_ms=early_ms)
-        if queue.must_wait(ticket):
+        if queue.must_wait(slot_request):
             wait_ms = queue.wait_queue.expected_wait_ms(request.urgency, now)
             return self._selector.choose_elsewhere(request, targets, wait_ms=wait_ms)
         found = self._selector.choose(request, targets)
         if isinstance(found, ServerTarget):
-            queue.record_start(ticket)
+            queue.record_start(slot_request)
             queue.promises.redeem(promise_key(request))
         return found
 
@@ -74,29 +74,29 @@
         """
         if found.final:
             return None
-        ticket = self._ticket(request)
+        slot_request = self._slot_request(request)
         # Who comes back has no further attempt, and would rather be late than refused again.
-        may_be_late = found.deferred or ticket.promise is not None
+        may_be_late = found.deferred or slot_request.promise is not None
         max_wait = max_wait_ms(request, self._clock.now(), may_be_late=may_be_late)
         queue = self._queues.for_service(request.service)
-        return queue.enter(ticket, max_wait, deferred=found.deferred)
+        return queue.enter(slot_request, max_wait, deferred=found.deferred)
 
     async def wait_for_slot(
         self, request: AdmittedRequest, targets: TargetFilter, entry: QueueEntry
     ) -> Target | NoCapacity | None:
         """Wait in the queue until a target is found, the entry expires or is evicted."""
         queue = self._queues.for_service(request.service)
-        ticket = self._ticket(request)
+        slot_request = self._slot_request(request)
         target: Target | NoCapacity | None = NoCapacity(0.0)
         try:
             target = await self._search_in_turn(request, targets, entry)
         finally:
             queue.leave(entry)
             if isinstance(target, ServerTarget):
-                queue.record_start(ticket, entry)
+                queue.record_start(slot_request, entry)
                 queue.promises.redeem(promise_key(request))
             else:
-                queue.record_no_slot(ticket)
+                queue.record_no_slot(slot_request)
         if isinstance(target, NoCapacity) and not entry.evicted:
             return self.search_without_deferral(request, targets, target)
         return target
@@ -126,7 +126,7 @@
             return found
         target = self._selector.choose(request, targets.without_deferral())
         if isinstance(target, ServerTarget):
-            self._queues.for_service(request.service).record_start(self._ticket(request))
+            self._queues.for_service(request.service).record_start(self._slot_request(request))
         return target
 
     def refuse(self, request: AdmittedRequest, found: NoCapacity) -> int:
@@ -142,14 +142,18 @@
         max_ms = max_retry_after_ms(left_ms)
         retry_after_ms = queue.wait_queue.retry_after_ms(request.urgency, max_ms, now)
         if not found.final:
-            ticket = self._ticket(request)
-            queue.record_refusal(ticket)
+            slot_request = self._slot_request(request)
+            queue.record_refusal(slot_request)
             due_ms = now + retry_after_ms if retry_after_ms < max_ms else None
-            self._promise(request, queue, ticket, due_ms)
+            self._promise(request, queue, slot_request, due_ms)
         return clamp_retry_after_ms(retry_after_ms, left_ms)
 
     def _promise(
-        self, request: AdmittedRequest, queue: ServiceQueue, ticket: Ticket, due_ms: int | None
+        self,
+        request: AdmittedRequest,
+        queue: ServiceQueue,
+        slot_request: SlotRequest,
+        due_ms: int | None,
     ) -> None:
         """Promise a refused caller its turn, once, if it can be recognised when it returns.
 
@@ -157,19 +161,19 @@
             free until then.
         """
         key = promise_key(request)
-        if ticket.promise is not None:
+        if slot_request.promise is not None:
             queue.promises.redeem(key)
         elif due_ms is not None and queue.overloaded and request.call.parts:
-            queue.promises.add(key, Promise(due_ms, queue.turn_of(ticket)))
+            queue.promises.add(key, Promise(due_ms, queue.turn_of(slot_request)))
 
-    def _ticket(self, request: AdmittedRequest) -> Ticket:
+    def _slot_request(self, request: AdmittedRequest) -> SlotRequest:
         queue = self._queues.for_service(request.service)
         if not queue.fair:
-            return Ticket(account=request.account or "", urgency=request.urgency)
+            return SlotRequest(account=request.account or "", urgency=request.urgency)
         promise = None
         if request.call.parts and queue.overloaded:
             promise = queue.promises.find(promise_key(request), self._clock.now())
-        return Ticket(
+        return SlotRequest(
             account=request.account or "",
             urgency=request.urgency,
             weight=self._routing_state.account_weight(request.account),
--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -24,7 +25,7 @@
     from hickorybeam.policy.wait_queue import QueueEntry
     from hickorybeam.telemetry import Counters
 
-__all__ = ("ServiceQueue", "ServiceQueues", "Ticket")
+__all__ = ("ServiceQueue", "ServiceQueues", "SlotRequest")
 
 # Slots also come free by other VMs' status reports, which wake no task, so the first tasks poll.
 POLL_INTERVAL_MS = 25
@@ -37,11 +38,13 @@
 OUTRUN_SHARE = 0.8
 # Accounts whose leads are told to other VMs, the largest first.
 MAX_LEADS = 64
+# With a larger lead an account would be shut out for the rest of an overload.
+MAX_LEAD_MS = 60_000.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Ticket:
-    """What a request asks of a service, on the account of its caller.
+class SlotRequest:
+    """What a request asks of a service's slots, for the account of its caller.
 
     ``cost_ms`` is the server time that it takes, ``weight`` that of its account. ``promise`` is
     kept by the VM that refused it before, if its caller comes back in its time.
@@ -117,93 +120,103 @@
             self.report.begin(self.service, now, waiting=len(self.wait_queue))
         self._is_overloaded = self.wait_queue.sharing = lasts_ms is not None
 
-    def turn_of(self, ticket: Ticket) -> float:
+    def turn_of(self, slot_request: SlotRequest) -> float:
         """Return when a request is due; the same for all without an overload."""
         if not self.overloaded:
             return self.shares.now
-        if ticket.promise is not None:
-            return ticket.promise.turn
+        if slot_request.promise is not None:
+            return slot_request.promise.turn
         oldest_ms = self.clock.now() - MAX_LEADS_AGE_MS
         elsewhere = (
-            it.leads.get(ticket.account, 0.0)
+            it.leads.get(slot_request.account, 0.0)
             for it in self._elsewhere.values()
             if it.told_ms > oldest_ms
         )
-        return self.shares.turn(ticket.account, max(elsewhere, default=0.0))
+        return self.shares.turn(slot_request.account, max(elsewhere, default=0.0))
 
-    def must_wait(self, ticket: Ticket) -> bool:
+    def must_wait(self, slot_request: SlotRequest) -> bool:
         """Return whether a new request has to let waiting ones go first."""
-        return self.overloaded and self.wait_queue.must_wait(ticket.urgency, self.turn_of(ticket))
+        return self.overloaded and self.wait_queue.must_wait(
+            slot_request.urgency, self.turn_of(slot_request)
+        )
 
-    def enter(self, ticket: Ticket, max_wait_ms: int, *, deferred: bool) -> QueueEntry | None:
+    def enter(
+        self, slot_request: SlotRequest, max_wait_ms: int, *, deferred: bool
+    ) -> QueueEntry | None:
         """Add a request, or return ``None`` if its turn can't come in time.
 
         In an overload, entries whose turns can't come in time because of it are evicted.
         """
-        turn = self.turn_of(ticket)
-        if self._is_outrun(ticket, turn, max_wait_ms):
+        turn = self.turn_of(slot_request)
+        if self._is_outrun(slot_request, turn, max_wait_ms):
             return None
         entry = self.wait_queue.enter(
-            ticket.urgency,
+            slot_request.urgency,
             max_wait_ms,
             self.clock.now(),
             turn=turn,
-            cost_ms=ticket.cost_ms,
+            cost_ms=slot_request.cost_ms,
             deferred=deferred,
-            keeps_place=ticket.promise is not None,
+            keeps_place=slot_request.promise is not None,
         )
         if entry is None:
             return None
-        self._flows[ticket.account].waiting += 1
+        self._flows[slot_request.account].waiting += 1
         if self._is_overloaded:
-            self.shares.charge(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
+            self.shares.charge(
+                slot_request.account, weight=slot_request.weight, cost_ms=slot_request.cost_ms
+            )
             for evicted in self.wait_queue.evict_hopeless(self.clock.now()):
                 self._wake(evicted)
         return entry
 
-    def _is_outrun(self, ticket: Ticket, turn: float, max_wait_ms: int) -> bool:
+    def _is_outrun(self, slot_request: SlotRequest, turn: float, max_wait_ms: int) -> bool:
         """Return whether a request would wait in vain, as others will come before it.
 
         Those are requests of accounts that have used less: as long as they come, the account's own
         requests get slots at the rate that is left to it.
         """
-        if not self._is_overloaded or ticket.promise is not None or turn <= self.shares.now:
+        if not self._is_overloaded or slot_request.promise is not None or turn <= self.shares.now:
             return False
-        wait_ms = self._flows[ticket.account].wait_ms(self.clock.now())
+        wait_ms = self._flows[slot_request.account].wait_ms(self.clock.now())
         return wait_ms > max_wait_ms * OUTRUN_SHARE
 
-    def record_start(self, ticket: Ticket, entry: QueueEntry | None = None) -> None:
+    def record_start(self, slot_request: SlotRequest, entry: QueueEntry | None = None) -> None:
         """Record a request that got a slot, from the queue or without a wait."""
         now = self.clock.now()
         if entry is not None:
-            self._detector.record(ticket.urgency, entry.waited_share(now), now)
-        elif not self.wait_queue.must_wait(ticket.urgency, self.shares.now):
+            self._detector.record(slot_request.urgency, entry.waited_share(now), now)
+        elif not self.wait_queue.must_wait(slot_request.urgency, self.shares.now):
             # One that found a slot before those that wait doesn't show that there is no delay.
-            self._detector.record(ticket.urgency, 0.0, now)
+            self._detector.record(slot_request.urgency, 0.0, now)
         self._update_overload()
-        self.wait_queue.record_start(ticket.urgency, ticket.cost_ms)
-        self.report.count_start(self.service, ticket.account, ticket.cost_ms)
+        self.wait_queue.record_start(slot_request.urgency, slot_request.cost_ms)
+        self.report.count_start(self.service, slot_request.account, slot_request.cost_ms)
         if entry is not None:
-            self._flows[ticket.account].waiting -= 1
+            self._flows[slot_request.account].waiting -= 1
         if not self._is_overloaded:
             return
-        self._flows[ticket.account].starts.record(1, now)
-        turn = entry.turn if entry else self.turn_of(ticket)
+        self._flows[slot_request.account].starts.record(1, now)
+        turn = entry.turn if entry else self.turn_of(slot_request)
         if entry is None:
-            self.shares.charge(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
+            self.shares.charge(
+                slot_request.account, weight=slot_request.weight, cost_ms=slot_request.cost_ms
+            )
         self.shares.advance(turn)
 
-    def record_no_slot(self, ticket: Ticket) -> None:
+    def record_no_slot(self, slot_request: SlotRequest) -> None:
         """Record that an entry left the queue without a slot."""
-        self._flows[ticket.account].waiting -= 1
+        self._flows[slot_request.account].waiting -= 1
         if self.overloaded:
-            self.shares.refund(ticket.account, weight=ticket.weight, cost_ms=ticket.cost_ms)
+            self.shares.refund(
+                slot_request.account, weight=slot_request.weight, cost_ms=slot_request.cost_ms
+            )
 
-    def record_refusal(self, ticket: Ticket) -> None:
+    def record_refusal(self, slot_request: SlotRequest) -> None:
         """Record a request that was refused for want of a slot."""
-        self._detector.record(ticket.urgency, 1.0, self.clock.now())
+        self._detector.record(slot_request.urgency, 1.0, self.clock.now())
         self._update_overload()
-        self.report.count_refusal(self.service, ticket.account)
+        self.report.count_refusal(self.service, slot_request.account)
 
     def told_leads(self) -> dict[str, float]:
         """Return the leads that other VMs need, none without an overload."""
@@ -211,11 +224,11 @@
 
     def take_over_leads(self, leads: Mapping[str, float]) -> None:
         """Take over the leads at the VM that places for this region, in case that it ends."""
-        self.shares.replace(leads)
+        self.shares.replace(plausible_leads(leads))
 
     def note_leads_elsewhere(self, region: str, leads: Mapping[str, float]) -> None:
         """Note the leads of accounts in another region."""
-        self._elsewhere[region] = _RegionLeads(leads, self.clock.now())
+        self._elsewhere[region] = _RegionLeads(plausible_leads(leads), self.clock.now())
 
     def record_departure(self) -> None:
         """Record that a request left a server, and wake the first entry."""
@@ -264,6 +277,12 @@
             event.set()
 
 
+def plausible_leads(leads: Mapping[str, float]) -> dict[str, float]:
+    """Return the leads that another VM told, without those that make no sense."""
+    found = {name: lead for name, lead in leads.items() if 0 < lead <= MAX_LEAD_MS}
+    return dict(itertools.islice(found.items(), MAX_LEADS))
+
+
 class ServiceQueues:
     """Queues of all services on this VM.
 
--- a/tests/gateway/fair_share.feature
+++ b/tests/gateway/fair_share.feature
@@ -62,6 +62,21 @@
     When 3.1 s pass in overload
     Then a request of "hot" goes before one of "a1" that comes later
 
+  # Guards against an account that is shut out by what a faulty VM tells.
+  Scenario Outline: leads that make no sense count for nothing
+    Given an overloaded service
+    When region "south" tells a lead of <lead> ms for "hot"
+    And a successor is told a lead of <lead> ms for "hot"
+    Then a request of "hot" goes before one of "a1" that comes later
+
+    Examples:
+      | lead |
+      | 0    |
+      | -500 |
+      | nan  |
+      | inf  |
+      | 1e12 |
+
   # Guards against callers that are refused when they come back as they were told.
   Scenario: a refused caller that comes back in its time goes before newcomers of its account
     Given an overloaded service
--- a/tests/steps/gateway/fair_share_steps.py
+++ b/tests/steps/gateway/fair_share_steps.py
@@ -7,7 +7,7 @@
 
 from hickorybeam.clock import ManualClock
 from hickorybeam.gateway.overload_report import OverloadReport
-from hickorybeam.gateway.service_queue import ServiceQueue, Ticket
+from hickorybeam.gateway.service_queue import ServiceQueue, SlotRequest
 from hickorybeam.policy.return_promises import Promise
 from hickorybeam.telemetry import Counters
 
@@ -51,23 +51,23 @@
     def ask(self, account, urgency, slot_ms):
         self.asked[account] += 1
         weight = self.weights.get(account, 1.0)
-        ticket = Ticket(account=account, urgency=urgency, weight=weight, cost_ms=slot_ms)
-        if self.free and not self.queue.must_wait(ticket):
-            self.queue.record_start(ticket)
-            self.start(ticket)
+        slot_request = SlotRequest(account=account, urgency=urgency, weight=weight, cost_ms=slot_ms)
+        if self.free and not self.queue.must_wait(slot_request):
+            self.queue.record_start(slot_request)
+            self.start(slot_request)
             return
-        entry = self.queue.enter(ticket, MAX_WAIT_MS, deferred=False)
+        entry = self.queue.enter(slot_request, MAX_WAIT_MS, deferred=False)
         if entry is None:
             self.refused[account] += 1
-            self.queue.record_refusal(ticket)
+            self.queue.record_refusal(slot_request)
         else:
-            self.waiting[entry.number] = (entry, ticket)
+            self.waiting[entry.number] = (entry, slot_request)
 
-    def start(self, ticket):
+    def start(self, slot_request):
         self.free -= 1
-        self.served[ticket.account] += 1
-        self.server_ms[ticket.account] += ticket.cost_ms
-        heapq.heappush(self.ends, self.clock.now() + ticket.cost_ms)
+        self.served[slot_request.account] += 1
+        self.server_ms[slot_request.account] += slot_request.cost_ms
+        heapq.heappush(self.ends, self.clock.now() + slot_request.cost_ms)
 
     def end_requests(self):
         now = self.clock.now()
@@ -75,19 +75,19 @@
             heapq.heappop(self.ends)
             self.free += 1
             self.queue.record_departure()
-        for entry, ticket in tuple(self.waiting.values()):
+        for entry, slot_request in tuple(self.waiting.values()):
             if entry.evicted or entry.expires_ms <= now:
                 self.in_vain += not entry.evicted
                 self.leave(entry)
-                self.queue.record_no_slot(ticket)
-                self.queue.record_refusal(ticket)
-                self.refused[ticket.account] += 1
+                self.queue.record_no_slot(slot_request)
+                self.queue.record_refusal(slot_request)
+                self.refused[slot_request.account] += 1
         while self.free and len(self.queue.wait_queue):
             entry = self.queue.wait_queue.first(1)[0]
-            _, ticket = self.waiting[entry.number]
+            _, slot_request = self.waiting[entry.number]
             self.leave(entry)
-            self.queue.record_start(ticket, entry)
-            self.start(ticket)
+            self.queue.record_start(slot_request, entry)
+            self.start(slot_request)
 
     def leave(self, entry):
         self.queue.leave(entry)
@@ -224,7 +224,7 @@
 def overload(queue):
     """Have requests of all accounts refused for as long as it takes to be an overload."""
     for _ in range(6):
-        queue.record_refusal(Ticket(account="a2", urgency=USUAL))
+        queue.record_refusal(SlotRequest(account="a2", urgency=USUAL))
         advance(queue.clock, 100)
     assert queue.overloaded
 
@@ -251,21 +251,26 @@
         context.queue.record_departure()
 
 
-@when('region "{region}" tells a lead of {ms:d} ms for "{name}"')
+@when('region "{region}" tells a lead of {ms} ms for "{name}"')
 def step_lead_elsewhere(context, region, ms, name):
     context.queue.note_leads_elsewhere(region, {name: float(ms)})
 
 
+@when('a successor is told a lead of {ms} ms for "{name}"')
+def step_lead_told(context, ms, name):
+    context.queue.take_over_leads({name: float(ms)})
+
+
 @when("{seconds:g} s pass in overload")
 def step_pass(context, seconds):
     for _ in range(round(seconds * 10)):
         advance(context.queue.clock, 100)
-        context.queue.record_refusal(Ticket(account="a2", urgency=USUAL))
+        context.queue.record_refusal(SlotRequest(account="a2", urgency=USUAL))
 
 
 def enter(context, account, promise=None):
-    ticket = Ticket(account=account, urgency=USUAL, promise=promise)
-    return context.queue.enter(ticket, 60_000, deferred=False)
+    slot_request = SlotRequest(account=account, urgency=USUAL, promise=promise)
+    return context.queue.enter(slot_request, 60_000, deferred=False)
 
 
 def order_of(context, *entries):
@@ -293,7 +298,7 @@
 def step_promise(context, name, ms):
     queue = context.queue
     context.name, context.key = name, (name, "session-7")
-    turn = queue.turn_of(Ticket(account=name, urgency=USUAL))
+    turn = queue.turn_of(SlotRequest(account=name, urgency=USUAL))
     context.due_ms = queue.clock.now() + ms
     queue.promises.add(context.key, Promise(context.due_ms, turn))
 
