Four requests at the front of a queue may search for a slot, one after the other

Cause: the first two may be too large for the memory that is free, and newcomers no longer pass them in an overload, so a slot stood idle until they expired.

--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -18,7 +18,7 @@
 from hickorybeam.policy.wait_queue import WaitQueue
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from hickorybeam.clock import Clock
     from hickorybeam.policy.return_promises import Promise
@@ -29,8 +29,10 @@
 
 # Slots also come free by other VMs' status reports, which wake no task, so the first tasks poll.
 POLL_INTERVAL_MS = 25
-# Number of entries at the front that may use a freed slot: the very first may be unable to.
-FRONT_ENTRIES = 2
+POLLING_ENTRIES = 2
+# Number of entries at the front that may search for a slot, one after the other: the first ones may
+# be too large for the memory that is free, and those behind them would wait beside it.
+FRONT_ENTRIES = 4
 # Leads that another region has not told again for this long are over.
 MAX_LEADS_AGE_MS = 3_000
 # Share of its longest wait that a request may expect behind its account's own: the rate of slots
@@ -238,27 +240,29 @@
     async def wait_for_turn(self, entry: QueueEntry) -> bool:
         """Wait until a search for a slot may succeed, or until the entry expires.
 
-        Only the front entries poll: on a placement coordinator hundreds of tasks wait, and if all
+        Only the first entries poll: on a placement coordinator hundreds of tasks wait, and if all
         of them polled, they would use up the CPU that the first ones need.
 
         :return: whether the entry still waits.
         """
         event = self._wake_events[entry.number] = anyio.Event()
         left_ms = entry.expires_ms - self.clock.now()
-        wait_ms = min(POLL_INTERVAL_MS, left_ms) if self.is_near_front(entry) else left_ms
+        polls = is_among(entry, self.wait_queue.first(POLLING_ENTRIES))
+        wait_ms = min(POLL_INTERVAL_MS, left_ms) if polls else left_ms
         with anyio.move_on_after(max(0, wait_ms) / MS_PER_SECOND):
             await event.wait()
         return not entry.evicted and self.clock.now() < entry.expires_ms
 
     def is_near_front(self, entry: QueueEntry) -> bool:
         """Return whether an entry is among those that may search for a slot."""
-        return any(it is entry for it in self.wait_queue.first(FRONT_ENTRIES))
+        return is_among(entry, self.wait_queue.first(FRONT_ENTRIES))
 
     def pass_on(self, entry: QueueEntry) -> None:
         """Let the next front entry search, since this one found no slot that it can use."""
         front = self.wait_queue.first(FRONT_ENTRIES)
-        if front and front[0] is entry:
-            self._wake_front(1)
+        for index, other in enumerate(front):
+            if other is entry:
+                self._wake_front(index + 1)
 
     def leave(self, entry: QueueEntry) -> None:
         """Remove an entry, and wake the first one."""
@@ -277,6 +281,11 @@
             event.set()
 
 
+def is_among(entry: QueueEntry, entries: Iterable[QueueEntry]) -> bool:
+    """Return whether an entry is one of some entries."""
+    return any(it is entry for it in entries)
+
+
 def plausible_leads(leads: Mapping[str, float]) -> dict[str, float]:
     """Return the leads that another VM told, without those that make no sense."""
     found = {name: lead for name, lead in leads.items() if 0 < lead <= MAX_LEAD_MS}
--- a/tests/gateway/service_queue.feature
+++ b/tests/gateway/service_queue.feature
@@ -12,6 +12,12 @@
     When the first 4 leave one after the other
     Then the last one has polled within 100 ms
 
+  # Guards against free memory that nobody uses, since the first in the queue is too large for it.
+  Scenario: those behind a request that can use no slot search in their turn
+    Given a queue in which 5 requests wait for 2000 ms
+    When a slot comes free that the first 3 can't use
+    Then the one behind them has searched within 100 ms, and the next one has not
+
   # Guards against work that shifts unseen: operators read from the metrics what a VM has learned.
   Scenario: metrics tell how long requests hold a slot at a service's servers
     Given a small gateway with servers "m1:model, b1:books"
--- a/tests/steps/gateway/service_queue_steps.py
+++ b/tests/steps/gateway/service_queue_steps.py
@@ -83,6 +83,34 @@
     assert context.last in context.polls
 
 
+async def wait_in_vain(context, entry):
+    while await context.queue.wait_for_turn(entry):
+        if context.queue.is_near_front(entry):
+            context.polls.append(entry.number)
+            context.queue.pass_on(entry)
+
+
+@when("a slot comes free that the first {count:d} can't use")
+def step_unusable(context, count):
+    async def run():
+        async with anyio.create_task_group() as tg:
+            for entry in context.entries:
+                tg.start_soon(wait_in_vain, context, entry)
+            await anyio.sleep(0.005)
+            context.queue.record_departure()
+            await anyio.sleep(0.1)
+            tg.cancel_scope.cancel()
+
+    context.behind = context.entries[count].number
+    context.call(run)
+
+
+@then("the one behind them has searched within 100 ms, and the next one has not")
+def step_behind(context):
+    assert context.behind in context.polls
+    assert context.behind + 1 not in context.polls
+
+
 @then('metrics of "{vm}" tell that requests hold a slot of "{service}" for some time')
 def step_metrics(context, vm, service):
     port = context.rig.vms[vm].relay.ports().peers
