A request that lets others go first is held against other regions by its own turn

Cause: its wait was taken for that of the last in the queue, so accounts below their share went to other regions though their turn was next.

--- a/src/hickorybeam/gateway/local_placement.py
+++ b/src/hickorybeam/gateway/local_placement.py
@@ -59,7 +59,7 @@
         if early_ms:
             return NoCapacity(early_ms, final=True, retry_after_ms=early_ms)
         if queue.must_wait(slot_request):
-            wait_ms = queue.wait_queue.expected_wait_ms(request.urgency, now)
+            wait_ms = queue.expected_wait_ms(slot_request)
             return self._selector.choose_elsewhere(request, targets, wait_ms=wait_ms)
         found = self._selector.choose(request, targets)
         if isinstance(found, ServerTarget):
--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -136,6 +136,11 @@
         )
         return self.shares.turn(slot_request.account, max(elsewhere, default=0.0))
 
+    def expected_wait_ms(self, slot_request: SlotRequest) -> float:
+        """Return how long a new request is expected to wait."""
+        turn = self.turn_of(slot_request)
+        return self.wait_queue.expected_wait_ms(slot_request.urgency, self.clock.now(), turn=turn)
+
     def must_wait(self, slot_request: SlotRequest) -> bool:
         """Return whether a new request has to let waiting ones go first."""
         return self.overloaded and self.wait_queue.must_wait(
--- a/src/hickorybeam/policy/wait_queue.py
+++ b/src/hickorybeam/policy/wait_queue.py
@@ -14,6 +14,7 @@
 
 import bisect
 import itertools
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from operator import attrgetter
@@ -123,9 +124,15 @@
         self._departures.append(now_ms)
         self._drop_old_departures(now_ms)
 
-    def expected_wait_ms(self, urgency: int, now_ms: int) -> float:
-        """Return the expected wait of a new request of this urgency."""
-        return self._wait_ms(self._count_until(urgency), urgency, now_ms)
+    def expected_wait_ms(self, urgency: int, now_ms: int, *, turn: float = math.inf) -> float:
+        """Return the expected wait of a new request of this urgency.
+
+        :param turn: its turn among those of the same urgency; behind all of them by default.
+        """
+        ahead = bisect.bisect_right(
+            self._entries, (urgency, turn), key=attrgetter("urgency", "turn")
+        )
+        return self._wait_ms(ahead, urgency, now_ms)
 
     def _wait_ms(self, ahead: int, urgency: int, now_ms: int) -> float:
         """Return the expected wait of a request with so many others ahead of it."""
