--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -44,6 +44,10 @@
 MAX_LEAD_MS = 60_000.0
 
 
+# An account and an urgency.
+FlowKey = tuple[str, int]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlotRequest:
     """What a request asks of a service's slots, for the account of its caller.
@@ -58,6 +62,11 @@
     cost_ms: float = 1.0
     promise: Promise | None = None
 
+    @property
+    def flow(self) -> FlowKey:
+        """The requests that it waits behind."""
+        return (self.account, self.urgency)
+
 
 @dataclass(slots=True)
 class _RegionLeads:
@@ -69,7 +78,7 @@
 
 @dataclass(slots=True)
 class _AccountFlow:
-    """How many requests of an account wait, and the rate at which they got slots in an overload."""
+    """An account's requests of one urgency: how many wait, and the rate at which they get slots."""
 
     waiting: int = 0
     starts: WorkRate = field(default_factory=WorkRate)
@@ -97,7 +106,7 @@
     _detector: OverloadDetector = field(default_factory=OverloadDetector)
     _wake_events: dict[int, anyio.Event] = field(default_factory=dict)
     _elsewhere: dict[str, _RegionLeads] = field(default_factory=dict)
-    _flows: defaultdict[str, _AccountFlow] = field(
+    _flows: defaultdict[FlowKey, _AccountFlow] = field(
         default_factory=lambda: defaultdict(_AccountFlow)
     )
     _is_overloaded: bool = False
@@ -116,8 +125,8 @@
             self.report.end(self.service, now, waiting=len(self.wait_queue))
             self.shares.settle()
             self.promises.clear()
-            for account in [name for name, flow in self._flows.items() if not flow.waiting]:
-                del self._flows[account]
+            for key in [key for key, flow in self._flows.items() if not flow.waiting]:
+                del self._flows[key]
         elif lasts_ms is not None and not self._is_overloaded:
             self.report.begin(self.service, now, waiting=len(self.wait_queue))
         self._is_overloaded = self.wait_queue.sharing = lasts_ms is not None
@@ -168,7 +177,7 @@
         )
         if entry is None:
             return None
-        self._flows[slot_request.account].waiting += 1
+        self._flows[slot_request.flow].waiting += 1
         if self._is_overloaded:
             self.shares.charge(
                 slot_request.account, weight=slot_request.weight, cost_ms=slot_request.cost_ms
@@ -181,11 +190,11 @@
         """Return whether a request would wait in vain, as others will come before it.
 
         Those are requests of accounts that have used less: as long as they come, the account's own
-        requests get slots at the rate that is left to it.
+        requests of this urgency get slots at the rate that is left to them.
         """
         if not self._is_overloaded or slot_request.promise is not None or turn <= self.shares.now:
             return False
-        wait_ms = self._flows[slot_request.account].wait_ms(self.clock.now())
+        wait_ms = self._flows[slot_request.flow].wait_ms(self.clock.now())
         return wait_ms > max_wait_ms * OUTRUN_SHARE
 
     def record_start(self, slot_request: SlotRequest, entry: QueueEntry | None = None) -> None:
@@ -200,10 +209,10 @@
         self.wait_queue.record_start(slot_request.urgency, slot_request.cost_ms)
         self.report.count_start(self.service, slot_request.account, slot_request.cost_ms)
         if entry is not None:
-            self._flows[slot_request.account].waiting -= 1
+            self._flows[slot_request.flow].waiting -= 1
         if not self._is_overloaded:
             return
-        self._flows[slot_request.account].starts.record(1, now)
+        self._flows[slot_request.flow].starts.record(1, now)
         turn = entry.turn if entry else self.turn_of(slot_request)
         if entry is None:
             self.shares.charge(
@@ -213,7 +222,7 @@
 
     def record_no_slot(self, slot_request: SlotRequest) -> None:
         """Record that an entry left the queue without a slot."""
-        self._flows[slot_request.account].waiting -= 1
+        self._flows[slot_request.flow].waiting -= 1
         if self.overloaded:
             self.shares.refund(
                 slot_request.account, weight=slot_request.weight, cost_ms=slot_request.cost_ms
--- a/tests/gateway/fair_share.feature
+++ b/tests/gateway/fair_share.feature
@@ -33,6 +33,12 @@
     Then at least 0.04 of the server time went to the others
     And at least 0.8 of it to the urgent ones
 
+  # Guards against urgent requests that are refused since the account's less urgent ones wait.
+  Scenario: an account's less urgent requests don't keep its urgent ones out
+    Given a service that runs 10 requests at once
+    When for 8 s one account sends urgent requests 40 times a second and others 200 times, for 100 ms each
+    Then at least 0.9 of its urgent requests were served
+
   Scenario: a short burst changes nothing in the order
     Given a service that runs 10 requests at once
     When for 0.2 s accounts "a, b" ask 150 times a second, for 100 ms each
--- a/tests/steps/gateway/fair_share_steps.py
+++ b/tests/steps/gateway/fair_share_steps.py
@@ -29,6 +29,7 @@
         self.ends = []
         self.waiting = {}
         self.asked, self.served, self.refused = Counter(), Counter(), Counter()
+        self.urgent_served = 0
         self.server_ms, self.in_vain = Counter(), 0
         self.was_overloaded = False
         self.played_ms = 0
@@ -65,6 +66,7 @@
 
     def start(self, slot_request):
         self.free -= 1
+        self.urgent_served += slot_request.urgency == URGENT
         self.served[slot_request.account] += 1
         self.server_ms[slot_request.account] += slot_request.cost_ms
         heapq.heappush(self.ends, self.clock.now() + slot_request.cost_ms)
@@ -145,6 +147,20 @@
     context.play.run(seconds, [("urgent", URGENT, often, ms), ("others", USUAL, rare, other_ms)])
 
 
+@when(
+    "for {seconds:g} s one account sends urgent requests {often:d} times a second "
+    "and others {rest:d} times, for {ms:d} ms each"
+)
+def step_one_account(context, seconds, often, rest, ms):
+    context.urgent_asked = seconds * often
+    context.play.run(seconds, [("hot", URGENT, often, ms), ("hot", USUAL, rest, ms)])
+
+
+@then("at least {share:g} of its urgent requests were served")
+def step_urgent_served(context, share):
+    assert context.play.urgent_served >= share * context.urgent_asked, context.play.urgent_served
+
+
 @then("the service was overloaded")
 def step_was_overloaded(context):
     assert context.play.was_overloaded
