--- a/src/hickorybeam/gateway/local_placement.py
+++ b/src/hickorybeam/gateway/local_placement.py
@@ -54,11 +54,10 @@
         """Search for a target now, unless others that wait go first or the caller is too early."""
         queue = self._queues.for_service(request.service)
         slot_request = self._slot_request(request)
-        now = self._clock.now()
-        early_ms = slot_request.promise.early_ms(now) if slot_request.promise else 0
-        if early_ms:
-            return NoCapacity(early_ms, final=True, retry_after_ms=early_ms)
         if queue.must_wait(slot_request):
+            early_ms = self._early_ms(request)
+            if early_ms:
+                return NoCapacity(early_ms, final=True, retry_after_ms=early_ms)
             wait_ms = queue.expected_wait_ms(slot_request)
             return self._selector.choose_elsewhere(request, targets, wait_ms=wait_ms)
         found = self._selector.choose(request, targets)
@@ -170,9 +169,9 @@
         queue = self._queues.for_service(request.service)
         if not queue.fair:
             return SlotRequest(account=request.account or "", urgency=request.urgency)
-        promise = None
-        if request.call.parts and queue.overloaded:
-            promise = queue.promises.find(promise_key(request), self._clock.now())
+        promise = self._find_promise(request)
+        if promise is not None and promise.early_ms(self._clock.now()):
+            promise = None
         return SlotRequest(
             account=request.account or "",
             urgency=request.urgency,
@@ -181,6 +180,17 @@
             promise=promise,
         )
 
+    def _find_promise(self, request: AdmittedRequest) -> Promise | None:
+        queue = self._queues.for_service(request.service)
+        if not request.call.parts or not queue.overloaded:
+            return None
+        return queue.promises.find(promise_key(request), self._clock.now())
+
+    def _early_ms(self, request: AdmittedRequest) -> int:
+        """Return how much earlier a caller comes back than it was told, 0 if it doesn't."""
+        promise = self._find_promise(request)
+        return promise.early_ms(self._clock.now()) if promise else 0
+
 
 def promise_key(request: AdmittedRequest) -> PromiseKey:
     """Return by what a refused caller is recognised when it comes back."""
