--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -142,7 +142,7 @@
         In an overload, entries whose turns can't come in time because of it are evicted.
         """
         turn = self.turn_of(slot_request)
-        if self._is_outrun(slot_request, turn, max_wait_ms):
+        if self._would_expire(slot_request, turn, max_wait_ms):
             return None
         entry = self.wait_queue.enter(
             slot_request.urgency,
@@ -160,12 +160,12 @@
             self.shares.charge(
                 slot_request.account, weight=slot_request.weight, cost_ms=slot_request.cost_ms
             )
-            for evicted in self.wait_queue.evict_hopeless(self.clock.now()):
+            for evicted in self.wait_queue.evict_unservable(self.clock.now()):
                 self._wake(evicted)
         return entry
 
-    def _is_outrun(self, slot_request: SlotRequest, turn: float, max_wait_ms: int) -> bool:
-        """Return whether a request would wait in vain, as others will come that pass it."""
+    def _would_expire(self, slot_request: SlotRequest, turn: float, max_wait_ms: int) -> bool:
+        """Return whether a request would expire in the queue, as others will pass it."""
         if not self._is_ahead(slot_request, turn):
             return False
         expected_ms = self.wait_queue.expected_wait_ms(
--- a/src/hickorybeam/policy/time_factor.py
+++ b/src/hickorybeam/policy/time_factor.py
@@ -1,8 +1,8 @@
 """Estimate how long work takes at a backend server at the moment, from what the server says.
 
 Servers share their machines with others, so that the same work may take twice as long from one
-half second to the next. What a server says of that in its responses is news for a while: the older
-it is, the more likely work takes as long as on average. The learned speed of the server
+half second to the next. What a server says of that in its responses loses weight as it ages: the
+older it is, the more likely work takes as long as on average. The learned speed of the server
 (``policy/server_speed.py``) is its usual one; this factor is kept apart from it.
 """
 
@@ -15,8 +15,8 @@
 
 # A larger factor is taken for an invalid figure.
 MAX_TIME_FACTOR = 50.0
-# After so long what a server said counts for 1 / e, and its average for the rest.
-NEWS_DECAY_MS = 400.0
+# After so long what a server said has a weight of 1 / e, and its average the rest.
+WEIGHT_DECAY_MS = 400.0
 # Averaging time of what a server says.
 AVERAGING_MS = 5_000.0
 
@@ -37,7 +37,7 @@
     def record(self, factor: float, heard_ms: int) -> bool:
         """Record what the server said, to this VM or another one.
 
-        :return: whether this is news; what was said earlier than the latest is not.
+        :return: whether it was recorded; what was said earlier than the latest is not.
         """
         if not 0 < factor <= MAX_TIME_FACTOR:
             return False
@@ -56,8 +56,8 @@
         """Return the expected factor now."""
         if self.heard_ms is None:
             return 1.0
-        news = math.exp(min(0, self.heard_ms - now_ms) / NEWS_DECAY_MS)
-        return self.average + news * (self.heard - self.average)
+        weight = math.exp(min(0, self.heard_ms - now_ms) / WEIGHT_DECAY_MS)
+        return self.average + weight * (self.heard - self.average)
 
     def is_slow(self, now_ms: int) -> bool:
         """Return whether work takes longer now than it does on average."""
--- a/src/hickorybeam/policy/wait_queue.py
+++ b/src/hickorybeam/policy/wait_queue.py
@@ -201,7 +201,7 @@
         self._entries.insert(index, entry)
         return entry
 
-    def evict_hopeless(self, now_ms: int) -> list[QueueEntry]:
+    def evict_unservable(self, now_ms: int) -> list[QueueEntry]:
         """Remove the last entries as far as their turns can't come in time, and return them.
 
         They are refused now rather than when their time is over.
--- a/tests/policy/time_factor.feature
+++ b/tests/policy/time_factor.feature
@@ -1,12 +1,12 @@
 Feature: how long work takes at a server at the moment, from what it says
 
-  Scenario: what a server says is news for a while, then its average counts
+  Scenario: what a server says loses weight as it ages, then its average counts
     Given a server that said 1.0 each 100 ms for 20 s, and then 2.5
     Then its factor is between 2.4 and 2.5 at once
     And its factor is between 1.0 and 1.6 after 800 ms
     And its factor is between 1.0 and 1.1 after 5000 ms
 
-  Scenario Outline: what makes no sense or is older than what is known is no news
+  Scenario Outline: what makes no sense or is older than what is known changes nothing
     Given a server that said 1.0 each 100 ms for 20 s, and then 2.5
     When it is told that the server said <factor> <age> ms ago
     Then its factor is between 2.4 and 2.5 at once
