gateway: count and log how servers' answers end, by their framing

New: metric server_responses{framing,end}, log event ended_inside_event, the framing in the text of a broken answer.

No decision reads any of it yet.

--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -7,8 +7,9 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import Attempt, FirstByteTimeoutError, NotRunError
 from hickorybeam.gateway.placement_messages import SendStatus
+from hickorybeam.gateway.response_ends import ResponseEnd, ResponseEnds
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget
-from hickorybeam.http1 import BrokenResponseError
+from hickorybeam.http1 import BrokenResponseError, EventScanner
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
 
@@ -50,6 +51,7 @@
         self._selector = selector
         self._pool = pool
         self._final_responses = final_responses
+        self._response_ends = ResponseEnds(counters)
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
 
     async def send(
@@ -84,7 +86,11 @@
                 self._server_notices.record(server_state, info)
             if in_flight is not None:
                 in_flight.record_prefill()
-            await self._handle_response(attempt, head, info, request, progress, server_state)
+            try:
+                await self._handle_response(attempt, head, info, request, progress, server_state)
+            except BrokenResponseError:
+                self._response_ends.record(head.framing, ResponseEnd.BROKEN)
+                raise
             status = SendStatus.FAILED if progress.failed_response else SendStatus.ANSWERED
             progress.outcome_open = False
             if progress.response.done:
@@ -163,6 +169,7 @@
         else:
             body = await attempt.read_body()
             attempt.release()
+            self._response_ends.record(head.framing, ResponseEnd.WHOLE)
             self._handle_whole_response(head, info, body, request, progress)
         if server_state is not None:
             if success:
@@ -199,11 +206,13 @@
         progress: RequestProgress,
     ) -> None:
         response, splitter = progress.response, progress.splitter
+        scanner = EventScanner()
         if not response.started:
             response.start(head.status, response_headers(head.headers))
 
         def forward(data: bytes) -> bool:
             progress.timing.record_chunk(self._clock.now())
+            scanner.feed(data)
             whole = splitter.take_whole(data) if request.route.resumable else data
             return response.write_chunk(whole)
 
@@ -215,6 +224,13 @@
             raise
         attempt.release()
         progress.runs += 1
+        if scanner.inside_event:
+            self._response_ends.record(head.framing, ResponseEnd.INSIDE_EVENT)
+            self._final_responses.log_decision(
+                "ended_inside_event", request, attempt.target, framing=head.framing.value
+            )
+        else:
+            self._response_ends.record(head.framing, ResponseEnd.WHOLE)
         await response.send_chunk(splitter.take_partial())
         response.end()
 
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from hickorybeam.http1.events import EventScanner
 from hickorybeam.http1.head import (
+    Framing,
     IncomingRequest,
     RawHeaders,
     ResponseHead,
@@ -18,6 +20,8 @@
     "ResponseHead",
     "BrokenResponseError",
     "ConnectFailedError",
+    "EventScanner",
+    "Framing",
     "HttpServer",
     "IncomingRequest",
     "RawHeaders",
--- a/src/hickorybeam/http1/head.py
+++ b/src/hickorybeam/http1/head.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from http import HTTPStatus
 
 __all__ = (
+    "Framing",
     "ResponseHead",
     "IncomingRequest",
     "RawHeaders",
@@ -35,6 +37,14 @@
     arrived_ms: int
 
 
+class Framing(Enum):
+    """How a response tells where its body ends."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are in lower case."""
@@ -42,6 +52,15 @@
     status: int
     headers: RawHeaders
 
+    @property
+    def framing(self) -> Framing:
+        """How the response tells where its body ends."""
+        if find_header(self.headers, b"transfer-encoding") is not None:
+            return Framing.CHUNKED
+        if find_header(self.headers, b"content-length") is not None:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
 
 def find_header(headers: RawHeaders, name: bytes) -> bytes | None:
     """Return the value of the first header of this name (in lower case), or ``None``."""
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -9,7 +9,7 @@
 import anyio
 import httptools
 
-from hickorybeam.http1.head import ResponseHead, find_header
+from hickorybeam.http1.head import Framing, ResponseHead, find_header
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -85,11 +85,17 @@
         if self._head is not None and self._ends_at_close and self._eof_received and exc is None:
             self._complete = True
         elif not self._complete:
-            self._failure = self._failure or "connection closed"
+            self._failure = self._failure or self._describe_early_end(exc)
         self._progress.set()
         if self.on_close is not None:
             self.on_close(self)
 
+    def _describe_early_end(self, exc: Exception | None) -> str:
+        how = "connection closed" if exc is None else f"connection lost ({exc!r})"
+        if self._head is None:
+            return f"{how} before a response"
+        return f"{how} within a response framed by {self._head.framing.value}"
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close the connection if no response is expected."""
         if not self._awaiting_response or self._complete:
@@ -147,9 +153,8 @@
         self._head = ResponseHead(status, headers)
         self._keep_alive = self._parser.should_keep_alive()
         self.keep_alive_s = keep_alive_seconds(find_header(headers, b"keep-alive"))
-        coding = find_header(headers, b"transfer-encoding")
-        framed = coding is not None or find_header(headers, b"content-length") is not None
-        self._ends_at_close = not framed and status not in BODILESS_STATUSES
+        ends_at_close = self._head.framing is Framing.CLOSE
+        self._ends_at_close = ends_at_close and status not in BODILESS_STATUSES
 
     def on_body(self, data: bytes) -> None:
         """Append to the body."""
