tests/gateway: an answer that was broken off looks complete, reproduced (known red)

The stand-in server learns to end a stream inside an event as if it were complete, and to send streams without framing.

--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -19,6 +19,7 @@
 from hickorybeam.platform import decode_call, names
 from hickorybeam.standins.batch import Batch
 from hickorybeam.standins.prefix_cache import CachedPart
+from hickorybeam.standins.stream_reply import StreamReply, header_lines
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -32,7 +33,6 @@
 EVENTS = 6
 EVENT_EVERY_MS = 4
 HEALTH_PATH = b"/health"
-EVENT_STREAM = (b"content-type", b"text/event-stream")
 # Requests that an engine keeps waiting, for each of its slots.
 QUEUED_PER_SLOT = 2
 # What a request that tells no urgency counts as; 0 is the most urgent.
@@ -56,9 +56,11 @@
 
     ``errors`` answers 500; ``full`` rejects as not run; ``lost`` runs and closes without an
     answer; ``hung`` runs and never answers; ``cut`` breaks a stream off in the middle of an
-    event; ``extra`` puts the answer to another request before the right one; ``unframed``
-    ends an answer with its connection; ``torn`` resets it midway; ``unsigned`` leaves the
-    signature out. ``misread`` makes every request find another server at this address.
+    event, with its connection; ``short`` ends one there as if it were complete; ``extra`` puts the
+    answer to another request before the right one; ``unframed`` gives an answer or a stream no
+    length and no chunks, so that it ends with its connection; ``torn`` resets an answer midway;
+    ``unsigned`` leaves the signature out. ``misread`` makes every request find another server at
+    this address.
     """
 
     errors: int = 0
@@ -66,6 +68,7 @@
     lost: int = 0
     hung: int = 0
     cut: int = 0
+    short: int = 0
     extra: int = 0
     unframed: int = 0
     torn: int = 0
@@ -201,10 +204,10 @@
             else:
                 await self._generate(self.batch, req, reply, headers)
         elif self.faults.take("unframed"):
-            reply.send_raw(b"HTTP/1.1 200 OK\r\n" + lines(headers) + b"\r\nunframed")
+            reply.send_raw(b"HTTP/1.1 200 OK\r\n" + header_lines(headers) + b"\r\nunframed")
             reply.end_by_close()
         elif self.faults.take("torn"):
-            reply.send_raw(b"HTTP/1.1 200 OK\r\n" + lines(headers) + b"\r\ntorn")
+            reply.send_raw(b"HTTP/1.1 200 OK\r\n" + header_lines(headers) + b"\r\ntorn")
             await self.clock.sleep(self.work_ms)
             reply.reset()
         else:
@@ -217,33 +220,37 @@
         self, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
     ) -> None:
         first = int(find_header(req.headers, names.LAST_EVENT) or 0) + 1
-        reply.start(200, (*headers, EVENT_STREAM))
+        stream = StreamReply(reply, headers, unframed=self.faults.take("unframed"))
+        stream.start()
         for number in range(first, self.events + 1):
             await self.clock.sleep(EVENT_EVERY_MS)
-            if number == self.events // 2 + 1 and self.faults.take("cut"):
-                await reply.send_chunk(b"id: %d\nda" % number)
-                await self.clock.sleep(EVENT_EVERY_MS)
-                reply.abort()
-                return
-            await reply.send_chunk(event(number))
-        reply.end()
+            if number == self.events // 2 + 1:
+                cut, short = self.faults.take("cut"), self.faults.take("short")
+                if cut or short:
+                    await stream.send(b"id: %d\nda" % number)
+                    await self.clock.sleep(EVENT_EVERY_MS)
+                    reply.abort() if cut else stream.end()
+                    return
+            await stream.send(event(number))
+        stream.end()
 
     async def _generate(
         self, batch: Batch, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
     ) -> None:
         """Stream a token an event; an engine whose caller leaves stops."""
         stream = submitted(batch, req)
+        answer = StreamReply(reply, headers, unframed=self.faults.take("unframed"))
         sent = 0
         try:
             while sent < stream.max_tokens:
                 while stream.produced == sent:
                     await stream.changed.wait()
                 if not reply.started:
-                    reply.start(200, (*headers, EVENT_STREAM))
+                    answer.start()
                 for number in range(sent + 1, stream.produced + 1):
-                    await reply.send_chunk(event(number))
+                    await answer.send(event(number))
                 sent = stream.produced
-            reply.end()
+            answer.end()
         finally:
             if not stream.done:
                 batch.cancel(stream.id)
@@ -289,11 +296,6 @@
     return b"id: %d\ndata: event %d\n\n" % (number, number)
 
 
-def lines(headers: RawHeaders) -> bytes:
-    """Return headers as they go over the wire."""
-    return b"".join(b"%s: %s\r\n" % pair for pair in headers)
-
-
 @asynccontextmanager
 async def serve_server(stand_in: ServerStandIn) -> AsyncIterator[ServerStandIn]:
     """Serve a stand-in on a free port and register it, until the block ends."""
--- /dev/null
+++ b/tests/steps/gateway/answer_ends_steps.py
@@ -0,0 +1,177 @@
+from __future__ import annotations
+
+import socket
+import struct
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import SocketAttribute
+from behave import given, then
+
+from hickorybeam.standins.deployment import REGIONS
+from hickorybeam.standins.server import ServerFaults, ServerStandIn
+from steps.gateway.gateway_steps import start
+
+BODIES = {
+    "nothing": b"",
+    "plain text": b"plain text",
+    "whole events": b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+    "CR LF events": b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+    "CR events": b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+    "mixed line ends": b"id: 1\r\ndata: a\n\r\nid: 2\rdata: b\r\n\n",
+    "a last comment": b"id: 1\ndata: a\n\n: the end\n",
+    "an unfinished comment": b"id: 1\ndata: a\n\n: the en",
+    "only a comment": b": nothing to say\n",
+    "blank lines at the end": b"id: 1\ndata: a\n\n\n\n",
+    "a field without its line": b"id: 1\ndata: a\n\nid: 2\nda",
+    "a line without its event": b"id: 1\ndata: a\n\nid: 2\ndata: b\n",
+    "CR LF, a part of an event": b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n",
+    "CR, a part of an event": b"id: 1\rdata: a\r\rid: 2\r",
+    "a comment, a part": b"id: 1\ndata: a\n\n: well\ndata",
+}
+RESET = struct.pack("ii", 1, 0)
+PIECE_INTERVAL_S = 0.002
+
+
+@dataclass
+class RawAnswer:
+    """An answer to every request: its head's framing, its body, and what follows."""
+
+    framing: str = "length"
+    body: bytes = b""
+    end: str = "waits"
+
+    def head(self, content_type):
+        lines = ["HTTP/1.1 200 OK", f"Content-Type: {content_type}"]
+        lines.append("X-Hickorybeam-Response-Signature: signed-raw")
+        match self.framing:
+            case "length":
+                lines.append(f"Content-Length: {len(self.body)}")
+            case "longer length":
+                lines.append(f"Content-Length: {len(self.body) + 1}")
+            case "chunked" | "chunks, no last":
+                lines.append("Transfer-Encoding: chunked")
+            case "identity":
+                lines.append("Transfer-Encoding: identity")
+            case "close":
+                pass
+            case _:
+                raise ValueError(self.framing)
+        return "\r\n".join([*lines, "", ""]).encode()
+
+    def pieces(self):
+        """Return the body byte by byte, as it goes over the wire."""
+        chunked = self.framing in ("chunked", "chunks, no last")
+        pieces = [self.body[i : i + 1] for i in range(len(self.body))]
+        if chunked:
+            pieces = [b"1\r\n%s\r\n" % piece for piece in pieces]
+        return [*pieces, b"0\r\n\r\n"] if self.framing == "chunked" else pieces
+
+
+async def read_request(stream):
+    received = b""
+    while b"\r\n\r\n" not in received:
+        received += await stream.receive()
+    head, _, body = received.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    while len(body) < length:
+        body += await stream.receive()
+
+
+@asynccontextmanager
+async def raw_server(rig, answer, service, data_centre):
+    """Serve the answer to every request from a server that registers itself."""
+
+    async def handle(stream):
+        async with stream:
+            try:
+                await read_request(stream)
+            except anyio.EndOfStream:
+                return
+            content_type = "text/event-stream" if service == "model" else "text/plain"
+            await stream.send(answer.head(content_type))
+            for piece in answer.pieces():
+                await stream.send(piece)
+                await anyio.sleep(PIECE_INTERVAL_S)
+            if answer.end == "waits":
+                await anyio.sleep_forever()
+            elif answer.end == "resets":
+                sock = stream.extra(SocketAttribute.raw_socket)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    server = ServerStandIn("raw", service, data_centre, rig.app)
+    server.port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, handle)
+        server.register()
+        rig.servers["raw"] = server
+        await rig.until(lambda: all(is_known(vm, server) for vm in rig.vms.values()))
+        try:
+            yield
+        finally:
+            tg.cancel_scope.cancel()
+
+
+def is_known(vm, server):
+    """Whether a VM knows a server, or another region's VM that does."""
+    if "raw" not in vm.routing_state.server_states:
+        return False
+    region = vm.fleet.own_vm.region
+    if REGIONS[server.data_centre] == region:
+        return True
+    others = [it for it in vm.fleet.peers.by_name.values() if it.vm.region != region]
+    return any(server.service in (it.forecasts or {}) for it in others)
+
+
+@given('a small gateway with a raw server of "{service}" in "{data_centre}"')
+def step_raw_server(context, service, data_centre):
+    start(context, south=True)
+    context.answer = RawAnswer()
+
+    async def withdraw_others():
+        rig = context.rig
+        for name, server in tuple(rig.servers.items()):
+            if server.service == service:
+                server.withdraw()
+                del rig.servers[name]
+        states = [vm.routing_state.server_states for vm in rig.vms.values()]
+        await rig.until(lambda: all(set(it) == set(rig.servers) for it in states))
+
+    context.call(withdraw_others)
+    manager = raw_server(context.rig, context.answer, service, data_centre)
+    context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+
+
+@given('the raw server answers with "{body}" framed by {framing} and then {end}')
+def step_raw_answer(context, body, framing, end):
+    context.answer.body = BODIES[body]
+    context.answer.framing = framing
+    context.answer.end = end
+
+
+@given('the next stream of any server of "{service}" ends inside an event, framed by {framing}')
+def step_next_stream_short(context, service, framing):
+    faults = ServerFaults(short=1, unframed=int(framing == "close"))
+    for server in context.rig.servers.values():
+        if server.service == service:
+            server.faults = faults
+
+
+@then("the caller gets the raw server's bytes as a whole answer")
+def step_raw_bytes(context):
+    reply = context.reply
+    assert (reply.status, reply.whole) == (200, True), (reply.status, reply.whole, reply.body)
+    assert reply.body == context.answer.body, reply.body
+
+
+@then('"{vm}" has counted a response framed by "{framing}" that ended "{end}"')
+def step_response_counted(context, vm, framing, end):
+    request = b"GET /metrics HTTP/1.1\r\nHost: vm\r\n\r\n"
+    metrics = context.call(context.rig.exchange, context.rig.vms[vm].ports.peers, request)
+    counted = f'hickorybeam_server_responses_total{{end="{end}",framing="{framing}"}} 1.0'
+    assert counted in metrics.body.decode(), metrics.body
