gateway: a stream that ends inside an event is broken off, however it is framed

Cause: the end of a body was taken for the end of the answer. A stream may come with neither a length nor chunks and end with its connection; a server that breaks off then closes in order, and http1 can't tell this from a whole answer. Only the content can: the last event has no blank line. The sender passed on what was left of it and a last chunk of its own, so that the break was gone on the next hop, too. The same held for chunks and lengths that end in the middle of an event.

The splitter now follows every stream, resumable or not, and knows whether it is inside an event: LF, CR LF and CR end lines, comments are no part of an event. A stream that ends there fails like one whose connection broke: it goes on elsewhere if it may be resumed, or else ends without its last chunk. What isn't held is passed on as it came, and events of resumable streams with CR LF or CR no longer wait for the end of the stream. A stream without any event, or one that ends with a comment, stays whole.

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -71,7 +71,7 @@
     ) -> None:
         self._pool = pool
         self._copy_from = copy_from
-        self.target = target
+        self._target = target
         self._request = request
         self._address = address_of(target)
         self._conn: UpstreamConnection | None = None
@@ -142,7 +142,7 @@
     def _headers(self, now_ms: int) -> RawHeaders:
         request = self._request
         left_ms = request.deadline_ms - now_ms
-        match self.target:
+        match self._target:
             case ServerTarget(server_state):
                 return server_headers(
                     request.call,
--- a/src/hickorybeam/gateway/event_splitter.py
+++ b/src/hickorybeam/gateway/event_splitter.py
@@ -2,47 +2,59 @@
 
 from __future__ import annotations
 
+import re
+
+from hickorybeam.http1 import EventScanner
+
 __all__ = ("EventSplitter",)
 
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+ID_FIELD = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 
 class EventSplitter:
-    """Passes on the bytes of a stream only up to the end of a whole event.
+    """Passes on a stream's bytes, and tells whether they end inside an event.
 
     A backend server that fails in the middle of an event leaves a partial one behind. Passed on,
     it would precede the first event of the run that resumes the stream, and the caller would
     parse one event made of two.
+
+    :param hold_partial: hold an event back until it is whole, for a stream that may be resumed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, hold_partial: bool) -> None:
         self.last_id: str | None = None
-        self._partial = b""
-
-    def take_whole(self, data: bytes) -> bytes:
-        """Return the events that are complete with these bytes."""
-        data = self._partial + data
-        end = data.rfind(EVENT_END)
-        if end < 0:
-            self._partial = data
+        self._hold_partial = hold_partial
+        self._held = b""
+        self._scanner = EventScanner()
+
+    @property
+    def inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event."""
+        return self._scanner.inside_event
+
+    def feed(self, data: bytes) -> bytes:
+        """Add bytes of the stream, and return those to be passed on now."""
+        whole_end = self._scanner.feed(data)
+        if not self._hold_partial:
+            return data
+        if not whole_end:
+            self._held += data
             return b""
-        end += len(EVENT_END)
-        events, self._partial = data[:end], data[end:]
-        self._update_last_id(events)
-        return events
-
-    def take_partial(self) -> bytes:
-        """Return the bytes after the last whole event, at the proper end of a stream."""
-        data, self._partial = self._partial, b""
+        whole, self._held = self._held + data[:whole_end], data[whole_end:]
+        self._update_last_id(whole)
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Return what is held at the proper end of a stream: the start of a comment's line."""
+        data, self._held = self._held, b""
         return data
 
     def discard_partial(self) -> None:
-        """Drop the partial event that a broken run left."""
-        self._partial = b""
+        """Drop the partial event that a broken run left; the next bytes are another run's."""
+        self._held = b""
+        self._scanner = EventScanner()
 
     def _update_last_id(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
-            if line.startswith(ID_FIELD):
-                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
-                return
+        ids = ID_FIELD.findall(events)
+        if ids:
+            self.last_id = ids[-1].strip().decode("latin-1")
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -5,9 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.event_splitter import EventSplitter
-
 if TYPE_CHECKING:
+    from hickorybeam.gateway.event_splitter import EventSplitter
     from hickorybeam.gateway.targets import Target
     from hickorybeam.http1 import ResponseHead, ResponseWriter
     from hickorybeam.platform import ResponseInfo
@@ -50,6 +49,7 @@
     """
 
     response: ResponseWriter
+    splitter: EventSplitter
     sends: int = 0
     runs: int = 0
     outcome_open: bool = False
@@ -57,7 +57,6 @@
     tried: set[str] = field(default_factory=set)
     refused_regions: set[str] = field(default_factory=set)
     failed_response: tuple[ResponseHead, ResponseInfo, bytes] | None = None
-    splitter: EventSplitter = field(default_factory=EventSplitter)
     retry_after_ms: int | None = None
     reason: str = ""
     next_target: Target | None = None
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -9,6 +9,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.admission import Admission
+from hickorybeam.gateway.event_splitter import EventSplitter
 from hickorybeam.gateway.final_responses import FinalResponses
 from hickorybeam.gateway.local_placement import LocalPlacement
 from hickorybeam.gateway.peer_connections import PeerConnections
@@ -168,7 +169,8 @@
         :param own_region_only: another VM forwarded it: it is run at most once, by a server of this
             region.
         """
-        progress = RequestProgress(response, own_region_only=own_region_only)
+        splitter = EventSplitter(hold_partial=request.route.resumable)
+        progress = RequestProgress(response, splitter, own_region_only=own_region_only)
         left_ms = request.deadline_ms - self._clock.now()
         with anyio.CancelScope() as scope:
             response.on_disconnect(scope.cancel)
--- a/src/hickorybeam/gateway/response_ends.py
+++ b/src/hickorybeam/gateway/response_ends.py
@@ -1,15 +1,17 @@
-"""Counts how backend servers' responses end, by how they are framed."""
+"""How backend servers' responses end, counted by how they are framed."""
 
 from __future__ import annotations
 
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from hickorybeam.http1 import BrokenResponseError
+
 if TYPE_CHECKING:
     from hickorybeam.http1 import Framing
     from hickorybeam.telemetry import Counters
 
-__all__ = ("ResponseEnd", "ResponseEnds")
+__all__ = ("EndedInsideEventError", "ResponseEnd", "ResponseEnds", "broken_end")
 
 
 class ResponseEnd(Enum):
@@ -20,8 +22,19 @@
     INSIDE_EVENT = "inside_event"
 
 
+class EndedInsideEventError(BrokenResponseError):
+    """A stream ended properly by its framing, but in the middle of an event.
+
+    The server, or something before it, broke off and closed its side in order. Where the body ends
+    with its connection, nothing but the content can show that.
+    """
+
+    def __init__(self, framing: Framing) -> None:
+        super().__init__(f"the stream ended inside an event, framed by {framing.value}")
+
+
 class ResponseEnds:
-    """Counter of responses whose head arrived.
+    """Counter of responses that were passed on or broke off after their head.
 
     A proxy between a server and the VM, or the server's HTTP library, may end a response properly
     that the server didn't finish: then ``INSIDE_EVENT`` rises for framings that mark their end.
@@ -35,3 +48,12 @@
     def record(self, framing: Framing, end: ResponseEnd) -> None:
         """Count one response."""
         self._ends.labels(framing.value, end.value).inc()
+
+
+def broken_end(exc: BrokenResponseError) -> ResponseEnd:
+    """Return how a response ended that counts as broken."""
+    match exc:
+        case EndedInsideEventError():
+            return ResponseEnd.INSIDE_EVENT
+        case _:
+            return ResponseEnd.BROKEN
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -7,9 +7,14 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import Attempt, FirstByteTimeoutError, NotRunError
 from hickorybeam.gateway.placement_messages import SendStatus
-from hickorybeam.gateway.response_ends import ResponseEnd, ResponseEnds
+from hickorybeam.gateway.response_ends import (
+    EndedInsideEventError,
+    ResponseEnd,
+    ResponseEnds,
+    broken_end,
+)
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget
-from hickorybeam.http1 import BrokenResponseError, EventScanner
+from hickorybeam.http1 import BrokenResponseError
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
 
@@ -88,9 +93,10 @@
                 in_flight.record_prefill()
             try:
                 await self._handle_response(attempt, head, info, request, progress, server_state)
-            except BrokenResponseError:
-                self._response_ends.record(head.framing, ResponseEnd.BROKEN)
+            except BrokenResponseError as exc:
+                self._response_ends.record(head.framing, broken_end(exc))
                 raise
+            self._response_ends.record(head.framing, ResponseEnd.WHOLE)
             status = SendStatus.FAILED if progress.failed_response else SendStatus.ANSWERED
             progress.outcome_open = False
             if progress.response.done:
@@ -169,7 +175,6 @@
         else:
             body = await attempt.read_body()
             attempt.release()
-            self._response_ends.record(head.framing, ResponseEnd.WHOLE)
             self._handle_whole_response(head, info, body, request, progress)
         if server_state is not None:
             if success:
@@ -206,32 +211,24 @@
         progress: RequestProgress,
     ) -> None:
         response, splitter = progress.response, progress.splitter
-        scanner = EventScanner()
         if not response.started:
             response.start(head.status, response_headers(head.headers))
 
         def forward(data: bytes) -> bool:
             progress.timing.record_chunk(self._clock.now())
-            scanner.feed(data)
-            whole = splitter.take_whole(data) if request.route.resumable else data
-            return response.write_chunk(whole)
+            return response.write_chunk(splitter.feed(data))
 
         try:
             await attempt.forward_body(forward, response.wait_writable)
+            if splitter.inside_event:
+                raise EndedInsideEventError(head.framing)
         except BrokenResponseError:
             request.resume_after = splitter.last_id or request.resume_after
             splitter.discard_partial()
             raise
         attempt.release()
         progress.runs += 1
-        if scanner.inside_event:
-            self._response_ends.record(head.framing, ResponseEnd.INSIDE_EVENT)
-            self._final_responses.log_decision(
-                "ended_inside_event", request, attempt.target, framing=head.framing.value
-            )
-        else:
-            self._response_ends.record(head.framing, ResponseEnd.WHOLE)
-        await response.send_chunk(splitter.take_partial())
+        await response.send_chunk(splitter.take_rest())
         response.end()
 
     def _record_unreachable(self, target: Target, attempt: Attempt) -> None:
--- a/tests/gateway/answer_ends.feature
+++ b/tests/gateway/answer_ends.feature
@@ -1,7 +1,6 @@
 Feature: an answer that was broken off never looks complete, and a whole one always does
 
   # Guards against a stream that breaks off and is framed as complete for its caller.
-  @known_red
   Scenario Outline: a stream that ends properly inside an event reaches its caller as broken
     Given a small gateway with a raw server of "model" in "north-1"
     And the raw server answers with "<body>" framed by <framing> and then <end>
@@ -25,7 +24,6 @@
       | plan  | length  | a field without its line    | waits  |
 
   # Guards against the same at the VM that passes a stream on to another region's VM.
-  @known_red
   Scenario Outline: a forwarded stream that ends properly inside an event reaches its caller as broken
     Given a small gateway with a raw server of "model" in "south-1"
     And the raw server answers with "a line without its event" framed by <framing> and then <end>
@@ -41,7 +39,6 @@
       | plan  | length  | waits  |
 
   # Guards against a caller that gets a part of an event, or one twice, when its stream goes on elsewhere.
-  @known_red
   Scenario Outline: a resumable stream that ends properly inside an event goes on at another server
     Given a small gateway with servers "m1:model, m2:model, b1:books"
     And the next stream of any server of "model" ends inside an event, framed by <framing>
