http1/upstream: an answer that ends with its connection is whole once the other end closed its side

What callers would see: 502, or a second run, for a whole answer without a length from a server that answers early (a long body refused, say) and closes: what is still written to it is answered by a reset, and the answer was then taken for broken; or an answer that waits until the rest could be written.

Cause: the end was taken in when the connection was gone and not when the other end closed its side, so that whatever happened afterwards counted.

Evidence: tests/http1/upstream.feature, 'whole although its request can't be written', failed before: broken. A reset without an orderly close is broken as before, on asyncio and on uvloop.

--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -51,7 +51,6 @@
         self._parser = httptools.HttpResponseParser(self)
         self._progress = anyio.Event()
         self._closed = False
-        self._eof_received = False
         self._awaiting_response = False
         self._reset_response()
 
@@ -74,17 +73,21 @@
         self._transport = transport  # type: ignore[assignment]
 
     def eof_received(self) -> bool:
-        """Record that the other end closed the connection in order."""
-        self._eof_received = True
+        """Complete a response that ends with its connection.
+
+        What is sent afterwards can't spoil it: the other end may have answered before it read the
+        whole request, and resets the connection when more of that arrives.
+        """
+        if self._head is not None and self._ends_at_close:
+            self._complete = True
+            self._progress.set()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the current response and notify the pool."""
         self._closed = True
         self.reusable = False
-        if self._head is not None and self._ends_at_close and self._eof_received and exc is None:
-            self._complete = True
-        elif not self._complete:
+        if not self._complete:
             self._failure = self._failure or self._describe_early_end(exc)
         self._progress.set()
         if self.on_close is not None:
--- a/tests/http1/upstream.feature
+++ b/tests/http1/upstream.feature
@@ -28,3 +28,18 @@
     Then reading from the server is paused
     When the receiver is ready and the response ends with "d"
     Then reading from the server goes on
+
+  # Guards against a whole answer that is taken for broken, since a server answered before it had read
+  # the whole request and takes no more of it.
+  Scenario: a response that ends with its connection is whole although its request can't be written
+    Given a request was sent whose response has neither a length nor chunks
+    When the events "a, b" arrive without chunks
+    And the other end closes its side, and the connection is reset by what is still written
+    Then the receiver got "ab" in all and the response is complete
+    And the connection can't be used again
+
+  Scenario: a response without a length that is reset before its end is broken
+    Given a request was sent whose response has neither a length nor chunks
+    When the events "a, b" arrive without chunks
+    And the connection is reset
+    Then the receiver got "ab" in all and the response is broken
--- a/tests/steps/http1/upstream_steps.py
+++ b/tests/steps/http1/upstream_steps.py
@@ -7,6 +7,7 @@
 from hickorybeam.http1 import BrokenResponseError, UpstreamConnection
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -61,6 +62,15 @@
 
 @given("a request was sent on a connection whose response is passed on")
 def step_connection(context):
+    begin_forwarding(context, HEAD)
+
+
+@given("a request was sent whose response has neither a length nor chunks")
+def step_unframed(context):
+    begin_forwarding(context, UNFRAMED_HEAD)
+
+
+def begin_forwarding(context, head):
     context.conn, context.transport = UpstreamConnection(), FakeTransport()
     context.end = None
 
@@ -75,7 +85,7 @@
         context.receiver = Receiver()
         context.conn.connection_made(context.transport)
         context.conn.send(b"GET / HTTP/1.1\r\n\r\n")
-        context.conn.data_received(HEAD)
+        context.conn.data_received(head)
         await context.conn.read_head()
 
     context.call(start)
@@ -149,3 +159,39 @@
 def step_resumed(context):
     assert context.transport.reading
     assert context.end == "complete"
+
+
+@when('the events "{events}" arrive without chunks')
+def step_arrive_unframed(context, events):
+    async def arrive():
+        for event in events.split(", "):
+            context.conn.data_received(event.encode())
+        await settle()
+
+    context.call(arrive)
+
+
+def end(context, *, orderly):
+    async def lose():
+        if orderly:
+            context.conn.eof_received()
+        context.conn.connection_lost(ConnectionResetError(104, "reset"))
+        await settle()
+
+    context.call(lose)
+
+
+@when("the other end closes its side, and the connection is reset by what is still written")
+def step_closed_then_reset(context):
+    end(context, orderly=True)
+
+
+@when("the connection is reset")
+def step_reset(context):
+    end(context, orderly=False)
+
+
+@then("the connection can't be used again")
+def step_not_reusable(context):
+    assert context.conn.closed
+    assert not context.conn.reusable
