gateway: the answer to a HEAD request ends with its head

What callers saw: no answer to HEAD until their deadline (504), since the gateway waited for a body of the length that the answer's head declares.

Cause: the end of an answer was read off its framing alone; the answer to HEAD has that of the body it leaves out.

The caller gets the length that the server declared; it used to be 0 in answers of the gateway's own.

--- a/src/hickorybeam/demo/platform.py
+++ b/src/hickorybeam/demo/platform.py
@@ -193,7 +193,7 @@
         headers: RawHeaders = ()
         try:
             with anyio.fail_after(CALL_LIMIT_S):
-                conn.send(data)
+                conn.send(data, head_only=data.startswith(b"HEAD "))
                 head = await conn.read_head()
                 status, headers = head.status, head.headers
                 while chunk := await conn.read_chunk():
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -128,7 +128,7 @@
         for fresh in (False, True):
             try:
                 self._conn = await self._pool.acquire(self._address, fresh=fresh)
-                self._conn.send(data, expected_id=expected)
+                self._conn.send(data, expected_id=expected, head_only=call.method == "HEAD")
             except ConnectFailedError as exc:
                 raise NotRunError(str(exc), unreachable=True) from exc
             except BrokenResponseError as exc:
--- a/src/hickorybeam/http1/response_writer.py
+++ b/src/hickorybeam/http1/response_writer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from hickorybeam.http1.head import response_head_bytes
+from hickorybeam.http1.head import find_header, response_head_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -90,7 +90,8 @@
     ) -> None:
         """Send a complete response."""
         close = close or self._close or self._conn.draining
-        head = response_head_bytes(status, headers, length=len(body), close=close)
+        length = declared_length(headers) if self._head_only and not body else len(body)
+        head = response_head_bytes(status, headers, length=length, close=close)
         self.started = True
         self._conn.write(head if self._head_only else head + body)
         self._finish(close=close)
@@ -152,3 +153,9 @@
     def _finish(self, *, close: bool) -> None:
         self.done = True
         self._conn.end_response(close=close)
+
+
+def declared_length(headers: RawHeaders) -> int | None:
+    """Return the length that a response's headers declare, if they do and it is valid."""
+    value = find_header(headers, b"content-length") or b""
+    return int(value) if value.isdigit() else None
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -158,6 +158,9 @@
         self.keep_alive_s = keep_alive_seconds(find_header(headers, b"keep-alive"))
         ends_at_close = self._head.framing is Framing.CLOSE
         self._ends_at_close = ends_at_close and status not in BODILESS_STATUSES
+        if self._head_only:
+            # The parser would wait for a body that never comes.
+            self._complete_message()
 
     def on_body(self, data: bytes) -> None:
         """Append to the body."""
@@ -173,16 +176,25 @@
         if self._skipping:
             self._skipping = False
             return
-        if self._head is None or self._ends_at_close or self._complete:
-            return
+        if self._head is not None and not self._ends_at_close and not self._complete:
+            self._complete_message()
+
+    def _complete_message(self) -> None:
         self._complete = True
         unsent = self._transport is not None and self._transport.get_write_buffer_size()
         self.reusable = self._keep_alive and not unsent and not self._closed
 
-    def send(self, data: bytes, *, expected_id: tuple[bytes, bytes] | None = None) -> None:
+    def send(
+        self,
+        data: bytes,
+        *,
+        expected_id: tuple[bytes, bytes] | None = None,
+        head_only: bool = False,
+    ) -> None:
         """Send a request.
 
         :param expected_id: name and value of the header that the response must echo.
+        :param head_only: the response has no body, whatever its headers say.
         """
         if self._closed or self._transport is None or self._transport.is_closing():
             raise BrokenResponseError("connection closed before the request", sent=False)
@@ -191,6 +203,7 @@
         self._awaiting_response = True
         self.reusable = False
         self._expected_id = expected_id
+        self._head_only = head_only
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -134,8 +134,11 @@
 
 
 def response_headers(headers: RawHeaders) -> RawHeaders:
-    """Drop hop-by-hop headers and those meant for the gateway only."""
-    dropped = names.HOP_BY_HOP | {names.LOAD, names.COLD}
+    """Drop hop-by-hop headers and those meant for the gateway only.
+
+    The length stays, as the answer to a HEAD request has no other one; a body is framed anew.
+    """
+    dropped = (names.HOP_BY_HOP - {b"content-length"}) | {names.LOAD, names.COLD}
     return tuple(pair for pair in headers if pair[0] not in dropped)
 
 
--- a/tests/gateway/answer_ends.feature
+++ b/tests/gateway/answer_ends.feature
@@ -131,3 +131,10 @@
     And the raw server answers with "a line without its event" framed by close and then closes
     When a caller of "small" streams "/chat/x" from "n1"
     Then "n1" has counted a response framed by "close" that ended "inside_event"
+
+  Scenario: a HEAD request is answered without waiting for a body
+    Given a small gateway
+    When a caller of "small" asks "n1" for "/look/x" by HEAD
+    Then the caller gets a whole answer without a body
+    And the response came within 1000 ms
+    And the answer's length is that of the body "done by b1"
--- a/tests/steps/gateway/answer_ends_steps.py
+++ b/tests/steps/gateway/answer_ends_steps.py
@@ -2,16 +2,17 @@
 
 import socket
 import struct
+import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
 from anyio.abc import SocketAttribute
-from behave import given, then
+from behave import given, then, when
 
 from hickorybeam.standins.deployment import REGIONS
 from hickorybeam.standins.server import ServerFaults, ServerStandIn
-from steps.gateway.gateway_steps import start
+from steps.gateway.gateway_steps import ask, start
 
 BODIES = {
     "nothing": b"",
@@ -175,3 +176,21 @@
     metrics = context.call(context.rig.exchange, context.rig.vms[vm].ports.peers, request)
     counted = f'hickorybeam_server_responses_total{{end="{end}",framing="{framing}"}} 1.0'
     assert counted in metrics.body.decode(), metrics.body
+
+
+@when('a caller of "{key}" asks "{vm}" for "{path}" by HEAD')
+def step_head(context, key, vm, path):
+    began = time.monotonic()
+    ask(context, vm, path, key=key, method="HEAD")
+    context.took_ms = (time.monotonic() - began) * 1000
+
+
+@then("the caller gets a whole answer without a body")
+def step_no_body(context):
+    reply = context.reply
+    assert (reply.status, reply.whole, reply.body) == (200, True, b""), reply.status
+
+
+@then('the answer\'s length is that of the body "{body}"')
+def step_length(context, body):
+    assert context.reply.headers[b"content-length"] == b"%d" % len(body), context.reply.headers
