http1/server: a caller with HTTP/1.0 gets no chunks, and a reset where its answer broke off

What callers with HTTP/1.0 saw: chunk sizes between the events of a stream, and for a stream that broke off an orderly end of the connection, which for them is the end of a whole answer.

Cause: every answer of unknown length went out in chunks, and a broken one was closed, which only a missing last chunk tells from a whole one.

Other callers' answers are byte for byte the same.

--- a/src/hickorybeam/http1/head.py
+++ b/src/hickorybeam/http1/head.py
@@ -103,11 +103,12 @@
 
 
 def response_head_bytes(
-    status: int, headers: RawHeaders, *, length: int | None, close: bool
+    status: int, headers: RawHeaders, *, length: int | None, close: bool, chunked: bool = True
 ) -> bytes:
     """Encode the head of a response.
 
-    :param length: size of the body in bytes; ``None`` for a chunked body.
+    :param length: size of the body in bytes; ``None`` if it isn't known yet.
+    :param chunked: a body of unknown length comes in chunks; otherwise it ends with its connection.
     :param close: the connection closes after the response.
     """
     try:
@@ -116,10 +117,10 @@
         reason = "Unknown"
     lines = [b"HTTP/1.1 %d %s" % (status, reason.encode("ascii"))]
     lines += [b"%s: %s" % pair for pair in headers if pair[0] not in FRAMING_HEADERS]
-    if length is None:
-        lines.append(b"transfer-encoding: chunked")
-    else:
+    if length is not None:
         lines.append(b"content-length: %d" % length)
+    elif chunked:
+        lines.append(b"transfer-encoding: chunked")
     if close:
         lines.append(b"connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/src/hickorybeam/http1/response_writer.py
+++ b/src/hickorybeam/http1/response_writer.py
@@ -54,9 +54,13 @@
     """Writes the response to one request: complete, or as a head and chunks.
 
     Writes nothing after the caller has disconnected; ``is_disconnected`` is set then.
+
+    :param chunked: the caller takes chunks. For one that doesn't, a body of unknown length ends
+        with its connection, and only a reset shows that it broke off.
     """
 
     __slots__ = (
+        "_chunked",
         "_close",
         "_conn",
         "_head_only",
@@ -66,8 +70,11 @@
         "started",
     )
 
-    def __init__(self, conn: ResponseConnection, *, close: bool, head_only: bool) -> None:
+    def __init__(
+        self, conn: ResponseConnection, *, close: bool, head_only: bool, chunked: bool = True
+    ) -> None:
         self._conn = conn
+        self._chunked = chunked
         self._close = close
         self._head_only = head_only
         self._on_disconnect: Callable[[], None] | None = None
@@ -98,8 +105,11 @@
 
     def start(self, status: int, headers: RawHeaders) -> None:
         """Send the head of a response whose body follows in chunks."""
-        self._close = self._close or self._conn.draining
-        self._conn.write(response_head_bytes(status, headers, length=None, close=self._close))
+        self._close = self._close or self._conn.draining or not self._chunked
+        head = response_head_bytes(
+            status, headers, length=None, close=self._close, chunked=self._chunked
+        )
+        self._conn.write(head)
         self.started = True
 
     async def send_chunk(self, data: bytes) -> None:
@@ -110,7 +120,7 @@
     def write_chunk(self, data: bytes) -> bool:
         """Send a chunk of the body; return whether the caller's buffer has room for more."""
         if data and not self._head_only:
-            self._conn.write(b"%x\r\n%s\r\n" % (len(data), data))
+            self._conn.write(b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data)
         return self._conn.writable
 
     async def wait_writable(self) -> None:
@@ -119,14 +129,17 @@
 
     def end(self) -> None:
         """Send the last chunk, which ends the body."""
-        if not self._head_only:
+        if self._chunked and not self._head_only:
             self._conn.write(LAST_CHUNK)
         self._finish(close=self._close)
 
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
         self.done = True
-        self._conn.abort()
+        if self._chunked:
+            self._conn.abort()
+        else:
+            self._conn.reset()
 
     def send_raw(self, data: bytes) -> None:
         """Send raw bytes; for stand-ins of servers with malformed responses."""
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -40,6 +40,8 @@
 __all__ = ("HttpServer", "ResponseWriter")
 
 BACKLOG = 2_048
+# Callers with this version take no chunks.
+OLD_HTTP_VERSION = "1.0"
 # Interval of the checks for idle and slow connections; a timeout is noticed up to this late.
 TIMEOUT_CHECK_INTERVAL_MS = 250
 # A connection is closed if the caller sends more than this before the current response is complete.
@@ -58,6 +60,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._pipelined = b""
         self._pending: deque[tuple[IncomingRequest, bool]] = deque()
+        self._takes_chunks = True
         self._writable = anyio.Event()
         self._writable.set()
         self._stalled_since_ms: int | None = None
@@ -159,6 +162,7 @@
             arrived_ms=self._arrived_ms,
         )
         close = not self._parser.should_keep_alive()
+        self._takes_chunks = self._parser.get_http_version() != OLD_HTTP_VERSION
         self._in_request = False
         self._reset_request()
         if self.response is not None:
@@ -168,7 +172,9 @@
         self._start(req, close=close)
 
     def _start(self, req: IncomingRequest, *, close: bool) -> None:
-        self.response = ResponseWriter(self, close=close, head_only=req.method == "HEAD")
+        self.response = ResponseWriter(
+            self, close=close, head_only=req.method == "HEAD", chunked=self._takes_chunks
+        )
         self.server.spawn(req, self.response)
 
     def _count_head(self, size: int) -> None:
--- a/tests/gateway/answer_ends.feature
+++ b/tests/gateway/answer_ends.feature
@@ -138,3 +138,17 @@
     Then the caller gets a whole answer without a body
     And the response came within 1000 ms
     And the answer's length is that of the body "done by b1"
+
+  # Guards against a caller that takes the end of the connection for the end of the answer, as HTTP/1.0 has it.
+  Scenario Outline: a caller with HTTP/1.0 gets a stream without chunks, and a reset where it broke off
+    Given a small gateway with a raw server of "model" in "north-1"
+    And the raw server answers with "<body>" framed by close and then closes
+    When a caller with HTTP/1.0 streams "/<route>/x" from "n1"
+    Then the caller with HTTP/1.0 got no chunks, and its connection <end>
+
+    Examples:
+      | route | body                     | end            |
+      | chat  | whole events             | ended in order |
+      | plan  | whole events             | ended in order |
+      | chat  | a line without its event | was reset      |
+      | plan  | a line without its event | was reset      |
--- a/tests/steps/gateway/answer_ends_steps.py
+++ b/tests/steps/gateway/answer_ends_steps.py
@@ -10,7 +10,7 @@
 from anyio.abc import SocketAttribute
 from behave import given, then, when
 
-from hickorybeam.standins.deployment import REGIONS
+from hickorybeam.standins.deployment import REGIONS, caller_headers
 from hickorybeam.standins.server import ServerFaults, ServerStandIn
 from steps.gateway.gateway_steps import ask, start
 
@@ -194,3 +194,37 @@
 @then('the answer\'s length is that of the body "{body}"')
 def step_length(context, body):
     assert context.reply.headers[b"content-length"] == b"%d" % len(body), context.reply.headers
+
+
+@when('a caller with HTTP/1.0 streams "{path}" from "{vm}"')
+def step_old_caller(context, path, vm):
+    headers = caller_headers("0123456789abcdef", key="small", wait_ms=2_000, tokens=b"50,10")
+    lines = b"".join(b"%s: %s\r\n" % pair for pair in headers)
+    request = b"POST %s HTTP/1.0\r\n%scontent-length: 0\r\n\r\n" % (path.encode(), lines)
+
+    async def exchange():
+        received = b""
+        address = ("127.0.0.1", context.rig.vms[vm].ports.callers)
+        async with await anyio.connect_tcp(*address) as stream:
+            await stream.send(request)
+            try:
+                with anyio.fail_after(5):
+                    while True:
+                        received += await stream.receive()
+            except anyio.EndOfStream:
+                return received, "ended in order"
+            except anyio.BrokenResourceError:
+                return received, "was reset"
+
+    context.received, context.end = context.call(exchange)
+
+
+@then("the caller with HTTP/1.0 got no chunks, and its connection {end}")
+def step_old_caller_end(context, end):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert b"transfer-encoding" not in head.lower(), head
+    assert context.end == end, (context.end, body)
+    if end == "ended in order":
+        assert body == context.answer.body, body
+    else:
+        assert context.answer.body.startswith(body), body
