platform/store: an answer of the store that broke off is no answer

What operators would see: a VM whose feed crashes (KeyError: 'at') and reads everything anew, or one that takes a write for done, when the store's answer has no length and its connection ends before the body. A read whose body was cut ended as a write of unknown outcome.

Cause: an empty body counted as an empty answer, and its fields were looked up without a check. Now the fields that a good answer has are required: without them a read fails (platform_out) and a write's outcome is unknown.

The stand-in store learns to break its answers off.

--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -53,6 +53,16 @@
 WATCH_POLL_MARGIN_MS = 900
 OK, NOT_FOUND, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 404, 410, 412, 429, 503
 JSON = ((b"content-type", b"application/json"),)
+# Fields of a good response, by kind of call. A response without a length whose connection ended
+# early may lack all of them.
+REQUIRED_FIELDS = {
+    "read": ("key", "revision", "at"),
+    "range": ("items", "at"),
+    "watch": ("at",),
+    "txn": ("revision",),
+    "lease": ("lease",),
+    "keep": ("ttl-ms",),
+}
 
 
 @dataclass(slots=True, eq=False)
@@ -238,7 +248,7 @@
             self._record_failure(kind, "unknown")
             error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
             raise GatewayError(error, f"{kind}: {exc!r}") from exc
-        return self._check_response(kind, status, raw)
+        return self._check_response(kind, status, raw, write=write)
 
     async def _exchange(
         self, method: str, path: str, body: object | None, *, limit_ms: int
@@ -257,25 +267,41 @@
         self._pool.release(self._address, conn)
         return head.status, raw
 
-    def _check_response(self, kind: str, status: int, raw: bytes) -> tuple[int, Mapping[str, Any]]:
+    def _check_response(
+        self, kind: str, status: int, raw: bytes, *, write: bool
+    ) -> tuple[int, Mapping[str, Any]]:
         if status not in (OK, NOT_FOUND, GONE, CONFLICT):
             self._record_failure(kind, "refused")
             raise GatewayError(ErrorKind.PLATFORM_OUT, f"{kind}: unexpected status {status}")
-        try:
-            reply = msgspec.json.decode(raw) if raw else {}
-        except msgspec.DecodeError as exc:
+        reply = decode_object(raw)
+        missing = missing_fields(kind, reply) if status == OK else ()
+        if reply is None or missing:
             self._count(kind, "unknown")
-            raise GatewayError(
-                ErrorKind.PLATFORM_UNKNOWN, "the response is not valid JSON"
-            ) from exc
+            what = f"lacks {', '.join(missing)}" if reply is not None else "is not valid JSON"
+            error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
+            raise GatewayError(error, f"{kind}: the response of {len(raw)} bytes {what}")
         self._count(kind, "ok")
         self._cancel_stale_polls()
-        return status, reply if isinstance(reply, dict) else {}
+        return status, reply
 
     def _count(self, kind: str, outcome: str) -> None:
         self._calls.labels(kind, outcome).inc()
 
 
+def decode_object(raw: bytes) -> Mapping[str, Any] | None:
+    """Decode the body of a response, which may be empty; ``None`` if it is no JSON object."""
+    try:
+        reply = msgspec.json.decode(raw or b"{}")
+    except msgspec.DecodeError:
+        return None
+    return reply if isinstance(reply, dict) else None
+
+
+def missing_fields(kind: str, reply: Mapping[str, Any] | None) -> tuple[str, ...]:
+    """Return the fields that a good response to this kind of call must have and this one lacks."""
+    return tuple(field for field in REQUIRED_FIELDS.get(kind, ()) if field not in (reply or {}))
+
+
 def decode_item(raw: Mapping[str, Any]) -> KeyValue:
     """Decode one item; its value is base64."""
     value = base64.b64decode(raw.get("value") or "")
--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -13,6 +13,7 @@
 from hickorybeam.clock import MS_PER_SECOND, Clock, SystemClock
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.http1 import HttpServer
+from hickorybeam.http1.head import response_head_bytes
 from hickorybeam.platform import names
 from hickorybeam.standins.memory import PlatformStandIn
 from hickorybeam.store import Compare, Delete, KeyValue, Put
@@ -34,7 +35,9 @@
     """Answers the store's calls.
 
     Beside the stand-in's own faults, ``turn_away`` is a status that every call gets, 0 for
-    none; ``silent`` leaves every call unanswered; the next ``deaf_watches`` watches never answer.
+    none; ``silent`` leaves every call unanswered; the next ``deaf_watches`` watches never answer;
+    ``answer_share`` is the share of each answer's body that comes before the connection ends in
+    order, ``None`` for whole answers.
     """
 
     def __init__(self, stand_in: PlatformStandIn) -> None:
@@ -42,6 +45,7 @@
         self.turn_away = 0
         self.silent = False
         self.deaf_watches = 0
+        self.answer_share: float | None = None
         self.page = PAGE
 
     def put(self, key: str, value: bytes) -> None:
@@ -79,7 +83,13 @@
             if faults.take_lost_answer():
                 reply.abort()
                 return
-        reply.send(status, JSON, msgspec.json.encode(body))
+        data = msgspec.json.encode(body)
+        if self.answer_share is None:
+            reply.send(status, JSON, data)
+            return
+        reply.send_raw(response_head_bytes(status, JSON, length=None, close=True, chunked=False))
+        reply.send_raw(data[: round(len(data) * self.answer_share)])
+        reply.end_by_close()
 
     async def _call(
         self, method: str, path: str, told: Mapping[str, str], raw: bytes
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -62,3 +62,24 @@
     And a watch of the key-value store has a pending poll
     When the key-value client has read 3 times
     Then the watch is still pending
+
+  # Guards against an answer that broke off and counts as the store's: a read without its items would
+  # stop the VM's view of the store, and a write without its revision would count as done.
+  Scenario Outline: an answer without a length that breaks off is no answer
+    Given a key-value store and its client
+    When the key-value store breaks its answers off after <share> of their body
+    Then the key-value client's <call> ends with "<kind>"
+    When the key-value store answers in full again
+    Then the key-value client's read ends with "done"
+
+    Examples:
+      | call    | share | kind             |
+      | read    | 0     | platform_out     |
+      | read    | 0.5   | platform_out     |
+      | range   | 0     | platform_out     |
+      | watch   | 0     | platform_out     |
+      | watch   | 0.5   | platform_out     |
+      | write   | 0     | platform_unknown |
+      | write   | 0.5   | platform_unknown |
+      | grant   | 0     | platform_unknown |
+      | renewal | 0     | platform_unknown |
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -16,6 +16,7 @@
     decode_entry,
     decode_response,
 )
+from hickorybeam.store import Put
 from steps.store.contract_steps import kv_client, serve_kv
 
 EXAMPLE = {
@@ -151,8 +152,6 @@
 
 @then('a key-value write ends with "{kind}" and nothing was written')
 def step_write(context, kind):
-    from hickorybeam.store import Put
-
     assert outcome(context, context.client.txn, (), (Put("a", b"1"),)) == kind
     assert not context.app.stand_in.store.read("a").items
 
@@ -301,3 +300,35 @@
 def step_still_pending(context):
     context.call(anyio.sleep, 0.1)
     assert context.watch_end is None, context.watch_end
+
+
+@when("the key-value store breaks its answers off after {share:g} of their body")
+def step_break_off(context, share):
+    context.call(context.client.txn, (), (Put("a", b"1"),))
+    context.lease = context.call(context.client.grant, 5_000)
+    context.app.answer_share = share
+
+
+@when("the key-value store answers in full again")
+def step_full_answers(context):
+    context.app.answer_share = None
+
+
+async def watch_once(client):
+    async for _ in client.watch("", after=0):
+        return
+
+
+@then('the key-value client\'s {call} ends with "{kind}"')
+def step_call_ends(context, call, kind):
+    client = context.client
+    calls = {
+        "read": (client.read, "a"),
+        "range": (client.read_prefix, "a"),
+        "watch": (watch_once, client),
+        "write": (client.txn, (), (Put("a", b"1"),)),
+        "grant": (client.grant, 5_000),
+        "renewal": (client.keep_alive, context.lease),
+    }
+    found = outcome(context, *calls[call])
+    assert found == kind, found
