gateway: a stream that has begun goes on only where its route may be resumed

What callers would see: the events of two runs in one answer, with a part of an event between them, for a route whose requests may be repeated (a lookup) where a server answers with a stream and breaks off.

Cause: whether to send a request once more was read off the route alone. What had been passed on of a stream was not looked at: only streams of resumable routes are held to whole events and know where to go on.

Evidence: tests/gateway/repeats.feature, 'a lookup answered by a stream is not run again once its stream has begun', failed before (events 1 to 4, then 1 to 4 again) and passes.

--- a/src/hickorybeam/gateway/event_splitter.py
+++ b/src/hickorybeam/gateway/event_splitter.py
@@ -44,8 +44,13 @@
         self._update_last_id(whole)
         return whole
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another run may follow: nothing but whole events has been passed on."""
+        return self._hold_partial
+
     def take_rest(self) -> bytes:
-        """Return what is held at the proper end of a stream: the start of a comment's line."""
+        """Return what is held; at the proper end of a stream, the start of a comment's line."""
         data, self._held = self._held, b""
         return data
 
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -198,7 +198,7 @@
             )
             if progress.response.done:
                 return
-            if progress.runs and (progress.own_region_only or not request.route.repeatable):
+            if progress.runs and not may_run_again(request, progress):
                 self._final_responses.give_up(request, progress)
                 return
 
@@ -359,3 +359,10 @@
         allowance=cfg.repeat_allowance,
         window_ms=round(cfg.repeat_window_s * MS_PER_SECOND),
     )
+
+
+def may_run_again(request: AdmittedRequest, progress: RequestProgress) -> bool:
+    """Return whether a request that may have run may be sent to another server."""
+    if progress.own_region_only or not request.route.repeatable:
+        return False
+    return progress.splitter.can_resume or not progress.response.started
--- a/tests/gateway/repeats.feature
+++ b/tests/gateway/repeats.feature
@@ -69,6 +69,15 @@
     Then the stream breaks off without a proper end
     And servers of "model" executed 1 requests
 
+  # Guards against a caller that gets the events of two runs in one answer.
+  Scenario: a lookup answered by a stream is not run again once its stream has begun
+    Given a small gateway with servers "b1:books, b2:books, m1:model"
+    And every server of "books" has fault "cut" once
+    When a caller of "small" streams "/look/x" from "n1"
+    Then the stream breaks off without a proper end
+    And the stream has events 1 to 4
+    And servers of "books" executed 1 requests
+
   Scenario: a hung server holds up a lookup no longer than its latency objective
     Given a small gateway with servers "b1:books, b2:books, m1:model"
     And every server of "books" has fault "hung" once
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -310,6 +310,11 @@
     assert events_of(reply) == list(range(first, last + 1)), reply.body
 
 
+@then("the stream has events {first:d} to {last:d}")
+def step_stream_events(context, first, last):
+    assert events_of(context.reply) == list(range(first, last + 1)), context.reply.body
+
+
 @then("the stream breaks off or is complete, without a gap")
 def step_stream_without_gap(context):
     # Each server breaks off once; with two attempts, the second break ends the stream.
