gateway/event_splitter: events of over 1 MiB are passed on before their end

What an operator would see: a VM whose memory grows with what a server sends of an event that never ends, on routes that may be resumed.

Cause: the part of an event that is held back had no bound. Over 1 MiB it is passed on now, as on other routes, and the stream isn't resumed any more, so that whole answers of any form stay whole.

Evidence: tests/gateway/event_splitter.feature, 'a very long event', failed before: 2,621,440 bytes held of 40 pieces of 65,536.

--- a/src/hickorybeam/gateway/event_splitter.py
+++ b/src/hickorybeam/gateway/event_splitter.py
@@ -8,6 +8,8 @@
 
 __all__ = ("EventSplitter",)
 
+# Longer events are passed on before their end, so that no server can fill the VM's memory.
+MAX_HELD_BYTES = 1_048_576
 ID_FIELD = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 
@@ -39,7 +41,7 @@
             return data
         if not whole_end:
             self._held += data
-            return b""
+            return self._take_overlong()
         whole, self._held = self._held + data[:whole_end], data[whole_end:]
         self._update_last_id(whole)
         return whole
@@ -49,6 +51,12 @@
         """Whether another run may follow: nothing but whole events has been passed on."""
         return self._hold_partial
 
+    def _take_overlong(self) -> bytes:
+        if len(self._held) <= MAX_HELD_BYTES:
+            return b""
+        self._hold_partial = False
+        return self.take_rest()
+
     def take_rest(self) -> bytes:
         """Return what is held; at the proper end of a stream, the start of a comment's line."""
         data, self._held = self._held, b""
