http1/events: the media type of streams is compared without regard to case

What callers would see: a stream that comes as a whole at its end, and without the check for a part of an event, from a server that writes its content type in other letters; text/event-streams counted as a stream.

Cause: the header's value was compared with a prefix in lower case, in three places. One function now, as media types are defined.

Evidence: tests/platform/decoding.feature, 2 rows that failed before.

--- a/src/hickorybeam/backends/engine.py
+++ b/src/hickorybeam/backends/engine.py
@@ -16,6 +16,7 @@
 )
 from hickorybeam.backends.sse import SseReader, usage_of
 from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.http1 import is_event_stream
 from hickorybeam.model import CallKind, ResponseChunk, ResponseEnd, ResponseHead, ResponsePart
 
 if TYPE_CHECKING:
@@ -28,7 +29,6 @@
 __all__ = ("EngineCall", "run_engine")
 
 PATHS = {CallKind.CHAT: b"/v1/chat/completions", CallKind.COMPLETION: b"/v1/completions"}
-EVENT_STREAM = "text/event-stream"
 NOT_FOUND = 404
 FIRST_SERVER_ERROR = 500
 OK = 200
@@ -170,8 +170,8 @@
     try:
         exchange = await engine_call.open()
         check_status(exchange, call, backend)
-        is_event_stream = exchange.header(b"content-type").startswith(EVENT_STREAM)
-        if is_event_stream and exchange.status == OK:
+        content_type = exchange.header(b"content-type").encode("latin-1")
+        if is_event_stream(content_type) and exchange.status == OK:
             first = await engine_call.next_part()
             # The head is held until the first token: until then another engine may serve the call.
             yield ResponseHead(exchange.status, returned_headers(exchange.headers))
--- a/src/hickorybeam/front/relay.py
+++ b/src/hickorybeam/front/relay.py
@@ -10,6 +10,7 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.front.refusals import error_event
 from hickorybeam.front.request import CallerDisconnectedError
+from hickorybeam.http1 import is_event_stream
 from hickorybeam.model import ResponseChunk, ResponseEnd, ResponseHead
 
 if TYPE_CHECKING:
@@ -20,7 +21,6 @@
 
 __all__ = ("relay",)
 
-EVENT_STREAM = "text/event-stream"
 # Keeps proxies between the VM and the caller from buffering the tokens of a stream.
 NO_BUFFERING_HEADERS = ((b"cache-control", b"no-store"), (b"x-accel-buffering", b"no"))
 
@@ -80,7 +80,8 @@
 def is_stream(head: ResponseHead) -> bool:
     """Return whether a response is a stream of server-sent events."""
     return any(
-        name == "content-type" and value.startswith(EVENT_STREAM) for name, value in head.headers
+        name == "content-type" and is_event_stream(value.encode("latin-1"))
+        for name, value in head.headers
     )
 
 
--- a/src/hickorybeam/http1/events.py
+++ b/src/hickorybeam/http1/events.py
@@ -5,7 +5,9 @@
 import re
 from enum import Enum
 
-__all__ = ("EventScanner",)
+__all__ = ("EventScanner", "is_event_stream")
+
+MEDIA_TYPE = b"text/event-stream"
 
 LINE_END = re.compile(rb"\r\n|\n|\r")
 # The blank lines that end events in nearly all streams; others are found line by line.
@@ -79,3 +81,9 @@
             self._line = Line.COMMENT if data[start] == COMMENT_START else Line.FIELD
         if self._line is Line.FIELD:
             self.inside_event = True
+
+
+def is_event_stream(content_type: bytes | None) -> bool:
+    """Return whether a content type, with or without parameters, is that of a stream of events."""
+    media_type = (content_type or b"").partition(b";")[0]
+    return media_type.strip().lower() == MEDIA_TYPE
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hickorybeam.http1 import find_header, parse_decimal, parse_retry_after_ms
+from hickorybeam.http1 import find_header, is_event_stream, parse_decimal, parse_retry_after_ms
 from hickorybeam.platform import names
 from hickorybeam.policy.time_factor import MAX_TIME_FACTOR
 
@@ -82,7 +82,7 @@
         leaving=(find_header(headers, names.LEAVING) or b"").strip() == b"1",
         server_id=decode_server_id(find_header(headers, names.SERVER_ID)),
         rest_ms=decode_rest(head.status, find_header(headers, names.RETRY_AFTER)),
-        streamed=(find_header(headers, b"content-type") or b"").startswith(b"text/event-stream"),
+        streamed=is_event_stream(find_header(headers, b"content-type")),
     )
 
 
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -90,3 +90,5 @@
       | 503    | Retry-After: 999999999999999         | rest_ms     | 3600000 |
       | 503    | Retry-After: Thu, 03 Dec 2026        | rest_ms     | 0     |
       | 200    | Content-Type: text/event-stream      | streamed    | True  |
+      | 200    | Content-Type: Text/Event-Stream;charset=utf-8 | streamed | True |
+      | 200    | Content-Type: text/event-streams     | streamed    | False |
