backends/http1: an answer that this end gave up on is not complete

What callers saw: 200 and a short body, framed as complete, from a plain service whose answer has no length and that falls silent in the middle.

Cause: the watchdog shuts the socket down to end a read that takes too long. The read then returns as if the server had closed in order, and that ends a body without a length. The connection is told now that this end shuts it down.

Evidence: tests/backends/wire.feature, row 'no length, silent', failed before ('200 hel' instead of backend_silent).

--- a/src/hickorybeam/backends/exchange.py
+++ b/src/hickorybeam/backends/exchange.py
@@ -135,5 +135,6 @@
 
     def _shut_down_socket(self) -> None:
         # A pending read returns at once, as if the other end had closed.
+        self._conn.http.cut_off()
         with contextlib.suppress(OSError):
             self._conn.socket.shutdown(socket.SHUT_RDWR)
--- a/src/hickorybeam/backends/http1.py
+++ b/src/hickorybeam/backends/http1.py
@@ -58,6 +58,7 @@
         self._ends_at_close = False
         self._excess_bytes = False
         self._head_bytes = 0
+        self._cut_off = False
 
     async def send(self, method: str, target: bytes, headers: RawHeaders, body: bytes) -> None:
         """Send a request and read the head of its response.
@@ -89,6 +90,10 @@
         """Whether the other end has closed the connection or sent unexpected bytes."""
         return bool(self._stream.get_extra_info("is_readable"))
 
+    def cut_off(self) -> None:
+        """Note that this end shuts the connection down, so that its end ends no response."""
+        self._cut_off = True
+
     async def aclose(self) -> None:
         """Close the connection."""
         self.reusable = False
@@ -105,7 +110,7 @@
     async def _read(self) -> None:
         data = await self._stream.read(READ_BYTES)
         if not data:
-            if self._head_received and self._ends_at_close:
+            if self._head_received and self._ends_at_close and not self._cut_off:
                 self._complete = True
                 return
             raise BrokenResponseError
--- a/tests/backends/wire.feature
+++ b/tests/backends/wire.feature
@@ -34,6 +34,9 @@
       | oversized head        | GET    | backend_failed       | no   |
       | switching protocols   | GET    | backend_failed       | no   |
       | response to another   | GET    | backend_failed       | no   |
+      | no length             | GET    | 200 hello            | no   |
+      | no length, reset      | GET    | stream_broken        | no   |
+      | no length, silent     | GET    | backend_silent       | no   |
 
   Scenario Outline: requests that could be parsed as something else are not sent
     When the backends rig sends a plain call with "<what>"
--- a/tests/steps/backends/wire_steps.py
+++ b/tests/steps/backends/wire_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import socket
+import struct
 from dataclasses import replace
 
 import anyio
@@ -33,6 +35,9 @@
     "nothing": b"",
     "oversized head": OK + b"x-a: b\r\n" * 100_000 + b"\r\n",
     "switching protocols": b"HTTP/1.1 101 Switching\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+    "no length": OK + b"\r\nhello",
+    "no length, reset": OK + b"\r\nhello",
+    "no length, silent": OK + b"\r\nhel",
     "response to another": OK + b"x-request-id: other\r\ncontent-length: 5\r\n\r\nhello",
 }
 STAYS_OPEN = {
@@ -43,7 +48,10 @@
     "no content",
     "not modified",
     "extra bytes",
+    "no length, silent",
 }
+RESET = struct.pack("ii", 1, 0)
+EVENT_STREAM = OK + b"content-type: text/event-stream\r\n"
 INVALID = {
     "a line break in a value": {"headers": (("x-a", "b\r\nx-admin: 1"),)},
     "a space in the target": {"path": "/x HTTP/1.1\r\nx-admin: 1"},
@@ -53,13 +61,41 @@
 
 @given('a raw server at the backends rig that sends "{what}"')
 def step_raw_server(context, what):
+    serve_raw(
+        context,
+        BYTES[what],
+        stays_open=what in STAYS_OPEN,
+        resets=what.endswith("reset"),
+    )
+
+
+@given('a raw server at the backends rig whose stream is "{events}" framed by "{framing}"')
+def step_raw_stream(context, events, framing):
+    context.events = events.replace("\\n", "\n").replace("\\r", "\r").encode()
+    match framing:
+        case "close":
+            data = EVENT_STREAM + b"\r\n" + context.events
+        case "length":
+            length = b"content-length: %d\r\n\r\n" % len(context.events)
+            data = EVENT_STREAM + length + context.events
+        case "chunked":
+            chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(context.events), context.events)
+            data = EVENT_STREAM + b"transfer-encoding: chunked\r\n\r\n" + chunk
+    serve_raw(context, data, stays_open=framing != "close")
+
+
+def serve_raw(context, data, *, stays_open, resets=False):
     async def respond(stream):
         async with stream:
             await stream.receive()
             with anyio.move_on_after(5):
-                await stream.send(BYTES[what])
-                if what in STAYS_OPEN:
+                await stream.send(data)
+                if stays_open:
                     await anyio.sleep(5)
+                if resets:
+                    await anyio.sleep(0.05)
+                    sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
     async def start():
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -108,3 +144,11 @@
 def step_path(context, path):
     assert context.received.error is None, context.received.error
     assert f'"path":"{path}"'.encode() in context.received.body, context.received.body
+
+
+@then("the raw response at the backends rig is those events")
+def step_those_events(context):
+    received = context.received
+    assert received.error is None, received.error
+    assert received.end is not None
+    assert received.body == context.events, received.body
