backends/plain: a plain service's stream that ends inside an event is broken off

What callers saw: 200 and the beginning of a stream, framed as complete, from a plain service that breaks off and closes in order (no length, no chunks), or whose framing ends in the middle of an event.

Streams of engines were safe, as their end mark is required.

--- a/src/hickorybeam/backends/plain.py
+++ b/src/hickorybeam/backends/plain.py
@@ -7,6 +7,7 @@
 from hickorybeam.backends.exchange import ExchangeError
 from hickorybeam.backends.headers import plain_headers, returned_headers
 from hickorybeam.backends.http_client import HttpClient, HttpRequest, lost_response_error
+from hickorybeam.http1 import EventScanner, is_event_stream
 from hickorybeam.model import ResponseChunk, ResponseEnd, ResponseHead, ResponsePart
 
 if TYPE_CHECKING:
@@ -35,12 +36,19 @@
         exchange = await client.open(call, backend, request, first_byte_timeout_ms=timeout_ms)
     except ExchangeError as exc:
         raise lost_response_error(call, backend, exc, response_started=False) from exc
+    streamed = is_event_stream(exchange.header(b"content-type").encode("latin-1"))
+    scanner = EventScanner() if streamed else None
     try:
         yield ResponseHead(exchange.status, returned_headers(exchange.headers))
         exchange.start_read_timeout()
         while chunk := await exchange.next_chunk():
+            if scanner is not None:
+                scanner.feed(chunk)
             yield ResponseChunk(chunk)
             exchange.start_read_timeout()
+        if scanner is not None and scanner.inside_event:
+            # Its framing says that it is complete; the server broke off all the same.
+            raise ExchangeError(timed_out=False)
     except ExchangeError as exc:
         raise lost_response_error(call, backend, exc, response_started=True) from exc
     finally:
--- a/tests/steps/backends/wire_steps.py
+++ b/tests/steps/backends/wire_steps.py
@@ -1,14 +1,12 @@
 from __future__ import annotations
 
-import socket
-import struct
 from dataclasses import replace
 
-import anyio
 from behave import given, then, when
 from tests.steps.backends.backends_steps import read
 
 from hickorybeam.standins.http import Fault, FaultKind
+from support.raw_server import framed_stream, serve_bytes
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
@@ -50,8 +48,6 @@
     "extra bytes",
     "no length, silent",
 }
-RESET = struct.pack("ii", 1, 0)
-EVENT_STREAM = OK + b"content-type: text/event-stream\r\n"
 INVALID = {
     "a line break in a value": {"headers": (("x-a", "b\r\nx-admin: 1"),)},
     "a space in the target": {"path": "/x HTTP/1.1\r\nx-admin: 1"},
@@ -72,39 +68,13 @@
 @given('a raw server at the backends rig whose stream is "{events}" framed by "{framing}"')
 def step_raw_stream(context, events, framing):
     context.events = events.replace("\\n", "\n").replace("\\r", "\r").encode()
-    match framing:
-        case "close":
-            data = EVENT_STREAM + b"\r\n" + context.events
-        case "length":
-            length = b"content-length: %d\r\n\r\n" % len(context.events)
-            data = EVENT_STREAM + length + context.events
-        case "chunked":
-            chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(context.events), context.events)
-            data = EVENT_STREAM + b"transfer-encoding: chunked\r\n\r\n" + chunk
-    serve_raw(context, data, stays_open=framing != "close")
-
-
-def serve_raw(context, data, *, stays_open, resets=False):
-    async def respond(stream):
-        async with stream:
-            await stream.receive()
-            with anyio.move_on_after(5):
-                await stream.send(data)
-                if stays_open:
-                    await anyio.sleep(5)
-                if resets:
-                    await anyio.sleep(0.05)
-                    sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-
-    async def start():
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        context.rig.tg.start_soon(listener.serve, respond)
-        return listener.extra(anyio.abc.SocketAttribute.local_port)
-
-    port = context.call(start)
-    servers = context.rig.servers
-    servers["raw"] = replace(servers["plain"], name="raw", port=port)
+    serve_raw(context, framed_stream(context.events, framing), stays_open=framing != "close")
+
+
+def serve_raw(context, data, **options):
+    rig = context.rig
+    port = context.call(lambda: serve_bytes(rig.tg, data, **options))
+    rig.servers["raw"] = replace(rig.servers["plain"], name="raw", port=port)
 
 
 @given("the backends rig's plain service responds to its first call {ms:d} ms late")
