front/relay: a broken stream gets no error event inside an event, and no length

What callers saw: the part of an event and the gateway's error event as one event ('data: bevent: error'), where a plain service broke off inside an event; and a whole answer by its length, where the service had declared one that ends in the middle of an event.

Cause: the error event was sent wherever the stream stood, and the server's content-length was passed on for streams.

Evidence: tests/front/streams.feature, 5 of 9 rows failed before (4 broken streams, and a whole one that kept its length instead of chunks).

--- a/src/hickorybeam/front/relay.py
+++ b/src/hickorybeam/front/relay.py
@@ -10,7 +10,7 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.front.refusals import error_event
 from hickorybeam.front.request import CallerDisconnectedError
-from hickorybeam.http1 import is_event_stream
+from hickorybeam.http1 import EventScanner, is_event_stream
 from hickorybeam.model import ResponseChunk, ResponseEnd, ResponseHead
 
 if TYPE_CHECKING:
@@ -44,16 +44,19 @@
 
 async def send_parts(req: Request, parts: AsyncIterator[ResponsePart]) -> None:
     """Send head, chunks and end; abort a broken response so that it does not look complete."""
-    streamed = False
+    scanner: EventScanner | None = None
     ended = False
     try:
         async for part in parts:
             match part:
                 case ResponseChunk():
+                    if scanner is not None:
+                        scanner.feed(part.data)
                     await req.write_body(part.data)
                 case ResponseHead():
-                    streamed = is_stream(part)
-                    await req.start_response(part.status, response_headers(part, streamed=streamed))
+                    scanner = EventScanner() if is_stream(part) else None
+                    headers = response_headers(part, streamed=scanner is not None)
+                    await req.start_response(part.status, headers)
                 case ResponseEnd():
                     ended = True
                     await req.write_body(b"", more=False)
@@ -62,17 +65,20 @@
     except GatewayError as exc:
         if not req.response_started:
             raise
-        await abort_response(req, exc, streamed=streamed)
+        await abort_response(req, exc, scanner)
         raise
 
 
-async def abort_response(req: Request, exc: GatewayError, *, streamed: bool) -> None:
+async def abort_response(req: Request, exc: GatewayError, scanner: EventScanner | None) -> None:
     """End a started response so that the caller sees that it is incomplete.
 
-    A stream gets an error event and no end mark. Any other body ends before its last chunk or
-    its declared length, which every HTTP client reports as an error.
+    A stream gets an error event and no end mark; where it broke off inside an event, the error
+    event would become a part of that one and is left out. Any other body ends before its last chunk
+    or its declared length, which every HTTP client reports as an error.
+
+    :param scanner: what has been sent of a stream, ``None`` for any other response.
     """
-    if streamed:
+    if scanner is not None and not scanner.inside_event:
         await req.write_body(error_event(exc))
     req.conn.close_early()
 
@@ -86,8 +92,13 @@
 
 
 def response_headers(head: ResponseHead, *, streamed: bool) -> list[tuple[bytes, bytes]]:
-    """Return the headers of a response's head, and those against buffering for a stream."""
+    """Return the headers of a response's head, and those against buffering for a stream.
+
+    A stream's length isn't passed on: with it, all of a stream that ends inside an event would
+    count as a complete response.
+    """
     headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in head.headers]
     if streamed:
+        headers = [pair for pair in headers if pair[0] != b"content-length"]
         headers.extend(NO_BUFFERING_HEADERS)
     return headers
