bench/soak, standins: servers end streams inside an event as if they were complete

The gateway's soak never let a stream come without a length or chunks (its switch 'unframed' was taken by other answers only), and none of its servers ended a stream properly before its last event: neither it nor the tests could meet what callers saw. Its servers learn both, and a whole stream has to end with a whole event. The engines of the other soak break streams off, leave out the end mark, or end inside an event.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from hickorybeam.standins.http import Fault, FaultKind
 from hickorybeam.standins.relay import LinkState
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 
 QUIET_S = (1.0, 4.0)
 LASTING_S = (2.0, 14.0)
+MAX_TOKENS_BEFORE = 20
 
 
 class Faults:
@@ -44,6 +46,7 @@
             self.platform_out,
             self.platform_lost_answers,
             self.watches_silent,
+            self.spoil_engine,
         )
         self._kinds = [kind for kind in kinds if only in ("", kind.__name__)]
 
@@ -134,6 +137,13 @@
         """Some writes take effect and their answers are lost."""
         self._fleet.platform.app.link("").lose_answers += self._rng.randrange(1, 6)
 
+    async def spoil_engine(self) -> None:
+        """An engine breaks its next streams off, and some of them end as if they were complete."""
+        engine = self._rng.choice(list(self._fleet.backends.engines.values()))
+        kind = self._rng.choice((FaultKind.CUT, FaultKind.NO_END, FaultKind.PART))
+        after, count = self._rng.randrange(MAX_TOKENS_BEFORE), self._rng.randrange(1, 4)
+        engine.app.faults.set(Fault(kind=kind, after=after, count=count))
+
     async def watches_silent(self) -> None:
         """Every watch goes silent."""
         self._fleet.platform.app.link("").silence_watches()
--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -65,6 +65,8 @@
 IN_FORCE_S = 4.0
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 ALL_EVENTS = 6
+# How a server may spoil its next answers.
+SPOILT = ("errors", "full", "lost", "hung", "cut", "short", "extra", "unframed", "torn")
 # A VM knows all others this long after its start.
 STARTED_S = 5.0
 
@@ -250,6 +252,8 @@
             events = [int(x[4:]) for x in answer.body.split(b"\n") if x.startswith(b"id: ")]
             if events != list(range(1, ALL_EVENTS + 1)):
                 self.broken(f"{request_id}: a whole stream has events {events}")
+            if not answer.body.endswith(b"\n\n"):
+                self.broken(f"{request_id}: a whole stream ends with {answer.body[-20:]!r}")
         elif answer.body.removeprefix(b"done by ").decode() not in (*ran_at, "unframed"):
             self.broken(f"{request_id}: the answer {answer.body!r} is another server's")
 
@@ -331,7 +335,7 @@
     async def spoil(self) -> None:
         """Let servers spoil some answers."""
         server = self.rng.choice(self.servers)
-        for name in ("errors", "full", "lost", "hung", "cut", "extra", "unframed", "torn"):
+        for name in SPOILT:
             setattr(server.faults, name, self.rng.choice((0, 0, 1, 2)))
         server.faults.unsigned = self.rng.choice((0, 1))
         server.faults.misread = self.rng.choice((0, 1))
--- a/src/hickorybeam/standins/engine.py
+++ b/src/hickorybeam/standins/engine.py
@@ -33,6 +33,8 @@
 CREATED_S = 1_700_000_000
 KEPT_REQUESTS = 10_000
 DONE_EVENT = b"data: [DONE]\n\n"
+PART_OF_EVENT = b'data: {"choices"'
+STREAM_FAULTS = (FaultKind.SILENT, FaultKind.CUT, FaultKind.NO_END, FaultKind.PART)
 HTTP_CONFLICT = 409
 
 
@@ -273,7 +275,7 @@
         self, writer: SseWriter, fault: Fault, headers: dict[str, str], *, begin: int
     ) -> None:
         await writer.exchange.start(200, headers | {"content-type": "text/event-stream"})
-        strikes = fault.kind in (FaultKind.SILENT, FaultKind.CUT, FaultKind.NO_END)
+        strikes = fault.kind in STREAM_FAULTS
         position = begin
         while True:
             limit = writer.stream.produced
@@ -299,6 +301,8 @@
                 await exchange.gone()
             case FaultKind.NO_END:
                 await exchange.write(b"", more=False)
+            case FaultKind.PART:
+                await exchange.write(PART_OF_EVENT, more=False)
             case _:
                 exchange.cut()
 
--- a/src/hickorybeam/standins/http.py
+++ b/src/hickorybeam/standins/http.py
@@ -58,7 +58,10 @@
 
 
 class FaultKind(Enum):
-    """What a stand-in can be told to do wrong."""
+    """What a stand-in can be told to do wrong.
+
+    ``NO_END`` ends a stream properly without its end mark, ``PART`` in the middle of an event.
+    """
 
     NONE = "none"
     SLOW = "slow"
@@ -72,6 +75,7 @@
     DUPLICATE = "duplicate"
     SHORT = "short"
     NO_END = "no_end"
+    PART = "part"
     GARBLED = "garbled"
 
 
--- a/tests/backends/engine.feature
+++ b/tests/backends/engine.feature
@@ -31,6 +31,8 @@
       | cut    | 1     |
       | cut    | 6     |
       | no_end | 4     |
+      | part   | 0     |
+      | part   | 4     |
 
   Scenario: a resume that repeats a token delivers each token once
     # The engine's connection breaks after 3 tokens, and the resumed stream starts one token too
