backends/sse: lines of a stream may end with CR alone

What callers would see: stream_broken for a whole answer of an engine whose lines end with CR.

Cause: every CR was dropped, so that no line ended. CR LF and CR both count as the end of a line now, also where a read ends between CR and LF.

Evidence: tests/backends/sse.feature, 'with carriage returns alone', failed before (the stream stayed open).

--- a/src/hickorybeam/backends/sse.py
+++ b/src/hickorybeam/backends/sse.py
@@ -52,11 +52,13 @@
         self.usage: Usage | None = None
         self._strip_usage = strip_usage
         self._buffer = b""
+        self._after_cr = False
         self._resuming = False
 
     def resume(self) -> None:
         """Discard a partial event; the next events come from a new connection."""
         self._buffer = b""
+        self._after_cr = False
         self._resuming = True
 
     def feed(self, data: bytes) -> EventBatch | None:
@@ -65,8 +67,8 @@
         :return: ``None`` if no event is complete.
         :raises ValueError: an event is too long, or events are missing after a resume.
         """
-        if b"\r" in data:
-            data = data.replace(b"\r", b"")
+        if self._after_cr or b"\r" in data:
+            data = self._to_line_feeds(data)
         if self._buffer:
             data = self._buffer + data
         end = data.rfind(EVENT_END)
@@ -79,6 +81,13 @@
         self._buffer = data[end:]
         return self._process(data[:end])
 
+    def _to_line_feeds(self, data: bytes) -> bytes:
+        """Let lines that end with CR LF or CR end with LF."""
+        if self._after_cr and data.startswith(b"\n"):
+            data = data[1:]
+        self._after_cr = data.endswith(b"\r")
+        return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
     def _process(self, data: bytes) -> EventBatch | None:
         if self._resuming:
             data = self._drop_duplicates(data)
--- a/tests/backends/sse.feature
+++ b/tests/backends/sse.feature
@@ -15,6 +15,8 @@
       | ended twice           | done    |
       | with carriage returns | done    |
       | with comments         | done    |
+      | with carriage returns alone | done |
+      | with carriage returns, byte by byte | done |
       | a gap after a resume | error   |
       | an endless event      | error   |
       | usage not JSON        | error   |
--- a/tests/steps/backends/sse_steps.py
+++ b/tests/steps/backends/sse_steps.py
@@ -77,6 +77,11 @@
             reader.feed(DONE_EVENT)
         case "with carriage returns":
             reader.feed(whole.replace(b"\n", b"\r\n"))
+        case "with carriage returns alone":
+            reader.feed(whole.replace(b"\n", b"\r"))
+        case "with carriage returns, byte by byte":
+            for byte in whole.replace(b"\n", b"\r\n"):
+                reader.feed(bytes([byte]))
         case "with comments":
             reader.feed(b": hello\n\n" + whole)
             assert reader.position == TOKENS + 1, reader.position
