backends/sse: the end mark counts wherever it comes in a read

What callers would see: stream_broken after a whole answer, where something follows the end mark in the same read (a comment of a proxy, say).

Cause: the mark was looked for at the end of what a read completes.

Evidence: tests/backends/sse.feature, 'with a comment after its end', failed before (the stream stayed open).

--- a/src/hickorybeam/backends/sse.py
+++ b/src/hickorybeam/backends/sse.py
@@ -12,7 +12,8 @@
 __all__ = ("EventBatch", "SseReader", "usage_of")
 
 EVENT_END = b"\n\n"
-DONE_EVENTS = (b"data: [DONE]\n\n", b"data:[DONE]\n\n")
+DONE_TEXT = b"[DONE]"
+DONE_EVENT = re.compile(rb"^data: ?\[DONE\]\n\n", re.M)
 EMPTY_CHOICES = re.compile(rb'"choices":\s*\[\]')
 EVENT_ID = re.compile(rb"^id:\s*(\d+)", re.M)
 # An engine that never ends an event would otherwise fill the VM's memory.
@@ -93,7 +94,7 @@
             data = self._drop_duplicates(data)
             self._resuming = False
         events = data.count(b"\ndata:") + data.startswith(b"data:")
-        if data.endswith(DONE_EVENTS):
+        if DONE_TEXT in data and DONE_EVENT.search(data):
             self.done = True
             events -= 1
         self.position += events
--- a/tests/backends/sse.feature
+++ b/tests/backends/sse.feature
@@ -17,6 +17,7 @@
       | with comments         | done    |
       | with carriage returns alone | done |
       | with carriage returns, byte by byte | done |
+      | with a comment after its end | done |
       | a gap after a resume | error   |
       | an endless event      | error   |
       | usage not JSON        | error   |
--- a/tests/steps/backends/sse_steps.py
+++ b/tests/steps/backends/sse_steps.py
@@ -82,6 +82,8 @@
         case "with carriage returns, byte by byte":
             for byte in whole.replace(b"\n", b"\r\n"):
                 reader.feed(bytes([byte]))
+        case "with a comment after its end":
+            reader.feed(whole + b": bye\n\n")
         case "with comments":
             reader.feed(b": hello\n\n" + whole)
             assert reader.position == TOKENS + 1, reader.position
