loadgen: whether an answer was whole doesn't depend on where its reads end

What users of the load tool saw: a whole stream as cut_off where its end mark came in two reads, a stream as whole where an event's text held the mark, a load run that ended with a broken refusal (JSONDecodeError), and one token too few in the count of a broken stream.

Cause: the mark and the events were looked for in each read by itself.

--- a/src/hickorybeam/loadgen/runner.py
+++ b/src/hickorybeam/loadgen/runner.py
@@ -22,7 +22,9 @@
 UNREACHABLE = "unreachable"
 CUT_OFF = "cut_off"
 OK = 200
-END_MARK = b"data: [DONE]"
+DATA = b"data: "
+END_MARK = b"[DONE]"
+LINE_ENDS = (b"\n", b"\r")
 REGION_HEADER = b"x-hickorybeam-region"
 
 
@@ -44,6 +46,31 @@
     ran: str = "yes"
 
 
+class StreamTally:
+    """Counts a stream's events line by line, wherever its reads end."""
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.content_begun = False
+        self.ended = False
+        self._rest = b""
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes of the stream."""
+        lines = (self._rest + data).splitlines(keepends=True)
+        self._rest = b"" if not lines or lines[-1].endswith(LINE_ENDS) else lines.pop()
+        for line in lines:
+            if line.startswith(DATA):
+                self._add_event(line[len(DATA) :].strip())
+
+    def _add_event(self, content: bytes) -> None:
+        if content == END_MARK:
+            self.ended = True
+            return
+        self.tokens += 1
+        self.content_begun = self.content_begun or b'"content"' in content
+
+
 async def send_arrivals(model: str, arrivals: Sequence[Arrival]) -> list[Outcome]:
     """Send every arrival at its time and return the outcomes in order of completion."""
     outcomes: list[Outcome] = []
@@ -95,34 +122,36 @@
 
 
 async def _read_stream(arrival: Arrival, response: httpcore.Response, started_s: float) -> Outcome:
-    first_ms, last_ms, tokens, ended = 0.0, 0.0, 0, False
+    first_ms, last_ms, tally = 0.0, 0.0, StreamTally()
     async for chunk in response.aiter_stream():
-        events = chunk.count(b"data: ")
-        ended = ended or END_MARK in chunk
-        if b'"content"' in chunk and not first_ms:
-            first_ms = _ms_since(started_s)
-        tokens += events
+        tally.feed(chunk)
         last_ms = _ms_since(started_s)
+        if tally.content_begun and not first_ms:
+            first_ms = last_ms
     region = dict(response.headers).get(REGION_HEADER, b"").decode()
     return Outcome(
         account=arrival.account,
         long=arrival.long,
-        code="" if ended else CUT_OFF,
+        code="" if tally.ended else CUT_OFF,
         region=region,
         first_ms=first_ms or last_ms,
         end_ms=last_ms,
-        between_ms=(last_ms - first_ms) / max(1, tokens - 2),
-        tokens=max(0, tokens - 1),
+        between_ms=(last_ms - first_ms) / max(1, tally.tokens - 1),
+        tokens=tally.tokens,
     )
 
 
 def _refused_outcome(arrival: Arrival, body: bytes, started_s: float) -> Outcome:
-    error = json.loads(body)["error"]
+    try:
+        error = json.loads(body)["error"]
+        code, ran = error["code"], error["ran"]
+    except (ValueError, KeyError, TypeError):
+        code, ran = CUT_OFF, "unknown"
     return Outcome(
         account=arrival.account,
         long=arrival.long,
-        code=error["code"],
-        ran=error["ran"],
+        code=code,
+        ran=ran,
         end_ms=_ms_since(started_s),
     )
 
--- a/tests/steps/loadgen/loadgen_steps.py
+++ b/tests/steps/loadgen/loadgen_steps.py
@@ -2,9 +2,19 @@
 
 from dataclasses import replace
 
+import anyio
 from behave import given, then, when
 
-from hickorybeam.loadgen import Outcome, Plan, Stream, arrivals, make_report
+from hickorybeam.loadgen import (
+    Arrival,
+    Outcome,
+    Plan,
+    Stream,
+    arrivals,
+    make_report,
+    send_arrivals,
+)
+from support.raw_server import serve_bytes
 
 
 @given('a load plan with accounts "{accounts}" for {seconds:d} s')
@@ -88,3 +98,41 @@
 def step_first(context, account, ms):
     row = next(row for row in context.report.rows if row.account == account)
     assert abs(row.first_p95 - ms) < 1, row
+
+
+@given(
+    'a server answers the load with {status:d} and the body "{body}" in chunks of {size:d} bytes'
+)
+def step_server(context, status, body, size):
+    data = body.replace("\\n", "\n").replace("\\r", "\r").encode()
+    parts = [data[at : at + size] for at in range(0, len(data), size)]
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    head = b"HTTP/1.1 %d X\r\ntransfer-encoding: chunked\r\n\r\n" % status
+    context.answer = head + chunks + b"0\r\n\r\n"
+
+
+@when("the load sends it one request")
+def step_send(context):
+    async def send():
+        async with anyio.create_task_group() as tg:
+            port = await serve_bytes(tg, context.answer)
+            arrival = Arrival(
+                at_ms=0,
+                account="a",
+                key="k",
+                url=f"http://127.0.0.1:{port}",
+                prompt="p",
+                max_tokens=2,
+                long=False,
+            )
+            context.outcomes = await send_arrivals("m", [arrival])
+            tg.cancel_scope.cancel()
+
+    context.call(send)
+
+
+@then('the load\'s outcome has code "" and {tokens:d} tokens')
+@then('the load\'s outcome has code "{code}" and {tokens:d} tokens')
+def step_outcome(context, tokens, code=""):
+    (outcome,) = context.outcomes
+    assert (outcome.code, outcome.tokens) == (code, tokens), outcome
