standins/relay: the stand-in network passes a reset on as a reset

What tests saw: an orderly end where a server, or a cut link, had reset the connection, so that no test behind the stand-in network could tell an answer that was broken off from one that ends with its connection. The raw servers of the tests that reset did the same for a moment: anyio closes a stream in order before it drops it.

Cause: both were closed by anyio's streams, which first end their side in order. Both use asyncio's transports now.

--- a/src/hickorybeam/standins/relay.py
+++ b/src/hickorybeam/standins/relay.py
@@ -1,22 +1,26 @@
 """A TCP relay that stands in for the network between two ends, with fault switches.
 
-``PASS`` relays bytes, ``CUT`` refuses and closes (a partition that answers), ``SILENT`` keeps
+``PASS`` relays bytes, ``CUT`` refuses and resets (a partition that answers), ``SILENT`` keeps
 every connection open and passes nothing (something between the ends has forgotten them).
 """
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
-from anyio.abc import SocketAttribute
 
 if TYPE_CHECKING:
+    from asyncio import StreamReader, StreamWriter
     from collections.abc import AsyncIterator
 
-    from anyio.abc import ByteStream, TaskGroup
+    from anyio.abc import TaskGroup
     from anyio.streams.memory import MemoryObjectSendStream
 
 __all__ = ("Link", "LinkState", "serve")
@@ -24,6 +28,7 @@
 HOST = "127.0.0.1"
 MS_PER_SECOND = 1000
 PIECES_IN_FLIGHT = 256
+READ_BYTES = 65_536
 
 
 class LinkState(Enum):
@@ -34,6 +39,15 @@
     SILENT = "silent"
 
 
+@dataclass(frozen=True, slots=True)
+class Way:
+    """One direction of a relayed connection: it is read from ``source`` and written to ``sink``."""
+
+    reader: StreamReader
+    source: StreamWriter
+    sink: StreamWriter
+
+
 class Link:
     """One relayed address.
 
@@ -49,7 +63,7 @@
         self.bytes_passed = 0
         self._state = LinkState.PASS
         self._changed = anyio.Event()
-        self._open: set[ByteStream] = set()
+        self._open: set[StreamWriter] = set()
 
     @property
     def state(self) -> LinkState:
@@ -62,13 +76,13 @@
         return f"{HOST}:{self.port}"
 
     async def set(self, state: LinkState) -> None:
-        """Switch what the relay does; ``CUT`` also closes what is open."""
+        """Switch what the relay does; ``CUT`` also resets what is open."""
         self._state = state
         self._changed.set()
         self._changed = anyio.Event()
         if state is LinkState.CUT:
-            for stream in tuple(self._open):
-                await anyio.aclose_forcefully(stream)
+            for writer in tuple(self._open):
+                reset(writer)
 
     async def drop_bytes_of_open(self) -> None:
         """Make the connections open now silent for good while new ones work."""
@@ -76,65 +90,86 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def handle(self, near: ByteStream) -> None:
-        """Relay one accepted connection."""
+    async def handle(self, reader: StreamReader, near: StreamWriter) -> None:
+        """Relay one accepted connection; its end reaches the other side as it was."""
         if self._state is LinkState.CUT:
-            await anyio.aclose_forcefully(near)
+            reset(near)
             return
         try:
-            far = await anyio.connect_tcp(*self.target)
+            far_reader, far = await asyncio.open_connection(*self.target)
         except OSError:
-            await anyio.aclose_forcefully(near)
+            reset(near)
             return
         self._open |= {near, far}
         try:
             async with anyio.create_task_group() as tg:
-                tg.start_soon(self._copy, near, far, tg)
-                tg.start_soon(self._copy, far, near, tg)
+                tg.start_soon(self._copy, Way(reader, near, far), tg)
+                tg.start_soon(self._copy, Way(far_reader, far, near), tg)
+            if not tg.cancel_scope.cancel_called:
+                near.close()
+                far.close()
         finally:
             self._open -= {near, far}
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(near)
-                await anyio.aclose_forcefully(far)
+            reset(near)
+            reset(far)
 
-    async def _copy(self, source: ByteStream, sink: ByteStream, tg: TaskGroup) -> None:
+    async def _copy(self, way: Way, tg: TaskGroup) -> None:
         send, receive = anyio.create_memory_object_stream[tuple[float, bytes]](PIECES_IN_FLIGHT)
         try:
             async with anyio.create_task_group() as pair:
-                pair.start_soon(self._read, source, send)
+                pair.start_soon(self._read, way.reader, send)
                 async with receive:
                     async for due, data in receive:
                         await anyio.sleep_until(due)
-                        await self._wait_for_pass(source)
+                        await self._wait_for_pass(way.source)
                         self.bytes_passed += len(data)
-                        await sink.send(data)
-                    await sink.send_eof()
-        except* (anyio.ClosedResourceError, anyio.BrokenResourceError, OSError):
+                        if data:
+                            way.sink.write(data)
+                            await way.sink.drain()
+                        else:
+                            way.sink.write_eof()
+        except* (anyio.BrokenResourceError, OSError):
             tg.cancel_scope.cancel()
 
     async def _read(
-        self, source: ByteStream, send: MemoryObjectSendStream[tuple[float, bytes]]
+        self, reader: StreamReader, send: MemoryObjectSendStream[tuple[float, bytes]]
     ) -> None:
+        """Read pieces with the time at which each is due; an empty one is an orderly end."""
         async with send:
-            async for data in source:
+            data = b"?"
+            while data:
+                data = await reader.read(READ_BYTES)
                 await send.send((anyio.current_time() + self.delay_ms / MS_PER_SECOND, data))
 
-    async def _wait_for_pass(self, source: ByteStream) -> None:
+    async def _wait_for_pass(self, source: StreamWriter) -> None:
         while self._state is LinkState.SILENT or source not in self._open:
             if self._state is LinkState.CUT:
                 raise anyio.BrokenResourceError
             await self._changed.wait()
 
 
+def reset(writer: StreamWriter) -> None:
+    """Reset a connection, so that its other end sees an error and no orderly close."""
+    if writer.is_closing():
+        return
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 @asynccontextmanager
 async def serve(
     host: str, port: int, *, listen_port: int = 0, delay_ms: float = 0.0
 ) -> AsyncIterator[Link]:
     """Relay a free port on loopback to an address for as long as the block runs."""
     link = Link(host, port, delay_ms=delay_ms)
-    listener = await anyio.create_tcp_listener(local_host=HOST, local_port=listen_port)
-    link.port = listener.extra(SocketAttribute.local_port)
-    async with listener, anyio.create_task_group() as tg:
-        tg.start_soon(listener.serve, link.handle)
-        yield link
-        tg.cancel_scope.cancel()
+    async with anyio.create_task_group() as tg:
+
+        async def accept(reader: StreamReader, writer: StreamWriter) -> None:
+            tg.start_soon(link.handle, reader, writer)
+
+        server = await asyncio.start_server(accept, HOST, listen_port)
+        link.port = server.sockets[0].getsockname()[1]
+        async with server:
+            yield link
+            tg.cancel_scope.cancel()
--- a/tests/steps/gateway/answer_ends_steps.py
+++ b/tests/steps/gateway/answer_ends_steps.py
@@ -1,18 +1,17 @@
 from __future__ import annotations
 
-import socket
-import struct
+import asyncio
 import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import SocketAttribute
 from behave import given, then, when
 
 from hickorybeam.standins.deployment import REGIONS, caller_headers
 from hickorybeam.standins.server import ServerFaults, ServerStandIn
 from steps.gateway.gateway_steps import ask, start
+from support.raw_server import listen, reset
 
 BODIES = {
     "nothing": b"",
@@ -31,7 +30,6 @@
     "CR, a part of an event": b"id: 1\rdata: a\r\rid: 2\r",
     "a comment, a part": b"id: 1\ndata: a\n\n: well\ndata",
 }
-RESET = struct.pack("ii", 1, 0)
 PIECE_INTERVAL_S = 0.002
 
 
@@ -70,45 +68,38 @@
         return [*pieces, b"0\r\n\r\n"] if self.framing == "chunked" else pieces
 
 
-async def read_request(stream):
-    received = b""
-    while b"\r\n\r\n" not in received:
-        received += await stream.receive()
-    head, _, body = received.partition(b"\r\n\r\n")
-    length = 0
+async def read_request(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
     for line in head.lower().split(b"\r\n"):
         if line.startswith(b"content-length:"):
-            length = int(line.partition(b":")[2])
-    while len(body) < length:
-        body += await stream.receive()
+            await reader.readexactly(int(line.partition(b":")[2]))
 
 
 @asynccontextmanager
 async def raw_server(rig, answer, service, data_centre):
     """Serve the answer to every request from a server that registers itself."""
 
-    async def handle(stream):
-        async with stream:
-            try:
-                await read_request(stream)
-            except anyio.EndOfStream:
-                return
+    async def respond(reader, writer):
+        try:
+            await read_request(reader)
             content_type = "text/event-stream" if service == "model" else "text/plain"
-            await stream.send(answer.head(content_type))
+            writer.write(answer.head(content_type))
             for piece in answer.pieces():
-                await stream.send(piece)
+                writer.write(piece)
+                await writer.drain()
                 await anyio.sleep(PIECE_INTERVAL_S)
             if answer.end == "waits":
                 await anyio.sleep_forever()
             elif answer.end == "resets":
-                sock = stream.extra(SocketAttribute.raw_socket)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                reset(writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
 
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     server = ServerStandIn("raw", service, data_centre, rig.app)
-    server.port = listener.extra(SocketAttribute.local_port)
-    async with listener, anyio.create_task_group() as tg:
-        tg.start_soon(listener.serve, handle)
+    async with anyio.create_task_group() as tg:
+        server.port = await listen(tg, respond)
         server.register()
         rig.servers["raw"] = server
         await rig.until(lambda: all(is_known(vm, server) for vm in rig.vms.values()))
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 
-import anyio
-from anyio.abc import SocketAttribute
-
 LIMIT_S = 5
-RESET = struct.pack("ii", 1, 0)
+READ_BYTES = 65_536
 RESET_AFTER_S = 0.05
 EVENT_STREAM = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
 
@@ -34,18 +32,36 @@
     :param resets: reset the connection after the bytes.
     """
 
-    async def respond(stream):
-        async with stream:
-            await stream.receive()
-            with anyio.move_on_after(LIMIT_S):
-                await stream.send(data)
-                if stays_open:
-                    await anyio.sleep(LIMIT_S)
-                if resets:
-                    await anyio.sleep(RESET_AFTER_S)
-                    sock = stream.extra(SocketAttribute.raw_socket)
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    tg.start_soon(listener.serve, respond)
-    return listener.extra(SocketAttribute.local_port)
+    async def respond(reader, writer):
+        try:
+            await reader.read(READ_BYTES)
+            writer.write(data)
+            await writer.drain()
+            if stays_open:
+                await asyncio.sleep(LIMIT_S)
+            if resets:
+                await asyncio.sleep(RESET_AFTER_S)
+                reset(writer)
+        finally:
+            writer.close()
+
+    return await listen(tg, respond)
+
+
+async def listen(tg, respond):
+    """Handle connections by reader and writer until the task group ends; return the port."""
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+
+    async def serve():
+        async with server:
+            await server.serve_forever()
+
+    tg.start_soon(serve)
+    return server.sockets[0].getsockname()[1]
+
+
+def reset(writer):
+    """Reset a connection without an orderly close before, as anyio's streams would do."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
