cli/client: an empty answer of an entry VM is no answer

What operators would see: 'is draining', or an empty state, where the answer broke off before its body.

Cause: an empty body counted as an empty answer; every VM answers in JSON.

Evidence: tests/cli/client.feature, an empty body without a length, failed before ('answered'); a cut one was refused already.

--- a/src/hickorybeam/cli/client.py
+++ b/src/hickorybeam/cli/client.py
@@ -77,7 +77,7 @@
                 content=content,
                 extensions={"timeout": timeout},
             )
-            response = json.loads(http_response.content or b"{}")
+            response = json.loads(http_response.content)
         except (
             httpcore.NetworkError,
             httpcore.TimeoutException,
