--- a/src/hickorybeam/gateway/event_splitter.py
+++ b/src/hickorybeam/gateway/event_splitter.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import re
-
 from hickorybeam.http1 import EventScanner
 
 __all__ = ("EventSplitter",)
 
 # Longer events are passed on before their end, so that no server can fill the VM's memory.
 MAX_HELD_BYTES = 1_048_576
-ID_FIELD = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
+ID_FIELD = b"id:"
 
 
 class EventSplitter:
@@ -42,7 +40,10 @@
         if not whole_end:
             self._held += data
             return self._take_overlong()
-        whole, self._held = self._held + data[:whole_end], data[whole_end:]
+        if self._held or whole_end < len(data):
+            whole, self._held = self._held + data[:whole_end], data[whole_end:]
+        else:
+            whole = data
         self._update_last_id(whole)
         return whole
 
@@ -68,6 +69,11 @@
         self._scanner = EventScanner()
 
     def _update_last_id(self, events: bytes) -> None:
-        ids = ID_FIELD.findall(events)
-        if ids:
-            self.last_id = ids[-1].strip().decode("latin-1")
+        line = events.rfind(b"\n" + ID_FIELD)
+        if b"\r" in events:
+            line = max(line, events.rfind(b"\r" + ID_FIELD))
+        if line < 0 and not events.startswith(ID_FIELD):
+            return
+        # The field begins after the end of the line before it, which is at -1 for the first line.
+        value = events[line + 1 + len(ID_FIELD) :].partition(b"\n")[0].partition(b"\r")[0]
+        self.last_id = value.strip().decode("latin-1")
