--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -2,6 +2,7 @@
 
     python -m bench.soak.gateway --seed 1 --seconds 60
     python -m bench.soak.gateway --seed 1 --north 6     # two of six VMs watch the store
+    python -m bench.soak.gateway --seed 1 --only spoil  # one kind of fault
 
 Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in
 order and started again; the store falls silent, turns VMs away, loses answers, its history or
@@ -84,7 +85,10 @@
 class Soak:
     """One run: the fleet, its callers and its faults."""
 
-    def __init__(self, app: KeyValueApp, url: str, folder: Path, *, seed: int, north: int) -> None:
+    def __init__(
+        self, app: KeyValueApp, url: str, folder: Path, *, seed: int, north: int, only: str = ""
+    ) -> None:
+        self._faults = [only] if only else sorted(FAULTS)
         self._centres = ("north-1",) * north + SOUTH
         self.rng = random.Random(seed)
         self.app = app
@@ -268,7 +272,7 @@
         self.seen.violations.append(text)
 
     async def _fault(self) -> None:
-        name = self.rng.choice(sorted(FAULTS))
+        name = self.rng.choice(self._faults)
         print(f"  {time.strftime('%H:%M:%S')} {name}", flush=True)
         await FAULTS[name](self)
 
@@ -411,15 +415,16 @@
 }
 
 
-async def soak(seed: int, seconds: float, *, north: int) -> Seen:
+async def soak(seed: int, seconds: float, *, north: int, only: str = "") -> Seen:
     """Run one soak and return what was seen.
 
     :param north: VMs of the northern data centre; with five and more, two of them watch the store.
+    :param only: the one kind of fault to do, such as ``spoil``; empty for all.
     """
     async with AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         served = await stack.enter_async_context(serve_store())
-        run = Soak(served.app, served.url, folder, seed=seed, north=north)
+        run = Soak(served.app, served.url, folder, seed=seed, north=north, only=only)
         for centre in ("north-1", "south-1"):
             for name, service in SERVERS:
                 server = ServerStandIn(f"{name}-{centre}", service, centre, served.app)
@@ -429,9 +434,9 @@
         return run.seen
 
 
-def main(seed: int = 1, seconds: float = 30.0, north: int = 2) -> None:
+def main(seed: int = 1, seconds: float = 30.0, north: int = 2, only: str = "") -> None:
     """Run one soak and print its verdict."""
-    seen = anyio.run(partial(soak, seed, seconds, north=north))
+    seen = anyio.run(partial(soak, seed, seconds, north=north, only=only))
     print(f"gateway soak, seed {seed}, {seconds} s: {dict(sorted(seen.outcomes.items()))}")
     for text in seen.violations[:20]:
         print(f"VIOLATED {text}")
