http1/head: transfer codings may come in several headers

What callers would see: an answer whose codings come in two headers, chunked in the second, waits for the end of its connection and ends as broken at the caller's deadline. Since: the first header alone was read.

Evidence: tests/gateway/answer_ends.feature, row 'chunked, in two headers', failed before and passes.

--- a/src/hickorybeam/http1/head.py
+++ b/src/hickorybeam/http1/head.py
@@ -59,9 +59,9 @@
         Of all transfer codings only chunked marks the end; with another one last, the body ends
         with the connection, whatever length is given.
         """
-        coding = find_header(self.headers, b"transfer-encoding")
-        if coding is not None:
-            return Framing.CHUNKED if is_chunked(coding) else Framing.CLOSE
+        codings = [value for name, value in self.headers if name == b"transfer-encoding"]
+        if codings:
+            return Framing.CHUNKED if is_chunked(codings[-1]) else Framing.CLOSE
         if find_header(self.headers, b"content-length") is not None:
             return Framing.LENGTH
         return Framing.CLOSE
--- a/tests/gateway/answer_ends.feature
+++ b/tests/gateway/answer_ends.feature
@@ -94,6 +94,7 @@
       | north-1 | chat  | chunked  | only a comment           | waits  |
       | north-1 | plan  | close    | blank lines at the end   | closes |
       | north-1 | chat  | length   | whole events             | waits  |
+      | north-1 | chat  | chunked, in two headers | whole events | waits |
       | north-1 | plan  | chunked  | whole events             | waits  |
 
   Scenario Outline: an answer that is no stream is whole or broken by its framing
--- a/tests/steps/gateway/answer_ends_steps.py
+++ b/tests/steps/gateway/answer_ends_steps.py
@@ -51,6 +51,8 @@
                 lines.append(f"Content-Length: {len(self.body) + 1}")
             case "chunked" | "chunks, no last":
                 lines.append("Transfer-Encoding: chunked")
+            case "chunked, in two headers":
+                lines += ["Transfer-Encoding: identity", "Transfer-Encoding: chunked"]
             case "identity":
                 lines.append("Transfer-Encoding: identity")
             case "close":
@@ -61,11 +63,12 @@
 
     def pieces(self):
         """Return the body byte by byte, as it goes over the wire."""
-        chunked = self.framing in ("chunked", "chunks, no last")
+        chunked = self.framing.startswith("chunk")
         pieces = [self.body[i : i + 1] for i in range(len(self.body))]
         if chunked:
             pieces = [b"1\r\n%s\r\n" % piece for piece in pieces]
-        return [*pieces, b"0\r\n\r\n"] if self.framing == "chunked" else pieces
+        ends = chunked and self.framing != "chunks, no last"
+        return [*pieces, b"0\r\n\r\n"] if ends else pieces
 
 
 async def read_request(reader):
