--- a/src/hickorybeam/standins/engine.py
+++ b/src/hickorybeam/standins/engine.py
@@ -19,6 +19,7 @@
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.httpserve import serve_app
 from hickorybeam.standins.batch import Batch, EngineShape, Stream, start_of, token_text
+from hickorybeam.standins.engine_answers import SseWriter, error_body, whole_answer
 from hickorybeam.standins.http import Exchange, Fault, FaultKind, Faults, Served, run_process
 
 if TYPE_CHECKING:
@@ -30,9 +31,7 @@
 
 CHARS_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 16
-CREATED_S = 1_700_000_000
 KEPT_REQUESTS = 10_000
-DONE_EVENT = b"data: [DONE]\n\n"
 PART_OF_EVENT = b'data: {"choices"'
 STREAM_FAULTS = (FaultKind.SILENT, FaultKind.CUT, FaultKind.NO_END, FaultKind.PART)
 HTTP_CONFLICT = 409
@@ -350,87 +349,6 @@
     scope.cancel()
 
 
-class SseWriter:
-    """Writes one stream as server-sent events; each carries its position as the event id."""
-
-    def __init__(self, exchange: Exchange, stream: Stream, *, chat: bool, usage: bool) -> None:
-        self.exchange = exchange
-        self.stream = stream
-        self._chat = chat
-        self._usage = usage
-
-    async def tokens(self, begin: int, end: int) -> None:
-        """Write the tokens of a range in one piece."""
-        if end <= begin:
-            return
-        await self.exchange.write(b"".join(map(self._event, range(begin, end))))
-
-    async def finish(self) -> None:
-        """Write the usage, if asked for, and the proper end."""
-        tail = b""
-        if self._usage:
-            usage = usage_of(self.stream)
-            tail = sse(self.stream.max_tokens, self._chunk([]) | {"usage": usage})
-        await self.exchange.write(tail + DONE_EVENT, more=False)
-
-    def _event(self, position: int) -> bytes:
-        text = token_text(self.stream.model, self.stream.prompt, position)
-        last = position == self.stream.max_tokens - 1
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "length" if last else None}
-        if self._chat:
-            choice["delta"] = {"content": text} | ({"role": "assistant"} if not position else {})
-        else:
-            choice["text"] = text
-        return sse(position, self._chunk([choice]))
-
-    def _chunk(self, choices: list[dict[str, Any]]) -> dict[str, Any]:
-        kind = "chat.completion.chunk" if self._chat else "text_completion"
-        return answer_frame(self.stream, kind, choices)
-
-
-def sse(position: int, value: object) -> bytes:
-    """Return one server-sent event."""
-    return b"id: %d\ndata: %s\n\n" % (position, msgspec.json.encode(value))
-
-
-def answer_frame(stream: Stream, kind: str, choices: list[dict[str, Any]]) -> dict[str, Any]:
-    """Return the fields that every answer or part of one carries."""
-    return {
-        "id": stream.id,
-        "object": kind,
-        "created": CREATED_S,
-        "model": stream.model,
-        "choices": choices,
-    }
-
-
-def whole_answer(stream: Stream, *, chat: bool) -> dict[str, Any]:
-    """Return the answer to a request that is not streamed."""
-    positions = range(stream.produced)
-    text = "".join(token_text(stream.model, stream.prompt, position) for position in positions)
-    choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    kind = "chat.completion" if chat else "text_completion"
-    return answer_frame(stream, kind, [choice]) | {"usage": usage_of(stream)}
-
-
-def usage_of(stream: Stream) -> dict[str, int]:
-    """Return the tokens that a sequence took."""
-    return {
-        "prompt_tokens": stream.prompt_tokens,
-        "completion_tokens": stream.produced,
-        "total_tokens": stream.prompt_tokens + stream.produced,
-    }
-
-
-def error_body(message: str, *, code: str = "engine_error") -> dict[str, Any]:
-    """Return an error in the shape of the published API."""
-    return {"error": {"message": message, "type": "engine_error", "code": code, "param": None}}
-
-
 @contextlib.asynccontextmanager
 async def serve(
     *, port: int = 0, host: str = "127.0.0.1", app: EngineApp | None = None, **options: Any
