--- a/src/hickorybeam/demo/caller.py
+++ b/src/hickorybeam/demo/caller.py
@@ -18,6 +18,8 @@
 # What a call raises when the other end is not there, falls silent or breaks off.
 NO_ANSWER = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 DATA = b"data: "
+# How much of a broken answer its error shows.
+SHOWN_BYTES = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +101,18 @@
 
 
 async def _parts(resp: httpcore.Response) -> AsyncIterator[bytes]:
-    async for part in resp.aiter_stream():
-        yield part
+    """Yield a response's body; the error of one that broke off tells what came last.
+
+    That is the gateway's error event, if the stream got one.
+    """
+    size, last = 0, b""
+    try:
+        async for part in resp.aiter_stream():
+            size, last = size + len(part), part[-SHOWN_BYTES:]
+            yield part
+    except httpcore.ProtocolError as exc:
+        exc.add_note(f"broke off after {size} bytes that end with {last!r}")
+        raise
 
 
 def sse_events(body: bytes) -> list[Any]:
