platform/store: an answer that is JSON but no object counts where no field is needed

What a VM would see: a failed call where the store answers 'null' to one whose answer has nothing to tell (a lease ended, say).

--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -289,12 +289,12 @@
 
 
 def decode_object(raw: bytes) -> Mapping[str, Any] | None:
-    """Decode the body of a response, which may be empty; ``None`` if it is no JSON object."""
+    """Decode the body of a response; ``None`` if it is no JSON, empty if it is no object."""
     try:
         reply = msgspec.json.decode(raw or b"{}")
     except msgspec.DecodeError:
         return None
-    return reply if isinstance(reply, dict) else None
+    return reply if isinstance(reply, dict) else {}
 
 
 def missing_fields(kind: str, reply: Mapping[str, Any] | None) -> tuple[str, ...]:
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -83,3 +83,24 @@
       | write   | 0.5   | platform_unknown |
       | grant   | 0     | platform_unknown |
       | renewal | 0     | platform_unknown |
+
+  # Guards against a check of answers that takes whole ones for broken.
+  Scenario Outline: an answer has to hold what its call asks for, and nothing else
+    Given a key-value store and its client
+    Then the key-value client takes "<body>" with status <status> to a "<call>" call: <taken>
+
+    Examples:
+      | call   | status | body                | taken |
+      | revoke | 200    |                     | yes   |
+      | revoke | 200    | null                | yes   |
+      | revoke | 200    | {}                  | yes   |
+      | keep   | 404    |                     | yes   |
+      | keep   | 404    | null                | yes   |
+      | keep   | 200    | {"ttl-ms":5000}     | yes   |
+      | keep   | 200    | null                | no    |
+      | watch  | 200    | {"at":7}            | yes   |
+      | watch  | 410    |                     | yes   |
+      | watch  | 200    | {"at":7             | no    |
+      | txn    | 412    | {"items":[]}        | yes   |
+      | txn    | 200    | {"revision":9}      | yes   |
+      | txn    | 200    | {}                  | no    |
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -332,3 +332,12 @@
     }
     found = outcome(context, *calls[call])
     assert found == kind, found
+
+
+@then('the key-value client takes "" with status {status:d} to a "{call}" call: {taken}')
+@then('the key-value client takes "{body}" with status {status:d} to a "{call}" call: {taken}')
+def step_taken(context, status, call, taken, body=""):
+    async def check():
+        context.client._check_response(call, status, body.encode(), write=False)
+
+    assert (outcome(context, check) == "done") == (taken == "yes")
