http1/events: an encoded stream is passed on unread

Cause: its bytes were read as text, and no blank line comes at their end. Its events can't be followed, so it is passed on as it comes, is not resumed, gets no error event, and is broken only where its framing or connection says so.

Evidence: tests/gateway/answer_ends.feature, 'compressed events', 2 of 2 rows, and tests/backends/streams.feature, 1 row, failed before and pass.

Found on reading the whole change once more.

--- a/src/hickorybeam/backends/plain.py
+++ b/src/hickorybeam/backends/plain.py
@@ -7,7 +7,7 @@
 from hickorybeam.backends.exchange import ExchangeError
 from hickorybeam.backends.headers import plain_headers, returned_headers
 from hickorybeam.backends.http_client import HttpClient, HttpRequest, lost_response_error
-from hickorybeam.http1 import EventScanner, is_event_stream
+from hickorybeam.http1 import EventScanner, is_encoded, is_event_stream
 from hickorybeam.model import ResponseChunk, ResponseEnd, ResponseHead, ResponsePart
 
 if TYPE_CHECKING:
@@ -37,7 +37,8 @@
     except ExchangeError as exc:
         raise lost_response_error(call, backend, exc, response_started=False) from exc
     streamed = is_event_stream(exchange.header(b"content-type").encode("latin-1"))
-    scanner = EventScanner() if streamed else None
+    encoded = is_encoded(exchange.header(b"content-encoding").encode("latin-1"))
+    scanner = EventScanner() if streamed and not encoded else None
     try:
         yield ResponseHead(exchange.status, returned_headers(exchange.headers))
         exchange.start_read_timeout()
--- a/src/hickorybeam/front/relay.py
+++ b/src/hickorybeam/front/relay.py
@@ -10,7 +10,7 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.front.refusals import error_event
 from hickorybeam.front.request import CallerDisconnectedError
-from hickorybeam.http1 import EventScanner, is_event_stream
+from hickorybeam.http1 import EventScanner, is_encoded, is_event_stream
 from hickorybeam.model import ResponseChunk, ResponseEnd, ResponseHead
 
 if TYPE_CHECKING:
@@ -54,8 +54,9 @@
                         scanner.feed(part.data)
                     await req.write_body(part.data)
                 case ResponseHead():
-                    scanner = EventScanner() if is_stream(part) else None
-                    headers = response_headers(part, streamed=scanner is not None)
+                    streamed = is_stream(part)
+                    scanner = EventScanner() if streamed and not has_encoding(part) else None
+                    headers = response_headers(part, streamed=streamed)
                     await req.start_response(part.status, headers)
                 case ResponseEnd():
                     ended = True
@@ -91,6 +92,14 @@
     )
 
 
+def has_encoding(head: ResponseHead) -> bool:
+    """Return whether a response's body is encoded, so that no event can be added to it."""
+    return any(
+        name == "content-encoding" and is_encoded(value.encode("latin-1"))
+        for name, value in head.headers
+    )
+
+
 def response_headers(head: ResponseHead, *, streamed: bool) -> list[tuple[bytes, bytes]]:
     """Return the headers of a response's head, and those against buffering for a stream.
 
--- a/src/hickorybeam/gateway/event_splitter.py
+++ b/src/hickorybeam/gateway/event_splitter.py
@@ -26,6 +26,11 @@
         self._hold_partial = hold_partial
         self._held = b""
         self._scanner = EventScanner()
+        self._is_text = True
+
+    def pass_unread(self) -> None:
+        """Pass all bytes on as they come: the stream is encoded, and its events can't be read."""
+        self._is_text = self._hold_partial = False
 
     @property
     def inside_event(self) -> bool:
@@ -34,6 +39,8 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream, and return those to be passed on now."""
+        if not self._is_text:
+            return data
         whole_end = self._scanner.feed(data)
         if not self._hold_partial:
             return data
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -14,7 +14,7 @@
     broken_end,
 )
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget
-from hickorybeam.http1 import BrokenResponseError
+from hickorybeam.http1 import BrokenResponseError, find_header, is_encoded
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
 
@@ -213,6 +213,8 @@
         response, splitter = progress.response, progress.splitter
         if not response.started:
             response.start(head.status, response_headers(head.headers))
+        if is_encoded(find_header(head.headers, b"content-encoding")):
+            splitter.pass_unread()
 
         def forward(data: bytes) -> bool:
             progress.timing.record_chunk(self._clock.now())
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hickorybeam.http1.events import EventScanner, is_event_stream
+from hickorybeam.http1.events import EventScanner, is_encoded, is_event_stream
 from hickorybeam.http1.head import (
     Framing,
     IncomingRequest,
@@ -30,6 +30,7 @@
     "UpstreamPool",
     "find_header",
     "has_ambiguous_framing",
+    "is_encoded",
     "is_event_stream",
     "parse_decimal",
     "parse_retry_after_ms",
--- a/src/hickorybeam/http1/events.py
+++ b/src/hickorybeam/http1/events.py
@@ -5,7 +5,7 @@
 import re
 from enum import Enum
 
-__all__ = ("EventScanner", "is_event_stream")
+__all__ = ("EventScanner", "is_encoded", "is_event_stream")
 
 MEDIA_TYPE = b"text/event-stream"
 
@@ -87,3 +87,8 @@
     """Return whether a content type, with or without parameters, is that of a stream of events."""
     media_type = (content_type or b"").partition(b";")[0]
     return media_type.strip().lower() == MEDIA_TYPE
+
+
+def is_encoded(content_encoding: bytes | None) -> bool:
+    """Return whether a body is compressed or otherwise encoded, so that its text can't be read."""
+    return (content_encoding or b"").strip().lower() not in (b"", b"identity")
--- a/tests/backends/streams.feature
+++ b/tests/backends/streams.feature
@@ -31,3 +31,4 @@
       | close   | : only a comment\n                |
       | chunked | data: a\n\ndata: b\n\n         |
       | length  | data: a\n\n                      |
+      | compressed | not text                       |
--- a/tests/gateway/answer_ends.feature
+++ b/tests/gateway/answer_ends.feature
@@ -94,6 +94,8 @@
       | north-1 | chat  | chunked  | only a comment           | waits  |
       | north-1 | plan  | close    | blank lines at the end   | closes |
       | north-1 | chat  | length   | whole events             | waits  |
+      | north-1 | chat  | close    | compressed events        | closes |
+      | north-1 | plan  | chunked  | compressed events        | waits  |
       | north-1 | chat  | chunked, in two headers | whole events | waits |
       | north-1 | plan  | chunked  | whole events             | waits  |
 
--- a/tests/steps/backends/wire_steps.py
+++ b/tests/steps/backends/wire_steps.py
@@ -68,7 +68,9 @@
 @given('a raw server at the backends rig whose stream is "{events}" framed by "{framing}"')
 def step_raw_stream(context, events, framing):
     context.events = events.replace("\\n", "\n").replace("\\r", "\r").encode()
-    serve_raw(context, framed_stream(context.events, framing), stays_open=framing != "close")
+    serve_raw(
+        context, framed_stream(context.events, framing), stays_open=framing in ("chunked", "length")
+    )
 
 
 def serve_raw(context, data, **options):
--- a/tests/steps/gateway/answer_ends_steps.py
+++ b/tests/steps/gateway/answer_ends_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -17,6 +18,7 @@
     "nothing": b"",
     "plain text": b"plain text",
     "whole events": b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+    "compressed events": gzip.compress(b"id: 1\ndata: a\n\n", mtime=0),
     "CR LF events": b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
     "CR events": b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
     "mixed line ends": b"id: 1\r\ndata: a\n\r\nid: 2\rdata: b\r\n\n",
@@ -44,6 +46,8 @@
     def head(self, content_type):
         lines = ["HTTP/1.1 200 OK", f"Content-Type: {content_type}"]
         lines.append("X-Hickorybeam-Response-Signature: signed-raw")
+        if self.body == BODIES["compressed events"]:
+            lines.append("Content-Encoding: gzip")
         match self.framing:
             case "length":
                 lines.append(f"Content-Length: {len(self.body)}")
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -17,6 +17,8 @@
     match framing:
         case "close":
             return EVENT_STREAM + b"\r\n" + events
+        case "compressed":
+            return EVENT_STREAM + b"content-encoding: gzip\r\n\r\n" + events
         case "length":
             return EVENT_STREAM + b"content-length: %d\r\n\r\n" % len(events) + events
         case "chunked":
