gateway/resumed_streams: streams that go on have a line and a count; the header Resumes is decoded

Now a 'resumed' line tells who resumed (caller or VM), the request that began the stream, and the version of the server; 'broken' lines tell the version; metric streams_resumed{by}. No decision changes.

--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -13,6 +13,7 @@
     ResponseEnds,
     broken_end,
 )
+from hickorybeam.gateway.resumed_streams import ResumedStreams, version_of
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget
 from hickorybeam.http1 import BrokenResponseError, find_header, is_encoded
 from hickorybeam.platform import response_headers
@@ -30,7 +31,6 @@
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import ResponseHead, UpstreamPool
     from hickorybeam.platform import ResponseInfo
-    from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
 
 __all__ = ("Sender",)
@@ -57,6 +57,7 @@
         self._pool = pool
         self._final_responses = final_responses
         self._response_ends = ResponseEnds(counters)
+        self._resumed_streams = ResumedStreams(counters, final_responses)
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
 
     async def send(
@@ -92,7 +93,7 @@
             if in_flight is not None:
                 in_flight.record_prefill()
             try:
-                await self._handle_response(attempt, head, info, request, progress, server_state)
+                await self._handle_response(attempt, head, info, request, progress, target)
             except BrokenResponseError as exc:
                 self._response_ends.record(head.framing, broken_end(exc))
                 raise
@@ -117,7 +118,9 @@
             progress.runs += 1
             progress.reason = str(exc)
             status = self._record_broken(exc, target, attempt)
-            self._final_responses.log_decision("broken", request, target, why=progress.reason)
+            self._final_responses.log_decision(
+                "broken", request, target, why=progress.reason, version=version_of(target)
+            )
         finally:
             if in_flight is not None:
                 in_flight.end(status)
@@ -159,8 +162,9 @@
         info: ResponseInfo,
         request: AdmittedRequest,
         progress: RequestProgress,
-        server_state: ServerState | None,
+        target: Target,
     ) -> None:
+        server_state = target.server_state if isinstance(target, ServerTarget) else None
         if info.not_run:
             await attempt.read_body()
             attempt.release()
@@ -171,7 +175,7 @@
         if success and not info.signed:
             raise BrokenResponseError("a success that no server signed")
         if success and info.streamed:
-            await self._relay_stream(attempt, head, request, progress)
+            await self._relay_stream(attempt, head, request, progress, target)
         else:
             body = await attempt.read_body()
             attempt.release()
@@ -209,7 +213,9 @@
         head: ResponseHead,
         request: AdmittedRequest,
         progress: RequestProgress,
+        target: Target,
     ) -> None:
+        self._resumed_streams.record(request, progress, target)
         response, splitter = progress.response, progress.splitter
         if not response.started:
             response.start(head.status, response_headers(head.headers))
--- a/src/hickorybeam/model/routing.py
+++ b/src/hickorybeam/model/routing.py
@@ -193,6 +193,8 @@
     """A caller's request: what decisions need, and what is forwarded unchanged.
 
     ``headers`` are those to forward. ``deadline_ms`` is on this VM's monotonic clock.
+    ``resume_after`` is the id of the last event that a caller has who takes a stream up,
+    ``resumes`` that of the request which brought the stream's first event.
     """
 
     request_id: str
@@ -210,3 +212,4 @@
     tokens_told: bool = False
     parts: tuple[PromptPart, ...] = ()
     resume_after: str | None = None
+    resumes: str | None = None
--- a/src/hickorybeam/platform/names.py
+++ b/src/hickorybeam/platform/names.py
@@ -11,6 +11,8 @@
 TOKENS = b"x-hickorybeam-token-counts"
 MODEL = b"x-hickorybeam-model"
 LAST_EVENT = b"last-event-id"
+# Id of the attempt that brought the first event of the stream that a caller takes up.
+RESUMES = b"resumes"
 SIGNATURE = b"x-hickorybeam-response-signature"
 ACCOUNT = b"x-hickorybeam-tenant"
 EXPECT_SERVER = b"x-hickorybeam-expect-instance"
@@ -43,7 +45,9 @@
     }
 )
 # Forwarded even if the caller's Connection header names them.
-ALWAYS_FORWARDED = frozenset({REQUEST_ID, DEADLINE, PREFIX, TOKENS, MODEL, LAST_EVENT, b"host"})
+ALWAYS_FORWARDED = frozenset(
+    {REQUEST_ID, DEADLINE, PREFIX, TOKENS, MODEL, LAST_EVENT, RESUMES, b"host"}
+)
 # Valid for one connection only; never forwarded.
 HOP_BY_HOP = frozenset(
     {
--- a/src/hickorybeam/platform/requests.py
+++ b/src/hickorybeam/platform/requests.py
@@ -40,6 +40,7 @@
         tokens_told=prompt + output > 0,
         parts=decode_parts(find_header(headers, names.PREFIX)),
         resume_after=decode_text(find_header(headers, names.LAST_EVENT)) or None,
+        resumes=decode_text(find_header(headers, names.RESUMES)) or None,
     )
 
 
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -38,6 +38,7 @@
       | Authorization                       | bearer abc   | key           | abc     |
       | Authorization                       | Basic abc    | key           | None    |
       | Last-Event-Id                       | 12           | resume_after  | 12      |
+      | Resumes                             | 5c1e         | resumes       | 5c1e    |
       | Host                                | Shop.x:80    | host          | shop.x  |
       | Host                                | shop.x       | host          | shop.x  |
 
