--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -93,6 +93,7 @@
     ``time_factor`` is the percentage of the usual time that its work takes, as its answers tell it
     if it is set.
     ``health_checks`` holds the times at which its health was checked.
+    ``version`` is that of its software, as its entry names it.
     """
 
     id: str
@@ -100,6 +101,7 @@
     data_centre: str
     store: KeyValueApp
     clock: Clock = field(default_factory=SystemClock)
+    version: str = "v1"
     slots: int = 8
     events: int = EVENTS
     work_ms: int = 1
@@ -135,7 +137,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold-remaining-ms": cold_ms,
--- /dev/null
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -0,0 +1,388 @@
+from __future__ import annotations
+
+import time
+from collections import Counter, defaultdict
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+from behave import given, then, when
+
+from hickorybeam.demo.platform import start_platform_fleet
+from hickorybeam.http1.head import request_bytes
+from hickorybeam.standins.deployment import caller_headers
+from hickorybeam.standins.server import EVENT_EVERY_MS, EVENTS, ServerStandIn, serve_server
+from steps.gateway.gateway_steps import BODY, events_of, split_names
+
+MODEL = "model"
+RESUMES = b"resumes"
+LAST_EVENT = b"last-event-id"
+
+WAIT_MS = 6_000
+
+
+@dataclass
+class CallersStream:
+    """A stream as its caller sees it: the requests for it, and the last event that it has."""
+
+    began: str
+    last: int = 0
+    requests: tuple = ()
+    answer: object = None
+    took_ms: float = 0.0
+
+
+def places(text):
+    """Parse "name@place" or "name:version@place", comma-separated."""
+    for entry in split_names(text):
+        name, _, place = entry.partition("@")
+        name, _, version = name.partition(":")
+        yield name, version or "v1", place
+
+
+@asynccontextmanager
+async def fleet_of(vms):
+    async with start_platform_fleet() as rig:
+        for name, _, place in places(vms):
+            await rig.add_vm(name, place)
+        await rig.until(lambda: met(rig))
+        yield rig
+
+
+def met(rig):
+    return all(
+        vm.routing_state.config is not None and vm.fleet.live_vm_count() == len(rig.vms)
+        for vm in rig.vms.values()
+    )
+
+
+@given('a gateway of VMs "{vms}"')
+def step_vms(context, vms):
+    manager = context.portal.wrap_async_context_manager(fleet_of(vms))
+    context.rig = context.stack.enter_context(manager)
+    context.numbers = iter(range(1, 1_000_000))
+    context.streams, context.parts = [], ()
+
+
+@given('model servers "{servers}"')
+@when('model servers "{servers}" join')
+def step_servers_join(context, servers):
+    rig = context.rig
+    events = length(context) if rig.servers else EVENTS
+    for name, version, place in places(servers):
+        server = ServerStandIn(name, MODEL, place, rig.app, version=version, events=events)
+        manager = context.portal.wrap_async_context_manager(serve_server(server))
+        rig.servers[name] = context.stack.enter_context(manager)
+    context.call(rig.until, lambda: all(knows(vm, rig.servers) for vm in running(rig)))
+
+
+def running(rig):
+    return [vm for vm in rig.vms.values() if not vm.ended.is_set()]
+
+
+def knows(vm, servers):
+    """Whether a VM knows all servers, and other regions' VMs whose servers it may need."""
+    regions = {vm.fleet.region_of(it.data_centre) for it in servers.values()}
+    told = {it.vm.region for it in vm.fleet.peers.by_name.values() if MODEL in (it.forecasts or ())}
+    return set(servers) <= set(vm.routing_state.server_states) and regions <= told | {
+        vm.fleet.own_vm.region
+    }
+
+
+@when('model servers "{names}" leave')
+def step_servers_leave(context, names):
+    async def leave():
+        rig = context.rig
+        gone = {name: rig.servers.pop(name) for name in split_names(names)}
+        context.gone = getattr(context, "gone", {}) | gone
+        for server in gone.values():
+            server.withdraw()
+        states = [vm.routing_state.server_states for vm in running(rig)]
+        await rig.until(lambda: not any(set(gone) & set(it) for it in states))
+
+    context.call(leave)
+
+
+@when('model server "{name}" starts again with version "{version}"')
+def step_server_restarts(context, name, version):
+    async def restart():
+        rig = context.rig
+        server = rig.servers[name]
+        context.gone = {f"{name} before": Earlier(server.version, list(server.ran))}
+        server.arrivals.clear()
+        server.version = version
+        server.register(born=int(time.time() * 1000))
+        states = [vm.routing_state.server_states for vm in running(rig)]
+        await rig.until(lambda: all(it[name].server.version == version for it in states))
+
+    context.call(restart)
+
+
+@dataclass
+class Earlier:
+    """What an earlier start of a server ran."""
+
+    version: str
+    ran: list
+
+
+@given("model servers stream for {seconds:g} s")
+def step_stream_length(context, seconds):
+    for server in context.rig.servers.values():
+        server.events = round(seconds * 1000 / EVENT_EVERY_MS)
+
+
+@given("prompts have parts")
+def step_prompts_have_parts(context):
+    context.parts = ((b"x-hickorybeam-prompt-prefix", b"5c1e:30,91bd:20"),)
+
+
+@given("all VMs have run for {seconds:g} s")
+def step_vms_have_run(context, seconds):
+    context.call(anyio.sleep, seconds)
+
+
+def length(context):
+    return next(iter(context.rig.servers.values())).events
+
+
+async def send(context, vm, stream, more=()):
+    """Send a request for a stream, and note what its caller has of it afterwards."""
+    request_id = f"{next(context.numbers):016x}"
+    headers = caller_headers(request_id, key="small", wait_ms=WAIT_MS, tokens=b"50,10")
+    data = request_bytes("POST", b"/plan/x", (*headers, *context.parts, *more), BODY)
+    stream.began = stream.began or request_id
+    stream.requests = (*stream.requests, request_id)
+    sent = time.monotonic()
+    stream.answer = await context.rig.exchange(context.rig.vms[vm].ports.callers, data)
+    stream.took_ms = (time.monotonic() - sent) * 1000
+    stream.events = events_of(stream.answer)
+    stream.last = max([stream.last, *stream.events])
+
+
+async def take_up(context, vm, stream, *, named=True):
+    more = [(LAST_EVENT, b"%d" % stream.last)]
+    if named:
+        more.append((RESUMES, stream.began.encode()))
+    await send(context, vm, stream, more)
+
+
+def set_cuts(context, count):
+    for server in context.rig.servers.values():
+        server.faults.cut = count
+
+
+async def broken_off(context, vm, stream, request):
+    """Let each server of the stream break off, so that its VM can't resume it."""
+    set_cuts(context, 1)
+    await request(context, vm, stream)
+    set_cuts(context, 0)
+    assert stream.answer.status == 200, stream.answer.status
+    assert not stream.answer.whole
+
+
+@when('{count:d} streams from "{vm}" break off')
+def step_break_off(context, count, vm):
+    async def run():
+        for _ in range(count):
+            stream = CallersStream("")
+            await broken_off(context, vm, stream, send)
+            assert stream.last == length(context) // 2, stream.last
+            context.streams.append(stream)
+
+    context.call(run)
+
+
+async def cut_once(context):
+    """Let the first server that gets a stream break it off, and no other one."""
+    set_cuts(context, 1)
+    while all(it.faults.cut for it in context.rig.servers.values()):
+        await anyio.sleep(0.001)
+    set_cuts(context, 0)
+
+
+@when('{count:d} streams from "{vm}" run while servers break off every second one')
+def step_run_with_breaks(context, count, vm):
+    async def run():
+        for number in range(count):
+            stream = CallersStream("")
+            async with anyio.create_task_group() as tg:
+                if number % 2:
+                    tg.start_soon(cut_once, context)
+                await send(context, vm, stream)
+            context.streams.append(stream)
+
+    context.call(run)
+
+
+@when('{count:d} streams from "{vm}" run')
+def step_run(context, count, vm):
+    async def run():
+        for _ in range(count):
+            stream = CallersStream("")
+            await send(context, vm, stream)
+            context.streams.append(stream)
+
+    context.call(run)
+
+
+@when('{count:d} streams from "{vm}" have run for {seconds:g} s')
+def step_have_run(context, count, vm, seconds):
+    """Let streams begin; they end, or break off, in the background."""
+    context.streams = [CallersStream("") for _ in range(count)]
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            for stream in context.streams:
+                tg.start_soon(send, context, vm, stream)
+
+    context.background = context.portal.start_task_soon(run)
+    context.call(anyio.sleep, seconds)
+
+
+def wait_for_breaks(context):
+    """Wait until the streams in the background, if any, have broken off."""
+    if not hasattr(context, "background"):
+        return
+    context.background.result(20)
+    del context.background
+    for stream in context.streams:
+        assert not stream.answer.whole
+        assert 0 < stream.last < length(context), stream.last
+
+
+async def end(vm):
+    vm.kill()
+    await vm.ended.wait()
+
+
+@when('VM "{name}" and all northern VMs crash')
+def step_region_crashes(context, name):
+    async def crash():
+        for vm in running(context.rig):
+            if vm.fleet.own_vm.region == "north":
+                await end(vm)
+
+    context.call(crash)
+
+
+@when('VM "{name}" crashes and comes back')
+def step_vm_restarts(context, name):
+    rig = context.rig
+    context.call(end, rig.vms[name])
+    manager = rig.vm(name, rig.vms[name].fleet.own_vm.data_centre)
+    context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+    context.call(rig.until, lambda: met(rig) and knows(rig.vms[name], rig.servers))
+
+
+@when('VM "{name}" is stopped')
+def step_vm_stopped(context, name):
+    async def stop():
+        vm = context.rig.vms[name]
+        vm.kernel.stop()
+        await vm.ended.wait()
+
+    context.call(stop)
+
+
+def resume_all(context, vms, **options):
+    wait_for_breaks(context)
+
+    async def run():
+        for number, stream in enumerate(context.streams):
+            await take_up(context, vms[number % len(vms)], stream, **options)
+
+    context.call(run)
+
+
+@when('their callers take them up at "{vm}"')
+def step_take_up(context, vm):
+    resume_all(context, [vm])
+
+
+@when("their callers take them up at each VM in turn")
+def step_take_up_in_turn(context):
+    resume_all(context, sorted(context.rig.vms))
+
+
+@when('their callers take them up at "{vm}" and they break off again')
+def step_take_up_and_break(context, vm):
+    async def run():
+        for stream in context.streams:
+            stream.last = 1
+            await broken_off(context, vm, stream, take_up)
+
+    context.call(run)
+
+
+@when('callers take up {count:d} streams that no VM has served at "{vm}"')
+def step_take_up_unknown(context, count, vm):
+    context.streams = [CallersStream(f"unknown-{i}", last=3) for i in range(count)]
+    resume_all(context, [vm])
+
+
+@when('callers take up {count:d} streams that they do not name the request of at "{vm}"')
+def step_take_up_unnamed(context, count, vm):
+    context.streams = [CallersStream(f"unnamed-{i}", last=3) for i in range(count)]
+    resume_all(context, [vm], named=False)
+
+
+@when("the store answers nothing any more")
+def step_store_away(context):
+    context.rig.app.silent = True
+
+
+def versions_by_request(context):
+    """Return the versions of the servers that ran each request."""
+    found = defaultdict(set)
+    servers = [*context.rig.servers.values(), *getattr(context, "gone", {}).values()]
+    for server in servers:
+        for arrival in server.ran:
+            found[arrival.request_id].add(server.version)
+    return found
+
+
+def versions_of(context, stream):
+    found = versions_by_request(context)
+    return set().union(*(found[it] for it in stream.requests))
+
+
+@then('each stream goes on to its end at version "{version}"')
+@then("each stream goes on to its end at its version")
+def step_goes_on(context, version=None):
+    for stream in context.streams:
+        assert stream.answer.status == 200, (stream.answer.status, stream.answer.headers)
+        assert stream.answer.whole
+        assert stream.events[-1] == length(context), stream.events
+        assert stream.events == list(range(stream.events[0], length(context) + 1))
+        found = versions_of(context, stream)
+        assert len(found) == 1, found
+        assert version is None or found == {version}, found
+
+
+@then("each caller is refused within {ms:d} ms and told when to come back")
+def step_refused(context, ms):
+    for stream in context.streams:
+        assert stream.answer.status == 503, stream.answer.status
+        assert stream.answer.retry_after > 0
+        assert stream.took_ms < ms, stream.took_ms
+        ran = versions_by_request(context)
+        assert not ran[stream.requests[-1]], ran[stream.requests[-1]]
+
+
+@then("no stream ran at two versions")
+def step_one_version(context):
+    found = Counter(len(versions_of(context, stream)) for stream in context.streams)
+    assert set(found) <= {0, 1}, found
+
+
+@then("at least {count:d} streams are whole")
+def step_whole(context, count):
+    whole = sum(stream.answer.whole for stream in context.streams)
+    assert whole >= count, whole
+
+
+@then('at least {count:d} streams ran at each version of "{versions}"')
+def step_all_versions(context, count, versions):
+    found = Counter(it for stream in context.streams for it in versions_of(context, stream))
+    assert all(found[version] >= count for version in split_names(versions)), found
