gateway: a stream goes on only at the version of the servers' software that began it

Cause: no decision knew which version began a stream. The version stood in the servers' entries and was read by nothing, the name of the request that began a stream (Resumes) was not decoded, and what a VM knew of a stream ended with its answer. The class: knowledge that a decision needs lives with the request that made it, and not with whoever decides next: another attempt, VM, data centre, region, coordinator.

Now the first event that is passed on binds a request to its server's version (a key of 4 bytes). Only servers of it are chosen: here, by the placement coordinator, by another region's VM (both are told the key, the VM that forwards learns it from the response). Each VM keeps a table of streams that began there (6 + 4 bytes each, until their callers' deadlines, 65,536 at most) and tells new ones with the reports that it sends anyway: to 4 VMs of its data centre in turn and to one of each other one. A VM that gets a stream which it doesn't know asks the VMs of its region and one of each other data centre. Unknown, or with no server of its version: refused at once, 503, unless the service has had one version only for a minute, as all that were asked say. Streams that wait for one version have a queue of their own, so that new ones pass to other versions; they may go beyond the room that a server seems to have, as a gone VM's streams stay counted there.

--- a/src/hickorybeam/errors.py
+++ b/src/hickorybeam/errors.py
@@ -77,6 +77,8 @@
     BACKEND_UNKNOWN = "backend_unknown"
     BACKEND_SILENT = "backend_silent"
     STREAM_BROKEN = "stream_broken"
+    STREAM_UNKNOWN = "stream_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     IDEMPOTENCY_MISMATCH = "idempotency_mismatch"
     IDEMPOTENCY_RUNNING = "idempotency_running"
     IDEMPOTENCY_INVALID = "idempotency_invalid"
@@ -182,6 +184,12 @@
             504, _UNKNOWN, _LATER, "the backend server fell silent"
         ),
         ErrorKind.STREAM_BROKEN: ErrorResponse(502, _UNKNOWN, _LATER, "the stream ended early"),
+        ErrorKind.STREAM_UNKNOWN: ErrorResponse(
+            503, _NO, _LATER, "the version that began the stream is not known"
+        ),
+        ErrorKind.STREAM_VERSION_GONE: ErrorResponse(
+            503, _NO, _LATER, "no server has the version that began the stream"
+        ),
         ErrorKind.IDEMPOTENCY_MISMATCH: ErrorResponse(
             422, _NO, _NEVER, "key reused for other content"
         ),
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -82,6 +82,8 @@
         self.revision = 0
         self._complete_revision = 0
         self._loaded = False
+        # Since when all entries of the store have been known here.
+        self.loaded_since_ms: int | None = None
         self._change_log = ChangeLog()
         # Whether this VM watches the store itself; otherwise it requests changes from `_source`.
         self.is_watcher = True
@@ -271,6 +273,8 @@
         """Read all entries from the store and apply them."""
         result = await self._read_while_fetching()
         self._mark_reachable()
+        if self.loaded_since_ms is None:
+            self.loaded_since_ms = self._clock.now()
         if result.revision < self._complete_revision:
             # Another VM has sent later changes meanwhile; applying this read would undo them.
             self._loaded = True
@@ -356,7 +360,7 @@
                 self.routing_state.evacuated_data_centres |= {data_centre}
             case InvalidEntry(key, reason):
                 logging.warning("invalid entry %s ignored: %s", key, reason)
-                self.routing_state.remove_server(key.rpartition("/")[2])
+                self.routing_state.remove_server(key.rpartition("/")[2], self._clock.now())
 
     def _delete(self, key: str) -> None:
         """Handle the deletion of an entry; keep a server's for a while after a store failure."""
@@ -376,7 +380,7 @@
     def _remove(self, key: str) -> None:
         self._entries.pop(key, None)
         if self._is_server_key(key):
-            self.routing_state.remove_server(key.rpartition("/")[2])
+            self.routing_state.remove_server(key.rpartition("/")[2], self._clock.now())
 
     def _is_server_key(self, key: str) -> bool:
         return key.startswith(WATCHED_PREFIXES[1])
--- a/src/hickorybeam/gateway/final_responses.py
+++ b/src/hickorybeam/gateway/final_responses.py
@@ -10,6 +10,7 @@
     HOP_RETRY_AFTER_MS,
     NO_SERVER_ASKED,
     REJECTED,
+    without_hop_version,
 )
 from hickorybeam.gateway.targets import target_name
 from hickorybeam.platform import refusal_headers, response_headers
@@ -76,7 +77,9 @@
             head, info, body = progress.failed_response
             # A status that implies that nothing ran can't be passed on: the request may have run.
             if info.signed and not info.implies_not_run:
-                response.send(info.status, response_headers(head.headers), body)
+                response.send(
+                    info.status, without_hop_version(response_headers(head.headers)), body
+                )
                 self.count_outcome(request, "failed")
                 return
         if not may_have_run:
@@ -97,14 +100,17 @@
         if progress.retry_after_ms is not None:
             return ErrorKind.OVERLOADED, clamp_retry_after_ms(progress.retry_after_ms, left_ms)
         rest_left_ms = self._selector.rest_left_ms(request.service, now)
+        kind = ErrorKind.NO_BACKEND
+        if not self._selector.has_version(request):
+            kind = ErrorKind.STREAM_VERSION_GONE
         if rest_left_ms:
-            return ErrorKind.NO_BACKEND, clamp_retry_after_ms(rest_left_ms, left_ms)
+            return kind, clamp_retry_after_ms(rest_left_ms, left_ms)
         retry_after_ms = outage_retry_after_ms(
             outage_ms=self._selector.outage_ms(request.service, now),
             recovery_ms=self._feed.server_recovery_ms(now),
             left_ms=left_ms,
         )
-        return ErrorKind.NO_BACKEND, retry_after_ms
+        return kind, retry_after_ms
 
     def refuse(
         self,
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -33,6 +33,7 @@
 from hickorybeam.gateway.server_notices import ServerNotices
 from hickorybeam.gateway.server_rates import ServerRates
 from hickorybeam.gateway.status_report import Audience, StatusReport
+from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.gateway.usage_reporting import OwnUsage, apply_peer_usage
 from hickorybeam.kernel import Service
 from hickorybeam.model.routing import GatewayVm
@@ -47,6 +48,7 @@
     watch_poll_timeout_ms,
     watcher_timeout_ms,
 )
+from hickorybeam.policy.stream_versions import StreamVersions
 from hickorybeam.policy.watchers import count_watchers, should_watch
 from hickorybeam.ports import FEED, FLEET, PLATFORM
 from hickorybeam.sockets import bind_socket
@@ -66,15 +68,26 @@
         WaitForecast,
     )
     from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.policy.stream_versions import ToldStreams
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("FleetService",)
 
 # All messages that VMs send each other in datagrams.
-PeerMessage = StatusReport | PlacementRequest | PlacementResponse | PlacementUpdate | HeldPlacements
+PeerMessage = (
+    StatusReport
+    | PlacementRequest
+    | PlacementResponse
+    | PlacementUpdate
+    | HeldPlacements
+    | StreamQuestion
+    | StreamAnswer
+)
 # One in this many reports to the own data centre is whole; the others hold only what changed.
 WHOLE_REPORT_EVERY = 10
+# VMs of the own data centre that one report tells of streams, in turn; the others can ask them.
+MAX_TOLD_OF_STREAMS = 4
 
 
 class FleetService(Service):
@@ -92,6 +105,7 @@
         self.quota = FleetQuota(allowance=allowance)
         self._own_usage = OwnUsage(clock, self.quota)
         self.prefix_holders = PrefixHolders()
+        self.stream_versions = StreamVersions()
         self._leaving_since_ms: int | None = None
         self.region_forecasts: dict[str, WaitForecast] = {}
         # Sum of the report intervals of the region's other VMs.
@@ -149,6 +163,7 @@
             peers=self.peers,
             quota=self.quota,
             prefix_holders=self.prefix_holders,
+            stream_versions=self.stream_versions,
             server_notices=self.server_notices,
             send_levels=self._send_levels,
         )
@@ -333,9 +348,17 @@
         self._local_report_count += 1
         whole = self._local_report_count % WHOLE_REPORT_EVERY == 0
         relayed = self.reports.take_to_relay()
-        data = self._encode_report(Audience.NEAR, whole=whole, relayed=relayed)
-        for peer in self.peers.local_peers():
-            self._send_datagram(data, peer)
+        report = self._build_report(Audience.NEAR, whole=whole, relayed=relayed, with_levels=False)
+        data = data_without_streams = msgspec.msgpack.encode(report)
+        peers = self.peers.local_peers()
+        if report.streams and len(peers) > MAX_TOLD_OF_STREAMS:
+            data_without_streams = msgspec.msgpack.encode(
+                msgspec.structs.replace(report, streams=[])
+            )
+        first_told = self._local_report_count * MAX_TOLD_OF_STREAMS
+        for index, peer in enumerate(peers):
+            is_told = (index - first_told) % len(peers) < MAX_TOLD_OF_STREAMS
+            self._send_datagram(data if is_told else data_without_streams, peer)
 
     def _send_remote_reports(self) -> None:
         """Send a report to one VM of each other data centre, in rotation; it relays the report.
@@ -407,8 +430,12 @@
             departing={} if far else self.server_notices.heard_leaving(),
             leads=self.account_leads() if whole else {},
             loads={} if far else self._loads_to_report(),
+            streams=[] if with_levels else self._untold_streams(audience),
         )
 
+    def _untold_streams(self, audience: Audience) -> list[ToldStreams]:
+        return self.stream_versions.take_untold(audience.value, self._clock.now())
+
     def _loads_to_report(self) -> dict[str, ReportedLoad]:
         """Return what servers told this VM, but for those that one VM places all requests to.
 
--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -9,6 +9,7 @@
 from hickorybeam.http1 import find_header
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
+from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from hickorybeam.http1 import IncomingRequest, RawHeaders
@@ -16,10 +17,13 @@
 __all__ = (
     "HOP_NOT_RUN",
     "HOP_RETRY_AFTER_MS",
+    "HOP_VERSION",
     "NO_SERVER_ASKED",
     "REJECTED",
     "decode_forwarded_request",
     "hop_headers",
+    "hop_version",
+    "without_hop_version",
 )
 
 # Request headers between VMs. The sending VM sets them; callers can't reach the port that reads
@@ -29,6 +33,8 @@
 HOP_TIME_LEFT_MS = b"hop-left-ms"
 HOP_URGENCY = b"hop-urgency"
 HOP_RESUME_AFTER = b"hop-resume-after"
+# The key of the version that began the request's stream; in a response, that of the server's.
+HOP_VERSION = b"hop-version"
 # The request's latency objective, and how much of it is used up: the time since it arrived, and the
 # way to the other region and back. Without them, the other region would let a request wait for
 # half of a usual objective after most of its own has passed.
@@ -59,9 +65,27 @@
         headers.append((HOP_ACCOUNT, request.account.encode("latin-1")))
     if request.resume_after is not None:
         headers.append((HOP_RESUME_AFTER, request.resume_after.encode("latin-1")))
+    if request.version_key is not None:
+        headers.append((HOP_VERSION, request.version_key.hex().encode()))
     return tuple(headers)
 
 
+def hop_version(headers: RawHeaders) -> bytes | None:
+    """Return the version's key in the headers of another VM, ``None`` without one."""
+    value = find_header(headers, HOP_VERSION)
+    if value is None:
+        return None
+    try:
+        return bytes.fromhex(value.decode("ascii"))
+    except ValueError:
+        return UNKNOWN_VERSION
+
+
+def without_hop_version(headers: RawHeaders) -> RawHeaders:
+    """Return headers without a version's key, which only VMs tell each other."""
+    return tuple(pair for pair in headers if pair[0] != HOP_VERSION)
+
+
 def decode_forwarded_request(req: IncomingRequest) -> AdmittedRequest | None:
     """Decode a request forwarded by another VM, ``None`` if it isn't one."""
     service = find_header(req.headers, HOP_SERVICE)
@@ -83,6 +107,7 @@
         urgency=decode_int(find_header(req.headers, HOP_URGENCY), DEFAULT_URGENCY),
         deadline_ms=req.arrived_ms + int(time_left_ms),
         resume_after=None if resume_after is None else resume_after.decode("latin-1"),
+        version_key=hop_version(req.headers),
     )
 
 
--- a/src/hickorybeam/gateway/local_placement.py
+++ b/src/hickorybeam/gateway/local_placement.py
@@ -52,7 +52,7 @@
 
     def search(self, request: AdmittedRequest, targets: TargetFilter) -> Target | NoCapacity | None:
         """Search for a target now, unless others that wait go first or the caller is too early."""
-        queue = self._queues.for_service(request.service)
+        queue = self._queue(request)
         slot_request = self._slot_request(request)
         if queue.must_wait(slot_request):
             early_ms = self._early_ms(request)
@@ -77,14 +77,14 @@
         # Who comes back has no further attempt, and would rather be late than refused again.
         may_be_late = found.deferred or slot_request.promise is not None
         max_wait = max_wait_ms(request, self._clock.now(), may_be_late=may_be_late)
-        queue = self._queues.for_service(request.service)
+        queue = self._queue(request)
         return queue.enter(slot_request, max_wait, deferred=found.deferred)
 
     async def wait_for_slot(
         self, request: AdmittedRequest, targets: TargetFilter, entry: QueueEntry
     ) -> Target | NoCapacity | None:
         """Wait in the queue until a target is found, the entry expires or is evicted."""
-        queue = self._queues.for_service(request.service)
+        queue = self._queue(request)
         slot_request = self._slot_request(request)
         target: Target | NoCapacity | None = NoCapacity(0.0)
         try:
@@ -103,7 +103,7 @@
     async def _search_in_turn(
         self, request: AdmittedRequest, targets: TargetFilter, entry: QueueEntry
     ) -> Target | NoCapacity | None:
-        queue = self._queues.for_service(request.service)
+        queue = self._queue(request)
         while await queue.wait_for_turn(entry):
             if queue.is_near_front(entry):
                 target = self._selector.choose(request, targets)
@@ -125,7 +125,7 @@
             return found
         target = self._selector.choose(request, targets.without_deferral())
         if isinstance(target, ServerTarget):
-            self._queues.for_service(request.service).record_start(self._slot_request(request))
+            self._queue(request).record_start(self._slot_request(request))
         return target
 
     def refuse(self, request: AdmittedRequest, found: NoCapacity) -> int:
@@ -137,7 +137,7 @@
             return found.retry_after_ms
         now = self._clock.now()
         left_ms = request.deadline_ms - now
-        queue = self._queues.for_service(request.service)
+        queue = self._queue(request)
         max_ms = max_retry_after_ms(left_ms)
         retry_after_ms = queue.wait_queue.retry_after_ms(request.urgency, max_ms, now)
         if not found.final:
@@ -165,8 +165,11 @@
         elif due_ms is not None and queue.overloaded and request.call.parts:
             queue.promises.add(key, Promise(due_ms, queue.turn_of(slot_request)))
 
+    def _queue(self, request: AdmittedRequest) -> ServiceQueue:
+        return self._queues.for_version(request.service, request.version_key)
+
     def _slot_request(self, request: AdmittedRequest) -> SlotRequest:
-        queue = self._queues.for_service(request.service)
+        queue = self._queue(request)
         if not queue.fair:
             return SlotRequest(account=request.account or "", urgency=request.urgency)
         promise = self._find_promise(request)
@@ -181,7 +184,7 @@
         )
 
     def _find_promise(self, request: AdmittedRequest) -> Promise | None:
-        queue = self._queues.for_service(request.service)
+        queue = self._queue(request)
         if not request.call.parts or not queue.overloaded:
             return None
         return queue.promises.find(promise_key(request), self._clock.now())
--- a/src/hickorybeam/gateway/placement_client.py
+++ b/src/hickorybeam/gateway/placement_client.py
@@ -150,7 +150,9 @@
         try:
             response = await self._ask(coordinator, number, pending, request, targets)
             done = response is not None
-            return self._target_of(response, coordinator, number) if response else None
+            if response is None:
+                return None
+            return self._target_of(response, coordinator, number, request.version_key)
         finally:
             del self._pending[number]
             if not done:
@@ -203,14 +205,19 @@
             again=targets.retry_tried,
             here_only=targets.own_region_only,
             resting=sorted(self._routing_state.resting_servers(request.service, now)),
+            version_key=request.version_key,
         )
 
     def _target_of(
-        self, response: PlacementResponse, coordinator: str, number: int
+        self,
+        response: PlacementResponse,
+        coordinator: str,
+        number: int,
+        version_key: bytes | None,
     ) -> Target | NoCapacity | NoTarget | None:
         match response.verdict:
             case PlacementResult.SERVER:
-                return self._accept_grant(response, coordinator, number)
+                return self._accept_grant(response, coordinator, number, version_key)
             case PlacementResult.OTHER_REGION:
                 peer = self._fleet.peers.by_name.get(response.target)
                 return PeerTarget(peer) if peer else None
@@ -220,10 +227,14 @@
                 return NoTarget()
 
     def _accept_grant(
-        self, response: PlacementResponse, coordinator: str, number: int
+        self,
+        response: PlacementResponse,
+        coordinator: str,
+        number: int,
+        version_key: bytes | None,
     ) -> Target | None:
         server_state = self._routing_state.server_states.get(response.target)
-        if server_state is None or not self._may_use(server_state):
+        if server_state is None or not self._may_use(server_state, version_key):
             # This VM's state of the server is newer than the coordinator's.
             self._report_end(coordinator, number, SendStatus.LEFT)
             return None
@@ -238,7 +249,9 @@
         self._grants[number] = grant
         return ServerTarget(server_state, grant)
 
-    def _may_use(self, server_state: ServerState) -> bool:
+    def _may_use(self, server_state: ServerState, version_key: bytes | None) -> bool:
+        if version_key not in (None, server_state.version_key):
+            return False
         return self._routing_state.is_available(server_state) and not server_state.is_resting(
             self._clock.now()
         )
--- a/src/hickorybeam/gateway/placement_coordinator.py
+++ b/src/hickorybeam/gateway/placement_coordinator.py
@@ -211,4 +211,5 @@
         urgency=message.urgency,
         deadline_ms=call.deadline_ms,
         resume_after=None,
+        version_key=message.version_key,
     )
--- a/src/hickorybeam/gateway/placement_messages.py
+++ b/src/hickorybeam/gateway/placement_messages.py
@@ -51,7 +51,8 @@
     deadline. ``parts`` are those of its prompt, by id and tokens. ``tried`` names targets that it
     was sent to, ``refused`` regions that refused it. ``again``: one of ``tried`` may be tried
     again if there is no other. ``here_only``: it may run in this region only. ``resting`` names
-    servers that asked the VM for rest.
+    servers that asked the VM for rest. ``version_key`` is that of the only version that may run
+    it, if a server of it began its stream.
     """
 
     vm: str
@@ -71,6 +72,7 @@
     again: bool
     here_only: bool
     resting: list[str] = []
+    version_key: bytes | None = None
 
 
 class PlacementResponse(msgspec.Struct, frozen=True, array_like=True, tag="placed"):
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -37,6 +37,7 @@
 
     ``sends`` counts attempts, ``runs`` those that may have run, and ``outcome_open`` is set while
     the outcome of one is unknown.
+    ``began``: bytes of a stream have been passed on.
     ``rejected``: a server received the request and stated that it did not run it.
     ``tried`` holds the names of targets, ``refused_regions`` those of regions whose VM stated that
     it did not run the request.
@@ -53,6 +54,7 @@
     sends: int = 0
     runs: int = 0
     outcome_open: bool = False
+    began: bool = False
     rejected: bool = False
     tried: set[str] = field(default_factory=set)
     refused_regions: set[str] = field(default_factory=set)
--- a/src/hickorybeam/gateway/region_servers.py
+++ b/src/hickorybeam/gateway/region_servers.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from hickorybeam.policy.rendezvous import rendezvous_order
+from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -30,13 +31,16 @@
 class _ServiceList:
     """One service's servers as of a revision.
 
-    ``own`` are those of this region in the order of their ids. ``rankings`` holds server ids by
-    data centre and prompt part.
+    ``own`` are those of this region in the order of their ids, ``own_by_version`` the same ones by
+    the keys of their versions. ``version_counts`` counts by region and version. ``rankings`` holds
+    server ids by data centre and prompt part.
     """
 
     revision: int
     own: list[ServerState]
+    own_by_version: dict[bytes, list[ServerState]]
     counts: Counter[str | None]
+    version_counts: Counter[tuple[str | None, bytes]]
     rankings: dict[tuple[str, str], list[str]] = field(default_factory=dict)
 
 
@@ -52,6 +56,18 @@
         """Return the available servers of this region, in the order of their ids."""
         return self._list(service).own
 
+    def own_of_version(self, service: str, version_key: bytes) -> Sequence[ServerState]:
+        """Return the available servers of this region that have a version, by their ids."""
+        if version_key == UNKNOWN_VERSION:
+            return ()
+        return self._list(service).own_by_version.get(version_key, ())
+
+    def has_version(self, service: str, region: str, version_key: bytes) -> bool:
+        """Return whether a region has an available server of a version."""
+        if version_key == UNKNOWN_VERSION:
+            return False
+        return self._list(service).version_counts[region, version_key] > 0
+
     def count(self, service: str, region: str) -> int:
         """Return how many available servers a region has."""
         return self._list(service).counts[region]
@@ -84,5 +100,14 @@
             self._routing_state.available_servers(service), key=attrgetter("server.id")
         )
         own = [it for it in servers if self._fleet.in_own_region(it.server.data_centre)]
-        counts = Counter(self._fleet.region_of(it.server.data_centre) for it in servers)
-        return _ServiceList(revision, own, counts)
+        own_by_version: defaultdict[bytes, list[ServerState]] = defaultdict(list)
+        for state in own:
+            own_by_version[state.version_key].append(state)
+        places = [(self._fleet.region_of(it.server.data_centre), it.version_key) for it in servers]
+        return _ServiceList(
+            revision=revision,
+            own=own,
+            own_by_version=dict(own_by_version),
+            counts=Counter(region for region, _ in places),
+            version_counts=Counter(places),
+        )
--- a/src/hickorybeam/gateway/remote_selector.py
+++ b/src/hickorybeam/gateway/remote_selector.py
@@ -119,6 +119,10 @@
                 continue
             if not self._routing_state.may_run_in(request.route, request.account, region):
                 continue
+            if request.version_key is not None and not self._servers.has_version(
+                request.service, region, request.version_key
+            ):
+                continue
             usable = [
                 it
                 for it in candidates
--- a/src/hickorybeam/gateway/report_receiver.py
+++ b/src/hickorybeam/gateway/report_receiver.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from hickorybeam.gateway.peers import DISCOVERY_MS
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
     from hickorybeam.model.routing import GatewayVm
     from hickorybeam.policy.fleet_quota import FleetQuota
     from hickorybeam.policy.prefix_holders import PrefixHolders
+    from hickorybeam.policy.stream_versions import StreamVersions
 
     # Takes a region and the leads of its accounts, by service, as its coordinator told them.
     LeadsHandler = Callable[[str, dict[str, dict[str, float]]], None]
@@ -41,6 +44,7 @@
         peers: PeerTable,
         quota: FleetQuota,
         prefix_holders: PrefixHolders,
+        stream_versions: StreamVersions,
         server_notices: ServerNotices,
         send_levels: Callable[[Peer], None],
     ) -> None:
@@ -51,6 +55,7 @@
         self._peers = peers
         self._quota = quota
         self._prefix_holders = prefix_holders
+        self._stream_versions = stream_versions
         self._server_notices = server_notices
         self._send_levels = send_levels
         self._to_relay: list[StatusReport] = []
@@ -65,7 +70,8 @@
             if relayed.name != self._own_vm.name:
                 self._apply(relayed)
         if sender is not None and sender.vm.data_centre != self._own_vm.data_centre:
-            self._to_relay.append(report)
+            # Whoever needs a stream's version asks the VMs of its data centre, this one too.
+            self._to_relay.append(msgspec.structs.replace(report, streams=[]))
 
     def take_to_relay(self) -> list[StatusReport]:
         """Return the reports for the VMs of this data centre that came from other ones."""
@@ -83,6 +89,7 @@
         peer.watches_store = report.follows
         self._feed.note_peer_revision(report.revision, now, source=self._change_source(peer))
         self._prefix_holders.merge(report.holds, now)
+        self._stream_versions.merge(report.streams, now)
         if self._peers.in_own_region(peer):
             self._apply_own_region(report, peer, now)
         else:
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -26,6 +26,8 @@
 from hickorybeam.gateway.remote_selector import RemoteSelector
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.service_queue import ServiceQueues
+from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
+from hickorybeam.gateway.stream_origins import StreamOrigins, is_taken_up
 from hickorybeam.gateway.target_selector import TargetSelector
 from hickorybeam.gateway.targets import (
     NoCapacity,
@@ -39,6 +41,7 @@
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.fleet_retry_budget import FleetRetryBudget, FleetRetryLimits
 from hickorybeam.policy.shutdown import ShutdownSchedule
+from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -121,6 +124,7 @@
             clock=clock, fleet=fleet, selector=self._selector, local_placement=self._local_placement
         )
         self._peer_connections = PeerConnections(fleet=fleet, pool=pool)
+        self._stream_origins = StreamOrigins(clock=clock, counters=counters, fleet=fleet, feed=feed)
         self._sender = Sender(
             clock=clock,
             counters=counters,
@@ -128,6 +132,7 @@
             selector=self._selector,
             pool=pool,
             final_responses=self._final_responses,
+            stream_origins=self._stream_origins,
         )
 
     async def run_placement(self) -> None:
@@ -136,6 +141,8 @@
         self._fleet.on_message(PlacementUpdate, self._placement_coordinator.handle_update)
         self._fleet.on_message(HeldPlacements, self._placement_coordinator.handle_held)
         self._fleet.on_message(PlacementResponse, self._placement_client.handle_response)
+        self._fleet.on_message(StreamQuestion, self._stream_origins.handle_question)
+        self._fleet.on_message(StreamAnswer, self._stream_origins.handle_answer)
         self._fleet.granted_usage = self._placement_client.granted_usage
         self._fleet.account_leads = self._account_leads
         self._fleet.reports.on_leads = self._apply_leads
@@ -187,6 +194,12 @@
 
     async def _run_attempts(self, request: AdmittedRequest, progress: RequestProgress) -> None:
         """Send a request to one target after the other until it has a final response."""
+        if is_taken_up(request):
+            try:
+                await self._stream_origins.bind(request)
+            except GatewayError as exc:
+                self._final_responses.refuse(request.call, progress.response, exc, progress)
+                return
         while (target := await self._next_target(request, progress)) is not None:
             progress.sends += 1
             progress.tried.add(target_name(target))
@@ -365,4 +378,6 @@
     """Return whether a request that may have run may be sent to another server."""
     if progress.own_region_only or not request.route.repeatable:
         return False
+    if request.version_key == UNKNOWN_VERSION:
+        return False
     return progress.splitter.can_resume or not progress.response.started
--- a/src/hickorybeam/gateway/resumed_streams.py
+++ b/src/hickorybeam/gateway/resumed_streams.py
@@ -34,9 +34,9 @@
 
     def record(self, request: AdmittedRequest, progress: RequestProgress, target: Target) -> None:
         """Record the stream of a target's response, unless it is a new one."""
-        if request.resume_after is None:
+        if request.resume_after is None and request.call.resumes is None:
             return
-        by = ResumedBy.CALLER if progress.splitter.last_id is None else ResumedBy.VM
+        by = ResumedBy.VM if progress.began else ResumedBy.CALLER
         self._resumed.labels(by.value).inc()
         self._log.log_decision(
             "resumed",
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -20,6 +20,7 @@
     named_rate_limit,
     stricter_limit,
 )
+from hickorybeam.policy.version_history import VersionHistory
 
 if TYPE_CHECKING:
     from hickorybeam.model.routing import RegisteredServer, Route, ServiceSpec
@@ -41,6 +42,7 @@
         self.server_states: dict[str, ServerState] = {}
         # Grows with each change of the available servers, so that lists of them can be kept.
         self.servers_revision = 0
+        self.version_history = VersionHistory()
         self._evacuated_data_centres: frozenset[str] = frozenset()
         self._mean_rate_per_s = 0.0
         self._by_service: dict[str, dict[str, ServerState]] = {}
@@ -90,15 +92,21 @@
         """Apply a server's registration; a new incarnation starts with a new state."""
         state = self.server_states.get(server.id)
         if state is None or not same_incarnation(state.server, server):
-            self._remove(server.id)
+            self._remove(server.id, now_ms)
             state = ServerState(server)
             removed = self._removed.pop(server.id, None)
             if removed is not None and same_incarnation(removed.server, server):
                 state.adopt_notices(removed)
             self.server_states[server.id] = state
             self._by_service.setdefault(server.service, {})[server.id] = state
+            self.version_history.add(server.service, state.version_key)
             self.servers_revision += 1
-            logging.info("server %s of service %s registered", server.id, server.service)
+            logging.info(
+                "server %s of service %s registered, version %s",
+                server.id,
+                server.service,
+                server.version,
+            )
         elif is_listed_differently(state.server, server):
             self.servers_revision += 1
         if server.leaving and not state.server.leaving:
@@ -107,10 +115,10 @@
         if server.cold_ms > 0:
             self.mark_cold(server.id, server.cold_ms, now_ms)
 
-    def remove_server(self, server_id: str) -> None:
+    def remove_server(self, server_id: str, now_ms: int) -> None:
         """Remove a server whose entry is gone."""
         state = self.server_states.get(server_id)
-        if state is not None and self._remove(server_id):
+        if state is not None and self._remove(server_id, now_ms):
             self._removed[server_id] = state
             if len(self._removed) > MAX_REMOVED_SERVERS:
                 del self._removed[next(iter(self._removed))]
@@ -202,7 +210,7 @@
             return False
         return server.data_centre not in self._evacuated_data_centres
 
-    def _remove(self, server_id: str) -> bool:
+    def _remove(self, server_id: str, now_ms: int) -> bool:
         """Remove a server's state.
 
         :return: whether there was one.
@@ -211,13 +219,14 @@
         if state is None:
             return False
         del self._by_service[state.server.service][server_id]
+        self.version_history.remove(state.server.service, state.version_key, now_ms)
         self.servers_revision += 1
         return True
 
 
 def same_incarnation(old: RegisteredServer, new: RegisteredServer) -> bool:
     """Return whether two registrations with one id are of the same start of a server."""
-    return old.born_ms == new.born_ms and old.service == new.service
+    return (old.born_ms, old.service, old.version) == (new.born_ms, new.service, new.version)
 
 
 def is_listed_differently(old: RegisteredServer, new: RegisteredServer) -> bool:
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -6,6 +6,7 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import Attempt, FirstByteTimeoutError, NotRunError
+from hickorybeam.gateway.hop import HOP_VERSION, hop_version, without_hop_version
 from hickorybeam.gateway.placement_messages import SendStatus
 from hickorybeam.gateway.response_ends import (
     EndedInsideEventError,
@@ -18,6 +19,7 @@
 from hickorybeam.http1 import BrokenResponseError, find_header, is_encoded
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
+from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,9 +29,10 @@
     from hickorybeam.gateway.in_flight import InFlightRequest
     from hickorybeam.gateway.progress import RequestProgress
     from hickorybeam.gateway.server_notices import ServerNotices
+    from hickorybeam.gateway.stream_origins import StreamOrigins
     from hickorybeam.gateway.target_selector import TargetSelector
     from hickorybeam.gateway.targets import AdmittedRequest, Target
-    from hickorybeam.http1 import ResponseHead, UpstreamPool
+    from hickorybeam.http1 import RawHeaders, ResponseHead, UpstreamPool
     from hickorybeam.platform import ResponseInfo
     from hickorybeam.telemetry import Counters
 
@@ -50,12 +53,14 @@
         selector: TargetSelector,
         pool: UpstreamPool,
         final_responses: FinalResponses,
+        stream_origins: StreamOrigins,
     ) -> None:
         self._clock = clock
         self._server_notices = server_notices
         self._selector = selector
         self._pool = pool
         self._final_responses = final_responses
+        self._stream_origins = stream_origins
         self._response_ends = ResponseEnds(counters)
         self._resumed_streams = ResumedStreams(counters, final_responses)
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
@@ -204,7 +209,9 @@
             progress.failed_response = (head, info, body)
             progress.reason = f"status {info.status}"
             return
-        progress.response.send(info.status, response_headers(head.headers), body)
+        progress.response.send(
+            info.status, without_hop_version(response_headers(head.headers)), body
+        )
         progress.timing.record_chunk(self._clock.now())
 
     async def _relay_stream(
@@ -215,16 +222,24 @@
         progress: RequestProgress,
         target: Target,
     ) -> None:
+        key = version_key_of(target, head)
+        if request.version_key not in (None, key):
+            raise BrokenResponseError("the response comes from another version than the stream's")
         self._resumed_streams.record(request, progress, target)
         response, splitter = progress.response, progress.splitter
         if not response.started:
-            response.start(head.status, response_headers(head.headers))
+            response.start(head.status, headers_to_pass_on(head, progress, key))
         if is_encoded(find_header(head.headers, b"content-encoding")):
             splitter.pass_unread()
 
         def forward(data: bytes) -> bool:
             progress.timing.record_chunk(self._clock.now())
-            return response.write_chunk(splitter.feed(data))
+            passed_on = splitter.feed(data)
+            if passed_on and not progress.began:
+                progress.began = True
+                request.version_key = key
+                self._stream_origins.record_begun(request, key)
+            return response.write_chunk(passed_on)
 
         try:
             await attempt.forward_body(forward, response.wait_writable)
@@ -247,3 +262,23 @@
                 server_state.record_unreachable(self._clock.now())
             case PeerTarget(peer):
                 peer.forecasts = None
+
+
+def version_key_of(target: Target, head: ResponseHead) -> bytes:
+    """Return the key of the version that a response comes from."""
+    match target:
+        case ServerTarget(server_state):
+            return server_state.version_key
+        case PeerTarget():
+            return hop_version(head.headers) or UNKNOWN_VERSION
+
+
+def headers_to_pass_on(head: ResponseHead, progress: RequestProgress, key: bytes) -> RawHeaders:
+    """Return a response's headers for its caller, or for the VM that forwarded the request.
+
+    :param key: key of the version that the response comes from, which only that VM is told.
+    """
+    headers = without_hop_version(response_headers(head.headers))
+    if not progress.own_region_only:
+        return headers
+    return (*headers, (HOP_VERSION, key.hex().encode()))
--- a/src/hickorybeam/gateway/service_queue.py
+++ b/src/hickorybeam/gateway/service_queue.py
@@ -92,6 +92,23 @@
     )
     _is_overloaded: bool = False
     _taken_over_ms: int = 0
+    _by_version: dict[bytes, ServiceQueue] = field(default_factory=dict)
+
+    def of_version(self, version_key: bytes) -> ServiceQueue:
+        """Return the queue of the streams that only servers of one version may run.
+
+        It is apart from the others: where one version is full, streams that wait for it would
+        keep new ones from free slots at the other versions.
+        """
+        queue = self._by_version.get(version_key)
+        if queue is None:
+            self._by_version = {
+                key: it for key, it in self._by_version.items() if len(it.wait_queue)
+            }
+            queue = self._by_version[version_key] = ServiceQueue(
+                self.clock, self.service, self.report, fair=False
+            )
+        return queue
 
     @property
     def overloaded(self) -> bool:
@@ -244,6 +261,9 @@
     def record_departure(self) -> None:
         """Record that a request left a server, and wake the first entry."""
         self.wait_queue.record_departure(self.clock.now())
+        # Streams that have begun go before those that have not.
+        for queue in self._by_version.values():
+            queue.record_departure()
         self._wake_front(0)
 
     async def wait_for_turn(self, entry: QueueEntry) -> bool:
@@ -321,6 +341,11 @@
             self._queues[service] = queue
         return queue
 
+    def for_version(self, service: str, version_key: bytes | None) -> ServiceQueue:
+        """Return the queue of the requests that one version may run; ``None`` for any version."""
+        queue = self.for_service(service)
+        return queue if version_key is None else queue.of_version(version_key)
+
     def set_fair(self, fair: bool) -> None:
         """Have accounts share services in an overload, or not."""
         self._fair = fair
--- a/src/hickorybeam/gateway/status_report.py
+++ b/src/hickorybeam/gateway/status_report.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hickorybeam.model.routing import GatewayVm  # noqa: TC001 - msgspec reads the annotation
+from hickorybeam.policy.stream_versions import ToldStreams  # noqa: TC001 - msgspec reads it too
 
 __all__ = (
     "NO_USAGE",
@@ -76,7 +77,8 @@
     reporting VM named. ``departing``: by server, the start of those that told it that they are
     leaving. ``leads``: by overloaded service that the VM places for its region, how much more
     server time than their shares accounts have used, in ms. ``loads``: by server, what
-    its last response to the reporting VM said. ``fresh``: the VM has just started and needs quota
+    its last response to the reporting VM said. ``streams``: those that began at the VM
+    since its last report to the same receivers. ``fresh``: the VM has just started and needs quota
     levels, which an older VM sends it in ``levels``. ``holds``: servers to which shared prompt
     parts were sent, by part id.
     """
@@ -102,6 +104,7 @@
     departing: dict[str, int] = {}
     leads: dict[str, dict[str, float]] = {}
     loads: dict[str, ReportedLoad] = {}
+    streams: list[ToldStreams] = []
 
 
 def add_usage(one: ServerUsage, other: ServerUsage) -> ServerUsage:
--- /dev/null
+++ b/src/hickorybeam/gateway/stream_messages.py
@@ -0,0 +1,34 @@
+"""Datagram messages by which a VM asks others which version began a stream."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = ("StreamAnswer", "StreamQuestion")
+
+
+class StreamQuestion(msgspec.Struct, frozen=True, array_like=True, tag="whose"):
+    """Asks which version began a stream, and which one alone could have.
+
+    ``digest`` is the stream's, empty if its caller names no request. ``service`` is the only one
+    that may have served it, empty if there are several.
+    """
+
+    vm: str
+    number: int
+    digest: bytes
+    service: str
+
+
+class StreamAnswer(msgspec.Struct, frozen=True, array_like=True, tag="began"):
+    """Answers a question.
+
+    ``version_key`` is that of the stream's version, empty if the VM doesn't know the stream.
+    ``sole`` is the key of the only version that the service has had lately, empty if there were
+    several, ``None`` if the VM can't tell.
+    """
+
+    vm: str
+    number: int
+    version_key: bytes
+    sole: bytes | None
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -21,6 +21,7 @@
 )
 from hickorybeam.policy.shortlist import Shortlist
 from hickorybeam.policy.stale_load import WorkRate
+from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
@@ -152,22 +153,11 @@
     def _choose_server(
         self, request: AdmittedRequest, targets: TargetFilter, now_ms: int
     ) -> ServerState | NoCapacity | None:
-        listed = self._listed_servers(request)
-        untried = self._untried(listed, targets, now_ms)
         call = request.call
-        held_tokens = held_tokens_of(call)
-        with_room = [it for it in untried if it.has_room(held_tokens, now_ms)]
-        servers = self._servers.own(request.service)
-        shortlist = self._shortlists[request.service]
-        if not with_room and shortlist.may_miss(servers, any_usable=bool(untried)):
-            untried = self._untried(servers, targets, now_ms)
-            with_room = [it for it in untried if it.has_room(held_tokens, now_ms)]
+        untried, with_room = self._servers_with_room(request, targets, now_ms)
         if untried and not with_room:
-            return NoCapacity(
-                self._queues.for_service(request.service).wait_queue.expected_wait_ms(
-                    request.urgency, now_ms
-                )
-            )
+            queue = self._queues.for_version(request.service, request.version_key)
+            return NoCapacity(queue.wait_queue.expected_wait_ms(request.urgency, now_ms))
         data_centre = targets.origin_data_centre or self._fleet.own_vm.data_centre
         found = choose_server(
             with_room,
@@ -183,6 +173,25 @@
             return found
         return self._defer_if_late(found, request, now_ms)
 
+    def _servers_with_room(
+        self, request: AdmittedRequest, targets: TargetFilter, now_ms: int
+    ) -> tuple[list[ServerState], list[ServerState]]:
+        """Return the servers that a request may be sent to now, and those of them with room."""
+        held_tokens = held_tokens_of(request.call)
+        if request.version_key is not None:
+            servers = self._servers.own_of_version(request.service, request.version_key)
+            untried = self._untried(servers, targets, now_ms)
+            with_room = [it for it in untried if it.has_room(held_tokens, now_ms)]
+            return untried, with_room or [it for it in untried if it.may_take_begun(now_ms)]
+        untried = self._untried(self._listed_servers(request), targets, now_ms)
+        with_room = [it for it in untried if it.has_room(held_tokens, now_ms)]
+        servers = self._servers.own(request.service)
+        shortlist = self._shortlists[request.service]
+        if not with_room and shortlist.may_miss(servers, any_usable=bool(untried)):
+            untried = self._untried(servers, targets, now_ms)
+            with_room = [it for it in untried if it.has_room(held_tokens, now_ms)]
+        return untried, with_room
+
     def _listed_servers(self, request: AdmittedRequest) -> Sequence[ServerState]:
         """Return the servers that a request is held against.
 
@@ -350,6 +359,15 @@
             return None
         return f"{server.host}:{server.port}"
 
+    def has_version(self, request: AdmittedRequest) -> bool:
+        """Return whether a request is bound to no version, or some region has servers of it."""
+        if request.version_key is None:
+            return True
+        return any(
+            it.version_key == request.version_key != UNKNOWN_VERSION
+            for it in self._routing_state.available_servers(request.service)
+        )
+
     def rest_left_ms(self, service: str, now_ms: int) -> int:
         """Return when the first server of this region wants requests again; 0 if one does now."""
         return min(
--- a/src/hickorybeam/gateway/targets.py
+++ b/src/hickorybeam/gateway/targets.py
@@ -52,7 +52,9 @@
     """A request with the decisions made at its admission.
 
     ``resume_after`` is the id of the last event that the caller has received; it advances when a
-    stream breaks off. ``deadline_ms`` is on this VM's clock.
+    stream breaks off. ``deadline_ms`` is on this VM's clock. ``version_key`` is the key of the only
+    version of the servers' software that may run it, since it began the stream; ``None`` if no
+    event of the stream has been passed on, and unknown if the server named no version.
     """
 
     call: RelayCall
@@ -63,6 +65,7 @@
     deadline_ms: int
     resume_after: str | None
     cost: float = 0.0
+    version_key: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/model/routing.py
+++ b/src/hickorybeam/model/routing.py
@@ -147,7 +147,7 @@
 
     ``cold_ms`` is how long it stays cold, from when the entry was read; ``born_ms`` is the wall
     time of its start. A ``leaving`` one gets no new work; ``gone_in_ms`` is the time until it ends,
-    if known.
+    if known. ``version`` is that of its software, empty if it isn't known.
     """
 
     id: str
--- a/src/hickorybeam/platform/entries.py
+++ b/src/hickorybeam/platform/entries.py
@@ -187,5 +187,5 @@
         cold_ms=int(raw.get("cold-remaining-ms") or 0),
         gone_in_ms=None if gone_in_ms is None else int(gone_in_ms),
         born_ms=int(raw.get("born") or 0),
-        version=str(raw.get("version", "")),
+        version=version if isinstance(version := raw.get("version"), str) else "",
     )
--- a/src/hickorybeam/policy/server_choice.py
+++ b/src/hickorybeam/policy/server_choice.py
@@ -22,6 +22,7 @@
 from hickorybeam.policy.rendezvous import rendezvous_first
 from hickorybeam.policy.server_speed import ServerSpeed
 from hickorybeam.policy.stale_load import draw_server
+from hickorybeam.policy.stream_versions import version_key
 from hickorybeam.policy.time_factor import TimeFactor
 
 if TYPE_CHECKING:
@@ -63,6 +64,10 @@
 # once than are heard of one by one.
 MAX_QUEUED_SHARE_OF_SLOTS = 1 / 6
 MIN_QUEUED_AT_SERVER = 4
+# A stream that has begun may be sent to a server that seems to have so many times its slots taken.
+# What a VM had there that is gone stays counted until others notice, and the streams that are taken
+# up after that are the same ones. A server that is full indeed rejects them.
+BEGUN_SLOTS_FACTOR = 2
 # Share of an engine's cache that requests may reserve. An engine that runs out of cache preempts
 # a request in the middle of its stream and prefills it again.
 MAX_CACHE_SHARE = 0.9
@@ -111,7 +116,8 @@
     size of the cache, 0 where it isn't declared. ``limit_per_s`` is the rate that the server has
     last named as its limit for all VMs together, infinite if it names none, as of the response at
     ``limit_heard_ms``. Until ``rest_until_ms`` the server wants no requests of this VM.
-    ``said_leaving``: a response said that the server will end soon.
+    ``said_leaving``: a response said that the server will end soon. ``version_key`` is the key of
+    its software's version.
     """
 
     server: RegisteredServer
@@ -138,6 +144,11 @@
     limit_heard_ms: int | None = None
     rest_until_ms: int = 0
     said_leaving: bool = False
+    version_key: bytes = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Compute the version's key; another version is another incarnation."""
+        self.version_key = version_key(self.server.service, self.server.version)
 
     @property
     def names_limit(self) -> bool:
@@ -240,6 +251,13 @@
         held = self.own_held_tokens + self.granted_held_tokens + self.peer_held_tokens
         return not self.cache_tokens or held + tokens <= self.cache_tokens * MAX_CACHE_SHARE
 
+    def may_take_begun(self, now_ms: int) -> bool:
+        """Return whether a stream that has begun may go on there though there seems to be no room.
+
+        The caller has a part of it, and no server of another version can give it the rest.
+        """
+        return self.in_flight(now_ms) < self.server.slots * BEGUN_SLOTS_FACTOR
+
 
 def interference_ms(prefill_ms: float, in_flight: int) -> float:
     """Return the delay that prefilling a prompt causes to the streams beside it, as a wait in ms.
--- /dev/null
+++ b/src/hickorybeam/policy/stream_answers.py
@@ -0,0 +1,54 @@
+"""Conclude a stream's version from what VMs answer that were asked for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ("StreamAnswers",)
+
+
+class StreamAnswers:
+    """The answers to one question.
+
+    :param asked: names of the VMs that were asked, nearest first.
+    :param sole: what this VM itself says of the service's only version, as an answer does.
+    """
+
+    def __init__(self, asked: Iterable[str], *, sole: bytes | None) -> None:
+        self._silent = set(asked)
+        self._keys: set[bytes] = set()
+        self._soles = {sole}
+
+    def add(self, vm: str, version_key: bytes, sole: bytes | None) -> None:
+        """Add a VM's answer."""
+        self._silent.discard(vm)
+        self._soles.add(sole)
+        if version_key != UNKNOWN_VERSION:
+            self._keys.add(version_key)
+
+    def heard_all(self, vms: Iterable[str]) -> bool:
+        """Return whether all of some VMs have answered."""
+        return self._silent.isdisjoint(vms)
+
+    @property
+    def told(self) -> bytes | None:
+        """The version that VMs know the stream by; ``None`` if none does, or they disagree."""
+        return next(iter(self._keys)) if len(self._keys) == 1 else None
+
+    @property
+    def concluded(self) -> bytes | None:
+        """The version told, or else the only one that could have begun the stream.
+
+        One VM that knows of several versions outweighs all that know of one: it heard of the
+        other version first.
+        """
+        if self._keys:
+            return self.told
+        soles = self._soles - {None}
+        sole = soles.pop() if len(soles) == 1 else None
+        return sole or None
--- /dev/null
+++ b/src/hickorybeam/policy/version_history.py
@@ -0,0 +1,45 @@
+"""Which versions of a service's software may have begun the streams that callers still have.
+
+If only one may have, a stream's version is known though nobody has told of the stream: its caller
+names no request, or its VM ended before its first report.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
+
+__all__ = ("VersionHistory",)
+
+# A stream may be taken up for so long after the last server of its version has gone.
+GONE_VERSION_MS = 60_000
+
+
+class VersionHistory:
+    """Versions of the registered servers of each service, and of those that went lately."""
+
+    def __init__(self) -> None:
+        self._present: defaultdict[str, Counter[bytes]] = defaultdict(Counter)
+        self._gone: defaultdict[str, dict[bytes, int]] = defaultdict(dict)
+
+    def add(self, service: str, key: bytes) -> None:
+        """Record a server that has registered."""
+        self._present[service][key] += 1
+
+    def remove(self, service: str, key: bytes, now_ms: int) -> None:
+        """Record that a server is gone."""
+        self._present[service][key] -= 1
+        self._gone[service][key] = now_ms
+
+    def sole_version(self, service: str, now_ms: int) -> bytes:
+        """Return the key of the only version there has been lately.
+
+        :return: ``UNKNOWN_VERSION`` if there were several, or none.
+        """
+        gone = self._gone[service]
+        for key, gone_ms in tuple(gone.items()):
+            if now_ms - gone_ms >= GONE_VERSION_MS:
+                del gone[key]
+        keys = {key for key, count in self._present[service].items() if count > 0} | set(gone)
+        return keys.pop() if len(keys) == 1 else UNKNOWN_VERSION
