gateway/target_selector: shared parts are copied from servers of the same version only; tests of the table of streams

What callers could get: a stream that goes on from memory which another version of the software had written, as a server was told to copy a prompt's shared parts from whichever server held them last (Kv-Fetch). Evidence: 'shared parts are copied from servers of the same version only' failed before (the v2 server was told the v1 server's address) and passes. Why it works: the source's key of service and version has to be the target's, and known.

--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -348,14 +348,15 @@
         holder = self._routing_state.server_states.get(
             self._fleet.prefix_holders.find_holder(parts, now) or ""
         )
-        if holder is None or holder is server_state:
+        if holder is None or holder is server_state or holder.version_key == UNKNOWN_VERSION:
             return None
         server = holder.server
         if holder.backoff_until_ms > now or holder.is_resting(now):
             return None
         if server.leaving or holder.said_leaving:
             return None
-        if server.service != server_state.server.service:
+        if holder.version_key != server_state.version_key:
+            # One version can't use the memory that another one, or another service, wrote.
             return None
         return f"{server.host}:{server.port}"
 
--- a/tests/gateway/stream_versions.feature
+++ b/tests/gateway/stream_versions.feature
@@ -156,3 +156,12 @@
     And callers take up 4 streams that no VM has served at "n2"
     Then each caller is refused within 500 ms and told when to come back
     And servers of "model" executed 0 requests
+
+  # Guards against memory that one version wrote and another one reads.
+  Scenario: shared parts are copied from servers of the same version only
+    Given a gateway of VMs "n1@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m9:v2@south-1"
+    When a caller of "small" sends "n1" a prompt of parts "5c1e:3000,91bd:20"
+    And the VMs have exchanged status reports
+    And a caller of "small" sends "s1" a prompt of parts "5c1e:3000,e440:20"
+    Then server "m9" got no address to copy from
