bench/soak: servers of two versions, streams that their callers take up, VMs killed under them

Its servers name versions, each event tells the version of its server, callers take up streams that broke off (Resumes, Last-Event-Id) at any VM, and judge that what they got follows on itself and comes from one version.

--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -4,12 +4,12 @@
     python -m bench.soak.gateway --seed 1 --north 6     # two of six VMs watch the store
     python -m bench.soak.gateway --seed 1 --only spoil  # one kind of fault
 
-Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in
-order and started again; the store falls silent, turns VMs away, loses answers, its history or
-entries; servers lose, spoil and cut answers, leave, come back cold or under a new address, name
-limits, ask for rest and change their speed; keys are withdrawn, an account floods a service,
-callers read nothing. Other callers go on all the while. What they and the servers saw is judged;
-exits 1 on a broken promise.
+Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in order
+and started again; the store falls silent, turns VMs away, loses answers, its history or entries;
+servers lose, spoil and cut answers, leave, come back cold or under a new address, name limits, ask
+for rest, change their speed and are replaced by another version; keys are withdrawn, an account
+floods a service, callers read nothing, and take up streams that broke off. Other callers go on all
+the while. What they and the servers saw is judged; exits 1 on a broken promise.
 """
 
 from __future__ import annotations
@@ -31,6 +31,7 @@
 from bench.gateway_cost import start_daemon
 from bench.soak.hard_load import change_speed, flood, read_nothing
 from bench.soak.server_notices import ask_for_rest, name_limit, say_leaving
+from bench.soak.streams import VERSIONS, follow_stream, kill_under_streams, release
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.deployment import free_ports
@@ -66,6 +67,8 @@
 IN_FORCE_S = 4.0
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 ALL_EVENTS = 6
+# Share of the streams that may be resumed whose callers take them up; the others end as they end.
+FOLLOWED_SHARE = 0.7
 # How a server may spoil its next answers.
 SPOILT = ("errors", "full", "lost", "hung", "cut", "short", "extra", "unframed", "torn")
 # A VM knows all others this long after its start.
@@ -185,6 +188,9 @@
         while not self.over:
             path, method, tokens = self.rng.choice(kinds)
             key = self.rng.choice(("small", "small", "large", "nobody's"))
+            if path.startswith("/plan") and self.rng.random() < FOLLOWED_SHARE:
+                await follow_stream(self, key)
+                continue
             sent = time.monotonic()
             request_id, answer = await self._call(
                 self.rng.randrange(len(self._centres)), path, key, method, tokens
@@ -193,14 +199,33 @@
             await anyio.sleep(self.rng.uniform(0.0, 0.05))
 
     async def _call(
-        self, i: int, path: str, key: str, method: bytes, tokens: bytes | None
+        self,
+        i: int,
+        path: str,
+        key: str,
+        method: bytes,
+        tokens: bytes | None,
+        more: tuple[tuple[bytes, bytes], ...] = (),
     ) -> tuple[str, Answer]:
         request_id = f"{next(self._numbers):016x}"
         headers = caller_headers(request_id, key=key, wait_ms=WAIT_MS, tokens=tokens)
         body = b"{}" if method == b"POST" else b""
-        data = request_bytes(method.decode(), path.encode(), headers, body)
+        data = request_bytes(method.decode(), path.encode(), (*headers, *more), body)
         return request_id, await self._exchange(self._ports[5 * i], data)
 
+    async def ask_stream(
+        self, i: int, key: str, more: tuple[tuple[bytes, bytes], ...] = ()
+    ) -> tuple[str, Answer]:
+        """Ask a VM for a stream that may be resumed; return the request's id and its answer."""
+        request_id, answer = await self._call(i, "/plan/x", key, b"POST", b"50,10", more)
+        if not more:
+            self._judge(request_id, answer, "/plan/x", key, time.monotonic())
+        return request_id, answer
+
+    def count(self, outcome: str) -> None:
+        """Count what a caller saw."""
+        self.seen.outcomes[outcome] += 1
+
     @property
     def caller_ports(self) -> list[int]:
         """The ports on which VMs take callers' requests."""
@@ -278,7 +303,10 @@
 
     async def kill(self) -> None:
         """Kill a VM and start it again."""
-        i = self.rng.randrange(len(self._vms))
+        await self.restart(self.rng.randrange(len(self._vms)))
+
+    async def restart(self, i: int) -> None:
+        """Kill a VM and start it again."""
         self._vms[i].kill()
         self._vms[i].wait()
         await anyio.sleep(self.rng.uniform(0.0, 0.6))
@@ -411,7 +439,16 @@
     )
 } | {
     task.__name__: task
-    for task in (name_limit, ask_for_rest, say_leaving, change_speed, flood, read_nothing)
+    for task in (
+        name_limit,
+        ask_for_rest,
+        say_leaving,
+        change_speed,
+        flood,
+        read_nothing,
+        release,
+        kill_under_streams,
+    )
 }
 
 
@@ -427,7 +464,10 @@
         run = Soak(served.app, served.url, folder, seed=seed, north=north, only=only)
         for centre in ("north-1", "south-1"):
             for name, service in SERVERS:
-                server = ServerStandIn(f"{name}-{centre}", service, centre, served.app)
+                version = VERSIONS[name.endswith("2")]
+                server = ServerStandIn(
+                    f"{name}-{centre}", service, centre, served.app, version=version
+                )
                 run.servers.append(await stack.enter_async_context(serve_server(server)))
         await run.run(seconds)
         run.check_runs()
--- a/bench/soak/target.py
+++ b/bench/soak/target.py
@@ -8,6 +8,7 @@
     import random
     from collections.abc import Sequence
 
+    from hickorybeam.demo.platform import Answer
     from hickorybeam.standins.server import ServerStandIn
 
 __all__ = ("SoakTarget",)
@@ -38,6 +39,20 @@
         """Send a prompt with a part of its own to some VM, and return whether it was served."""
         ...
 
+    async def ask_stream(
+        self, i: int, key: str, more: tuple[tuple[bytes, bytes], ...] = ()
+    ) -> tuple[str, Answer]:
+        """Ask a VM for a stream that may be resumed; return the request's id and its answer."""
+        ...
+
+    async def restart(self, i: int) -> None:
+        """Kill a VM and start it again."""
+        ...
+
+    def count(self, outcome: str) -> None:
+        """Count what a caller saw."""
+        ...
+
     def broken(self, text: str) -> None:
         """Record a broken promise."""
         ...
--- a/bench/stream_versions_cost.py
+++ b/bench/stream_versions_cost.py
@@ -2,8 +2,8 @@
 
     python -m bench.stream_versions_cost
 
-Prints what one VM adds to its reports and reads in others' at several sizes of the fleet, the memory
-of a table, and the time of each step.
+Prints what one VM adds to its reports at several sizes of the fleet (it reads as much in others'),
+the memory of a table, and the time of each step.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 def told_bytes(streams: float) -> float:
-    """Return the bytes that a report grows by for a mean number of streams, half of each version."""
+    """Return the bytes that a report grows by for a number of streams, half of each version."""
     count = max(1, round(streams))
     table = StreamVersions()
     table.take_untold("near", 0)
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -104,6 +104,7 @@
     version: str = "v1"
     slots: int = 8
     events: int = EVENTS
+    event_every_ms: int = EVENT_EVERY_MS
     work_ms: int = 1
     cold_ms: int = 0
     limit: bytes | None = None
@@ -221,25 +222,28 @@
     async def _stream(
         self, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
     ) -> None:
+        # The process that began the stream ends it, whatever starts in its place meanwhile.
+        version = self.version
         first = int(find_header(req.headers, names.LAST_EVENT) or 0) + 1
         stream = StreamReply(reply, headers, unframed=self.faults.take("unframed"))
         stream.start()
         for number in range(first, self.events + 1):
-            await self.clock.sleep(EVENT_EVERY_MS)
+            await self.clock.sleep(self.event_every_ms)
             if number == self.events // 2 + 1:
                 cut, short = self.faults.take("cut"), self.faults.take("short")
                 if cut or short:
                     await stream.send(b"id: %d\nda" % number)
-                    await self.clock.sleep(EVENT_EVERY_MS)
+                    await self.clock.sleep(self.event_every_ms)
                     reply.abort() if cut else stream.end()
                     return
-            await stream.send(event(number))
+            await stream.send(event(number, version))
         stream.end()
 
     async def _generate(
         self, batch: Batch, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
     ) -> None:
         """Stream a token an event; an engine whose caller leaves stops."""
+        version = self.version
         stream = submitted(batch, req)
         answer = StreamReply(reply, headers, unframed=self.faults.take("unframed"))
         sent = 0
@@ -250,7 +254,7 @@
                 if not reply.started:
                     answer.start()
                 for number in range(sent + 1, stream.produced + 1):
-                    await answer.send(event(number))
+                    await answer.send(event(number, version))
                 sent = stream.produced
             answer.end()
         finally:
@@ -293,9 +297,9 @@
     )
 
 
-def event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return b"id: %d\ndata: event %d\n\n" % (number, number)
+def event(number: int, version: str) -> bytes:
+    """Return one event of a stream, which tells the version of the server's software."""
+    return b"id: %d\ndata: event %d of %s\n\n" % (number, number, version.encode())
 
 
 @asynccontextmanager
