policy/version_history: a question about an unknown service leaves no trace

Each question of another VM made an entry for the service that it names, so the table grew with what others ask. It is only read now, and versions without servers are dropped. Found on reading the code; no test shows a growth that matters.

--- a/src/hickorybeam/policy/version_history.py
+++ b/src/hickorybeam/policy/version_history.py
@@ -29,7 +29,10 @@
 
     def remove(self, service: str, key: bytes, now_ms: int) -> None:
         """Record that a server is gone."""
-        self._present[service][key] -= 1
+        present = self._present[service]
+        present[key] -= 1
+        if not present[key]:
+            del present[key]
         self._gone[service][key] = now_ms
 
     def sole_version(self, service: str, now_ms: int) -> bytes:
@@ -37,9 +40,10 @@
 
         :return: ``UNKNOWN_VERSION`` if there were several, or none.
         """
-        gone = self._gone[service]
+        present = self._present.get(service, Counter())
+        gone = self._gone.get(service, {})
         for key, gone_ms in tuple(gone.items()):
             if now_ms - gone_ms >= GONE_VERSION_MS:
                 del gone[key]
-        keys = {key for key, count in self._present[service].items() if count > 0} | set(gone)
+        keys = {*present, *gone}
         return keys.pop() if len(keys) == 1 else UNKNOWN_VERSION
