policy/stream_answers: a VM that nobody answers concludes no stream's version

What callers could see: a stream of two versions, taken up at a VM that is cut off from the others while a second version's servers come. Cause: with no answer at all, the VM concluded from its own view that the service has had one version only. Evidence: 'this VM says v1 and others are silent', and a VM whose only other VM is not live any more, failed before. Why it works: at least one VM must have answered where others are known.

--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -129,7 +129,9 @@
     async def _ask(self, digest: bytes, service: str) -> StreamAnswers:
         """Ask other VMs, the region's first; return their answers once they suffice."""
         near, far = self._near_vms(), self._far_vms()
-        answers = StreamAnswers([*near, *far], sole=self._sole_version(service))
+        # If no VM that is known is live, this one is cut off, and none of them answers.
+        asked = [*near, *far] or list(self._fleet.peers.by_name)
+        answers = StreamAnswers(asked, sole=self._sole_version(service))
         if len(self._questions) >= MAX_QUESTIONS:
             return answers
         number = next(self._numbers)
--- a/src/hickorybeam/policy/stream_answers.py
+++ b/src/hickorybeam/policy/stream_answers.py
@@ -21,12 +21,14 @@
 
     def __init__(self, asked: Iterable[str], *, sole: bytes | None) -> None:
         self._silent = set(asked)
+        self._is_cut_off = bool(self._silent)
         self._keys: set[bytes] = set()
         self._soles = {sole}
 
     def add(self, vm: str, version_key: bytes, sole: bytes | None) -> None:
         """Add a VM's answer."""
         self._silent.discard(vm)
+        self._is_cut_off = False
         self._soles.add(sole)
         if version_key != UNKNOWN_VERSION:
             self._keys.add(version_key)
@@ -45,9 +47,10 @@
         """The version told, or else the only one that could have begun the stream.
 
         One VM that knows of several versions outweighs all that know of one: it heard of the
-        other version first.
+        other version first. A VM that nobody answers concludes nothing, since it may be cut off
+        from whoever has heard of another version.
         """
-        if self._keys:
+        if self._keys or self._is_cut_off:
             return self.told
         soles = self._soles - {None}
         sole = soles.pop() if len(soles) == 1 else None
--- a/tests/gateway/stream_versions.feature
+++ b/tests/gateway/stream_versions.feature
@@ -148,6 +148,16 @@
       | no VM has served                |
       | they do not name the request of |
 
+  # Guards against a VM that is cut off from those that know of another version.
+  Scenario: a stream that a VM doesn't know is refused while it hears no other VM
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    And all VMs have run for 5 s
+    When VM "n2" has crashed and is no longer live for "n1"
+    And callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
   Scenario: a stream that nobody knows is refused after a version has gone
     Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
     And model servers "m1:v1@north-1, m2:v2@north-1"
--- a/tests/policy/stream_versions.feature
+++ b/tests/policy/stream_versions.feature
@@ -82,6 +82,10 @@
       | v1      | -/v2                       | -       |
       | v1      | v2/several                 | v2      |
       | v1      |                            | v1      |
+      | v1      | silent, -/v1               | v1      |
+      | v1      | silent, v2/several         | v2      |
+      # Guards against a VM that is cut off and knows of one version only.
+      | v1      | silent, silent             | -       |
       | nothing |                            | -       |
 
   Scenario: a version counts until a minute after its last server
--- a/tests/steps/policy/stream_versions_steps.py
+++ b/tests/steps/policy/stream_versions_steps.py
@@ -134,9 +134,12 @@
 @when('this VM says "{own}" and others answer "{answers}"')
 @when('this VM says "{own}" and others answer ""')
 def step_answers(context, own, answers=""):
-    found = [answer.split("/") for answer in names(answers)]
+    found = names(answers)
     context.answers = StreamAnswers(map(str, range(len(found))), sole=sole_of(own))
-    for number, (known, sole) in enumerate(found):
+    for number, answer in enumerate(found):
+        if answer == "silent":
+            continue
+        known, sole = answer.split("/")
         key = UNKNOWN_VERSION if known == "-" else key_of(known)
         assert not context.answers.heard_all([str(number)])
         context.answers.add(str(number), key, sole_of(sole))
