tests/gateway/stream_versions: what connects the mechanism has tests of its own

Found with the mutations of tools/mutation_tables/streams.py: nothing noticed a VM of another region, or a placement coordinator, that ignores the version (as one of an earlier release does), the key in callers' headers, an entry that changes its version, a VM that has just started or hears of no servers, or new streams that wait behind those of a full version. request_handler.py loses a check that stands twice: no server has the unknown version anyway.

--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -41,7 +41,6 @@
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.fleet_retry_budget import FleetRetryBudget, FleetRetryLimits
 from hickorybeam.policy.shutdown import ShutdownSchedule
-from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -378,6 +377,4 @@
     """Return whether a request that may have run may be sent to another server."""
     if progress.own_region_only or not request.route.repeatable:
         return False
-    if request.version_key == UNKNOWN_VERSION:
-        return False
     return progress.splitter.can_resume or not progress.response.started
--- a/tests/gateway/stream_versions.feature
+++ b/tests/gateway/stream_versions.feature
@@ -175,3 +175,77 @@
     And the VMs have exchanged status reports
     And a caller of "small" sends "s1" a prompt of parts "5c1e:3000,e440:20"
     Then server "m9" got no address to copy from
+
+  Scenario: a stream that nobody knows is refused while its VMs have just started
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    When callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+  # Guards against a version that came while no VM heard of new servers.
+  Scenario: a stream that nobody knows is refused while the store is away
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    And all VMs have run for 5 s
+    When the store answers nothing any more and every VM has noticed
+    And callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+  Scenario: a stream is not forwarded where only some regions have servers of its version
+    Given a gateway of VMs "n1@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m9:v1@south-1"
+    When 4 streams from "n1" break off
+    And model servers "m2:v2@north-1, m8:v2@south-1" join
+    And model servers "m1, m9" leave
+    And their callers take them up at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And "s1" has received no request of theirs
+
+  # Guards against a VM of an earlier release, which reads no versions.
+  Scenario: nothing is passed on from a VM of another region that ignores the version
+    Given a gateway of VMs "n1@north-1, s1@south-1"
+    And model servers "m9:v1@south-1"
+    When 4 streams from "n1" break off
+    And model servers "m8:v2@south-1" join
+    And VM "s1" ignores the versions of forwarded requests
+    And their callers take them up at "n1"
+    Then no caller got events of two versions
+
+  Scenario: a placement coordinator that ignores the version is not relied on
+    Given a gateway of VMs "n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1"
+    And model servers "m1:v1@north-1"
+    And one VM coordinates the placement of service "model"
+    And prompts have parts
+    When 8 streams from "n1" break off
+    And model servers "m2:v2@north-1, m3:v2@north-1, m4:v2@north-1" join
+    And every VM ignores the versions of placement requests
+    And their callers take them up at each VM in turn
+    Then each stream goes on to its end at version "v1"
+
+  Scenario: callers don't get the key by which VMs know a version
+    Given a gateway of VMs "n1@north-1, s1@south-1"
+    And model servers "m9:v1@south-1"
+    When 4 streams from "n1" run
+    Then at least 4 streams are whole
+    And no answer has a header of VMs
+
+  Scenario: a stream is not continued by a server whose entry changes its version
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    When 4 streams from "n1" break off
+    And model server "m1" changes the version in its entry to "v2"
+    And their callers take them up at "n2"
+    Then each caller is refused within 500 ms and told when to come back
+    And no stream ran at two versions
+
+  # Guards against streams that wait for a full version and keep new ones from free servers.
+  Scenario: new streams don't wait behind streams whose version is full
+    Given a gateway of VMs "n1@north-1"
+    And model servers "m1:v1@north-1"
+    When 8 streams from "n1" break off
+    And model servers "m2:v2@north-1" join
+    And server "m1" is full of requests that never end
+    And their callers take them up at "n1" while 8 new streams begin there
+    Then the new streams are whole within 400 ms
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -3,14 +3,18 @@
 import time
 from collections import Counter, defaultdict
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 import anyio
+import msgspec
 from behave import given, then, when
 
 from hickorybeam.demo.platform import start_platform_fleet
+from hickorybeam.gateway.placement_messages import PlacementRequest
 from hickorybeam.http1.head import request_bytes
+from hickorybeam.model.routing import Repeat
+from hickorybeam.policy.server_choice import BEGUN_SLOTS_FACTOR
 from hickorybeam.standins.deployment import caller_headers
 from hickorybeam.standins.server import (
     EVENT_EVERY_MS,
@@ -125,6 +129,21 @@
     context.call(restart)
 
 
+@when('model server "{name}" changes the version in its entry to "{version}"')
+def step_entry_changes(context, name, version):
+    async def change():
+        rig = context.rig
+        server = rig.servers[name]
+        context.gone = {f"{name} before": Earlier(server.version, list(server.ran))}
+        server.arrivals.clear()
+        server.version = version
+        server.register()
+        states = [vm.routing_state.server_states for vm in running(rig)]
+        await rig.until(lambda: all(it[name].server.version == version for it in states))
+
+    context.call(change)
+
+
 @dataclass
 class Earlier:
     """What an earlier start of a server ran."""
@@ -402,3 +421,92 @@
 def step_all_versions(context, count, versions):
     found = Counter(it for stream in context.streams for it in versions_of(context, stream))
     assert all(found[version] >= count for version in split_names(versions)), found
+
+
+def hears_of_servers(vm):
+    return vm.feed.watches_store or vm.fleet.has_local_watcher()
+
+
+@when("the store answers nothing any more and every VM has noticed")
+def step_store_away_noticed(context):
+    async def silence():
+        rig = context.rig
+        rig.app.silent = True
+        rig.app.stand_in.notify()
+        await rig.until(lambda: not any(hears_of_servers(vm) for vm in running(rig)), limit_s=20)
+
+    context.call(silence)
+
+
+@then('"{vm}" has received no request of theirs')
+def step_not_forwarded(context, vm):
+    refusals = context.rig.vms[vm].relay._counters.refusals.collect()
+    assert not any(sample.value for metric in refusals for sample in metric.samples), refusals
+
+
+@when('VM "{name}" ignores the versions of forwarded requests')
+def step_ignores_forwarded(context, name):
+    handler = context.rig.vms[name].relay._handler
+    handle = handler.handle_admitted
+
+    async def ignoring(request, response, **options):
+        request.version_key = None
+        request.route = replace(request.route, repeat=Repeat.ONCE)
+        await handle(request, response, **options)
+
+    handler.handle_admitted = ignoring
+
+
+@when("every VM ignores the versions of placement requests")
+def step_ignores_placement(context):
+    for vm in context.rig.vms.values():
+        handle = vm.fleet._message_handlers[PlacementRequest]
+
+        def ignoring(message, handle=handle):
+            handle(msgspec.structs.replace(message, version_key=None))
+
+        vm.fleet.on_message(PlacementRequest, ignoring)
+
+
+@then("no caller got events of two versions")
+def step_no_mixed_events(context):
+    for stream in context.streams:
+        assert b" of v2" not in stream.answer.body, stream.answer.body
+
+
+@then("no answer has a header of VMs")
+def step_no_vm_header(context):
+    for stream in context.streams:
+        found = [name for name in stream.answer.headers if name.startswith(b"hop-")]
+        assert not found, found
+
+
+@when('server "{name}" is full of requests that never end')
+def step_server_full(context, name):
+    """Count as many requests at the server as none is sent beyond."""
+    for vm in running(context.rig):
+        state = vm.routing_state.server_states[name]
+        state.own_requests = state.server.slots * BEGUN_SLOTS_FACTOR
+
+
+@when('their callers take them up at "{vm}" while {count:d} new streams begin there')
+def step_take_up_beside_new(context, vm, count):
+    context.new_streams = [CallersStream("") for _ in range(count)]
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            for stream in context.streams:
+                tg.start_soon(take_up, context, vm, stream)
+            await anyio.sleep(0.05)
+            for stream in context.new_streams:
+                tg.start_soon(send, context, vm, stream)
+
+    context.call(run)
+
+
+@then("the new streams are whole within {ms:d} ms")
+def step_new_streams_whole(context, ms):
+    for stream in context.new_streams:
+        assert stream.answer.whole, refusals(context, stream)
+        assert stream.answer.status == 200, refusals(context, stream)
+        assert stream.took_ms < ms, stream.took_ms
