--- a/tests/gateway/service_queue.feature
+++ b/tests/gateway/service_queue.feature
@@ -18,6 +18,17 @@
     When a slot comes free that the first 3 can't use
     Then the one behind them has searched within 100 ms, and the next one has not
 
+  # Guards against new requests that wait while a server of another version is free.
+  Scenario: streams that wait for a full version keep no others from searching
+    Given queues in which 6 streams wait for one version
+    When a request waits that any version may run
+    Then that request may search at once
+
+  Scenario: a free slot is offered to the streams that wait for a version, too
+    Given queues in which 6 streams wait for one version
+    When a request leaves a server
+    Then the first of the streams searches within 20 ms
+
   # Guards against work that shifts unseen: operators read from the metrics what a VM has learned.
   Scenario: metrics tell how long requests hold a slot at a service's servers
     Given a small gateway with servers "m1:model, b1:books"
--- /dev/null
+++ b/tests/gateway/stream_lookups.feature
@@ -0,0 +1,72 @@
+Feature: which version began a stream that its VM does not know
+
+  Scenario Outline: a stream that nobody knows is refused at once while two versions serve
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m2:v2@north-1, m9:v1@south-1"
+    When callers take up 4 streams that <what> at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+    Examples:
+      | what                           |
+      | no VM has served               |
+      | they do not name the request of |
+
+  # Each of the southern VMs has been told of some of the streams.
+  Scenario: a stream goes on at a VM that has to ask which version began it
+    Given a gateway of VMs "n1@north-1, s1@south-1, s2@south-1"
+    And model servers "m1:v1@north-1, m8:v1@south-1, m9:v2@south-1"
+    And model servers stream for 2.4 s
+    When 8 streams from "n1" have run for 1.2 s
+    And VM "n1" and all northern VMs crash
+    And their callers take them up at "s1, s2" in turn
+    Then each stream goes on to its end at version "v1"
+
+  # Guards against a stream that is refused though only one version could have begun it.
+  Scenario Outline: a stream that nobody knows goes on while the service has had one version only
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m2:v1@north-1, m9:v1@south-1"
+    And all VMs have run for 5 s
+    When callers take up 4 streams that <what> at "n1"
+    Then each stream goes on to its end at version "v1"
+
+    Examples:
+      | what                            |
+      | no VM has served                |
+      | they do not name the request of |
+
+  # Guards against a VM that is cut off from those that know of another version.
+  Scenario: a stream that a VM doesn't know is refused while it hears no other VM
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    And all VMs have run for 5 s
+    When VM "n2" has crashed and is no longer live for "n1"
+    And callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+  Scenario: a stream that nobody knows is refused after a version has gone
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m2:v2@north-1"
+    And all VMs have run for 5 s
+    When model servers "m1" leave
+    And callers take up 4 streams that no VM has served at "n2"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+  Scenario: a stream that nobody knows is refused while its VMs have just started
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    When callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+  # Guards against a version that came while no VM heard of new servers.
+  Scenario: a stream that nobody knows is refused while the store is away
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    And all VMs have run for 5 s
+    When the store answers nothing any more and every VM has noticed
+    And callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
--- a/tests/steps/gateway/service_queue_steps.py
+++ b/tests/steps/gateway/service_queue_steps.py
@@ -6,7 +6,7 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.overload_report import OverloadReport
-from hickorybeam.gateway.service_queue import ServiceQueue
+from hickorybeam.gateway.service_queue import ServiceQueue, ServiceQueues
 from hickorybeam.telemetry import Counters
 
 
@@ -118,3 +118,52 @@
     line = f'hickorybeam_server_slot_ms{{service="{service}"}} '
     values = [it for it in found.content.decode().splitlines() if it.startswith(line)]
     assert values and float(values[0].removeprefix(line)) > 0, values
+
+
+VERSION_KEY = b"key1"
+
+
+@given("queues in which {count:d} streams wait for one version")
+def step_version_queues(context, count):
+    context.clock = SystemClock()
+    context.queues = ServiceQueues(context.clock, Counters())
+    # Enough departures that no request is refused an entry in the queue.
+    for key in (None, VERSION_KEY):
+        for _ in range(1_000):
+            context.queues.for_version("model", key).wait_queue.record_departure(
+                context.clock.now()
+            )
+    queue = context.queues.for_version("model", VERSION_KEY)
+    now = context.clock.now()
+    context.entries = [queue.wait_queue.enter(1, 2_000, now) for _ in range(count)]
+
+
+@when("a request waits that any version may run")
+def step_unbound_waits(context):
+    queue = context.queues.for_version("model", None)
+    context.entry = queue.wait_queue.enter(1, 2_000, context.clock.now())
+
+
+@then("that request may search at once")
+def step_may_search(context):
+    assert context.queues.for_version("model", None).is_near_front(context.entry)
+
+
+@when("a request leaves a server")
+def step_request_leaves(context):
+    async def leave():
+        queue = context.queues.for_version("model", VERSION_KEY)
+        began = anyio.current_time()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(queue.wait_for_turn, context.entries[0])
+            await anyio.sleep(0.002)
+            context.queues.for_service("model").record_departure()
+        context.searched_ms = (anyio.current_time() - began) * 1000
+
+    context.call(leave)
+
+
+@then("the first of the streams searches within {ms:d} ms")
+def step_first_searches(context, ms):
+    # Without being woken it would poll after 25 ms.
+    assert context.searched_ms < ms, context.searched_ms
--- /dev/null
+++ b/tools/mutation_tables/__init__.py
@@ -0,0 +1,17 @@
+"""Tables of mutations, one for each part of the package."""
+
+from __future__ import annotations
+
+from tools.mutation_tables import backends, front, once, shares, streams, tickets
+from tools.mutation_tables.mutation import Mutation
+
+__all__ = ("MUTATIONS", "Mutation")
+
+MUTATIONS: tuple[Mutation, ...] = (
+    *shares.MUTATIONS,
+    *once.MUTATIONS,
+    *tickets.MUTATIONS,
+    *front.MUTATIONS,
+    *backends.MUTATIONS,
+    *streams.MUTATIONS,
+)
