gateway/request_handler: a forwarded stream that brings no version is refused

What callers could see: while VMs are upgraded one by one, a VM of the earlier release forwards a stream that goes on without its version, and it goes to any server of the other region: events of two versions. Cause: a forwarded request counts as none that takes a stream up. Evidence: 'a forwarded stream that brings no version is refused as not run' failed before (200) and passes. Why it works: the VM that forwards is told that it was not run, and decides itself.

--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -27,7 +27,11 @@
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.service_queue import ServiceQueues
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
-from hickorybeam.gateway.stream_origins import StreamOrigins, is_taken_up
+from hickorybeam.gateway.stream_origins import (
+    StreamOrigins,
+    check_forwarded_version,
+    is_taken_up,
+)
 from hickorybeam.gateway.target_selector import TargetSelector
 from hickorybeam.gateway.targets import (
     NoCapacity,
@@ -193,12 +197,14 @@
 
     async def _run_attempts(self, request: AdmittedRequest, progress: RequestProgress) -> None:
         """Send a request to one target after the other until it has a final response."""
-        if is_taken_up(request):
-            try:
+        try:
+            if is_taken_up(request):
                 await self._stream_origins.bind(request)
-            except GatewayError as exc:
-                self._final_responses.refuse(request.call, progress.response, exc, progress)
-                return
+            elif progress.own_region_only:
+                check_forwarded_version(request)
+        except GatewayError as exc:
+            self._final_responses.refuse(request.call, progress.response, exc, progress)
+            return
         while (target := await self._next_target(request, progress)) is not None:
             progress.sends += 1
             progress.tried.add(target_name(target))
--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -26,7 +26,7 @@
     from hickorybeam.gateway.targets import AdmittedRequest
     from hickorybeam.telemetry import Counters
 
-__all__ = ("StreamOrigins", "is_taken_up")
+__all__ = ("StreamOrigins", "check_forwarded_version", "is_taken_up")
 
 # VMs of this region answer within some ms, those of other regions after a round trip there.
 NEAR_ANSWERS_MS = 60
@@ -50,6 +50,15 @@
     return named or (request.route.resumable and request.resume_after is not None)
 
 
+def check_forwarded_version(request: AdmittedRequest) -> None:
+    """Check that a forwarded request which goes on with a stream brings the stream's version.
+
+    :raises GatewayError: it brings none, as the VM that forwards it is of an earlier release.
+    """
+    if request.resume_after is not None and request.version_key is None:
+        raise GatewayError(ErrorKind.STREAM_UNKNOWN, retry_after_ms=RETRY_AFTER_MS)
+
+
 @dataclass(slots=True)
 class _Question:
     """A question that waits for answers; ``changed`` is set with each one."""
--- a/tests/gateway/stream_lookups.feature
+++ b/tests/gateway/stream_lookups.feature
@@ -70,3 +70,11 @@
     And callers take up 4 streams that no VM has served at "n1"
     Then each caller is refused within 500 ms and told when to come back
     And servers of "model" executed 0 requests
+
+  # Guards against a VM of an earlier release, which forwards a stream without its version.
+  Scenario: a forwarded stream that brings no version is refused as not run
+    Given a gateway of VMs "n1@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m2:v2@north-1"
+    When the peers' port of "n1" gets a forwarded stream that goes on after event 3
+    Then the response marks it as "not-asked"
+    And servers of "model" executed 0 requests
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -493,3 +493,15 @@
 @when('their callers take them up at "{vms}" in turn')
 def step_take_up_at_vms(context, vms):
     resume_all(context, split_names(vms))
+
+
+@when('the peers\' port of "{vm}" gets a forwarded stream that goes on after event {last:d}')
+def step_forwarded_stream(context, vm, last):
+    headers = (
+        *caller_headers("0123456789abcdef", key=None, wait_ms=2_000, tokens=b"50,10"),
+        (b"hop-service", MODEL.encode()),
+        (b"hop-left-ms", b"2000"),
+        (b"hop-resume-after", b"%d" % last),
+    )
+    data = request_bytes("POST", b"/plan/x", headers, BODY)
+    context.reply = context.call(context.rig.exchange, context.rig.vms[vm].ports.peers, data)
