demo/deployment: a free port is claimed until its process ends

Evidence: 'no two processes get the same port' failed before (the other process got the same three) and passes. Why it works: each process claims what it found by a name that ends with it, whether something listens or not.

--- a/src/hickorybeam/demo/deployment.py
+++ b/src/hickorybeam/demo/deployment.py
@@ -24,6 +24,8 @@
 LAST_PORT = 32_000
 PORTS_EACH = 100
 _offset = itertools.count()
+# Sockets that claim this process's ports until it ends.
+_claims: list[socket.socket] = []
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,19 +74,37 @@
     Ports that the system gives out for port 0 may be taken by any outgoing connection between
     this look and their use: the daemon then ends with "Address already in use". These lie
     below that range, from a start of each process's own, so nothing but a server that names
-    one can take it.
+    one can take it. While such a server is down to be restarted, its port looks free to others, so
+    each process claims what it has found.
+
+    :raises OSError: there are not as many.
     """
     start = os.getpid() * PORTS_EACH % (LAST_PORT - FIRST_PORT)
     found: list[int] = []
     for _ in range(LAST_PORT - FIRST_PORT):
         port = FIRST_PORT + (start + next(_offset)) % (LAST_PORT - FIRST_PORT)
-        if _is_free(port):
+        if _is_free(port) and _claim(port):
             found.append(port)
         if len(found) == count:
             return found
     raise OSError("no free ports")
 
 
+def _claim(port: int) -> bool:
+    """Claim a port against other processes; ``False`` if one of them has done so.
+
+    The claim is a name in Linux's abstract namespace, which ends with its process.
+    """
+    claim = socket.socket(socket.AF_UNIX)
+    try:
+        claim.bind(f"\0hickorybeam-port-{port}")
+    except OSError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    return True
+
+
 def _is_free(port: int) -> bool:
     try:
         socket.create_server(("127.0.0.1", port)).close()
