--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.in_flight import InFlightRequest
+from hickorybeam.gateway.prefix_copies import PrefixCopies
 from hickorybeam.gateway.targets import NoCapacity, ServerTarget
 from hickorybeam.policy.account_shares import server_time_ms
 from hickorybeam.policy.deadline_check import can_finish
@@ -44,8 +45,6 @@
 NO_CAPACITY_PENALTY_MS = 500.0
 # The last part of a prompt is its own; those before it are shared.
 MIN_PARTS_WITH_SHARED = 2
-# Cache size of one server if its service doesn't declare it.
-DEFAULT_CACHE_TOKENS = 200_000
 
 
 class TargetSelector:
@@ -69,6 +68,7 @@
         self._work_rates: defaultdict[str, WorkRate] = defaultdict(WorkRate)
         self._remote_selector = remote_selector
         self._servers = servers
+        self._prefix_copies = PrefixCopies(clock=clock, routing_state=routing_state, fleet=fleet)
         self._shortlists: defaultdict[str, Shortlist] = defaultdict(Shortlist)
         self._no_target_since_ms: dict[str, int] = {}
 
@@ -259,7 +259,7 @@
         prefill_tokens = uncached_prompt_tokens(server_state, call.parts, call.prompt_tokens)
         if grant is None:
             wait_ms = expected_wait_ms(server_state, prefill_tokens, now)
-            copy_from = self.copy_source(server_state, request)
+            copy_from = self._prefix_copies.source(server_state, request)
         else:
             wait_ms, copy_from = grant.expected_wait_ms, grant.copy_from
         in_flight = InFlightRequest(
@@ -284,21 +284,9 @@
                 server_state.prefill_ms(prefill_tokens, now), now
             )
         in_flight.start()
-        self._record_cached_parts(server_state, request, now)
+        self._prefix_copies.record_sent(server_state, request)
         return in_flight
 
-    def _record_cached_parts(
-        self, server_state: ServerState, request: AdmittedRequest, now_ms: int
-    ) -> None:
-        """Record the prompt parts that a server's cache holds from now on."""
-        parts = request.call.parts
-        config = self._routing_state.config
-        spec = config.services.get(request.service) if config else None
-        cache_tokens = spec.engine.cache_tokens if spec and spec.engine else 0
-        server_state.cache_tokens = cache_tokens
-        server_state.prefixes.add(parts, cache_tokens or DEFAULT_CACHE_TOKENS)
-        self._fleet.prefix_holders.record_sent(parts, server_state.server.id, now_ms)
-
     def _unreported_ms(self, service: str, now_ms: int) -> float:
         """Return the prefill work that the region's other VMs sent since their last reports.
 
@@ -335,31 +323,6 @@
                 found.append(server_state)
         return found
 
-    def copy_source(self, server_state: ServerState | None, request: AdmittedRequest) -> str | None:
-        """Return the address of a server from which a prompt's shared parts can be copied."""
-        parts = request.call.parts
-        if (
-            server_state is None
-            or len(parts) < 2
-            or not server_state.prefixes.uncached_tokens(parts[:-1])
-        ):
-            return None
-        now = self._clock.now()
-        holder = self._routing_state.server_states.get(
-            self._fleet.prefix_holders.find_holder(parts, now) or ""
-        )
-        if holder is None or holder is server_state or holder.version_key == UNKNOWN_VERSION:
-            return None
-        server = holder.server
-        if holder.backoff_until_ms > now or holder.is_resting(now):
-            return None
-        if server.leaving or holder.said_leaving:
-            return None
-        if holder.version_key != server_state.version_key:
-            # One version can't use the memory that another one, or another service, wrote.
-            return None
-        return f"{server.host}:{server.port}"
-
     def has_version(self, request: AdmittedRequest) -> bool:
         """Return whether a request is bound to no version, or some region has servers of it."""
         if request.version_key is None:
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -214,7 +214,7 @@
     ),
     Mutation(
         "copies come from the same version",
-        "gateway/target_selector.py",
+        "gateway/prefix_copies.py",
         "        if holder.version_key != server_state.version_key:",
         "        if False:",
         GATEWAY,
