--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -116,28 +116,24 @@
 
 @when('model server "{name}" starts again with version "{version}"')
 def step_server_restarts(context, name, version):
-    async def restart():
-        rig = context.rig
-        server = rig.servers[name]
-        context.gone = {f"{name} before": Earlier(server.version, list(server.ran))}
-        server.arrivals.clear()
-        server.version = version
-        server.register(born=int(time.time() * 1000))
-        states = [vm.routing_state.server_states for vm in running(rig)]
-        await rig.until(lambda: all(it[name].server.version == version for it in states))
-
-    context.call(restart)
+    change_version(context, name, version, born=int(time.time() * 1000))
 
 
 @when('model server "{name}" changes the version in its entry to "{version}"')
 def step_entry_changes(context, name, version):
+    change_version(context, name, version)
+
+
+def change_version(context, name, version, **entry):
+    """Let a server write another version into its entry, and wait until all VMs know it."""
+
     async def change():
         rig = context.rig
         server = rig.servers[name]
         context.gone = {f"{name} before": Earlier(server.version, list(server.ran))}
         server.arrivals.clear()
         server.version = version
-        server.register()
+        server.register(**entry)
         states = [vm.routing_state.server_states for vm in running(rig)]
         await rig.until(lambda: all(it[name].server.version == version for it in states))
 
