gateway/server_ends: a VM tells which servers ended and which requests had just begun there

The incident's hypotheses can't be told apart by what is collected: a broken line names a request and a server, not that the server ended, nor whether the answer had just begun, nor the prompt's parts. A line server_ended and a count server_ends tell it now. One response that breaks off is no end: a VM looks whether any connection to the server is left, and if none is, opens one. A stand-in server crashes under parts of prompts, before the head, inside an event or at an unframed close, and starts again.

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -76,6 +76,11 @@
         self._address = address_of(target)
         self._conn: UpstreamConnection | None = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether its connection is open."""
+        return self._conn is not None and not self._conn.closed
+
     async def open(
         self,
         now_ms: int,
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -25,6 +25,7 @@
 from hickorybeam.gateway.region_servers import RegionServers
 from hickorybeam.gateway.remote_selector import RemoteSelector
 from hickorybeam.gateway.sender import Sender
+from hickorybeam.gateway.server_ends import ServerEnds
 from hickorybeam.gateway.service_queue import ServiceQueues
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.gateway.stream_origins import (
@@ -128,6 +129,9 @@
         )
         self._peer_connections = PeerConnections(fleet=fleet, pool=pool)
         self._stream_origins = StreamOrigins(clock=clock, counters=counters, fleet=fleet, feed=feed)
+        self._server_ends = ServerEnds(
+            clock=clock, counters=counters, routing_state=feed.routing_state, pool=pool
+        )
         self._sender = Sender(
             clock=clock,
             counters=counters,
@@ -136,6 +140,7 @@
             pool=pool,
             final_responses=self._final_responses,
             stream_origins=self._stream_origins,
+            server_ends=self._server_ends,
         )
 
     async def run_placement(self) -> None:
@@ -150,6 +155,7 @@
         self._fleet.account_leads = self._account_leads
         self._fleet.reports.on_leads = self._apply_leads
         async with anyio.create_task_group() as tg:
+            self._server_ends.start(tg)
             tg.start_soon(self._placement_client.run)
             tg.start_soon(self._peer_connections.run)
             await self._placement_coordinator.run(tg)
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -16,7 +16,7 @@
 )
 from hickorybeam.gateway.resumed_streams import ResumedStreams, version_of
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget
-from hickorybeam.http1 import BrokenResponseError, find_header, is_encoded
+from hickorybeam.http1 import BrokenResponseError, Framing, find_header, is_encoded
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
@@ -28,6 +28,7 @@
     from hickorybeam.gateway.final_responses import FinalResponses
     from hickorybeam.gateway.in_flight import InFlightRequest
     from hickorybeam.gateway.progress import RequestProgress
+    from hickorybeam.gateway.server_ends import OpenRequest, ServerEnds
     from hickorybeam.gateway.server_notices import ServerNotices
     from hickorybeam.gateway.stream_origins import StreamOrigins
     from hickorybeam.gateway.target_selector import TargetSelector
@@ -54,6 +55,7 @@
         pool: UpstreamPool,
         final_responses: FinalResponses,
         stream_origins: StreamOrigins,
+        server_ends: ServerEnds,
     ) -> None:
         self._clock = clock
         self._server_notices = server_notices
@@ -61,6 +63,7 @@
         self._pool = pool
         self._final_responses = final_responses
         self._stream_origins = stream_origins
+        self._server_ends = server_ends
         self._response_ends = ResponseEnds(counters)
         self._resumed_streams = ResumedStreams(counters, final_responses)
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
@@ -84,6 +87,7 @@
         timeout_ms = self._first_byte_timeout_ms(request, progress)
         copy_from = in_flight.copy_from if in_flight else None
         attempt = Attempt(self._pool, target, request, copy_from=copy_from)
+        open_request = self._open_request(target, request, attempt)
         progress.outcome_open = True
         status = SendStatus.LEFT
         try:
@@ -98,7 +102,9 @@
             if in_flight is not None:
                 in_flight.record_prefill()
             try:
-                await self._handle_response(attempt, head, info, request, progress, target)
+                await self._handle_response(
+                    attempt, head, info, request, progress, target, open_request
+                )
             except BrokenResponseError as exc:
                 self._response_ends.record(head.framing, broken_end(exc))
                 raise
@@ -123,14 +129,26 @@
             progress.runs += 1
             progress.reason = str(exc)
             status = self._record_broken(exc, target, attempt)
+            if open_request is not None:
+                self._server_ends.record_break(open_request)
             self._final_responses.log_decision(
                 "broken", request, target, why=progress.reason, version=version_of(target)
             )
         finally:
             if in_flight is not None:
                 in_flight.end(status)
+            if open_request is not None:
+                self._server_ends.close(open_request)
             attempt.close()
 
+    def _open_request(
+        self, target: Target, request: AdmittedRequest, attempt: Attempt
+    ) -> OpenRequest | None:
+        """Follow a prompt that is sent to a server; ``None`` for other requests."""
+        if not isinstance(target, ServerTarget) or not request.call.parts:
+            return None
+        return self._server_ends.open(target.server_state, request.call, attempt)
+
     def _start_in_flight(self, target: Target, request: AdmittedRequest) -> InFlightRequest | None:
         """Count a request at the server that it is sent to; ``None`` if it goes to a VM."""
         if not isinstance(target, ServerTarget):
@@ -168,6 +186,7 @@
         request: AdmittedRequest,
         progress: RequestProgress,
         target: Target,
+        open_request: OpenRequest | None,
     ) -> None:
         server_state = target.server_state if isinstance(target, ServerTarget) else None
         if info.not_run:
@@ -180,11 +199,14 @@
         if success and not info.signed:
             raise BrokenResponseError("a success that no server signed")
         if success and info.streamed:
-            await self._relay_stream(attempt, head, request, progress, target)
+            await self._relay_stream(attempt, head, request, progress, target, open_request)
         else:
             body = await attempt.read_body()
             attempt.release()
             self._handle_whole_response(head, info, body, request, progress)
+        if success and open_request is not None:
+            framed = head.framing is not Framing.CLOSE
+            self._server_ends.record_whole(open_request, framed=framed)
         if server_state is not None:
             if success:
                 server_state.record_success()
@@ -221,6 +243,7 @@
         request: AdmittedRequest,
         progress: RequestProgress,
         target: Target,
+        open_request: OpenRequest | None,
     ) -> None:
         key = version_key_of(target, head)
         if request.version_key not in (None, key):
@@ -233,7 +256,10 @@
             splitter.pass_unread()
 
         def forward(data: bytes) -> bool:
-            progress.timing.record_chunk(self._clock.now())
+            now = self._clock.now()
+            progress.timing.record_chunk(now)
+            if open_request is not None:
+                self._server_ends.record_bytes(open_request, now)
             passed_on = splitter.feed(data)
             if passed_on and not progress.began:
                 progress.began = True
--- /dev/null
+++ b/src/hickorybeam/gateway/server_ends.py
@@ -0,0 +1,249 @@
+"""Notice that a backend server has ended unplanned, and which requests were open there.
+
+A server that crashes says nothing: all its connections close at once, and nothing listens at its
+address any more. One connection that closes shows less, since servers and networks break off single
+responses too. So after a break this VM looks whether any connection to the server is left, and if
+none is, tries to open one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from hickorybeam.http1 import ConnectFailedError
+from hickorybeam.telemetry.decisions import DecisionLog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.attempt import Attempt
+    from hickorybeam.gateway.routing_state import RoutingState
+    from hickorybeam.http1 import UpstreamPool
+    from hickorybeam.model.routing import RelayCall
+    from hickorybeam.policy.server_choice import ServerState
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("EndedServer", "OpenRequest", "ServerEnds")
+
+# Connections of a server that ends close within a few ms of each other.
+SETTLE_MS = 25
+# A response whose server still writes so long after its first bytes did not crash the server.
+PROOF_MS = 1_000
+# A server that fell silent is taken for ended if its entry in the store goes within this time:
+# three of its intervals of renewal, and the way from the store.
+MAX_SILENCE_MS = 6_000
+SILENCE_POLL_MS = 200
+# Requests whose prompts' parts a log line names.
+MAX_LOGGED_REQUESTS = 8
+
+
+class ServerEnd(Enum):
+    """Whether a server that broke responses off has ended."""
+
+    ALIVE = "alive"
+    ENDED = "ended"
+    SILENT = "silent"
+
+
+@dataclass(slots=True, eq=False)
+class OpenRequest:
+    """A request at a backend server, from its send to its end.
+
+    ``began_ms`` is when the first bytes of its response's body came. ``proven``: its server has
+    outlived the beginning of its response. ``ended_whole``: the response ended as a whole one does.
+    """
+
+    server_state: ServerState
+    call: RelayCall
+    attempt: Attempt
+    began_ms: int | None = None
+    proven: bool = False
+    ended_whole: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EndedServer:
+    """A server that ended unplanned, and the requests that may have caused that."""
+
+    server_state: ServerState
+    at_ms: int
+    suspects: tuple[RelayCall, ...]
+
+
+@dataclass(slots=True, eq=False)
+class _Breaks:
+    """The responses of a server that broke off since ``since_ms``."""
+
+    since_ms: int
+    requests: list[OpenRequest] = field(default_factory=list)
+
+
+class ServerEnds:
+    """Follows the requests at backend servers, and reports the servers that end under them.
+
+    :param on_end: called with each server that ended unplanned.
+    :param on_proven: called with each request whose server has outlived its response's beginning.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        counters: Counters,
+        routing_state: RoutingState,
+        pool: UpstreamPool,
+        on_end: Callable[[EndedServer], None] = lambda ended: None,
+        on_proven: Callable[[OpenRequest], None] = lambda request: None,
+    ) -> None:
+        self._clock = clock
+        self._routing_state = routing_state
+        self._pool = pool
+        self._on_end = on_end
+        self._on_proven = on_proven
+        self._log = DecisionLog(clock)
+        self._tasks: TaskGroup | None = None
+        self._open: dict[ServerState, set[OpenRequest]] = {}
+        self._breaks: dict[ServerState, _Breaks] = {}
+        self._ended = counters.counter(
+            "server_ends",
+            "Servers that ended while requests were open there, and whether they said so before",
+            ("service", "planned"),
+        )
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Check servers in tasks of a group from now on."""
+        self._tasks = tasks
+
+    def open(self, server_state: ServerState, call: RelayCall, attempt: Attempt) -> OpenRequest:
+        """Follow a request that is about to be sent."""
+        request = OpenRequest(server_state, call, attempt)
+        self._open.setdefault(server_state, set()).add(request)
+        return request
+
+    def record_bytes(self, request: OpenRequest, now_ms: int) -> None:
+        """Record that bytes of a response's body came."""
+        if request.began_ms is None:
+            request.began_ms = now_ms
+        elif not request.proven and now_ms - request.began_ms >= PROOF_MS:
+            self._prove(request)
+
+    def record_whole(self, request: OpenRequest, *, framed: bool) -> None:
+        """Record that a response ended as a whole one does.
+
+        :param framed: it marked its own end. Otherwise the server's end may have ended it, so that
+            it shows only later that the server is still there.
+        """
+        request.ended_whole = True
+        if request.proven:
+            return
+        if framed:
+            self._prove(request)
+        else:
+            self.record_break(request)
+
+    def record_break(self, request: OpenRequest) -> None:
+        """Record that a response broke off; look whether the server has ended."""
+        server_state, now = request.server_state, self._clock.now()
+        breaks = self._breaks.get(server_state)
+        if breaks is None:
+            breaks = self._breaks[server_state] = _Breaks(now)
+            if self._tasks is not None:
+                self._tasks.start_soon(self._check, server_state, breaks)
+        breaks.requests.append(request)
+
+    def close(self, request: OpenRequest) -> None:
+        """Stop following a request."""
+        at_server = self._open.get(request.server_state)
+        if at_server is not None:
+            at_server.discard(request)
+            if not at_server:
+                del self._open[request.server_state]
+
+    def _prove(self, request: OpenRequest) -> None:
+        request.proven = True
+        self._on_proven(request)
+
+    async def _check(self, server_state: ServerState, breaks: _Breaks) -> None:
+        """Find out whether a server that broke responses off has ended."""
+        planned = not self._is_in_use(server_state)
+        await self._clock.sleep(SETTLE_MS)
+        end = await self._end_of(server_state)
+        if end is ServerEnd.SILENT and not planned:
+            end = await self._wait_for_entry(server_state)
+        del self._breaks[server_state]
+        match end:
+            case ServerEnd.ENDED:
+                self._report(server_state, breaks, planned=planned)
+            case ServerEnd.ALIVE:
+                self._prove_whole(breaks)
+
+    def _is_in_use(self, server_state: ServerState) -> bool:
+        """Return whether a server is registered and not leaving, so that its end is unplanned."""
+        server = server_state.server
+        known = self._routing_state.server_states.get(server.id) is server_state
+        return known and not server.leaving and not server_state.said_leaving
+
+    async def _end_of(self, server_state: ServerState) -> ServerEnd:
+        if any(it.attempt.is_connected for it in self._open.get(server_state, ())):
+            return ServerEnd.ALIVE
+        address = (server_state.server.host, server_state.server.port)
+        if self._pool.idle_count(address):
+            return ServerEnd.ALIVE
+        try:
+            await self._pool.open_idle(address)
+        except ConnectFailedError as exc:
+            refused = isinstance(exc.__cause__, ConnectionError)
+            return ServerEnd.ENDED if refused else ServerEnd.SILENT
+        return ServerEnd.ALIVE
+
+    async def _wait_for_entry(self, server_state: ServerState) -> ServerEnd:
+        """Wait until the entry of a silent server goes; one that leaves first has not crashed."""
+        until_ms = self._clock.now() + MAX_SILENCE_MS
+        while self._clock.now() < until_ms:
+            await self._clock.sleep(SILENCE_POLL_MS)
+            if server_state.server.leaving or server_state.said_leaving:
+                return ServerEnd.SILENT
+            if not self._is_in_use(server_state):
+                return ServerEnd.ENDED
+        return ServerEnd.SILENT
+
+    def _prove_whole(self, breaks: _Breaks) -> None:
+        """Prove the requests whose unframed response ended, now that their server is there."""
+        for request in breaks.requests:
+            if request.ended_whole and not request.proven:
+                self._prove(request)
+
+    def _report(self, server_state: ServerState, breaks: _Breaks, *, planned: bool) -> None:
+        server = server_state.server
+        suspects = [it for it in breaks.requests if not it.proven]
+        begun = [it for it in suspects if it.began_ms is not None]
+        self._ended.labels(server.service, "yes" if planned else "no").inc()
+        self._log.write(
+            "server_ended",
+            server=server.id,
+            service=server.service,
+            version=server.version,
+            planned=planned,
+            cold=self._routing_state.is_cold(server.id, breaks.since_ms),
+            open=len(breaks.requests),
+            just_begun=[self._described(it, breaks) for it in begun[:MAX_LOGGED_REQUESTS]],
+            not_begun=len(suspects) - len(begun),
+        )
+        if not planned:
+            calls = tuple(it.call for it in suspects)
+            self._on_end(EndedServer(server_state, breaks.since_ms, calls))
+
+    @staticmethod
+    def _described(request: OpenRequest, breaks: _Breaks) -> dict[str, object]:
+        """Return a request as a log line tells it, with the ids of its prompt's shared parts."""
+        began_ms = breaks.since_ms if request.began_ms is None else request.began_ms
+        return {
+            "request": request.call.request_id,
+            "began_ms_before": breaks.since_ms - began_ms,
+            "parts": [part.id for part in request.call.parts[:-1]],
+        }
--- /dev/null
+++ b/src/hickorybeam/standins/crashes.py
@@ -0,0 +1,76 @@
+"""Crashes of stand-in servers: the process ends under a request and starts again later."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from hickorybeam.http1 import HttpServer
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.http1.server import Handler
+
+__all__ = ("CrashPoint", "CrashSwitch", "ServerProcess")
+
+HOST = "127.0.0.1"
+
+
+class CrashPoint(Enum):
+    """How far a server gets with the response under which it crashes.
+
+    ``UNFRAMED_END``: the response has no framing and ends between two events, so that nothing but
+    the server's end tells it from a whole one.
+    """
+
+    BEFORE_HEAD = "before the head"
+    INSIDE_EVENT = "inside an event"
+    UNFRAMED_END = "at an unframed close"
+
+
+@dataclass(slots=True)
+class CrashSwitch:
+    """Parts of prompts under which a server crashes, and what it does then.
+
+    Its entry in the store lapses ``lapse_ms`` after a crash, and ``back_ms`` later it starts again
+    under another id.
+    """
+
+    parts: frozenset[str] = frozenset()
+    point: CrashPoint = CrashPoint.INSIDE_EVENT
+    back_ms: int = 200
+    lapse_ms: int = 200
+
+
+class ServerProcess:
+    """The listening side of a server, which a crash ends with all its connections."""
+
+    def __init__(self, handler: Handler, *, clock: Clock, tasks: TaskGroup) -> None:
+        self._handler = handler
+        self._clock = clock
+        self._tasks = tasks
+        self._server: HttpServer | None = None
+        self.port = 0
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it listens."""
+        return self._server is not None
+
+    async def start(self) -> None:
+        """Listen, on the port of an earlier start if there was one."""
+        server = HttpServer(self._handler, clock=self._clock, tasks=self._tasks)
+        await server.listen(HOST, self.port)
+        self._server, self.port = server, server.port
+
+    def end(self) -> None:
+        """Close the port and all connections, as the end of the process does."""
+        server, self._server = self._server, None
+        if server is None:
+            return
+        server.stop_accepting()
+        for conn in tuple(server.conns):
+            conn.abort()
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -14,10 +14,11 @@
 import msgspec
 
 from hickorybeam.clock import Clock, SystemClock
-from hickorybeam.http1 import HttpServer, find_header
+from hickorybeam.http1 import find_header
 from hickorybeam.http1.head import response_head_bytes
 from hickorybeam.platform import decode_call, names
 from hickorybeam.standins.batch import Batch
+from hickorybeam.standins.crashes import CrashPoint, CrashSwitch, ServerProcess
 from hickorybeam.standins.prefix_cache import CachedPart
 from hickorybeam.standins.stream_reply import StreamReply, header_lines
 
@@ -35,6 +36,7 @@
 HEALTH_PATH = b"/health"
 # Requests that an engine keeps waiting, for each of its slots.
 QUEUED_PER_SLOT = 2
+RESTART_POLL_MS = 10
 # What a request that tells no urgency counts as; 0 is the most urgent.
 USUAL_URGENCY = 5
 
@@ -94,6 +96,8 @@
     if it is set.
     ``health_checks`` holds the times at which its health was checked.
     ``version`` is that of its software, as its entry names it.
+    ``crash`` says under which parts of prompts it crashes; ``crashes`` holds the times at which it
+    did.
     """
 
     id: str
@@ -120,6 +124,9 @@
     faults: ServerFaults = field(default_factory=ServerFaults)
     arrivals: list[Arrival] = field(default_factory=list)
     health_checks: list[int] = field(default_factory=list)
+    crash: CrashSwitch = field(default_factory=CrashSwitch)
+    crashes: list[int] = field(default_factory=list)
+    process: ServerProcess | None = None
 
     def __post_init__(self) -> None:
         """Make the batch of a model engine."""
@@ -199,7 +206,9 @@
             reply.abort()
             return
         headers = self._headers(request_id)
-        if self.faults.take("errors"):
+        if not self.crash.parts.isdisjoint(part.id for part in decode_call(req).parts):
+            await self._crash_under(reply, headers)
+        elif self.faults.take("errors"):
             reply.send(500, headers, b"failed")
         elif find_header(req.headers, names.TOKENS) is not None:
             if self.batch is None:
@@ -239,6 +248,41 @@
             await stream.send(event(number, version))
         stream.end()
 
+    async def _crash_under(self, reply: ResponseWriter, headers: RawHeaders) -> None:
+        """Begin an answer as the switch says, and crash."""
+        point = self.crash.point
+        stream = StreamReply(reply, headers, unframed=point is CrashPoint.UNFRAMED_END)
+        match point:
+            case CrashPoint.BEFORE_HEAD:
+                pass
+            case CrashPoint.INSIDE_EVENT:
+                stream.start()
+                await stream.send(b"id: 1\nda")
+            case CrashPoint.UNFRAMED_END:
+                stream.start()
+                await stream.send(event(1, self.version))
+        await self.clock.sleep(self.event_every_ms)
+        self.end_process()
+
+    def end_process(self) -> None:
+        """End as a crash does: the port and all connections close, and nothing is said."""
+        self.crashes.append(self.clock.now())
+        if self.process is not None:
+            self.process.end()
+
+    async def recover_from_crashes(self, process: ServerProcess) -> None:
+        """Let the entry lapse after each crash and start again, until cancelled."""
+        while True:
+            await self.clock.sleep(RESTART_POLL_MS)
+            if process.is_up:
+                continue
+            await self.clock.sleep(self.crash.lapse_ms)
+            self.withdraw()
+            await self.clock.sleep(self.crash.back_ms)
+            await process.start()
+            self.id = f"{self.id.partition('.')[0]}.{len(self.crashes)}"
+            self.register(born=len(self.crashes))
+
     async def _generate(
         self, batch: Batch, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
     ) -> None:
@@ -306,14 +350,15 @@
 async def serve_server(stand_in: ServerStandIn) -> AsyncIterator[ServerStandIn]:
     """Serve a stand-in on a free port and register it, until the block ends."""
     async with anyio.create_task_group() as tg:
-        server = HttpServer(stand_in.answer, clock=SystemClock(), tasks=tg)
-        await server.listen("127.0.0.1", 0)
-        stand_in.port = server.port
+        process = ServerProcess(stand_in.answer, clock=SystemClock(), tasks=tg)
+        await process.start()
+        stand_in.process, stand_in.port = process, process.port
         if stand_in.batch is not None:
             tg.start_soon(stand_in.batch.run)
+        tg.start_soon(stand_in.recover_from_crashes, process)
         stand_in.register()
         try:
             yield stand_in
         finally:
-            server.stop_accepting()
+            process.end()
             tg.cancel_scope.cancel()
