--- a/tests/gateway/crashing_parts.feature
+++ b/tests/gateway/crashing_parts.feature
@@ -27,3 +27,100 @@
       | cut      |
       | lost     |
       | unframed |
+
+  # Guards against a query of death that takes one server after the other.
+  @known_red
+  Scenario Outline: at most three requests more reach servers after five have crashed
+    Given a gateway of VMs "<vms>"
+    And model servers "<servers>"
+    And model servers crash <point> under part "dead"
+    When prompts with part "dead" come to "<asked>" for 6 s, and sound ones beside them
+    Then at most 3 requests with part "dead" reached servers after the fifth crash
+    And the last prompts with part "dead" were refused at once as "part_blocked"
+    And the sound prompts of the last 2 s were answered
+
+    Examples: at one VM and at several
+      | vms                                             | servers                                                                        | asked          | point                |
+      | n1@north-1                                      | m1@north-1, m2@north-1, m3@north-1, m4@north-1                                 | n1             | inside an event      |
+      | n1@north-1                                      | m1@north-1, m2@north-1, m3@north-1, m4@north-1                                 | n1             | before the head      |
+      | n1@north-1                                      | m1@north-1, m2@north-1, m3@north-1, m4@north-1                                 | n1             | at an unframed close |
+      | n1@north-1, n2@north-1, n3@north-1              | m1@north-1, m2@north-1, m3@north-1, m4@north-1                                 | n1, n2, n3     | inside an event      |
+      | n1@north-1, t1@north-2, s1@south-1              | m1@north-1, m2@north-2, m3@north-1, m7@south-1, m8@south-1, m9@south-1         | n1, t1, s1     | inside an event      |
+      | n1@north-1, s1@south-1                          | m7@south-1, m8@south-1, m9@south-1                                             | n1             | inside an event      |
+      | n1@north-1, n2@north-1, s1@south-1              | m7@south-1, m8@south-1, m9@south-1                                             | n1, n2, s1     | before the head      |
+
+  # Guards against a failover that carries the crash to the next server.
+  @known_red
+  Scenario: repeats of a stream that may be resumed count like new requests
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    And model servers crash inside an event under part "dead"
+    And prompts go to route "plan"
+    When prompts with part "dead" come to "n1, n2" for 6 s, and sound ones beside them
+    Then at most 3 requests with part "dead" reached servers after the fifth crash
+    And the sound prompts of the last 2 s were answered
+
+  @known_red
+  Scenario: two parts at once are both found
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1, m8@south-1, m9@south-1"
+    And model servers crash inside an event under parts "dead, d00d"
+    When prompts with parts "dead, d00d" in turn come to "n1, n2, s1" for 8 s, and sound ones beside them
+    Then at most 3 requests with part "dead" reached servers after the fifth crash
+    And at most 3 requests with part "d00d" reached servers after the fifth crash
+    And the sound prompts of the last 2 s were answered
+
+  # Guards against knowledge that waits for the store.
+  @known_red
+  Scenario: a part is found while the store is away
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1, m5@north-1, m6@north-1, m7@north-1, m8@north-1, m9@north-1"
+    And model servers crash inside an event under part "dead"
+    When the store answers nothing any more
+    And prompts with part "dead" come to "n1, n2" for 4 s, and sound ones beside them
+    Then at most 3 requests with part "dead" reached servers after the fifth crash
+    And the sound prompts of the last 1 s were answered
+
+  # Guards against knowledge that ends with the VM that has it.
+  @known_red
+  Scenario: crashes that a VM saw count after its end
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    And model servers crash inside an event under part "dead"
+    When 2 prompts with part "dead" come to "n1"
+    And VM "n1" crashes
+    And prompts with part "dead" come to "n2" for 4 s, and sound ones beside them
+    Then at most 3 requests with part "dead" reached servers after the fifth crash
+
+  @known_red
+  Scenario Outline: a part that is known stays blocked at VMs that start later
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    And model servers crash inside an event under part "dead"
+    When prompts with part "dead" come to "n1, n2" for 4 s, and sound ones beside them
+    And <event>
+    And 1.5 s pass
+    And VM "n3" starts
+    And 4 prompts with part "dead" come to "n3"
+    Then at most 3 requests with part "dead" reached servers after the fifth crash
+    And the last prompts with part "dead" were refused at once as "part_blocked"
+
+    Examples:
+      | event                                |
+      | nothing is sent for 1 s              |
+      | the store answers nothing any more   |
+      | VMs "n1, n2" crash                   |
+
+  # Guards against a popular part that is blamed for what it did not cause.
+  Scenario Outline: servers that end <how> block no part, however popular
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    When sound prompts come to "n1, n2" for 6 s while servers end <how>
+    Then no prompt was refused as "part_blocked"
+    And the sound prompts of the last 2 s were answered
+
+    Examples:
+      | how               |
+      | all at once       |
+      | one by one        |
+      | after they leave  |
