gateway/part_blocks: a part of prompts under which servers crash is refused by all VMs

Cause: a server's end was a failure of that server and nothing else. No decision related the ends of several servers to what they had in common, on any VM, so each request with the part went to the next sound server, and repeats went too.

Change: each VM notes the requests that were open at a server which ends unplanned and that the server has not outlived; their parts are suspects of that crash (policy/crash_evidence.py). A response that goes on for a second, or to an end that it marks, clears its parts of all crashes so far. Three crashes apart in time and of two requests (four of one) block a part. VMs tell each other of crashes and of what is cleared: both only add up, so order, loss and repetition don't matter. A blocked part is recorded in the store once, for VMs that start after all others have ended. Prompts with it are refused at once, before a send, after a wait, and on a hop (part_blocked, 503, not run). A request whose part is nearly blocked is not sent again by us. After a minute one request of the whole fleet may try again, two in all.

Why it works: the part crashes every server, so nothing ever clears it, while a sound part is cleared as fast as it is popular.

--- a/src/hickorybeam/errors.py
+++ b/src/hickorybeam/errors.py
@@ -79,6 +79,7 @@
     STREAM_BROKEN = "stream_broken"
     STREAM_UNKNOWN = "stream_unknown"
     STREAM_VERSION_GONE = "stream_version_gone"
+    PART_BLOCKED = "part_blocked"
     IDEMPOTENCY_MISMATCH = "idempotency_mismatch"
     IDEMPOTENCY_RUNNING = "idempotency_running"
     IDEMPOTENCY_INVALID = "idempotency_invalid"
@@ -190,6 +191,9 @@
         ErrorKind.STREAM_VERSION_GONE: ErrorResponse(
             503, _NO, _LATER, "no server has the version that began the stream"
         ),
+        ErrorKind.PART_BLOCKED: ErrorResponse(
+            503, _NO, _LATER, "a part of the prompt crashes backend servers"
+        ),
         ErrorKind.IDEMPOTENCY_MISMATCH: ErrorResponse(
             422, _NO, _NEVER, "key reused for other content"
         ),
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -7,7 +7,13 @@
 import anyio
 
 from hickorybeam.clock import MS_PER_SECOND
-from hickorybeam.gateway.hop import HOP_NOT_RUN, HOP_RETRY_AFTER_MS, NO_SERVER_ASKED, hop_headers
+from hickorybeam.gateway.hop import (
+    HOP_NOT_RUN,
+    HOP_RETRY_AFTER_MS,
+    PART_BLOCKED,
+    REJECTED,
+    hop_headers,
+)
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, address_of
 from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, find_header
 from hickorybeam.http1.head import request_bytes
@@ -35,6 +41,7 @@
     :param unreachable: no connection could be opened.
     :param rejected: a server received the request and rejected it.
     :param retry_after_ms: when the other end expects to have a free slot, if it says so.
+    :param part_blocked: another region's VM blocks a part of its prompt.
     """
 
     def __init__(
@@ -44,11 +51,13 @@
         unreachable: bool = False,
         rejected: bool = False,
         retry_after_ms: int | None = None,
+        part_blocked: bool = False,
     ) -> None:
         super().__init__(text)
         self.unreachable = unreachable
         self.rejected = rejected
         self.retry_after_ms = retry_after_ms
+        self.part_blocked = part_blocked
 
 
 class FirstByteTimeoutError(BrokenResponseError):
@@ -59,6 +68,7 @@
     """One attempt to send a request; whoever opens it must ``close`` it.
 
     :param copy_from: ``host:port`` of a server that holds shared parts of the prompt.
+    :param is_blocked: returns whether the request must not be sent any more.
     """
 
     def __init__(
@@ -68,8 +78,10 @@
         request: AdmittedRequest,
         *,
         copy_from: str | None = None,
+        is_blocked: Callable[[], bool] = lambda: False,
     ) -> None:
         self._pool = pool
+        self._is_blocked = is_blocked
         self._copy_from = copy_from
         self._target = target
         self._request = request
@@ -120,7 +132,8 @@
             retry_after = find_header(head.headers, HOP_RETRY_AFTER_MS) or b""
             raise NotRunError(
                 "the other region did not run it",
-                rejected=not_run != NO_SERVER_ASKED,
+                rejected=not_run == REJECTED,
+                part_blocked=not_run == PART_BLOCKED,
                 retry_after_ms=int(retry_after) if retry_after.isdigit() else None,
             )
         return head, decode_response(head)
@@ -133,6 +146,8 @@
         for fresh in (False, True):
             try:
                 self._conn = await self._pool.acquire(self._address, fresh=fresh)
+                if self._is_blocked():
+                    raise NotRunError("a part of its prompt was blocked meanwhile")
                 self._conn.send(data, expected_id=expected, head_only=call.method == "HEAD")
             except ConnectFailedError as exc:
                 raise NotRunError(str(exc), unreachable=True) from exc
--- a/src/hickorybeam/gateway/daemon.py
+++ b/src/hickorybeam/gateway/daemon.py
@@ -12,6 +12,7 @@
 from hickorybeam.gateway.cold_health_checks import ColdHealthCheckService
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
+from hickorybeam.gateway.part_blocks import PartBlocksService
 from hickorybeam.gateway.relay import RelayService
 from hickorybeam.gateway.reload import SettingsFile
 from hickorybeam.kernel import Kernel
@@ -23,6 +24,14 @@
 
 __all__ = ("build", "run", "serve")
 
+SERVICES = (
+    PlatformStore,
+    FeedService,
+    FleetService,
+    ColdHealthCheckService,
+    PartBlocksService,
+    RelayService,
+)
 # Relaying events is mostly the event loop's own work, which uvloop does in half of the time.
 LOOP_OPTIONS = {"use_uvloop": True}
 
@@ -40,7 +49,7 @@
     clock, counters = SystemClock(), counters or Counters()
     grace_ms = round(cfg.gateway.grace_s * MS_PER_SECOND) if cfg.gateway else 0
     kernel = Kernel(clock, drain_limit_ms=grace_ms)
-    for kind in (PlatformStore, FeedService, FleetService, ColdHealthCheckService, RelayService):
+    for kind in SERVICES:
         kernel.add(kind(cfg=cfg, clock=clock, counters=counters))
     return kernel
 
--- a/src/hickorybeam/gateway/final_responses.py
+++ b/src/hickorybeam/gateway/final_responses.py
@@ -9,6 +9,7 @@
     HOP_NOT_RUN,
     HOP_RETRY_AFTER_MS,
     NO_SERVER_ASKED,
+    PART_BLOCKED,
     REJECTED,
     without_hop_version,
 )
@@ -30,12 +31,14 @@
 __all__ = ("FinalResponses",)
 
 
-def not_run_headers(progress: RequestProgress, retry_after_ms: int | None) -> RawHeaders:
+def not_run_headers(progress: RequestProgress, exc: GatewayError) -> RawHeaders:
     """Return the headers that tell the VM which forwarded a request that it was not run here."""
     if not progress.own_region_only:
         return ()
-    not_run = (HOP_NOT_RUN, REJECTED if progress.may_have_arrived else NO_SERVER_ASKED)
-    return (not_run, (HOP_RETRY_AFTER_MS, b"%d" % (retry_after_ms or 0)))
+    why = REJECTED if progress.may_have_arrived else NO_SERVER_ASKED
+    if exc.kind is ErrorKind.PART_BLOCKED:
+        why = PART_BLOCKED
+    return ((HOP_NOT_RUN, why), (HOP_RETRY_AFTER_MS, b"%d" % (exc.retry_after_ms or 0)))
 
 
 class FinalResponses:
@@ -91,6 +94,16 @@
         exc = GatewayError(kind, progress.reason, retry_after_ms=retry_after_ms)
         self.refuse(request.call, response, exc, progress)
 
+    def refuse_or_give_up(
+        self, request: AdmittedRequest, progress: RequestProgress, exc: GatewayError
+    ) -> None:
+        """Refuse a request as not run; give it up if it may have run or its response began."""
+        if progress.may_have_run or progress.response.started:
+            progress.reason = str(exc)
+            self.give_up(request, progress)
+        else:
+            self.refuse(request.call, progress.response, exc, progress)
+
     def _not_run_error(
         self, request: AdmittedRequest, progress: RequestProgress
     ) -> tuple[ErrorKind, int]:
@@ -132,12 +145,13 @@
             kind=exc.kind.value,
             status=error.status,
             ran=error.ran is not Ran.NO,
+            detail=exc.detail,
             retry_after_ms=exc.retry_after_ms,
             config=config.version if config else None,
         )
         headers = refusal_headers(call.request_id, retry_after_ms=exc.retry_after_ms)
         if error.ran is Ran.NO and progress is not None:
-            headers = (*headers, *not_run_headers(progress, exc.retry_after_ms))
+            headers = (*headers, *not_run_headers(progress, exc))
         response.send(error.status, headers, close=exc.kind is ErrorKind.DRAINING)
 
     def record_success(
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -19,6 +19,7 @@
 from absl import logging
 
 from hickorybeam.gateway.coordinator_ranking import CoordinatorRanking
+from hickorybeam.gateway.crash_notices import CrashNotice
 from hickorybeam.gateway.datagrams import DatagramReceiver
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.peers import DISCOVERY_MS, MIN_STABLE_MS, PeerTable
@@ -68,6 +69,7 @@
         WaitForecast,
     )
     from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.policy.crash_evidence import ToldPart
     from hickorybeam.policy.stream_versions import ToldStreams
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
@@ -83,6 +85,7 @@
     | HeldPlacements
     | StreamQuestion
     | StreamAnswer
+    | CrashNotice
 )
 # One in this many reports to the own data centre is whole; the others hold only what changed.
 WHOLE_REPORT_EVERY = 10
@@ -128,6 +131,8 @@
         self.granted_usage: Callable[[], GrantedUsage] = dict
         # Returns accounts' leads at overloaded services that this VM places for its region.
         self.account_leads: Callable[[], dict[str, dict[str, float]]] = dict
+        # Returns the parts of prompts that servers crashed under, for whole reports.
+        self.suspects_to_report: Callable[[], list[ToldPart]] = list
         self._rng = random.Random()
         self._local_report_count = 0
         self._report_turns: dict[str, int] = {}
@@ -430,6 +435,7 @@
             departing={} if far else self.server_notices.heard_leaving(),
             leads=self.account_leads() if whole else {},
             loads={} if far else self._loads_to_report(),
+            suspects=self.suspects_to_report() if whole else [],
             streams=[] if with_levels else self._untold_streams(audience),
         )
 
--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -19,6 +19,7 @@
     "HOP_RETRY_AFTER_MS",
     "HOP_VERSION",
     "NO_SERVER_ASKED",
+    "PART_BLOCKED",
     "REJECTED",
     "decode_forwarded_request",
     "hop_headers",
@@ -35,15 +36,18 @@
 HOP_RESUME_AFTER = b"hop-resume-after"
 # The key of the version that began the request's stream; in a response, that of the server's.
 HOP_VERSION = b"hop-version"
+# Set if the request is a trial of a blocked part of its prompt.
+HOP_TRIAL = b"hop-trial"
 # The request's latency objective, and how much of it is used up: the time since it arrived, and the
 # way to the other region and back. Without them, the other region would let a request wait for
 # half of a usual objective after most of its own has passed.
 HOP_TARGET_MS = b"hop-target-ms"
 HOP_ELAPSED_MS = b"hop-elapsed-ms"
 # Response header between VMs: the request was not run, and the response comes from no backend
-# server. Its value tells whether a server rejected the request or none was asked.
+# server. Its value tells whether a server rejected the request, none was asked, or none may be, in
+# any region, because a part of the prompt crashes servers.
 HOP_NOT_RUN = b"hop-not-run"
-REJECTED, NO_SERVER_ASKED = b"rejected", b"not-asked"
+REJECTED, NO_SERVER_ASKED, PART_BLOCKED = b"rejected", b"not-asked", b"part-blocked"
 # Sent along with HOP_NOT_RUN: in how many ms the region expects to have a free slot.
 HOP_RETRY_AFTER_MS = b"hop-come-back-ms"
 DEFAULT_URGENCY = 5
@@ -67,6 +71,8 @@
         headers.append((HOP_RESUME_AFTER, request.resume_after.encode("latin-1")))
     if request.version_key is not None:
         headers.append((HOP_VERSION, request.version_key.hex().encode()))
+    if request.trial:
+        headers.append((HOP_TRIAL, b"1"))
     return tuple(headers)
 
 
@@ -108,6 +114,7 @@
         deadline_ms=req.arrived_ms + int(time_left_ms),
         resume_after=None if resume_after is None else resume_after.decode("latin-1"),
         version_key=hop_version(req.headers),
+        trial=find_header(req.headers, HOP_TRIAL) is not None,
     )
 
 
--- /dev/null
+++ b/src/hickorybeam/gateway/part_blocks.py
@@ -0,0 +1,212 @@
+"""The service ``part_blocks``: refuses prompts with a part that crashes backend servers.
+
+It turns the ends of servers that this VM sees into evidence, exchanges that with the other VMs, and
+keeps records of blocked parts in the store.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+import anyio
+
+from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.gateway.block_records import BlockRecords
+from hickorybeam.gateway.crash_notices import CrashNotice, relay_notice, send_notice
+from hickorybeam.gateway.feed import FeedService
+from hickorybeam.gateway.fleet import FleetService
+from hickorybeam.kernel import Service
+from hickorybeam.policy.crash_evidence import (
+    CrashEvidence,
+    crash_digest,
+    part_digest,
+    request_digest,
+)
+from hickorybeam.policy.retry_after import clamp_retry_after_ms
+from hickorybeam.ports import FEED, FLEET, PART_BLOCKS, PLATFORM
+from hickorybeam.store import PollingPlatform
+from hickorybeam.telemetry.decisions import DecisionLog
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.gateway.progress import RequestProgress
+    from hickorybeam.gateway.server_ends import EndedServer, OpenRequest
+    from hickorybeam.gateway.targets import AdmittedRequest
+    from hickorybeam.kernel import Kernel, Started
+    from hickorybeam.model.routing import RelayCall
+    from hickorybeam.policy.crash_evidence import BlockChange, ToldPart
+    from hickorybeam.settings import Settings
+    from hickorybeam.store import WatchBatch
+    from hickorybeam.telemetry import Counters
+
+__all__ = ("PartBlocksService",)
+
+# Under the gateway's own prefix in the store.
+RECORDS = "blocked/"
+NOTICE_INTERVAL_MS = 100
+RECORD_INTERVAL_MS = 500
+# A request whose part is blocked has no reason to come back soon.
+RETRY_AFTER_MS = 60_000
+# A part that was not asked for here lately needs no trial, and a trial that nobody used lapses.
+ASKED_MS = 10_000
+TRIAL_MS = 30_000
+MAX_ASKED = 256
+
+
+class PartBlocksService(Service):
+    """Owns what this VM knows of the parts that servers crashed under."""
+
+    name: ClassVar[str] = PART_BLOCKS
+    needs: ClassVar[tuple[str, ...]] = (PLATFORM, FEED, FLEET)
+
+    def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._evidence = CrashEvidence()
+        self._log = DecisionLog(clock)
+        # By blocked part: when it was last asked for here, and until when a trial may be used.
+        self._asked_ms: dict[bytes, int] = {}
+        self._trial_until_ms: dict[bytes, int] = {}
+        self._changes = counters.counter(
+            "part_blocks", "Parts of prompts blocked or unblocked", ("change", "by")
+        )
+        blocked = counters.gauge("parts_blocked", "Parts of prompts that are blocked")
+        blocked.set_function(lambda: len(self._evidence.blocked))
+        suspected = counters.gauge("parts_suspected", "Parts of prompts that crashes are known of")
+        suspected.set_function(lambda: len(self._evidence))
+
+    def bind(self, kernel: Kernel) -> None:
+        """Look up the store, the feed and the fleet."""
+        store = kernel.find(PLATFORM, PollingPlatform)  # type: ignore[type-abstract]
+        self._fleet = kernel.find(FLEET, FleetService)
+        self._records = BlockRecords(
+            clock=self._clock, store=store, prefix=f"{self._cfg.platform.prefix}{RECORDS}"
+        )
+        kernel.find(FEED, FeedService).on_batch(self._apply_batch)
+        self._fleet.on_message(CrashNotice, self._receive)
+        self._fleet.suspects_to_report = lambda: self._evidence.to_report(self._clock.now())
+        self._fleet.reports.on_suspects = lambda told: self._merge(told, by="vm")
+
+    async def main(self, started: Started) -> None:
+        """Send notices and keep the records until cancelled."""
+        started()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._send_notices)
+            tg.start_soon(self._keep_records)
+
+    def check(self, request: AdmittedRequest, progress: RequestProgress) -> None:
+        """Check that no part of a request's prompt is blocked, here or at a VM that was asked.
+
+        A request that is a trial passes until it has been sent to a server.
+
+        :raises GatewayError: one is.
+        """
+        blocked = self._blocked_parts(request)
+        if not blocked and not progress.part_blocked:
+            return
+        if not progress.may_have_run and self._is_trial(request, blocked):
+            return
+        now = self._clock.now()
+        for part in blocked:
+            self._asked_ms[part] = now
+        while len(self._asked_ms) > MAX_ASKED:
+            del self._asked_ms[next(iter(self._asked_ms))]
+        raise GatewayError(
+            ErrorKind.PART_BLOCKED,
+            " ".join(part.hex() for part in blocked),
+            retry_after_ms=clamp_retry_after_ms(RETRY_AFTER_MS, request.deadline_ms - now),
+        )
+
+    def is_blocked(self, request: AdmittedRequest) -> bool:
+        """Return whether a request that is about to be sent must not be."""
+        return not request.trial and bool(self._blocked_parts(request))
+
+    def is_suspected(self, request: AdmittedRequest) -> bool:
+        """Return whether a part of a request's prompt is nearly blocked, so it isn't sent again."""
+        return self._evidence.is_suspected(shared_parts(request.service, request.call))
+
+    def _blocked_parts(self, request: AdmittedRequest) -> list[bytes]:
+        if not self._evidence.blocked:
+            return []
+        return self._evidence.blocked_among(shared_parts(request.service, request.call))
+
+    def record_end(self, ended: EndedServer) -> None:
+        """Record that a server ended unplanned, and under which requests."""
+        server = ended.server_state.server
+        suspects = [
+            (part, request_digest(call.parts[-1].id))
+            for call in ended.suspects
+            for part in shared_parts(server.service, call)
+        ]
+        crash = crash_digest(server.id, server.born_ms)
+        self._record_changes(self._evidence.record_crash(crash, suspects, ended.at_ms), by="here")
+
+    def record_proven(self, request: OpenRequest) -> None:
+        """Record that a server has outlived the beginning of a request's response."""
+        parts = shared_parts(request.server_state.server.service, request.call)
+        self._record_changes(self._evidence.record_sound(parts, self._clock.now()), by="here")
+
+    def _is_trial(self, request: AdmittedRequest, blocked: list[bytes]) -> bool:
+        """Return whether a request is a trial; it becomes one if the trial of its part is due.
+
+        With two blocked parts a crash would not tell which one caused it.
+        """
+        if request.trial:
+            return True
+        until_ms = self._trial_until_ms.pop(blocked[0], 0) if len(blocked) == 1 else 0
+        if until_ms <= self._clock.now():
+            return False
+        request.trial = True
+        self._log.write("part_trial", part=blocked[0].hex(), request=request.call.request_id)
+        return True
+
+    def _receive(self, notice: CrashNotice) -> None:
+        relay_notice(self._fleet, notice)
+        self._merge(notice.parts, by="vm")
+
+    def _apply_batch(self, batch: WatchBatch) -> None:
+        told = self._records.apply(batch)
+        if told:
+            self._merge(told, by="store")
+
+    def _merge(self, told: Iterable[ToldPart], *, by: str) -> None:
+        self._record_changes(self._evidence.merge(told, self._clock.now()), by=by)
+
+    def _record_changes(self, changes: Iterable[BlockChange], *, by: str) -> None:
+        """Log and count what is blocked or unblocked, and plan to record it in the store.
+
+        :param by: who concluded it: this VM (``here``), another ``vm`` or the ``store``.
+        """
+        for part, blocked, crashes in changes:
+            change = "blocked" if blocked else "unblocked"
+            self._changes.labels(change, by).inc()
+            self._log.write(f"part_{change}", part=part.hex(), by=by, crashes=crashes)
+            self._records.plan_write(part, at_once=by == "here")
+
+    async def _send_notices(self) -> None:
+        while True:
+            await self._clock.sleep(NOTICE_INTERVAL_MS)
+            untold = self._evidence.take_untold(self._clock.now())
+            if untold:
+                send_notice(self._fleet, untold)
+
+    async def _keep_records(self) -> None:
+        while True:
+            await self._clock.sleep(RECORD_INTERVAL_MS)
+            now = self._clock.now()
+            blocked = {part: self._evidence.told(part, now) for part in self._evidence.blocked}
+            await self._records.write_due(blocked)
+            for part in blocked:
+                if now - self._asked_ms.get(part, now - ASKED_MS) < ASKED_MS:
+                    await self._seek_trial(part)
+
+    async def _seek_trial(self, part: bytes) -> None:
+        if await self._records.take_trial(part):
+            self._trial_until_ms[part] = self._clock.now() + TRIAL_MS
+
+
+def shared_parts(service: str, call: RelayCall) -> list[bytes]:
+    """Return the digests of a prompt's parts without the last one, which is the request's own."""
+    return [part_digest(service, part.id) for part in call.parts[:-1]]
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -38,6 +38,7 @@
     ``sends`` counts attempts, ``runs`` those that may have run, and ``outcome_open`` is set while
     the outcome of one is unknown.
     ``began``: bytes of a stream have been passed on.
+    ``part_blocked``: another region's VM stated that a part of the prompt is blocked.
     ``rejected``: a server received the request and stated that it did not run it.
     ``tried`` holds the names of targets, ``refused_regions`` those of regions whose VM stated that
     it did not run the request.
@@ -56,6 +57,7 @@
     outcome_open: bool = False
     began: bool = False
     rejected: bool = False
+    part_blocked: bool = False
     tried: set[str] = field(default_factory=set)
     refused_regions: set[str] = field(default_factory=set)
     failed_response: tuple[ResponseHead, ResponseInfo, bytes] | None = None
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -12,12 +12,13 @@
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.hop import decode_forwarded_request
 from hickorybeam.gateway.learned_metrics import LearnedMetrics
+from hickorybeam.gateway.part_blocks import PartBlocksService
 from hickorybeam.gateway.request_handler import RequestHandler, shutdown_times
 from hickorybeam.http1 import HttpServer, UpstreamPool
 from hickorybeam.kernel import Service
 from hickorybeam.platform import decode_query, directory_response
 from hickorybeam.policy.directory_listing import RegionVms, vms_to_list
-from hickorybeam.ports import FEED, FLEET, RELAY
+from hickorybeam.ports import FEED, FLEET, PART_BLOCKS, RELAY
 from hickorybeam.sockets import bind_socket, split_address
 from hickorybeam.telemetry.decisions import DecisionLog
 
@@ -64,7 +65,7 @@
     """Listens on the VM's ports and passes requests to their handlers."""
 
     name: ClassVar[str] = RELAY
-    needs: ClassVar[tuple[str, ...]] = (FEED, FLEET)
+    needs: ClassVar[tuple[str, ...]] = (FEED, FLEET, PART_BLOCKS)
 
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
         self._cfg = cfg
@@ -93,6 +94,7 @@
                 self._clock, connect_ms=CONNECT_TIMEOUT_MS, silent_ms=UNACKED_TIMEOUT_MS
             ),
             log=DecisionLog(self._clock),
+            part_blocks=kernel.find(PART_BLOCKS, PartBlocksService),
         )
 
     def reload(self, cfg: GatewaySettings) -> None:
--- a/src/hickorybeam/gateway/report_receiver.py
+++ b/src/hickorybeam/gateway/report_receiver.py
@@ -18,12 +18,15 @@
     from hickorybeam.gateway.status_report import StatusReport
     from hickorybeam.http1.pool import Address
     from hickorybeam.model.routing import GatewayVm
+    from hickorybeam.policy.crash_evidence import ToldPart
     from hickorybeam.policy.fleet_quota import FleetQuota
     from hickorybeam.policy.prefix_holders import PrefixHolders
     from hickorybeam.policy.stream_versions import StreamVersions
 
     # Takes a region and the leads of its accounts, by service, as its coordinator told them.
     LeadsHandler = Callable[[str, dict[str, dict[str, float]]], None]
+    # Takes the parts of prompts that servers crashed under.
+    SuspectsHandler = Callable[[list[ToldPart]], None]
 
 __all__ = ("ReportReceiver",)
 
@@ -60,6 +63,7 @@
         self._send_levels = send_levels
         self._to_relay: list[StatusReport] = []
         self.on_leads: LeadsHandler = lambda region, leads: None
+        self.on_suspects: SuspectsHandler = lambda suspects: None
         # Whether this VM has just started and needs an older one's quota levels.
         self.needs_levels = True
 
@@ -94,6 +98,8 @@
             self._apply_own_region(report, peer, now)
         else:
             peer.forecasts = report.forecasts
+        if report.suspects:
+            self.on_suspects(report.suspects)
         if report.leads:
             self.on_leads(peer.vm.region, report.leads)
         started_later = report.up_ms < now - self._started_ms
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -20,6 +20,7 @@
     PlacementRequest,
     PlacementResponse,
     PlacementUpdate,
+    SendStatus,
 )
 from hickorybeam.gateway.progress import RequestProgress
 from hickorybeam.gateway.region_servers import RegionServers
@@ -27,6 +28,7 @@
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.server_ends import ServerEnds
 from hickorybeam.gateway.service_queue import ServiceQueues
+from hickorybeam.gateway.slot_grant import SlotGrant
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.gateway.stream_origins import (
     StreamOrigins,
@@ -53,6 +55,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.part_blocks import PartBlocksService
     from hickorybeam.gateway.status_report import WaitForecast
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import IncomingRequest, ResponseWriter, UpstreamPool
@@ -83,6 +86,7 @@
         fleet: FleetService,
         pool: UpstreamPool,
         log: DecisionLog,
+        part_blocks: PartBlocksService,
     ) -> None:
         self._cfg = cfg
         self._clock = clock
@@ -91,6 +95,7 @@
         self._routing_state = feed.routing_state
         self._started_ms = clock.now()
         self._fleet = fleet
+        self._part_blocks = part_blocks
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._queues = ServiceQueues(clock, counters, fair=cfg.fair_share)
         self._admission = Admission(
@@ -130,7 +135,12 @@
         self._peer_connections = PeerConnections(fleet=fleet, pool=pool)
         self._stream_origins = StreamOrigins(clock=clock, counters=counters, fleet=fleet, feed=feed)
         self._server_ends = ServerEnds(
-            clock=clock, counters=counters, routing_state=feed.routing_state, pool=pool
+            clock=clock,
+            counters=counters,
+            routing_state=feed.routing_state,
+            pool=pool,
+            on_end=part_blocks.record_end,
+            on_proven=part_blocks.record_proven,
         )
         self._sender = Sender(
             clock=clock,
@@ -141,6 +151,7 @@
             final_responses=self._final_responses,
             stream_origins=self._stream_origins,
             server_ends=self._server_ends,
+            is_blocked=part_blocks.is_blocked,
         )
 
     async def run_placement(self) -> None:
@@ -204,6 +215,7 @@
     async def _run_attempts(self, request: AdmittedRequest, progress: RequestProgress) -> None:
         """Send a request to one target after the other until it has a final response."""
         try:
+            self._part_blocks.check(request, progress)
             if is_taken_up(request):
                 await self._stream_origins.bind(request)
             elif progress.own_region_only:
@@ -212,6 +224,8 @@
             self._final_responses.refuse(request.call, progress.response, exc, progress)
             return
         while (target := await self._next_target(request, progress)) is not None:
+            if self._is_blocked(request, progress, target):
+                return
             progress.sends += 1
             progress.tried.add(target_name(target))
             await self._sender.send(
@@ -220,12 +234,31 @@
                 progress,
                 should_fail_over=lambda: self._fail_over(target, request, progress),
             )
-            if progress.response.done:
+            if progress.response.done or self._is_blocked(request, progress):
                 return
             if progress.runs and not may_run_again(request, progress):
                 self._final_responses.give_up(request, progress)
                 return
 
+    def _is_blocked(
+        self, request: AdmittedRequest, progress: RequestProgress, target: Target | None = None
+    ) -> bool:
+        """Return whether a part of a request's prompt is blocked; it then got its final response.
+
+        That may become known while it waits for a slot, or after a send.
+
+        :param target: where it was about to be sent; a slot granted there becomes free again.
+        """
+        try:
+            self._part_blocks.check(request, progress)
+        except GatewayError as exc:
+            match target:
+                case ServerTarget(grant=SlotGrant() as grant):
+                    grant.report_end(SendStatus.LEFT)
+            self._final_responses.refuse_or_give_up(request, progress, exc)
+            return True
+        return False
+
     async def _next_target(
         self, request: AdmittedRequest, progress: RequestProgress
     ) -> Target | None:
@@ -299,6 +332,9 @@
             # No server received it, so this is no retry. If it were charged, full regions that
             # refuse at once would use up the budget meant for servers that fail.
             return True
+        if progress.runs and self._part_blocks.is_suspected(request):
+            progress.reason += ", a part of its prompt may crash servers"
+            return False
         if not self._budget(request.service).take(self._clock.now(), self._fleet.known_vm_count()):
             progress.reason += ", no retry budget left"
             return False
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -56,6 +56,7 @@
         final_responses: FinalResponses,
         stream_origins: StreamOrigins,
         server_ends: ServerEnds,
+        is_blocked: Callable[[AdmittedRequest], bool],
     ) -> None:
         self._clock = clock
         self._server_notices = server_notices
@@ -64,6 +65,7 @@
         self._final_responses = final_responses
         self._stream_origins = stream_origins
         self._server_ends = server_ends
+        self._is_blocked = is_blocked
         self._response_ends = ResponseEnds(counters)
         self._resumed_streams = ResumedStreams(counters, final_responses)
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
@@ -86,7 +88,13 @@
         progress.expected_wait_ms = in_flight.expected_wait_ms if in_flight else 0.0
         timeout_ms = self._first_byte_timeout_ms(request, progress)
         copy_from = in_flight.copy_from if in_flight else None
-        attempt = Attempt(self._pool, target, request, copy_from=copy_from)
+        attempt = Attempt(
+            self._pool,
+            target,
+            request,
+            copy_from=copy_from,
+            is_blocked=lambda: self._is_blocked(request),
+        )
         open_request = self._open_request(target, request, attempt)
         progress.outcome_open = True
         status = SendStatus.LEFT
@@ -116,6 +124,7 @@
         except NotRunError as exc:
             progress.outcome_open = False
             progress.rejected |= exc.rejected
+            progress.part_blocked |= exc.part_blocked
             progress.reason = str(exc)
             match target:
                 case _ if exc.unreachable:
--- a/src/hickorybeam/gateway/server_ends.py
+++ b/src/hickorybeam/gateway/server_ends.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -38,8 +39,12 @@
 # three of its intervals of renewal, and the way from the store.
 MAX_SILENCE_MS = 6_000
 SILENCE_POLL_MS = 200
+# Servers behind a network that is cut fall silent one after the other, as their connections time
+# out. Those within this time of the first have ended together.
+SAME_SILENCE_MS = 5_000
 # Requests whose prompts' parts a log line names.
 MAX_LOGGED_REQUESTS = 8
+MAX_LOGGED_SERVERS = 256
 
 
 class ServerEnd(Enum):
@@ -109,6 +114,9 @@
         self._tasks: TaskGroup | None = None
         self._open: dict[ServerState, set[OpenRequest]] = {}
         self._breaks: dict[ServerState, _Breaks] = {}
+        self._silent_since_ms = -SAME_SILENCE_MS
+        # Servers whose end has been logged, the latest ones.
+        self._logged: OrderedDict[ServerState, None] = OrderedDict()
         self._ended = counters.counter(
             "server_ends",
             "Servers that ended while requests were open there, and whether they said so before",
@@ -175,6 +183,7 @@
         end = await self._end_of(server_state)
         if end is ServerEnd.SILENT and not planned:
             end = await self._wait_for_entry(server_state)
+            breaks.since_ms = self._common_silence_ms(breaks.since_ms)
         del self._breaks[server_state]
         match end:
             case ServerEnd.ENDED:
@@ -212,6 +221,12 @@
                 return ServerEnd.ENDED
         return ServerEnd.SILENT
 
+    def _common_silence_ms(self, since_ms: int) -> int:
+        """Return since when a server is silent, or the servers that fell silent with it."""
+        if since_ms - self._silent_since_ms >= SAME_SILENCE_MS:
+            self._silent_since_ms = since_ms
+        return self._silent_since_ms
+
     def _prove_whole(self, breaks: _Breaks) -> None:
         """Prove the requests whose unframed response ended, now that their server is there."""
         for request in breaks.requests:
@@ -219,8 +234,26 @@
                 self._prove(request)
 
     def _report(self, server_state: ServerState, breaks: _Breaks, *, planned: bool) -> None:
-        server = server_state.server
         suspects = [it for it in breaks.requests if not it.proven]
+        if server_state not in self._logged:
+            self._log_end(server_state, breaks, suspects, planned=planned)
+        if not planned:
+            calls = tuple(it.call for it in suspects)
+            self._on_end(EndedServer(server_state, breaks.since_ms, calls))
+
+    def _log_end(
+        self,
+        server_state: ServerState,
+        breaks: _Breaks,
+        suspects: list[OpenRequest],
+        *,
+        planned: bool,
+    ) -> None:
+        """Log and count the end of a server; what breaks off there later adds nothing to that."""
+        self._logged[server_state] = None
+        if len(self._logged) > MAX_LOGGED_SERVERS:
+            self._logged.popitem(last=False)
+        server = server_state.server
         begun = [it for it in suspects if it.began_ms is not None]
         self._ended.labels(server.service, "yes" if planned else "no").inc()
         self._log.write(
@@ -234,9 +267,6 @@
             just_begun=[self._described(it, breaks) for it in begun[:MAX_LOGGED_REQUESTS]],
             not_begun=len(suspects) - len(begun),
         )
-        if not planned:
-            calls = tuple(it.call for it in suspects)
-            self._on_end(EndedServer(server_state, breaks.since_ms, calls))
 
     @staticmethod
     def _described(request: OpenRequest, breaks: _Breaks) -> dict[str, object]:
--- a/src/hickorybeam/gateway/status_report.py
+++ b/src/hickorybeam/gateway/status_report.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hickorybeam.model.routing import GatewayVm  # noqa: TC001 - msgspec reads the annotation
+from hickorybeam.policy.crash_evidence import ToldPart  # noqa: TC001 - msgspec reads it too
 from hickorybeam.policy.stream_versions import ToldStreams  # noqa: TC001 - msgspec reads it too
 
 __all__ = (
@@ -80,7 +81,7 @@
     its last response to the reporting VM said. ``streams``: those that began at the VM
     since its last report to the same receivers. ``fresh``: the VM has just started and needs quota
     levels, which an older VM sends it in ``levels``. ``holds``: servers to which shared prompt
-    parts were sent, by part id.
+    parts were sent, by part id. ``suspects``: parts of prompts that servers crashed under.
     """
 
     name: str
@@ -105,6 +106,7 @@
     leads: dict[str, dict[str, float]] = {}
     loads: dict[str, ReportedLoad] = {}
     streams: list[ToldStreams] = []
+    suspects: list[ToldPart] = []
 
 
 def add_usage(one: ServerUsage, other: ServerUsage) -> ServerUsage:
--- a/src/hickorybeam/gateway/targets.py
+++ b/src/hickorybeam/gateway/targets.py
@@ -54,7 +54,8 @@
     ``resume_after`` is the id of the last event that the caller has received; it advances when a
     stream breaks off. ``deadline_ms`` is on this VM's clock. ``version_key`` is the key of the only
     version of the servers' software that may run it, since it began the stream; ``None`` if no
-    event of the stream has been passed on, and unknown if the server named no version.
+    event of the stream has been passed on, and unknown if the server named no version. ``trial``:
+    it is sent to see whether a blocked part of its prompt still crashes servers.
     """
 
     call: RelayCall
@@ -66,6 +67,7 @@
     resume_after: str | None
     cost: float = 0.0
     version_key: bytes | None = None
+    trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/ports.py
+++ b/src/hickorybeam/ports.py
@@ -36,6 +36,7 @@
     "FRONT",
     "MEMBERS",
     "ONCE",
+    "PART_BLOCKS",
     "PEERS",
     "PLATFORM",
     "RELAY",
@@ -67,6 +68,7 @@
 FLEET = "fleet"
 RELAY = "relay"
 COLD_HEALTH_CHECKS = "cold_asking"
+PART_BLOCKS = "part_blocks"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/crashing_parts.feature
+++ b/tests/gateway/crashing_parts.feature
@@ -29,7 +29,6 @@
       | unframed |
 
   # Guards against a query of death that takes one server after the other.
-  @known_red
   Scenario Outline: at most three requests more reach servers after five have crashed
     Given a gateway of VMs "<vms>"
     And model servers "<servers>"
@@ -50,7 +49,6 @@
       | n1@north-1, n2@north-1, s1@south-1              | m7@south-1, m8@south-1, m9@south-1                                             | n1, n2, s1     | before the head      |
 
   # Guards against a failover that carries the crash to the next server.
-  @known_red
   Scenario: repeats of a stream that may be resumed count like new requests
     Given a gateway of VMs "n1@north-1, n2@north-1"
     And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
@@ -60,7 +58,6 @@
     Then at most 3 requests with part "dead" reached servers after the fifth crash
     And the sound prompts of the last 2 s were answered
 
-  @known_red
   Scenario: two parts at once are both found
     Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
     And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1, m8@south-1, m9@south-1"
@@ -71,7 +68,6 @@
     And the sound prompts of the last 2 s were answered
 
   # Guards against knowledge that waits for the store.
-  @known_red
   Scenario: a part is found while the store is away
     Given a gateway of VMs "n1@north-1, n2@north-1"
     And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1, m5@north-1, m6@north-1, m7@north-1, m8@north-1, m9@north-1"
@@ -82,7 +78,6 @@
     And the sound prompts of the last 1 s were answered
 
   # Guards against knowledge that ends with the VM that has it.
-  @known_red
   Scenario: crashes that a VM saw count after its end
     Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
     And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
@@ -92,7 +87,6 @@
     And prompts with part "dead" come to "n2" for 4 s, and sound ones beside them
     Then at most 3 requests with part "dead" reached servers after the fifth crash
 
-  @known_red
   Scenario Outline: a part that is known stays blocked at VMs that start later
     Given a gateway of VMs "n1@north-1, n2@north-1"
     And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
--- /dev/null
+++ b/tests/policy/crash_evidence.feature
@@ -0,0 +1,146 @@
+Feature: which parts of prompts are blocked for the servers that crashed under them
+
+  Scenario: three crashes under a part that nothing clears block it
+    When servers crash under part "a" at "1000, 2000, 3000" ms
+    Then part "a" is blocked
+
+  Scenario: two do not
+    When servers crash under part "a" at "1000, 2000" ms
+    Then part "a" is not blocked
+
+  # Guards against a popular part that is blamed for what it did not cause.
+  Scenario Outline: a part under which a server goes on is cleared of what was before
+    When servers crash under part "a" at "<before>" ms
+    And a server outlives part "a" at <sound> ms
+    And servers crash under part "a" at "<after>" ms
+    Then part "a" is <verdict>
+
+    Examples:
+      | before                 | sound | after                    | verdict     |
+      | 1000, 2000             | 2500  | 6000                     | not blocked |
+      | 1000, 2000, 3000       | 3500  | 9000                     | not blocked |
+      | 1000, 2000, 3000, 4000 | 4500  | 9000, 9500               | not blocked |
+      | 1000, 2000             | 2500  | 6000, 7000, 8000         | blocked     |
+
+  # Guards against a part that was sound a moment ago being taken for the cause.
+  Scenario: a part that was sound shortly before a crash is no suspect
+    When a server outlives part "a" at 900 ms
+    And servers crash under part "a" at "1000, 1500, 2000, 2800" ms
+    Then part "a" is not blocked
+
+  # Guards against power or a network being taken for three crashes.
+  Scenario: crashes at the same moment count once
+    When servers crash under part "a" at "1000, 1010, 1050, 1100, 1150, 2000" ms
+    Then part "a" is not blocked
+    When servers crash under part "a" at "3000" ms
+    Then part "a" is blocked
+
+  Scenario: so many crashes at the same moment leave room for later ones
+    When servers crash under part "a" at "1000, 1010, 1020, 1030, 1040, 1050, 1060, 1070, 1080, 1090" ms
+    And servers crash under part "a" at "2000, 3000" ms
+    Then part "a" is blocked
+
+  Scenario Outline: repeats of one request count for less
+    When servers crash under part "a" of one request at "<times>" ms
+    Then part "a" is <verdict>
+
+    Examples:
+      | times                  | verdict     |
+      | 1000, 2000, 3000       | not blocked |
+      | 1000, 2000, 3000, 4000 | blocked     |
+
+  # Guards against sound parts that were open at servers which a blocked part crashes.
+  Scenario: a blocked part explains the crashes under it
+    When servers crash under part "a" at "1000, 2000, 3000" ms
+    And servers crash under parts "a, b" at "4000, 5000, 6000, 7000" ms
+    Then part "a" is blocked
+    And part "b" is not blocked
+
+  Scenario: two parts are found at once
+    When servers crash under part "a" at "1000, 2000" ms
+    And servers crash under part "b" at "1300, 2300" ms
+    And servers crash under part "a" at "3000" ms
+    And servers crash under part "b" at "3300" ms
+    Then part "a" is blocked
+    And part "b" is blocked
+
+  # Guards against knowledge that counts for each VM alone.
+  Scenario: crashes that several VMs saw add up
+    When "n1" sees a crash of "m1" under part "a" at 1000 ms
+    And "n2" sees a crash of "m2" under part "a" at 2000 ms
+    And "n3" sees a crash of "m3" under part "a" at 3000 ms
+    And the VMs tell each other at 3100 ms
+    Then part "a" is blocked at "n1, n2, n3"
+
+  Scenario: a crash that several VMs saw counts once
+    When "n1" sees a crash of "m1" under part "a" at 1000 ms
+    And "n2" sees a crash of "m1" under part "a" at 1300 ms
+    And "n3" sees a crash of "m1" under part "a" at 1600 ms
+    And the VMs tell each other at 1700 ms
+    Then part "a" is not blocked at "n1, n2, n3"
+
+  # Guards against a VM that has heard of less and goes on sending.
+  Scenario: a conclusion is told with its crashes
+    When servers crash under part "a" at "1000, 2000, 3000" ms
+    And the VMs tell each other at 3100 ms
+    Then part "a" is blocked at "n1, n2, n3"
+
+  Scenario Outline: what one VM clears is cleared everywhere, whatever is told again
+    When "n1" sees a crash of "m1" under part "a" at 1000 ms
+    And "n1" sees a crash of "m2" under part "a" at 2000 ms
+    And "n1" sees a crash of "m3" under part "a" at 3000 ms
+    And the VMs tell each other at 3100 ms
+    And "<vm>" sees a server outlive part "a" at 3500 ms
+    And the VMs tell each other at 3600 ms
+    And the VMs tell each other at 3700 ms
+    Then part "a" is not blocked at "n1, n2, n3"
+
+    Examples:
+      | vm |
+      | n1 |
+      | n3 |
+
+  # Guards against what a VM clears before it hears of the crash.
+  Scenario: a VM that saw the part sound after a crash clears it when it hears of the crash
+    When "n1" sees a crash of "m1" under part "a" at 1000 ms
+    And "n2" sees a server outlive part "a" at 1500 ms
+    And "n1" sees a crash of "m2" under part "a" at 2000 ms
+    And "n1" sees a crash of "m3" under part "a" at 2500 ms
+    And "n2" sees a server outlive part "a" at 2800 ms
+    And the VMs tell each other at 2900 ms
+    And the VMs tell each other at 3000 ms
+    Then part "a" is not blocked at "n1, n2, n3"
+
+  Scenario: what was told again and again changes nothing
+    When "n1" sees a crash of "m1" under part "a" at 1000 ms
+    And "n1" sees a crash of "m2" under part "a" at 2000 ms
+    And the VMs tell each other 20 times from 2100 ms on
+    Then part "a" is not blocked at "n1, n2, n3"
+    And each VM knows 2 crashes under part "a"
+
+  # Guards against tables that grow with parts and crashes.
+  Scenario: the table is bounded, and blocked parts stay
+    When servers crash under part "a" at "1000, 2000, 3000" ms
+    And 5000 further parts are suspected of a crash each
+    Then part "a" is blocked
+    And at most 1024 parts are known
+
+  Scenario: evidence ends after its time, a blocked part after a longer one
+    When servers crash under part "a" at "1000, 2000, 3000" ms
+    And servers crash under part "b" at "1000, 2000" ms
+    And servers crash under part "c" at "4000000" ms
+    Then part "a" is blocked
+    When servers crash under part "b" at "4001000" ms
+    Then part "b" is not blocked
+    When servers crash under part "c" at "90000000" ms
+    Then part "a" is not blocked
+
+  Scenario Outline: a trial is due after a while, and few are in all
+    When a blocked part had <trials> trials and the last crash was at 1000 ms
+    Then its next trial is due at <due>
+
+    Examples:
+      | trials | due    |
+      | 0      | 61000  |
+      | 1      | 481000 |
+      | 2      | never  |
--- /dev/null
+++ b/tests/steps/policy/crash_evidence_steps.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+from collections import defaultdict
+from itertools import count
+
+from behave import then, when
+
+from hickorybeam.policy.block_trials import trial_due_ms
+from hickorybeam.policy.crash_evidence import (
+    CrashEvidence,
+    crash_digest,
+    part_digest,
+    request_digest,
+)
+
+VM = "n1"
+VMS = ("n1", "n2", "n3")
+
+
+def evidence(context, vm=VM):
+    if not hasattr(context, "evidence"):
+        context.evidence = defaultdict(CrashEvidence)
+        context.numbers = count(1)
+        for name in VMS:
+            context.evidence[name]
+    return context.evidence[vm]
+
+
+def digest(part):
+    return part_digest("model", part)
+
+
+def split(text):
+    return [it.strip() for it in text.split(",")]
+
+
+def crash(context, vm, server, parts, at_ms, request):
+    suspects = [(digest(part), request_digest(request)) for part in parts]
+    evidence(context, vm).record_crash(crash_digest(server, 0), suspects, at_ms)
+
+
+@when('servers crash under part "{parts}" at "{times}" ms')
+@when('servers crash under parts "{parts}" at "{times}" ms')
+def step_crashes(context, parts, times):
+    evidence(context)
+    for at_ms in split(times):
+        number = next(context.numbers)
+        crash(context, VM, f"s{number}", split(parts), int(at_ms), f"r{number}")
+
+
+@when('servers crash under part "{part}" of one request at "{times}" ms')
+def step_crashes_of_one(context, part, times):
+    evidence(context)
+    for at_ms in split(times):
+        crash(context, VM, f"s{next(context.numbers)}", [part], int(at_ms), "r")
+
+
+@when('"{vm}" sees a crash of "{server}" under part "{part}" at {at_ms:d} ms')
+def step_sees_crash(context, vm, server, part, at_ms):
+    crash(context, vm, server, [part], at_ms, f"r-{server}")
+
+
+@when('a server outlives part "{part}" at {at_ms:d} ms')
+def step_outlives(context, part, at_ms):
+    evidence(context).record_sound([digest(part)], at_ms)
+
+
+@when('"{vm}" sees a server outlive part "{part}" at {at_ms:d} ms')
+def step_sees_outlive(context, vm, part, at_ms):
+    evidence(context, vm).record_sound([digest(part)], at_ms)
+
+
+@when("the VMs tell each other at {at_ms:d} ms")
+def step_tell(context, at_ms):
+    told = {name: evidence(context, name).take_untold(at_ms) for name in VMS}
+    for name in VMS:
+        for other in VMS:
+            if other != name:
+                evidence(context, name).merge(told[other], at_ms)
+
+
+@when("the VMs tell each other {times:d} times from {at_ms:d} ms on")
+def step_tell_often(context, times, at_ms):
+    for number in range(times):
+        step_tell(context, at_ms + 1_000 * number)
+        for name in VMS:
+            for other in VMS:
+                reported = evidence(context, other).to_report(at_ms + 1_000 * number)
+                evidence(context, name).merge(reported, at_ms + 1_000 * number)
+
+
+@when("{number:d} further parts are suspected of a crash each")
+def step_many_parts(context, number):
+    for i in range(number):
+        crash(context, VM, f"t{i}", [f"p{i}"], 10_000 + 300 * i, f"q{i}")
+
+
+@when("a blocked part had {trials:d} trials and the last crash was at {last_ms:d} ms")
+def step_trials(context, trials, last_ms):
+    context.due_ms = trial_due_ms(trials=trials, last_ms=last_ms)
+
+
+@then("its next trial is due at {due}")
+def step_due(context, due):
+    assert context.due_ms == (None if due == "never" else int(due)), context.due_ms
+
+
+@then('part "{part}" is blocked')
+def step_blocked(context, part):
+    assert evidence(context).blocked_among([digest(part)])
+
+
+@then('part "{part}" is not blocked')
+def step_not_blocked(context, part):
+    assert not evidence(context).blocked_among([digest(part)])
+
+
+@then('part "{part}" is blocked at "{vms}"')
+def step_blocked_at(context, part, vms):
+    found = [vm for vm in split(vms) if evidence(context, vm).blocked_among([digest(part)])]
+    assert found == split(vms), found
+
+
+@then('part "{part}" is not blocked at "{vms}"')
+def step_not_blocked_at(context, part, vms):
+    found = [vm for vm in split(vms) if evidence(context, vm).blocked_among([digest(part)])]
+    assert not found, found
+
+
+@then("at most {limit:d} parts are known")
+def step_bounded(context, limit):
+    assert len(evidence(context)) <= limit, len(evidence(context))
+
+
+@then('each VM knows {number:d} crashes under part "{part}"')
+def step_knows(context, number, part):
+    found = {vm: len(evidence(context, vm).told(digest(part), 0).crashes) for vm in VMS}
+    assert set(found.values()) == {number}, found
