policy/crash_evidence: parts that only came together are told apart by a prompt with one of them

What callers saw: after prompts of parts A and X had crashed servers while none with A alone came, A was blocked with X, and sound prompts with A were refused until a trial a minute later.

Cause: parts that are suspects of the same crashes were each blocked for themselves, though the evidence only says that they are to blame together.

Change: a prompt with all of the parts that are suspects of the same crashes is refused; one with some of them is undecided, and is sent alone, one each two seconds a VM: its end clears the part, or blames it alone and by that lets the others go. A part whose crashes are all explained by another blocked one isn't blocked.

Why it works: whatever the one prompt does decides; at most one more server ends.

--- a/src/hickorybeam/gateway/part_blocks.py
+++ b/src/hickorybeam/gateway/part_blocks.py
@@ -17,6 +17,7 @@
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.kernel import Service
 from hickorybeam.policy.crash_evidence import (
+    BlockVerdict,
     CrashEvidence,
     crash_digest,
     part_digest,
@@ -28,7 +29,7 @@
 from hickorybeam.telemetry.decisions import DecisionLog
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.progress import RequestProgress
@@ -43,6 +44,8 @@
 
 __all__ = ("PartBlocksService",)
 
+NOTHING_BLOCKED = BlockVerdict([], [])
+
 # Under the gateway's own prefix in the store.
 RECORDS = "blocked/"
 NOTICE_INTERVAL_MS = 100
@@ -52,7 +55,8 @@
 # A part that was not asked for here lately needs no trial, and a trial that nobody used lapses.
 ASKED_MS = 10_000
 TRIAL_MS = 30_000
-MAX_ASKED = 256
+# What the trial of an undecided part tells is known to all VMs by then.
+UNDECIDED_MS = 2_000
 
 
 class PartBlocksService(Service):
@@ -69,6 +73,8 @@
         # By blocked part: when it was last asked for here, and until when a trial may be used.
         self._asked_ms: dict[bytes, int] = {}
         self._trial_until_ms: dict[bytes, int] = {}
+        # By undecided part: when it may be tried again.
+        self._undecided_until_ms: dict[bytes, int] = {}
         self._changes = counters.counter(
             "part_blocks", "Parts of prompts blocked or unblocked", ("change", "by")
         )
@@ -103,34 +109,36 @@
 
         :raises GatewayError: one is.
         """
-        blocked = self._blocked_parts(request)
-        if not blocked and not progress.part_blocked:
+        verdict = self._verdict(request)
+        refused = [*verdict.blocked, *verdict.undecided]
+        if not refused and not progress.part_blocked:
             return
-        if not progress.may_have_run and self._is_trial(request, blocked):
+        if not progress.may_have_run and self._is_trial(request, verdict):
             return
         now = self._clock.now()
-        for part in blocked:
+        for part in refused:
             self._asked_ms[part] = now
-        while len(self._asked_ms) > MAX_ASKED:
-            del self._asked_ms[next(iter(self._asked_ms))]
         raise GatewayError(
             ErrorKind.PART_BLOCKED,
-            " ".join(part.hex() for part in blocked),
+            " ".join(part.hex() for part in refused),
             retry_after_ms=clamp_retry_after_ms(RETRY_AFTER_MS, request.deadline_ms - now),
         )
 
     def is_blocked(self, request: AdmittedRequest) -> bool:
         """Return whether a request that is about to be sent must not be."""
-        return not request.trial and bool(self._blocked_parts(request))
+        if request.trial:
+            return False
+        verdict = self._verdict(request)
+        return bool(verdict.blocked or verdict.undecided)
 
     def is_suspected(self, request: AdmittedRequest) -> bool:
         """Return whether a part of a request's prompt is nearly blocked, so it isn't sent again."""
         return self._evidence.is_suspected(shared_parts(request.service, request.call))
 
-    def _blocked_parts(self, request: AdmittedRequest) -> list[bytes]:
+    def _verdict(self, request: AdmittedRequest) -> BlockVerdict:
         if not self._evidence.blocked:
-            return []
-        return self._evidence.blocked_among(shared_parts(request.service, request.call))
+            return NOTHING_BLOCKED
+        return self._evidence.judge_prompt(shared_parts(request.service, request.call))
 
     def record_end(self, ended: EndedServer) -> None:
         """Record that a server ended unplanned, and under which requests."""
@@ -148,19 +156,27 @@
         parts = shared_parts(request.server_state.server.service, request.call)
         self._record_changes(self._evidence.record_sound(parts, self._clock.now()), by="here")
 
-    def _is_trial(self, request: AdmittedRequest, blocked: list[bytes]) -> bool:
+    def _is_trial(self, request: AdmittedRequest, verdict: BlockVerdict) -> bool:
         """Return whether a request is a trial; it becomes one if the trial of its part is due.
 
-        With two blocked parts a crash would not tell which one caused it.
+        A prompt with an undecided part tells by its end whether it was that one, so no store is
+        asked for its trial. With two blocked parts a crash would not tell which one caused it.
         """
         if request.trial:
             return True
-        until_ms = self._trial_until_ms.pop(blocked[0], 0) if len(blocked) == 1 else 0
-        if until_ms <= self._clock.now():
+        parts, now = verdict.blocked or verdict.undecided, self._clock.now()
+        if len(parts) != 1:
             return False
-        request.trial = True
-        self._log.write("part_trial", part=blocked[0].hex(), request=request.call.request_id)
-        return True
+        if verdict.blocked:
+            is_due = self._trial_until_ms.pop(parts[0], 0) > now
+        else:
+            is_due = self._undecided_until_ms.get(parts[0], 0) <= now
+            if is_due:
+                self._undecided_until_ms[parts[0]] = now + UNDECIDED_MS
+        if is_due:
+            request.trial = True
+            self._log.write("part_trial", part=parts[0].hex(), request=request.call.request_id)
+        return is_due
 
     def _receive(self, notice: CrashNotice) -> None:
         relay_notice(self._fleet, notice)
@@ -197,11 +213,17 @@
             await self._clock.sleep(RECORD_INTERVAL_MS)
             now = self._clock.now()
             blocked = {part: self._evidence.told(part, now) for part in self._evidence.blocked}
+            self._forget_unblocked(blocked)
             await self._records.write_due(blocked)
             for part in blocked:
                 if now - self._asked_ms.get(part, now - ASKED_MS) < ASKED_MS:
                     await self._seek_trial(part)
 
+    def _forget_unblocked(self, blocked: Collection[bytes]) -> None:
+        for times_ms in (self._asked_ms, self._trial_until_ms, self._undecided_until_ms):
+            for part in [part for part in times_ms if part not in blocked]:
+                del times_ms[part]
+
     async def _seek_trial(self, part: bytes) -> None:
         if await self._records.take_trial(part):
             self._trial_until_ms[part] = self._clock.now() + TRIAL_MS
--- a/src/hickorybeam/policy/crash_evidence.py
+++ b/src/hickorybeam/policy/crash_evidence.py
@@ -10,6 +10,8 @@
 - Repeats of one request come to the servers that crash, whatever the cause: by itself a request
   counts for less than several that share nothing but the part.
 - Once a part is blocked, it explains the crashes under it, and nothing else is suspected of them.
+- Parts that only ever came together can't be told apart: a prompt with all of them is refused, one
+  with some of them is undecided, and sent alone it tells which part it was.
 
 VMs tell each other of crashes and of what is cleared of them. Both only ever add up, so that the
 order, repetition and age of what is told make no difference. Times are on the VM's own clock.
@@ -24,10 +26,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Sequence
 
 __all__ = (
     "BlockChange",
+    "BlockVerdict",
     "CrashEvidence",
     "ToldCrash",
     "ToldPart",
@@ -82,6 +85,13 @@
     blocked: bool
 
 
+class BlockVerdict(NamedTuple):
+    """Which of a prompt's parts are blocked, and which may be to blame but need not."""
+
+    blocked: list[bytes]
+    undecided: list[bytes]
+
+
 class BlockChange(NamedTuple):
     """A part that is blocked from now on, or no longer, with its uncleared crashes."""
 
@@ -183,6 +193,9 @@
         # In the order of their last crash.
         self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
         self._blocked: dict[bytes, None] = {}
+        # By blocked part: those that are suspects of the same crashes. Parts whose crashes are all
+        # explained by another one are left out. ``None`` when it has to be worked out again.
+        self._alike: dict[bytes, frozenset[bytes]] | None = None
         self._sound_ms: OrderedDict[bytes, int] = OrderedDict()
         # By part: how many more times it is told.
         self._untold: dict[bytes, int] = {}
@@ -198,9 +211,25 @@
         """The parts that are blocked."""
         return self._blocked.keys()
 
-    def blocked_among(self, parts: Iterable[bytes]) -> list[bytes]:
-        """Return which of a prompt's parts are blocked."""
-        return [part for part in parts if part in self._blocked] if self._blocked else []
+    def judge_prompt(self, parts: Sequence[bytes]) -> BlockVerdict:
+        """Return which of a prompt's parts are blocked or undecided."""
+        verdict = BlockVerdict([], [])
+        for part in parts if self._blocked else ():
+            alike = self._blocked_alike().get(part)
+            if alike is not None:
+                found = verdict.blocked if alike.issubset(parts) else verdict.undecided
+                found.append(part)
+        return verdict
+
+    def _blocked_alike(self) -> dict[bytes, frozenset[bytes]]:
+        if self._alike is None:
+            crashes = {part: self._suspects[part].crashes.keys() for part in self._blocked}
+            self._alike = {
+                part: frozenset(it for it in crashes if crashes[it] == crashes[part])
+                for part in crashes
+                if not any(crashes[part] < it for it in crashes.values())
+            }
+        return self._alike
 
     def is_suspected(self, parts: Iterable[bytes]) -> bool:
         """Return whether one of a prompt's parts is nearly blocked."""
@@ -216,7 +245,8 @@
             open at the server and that the server had not outlived.
         """
         found = dict(suspects)
-        explained = {part: found[part] for part in self.blocked_among(found)}
+        explained = {part: found[part] for part in self._blocked_alike() if part in found}
+        self._alike = None
         changes = []
         for part, request in (explained or found).items():
             if at_ms - self._sound_ms.get(part, at_ms - RECENT_MS) >= RECENT_MS:
@@ -229,7 +259,7 @@
 
     def record_sound(self, parts: Iterable[bytes], now_ms: int) -> list[BlockChange]:
         """Record that a server has outlived the beginning of a response to a prompt."""
-        changes = []
+        changes: list[BlockChange] = []
         for part in parts:
             self._sound_ms[part] = now_ms
             self._sound_ms.move_to_end(part)
@@ -247,6 +277,7 @@
         news = [it for it in told if not self._knows(it)]
         if not news:
             return changes
+        self._alike = None
         for part, crashes, cleared, blocked in news:
             suspect = self._suspect(part)
             changes += self._clear(part, suspect, cleared)
@@ -324,11 +355,13 @@
             return []
         suspect.blocked = True
         self._blocked[part] = None
+        self._alike = None
         self._untold[part] = TIMES_TOLD
         return [BlockChange(part, True, len(suspect.crashes))]
 
     def _clear(self, part: bytes, suspect: _Suspect, servers: Iterable[bytes]) -> list[BlockChange]:
         """Clear a part of crashes; it is no longer blocked for them."""
+        self._alike = None
         for server in servers:
             suspect.clear(server)
         if not suspect.blocked or len(suspect.crashes) >= MIN_CRASHES_TOLD:
@@ -350,5 +383,6 @@
 
     def _drop(self, part: bytes) -> None:
         del self._suspects[part]
+        self._alike = None
         self._blocked.pop(part, None)
         self._untold.pop(part, None)
--- a/tests/gateway/crashing_parts.feature
+++ b/tests/gateway/crashing_parts.feature
@@ -105,6 +105,16 @@
       | the store answers nothing any more   |
       | VMs "n1, n2" crash                   |
 
+  # Guards against parts that came with the one that crashes servers, and are refused with it.
+  Scenario: sound prompts with the same first part are served though none came beside the others
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    And model servers crash inside an event under part "dead"
+    When 8 prompts with part "dead" come to "n1"
+    And sound prompts come to "n1, n2" for 3 s
+    Then at most 3 requests with part "dead" reached servers after the fifth crash
+    And the sound prompts of the last 1 s were answered
+
   # Guards against a popular part that is blamed for what it did not cause.
   Scenario Outline: servers that end <how> block no part, however popular
     Given a gateway of VMs "n1@north-1, n2@north-1"
--- a/tests/policy/crash_evidence.feature
+++ b/tests/policy/crash_evidence.feature
@@ -56,6 +56,27 @@
     Then part "a" is blocked
     And part "b" is not blocked
 
+  # Guards against a sound part that is refused since it came with one that crashes servers.
+  Scenario: parts that only came together can't be told apart
+    When servers crash under parts "a, b" at "1000, 2000, 3000" ms
+    Then a prompt of parts "a, b" is refused
+    And a prompt of parts "a" is undecided
+    And a prompt of parts "b, c" is undecided
+    And a prompt of parts "c" is let through
+
+  Scenario: a prompt with one of them tells that it was that one
+    When servers crash under parts "a, b" at "1000, 2000, 3000" ms
+    And servers crash under part "a" at "4000" ms
+    Then a prompt of parts "a" is refused
+    And a prompt of parts "a, b" is refused
+    And a prompt of parts "b" is let through
+
+  Scenario: a prompt with one of them tells that it was another one
+    When servers crash under parts "a, b" at "1000, 2000, 3000" ms
+    And a server outlives part "a" at 4000 ms
+    Then a prompt of parts "a" is let through
+    And a prompt of parts "b" is refused
+
   Scenario: two parts are found at once
     When servers crash under part "a" at "1000, 2000" ms
     And servers crash under part "b" at "1300, 2300" ms
--- a/tests/steps/gateway/crashing_parts_steps.py
+++ b/tests/steps/gateway/crashing_parts_steps.py
@@ -133,6 +133,16 @@
     context.call(run)
 
 
+@when('sound prompts come to "{vms}" for {seconds:g} s')
+def step_sound(context, vms, seconds):
+    async def run():
+        with anyio.move_on_after(seconds):
+            await send_sound(context, split_names(vms))
+        context.ended_at = time.monotonic()
+
+    context.call(run)
+
+
 async def end_all(servers):
     """End servers at the same moment, as a loss of power does, a few times."""
     while True:
--- a/tests/steps/policy/crash_evidence_steps.py
+++ b/tests/steps/policy/crash_evidence_steps.py
@@ -105,25 +105,37 @@
     assert context.due_ms == (None if due == "never" else int(due)), context.due_ms
 
 
+def is_blocked(context, part, vm=VM):
+    verdict = evidence(context, vm).judge_prompt([digest(part)])
+    return bool(verdict.blocked)
+
+
+@then('a prompt of parts "{parts}" is {verdict}')
+def step_prompt(context, parts, verdict):
+    found = evidence(context).judge_prompt([digest(part) for part in split(parts)])
+    expected = (verdict == "refused", verdict == "undecided")
+    assert (bool(found.blocked), bool(found.undecided)) == expected, found
+
+
 @then('part "{part}" is blocked')
 def step_blocked(context, part):
-    assert evidence(context).blocked_among([digest(part)])
+    assert is_blocked(context, part)
 
 
 @then('part "{part}" is not blocked')
 def step_not_blocked(context, part):
-    assert not evidence(context).blocked_among([digest(part)])
+    assert not is_blocked(context, part)
 
 
 @then('part "{part}" is blocked at "{vms}"')
 def step_blocked_at(context, part, vms):
-    found = [vm for vm in split(vms) if evidence(context, vm).blocked_among([digest(part)])]
+    found = [vm for vm in split(vms) if is_blocked(context, part, vm)]
     assert found == split(vms), found
 
 
 @then('part "{part}" is not blocked at "{vms}"')
 def step_not_blocked_at(context, part, vms):
-    found = [vm for vm in split(vms) if evidence(context, vm).blocked_among([digest(part)])]
+    found = [vm for vm in split(vms) if is_blocked(context, part, vm)]
     assert not found, found
 
 
