bench/soak: servers crash, under a part of prompts or with none to blame

Engines learn a part under which they crash, before the head, inside an event or at an unframed close; prompts with it come to any VM while one is killed or the store is silent. No more than three may reach servers two seconds after the fifth crash, and half of the sound prompts with the same first part have to be served right after. Beside it servers crash one by one or all at once under popular parts.

--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -7,9 +7,10 @@
 Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in order
 and started again; the store falls silent, turns VMs away, loses answers, its history or entries;
 servers lose, spoil and cut answers, leave, come back cold or under a new address, name limits, ask
-for rest, change their speed and are replaced by another version; keys are withdrawn, an account
-floods a service, callers read nothing, and take up streams that broke off. Other callers go on all
-the while. What they and the servers saw is judged; exits 1 on a broken promise.
+for rest, change their speed, crash (also under a part of prompts) and are replaced by another
+version; keys are withdrawn, an account floods a service, callers read nothing, and take up streams
+that broke off. Other callers go on all the while. What they and the servers saw is judged; exits 1
+on a broken promise.
 """
 
 from __future__ import annotations
@@ -29,6 +30,7 @@
 import anyio
 import fire
 from bench.gateway_cost import start_daemon
+from bench.soak.crashes import check_crashing_parts, crash_servers, crash_under_part
 from bench.soak.hard_load import change_speed, flood, read_nothing
 from bench.soak.server_notices import ask_for_rest, name_limit, say_leaving
 from bench.soak.streams import VERSIONS, follow_stream, kill_under_streams, release
@@ -231,12 +233,15 @@
         """The ports on which VMs take callers' requests."""
         return self._ports[::5]
 
-    async def prompt(self, key: str, wait_ms: int) -> bool:
-        """Send a prompt with a part of its own to some VM, and return whether it was served."""
+    async def prompt(self, key: str, wait_ms: int, *, parts: str = "5c1e:30") -> bool:
+        """Send a prompt of some parts and one of its own to some VM; return whether it was served.
+
+        :param parts: the shared parts, each with its tokens.
+        """
         request_id = f"{next(self._numbers):016x}"
         headers = caller_headers(request_id, key=key, wait_ms=wait_ms, tokens=b"50,10")
-        part = (b"x-hickorybeam-prompt-prefix", b"5c1e:30,%s:20" % request_id.encode())
-        data = request_bytes("POST", b"/chat/x", (*headers, part), b"{}")
+        prefix = (b"x-hickorybeam-prompt-prefix", f"{parts},{request_id}:20".encode())
+        data = request_bytes("POST", b"/chat/x", (*headers, prefix), b"{}")
         answer = await self._exchange(self.rng.choice(self.caller_ports), data)
         return answer.whole and answer.status == 200
 
@@ -448,6 +453,8 @@
         read_nothing,
         release,
         kill_under_streams,
+        crash_under_part,
+        crash_servers,
     )
 }
 
@@ -471,6 +478,7 @@
                 run.servers.append(await stack.enter_async_context(serve_server(server)))
         await run.run(seconds)
         run.check_runs()
+        check_crashing_parts(run)
         return run.seen
 
 
--- a/bench/soak/streams.py
+++ b/bench/soak/streams.py
@@ -104,7 +104,7 @@
     await anyio.sleep(soak.rng.uniform(0.1, 1.0))
     server.withdraw()
     base, _, number = server.id.partition("+")
-    server.id = f"{base}+{int(number or 0) + 1}"
+    server.id = f"{base}+{int(number.partition('.')[0] or 0) + 1}"
     server.version = soak.rng.choice([it for it in VERSIONS if it != server.version])
     server.register(born=int(time.time() * 1000))
 
--- a/bench/soak/target.py
+++ b/bench/soak/target.py
@@ -35,8 +35,11 @@
         """Whether servers fail or VMs start, so that refusals may have other reasons."""
         ...
 
-    async def prompt(self, key: str, wait_ms: int) -> bool:
-        """Send a prompt with a part of its own to some VM, and return whether it was served."""
+    async def prompt(self, key: str, wait_ms: int, *, parts: str = "5c1e:30") -> bool:
+        """Send a prompt of some parts and one of its own to some VM; return whether it was served.
+
+        :param parts: the shared parts, each with its tokens.
+        """
         ...
 
     async def ask_stream(
@@ -49,6 +52,10 @@
         """Kill a VM and start it again."""
         ...
 
+    async def store_silent(self) -> None:
+        """Let the store answer nothing for a while."""
+        ...
+
     def count(self, outcome: str) -> None:
         """Count what a caller saw."""
         ...
