gateway/hop: a caller's own headers are not taken for those that VMs set on a hop

Cause: a VM appended its headers to the caller's, and the VM that decodes them takes the first of a name. Change: the caller's headers of these names are left out where a request is forwarded. tests/gateway/hop.feature has a row for all of them.

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -12,7 +12,7 @@
     HOP_RETRY_AFTER_MS,
     PART_BLOCKED,
     REJECTED,
-    hop_headers,
+    forwarded_headers,
 )
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, address_of
 from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, find_header
@@ -174,7 +174,7 @@
                     copy_from=self._copy_from,
                 )
             case PeerTarget():
-                return (*request.call.headers, *hop_headers(request, now_ms))
+                return forwarded_headers(request, now_ms)
 
     async def forward_body(
         self, forward: Callable[[bytes], bool], wait_ready: Callable[[], Awaitable[None]]
--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -15,6 +15,7 @@
     from hickorybeam.http1 import IncomingRequest, RawHeaders
 
 __all__ = (
+    "HOP_HEADERS",
     "HOP_NOT_RUN",
     "HOP_RETRY_AFTER_MS",
     "HOP_VERSION",
@@ -22,7 +23,7 @@
     "PART_BLOCKED",
     "REJECTED",
     "decode_forwarded_request",
-    "hop_headers",
+    "forwarded_headers",
     "hop_version",
     "without_hop_version",
 )
@@ -50,12 +51,34 @@
 REJECTED, NO_SERVER_ASKED, PART_BLOCKED = b"rejected", b"not-asked", b"part-blocked"
 # Sent along with HOP_NOT_RUN: in how many ms the region expects to have a free slot.
 HOP_RETRY_AFTER_MS = b"hop-come-back-ms"
+HOP_HEADERS = frozenset(
+    {
+        HOP_SERVICE,
+        HOP_ACCOUNT,
+        HOP_TIME_LEFT_MS,
+        HOP_URGENCY,
+        HOP_RESUME_AFTER,
+        HOP_VERSION,
+        HOP_TRIAL,
+        HOP_TARGET_MS,
+        HOP_ELAPSED_MS,
+    }
+)
 DEFAULT_URGENCY = 5
 DEFAULT_TARGET_MS = 1_000
 
 
-def hop_headers(request: AdmittedRequest, now_ms: int) -> RawHeaders:
-    """Return the headers that a VM adds to the caller's own when it forwards a request."""
+def forwarded_headers(request: AdmittedRequest, now_ms: int) -> RawHeaders:
+    """Return the headers of a request that a VM forwards: the caller's, and its own.
+
+    The caller's may have the names of the VM's. Passed on, they would let it run for another
+    account, as the first header of a name counts.
+    """
+    sent = tuple(pair for pair in request.call.headers if pair[0] not in HOP_HEADERS)
+    return (*sent, *_hop_headers(request, now_ms))
+
+
+def _hop_headers(request: AdmittedRequest, now_ms: int) -> RawHeaders:
     left_ms = request.deadline_ms - now_ms
     elapsed_ms = now_ms - request.call.arrived_ms
     headers = [
--- a/tests/gateway/hop.feature
+++ b/tests/gateway/hop.feature
@@ -13,6 +13,11 @@
       | 615    | 100     | 260  | 9000  |
       | 1035   | 2000    | 2160 | 3000  |
 
+  # Guards against a caller that runs for another account, or with a part that is blocked.
+  Scenario: what a caller sends in these headers is not taken for the VM's
+    When a request whose caller sends all these headers is forwarded
+    Then in the other region it is what the VM says
+
   Scenario: a forwarded request without these headers gets usual ones
     When a request is forwarded by a VM that does not send them
     Then in the other region its objective is 1000 ms and 0 ms of it are used up
--- a/tests/steps/gateway/hop_steps.py
+++ b/tests/steps/gateway/hop_steps.py
@@ -6,9 +6,10 @@
 
 from hickorybeam.gateway.hop import (
     HOP_ELAPSED_MS,
+    HOP_HEADERS,
     HOP_TARGET_MS,
     decode_forwarded_request,
-    hop_headers,
+    forwarded_headers,
 )
 from hickorybeam.gateway.targets import AdmittedRequest
 from hickorybeam.model.routing import RelayCall, Repeat, Route
@@ -27,14 +28,14 @@
     )
 
 
-def forwarded(target_ms, elapsed_ms, left_ms):
+def forwarded(target_ms, elapsed_ms, left_ms, *, sent=()):
     call = RelayCall(
         request_id="r",
         method="POST",
         target=b"/x",
         host="h",
         path="/x",
-        headers=(),
+        headers=sent,
         body=b"",
         key=None,
         arrived_ms=NOW_MS - elapsed_ms,
@@ -57,7 +58,7 @@
         deadline_ms=NOW_MS + left_ms,
         resume_after=None,
     )
-    return hop_headers(request, NOW_MS)
+    return forwarded_headers(request, NOW_MS)
 
 
 @when(
@@ -67,6 +68,18 @@
     context.arrived = decode_forwarded_request(incoming(forwarded(target, elapsed, left)))
 
 
+@when("a request whose caller sends all these headers is forwarded")
+def step_forward_spoofed(context):
+    sent = tuple((name, b"1") for name in HOP_HEADERS)
+    context.arrived = decode_forwarded_request(incoming(forwarded(615, 100, 9_000, sent=sent)))
+
+
+@then("in the other region it is what the VM says")
+def step_as_forwarded(context):
+    plain = decode_forwarded_request(incoming(forwarded(615, 100, 9_000)))
+    assert context.arrived == plain, context.arrived
+
+
 @when("a request is forwarded by a VM that does not send them")
 def step_forward_old(context):
     headers = tuple(
