--- a/src/hickorybeam/gateway/server_ends.py
+++ b/src/hickorybeam/gateway/server_ends.py
@@ -125,6 +125,8 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Check servers in tasks of a group from now on."""
+        # Those of an earlier group ended with it.
+        self._breaks.clear()
         self._tasks = tasks
 
     def open(self, server_state: ServerState, call: RelayCall, attempt: Attempt) -> OpenRequest:
@@ -184,7 +186,7 @@
         if end is ServerEnd.SILENT and not planned:
             end = await self._wait_for_entry(server_state)
             breaks.since_ms = self._common_silence_ms(breaks.since_ms)
-        del self._breaks[server_state]
+        self._breaks.pop(server_state, None)
         match end:
             case ServerEnd.ENDED:
                 self._report(server_state, breaks, planned=planned)
