--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -132,7 +132,7 @@
         # Returns accounts' leads at overloaded services that this VM places for its region.
         self.account_leads: Callable[[], dict[str, dict[str, float]]] = dict
         # Returns the parts of prompts that servers crashed under, for whole reports.
-        self.suspects_to_report: Callable[[], list[ToldPart]] = list
+        self.suspects_to_report: Callable[[bool], list[ToldPart]] = lambda to_new_vm: []
         self._rng = random.Random()
         self._local_report_count = 0
         self._report_turns: dict[str, int] = {}
@@ -435,7 +435,7 @@
             departing={} if far else self.server_notices.heard_leaving(),
             leads=self.account_leads() if whole else {},
             loads={} if far else self._loads_to_report(),
-            suspects=self.suspects_to_report() if whole else [],
+            suspects=self.suspects_to_report(with_levels) if whole else [],
             streams=[] if with_levels else self._untold_streams(audience),
         )
 
--- a/src/hickorybeam/gateway/part_blocks.py
+++ b/src/hickorybeam/gateway/part_blocks.py
@@ -92,7 +92,7 @@
         )
         kernel.find(FEED, FeedService).on_batch(self._apply_batch)
         self._fleet.on_message(CrashNotice, self._receive)
-        self._fleet.suspects_to_report = lambda: self._evidence.to_report(self._clock.now())
+        self._fleet.suspects_to_report = self._to_report
         self._fleet.reports.on_suspects = lambda told: self._merge(told, by="vm")
 
     async def main(self, started: Started) -> None:
@@ -178,6 +178,9 @@
             self._log.write("part_trial", part=parts[0].hex(), request=request.call.request_id)
         return is_due
 
+    def _to_report(self, to_new_vm: bool) -> list[ToldPart]:
+        return self._evidence.to_report(self._clock.now(), to_new_vm=to_new_vm)
+
     def _receive(self, notice: CrashNotice) -> None:
         relay_notice(self._fleet, notice)
         self._merge(notice.parts, by="vm")
--- a/src/hickorybeam/policy/crash_evidence.py
+++ b/src/hickorybeam/policy/crash_evidence.py
@@ -58,14 +58,14 @@
 KEEP_MS = 3_600_000
 KEEP_BLOCKED_MS = 86_400_000
 MAX_PARTS = 1_024
-MAX_SOUND_PARTS = 4_096
+MAX_SOUND_PARTS = 1_024
 # Crashes kept of one part, and crashes that it is cleared of.
 MAX_CRASHES = 8
 MAX_CLEARED = 64
 # A datagram may be lost.
 TIMES_TOLD = 3
 MAX_TOLD_AT_ONCE = 16
-MAX_REPORTED = 8
+MAX_REPORTED = 2
 
 
 class ToldCrash(NamedTuple):
@@ -307,13 +307,18 @@
                 found.append(self.told(part, now_ms))
         return found
 
-    def to_report(self, now_ms: int) -> list[ToldPart]:
-        """Return what VMs that start, or missed it, need: what is blocked, or nearly."""
+    def to_report(self, now_ms: int, *, to_new_vm: bool = False) -> list[ToldPart]:
+        """Return what VMs that start, or missed it, need: what is blocked, or nearly.
+
+        :param to_new_vm: the receiver has just started and needs more than its turn of the parts.
+        """
         parts = [
             part
             for part, suspect in self._suspects.items()
             if suspect.blocked or len(suspect.crashes) >= MIN_CRASHES_TOLD
         ]
+        if to_new_vm:
+            return [self.told(part, now_ms) for part in parts[-MAX_TOLD_AT_ONCE:]]
         first = self._reported
         self._reported = first + MAX_REPORTED if first + MAX_REPORTED < len(parts) else 0
         return [self.told(part, now_ms) for part in parts[first : first + MAX_REPORTED]]
