policy/block_trials: an undecided part is tried a few times only

A VM let one prompt with an undecided part through each two seconds. Where no crash is noticed (the server is back before the VM looks), that would have gone on for ever. Found on reading; a policy row.

--- a/src/hickorybeam/gateway/part_blocks.py
+++ b/src/hickorybeam/gateway/part_blocks.py
@@ -16,6 +16,7 @@
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.kernel import Service
+from hickorybeam.policy.block_trials import UndecidedTrials
 from hickorybeam.policy.crash_evidence import (
     BlockVerdict,
     CrashEvidence,
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
+    from typing import Any
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.progress import RequestProgress
@@ -55,8 +57,6 @@
 # A part that was not asked for here lately needs no trial, and a trial that nobody used lapses.
 ASKED_MS = 10_000
 TRIAL_MS = 30_000
-# What the trial of an undecided part tells is known to all VMs by then.
-UNDECIDED_MS = 2_000
 
 
 class PartBlocksService(Service):
@@ -73,8 +73,7 @@
         # By blocked part: when it was last asked for here, and until when a trial may be used.
         self._asked_ms: dict[bytes, int] = {}
         self._trial_until_ms: dict[bytes, int] = {}
-        # By undecided part: when it may be tried again.
-        self._undecided_until_ms: dict[bytes, int] = {}
+        self._undecided: dict[bytes, UndecidedTrials] = {}
         self._changes = counters.counter(
             "part_blocks", "Parts of prompts blocked or unblocked", ("change", "by")
         )
@@ -170,9 +169,7 @@
         if verdict.blocked:
             is_due = self._trial_until_ms.pop(parts[0], 0) > now
         else:
-            is_due = self._undecided_until_ms.get(parts[0], 0) <= now
-            if is_due:
-                self._undecided_until_ms[parts[0]] = now + UNDECIDED_MS
+            is_due = self._undecided.setdefault(parts[0], UndecidedTrials()).take(now)
         if is_due:
             request.trial = True
             self._log.write("part_trial", part=parts[0].hex(), request=request.call.request_id)
@@ -223,9 +220,10 @@
                     await self._seek_trial(part)
 
     def _forget_unblocked(self, blocked: Collection[bytes]) -> None:
-        for times_ms in (self._asked_ms, self._trial_until_ms, self._undecided_until_ms):
-            for part in [part for part in times_ms if part not in blocked]:
-                del times_ms[part]
+        kept: tuple[dict[bytes, Any], ...] = (self._asked_ms, self._trial_until_ms, self._undecided)
+        for by_part in kept:
+            for part in [part for part in by_part if part not in blocked]:
+                del by_part[part]
 
     async def _seek_trial(self, part: bytes) -> None:
         if await self._records.take_trial(part):
--- a/src/hickorybeam/policy/block_trials.py
+++ b/src/hickorybeam/policy/block_trials.py
@@ -7,12 +7,19 @@
 
 from __future__ import annotations
 
-__all__ = ("MAX_TRIALS", "trial_due_ms")
+from dataclasses import dataclass
+
+__all__ = ("MAX_TRIALS", "UndecidedTrials", "trial_due_ms")
 
 MAX_TRIALS = 2
 FIRST_TRIAL_AFTER_MS = 60_000
 # A part that has crashed a server again probably will the next time.
 TRIAL_BACKOFF = 8
+# What the trial of an undecided part tells is known to all VMs by then. One that tells nothing, as
+# its server's crash was not noticed, is tried again later, and not for ever.
+FIRST_UNDECIDED_PAUSE_MS = 2_000
+UNDECIDED_BACKOFF = 4
+MAX_UNDECIDED_TRIALS = 3
 
 
 def trial_due_ms(*, trials: int, last_ms: int) -> int | None:
@@ -24,3 +31,19 @@
     if trials >= MAX_TRIALS:
         return None
     return last_ms + FIRST_TRIAL_AFTER_MS * int(TRIAL_BACKOFF**trials)
+
+
+@dataclass(slots=True)
+class UndecidedTrials:
+    """The trials of an undecided part at one VM; its next one may go out from ``due_ms`` on."""
+
+    count: int = 0
+    due_ms: int = 0
+
+    def take(self, now_ms: int) -> bool:
+        """Take a trial if one is due."""
+        if self.count >= MAX_UNDECIDED_TRIALS or now_ms < self.due_ms:
+            return False
+        self.due_ms = now_ms + FIRST_UNDECIDED_PAUSE_MS * int(UNDECIDED_BACKOFF**self.count)
+        self.count += 1
+        return True
--- a/tests/policy/crash_evidence.feature
+++ b/tests/policy/crash_evidence.feature
@@ -156,6 +156,11 @@
     When servers crash under part "c" at "90000000" ms
     Then part "a" is not blocked
 
+  # Guards against a trial each time that a crash isn't noticed.
+  Scenario: an undecided part is tried a few times, later each time
+    When an undecided part may be tried at each second of 10 minutes
+    Then it is tried at "0, 2, 10" s
+
   Scenario Outline: a trial is due after a while, and few are in all
     When a blocked part had <trials> trials and the last crash was at 1000 ms
     Then its next trial is due at <due>
--- a/tests/steps/policy/crash_evidence_steps.py
+++ b/tests/steps/policy/crash_evidence_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then, when
 
-from hickorybeam.policy.block_trials import trial_due_ms
+from hickorybeam.policy.block_trials import UndecidedTrials, trial_due_ms
 from hickorybeam.policy.crash_evidence import (
     CrashEvidence,
     crash_digest,
@@ -100,6 +100,17 @@
     context.due_ms = trial_due_ms(trials=trials, last_ms=last_ms)
 
 
+@when("an undecided part may be tried at each second of {minutes:d} minutes")
+def step_undecided(context, minutes):
+    trials = UndecidedTrials()
+    context.tried = [second for second in range(60 * minutes) if trials.take(1_000 * second)]
+
+
+@then('it is tried at "{seconds}" s')
+def step_tried(context, seconds):
+    assert context.tried == [int(it) for it in split(seconds)], context.tried
+
+
 @then("its next trial is due at {due}")
 def step_due(context, due):
     assert context.due_ms == (None if due == "never" else int(due)), context.due_ms
