tools/mutation_tables/crashes: 26 mutations of how parts are blocked, and the tests that were missing

A first run left six alive: a blocked part that explains crashes, another VM's conclusion, planned ends, notices between VMs, what a VM that starts is told, and another region's refusal could each be disconnected unnoticed.

--- a/tests/policy/crash_evidence.feature
+++ b/tests/policy/crash_evidence.feature
@@ -55,6 +55,7 @@
     And servers crash under parts "a, b" at "4000, 5000, 6000, 7000" ms
     Then part "a" is blocked
     And part "b" is not blocked
+    And part "b" is a suspect of 0 crashes
 
   # Guards against a sound part that is refused since it came with one that crashes servers.
   Scenario: parts that only came together can't be told apart
@@ -106,6 +107,15 @@
     And the VMs tell each other at 3100 ms
     Then part "a" is blocked at "n1, n2, n3"
 
+  # Guards against VMs that date the same crashes differently, so that some go on sending.
+  Scenario: a conclusion holds at a VM to which the crashes are not apart
+    When "n2" sees a crash of "m1" under part "a" at 1150 ms
+    And "n1" sees a crash of "m1" under part "a" at 1000 ms
+    And "n1" sees a crash of "m2" under part "a" at 1200 ms
+    And "n1" sees a crash of "m3" under part "a" at 1400 ms
+    And the VMs tell each other at 1500 ms
+    Then part "a" is blocked at "n1, n2, n3"
+
   Scenario Outline: what one VM clears is cleared everywhere, whatever is told again
     When "n1" sees a crash of "m1" under part "a" at 1000 ms
     And "n1" sees a crash of "m2" under part "a" at 2000 ms
--- a/tests/steps/gateway/crashing_parts_steps.py
+++ b/tests/steps/gateway/crashing_parts_steps.py
@@ -7,10 +7,12 @@
 import anyio
 from behave import given, then, when
 
+from hickorybeam.gateway.part_blocks import PartBlocksService
 from hickorybeam.http1 import ConnectFailedError, find_header
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import names
 from hickorybeam.platform.requests import decode_parts
+from hickorybeam.ports import PART_BLOCKS
 from hickorybeam.standins.crashes import CrashPoint, CrashSwitch
 from hickorybeam.standins.deployment import caller_headers
 from steps.gateway.gateway_steps import BODY, split_names
@@ -184,6 +186,32 @@
     context.call(run)
 
 
+@when('a prompt of parts "{parts}" runs at "{vm}" while "{name}" leaves and ends')
+def step_leaves_and_ends(context, parts, vm, name):
+    prepare(context)
+    rig = context.rig
+    server = rig.servers[name]
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(ask, context, vm, split_names(parts))
+            await anyio.sleep(0.3)
+            server.register(state="draining")
+            states = rig.vms[vm].routing_state.server_states
+            await rig.until(lambda: states[name].server.leaving)
+            server.end_process()
+        assert not context.prompts[-1].answer.whole
+        # The VM looks at a server 25 ms after a response broke off.
+        await anyio.sleep(0.3)
+
+    context.call(run)
+
+
+@given('VM "{name}" hears of no crashes')
+def step_hears_nothing(context, name):
+    context.rig.vms[name].kernel.find(PART_BLOCKS, PartBlocksService)._merge = lambda told, by: None
+
+
 @when("nothing is sent for {seconds:g} s")
 def step_pause(context, seconds):
     context.call(anyio.sleep, seconds)
@@ -226,6 +254,25 @@
     assert len(more) <= count, f"{len(more)} after the fifth of {len(crashed)} crashes: {more}"
 
 
+@then('at most {count:d} requests with part "{part}" reached servers')
+def step_at_most_in_all(context, count, part):
+    arrived, _ = arrivals_with(context, part)
+    assert 3 <= len(arrived) <= count, [at - arrived[0] for at in arrived]
+
+
+@then('"{vm}" has refused prompts as "{kind}"')
+def step_vm_refused(context, vm, kind):
+    assert refusals_at(context.rig.vms[vm]).get(kind, 0) > 0, refusals_at(context.rig.vms[vm])
+
+
+@then('"{vm}" suspects no part')
+def step_suspects_none(context, vm):
+    registry = context.rig.vms[vm].relay._counters.registry
+    assert registry.get_sample_value("hickorybeam_parts_suspected") == 0
+    sample = {"service": "model", "planned": "yes"}
+    assert registry.get_sample_value("hickorybeam_server_ends_total", sample) == 1
+
+
 @then('the last prompts with part "{part}" were refused at once as "{kind}"')
 def step_refused(context, part, kind):
     last = [it for it in context.prompts if it.bad and it.answer is not None][-3:]
--- a/tests/steps/policy/crash_evidence_steps.py
+++ b/tests/steps/policy/crash_evidence_steps.py
@@ -155,6 +155,11 @@
     assert len(evidence(context)) <= limit, len(evidence(context))
 
 
+@then('part "{part}" is a suspect of {number:d} crashes')
+def step_suspect_of(context, part, number):
+    assert len(evidence(context).told(digest(part), 0).crashes) == number
+
+
 @then('each VM knows {number:d} crashes under part "{part}"')
 def step_knows(context, number, part):
     found = {vm: len(evidence(context, vm).told(digest(part), 0).crashes) for vm in VMS}
--- a/tools/mutation_tables/__init__.py
+++ b/tools/mutation_tables/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tools.mutation_tables import backends, front, once, shares, streams, tickets
+from tools.mutation_tables import backends, crashes, front, once, shares, streams, tickets
 from tools.mutation_tables.mutation import Mutation
 
 __all__ = ("MUTATIONS", "Mutation")
@@ -14,4 +14,5 @@
     *front.MUTATIONS,
     *backends.MUTATIONS,
     *streams.MUTATIONS,
+    *crashes.MUTATIONS,
 )
--- /dev/null
+++ b/tools/mutation_tables/crashes.py
@@ -0,0 +1,213 @@
+"""Mutations of how a part of prompts is blocked: the rules, and what connects them."""
+
+from __future__ import annotations
+
+from tools.mutation_tables.mutation import Mutation
+
+__all__ = ("MUTATIONS",)
+
+POLICY = "policy/crash_evidence.feature"
+GATEWAY = "gateway/crashing_parts.feature"
+KNOWN = "gateway/crashing_parts_known.feature"
+ONE_VM = "at most three requests .*@1.1 "
+UNFRAMED = "at most three requests .*@1.3 "
+ALL_ENDED = "stays blocked at VMs that start later .*@1.3"
+
+MUTATIONS: tuple[Mutation, ...] = (
+    # rules
+    Mutation(
+        "three crashes are needed",
+        "policy/crash_evidence.py",
+        "MIN_CRASHES = 3",
+        "MIN_CRASHES = 2",
+        POLICY,
+    ),
+    Mutation(
+        "three crashes suffice",
+        "policy/crash_evidence.py",
+        "MIN_CRASHES = 3",
+        "MIN_CRASHES = 4",
+        POLICY,
+    ),
+    Mutation(
+        "crashes at the same moment count once",
+        "policy/crash_evidence.py",
+        "at_ms - last_ms >= SAME_CAUSE_MS:",
+        "at_ms - last_ms >= 0:",
+        POLICY,
+    ),
+    Mutation(
+        "repeats of one request count for less",
+        "policy/crash_evidence.py",
+        "if len(requests) >= MIN_REQUESTS:",
+        "if requests:",
+        POLICY,
+    ),
+    Mutation(
+        "a part that was sound shortly before is no suspect",
+        "policy/crash_evidence.py",
+        "RECENT_MS = 2_000",
+        "RECENT_MS = 0",
+        POLICY,
+    ),
+    Mutation(
+        "a sound response clears its parts",
+        "policy/crash_evidence.py",
+        "if suspect is not None and suspect.crashes:",
+        "if suspect is None:",
+        POLICY,
+    ),
+    Mutation(
+        "what is cleared stays cleared when it is told again",
+        "policy/crash_evidence.py",
+        "return full or server in self.crashes or server in self.cleared",
+        "return full or server in self.crashes",
+        POLICY,
+    ),
+    Mutation(
+        "a crash that is told late is cleared by what was sound since",
+        "policy/crash_evidence.py",
+        "if sound_ms is not None and crash.at_ms < sound_ms",
+        "if False",
+        POLICY,
+    ),
+    Mutation(
+        "a blocked part explains crashes",
+        "policy/crash_evidence.py",
+        "in (explained or found).items():",
+        "in found.items():",
+        POLICY,
+    ),
+    Mutation(
+        "parts that came together are undecided alone",
+        "policy/crash_evidence.py",
+        "if alike.issubset(parts) else verdict.undecided",
+        "if True else verdict.undecided",
+        POLICY,
+    ),
+    Mutation(
+        "a part whose crashes another one explains goes free",
+        "policy/crash_evidence.py",
+        "if not any(crashes[part] < it for it in crashes.values())",
+        "if True",
+        POLICY,
+    ),
+    Mutation(
+        "the table is bounded",
+        "policy/crash_evidence.py",
+        "while len(self._suspects) > self._max_parts:",
+        "while False:",
+        POLICY,
+    ),
+    Mutation(
+        "another VM's conclusion holds",
+        "policy/crash_evidence.py",
+        "told = told_blocked and",
+        "told = False and",
+        POLICY,
+    ),
+    # connections
+    Mutation(
+        "ends of servers become evidence",
+        "gateway/request_handler.py",
+        "on_end=part_blocks.record_end,",
+        "",
+        GATEWAY,
+        ONE_VM,
+    ),
+    Mutation(
+        "sound responses become evidence",
+        "gateway/request_handler.py",
+        "on_proven=part_blocks.record_proven,",
+        "",
+        KNOWN,
+        "sound prompts with the same first part",
+    ),
+    Mutation(
+        "an unframed end is looked into",
+        "gateway/server_ends.py",
+        "if framed:\n            self._prove",
+        "if True:\n            self._prove",
+        GATEWAY,
+        UNFRAMED,
+    ),
+    Mutation(
+        "a response that breaks off is looked into",
+        "gateway/sender.py",
+        "self._server_ends.record_break(open_request)",
+        "pass",
+        GATEWAY,
+        ONE_VM,
+    ),
+    Mutation(
+        "one broken response is no end of a server",
+        "gateway/server_ends.py",
+        "return ServerEnd.ALIVE\n        address",
+        "return ServerEnd.ENDED\n        address",
+        GATEWAY,
+        "a server that goes on",
+    ),
+    Mutation(
+        "a planned end is no crash",
+        "gateway/server_ends.py",
+        "if not planned:\n            calls",
+        "if True:\n            calls",
+        KNOWN,
+        "said that it is leaving makes",
+    ),
+    Mutation(
+        "prompts are checked",
+        "gateway/part_blocks.py",
+        "if not refused and not progress.part_blocked:",
+        "if True:",
+        GATEWAY,
+        ONE_VM,
+    ),
+    Mutation(
+        "VMs tell each other",
+        "gateway/part_blocks.py",
+        "send_notice(self._fleet, untold)",
+        "pass",
+        KNOWN,
+        "crashes that each VM saw",
+    ),
+    Mutation(
+        "a VM that starts is told by others",
+        "gateway/part_blocks.py",
+        "self._fleet.suspects_to_report = self._to_report",
+        "pass",
+        KNOWN,
+        "found while the store is away is told",
+    ),
+    Mutation(
+        "a VM that starts reads the store's records",
+        "gateway/part_blocks.py",
+        "kernel.find(FEED, FeedService).on_batch(self._apply_batch)",
+        "pass",
+        KNOWN,
+        ALL_ENDED,
+    ),
+    Mutation(
+        "blocked parts are recorded in the store",
+        "gateway/part_blocks.py",
+        "await self._records.write_due(blocked)",
+        "pass",
+        KNOWN,
+        ALL_ENDED,
+    ),
+    Mutation(
+        "another region's refusal is final",
+        "gateway/attempt.py",
+        "part_blocked=not_run == PART_BLOCKED,",
+        "",
+        KNOWN,
+        "hears of no block",
+    ),
+    Mutation(
+        "a caller's hop headers are left out",
+        "gateway/hop.py",
+        "if pair[0] not in HOP_HEADERS)",
+        "if True)",
+        "gateway/hop.feature",
+    ),
+)
