--- /dev/null
+++ b/bench/crash_evidence_cost.py
@@ -0,0 +1,130 @@
+"""What it costs to know which parts of prompts crash servers: bytes told, memory, processor time.
+
+    python -m bench.crash_evidence_cost
+
+Prints what a crash and a blocked part cost in datagrams at several sizes of the fleet, the memory
+of full tables, and the time of each step.
+"""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hickorybeam.gateway.crash_notices import CrashNotice
+from hickorybeam.gateway.fleet import WHOLE_REPORT_EVERY
+from hickorybeam.policy.crash_evidence import (
+    MAX_PARTS,
+    MAX_REPORTED,
+    MAX_SOUND_PARTS,
+    TIMES_TOLD,
+    CrashEvidence,
+    crash_digest,
+    part_digest,
+    request_digest,
+)
+from hickorybeam.policy.report_intervals import local_report_interval_ms, remote_report_interval_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# VMs and data centres.
+FLEETS = ((9, 3), (85, 6), (390, 9))
+# Suspected parts of one crash, as one VM sees them.
+SUSPECTS = 4
+ROUNDS = 20_000
+
+
+def crash(evidence: CrashEvidence, number: int, parts: list[bytes], at_ms: int) -> None:
+    """Record a crash under some parts."""
+    request = request_digest(f"r{number}")
+    server = crash_digest(f"i-{number:010x}", number)
+    evidence.record_crash(server, [(part, request) for part in parts], at_ms)
+
+
+def parts(count: int, first: int = 0) -> list[bytes]:
+    """Return digests of some parts."""
+    return [part_digest("model", f"{number:08x}") for number in range(first, first + count)]
+
+
+def notice_bytes() -> int:
+    """Return the size of the notice of one crash."""
+    evidence = CrashEvidence()
+    crash(evidence, 1, parts(SUSPECTS), 0)
+    return len(msgspec.msgpack.encode(CrashNotice("frontend-dakar-1", evidence.take_untold(50))))
+
+
+def blocked_evidence(count: int) -> CrashEvidence:
+    """Return what a VM knows that has blocked some parts."""
+    evidence = CrashEvidence()
+    for number, part in enumerate(parts(count)):
+        for times in range(3):
+            crash(evidence, 10 * number + times, [part], 1_000 * times)
+    return evidence
+
+
+def print_bytes() -> None:
+    """Print what VMs send."""
+    notice = notice_bytes()
+    reported = {
+        count: len(msgspec.msgpack.encode(blocked_evidence(count).to_report(5_000))) - 1
+        for count in (1, MAX_REPORTED)
+    }
+    print(f"a notice of a crash under {SUSPECTS} parts: {notice} B, told {TIMES_TOLD} times")
+    print("| VMs | B a crash, one VM | B/s for 1 blocked part | B/s for 2 and more |")
+    print("|---|---|---|---|")
+    for vms, centres in FLEETS:
+        local = vms // centres - 1
+        per_crash = notice * TIMES_TOLD * (local + centres - 1)
+        near = local / (WHOLE_REPORT_EVERY * local_report_interval_ms(local))
+        far = (centres - 1) / remote_report_interval_ms(vms)
+        row = [f"{1_000 * size * (near + far):.0f}" for size in reported.values()]
+        print(f"| {vms} | {per_crash} | {' | '.join(row)} |")
+
+
+def print_memory() -> None:
+    """Print the memory of full tables."""
+    tracemalloc.start()
+    evidence = CrashEvidence()
+    for number in range(MAX_PARTS):
+        for times in range(8):
+            crash(evidence, 10 * number + times, parts(1, number), 10 * number + times)
+    suspects = tracemalloc.get_traced_memory()[0]
+    evidence.record_sound(parts(MAX_SOUND_PARTS, MAX_PARTS), 1_000_000)
+    full = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    print(
+        f"{MAX_PARTS} parts of 8 crashes: {suspects / 1e6:.2f} MB, all tables {full / 1e6:.2f} MB"
+    )
+
+
+def print_times() -> None:
+    """Print the time of each step."""
+    evidence, prompt = blocked_evidence(2), parts(2, 100)
+    told = evidence.to_report(5_000)
+    idle = CrashEvidence()
+    steps: dict[str, Callable[[], object]] = {
+        "judge a prompt, nothing blocked": lambda: idle.judge_prompt(prompt),
+        "judge a prompt, two parts blocked": lambda: evidence.judge_prompt(prompt),
+        "clear a prompt's parts": lambda: evidence.record_sound(prompt, 6_000),
+        "merge a report that tells nothing new": lambda: evidence.merge(told, 6_000),
+    }
+    for name, step in steps.items():
+        begun = time.perf_counter()
+        for _ in range(ROUNDS):
+            step()
+        print(f"{name}: {(time.perf_counter() - begun) / ROUNDS * 1e6:.2f} us")
+
+
+def main() -> None:
+    """Print the tables."""
+    print_bytes()
+    print_memory()
+    print_times()
+
+
+if __name__ == "__main__":
+    main()
