--- a/src/hickorybeam/policy/crash_evidence.py
+++ b/src/hickorybeam/policy/crash_evidence.py
@@ -147,7 +147,7 @@
         if len(self.cleared) > MAX_CLEARED:
             del self.cleared[next(iter(self.cleared))]
 
-    def is_guilty(self) -> bool:
+    def warrants_block(self) -> bool:
         """Return whether the crashes suffice to block it."""
         count = count_apart([crash.at_ms for crash in self.crashes.values()])
         requests = {crash.request for crash in self.crashes.values()}
@@ -356,7 +356,7 @@
         if suspect.blocked:
             return []
         told = told_blocked and len(suspect.crashes) >= MIN_CRASHES_TOLD
-        if not told and not suspect.is_guilty():
+        if not told and not suspect.warrants_block():
             return []
         suspect.blocked = True
         self._blocked[part] = None
