policy/version_history: versions that are gone are dropped though nobody asks

Cause: versions of which the last server has gone were dropped only when a stream's version was asked for, so that a service whose streams nobody takes up kept each version it ever had. Before: 100 of 100 kept after 100 releases a minute apart, now 1.

--- a/src/hickorybeam/policy/version_history.py
+++ b/src/hickorybeam/policy/version_history.py
@@ -33,6 +33,7 @@
         present[key] -= 1
         if not present[key]:
             del present[key]
+        self._drop_gone(service, now_ms)
         self._gone[service][key] = now_ms
 
     def sole_version(self, service: str, now_ms: int) -> bytes:
@@ -40,10 +41,16 @@
 
         :return: ``UNKNOWN_VERSION`` if there were several, or none.
         """
-        present = self._present.get(service, Counter())
+        self._drop_gone(service, now_ms)
+        keys = {*self._present.get(service, ()), *self._gone.get(service, ())}
+        return keys.pop() if len(keys) == 1 else UNKNOWN_VERSION
+
+    def gone_count(self) -> int:
+        """Return how many versions are kept whose last server has gone."""
+        return sum(map(len, self._gone.values()))
+
+    def _drop_gone(self, service: str, now_ms: int) -> None:
         gone = self._gone.get(service, {})
         for key, gone_ms in tuple(gone.items()):
             if now_ms - gone_ms >= GONE_VERSION_MS:
                 del gone[key]
-        keys = {*present, *gone}
-        return keys.pop() if len(keys) == 1 else UNKNOWN_VERSION
--- a/tests/policy/stream_versions.feature
+++ b/tests/policy/stream_versions.feature
@@ -103,3 +103,9 @@
     Then there was no sole version
     When 1 s pass for the history
     Then the sole version is "v2"
+
+  # Guards against a history that grows with each release of a service whose streams nobody takes up.
+  Scenario: versions that are gone are dropped though nobody asks
+    Given a history of versions
+    When 100 versions come and go, one each 61 s
+    Then 1 version that is gone is kept
--- a/tests/steps/policy/stream_versions_steps.py
+++ b/tests/steps/policy/stream_versions_steps.py
@@ -183,3 +183,16 @@
 @then("there was no sole version")
 def step_no_sole(context):
     assert context.history.sole_version(SERVICE, context.now_ms) == UNKNOWN_VERSION
+
+
+@when("{count:d} versions come and go, one each {seconds:d} s")
+def step_versions_pass(context, count, seconds):
+    for number in range(count):
+        context.history.add(SERVICE, key_of(f"v{number}"))
+        context.history.remove(SERVICE, key_of(f"v{number}"), context.now_ms)
+        context.now_ms += seconds * 1000
+
+
+@then("{count:d} version that is gone is kept")
+def step_gone_kept(context, count):
+    assert context.history.gone_count() == count, context.history.gone_count()
