gateway/stream_origins: a stream that a VM knows by two versions is refused, whatever others know

Cause: two versions recorded for one stream counted as not known, so the VM asked, and another one that knows only one of them was believed: a guess at the version. Now the VM refuses at once, and one that is asked says that it knows two, after which no other answer counts. An answer that comes before that one still ends the wait. Failing before: gateway/stream_lookups.feature 'knows by two versions' (200 where 503 is due); three rows of answers.

--- a/src/hickorybeam/gateway/stream_messages.py
+++ b/src/hickorybeam/gateway/stream_messages.py
@@ -25,10 +25,11 @@
 
     ``version_key`` is that of the stream's version, empty if the VM doesn't know the stream.
     ``sole`` is the key of the only version that the service has had lately, empty if there were
-    several, ``None`` if the VM can't tell.
+    several, ``None`` if the VM can't tell. ``disputed``: the VM knows the stream by two versions.
     """
 
     vm: str
     number: int
     version_key: bytes
     sole: bytes | None
+    disputed: bool = False
--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -123,6 +123,9 @@
         if key is not None:
             self._lookups.labels("here").inc()
             return key
+        if self._is_disputed(digest):
+            # Another VM may know one of the versions only, and would be believed.
+            return None
         services = {it.service for it in request.route.targets}
         service = services.pop() if len(services) == 1 else ""
         answers = await self._ask(digest, service)
@@ -150,7 +153,7 @@
             for vm in (*near, *far):
                 self._fleet.send_message(vm, message)
             await self._wait(question, near, NEAR_ANSWERS_MS)
-            if answers.concluded is None:
+            if answers.concluded is None and not answers.disputed:
                 await self._wait(question, [*near, *far], FAR_ANSWERS_MS - NEAR_ANSWERS_MS)
         finally:
             del self._questions[number]
@@ -159,7 +162,8 @@
     async def _wait(self, question: _Question, vms: Sequence[str], limit_ms: int) -> None:
         """Wait until the stream is known, or until all of some VMs have answered."""
         with anyio.move_on_after(limit_ms / MS_PER_SECOND):
-            while question.answers.told is None and not question.answers.heard_all(vms):
+            answers = question.answers
+            while answers.told is None and not answers.disputed and not answers.heard_all(vms):
                 question.changed = anyio.Event()
                 await question.changed.wait()
 
@@ -172,14 +176,20 @@
             message.number,
             key or UNKNOWN_VERSION,
             self._sole_version(message.service),
+            self._is_disputed(message.digest),
         )
         self._fleet.send_message(message.vm, answer)
 
+    def _is_disputed(self, digest: bytes) -> bool:
+        return self._fleet.stream_versions.is_disputed(digest, self._clock.now())
+
     def handle_answer(self, message: StreamAnswer) -> None:
         """Pass an answer to the request that waits for it."""
         question = self._questions.get(message.number)
         if question is not None:
-            question.answers.add(message.vm, message.version_key, message.sole)
+            question.answers.add(
+                message.vm, message.version_key, message.sole, disputed=message.disputed
+            )
             question.changed.set()
 
     def _sole_version(self, service: str) -> bytes | None:
--- a/src/hickorybeam/policy/stream_answers.py
+++ b/src/hickorybeam/policy/stream_answers.py
@@ -23,10 +23,17 @@
         self._silent = set(asked)
         self._is_cut_off = bool(self._silent)
         self._keys: set[bytes] = set()
+        self.disputed = False
         self._soles = {sole}
 
-    def add(self, vm: str, version_key: bytes, sole: bytes | None) -> None:
-        """Add a VM's answer."""
+    def add(
+        self, vm: str, version_key: bytes, sole: bytes | None, *, disputed: bool = False
+    ) -> None:
+        """Add a VM's answer.
+
+        :param disputed: the VM knows the stream by two versions, so that no other answer counts.
+        """
+        self.disputed |= disputed
         self._silent.discard(vm)
         self._is_cut_off = False
         self._soles.add(sole)
@@ -40,7 +47,7 @@
     @property
     def told(self) -> bytes | None:
         """The version that VMs know the stream by; ``None`` if none does, or they disagree."""
-        return next(iter(self._keys)) if len(self._keys) == 1 else None
+        return next(iter(self._keys)) if len(self._keys) == 1 and not self.disputed else None
 
     @property
     def concluded(self) -> bytes | None:
@@ -50,7 +57,7 @@
         other version first. A VM that nobody answers concludes nothing, since it may be cut off
         from whoever has heard of another version.
         """
-        if self._keys or self._is_cut_off:
+        if self._keys or self.disputed or self._is_cut_off:
             return self.told
         soles = self._soles - {None}
         sole = soles.pop() if len(soles) == 1 else None
--- a/src/hickorybeam/policy/stream_versions.py
+++ b/src/hickorybeam/policy/stream_versions.py
@@ -116,10 +116,17 @@
 
         It isn't known either if two versions are recorded.
         """
+        keys = self._keys(digest, now_ms)
+        return None if len(keys) != 1 or UNKNOWN_VERSION in keys else keys.pop()
+
+    def is_disputed(self, digest: bytes, now_ms: int) -> bool:
+        """Return whether two versions are recorded for a stream."""
+        keys = self._keys(digest, now_ms)
+        return len(keys) > 1 or UNKNOWN_VERSION in keys
+
+    def _keys(self, digest: bytes, now_ms: int) -> set[bytes]:
         self._drop_ended(now_ms)
-        found = {span[digest] for span in self._spans.values() if digest in span}
-        key = found.pop() if len(found) == 1 else UNKNOWN_VERSION
-        return None if key == UNKNOWN_VERSION else key
+        return {span[digest] for span in self._spans.values() if digest in span}
 
     def _put(self, digest: bytes, key: bytes, keep_ms: int, now_ms: int) -> None:
         self._drop_ended(now_ms)
--- a/tests/gateway/stream_lookups.feature
+++ b/tests/gateway/stream_lookups.feature
@@ -71,6 +71,17 @@
     Then each caller is refused within 500 ms and told when to come back
     And servers of "model" executed 0 requests
 
+  # Guards against a VM that asks others which know only one of the versions.
+  Scenario: a stream that its VM knows by two versions is refused at once
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m9:v1@south-1"
+    When 4 streams from "n1" break off
+    And model servers "m2:v2@north-1" join
+    And "n1" is told that they began at version "v2"
+    And their callers take them up at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And no stream ran at two versions
+
   # Guards against a VM of an earlier release, which forwards a stream without its version.
   Scenario: a forwarded stream that brings no version is refused as not run
     Given a gateway of VMs "n1@north-1, s1@south-1"
--- a/tests/policy/stream_versions.feature
+++ b/tests/policy/stream_versions.feature
@@ -84,6 +84,10 @@
       | v1      |                            | v1      |
       | v1      | silent, -/v1               | v1      |
       | v1      | silent, v2/several         | v2      |
+      # Guards against a VM that knows one of a stream's two versions and is believed.
+      | several | both/several, v1/several   | -       |
+      | several | v1/several, both/several   | -       |
+      | v1      | both/v1                    | -       |
       # Guards against a VM that is cut off and knows of one version only.
       | v1      | silent, silent             | -       |
       | nothing |                            | -       |
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -10,10 +10,12 @@
 import msgspec
 from behave import given, then, when
 
+from hickorybeam.clock import SystemClock
 from hickorybeam.demo.platform import start_platform_fleet
 from hickorybeam.gateway.placement_messages import PlacementRequest, PlacementResult
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.model.routing import Repeat
+from hickorybeam.policy.stream_versions import ToldStreams, stream_digest, version_key
 from hickorybeam.standins.deployment import caller_headers
 from hickorybeam.standins.server import (
     ServerFaults,
@@ -503,3 +505,11 @@
     )
     data = request_bytes("POST", b"/plan/x", headers, BODY)
     context.reply = context.call(context.rig.exchange, context.rig.vms[vm].ports.peers, data)
+
+
+@when('"{vm}" is told that they began at version "{version}"')
+def step_told_another(context, vm, version):
+    fleet = context.rig.vms[vm].fleet
+    digests = b"".join(stream_digest(it.began) for it in context.streams)
+    told = ToldStreams(version_key(MODEL, version), 10, digests)
+    fleet.stream_versions.merge([told], SystemClock().now())
--- a/tests/steps/policy/stream_versions_steps.py
+++ b/tests/steps/policy/stream_versions_steps.py
@@ -140,9 +140,9 @@
         if answer == "silent":
             continue
         known, sole = answer.split("/")
-        key = UNKNOWN_VERSION if known == "-" else key_of(known)
+        key = UNKNOWN_VERSION if known in ("-", "both") else key_of(known)
         assert not context.answers.heard_all([str(number)])
-        context.answers.add(str(number), key, sole_of(sole))
+        context.answers.add(str(number), key, sole_of(sole), disputed=known == "both")
         assert context.answers.heard_all([str(number)])
 
 
