tests/gateway/crashing_parts_known: trials and a deleted record lift a block, and cost two servers at most

The way from a trial to the store's record had no test: a part that no longer crashes servers is served again after one trial and its record goes; one that does costs two servers; an operator's deletion lifts it on all VMs.

--- a/tests/gateway/crashing_parts_known.feature
+++ b/tests/gateway/crashing_parts_known.feature
@@ -88,3 +88,36 @@
     And model servers stream for 1.2 s
     When a prompt of parts "5c1e, 91bd" runs at "n1" while "m1" leaves and ends
     Then "n1" suspects no part
+
+  # Guards against a block that nothing can ever lift, since all requests with the part are refused.
+  Scenario: a part that no longer crashes servers is served again after one trial
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    And model servers crash inside an event under part "dead"
+    And the first trial of a part is due 2 s after its last crash
+    When prompts with part "dead" come to "n1, n2" for 2 s, and sound ones beside them
+    And model servers no longer crash
+    And prompts with part "dead" come to "n1, n2" for 4 s, and sound ones beside them
+    Then the last 3 prompts with part "dead" were answered
+    And no VM has blocked a part
+    And the store holds no record of a blocked part
+
+  Scenario: trials of a part that still crashes servers cost two of them in all
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    And model servers crash inside an event under part "dead"
+    And the first trial of a part is due 0.2 s after its last crash
+    When prompts with part "dead" come to "n1, n2" for 7 s, and sound ones beside them
+    Then at most 6 requests with part "dead" reached servers
+    And the sound prompts of the last 2 s were answered
+
+  Scenario: an operator lifts a block by deleting its record
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1@north-1, m2@north-1, m3@north-1, m4@north-1"
+    And model servers crash inside an event under part "dead"
+    When prompts with part "dead" come to "n1, n2" for 2 s, and sound ones beside them
+    And model servers no longer crash
+    And the records of blocked parts are deleted
+    And 4 prompts with part "dead" come to "n2"
+    Then the last 3 prompts with part "dead" were answered
+    And no VM has blocked a part
--- a/tests/steps/gateway/crashing_parts_steps.py
+++ b/tests/steps/gateway/crashing_parts_steps.py
@@ -12,6 +12,7 @@
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import names
 from hickorybeam.platform.requests import decode_parts
+from hickorybeam.policy import block_trials
 from hickorybeam.ports import PART_BLOCKS
 from hickorybeam.standins.crashes import CrashPoint, CrashSwitch
 from hickorybeam.standins.deployment import caller_headers
@@ -315,3 +316,61 @@
 def step_none_refused(context, kind):
     found = {name: refusals_at(vm).get(kind, 0) for name, vm in context.rig.vms.items()}
     assert not any(found.values()), found
+
+
+RECORDS = "hickorybeam/blocked/"
+
+
+@given("the first trial of a part is due {seconds:g} s after its last crash")
+def step_trial_due(context, seconds):
+    due_ms = block_trials.FIRST_TRIAL_AFTER_MS
+    block_trials.FIRST_TRIAL_AFTER_MS = round(seconds * 1000)
+    context.stack.callback(setattr, block_trials, "FIRST_TRIAL_AFTER_MS", due_ms)
+
+
+@when("model servers no longer crash")
+def step_mended(context):
+    for server in context.rig.servers.values():
+        server.crash.parts = frozenset()
+
+
+def record_keys(context):
+    store = context.rig.app.stand_in.store
+    return [item.key for item in store.read_prefix(RECORDS).items]
+
+
+@when("the records of blocked parts are deleted")
+def step_records_deleted(context):
+    async def delete():
+        await context.rig.until(lambda: record_keys(context))
+        for key in record_keys(context):
+            context.rig.app.delete(key)
+        await context.rig.until(lambda: blocked_at(context) == set())
+
+    context.call(delete)
+
+
+def blocked_at(context):
+    """Return the VMs that block a part."""
+    return {
+        name
+        for name, vm in context.rig.vms.items()
+        if vm.relay._counters.registry.get_sample_value("hickorybeam_parts_blocked")
+    }
+
+
+@then('the last {count:d} prompts with part "{part}" were answered')
+def step_last_answered(context, count, part):
+    last = [it for it in context.prompts if it.bad and it.answer is not None][-count:]
+    found = [(it.answer.status, it.answer.whole) for it in last]
+    assert found == [(200, True)] * count, found
+
+
+@then("no VM has blocked a part")
+def step_none_blocked(context):
+    context.call(context.rig.until, lambda: not blocked_at(context))
+
+
+@then("the store holds no record of a blocked part")
+def step_no_record(context):
+    context.call(context.rig.until, lambda: not record_keys(context))
