--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -13,7 +13,8 @@
 from hickorybeam.gateway.hop import decode_forwarded_request
 from hickorybeam.gateway.learned_metrics import LearnedMetrics
 from hickorybeam.gateway.part_blocks import PartBlocksService
-from hickorybeam.gateway.request_handler import RequestHandler, shutdown_times
+from hickorybeam.gateway.request_handler import RequestHandler
+from hickorybeam.gateway.settings_limits import shutdown_times
 from hickorybeam.http1 import HttpServer, UpstreamPool
 from hickorybeam.kernel import Service
 from hickorybeam.platform import decode_query, directory_response
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -28,6 +28,7 @@
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.server_ends import ServerEnds
 from hickorybeam.gateway.service_queue import ServiceQueues
+from hickorybeam.gateway.settings_limits import retry_limits_of, shutdown_times
 from hickorybeam.gateway.slot_grant import SlotGrant
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.gateway.stream_origins import (
@@ -46,8 +47,7 @@
 )
 from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import decode_call
-from hickorybeam.policy.fleet_retry_budget import FleetRetryBudget, FleetRetryLimits
-from hickorybeam.policy.shutdown import ShutdownSchedule
+from hickorybeam.policy.fleet_retry_budget import FleetRetryBudget
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -63,7 +63,7 @@
     from hickorybeam.telemetry import Counters
     from hickorybeam.telemetry.decisions import DecisionLog
 
-__all__ = ("RequestHandler", "shutdown_times")
+__all__ = ("RequestHandler",)
 
 # Sends of one request, including those that were certainly not run.
 MAX_SENDS = 4
@@ -407,20 +407,6 @@
         self._admission.draining = True
 
 
-def shutdown_times(cfg: GatewaySettings) -> ShutdownSchedule:
-    """Return the schedule of a shutdown from the settings."""
-    return ShutdownSchedule(cfg.grace_s * MS_PER_SECOND)
-
-
-def retry_limits_of(cfg: GatewaySettings) -> FleetRetryLimits:
-    """Return the fleet's retry limits from the settings."""
-    return FleetRetryLimits(
-        ratio=cfg.repeat_ratio,
-        allowance=cfg.repeat_allowance,
-        window_ms=round(cfg.repeat_window_s * MS_PER_SECOND),
-    )
-
-
 def may_run_again(request: AdmittedRequest, progress: RequestProgress) -> bool:
     """Return whether a request that may have run may be sent to another server."""
     if progress.own_region_only or not request.route.repeatable:
