standins/crashes: a server whose port was taken while it was down starts at another one

Cause: a crashed stand-in listens on its port again 0.4 s later; tests run side by side, and another process may hold the port by then, so that bind failed and took the stand-in's task group along. Shown by a row that takes the port: the same error before, passes now. The product is not concerned.

--- a/src/hickorybeam/standins/crashes.py
+++ b/src/hickorybeam/standins/crashes.py
@@ -61,9 +61,12 @@
         return self._server is not None
 
     async def start(self) -> None:
-        """Listen, on the port of an earlier start if there was one."""
+        """Listen, on the port of an earlier start unless another process has taken it since."""
         server = HttpServer(self._handler, clock=self._clock, tasks=self._tasks)
-        await server.listen(HOST, self.port)
+        try:
+            await server.listen(HOST, self.port)
+        except OSError:
+            await server.listen(HOST, 0)
         self._server, self.port = server, server.port
 
     def end(self) -> None:
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -280,6 +280,7 @@
             self.withdraw()
             await self.clock.sleep(self.crash.back_ms)
             await process.start()
+            self.port = process.port
             self.id = f"{self.id.partition('.')[0]}.{len(self.crashes)}"
             self.register(born=len(self.crashes))
 
--- a/tests/gateway/crashing_parts.feature
+++ b/tests/gateway/crashing_parts.feature
@@ -28,6 +28,13 @@
       | lost     |
       | unframed |
 
+  # Guards against a stand-in that fails since another process took its port while it was down.
+  Scenario: a server whose port is taken while it is down starts at another one
+    Given a gateway of VMs "n1@north-1"
+    And model servers "m1@north-1"
+    When model server "m1" crashes and another process takes its port
+    Then "n1" sends prompts to it at its new address
+
   # Guards against a query of death that takes one server after the other.
   Scenario Outline: at most three requests more reach servers after five have crashed
     Given a gateway of VMs "<vms>"
--- a/tests/steps/gateway/crashing_parts_steps.py
+++ b/tests/steps/gateway/crashing_parts_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 import time
 from dataclasses import dataclass
 
@@ -374,3 +375,27 @@
 @then("the store holds no record of a blocked part")
 def step_no_record(context):
     context.call(context.rig.until, lambda: not record_keys(context))
+
+
+@when('model server "{name}" crashes and another process takes its port')
+def step_port_taken(context, name):
+    prepare(context)
+    server = context.rig.servers[name]
+
+    async def take():
+        server.end_process()
+        context.stack.enter_context(socket.create_server(("127.0.0.1", server.port)))
+        await context.rig.until(lambda: server.process.is_up)
+
+    context.call(take)
+
+
+@then('"{vm}" sends prompts to it at its new address')
+def step_new_address(context, vm):
+    async def served():
+        states = context.rig.vms[vm].routing_state.server_states
+        await context.rig.until(lambda: "m1.1" in states)
+        await ask(context, vm, (SHARED, "b0"))
+
+    context.call(served)
+    assert context.prompts[-1].answer.status == 200, context.prompts[-1].answer.status
