--- a/src/hickorybeam/gateway/part_blocks.py
+++ b/src/hickorybeam/gateway/part_blocks.py
@@ -159,21 +159,20 @@
         """Return whether a request is a trial; it becomes one if the trial of its part is due.
 
         A prompt with an undecided part tells by its end whether it was that one, so no store is
-        asked for its trial. If several parts are due together, a sound end clears all of them.
+        asked for its trial. With two blocked parts a crash would not tell which one caused it.
         """
         if request.trial:
             return True
         parts, now = verdict.blocked or verdict.undecided, self._clock.now()
-        if not parts:
+        if len(parts) != 1:
             return False
-        granted = [self._trial_until_ms.pop(part, 0) > now for part in parts]
-        is_due = any(granted)
-        if not is_due and not verdict.blocked:
+        if verdict.blocked:
+            is_due = self._trial_until_ms.pop(parts[0], 0) > now
+        else:
             is_due = self._undecided.setdefault(parts[0], UndecidedTrials()).take(now)
         if is_due:
             request.trial = True
-            told = " ".join(part.hex() for part in parts)
-            self._log.write("part_trial", part=told, request=request.call.request_id)
+            self._log.write("part_trial", part=parts[0].hex(), request=request.call.request_id)
         return is_due
 
     def _to_report(self, to_new_vm: bool) -> list[ToldPart]:
