gateway/server_ends: a VM tells under which requests servers ended, of all services, alike for repeats

Operators saw nothing of servers that end under plain requests, and only ids under prompts, which each repeat has new: whether a caller, a failover, a resumption or another region's VM had sent the request again could not be told. Each request at a server is followed now; server_ended lines give a key of what the server gets (policy/request_key), which repeats share, which send of its answer each was, whether it resumed a stream, and whether it was forwarded. server_ends counts ends under plain requests too. The stand-in servers can crash under a body.

--- a/src/hickorybeam/gateway/part_blocks.py
+++ b/src/hickorybeam/gateway/part_blocks.py
@@ -143,16 +143,16 @@
         """Record that a server ended unplanned, and under which requests."""
         server = ended.server_state.server
         suspects = [
-            (part, request_digest(call.parts[-1].id))
-            for call in ended.suspects
-            for part in shared_parts(server.service, call)
+            (part, request_digest(it.request.call.parts[-1].id))
+            for it in ended.suspects
+            for part in shared_parts(server.service, it.request.call)
         ]
         crash = crash_digest(server.id, server.born_ms)
         self._record_changes(self._evidence.record_crash(crash, suspects, ended.at_ms), by="here")
 
     def record_proven(self, request: OpenRequest) -> None:
         """Record that a server has outlived the beginning of a request's response."""
-        parts = shared_parts(request.server_state.server.service, request.call)
+        parts = shared_parts(request.server_state.server.service, request.request.call)
         self._record_changes(self._evidence.record_sound(parts, self._clock.now()), by="here")
 
     def _is_trial(self, request: AdmittedRequest, verdict: BlockVerdict) -> bool:
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -15,6 +15,7 @@
     broken_end,
 )
 from hickorybeam.gateway.resumed_streams import ResumedStreams, version_of
+from hickorybeam.gateway.server_ends import OpenRequest
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget
 from hickorybeam.http1 import BrokenResponseError, Framing, find_header, is_encoded
 from hickorybeam.platform import response_headers
@@ -28,7 +29,7 @@
     from hickorybeam.gateway.final_responses import FinalResponses
     from hickorybeam.gateway.in_flight import InFlightRequest
     from hickorybeam.gateway.progress import RequestProgress
-    from hickorybeam.gateway.server_ends import OpenRequest, ServerEnds
+    from hickorybeam.gateway.server_ends import ServerEnds
     from hickorybeam.gateway.server_notices import ServerNotices
     from hickorybeam.gateway.stream_origins import StreamOrigins
     from hickorybeam.gateway.target_selector import TargetSelector
@@ -95,7 +96,7 @@
             copy_from=copy_from,
             is_blocked=lambda: self._is_blocked(request),
         )
-        open_request = self._open_request(target, request, attempt)
+        open_request = self._open_request(target, request, progress, attempt)
         progress.outcome_open = True
         status = SendStatus.LEFT
         try:
@@ -151,12 +152,25 @@
             attempt.close()
 
     def _open_request(
-        self, target: Target, request: AdmittedRequest, attempt: Attempt
+        self,
+        target: Target,
+        request: AdmittedRequest,
+        progress: RequestProgress,
+        attempt: Attempt,
     ) -> OpenRequest | None:
-        """Follow a prompt that is sent to a server; ``None`` for other requests."""
-        if not isinstance(target, ServerTarget) or not request.call.parts:
+        """Follow a request that is sent to a server; ``None`` if it goes to a VM."""
+        if not isinstance(target, ServerTarget):
             return None
-        return self._server_ends.open(target.server_state, request.call, attempt)
+        open_request = OpenRequest(
+            target.server_state,
+            request,
+            attempt,
+            sent_ms=self._clock.now(),
+            number=progress.sends,
+            forwarded=progress.own_region_only,
+        )
+        self._server_ends.open(open_request)
+        return open_request
 
     def _start_in_flight(self, target: Target, request: AdmittedRequest) -> InFlightRequest | None:
         """Count a request at the server that it is sent to; ``None`` if it goes to a VM."""
--- a/src/hickorybeam/gateway/server_ends.py
+++ b/src/hickorybeam/gateway/server_ends.py
@@ -24,8 +24,8 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.attempt import Attempt
     from hickorybeam.gateway.routing_state import RoutingState
+    from hickorybeam.gateway.targets import AdmittedRequest
     from hickorybeam.http1 import UpstreamPool
-    from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
 
@@ -42,7 +42,7 @@
 # Servers behind a network that is cut fall silent one after the other, as their connections time
 # out. Those within this time of the first have ended together.
 SAME_SILENCE_MS = 5_000
-# Requests whose prompts' parts a log line names.
+# Requests of each kind that a log line describes.
 MAX_LOGGED_REQUESTS = 8
 MAX_LOGGED_SERVERS = 256
 
@@ -59,13 +59,18 @@
 class OpenRequest:
     """A request at a backend server, from its send to its end.
 
-    ``began_ms`` is when the first bytes of its response's body came. ``proven``: its server has
-    outlived the beginning of its response. ``ended_whole``: the response ended as a whole one does.
+    ``number`` counts the sends of its answer, from 1 on. ``forwarded``: a VM of another region has
+    sent it here. ``began_ms`` is when the first bytes of its response's body came. ``proven``: its
+    server has outlived the beginning of its response. ``ended_whole``: the response ended as a
+    whole one does.
     """
 
     server_state: ServerState
-    call: RelayCall
+    request: AdmittedRequest
     attempt: Attempt
+    sent_ms: int
+    number: int = 1
+    forwarded: bool = False
     began_ms: int | None = None
     proven: bool = False
     ended_whole: bool = False
@@ -77,7 +82,7 @@
 
     server_state: ServerState
     at_ms: int
-    suspects: tuple[RelayCall, ...]
+    suspects: tuple[OpenRequest, ...]
 
 
 @dataclass(slots=True, eq=False)
@@ -129,11 +134,9 @@
         self._breaks.clear()
         self._tasks = tasks
 
-    def open(self, server_state: ServerState, call: RelayCall, attempt: Attempt) -> OpenRequest:
+    def open(self, request: OpenRequest) -> None:
         """Follow a request that is about to be sent."""
-        request = OpenRequest(server_state, call, attempt)
-        self._open.setdefault(server_state, set()).add(request)
-        return request
+        self._open.setdefault(request.server_state, set()).add(request)
 
     def record_bytes(self, request: OpenRequest, now_ms: int) -> None:
         """Record that bytes of a response's body came."""
@@ -240,8 +243,7 @@
         if server_state not in self._logged:
             self._log_end(server_state, breaks, suspects, planned=planned)
         if not planned:
-            calls = tuple(it.call for it in suspects)
-            self._on_end(EndedServer(server_state, breaks.since_ms, calls))
+            self._on_end(EndedServer(server_state, breaks.since_ms, tuple(suspects)))
 
     def _log_end(
         self,
@@ -257,6 +259,7 @@
             self._logged.popitem(last=False)
         server = server_state.server
         begun = [it for it in suspects if it.began_ms is not None]
+        unanswered = [it for it in suspects if it.began_ms is None]
         self._ended.labels(server.service, "yes" if planned else "no").inc()
         self._log.write(
             "server_ended",
@@ -267,15 +270,25 @@
             cold=self._routing_state.is_cold(server.id, breaks.since_ms),
             open=len(breaks.requests),
             just_begun=[self._described(it, breaks) for it in begun[:MAX_LOGGED_REQUESTS]],
-            not_begun=len(suspects) - len(begun),
+            not_begun=len(unanswered),
+            unanswered=[self._described(it, breaks) for it in unanswered[:MAX_LOGGED_REQUESTS]],
         )
 
     @staticmethod
     def _described(request: OpenRequest, breaks: _Breaks) -> dict[str, object]:
-        """Return a request as a log line tells it, with the ids of its prompt's shared parts."""
+        """Return a request as a log line tells it, with the ids of its prompt's shared parts.
+
+        Repeats of one request have the same ``key``, whatever their ids.
+        """
         began_ms = breaks.since_ms if request.began_ms is None else request.began_ms
+        call = request.request.call
         return {
-            "request": request.call.request_id,
+            "request": call.request_id,
+            "key": request.request.key().hex(),
+            "sent_ms_before": breaks.since_ms - request.sent_ms,
             "began_ms_before": breaks.since_ms - began_ms,
-            "parts": [part.id for part in request.call.parts[:-1]],
+            "send": request.number,
+            "resumed": request.request.resume_after is not None,
+            "forwarded": request.forwarded,
+            "parts": [part.id for part in call.parts[:-1]],
         }
--- a/src/hickorybeam/gateway/targets.py
+++ b/src/hickorybeam/gateway/targets.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from hickorybeam.model.routing import Repeat, Route
+from hickorybeam.policy.request_key import request_key, request_outline
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -68,6 +69,20 @@
     cost: float = 0.0
     version_key: bytes | None = None
     trial: bool = False
+    _outline: bytes | None = field(default=None, repr=False)
+    _key: bytes | None = field(default=None, repr=False)
+
+    def outline(self) -> bytes:
+        """Return the digest of what a server gets, without the body."""
+        if self._outline is None:
+            self._outline = request_outline(self.call, self.account)
+        return self._outline
+
+    def key(self) -> bytes:
+        """Return the digest of what a server gets, which the request's repeats have too."""
+        if self._key is None:
+            self._key = request_key(self.outline(), self.call.body)
+        return self._key
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/model/routing.py
+++ b/src/hickorybeam/model/routing.py
@@ -192,7 +192,8 @@
 class RelayCall:
     """A caller's request: what decisions need, and what is forwarded unchanged.
 
-    ``headers`` are those to forward. ``deadline_ms`` is on this VM's monotonic clock.
+    ``headers`` are those to forward. ``model`` is the one that it names, empty for none.
+    ``deadline_ms`` is on this VM's monotonic clock.
     ``resume_after`` is the id of the last event that a caller has who takes a stream up,
     ``resumes`` that of the request which brought the stream's first event.
     """
@@ -207,6 +208,7 @@
     key: str | None
     arrived_ms: int
     deadline_ms: int
+    model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
     tokens_told: bool = False
--- a/src/hickorybeam/platform/requests.py
+++ b/src/hickorybeam/platform/requests.py
@@ -35,6 +35,7 @@
         arrived_ms=req.arrived_ms,
         deadline_ms=req.arrived_ms
         + (DEFAULT_DEADLINE_MS if remaining_ms is None else remaining_ms),
+        model=decode_text(find_header(headers, names.MODEL)),
         prompt_tokens=prompt,
         output_tokens=output,
         tokens_told=prompt + output > 0,
--- /dev/null
+++ b/src/hickorybeam/policy/request_key.py
@@ -0,0 +1,43 @@
+"""Digests of requests by what servers get, so that repeats are known whatever their ids.
+
+Left out is what differs between the repeats of one request: its id, its deadline, the event after
+which a stream goes on, and headers that neither the gateway nor a model knows. The service is left
+out too: a route may spread its requests over several.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from hickorybeam.model.routing import RelayCall
+
+__all__ = ("KEY_BYTES", "OUTLINE_BYTES", "request_key", "request_outline")
+
+OUTLINE_BYTES = 8
+BODY_BYTES = 8
+KEY_BYTES = OUTLINE_BYTES + BODY_BYTES
+
+
+def request_outline(call: RelayCall, account: str | None) -> bytes:
+    """Return a digest of a request without its body, but for the body's length."""
+    content = (
+        call.method,
+        call.host,
+        call.target,
+        account,
+        call.model,
+        call.prompt_tokens,
+        call.output_tokens,
+        [(part.id, part.tokens) for part in call.parts],
+        len(call.body),
+    )
+    return blake2b(msgspec.msgpack.encode(content), digest_size=OUTLINE_BYTES).digest()
+
+
+def request_key(outline: bytes, body: bytes) -> bytes:
+    """Return a digest of a whole request; it begins with its outline."""
+    return outline + blake2b(body, digest_size=BODY_BYTES).digest()
--- a/src/hickorybeam/standins/crashes.py
+++ b/src/hickorybeam/standins/crashes.py
@@ -13,6 +13,7 @@
 
     from hickorybeam.clock import Clock
     from hickorybeam.http1.server import Handler
+    from hickorybeam.model.routing import RelayCall
 
 __all__ = ("CrashPoint", "CrashSwitch", "ServerProcess")
 
@@ -22,6 +23,7 @@
 class CrashPoint(Enum):
     """How far a server gets with the response under which it crashes.
 
+    ``INSIDE_EVENT``: inside an event of a stream, or inside a body that has a length.
     ``UNFRAMED_END``: the response has no framing and ends between two events, so that nothing but
     the server's end tells it from a whole one.
     """
@@ -33,7 +35,7 @@
 
 @dataclass(slots=True)
 class CrashSwitch:
-    """Parts of prompts under which a server crashes, and what it does then.
+    """Parts of prompts and bodies under which a server crashes, and what it does then.
 
     Its entry in the store lapses ``lapse_ms`` after a crash, and ``back_ms`` later it starts again
     under another id.
@@ -43,6 +45,12 @@
     point: CrashPoint = CrashPoint.INSIDE_EVENT
     back_ms: int = 200
     lapse_ms: int = 200
+    bodies: frozenset[bytes] = frozenset()
+
+    def strikes(self, call: RelayCall) -> bool:
+        """Return whether the server crashes under a request."""
+        has_part = not self.parts.isdisjoint(part.id for part in call.parts)
+        return has_part or call.body in self.bodies
 
 
 class ServerProcess:
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -96,7 +96,7 @@
     if it is set.
     ``health_checks`` holds the times at which its health was checked.
     ``version`` is that of its software, as its entry names it.
-    ``crash`` says under which parts of prompts it crashes; ``crashes`` holds the times at which it
+    ``crash`` says under which requests it crashes; ``crashes`` holds the times at which it
     did.
     """
 
@@ -206,8 +206,9 @@
             reply.abort()
             return
         headers = self._headers(request_id)
-        if not self.crash.parts.isdisjoint(part.id for part in decode_call(req).parts):
-            await self._crash_under(reply, headers)
+        if self.crash.strikes(decode_call(req)):
+            is_stream = find_header(req.headers, names.TOKENS) is not None
+            await self._crash_under(reply, headers, is_stream=is_stream)
         elif self.faults.take("errors"):
             reply.send(500, headers, b"failed")
         elif find_header(req.headers, names.TOKENS) is not None:
@@ -248,19 +249,25 @@
             await stream.send(event(number, version))
         stream.end()
 
-    async def _crash_under(self, reply: ResponseWriter, headers: RawHeaders) -> None:
+    async def _crash_under(
+        self, reply: ResponseWriter, headers: RawHeaders, *, is_stream: bool
+    ) -> None:
         """Begin an answer as the switch says, and crash."""
         point = self.crash.point
         stream = StreamReply(reply, headers, unframed=point is CrashPoint.UNFRAMED_END)
         match point:
             case CrashPoint.BEFORE_HEAD:
                 pass
-            case CrashPoint.INSIDE_EVENT:
+            case CrashPoint.INSIDE_EVENT if is_stream:
                 stream.start()
                 await stream.send(b"id: 1\nda")
-            case CrashPoint.UNFRAMED_END:
+            case CrashPoint.UNFRAMED_END if is_stream:
                 stream.start()
                 await stream.send(event(1, self.version))
+            case CrashPoint.INSIDE_EVENT:
+                reply.send_raw(response_head_bytes(200, headers, length=9, close=False) + b"half")
+            case CrashPoint.UNFRAMED_END:
+                reply.send_raw(b"HTTP/1.1 200 OK\r\n" + header_lines(headers) + b"\r\nhalf")
         await self.clock.sleep(self.event_every_ms)
         self.end_process()
 
--- /dev/null
+++ b/tests/steps/gateway/repeated_requests_steps.py
@@ -0,0 +1,214 @@
+from __future__ import annotations
+
+import itertools
+import time
+
+import anyio
+from behave import given, then, when
+
+from hickorybeam.http1 import ConnectFailedError
+from hickorybeam.http1.head import request_bytes
+from hickorybeam.platform import names
+from hickorybeam.standins.crashes import CrashPoint, CrashSwitch
+from hickorybeam.standins.deployment import caller_headers
+from hickorybeam.standins.server import ServerStandIn, serve_server
+from steps.gateway.gateway_steps import split_names
+from steps.gateway.stream_versions_steps import end, places, refusals_at, running
+
+BOOKS = "books"
+MODEL_ROUTES = ("chat", "plan")
+WAIT_MS = 2_000
+SOUND_EVERY_S = 0.05
+# Between a caller's failed request and its repeat.
+REPEAT_AFTER_S = 0.002
+AT_ONCE_MS = 150
+# Copies of a request that are on their way when the third server ends arrive within this time.
+KNOWN_AFTER_MS = 200
+
+
+@given('plain servers "{servers}"')
+def step_plain_servers(context, servers):
+    rig = context.rig
+    for name, _, place in places(servers):
+        server = ServerStandIn(name, BOOKS, place, rig.app, work_ms=10)
+        manager = context.portal.wrap_async_context_manager(serve_server(server))
+        rig.servers[name] = context.stack.enter_context(manager)
+
+    def known():
+        states = [vm.routing_state.server_states for vm in running(rig)]
+        return all(set(rig.servers) <= set(it) for it in states)
+
+    context.call(rig.until, known)
+
+
+@given('servers crash {point} under body "{body}"')
+def step_crash_under_body(context, point, body):
+    for server in context.rig.servers.values():
+        server.crash = CrashSwitch(bodies=frozenset({body.encode()}), point=CrashPoint(point))
+    context.sent = []
+    context.ids = itertools.count(1)
+    context.body = body.encode()
+    context.told_ends = []
+    for vm in running(context.rig):
+        keep_lines(context, vm, "server_ended", context.told_ends)
+
+
+def keep_lines(context, vm, event, kept):
+    """Keep the fields of a VM's log lines of one kind."""
+    log = vm.relay._handler._server_ends._log
+    write = log.write
+
+    def keep(written, **fields):
+        if written == event:
+            kept.append(fields)
+        write(written, **fields)
+
+    log.write = keep
+
+
+def request(context, route, body, parts):
+    """Encode a request under a new id; on routes of models it tells its tokens and parts."""
+    is_prompt = route in MODEL_ROUTES
+    headers = caller_headers(
+        f"{next(context.ids):016x}",
+        key="small",
+        wait_ms=WAIT_MS,
+        tokens=b"60,10" if is_prompt else None,
+    )
+    if is_prompt:
+        headers = (*headers, (names.PREFIX, parts))
+    return request_bytes("POST", f"/{route}/x".encode(), headers, body)
+
+
+async def ask(context, vm, route, body, parts=b"0a0a:20"):
+    """Send a request and note when, its body, its answer and how long that took in ms."""
+    began = time.monotonic()
+    data = request(context, route, body, parts)
+    try:
+        answer = await context.rig.exchange(context.rig.vms[vm].ports.callers, data)
+    except ConnectFailedError:
+        return
+    context.sent.append((began, body, answer, (time.monotonic() - began) * 1000))
+
+
+def sound_body(context, number):
+    """Return a body that differs from the one that crashes servers in its last bytes only."""
+    length = len(context.body)
+    return (context.body[:-3] + b"%03d" % (number % 1000))[:length]
+
+
+async def ask_sound(context, vms, route):
+    """Send requests of the same path, caller and parts with other bodies, one after the other."""
+    async with anyio.create_task_group() as tg:
+        for number, vm in enumerate(itertools.cycle(vms)):
+            tg.start_soon(ask, context, vm, route, sound_body(context, number))
+            await anyio.sleep(SOUND_EVERY_S)
+
+
+async def repeat(context, vms, route, copies):
+    """Send a request again as soon as its last attempt has ended, at the next VM each time."""
+    asked = itertools.cycle(vms)
+    while True:
+        async with anyio.create_task_group() as tg:
+            for _ in range(copies):
+                tg.start_soon(ask, context, next(asked), route, context.body)
+        await anyio.sleep(REPEAT_AFTER_S)
+
+
+def repeat_for(context, vms, route, seconds, copies=1):
+    async def run():
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(repeat, context, vms, route, copies)
+                tg.start_soon(ask_sound, context, vms, route)
+        context.ended_at = time.monotonic()
+
+    context.call(run)
+
+
+@when('that request is repeated at "{vms}" on route "{route}" for {seconds:g} s, beside sound ones')
+def step_repeated(context, vms, route, seconds):
+    repeat_for(context, split_names(vms), route, seconds)
+
+
+@when(
+    'that request is repeated by {copies:d} copies at once at "{vms}" on route "{route}"'
+    " for {seconds:g} s, beside sound ones"
+)
+def step_copies(context, copies, vms, route, seconds):
+    repeat_for(context, split_names(vms), route, seconds, copies)
+
+
+@when('that request is sent {count:d} times to "{vm}" on route "{route}"')
+def step_sent(context, count, vm, route):
+    async def run():
+        for _ in range(count):
+            await ask(context, vm, route, context.body)
+            await anyio.sleep(REPEAT_AFTER_S)
+
+    context.call(run)
+
+
+@then('the ends that "{vm}" tells have one request key in common')
+def step_same_key(context, vm):
+    written = context.told_ends
+
+    async def both():
+        await context.rig.until(lambda: len(written) == 2, limit_s=3)
+
+    context.call(both)
+    keys = [{it["key"] for it in fields["unanswered"]} for fields in written]
+    assert len(keys[0] & keys[1]) == 1, keys
+
+
+def ends_and_arrivals(context):
+    """Return when servers ended under the request, and when it arrived at servers, in ms."""
+    servers = context.rig.servers.values()
+    ends = sorted(at_ms for server in servers for at_ms in server.crashes)
+    arrivals = [it for server in servers for it in server.ran if it.body == context.body]
+    return ends, sorted(it.at_ms for it in arrivals)
+
+
+def check_late(context, slack_ms):
+    ends, arrivals = ends_and_arrivals(context)
+    assert len(ends) >= 3, ends
+    late = [at_ms - ends[2] for at_ms in arrivals if at_ms > ends[2] + slack_ms]
+    assert not late, f"{len(late)} more after {late} ms; {len(ends)} servers ended in all"
+
+
+@then("it reached no server after three had ended under it")
+def step_no_more(context):
+    check_late(context, 0)
+
+
+@then("its copies reached no server once it was known that three had ended under it")
+def step_no_more_copies(context):
+    check_late(context, KNOWN_AFTER_MS)
+
+
+@then('its last repeats were refused at once as "{kind}"')
+def step_refused(context, kind):
+    last = [it for it in context.sent if it[1] == context.body][-3:]
+    assert [answer.status for *_, answer, _ in last] == [503] * 3, [it[2].status for it in last]
+    assert all(answer.retry_after for *_, answer, _ in last)
+    assert all(took_ms < AT_ONCE_MS for *_, took_ms in last), [it[3] for it in last]
+    assert sum(refusals_at(vm).get(kind, 0) for vm in running(context.rig)) >= 3
+
+
+@then('"{vm}" refused all of its {count:d} repeats as "{kind}"')
+def step_all_refused(context, vm, count, kind):
+    found = refusals_at(context.rig.vms[vm])
+    assert found.get(kind, 0) == count, found
+
+
+@then("the sound requests of the last {seconds:g} s were answered")
+def step_sound_answered(context, seconds):
+    since = context.ended_at - seconds
+    sound = [it for it in context.sent if it[0] > since and it[1] != context.body]
+    served = [it for it in sound if it[2].status == 200 and it[2].whole]
+    assert len(served) == len(sound) > 10, (len(served), len(sound))
+
+
+@when('VM "{name}" is killed')
+def step_killed(context, name):
+    context.call(end, context.rig.vms.pop(name))
