bench/soak/repeats: one request ends each server that gets it, and its caller repeats it

At any VM, under new ids, at once or a tenth of a second later, while VMs are killed or the store is silent; sound requests that differ by their bodies alone have to be served.

--- a/bench/soak/crashes.py
+++ b/bench/soak/crashes.py
@@ -20,7 +20,7 @@
 
     from hickorybeam.standins.server import ServerStandIn
 
-__all__ = ("check_crashing_parts", "crash_servers", "crash_under_part")
+__all__ = ("check_crashing_parts", "crash_servers", "crash_under_part", "disturb")
 
 MODEL = "model"
 SHARED = "5c1e:30"
@@ -46,7 +46,7 @@
         server.crash.parts |= {part}
         server.crash.point = point
     async with anyio.create_task_group() as tg:
-        tg.start_soon(_disturb, soak)
+        tg.start_soon(disturb, soak)
         for _ in range(PROMPTS):
             tg.start_soon(_ask, soak, f"{SHARED},{part}:20")
             await anyio.sleep(PROMPT_EVERY_S)
@@ -62,7 +62,7 @@
     await soak.prompt("small", PROMPT_WAIT_MS, parts=parts)
 
 
-async def _disturb(soak: SoakTarget) -> None:
+async def disturb(soak: SoakTarget) -> None:
     """Kill a VM or silence the store in the middle, or neither."""
     await anyio.sleep(soak.rng.uniform(0.5, 2.0))
     match soak.rng.choice(("kill", "store", "nothing")):
--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -7,8 +7,8 @@
 Every second or two, drawn from the seed, something fails: VMs are killed, paused, stopped in order
 and started again; the store falls silent, turns VMs away, loses answers, its history or entries;
 servers lose, spoil and cut answers, leave, come back cold or under a new address, name limits, ask
-for rest, change their speed, crash (also under a part of prompts) and are replaced by another
-version; keys are withdrawn, an account floods a service, callers read nothing, and take up streams
+for rest, change their speed, crash (also under a part of prompts, or under one request that is
+repeated) and are replaced by another version; keys are withdrawn, an account floods a service, callers read nothing, and take up streams
 that broke off. Other callers go on all the while. What they and the servers saw is judged; exits 1
 on a broken promise.
 """
@@ -32,6 +32,7 @@
 from bench.gateway_cost import start_daemon
 from bench.soak.crashes import check_crashing_parts, crash_servers, crash_under_part
 from bench.soak.hard_load import change_speed, flood, read_nothing
+from bench.soak.repeats import check_repeated_requests, repeat_request
 from bench.soak.server_notices import ask_for_rest, name_limit, say_leaving
 from bench.soak.streams import VERSIONS, follow_stream, kill_under_streams, release
 
@@ -238,13 +239,22 @@
 
         :param parts: the shared parts, each with its tokens.
         """
-        request_id = f"{next(self._numbers):016x}"
-        headers = caller_headers(request_id, key=key, wait_ms=wait_ms, tokens=b"50,10")
-        prefix = (b"x-hickorybeam-prompt-prefix", f"{parts},{request_id}:20".encode())
-        data = request_bytes("POST", b"/chat/x", (*headers, prefix), b"{}")
-        answer = await self._exchange(self.rng.choice(self.caller_ports), data)
+        own = f"{self.rng.getrandbits(64):016x}:20"
+        answer = await self.send("/chat/x", key, wait_ms, b"{}", parts=f"{parts},{own}")
         return answer.whole and answer.status == 200
 
+    async def send(
+        self, path: str, key: str, wait_ms: int, body: bytes, *, parts: str = "0a0a:20"
+    ) -> Answer:
+        """Send a request to some VM; on routes of models as a prompt of some parts."""
+        request_id = f"{next(self._numbers):016x}"
+        is_prompt = path.startswith(("/chat", "/plan"))
+        tokens = b"50,10" if is_prompt else None
+        headers = caller_headers(request_id, key=key, wait_ms=wait_ms, tokens=tokens)
+        prefix = ((b"x-hickorybeam-prompt-prefix", parts.encode()),) if is_prompt else ()
+        data = request_bytes("POST", path.encode(), (*headers, *prefix), body)
+        return await self._exchange(self.rng.choice(self.caller_ports), data)
+
     async def _exchange(self, port: int, data: bytes) -> Answer:
         parts: list[bytes] = []
         status, headers = 0, ()
@@ -455,6 +465,7 @@
         kill_under_streams,
         crash_under_part,
         crash_servers,
+        repeat_request,
     )
 }
 
@@ -479,6 +490,7 @@
         await run.run(seconds)
         run.check_runs()
         check_crashing_parts(run)
+        check_repeated_requests(run)
         return run.seen
 
 
--- a/bench/soak/target.py
+++ b/bench/soak/target.py
@@ -42,6 +42,12 @@
         """
         ...
 
+    async def send(
+        self, path: str, key: str, wait_ms: int, body: bytes, *, parts: str = "0a0a:20"
+    ) -> Answer:
+        """Send a request to some VM; on routes of models as a prompt of some parts."""
+        ...
+
     async def ask_stream(
         self, i: int, key: str, more: tuple[tuple[bytes, bytes], ...] = ()
     ) -> tuple[str, Answer]:
