--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -8,9 +8,9 @@
 and started again; the store falls silent, turns VMs away, loses answers, its history or entries;
 servers lose, spoil and cut answers, leave, come back cold or under a new address, name limits, ask
 for rest, change their speed, crash (also under a part of prompts, or under one request that is
-repeated) and are replaced by another version; keys are withdrawn, an account floods a service, callers read nothing, and take up streams
-that broke off. Other callers go on all the while. What they and the servers saw is judged; exits 1
-on a broken promise.
+repeated) and are replaced by another version; keys are withdrawn, an account floods a service,
+callers read nothing, and take up streams that broke off. Other callers go on all the while. What
+they and the servers saw is judged; exits 1 on a broken promise.
 """
 
 from __future__ import annotations
--- a/tests/gateway/repeated_requests.feature
+++ b/tests/gateway/repeated_requests.feature
@@ -83,6 +83,15 @@
       | one by one        |
       | after they leave  |
 
+  # Guards against a network that is cut, taken for a request that ends servers.
+  Scenario: a server behind a cut has not ended under a request
+    Given a gateway of VMs "n1@north-1"
+    And plain servers "b1@north-1, b2@north-1, b3@north-1"
+    And servers crash before the head under body "{'n': 'bad'}"
+    And each server loses its responses and is cut off from "n1"
+    When a sound request is lost at 3 servers one after the other, whose entries go
+    Then each VM blocks 0 requests and 0 parts
+
   # Guards against a response that breaks off at a server that lives, taken for the server's end.
   Scenario Outline: responses that break off at servers that live block no request
     Given a gateway of VMs "n1@north-1"
--- a/tests/steps/gateway/repeated_requests_steps.py
+++ b/tests/steps/gateway/repeated_requests_steps.py
@@ -209,6 +209,35 @@
     context.call(run)
 
 
+@given('each server loses its responses and is cut off from "{vm}"')
+def step_cut_off(context, vm):
+    for server in context.rig.servers.values():
+        server.faults.lost = 3
+    pool = context.rig.vms[vm].relay._handler._server_ends._pool
+
+    async def unanswered(address):
+        raise ConnectFailedError("no connection in time") from TimeoutError()
+
+    pool.open_idle = unanswered
+    pool.idle_count = lambda address: 0
+
+
+@when("a sound request is lost at 3 servers one after the other, whose entries go")
+def step_lost_in_turn(context):
+    rig = context.rig
+
+    async def run():
+        for _ in range(3):
+            await ask(context, "n1", "order", sound_body(context, 0))
+            server = next(it for it in rig.servers.values() if it.ran)
+            server.arrivals.clear()
+            server.withdraw()
+            count = len(context.told_ends) + 1
+            await rig.until(lambda count=count: len(context.told_ends) == count)
+
+    context.call(run)
+
+
 @then("the last of them was answered")
 @then("its last repeat was answered")
 def step_last_answered(context):
--- a/tools/mutation_tables/__init__.py
+++ b/tools/mutation_tables/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tools.mutation_tables import backends, crashes, front, once, shares, streams, tickets
+from tools.mutation_tables import backends, crashes, front, once, repeats, shares, streams, tickets
 from tools.mutation_tables.mutation import Mutation
 
 __all__ = ("MUTATIONS", "Mutation")
@@ -15,4 +15,5 @@
     *backends.MUTATIONS,
     *streams.MUTATIONS,
     *crashes.MUTATIONS,
+    *repeats.MUTATIONS,
 )
--- a/tools/mutation_tables/crashes.py
+++ b/tools/mutation_tables/crashes.py
@@ -134,7 +134,7 @@
     Mutation(
         "a response that breaks off is looked into",
         "gateway/sender.py",
-        "self._server_ends.record_break(open_request)",
+        "self._server_ends.record_break(open_request, is_silent=is_silent)",
         "pass",
         GATEWAY,
         ONE_VM,
@@ -150,15 +150,15 @@
     Mutation(
         "a planned end is no crash",
         "gateway/server_ends.py",
-        "if not planned:\n            calls",
-        "if True:\n            calls",
+        "if not planned:\n            cut_off",
+        "if True:\n            cut_off",
         KNOWN,
         "said that it is leaving makes",
     ),
     Mutation(
         "prompts are checked",
         "gateway/part_blocks.py",
-        "if not refused and not progress.part_blocked:",
+        "if not refused and progress.blocked is None:",
         "if True:",
         GATEWAY,
         ONE_VM,
@@ -198,7 +198,7 @@
     Mutation(
         "another region's refusal is final",
         "gateway/attempt.py",
-        "part_blocked=not_run == PART_BLOCKED,",
+        "blocked=BLOCKED_KINDS.get(not_run),",
         "",
         KNOWN,
         "hears of no block",
