standins/crashes: connections that were just accepted end with the process

Of five moments of a crash, two left all 20 connections open before (tests/gateway/crashing_parts, 'no connection outlives'); now none. A fault of the stand-in: a process that ends closes all its sockets.

--- a/src/hickorybeam/standins/crashes.py
+++ b/src/hickorybeam/standins/crashes.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from anyio.lowlevel import checkpoint
+
 from hickorybeam.http1 import HttpServer
 
 if TYPE_CHECKING:
@@ -18,6 +20,8 @@
 __all__ = ("CrashPoint", "CrashSwitch", "ServerProcess")
 
 HOST = "127.0.0.1"
+# Turns of the event loop from the acceptance of a connection to when its server knows it.
+TURNS_TO_ACCEPT = 10
 
 
 class CrashPoint(Enum):
@@ -80,8 +84,32 @@
     def end(self) -> None:
         """Close the port and all connections, as the end of the process does."""
         server, self._server = self._server, None
-        if server is None:
-            return
-        server.stop_accepting()
-        for conn in tuple(server.conns):
-            conn.abort()
+        if server is not None:
+            server.pause_accepting()
+            abort_connections(server)
+            self._tasks.start_soon(end_server, server)
+
+    def close(self) -> None:
+        """Close the port and all connections, without waiting for those that just came."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop_accepting()
+            abort_connections(server)
+
+
+async def end_server(server: HttpServer) -> None:
+    """Abort also the connections that the event loop has yet to hand to the server.
+
+    Otherwise these would outlive the process: closed before, the port would leave them without an
+    owner.
+    """
+    for _ in range(TURNS_TO_ACCEPT):
+        await checkpoint()
+        abort_connections(server)
+    server.stop_accepting()
+
+
+def abort_connections(server: HttpServer) -> None:
+    """Abort all connections that a server knows of."""
+    for conn in tuple(server.conns):
+        conn.abort()
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -368,5 +368,5 @@
         try:
             yield stand_in
         finally:
-            process.end()
+            process.close()
             tg.cancel_scope.cancel()
--- a/tests/gateway/crashing_parts.feature
+++ b/tests/gateway/crashing_parts.feature
@@ -83,3 +83,18 @@
     And prompts with part "dead" come to "n1, n2" for 4 s, and sound ones beside them
     Then at most 3 requests with part "dead" reached servers after the fifth crash
     And the sound prompts of the last 1 s were answered
+
+  # Guards against a stand-in that goes on answering on connections which it accepted as it crashed.
+  Scenario Outline: no connection outlives a server's crash
+    Given a gateway of VMs "n1@north-1"
+    And model servers "m1@north-1"
+    When 20 connections to "m1" are opened and it crashes <turns> turns of the event loop later
+    Then none of them is open 200 ms later
+
+    Examples:
+      | turns |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
--- a/tests/steps/gateway/crashing_parts_steps.py
+++ b/tests/steps/gateway/crashing_parts_steps.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import anyio
+import anyio.lowlevel
 from behave import given, then, when
 
 from hickorybeam.gateway.part_blocks import PartBlocksService
@@ -405,3 +406,45 @@
 
     context.call(served)
     assert context.prompts[-1].answer.status == 200, context.prompts[-1].answer.status
+
+
+@when(
+    '{count:d} connections to "{name}" are opened'
+    " and it crashes {turns:d} turns of the event loop later"
+)
+def step_open_while_crashing(context, count, name, turns):
+    server = context.rig.servers[name]
+    address = ("127.0.0.1", server.port)
+
+    async def run():
+        opened = []
+        for _ in range(count):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(address)
+            opened.append(sock)
+        for _ in range(turns):
+            await anyio.lowlevel.checkpoint()
+        server.end_process()
+        await anyio.sleep(0.2)
+        return opened
+
+    context.opened = context.call(run)
+
+
+@then("none of them is open 200 ms later")
+def step_none_open(context):
+    left = [sock for sock in context.opened if is_open(sock)]
+    for sock in context.opened:
+        sock.close()
+    assert not left, f"{len(left)} of {len(context.opened)}"
+
+
+def is_open(sock):
+    """Return whether a connection is open: it neither failed nor was closed by the other end."""
+    try:
+        return sock.recv(1) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
