gateway/server_notices: a VM that starts learns of leaving servers also from VMs that were told of them

A server that says in its answers that it is leaving got requests of VMs that started later: only the VM to which it had said so told it on, and nobody did once that VM had ended, though all others knew. tests/gateway/server_leaving ('a VM that starts learns it after the end of the VM to which the server said it') failed before: 3 s after its start the VM did not know. The report that a VM gets as it starts names all leaving servers now; the regular ones name those heard of at first hand, as before, so that they do not grow with the fleet.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -432,7 +432,7 @@
             cold={} if far else self._own_usage.remaining_cold_ms(),
             granted=granted,
             limits={} if far else self.server_notices.limits.to_report(to_new_vm=with_levels),
-            departing={} if far else self.server_notices.heard_leaving(),
+            departing=({} if far else self.server_notices.heard_leaving(to_new_vm=with_levels)),
             leads=self.account_leads() if whole else {},
             loads={} if far else self._loads_to_report(),
             suspects=self.suspects_to_report(with_levels) if whole else [],
--- a/src/hickorybeam/gateway/server_notices.py
+++ b/src/hickorybeam/gateway/server_notices.py
@@ -85,15 +85,21 @@
         if per_s is not None and (info.signed or math.isfinite(per_s)):
             self.limits.record(state, per_s)
 
-    def heard_leaving(self) -> dict[str, int]:
+    def heard_leaving(self, *, to_new_vm: bool = False) -> dict[str, int]:
         """Return the servers that told this VM that they are leaving, each with its start.
 
+        :param to_new_vm: the receiver has just started. It gets those as well that told another VM,
+            which may have ended since.
         :return: by server id, the time of its start in ms, as its entry in the store names it.
         """
         self._heard_leaving = {
             name: state for name, state in self._heard_leaving.items() if self._is_current(state)
         }
-        return {name: state.server.born_ms for name, state in self._heard_leaving.items()}
+        known = self._heard_leaving
+        if to_new_vm:
+            states = self._routing_state.server_states.items()
+            known = {name: state for name, state in states if state.said_leaving}
+        return {name: state.server.born_ms for name, state in known.items()}
 
     def apply_leaving(self, reported: Mapping[str, int]) -> None:
         """Record which servers told another VM that they are leaving.
--- a/tests/gateway/server_leaving.feature
+++ b/tests/gateway/server_leaving.feature
@@ -66,3 +66,14 @@
     When server "b1" has answered "n1" for "/look/x"
     And the entry of server "b1" expires and returns
     Then within 1 s the VMs "n1" know that server "b1" is leaving
+
+  # Guards against knowledge that ends with the VM to which the server said it.
+  Scenario: a VM that starts learns it after the end of the VM to which the server said it
+    Given a small gateway with VMs "n1, n2"
+    And server "b1" says in its answers that it is leaving
+    When server "b1" has answered "n1" for "/look/x"
+    Then within 3 s the VMs "n1, n2" know that server "b1" is leaving
+    When VM "n1" is killed
+    And VM "n3" starts
+    Then within 3 s the VMs "n3" know that server "b1" is leaving
+    And server "b1" got at most 0 requests since
