--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -306,11 +306,12 @@
         self.port = sock.getsockname()[1]
         self._tasks.start_soon(self._check_timeouts)
 
-    def pause_accepting(self) -> None:
-        """Leave new connections in the listening socket's backlog; its close resets them."""
+    def refuse_connections(self) -> None:
+        """Refuse new connections; those that the event loop has accepted still come."""
         loop = asyncio.get_running_loop()
         for sock in () if self._server is None else self._server.sockets:
             loop.remove_reader(sock.fileno())
+            sock.shutdown(socket.SHUT_RDWR)
 
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections continue."""
--- a/src/hickorybeam/standins/crashes.py
+++ b/src/hickorybeam/standins/crashes.py
@@ -85,7 +85,7 @@
         """Close the port and all connections, as the end of the process does."""
         server, self._server = self._server, None
         if server is not None:
-            server.pause_accepting()
+            server.refuse_connections()
             abort_connections(server)
             self._tasks.start_soon(end_server, server)
 
--- a/tests/gateway/crashing_parts.feature
+++ b/tests/gateway/crashing_parts.feature
@@ -99,6 +99,7 @@
     And model servers "m1@north-1"
     When 20 connections to "m1" are opened and it crashes <turns> turns of the event loop later
     Then none of them is open 200 ms later
+    And no connection to it was accepted after its end
 
     Examples:
       | turns |
--- a/tests/steps/gateway/crashing_parts_steps.py
+++ b/tests/steps/gateway/crashing_parts_steps.py
@@ -454,12 +454,19 @@
         for _ in range(turns):
             await anyio.lowlevel.checkpoint()
         server.end_process()
+        with socket.socket() as late:
+            context.accepted_late = late.connect_ex(address) == 0
         await anyio.sleep(0.2)
         return opened
 
     context.opened = context.call(run)
 
 
+@then("no connection to it was accepted after its end")
+def step_none_accepted(context):
+    assert not context.accepted_late
+
+
 @then("none of them is open 200 ms later")
 def step_none_open(context):
     left = [sock for sock in context.opened if is_open(sock)]
