policy/crash_evidence: of the copies of a request at one server the last sent counts

A copy sent before the first crash hid one sent after it, so that the crash counted as one of the same moment; one server more ended then.

--- a/src/hickorybeam/gateway/server_ends.py
+++ b/src/hickorybeam/gateway/server_ends.py
@@ -36,7 +36,7 @@
 
 # Connections of a server that ends close within a few ms of each other.
 SETTLE_MS = 25
-# Nobody waits longer for the check of a server: the connection to it may take until its timeout.
+# No request waits longer for the check of its server: a connection may take until its timeout.
 MAX_CHECK_WAIT_MS = 100
 # A response whose server still writes so long after its first bytes did not crash the server.
 PROOF_MS = 1_000
@@ -193,7 +193,7 @@
     async def wait_checked(self, request: OpenRequest) -> None:
         """Wait until it is known whether a request's server has ended that broke it off.
 
-        A repeat that were sent sooner, by this VM or by the caller, would meet VMs that don't know.
+        A repeat sent sooner, by this VM or by the caller, could reach a VM that doesn't know yet.
         """
         if request.checked is None or request.is_silent:
             return
--- a/src/hickorybeam/policy/crash_evidence.py
+++ b/src/hickorybeam/policy/crash_evidence.py
@@ -332,8 +332,10 @@
         :param requests: the key of each request that was open there, and how long before the crash
             it was sent, in ms.
         """
-        # Requests first: once one is blocked, it explains the crash under its parts.
-        found = {key: _Crash(at_ms, encode_open_ms(open_ms)) for key, open_ms in requests}
+        # Requests first: once one is blocked, it explains the crash under its parts. Of the copies
+        # of one, the last sent counts.
+        by_age = sorted(requests, key=lambda it: it[1], reverse=True)
+        found = {key: _Crash(at_ms, encode_open_ms(open_ms)) for key, open_ms in by_age}
         found |= {part: _Crash(at_ms, request) for part, request in suspects}
         explained = {it: crash for it, crash in found.items() if self._explains(it)}
         self._alike = None
--- a/tests/policy/crash_evidence.feature
+++ b/tests/policy/crash_evidence.feature
@@ -200,6 +200,11 @@
       | only if there are three                | 0, 300      | sent after each other     | not blocked |
       | if copies were sent at once after it   | 0, 90, 95   | sent after the first one  | blocked     |
 
+  # Guards against a copy sent long before that hides the one sent after the first crash.
+  Scenario: of the copies at one server the last sent counts
+    When servers crash at "0, 50, 100" ms under copies of request "bad" sent 5 and 500 ms before
+    Then request "bad" is blocked at "n1"
+
   # Guards against a sound request that is refused for what others did.
   Scenario: a whole response clears a request
     When "n1" sees servers crash under request "bad" at "0, 300" ms, sent after each other
--- a/tests/steps/policy/crash_evidence_steps.py
+++ b/tests/steps/policy/crash_evidence_steps.py
@@ -201,6 +201,17 @@
         crash_under_request(context, VM, name, int(at_ms), 20, split(parts))
 
 
+@when(
+    'servers crash at "{times}" ms under copies of request "{name}"'
+    " sent {last:d} and {first:d} ms before"
+)
+def step_crash_under_copies(context, times, name, last, first):
+    known, key = evidence(context), request_digest_of(name)
+    for at_ms in split(times):
+        server = crash_digest(f"s{next(context.numbers)}", 0)
+        known.record_crash(server, (), int(at_ms), requests=[(key, last), (key, first)])
+
+
 @when('a server outlives request "{name}" at {at_ms:d} ms')
 def step_outlives_request(context, name, at_ms):
     evidence(context).record_sound([request_digest_of(name)], at_ms)
