--- a/review/stage.py
+++ b/review/stage.py
@@ -41,6 +41,7 @@
 HEARTBEAT_S = 1.2
 LEAD_S = 12.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+LAST_CHUNK = b"0\r\n\r\n"
 PLACEHOLDER = re.compile(r"\{\{([a-z0-9.-]+)(\|json)?\}\}")
 
 
@@ -115,6 +116,8 @@
         self._folder = folder
         self._store = store_address
         self._running: dict[int, subprocess.Popen[bytes]] = {}
+        # What the platform fills in from now on.
+        self.bounds = dict(BOUNDS)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         role = deploy["roles"]["entry"]
         self._command = role["run"].split(" ")
@@ -122,14 +125,20 @@
 
     def start(self, i: int) -> None:
         """Start the daemon of one machine with the command of the deploy file."""
-        path = self._folder / f"node-{i}.json5"
-        path.write_text(rendered(self._template, self._settings(i)), encoding="utf-8")
+        path = self.write_settings(i)
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env |= {"HICKORYBEAM_CONFIG": str(path), "PYTHONPATH": str(ROOT / "target/deps")}
         command = [sys.executable if it == "python3" else it for it in self._command]
         log = (self._folder / f"node-{i}.log").open("ab")
         self._running[i] = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=log)
 
+    def write_settings(self, i: int) -> Path:
+        """Write the settings file of one machine, as the platform does when the settings change."""
+        path, new = self._folder / f"node-{i}.json5", self._folder / f"node-{i}.new"
+        new.write_text(rendered(self._template, self._settings(i)), encoding="utf-8")
+        new.replace(path)
+        return path
+
     def signal(self, i: int, signum: signal.Signals) -> None:
         """Send a signal to one machine's daemon."""
         self._running[i].send_signal(signum)
@@ -168,7 +177,7 @@
             },
             "seed-addresses": [f"{it}:{self._control}" for it in self.hosts],
             "zones": REGIONS,
-            "bounds": BOUNDS,
+            "bounds": self.bounds,
         }
 
     async def wait_ready(self) -> None:
@@ -219,6 +228,8 @@
     length = re.search(rb"(?i)\r\ncontent-length: *([0-9]+)", head)
     if length is not None and len(rest) < int(length[1]):
         return 0, b""
+    if re.search(rb"(?i)\r\ntransfer-encoding: *chunked", head) and not rest.endswith(LAST_CHUNK):
+        return 0, rest
     return int(head.split(b" ", 2)[1]), rest
 
 
