--- a/review/stage.py
+++ b/review/stage.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import secrets
 import socket
 import subprocess
 import sys
@@ -86,7 +87,8 @@
 def free_ports(hosts: list[str], count: int) -> list[int]:
     """Return ports that are free on all hosts."""
     found: list[int] = []
-    port = 20_000 + os.getpid() % 8_000
+    # Far from where another script looks at the same time, below the ports that Linux gives out.
+    port = secrets.choice(range(10_000, 32_000, 16))
     while len(found) < count:
         port += 1
         if all(is_free(host, port) for host in hosts):
@@ -199,12 +201,14 @@
     body: bytes = b"",
     *,
     limit_s: float = 8.0,
+    options: bytes = b"close",
 ) -> tuple[int, bytes]:
     """Send one request on a new connection.
 
+    :param options: value of its ``Connection`` header.
     :return: status and body; status 0 if the connection ended without a whole answer.
     """
-    lines = [b"%s %s HTTP/1.1" % (method, path.encode()), b"connection: close"]
+    lines = [b"%s %s HTTP/1.1" % (method, path.encode()), b"connection: " + options]
     if not any(name == b"host" for name, _ in headers):
         lines.append(b"host: node")
     lines += [b"%s: %s" % pair for pair in headers]
