--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -124,6 +124,14 @@
 
     async def main(self, started: Started) -> None:
         """Follow the store until cancelled."""
+        logging.info(
+            "following the store: %d entries known, latest change %d, complete to revision %d,"
+            " all entries read: %s",
+            len(self._entries),
+            self.revision,
+            self._complete_revision,
+            self._loaded,
+        )
         started()
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._follow)
@@ -338,7 +346,20 @@
                 continue
             self._entries[item.key] = item
             self._removal_due_ms.pop(item.key, None)
-            self._apply_entry(item)
+            try:
+                self._apply_entry(item)
+            except Exception as exc:
+                logging.error(
+                    "entry %s of revision %d ends the service: %s; batch of revision %d with %d"
+                    " entries, complete to revision %d",
+                    item.key,
+                    item.mod_revision,
+                    type(exc).__name__,
+                    batch.revision,
+                    len(batch.puts),
+                    self._complete_revision,
+                )
+                raise
         for key in batch.deletes:
             self._delete(key)
         for listener in self._batch_listeners:
