--- a/src/hickorybeam/backends/engine.py
+++ b/src/hickorybeam/backends/engine.py
@@ -18,6 +18,7 @@
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.http1 import is_event_stream
 from hickorybeam.model import CallKind, ResponseChunk, ResponseEnd, ResponseHead, ResponsePart
+from hickorybeam.untrusted import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -248,8 +249,9 @@
     """
     if not call.stream:
         return call.body, False
-    body = msgspec.json.decode(call.body, type=dict[str, msgspec.Raw])
-    options = msgspec.json.decode(body.get("stream_options", b"null")) or {}
+    body = decode_json(call.body, dict[str, msgspec.Raw])
+    raw_options = body.get("stream_options", b"null")
+    options = decode_json(raw_options, dict[str, Any] | None) or {}  # type: ignore[arg-type]
     if options.get("include_usage"):
         return call.body, False
     body["stream_options"] = msgspec.Raw(msgspec.json.encode(options | {"include_usage": True}))
--- a/src/hickorybeam/backends/reports.py
+++ b/src/hickorybeam/backends/reports.py
@@ -12,6 +12,7 @@
 from hickorybeam.backends.http_client import HttpClient, HttpRequest
 from hickorybeam.errors import GatewayError
 from hickorybeam.model import BackendKind, Call, CallKind, LoadReport
+from hickorybeam.untrusted import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -120,8 +121,8 @@
                 await exchange.close()
             if exchange.status != OK:
                 raise ValueError("not a report")
-            load = msgspec.json.decode(raw, type=_Load)
-        except (ExchangeError, GatewayError, ValueError, RecursionError):
+            load = decode_json(raw, _Load)
+        except (ExchangeError, GatewayError, ValueError):
             self._failures.inc()
             return
         self._reports[backend.name] = LoadReport(
--- a/src/hickorybeam/backends/sse.py
+++ b/src/hickorybeam/backends/sse.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hickorybeam.model import Usage
+from hickorybeam.untrusted import decode_json
 
 __all__ = ("EventBatch", "SseReader", "usage_of")
 
@@ -134,10 +135,7 @@
 def usage_of(frame: bytes) -> Usage | None:
     """Return the usage in a JSON response or event, if any.
 
-    :raises ValueError: the JSON is malformed.
+    :raises InvalidBytesError: it is no such JSON.
     """
-    try:
-        found = msgspec.json.decode(frame, type=_Frame).usage
-    except RecursionError as exc:
-        raise ValueError("nested too deeply") from exc
+    found = decode_json(frame, _Frame).usage
     return None if found is None else Usage(found.prompt_tokens, found.completion_tokens)
--- a/src/hickorybeam/control/lease.py
+++ b/src/hickorybeam/control/lease.py
@@ -10,6 +10,7 @@
 from hickorybeam.control.lease_term import LeaseTerm, send_from, send_until
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.store import Compare, Put
+from hickorybeam.store.values import json_value
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -112,10 +113,8 @@
         found = await self._platform.read(self._fencing_key)
         if not found.items:
             return 0, 0
-        return msgspec.json.decode(found.items[0].value, type=int), found.items[0].mod_revision
+        return json_value(found.items[0], int), found.items[0].mod_revision
 
     async def _is_lease_holder(self, expected: _Holder) -> bool:
         found = await self._platform.read(self._holder_key)
-        return bool(found.items) and (
-            msgspec.json.decode(found.items[0].value, type=_Holder) == expected
-        )
+        return bool(found.items) and json_value(found.items[0], _Holder) == expected
--- a/src/hickorybeam/control/order_client.py
+++ b/src/hickorybeam/control/order_client.py
@@ -10,6 +10,7 @@
 
 from hickorybeam.control.plan import EngineState
 from hickorybeam.errors import ErrorKind, GatewayError, Ran
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,8 +66,8 @@
         if response.status != HTTP_OK:
             raise GatewayError(ErrorKind.BACKEND_FAILED, f"{engine.name}: {response.status}")
         try:
-            found = msgspec.json.decode(response.content, type=_EngineStateBody)
-        except msgspec.MsgspecError as exc:
+            found = decode_json(response.content, _EngineStateBody)
+        except InvalidBytesError as exc:
             raise GatewayError(ErrorKind.BACKEND_FAILED, f"{engine.name}: {exc}") from exc
         models = {loaded.name: loaded.version for loaded in found.models}
         return EngineState(models=models, role=found.role, fencing=found.fencing)
--- a/src/hickorybeam/dispatch/crashed_calls.py
+++ b/src/hickorybeam/dispatch/crashed_calls.py
@@ -21,6 +21,7 @@
 from hickorybeam.policy.crash_messages import CrashedRequest, ToldPart, crash_digest
 from hickorybeam.policy.rendezvous import rendezvous_first
 from hickorybeam.policy.request_key import call_key, outline_of
+from hickorybeam.untrusted import InvalidBytesError, decode_msgpack
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -182,8 +183,8 @@
     def _receive(self, vm: EntryVm, raw: bytes) -> None:
         """Merge another VM's note."""
         try:
-            note = msgspec.msgpack.decode(raw, type=CrashNote)
-        except msgspec.MsgspecError as exc:
+            note = decode_msgpack(raw, CrashNote)
+        except InvalidBytesError as exc:
             logging.warning("invalid note of crashed calls from %s: %s", vm.id.name, exc)
             return
         # What it tells was so old when it was sent.
--- a/src/hickorybeam/front/bodies.py
+++ b/src/hickorybeam/front/bodies.py
@@ -11,6 +11,7 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.model import CallKind
+from hickorybeam.untrusted import InvalidBytesError, TooDeepError, WrongTypeError, decode_json
 
 __all__ = ("BodyError", "ModelBody", "parse_body")
 
@@ -53,9 +54,9 @@
     stream_options: dict[str, Any] | None = None
 
 
-_DECODERS: dict[CallKind, msgspec.json.Decoder[Any]] = {
-    CallKind.CHAT: msgspec.json.Decoder(_ChatBody),
-    CallKind.COMPLETION: msgspec.json.Decoder(_CompletionBody),
+_BODY_CLASSES: dict[CallKind, type[_ChatBody | _CompletionBody]] = {
+    CallKind.CHAT: _ChatBody,
+    CallKind.COMPLETION: _CompletionBody,
 }
 
 
@@ -83,21 +84,23 @@
         range.
     """
     try:
-        body = _DECODERS[kind].decode(raw)
-    except msgspec.ValidationError as exc:
+        body = decode_json(raw, _BODY_CLASSES[kind])
+        # Names of fields that the class doesn't have aren't read above, but when one is added.
+        fields = decode_json(raw, dict[str, msgspec.Raw])
+    except WrongTypeError as exc:
         found = FIELD_PATTERN.search(str(exc))
         raise BodyError(str(exc), param=found[1] if found else None) from exc
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise BodyError("the body is not valid JSON") from exc
-    except RecursionError as exc:
+    except TooDeepError as exc:
         raise BodyError("the body is nested too deeply") from exc
+    except InvalidBytesError as exc:
+        raise BodyError("the body is not valid JSON") from exc
     prompt = bytes(body.messages if isinstance(body, _ChatBody) else body.prompt)
     prompt_count = count_prompts(kind, prompt)
     choices = count_choices(body)
     max_tokens = check_max_tokens(body)
     if max_tokens is None:
         max_tokens = DEFAULT_MAX_TOKENS
-        raw = set_max_tokens(raw, max_tokens)
+        raw = with_max_tokens(fields, max_tokens)
     if body.stream and choices * prompt_count > 1:
         # A stream with several completions has no single position to resume from.
         raise BodyError(
@@ -126,7 +129,10 @@
         return 1
     if not prompt.startswith(b"["):
         raise BodyError("prompt must be a string or a list", param="prompt")
-    prompts = msgspec.json.decode(prompt)
+    try:
+        prompts = decode_json(prompt, list[Any])
+    except InvalidBytesError as exc:
+        raise BodyError(str(exc), param="prompt") from exc
     if not prompts:
         raise BodyError("prompt must not be empty", param="prompt")
     count = 1 if isinstance(prompts[0], int) else len(prompts)
@@ -152,11 +158,9 @@
     return max_tokens
 
 
-def set_max_tokens(raw: bytes, max_tokens: int) -> bytes:
-    """Return the body with ``max_tokens`` set."""
-    fields: dict[str, msgspec.Raw] = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
-    fields["max_tokens"] = msgspec.Raw(b"%d" % max_tokens)
-    return msgspec.json.encode(fields)
+def with_max_tokens(fields: dict[str, msgspec.Raw], max_tokens: int) -> bytes:
+    """Return the body of these fields with ``max_tokens`` set."""
+    return msgspec.json.encode(fields | {"max_tokens": msgspec.Raw(b"%d" % max_tokens)})
 
 
 def prefix_digest(model: str, prompt: bytes) -> str:
--- a/src/hickorybeam/front/directory.py
+++ b/src/hickorybeam/front/directory.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from hickorybeam.front.context import FrontContext
@@ -58,8 +59,8 @@
     identity = context.admit(req)
     raw = await req.body(context.memory, limit=MAX_BODY_BYTES)
     try:
-        keys_request = msgspec.json.decode(raw or b"{}", type=_KeysRequest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        keys_request = decode_json(raw or b"{}", _KeysRequest)
+    except InvalidBytesError as exc:
         raise GatewayError(ErrorKind.BAD_REQUEST, 'expected {"count": number}') from exc
     if not 1 <= keys_request.count <= MAX_KEYS:
         raise GatewayError(ErrorKind.BAD_REQUEST, f"count must be from 1 to {MAX_KEYS}")
--- a/src/hickorybeam/front/operators.py
+++ b/src/hickorybeam/front/operators.py
@@ -5,12 +5,11 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
-import msgspec
-
 from hickorybeam.decode import decode
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.model import ChangeTicket
 from hickorybeam.ports import TicketLog
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,8 +31,8 @@
     context.require_operator(req)
     raw = await req.body(context.memory, limit=MAX_TICKET_BYTES)
     try:
-        value = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        value = decode_json(raw, object)
+    except InvalidBytesError as exc:
         raise GatewayError(ErrorKind.BAD_REQUEST, "the ticket is not valid JSON") from exc
     ticket, faults = decode(ChangeTicket, value)
     if ticket is None:
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -17,7 +17,7 @@
     forwarded_headers,
 )
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, address_of
-from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, find_header
+from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, find_header, parse_count
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import REQUEST_ID, decode_response, server_headers
 
@@ -144,12 +144,11 @@
         not_run = find_header(head.headers, HOP_NOT_RUN)
         if not_run is not None:
             await self._drain_body()
-            retry_after = find_header(head.headers, HOP_RETRY_AFTER_MS) or b""
             raise NotRunError(
                 "the other region did not run it",
                 rejected=not_run == REJECTED,
                 blocked=BLOCKED_KINDS.get(not_run),
-                retry_after_ms=int(retry_after) if retry_after.isdigit() else None,
+                retry_after_ms=parse_count(find_header(head.headers, HOP_RETRY_AFTER_MS)),
             )
         return head, decode_response(head)
 
--- a/src/hickorybeam/gateway/block_records.py
+++ b/src/hickorybeam/gateway/block_records.py
@@ -9,11 +9,13 @@
 import msgspec
 
 from hickorybeam.errors import GatewayError
+from hickorybeam.model.bounds import BoundedInt  # noqa: TC001 - read by msgspec
 from hickorybeam.policy.block_trials import trial_due_ms
 from hickorybeam.policy.crash_evidence import KEEP_BLOCKED_MS
 from hickorybeam.policy.crash_messages import ToldCrash, ToldPart
 from hickorybeam.policy.crash_suspects import is_request_key
 from hickorybeam.store import Compare, Delete, Put
+from hickorybeam.untrusted import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,7 +35,7 @@
     """A crash as the store keeps it: digests in hexadecimal, and the wall time in ms."""
 
     server: str
-    at_ms: int
+    at_ms: BoundedInt
     request: str
 
 
@@ -41,8 +43,8 @@
     """The record of a blocked part: its crashes, and the trials that were let through since."""
 
     crashes: list[StoredCrash]
-    trials: int = 0
-    trial_ms: int = 0
+    trials: BoundedInt = 0
+    trial_ms: BoundedInt = 0
 
     def last_ms(self) -> int:
         """Return the wall time of the last crash or trial."""
@@ -120,9 +122,9 @@
 
     def _apply_record(self, part: bytes, item: KeyValue) -> list[ToldPart]:
         try:
-            block = msgspec.json.decode(item.value, type=StoredBlock)
+            block = decode_json(item.value, StoredBlock)
             told = self._told(part, block)
-        except (msgspec.MsgspecError, ValueError):
+        except ValueError:
             return []
         self._records[part] = _Record(block, item.mod_revision)
         if self._clock.wall() - block.last_ms() > KEEP_BLOCKED_MS:
--- a/src/hickorybeam/gateway/changes.py
+++ b/src/hickorybeam/gateway/changes.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
+from hickorybeam.model.bounds import BoundedInt, Revision  # noqa: TC001 - read by msgspec
 from hickorybeam.store import KeyValue, WatchBatch
+from hickorybeam.untrusted import decode_msgpack
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -48,8 +50,8 @@
     expired during the outage.
     """
 
-    revision: int
-    trouble_ms: int
+    revision: Revision
+    trouble_ms: BoundedInt
     batches: list[_Batch]
 
     def to_watch_batches(self) -> list[WatchBatch]:
@@ -76,9 +78,9 @@
 def decode_entries(data: bytes) -> list[KeyValue]:
     """Decode entries that another VM sent.
 
-    :raises msgspec.MsgspecError: the data is invalid.
+    :raises InvalidBytesError: the data is invalid.
     """
-    return [it.to_key_value() for it in msgspec.msgpack.decode(data, type=list[_Entry])]
+    return [it.to_key_value() for it in decode_msgpack(data, list[_Entry])]
 
 
 class ChangeLog:
@@ -121,6 +123,7 @@
 def decode_changes(data: bytes) -> ChangesResponse:
     """Decode another VM's response.
 
-    :raises msgspec.MsgspecError: the data is invalid.
+    :raises InvalidBytesError: the data is invalid.
     """
-    return msgspec.msgpack.decode(data, type=ChangesResponse)
+    changes: ChangesResponse = decode_msgpack(data, ChangesResponse)
+    return changes
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
@@ -17,6 +18,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.changes import ChangeLog, decode_changes, decode_entries, encode_entries
+from hickorybeam.gateway.pending_changes import PendingChanges, Step
 from hickorybeam.gateway.routing_state import RoutingState
 from hickorybeam.gateway.vm_client import VmClient
 from hickorybeam.kernel import Service
@@ -32,6 +34,7 @@
 from hickorybeam.ports import FEED, PLATFORM
 from hickorybeam.sockets import split_address
 from hickorybeam.store import KeyValue, PollingPlatform, ReadResult, WatchBatch
+from hickorybeam.untrusted import InvalidBytesError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -55,6 +58,8 @@
 # A server entry deleted within this time after the last failure of the store is taken to have
 # expired with it.
 RECENT_FAILURE_MS = 3_000
+# A writer may leave many, and again and again.
+INVALID_ENTRY_LOG_INTERVAL_S = 1
 # Longest lag behind another VM's revision, on top of the pauses of watches: a watcher receives a
 # change within two pauses of its own watch, any other VM from the watchers.
 MAX_LAG_MS = 1_000
@@ -85,6 +90,7 @@
         # Since when all entries of the store have been known here.
         self.loaded_since_ms: int | None = None
         self._change_log = ChangeLog()
+        self._pending = PendingChanges()
         # Whether this VM watches the store itself; otherwise it requests changes from `_source`.
         self.is_watcher = True
         self._source: Address | None = None
@@ -98,6 +104,9 @@
         self._vm_client = VmClient(clock)
         # Called with the address of a VM before its entries are applied here.
         self.before_bootstrap: Callable[[Address], Awaitable[None]] | None = None
+        self._invalid_entries = counters.counter(
+            "invalid_entries", "Entries of the store that could not be used"
+        )
         self._version_gauge = counters.gauge(
             "config_version", "Version of the configuration in force"
         )
@@ -132,6 +141,7 @@
             self._complete_revision,
             self._loaded,
         )
+        self._pending.apply()
         started()
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._follow)
@@ -203,7 +213,7 @@
         raw = await self._vm_client.get(source, f"{CHANGES_PATH}{self._complete_revision}")
         try:
             changes = decode_changes(raw)
-        except msgspec.MsgspecError as exc:
+        except InvalidBytesError as exc:
             raise GatewayError(ErrorKind.PEER_UNREACHABLE, repr(exc)) from exc
         self._last_failure_ms = max(self._last_failure_ms, self._clock.now() - changes.trouble_ms)
         for batch in changes.to_watch_batches():
@@ -294,9 +304,13 @@
         # The read's own revision counts every write to the store. Reported to other VMs, it would
         # make all of them, one after the other, read all entries again for nothing.
         latest = max((item.mod_revision for item in result.items), default=0)
-        self._apply(WatchBatch(result.revision, result.items, deletes), latest=latest)
-        self._complete_revision = max(self._complete_revision, result.revision)
-        self._change_log.reset(result.revision)
+        self._add_changes(WatchBatch(result.revision, result.items, deletes), latest=latest)
+        self._pending.add([Step("a whole read", partial(self._complete_read, result.revision))])
+        self._pending.apply()
+
+    def _complete_read(self, revision: int) -> None:
+        self._complete_revision = max(self._complete_revision, revision)
+        self._change_log.reset(revision)
         self._loaded = True
 
     async def _read_while_fetching(self) -> ReadResult:
@@ -328,42 +342,37 @@
     def _receive(self, batch: WatchBatch) -> None:
         """Apply a batch from a watch, this VM's or another's, and keep it in the change log."""
         changed = bool(batch.puts or batch.deletes)
-        self._apply(batch, latest=batch.revision if changed else 0)
+        self._add_changes(batch, latest=batch.revision if changed else 0)
+        self._pending.add([Step("a whole batch", partial(self._complete_batch, batch))])
+        self._pending.apply()
+
+    def _complete_batch(self, batch: WatchBatch) -> None:
         self._complete_revision = max(self._complete_revision, batch.revision)
         self._change_log.add(batch)
 
-    def _apply(self, batch: WatchBatch, *, latest: int) -> None:
-        """Apply a batch to the entries and notify listeners.
+    def _add_changes(self, batch: WatchBatch, *, latest: int) -> None:
+        """Add a batch's changes, and that listeners are notified of it, to what is pending.
 
         :param latest: revision of the latest change in it, 0 if there is none.
         """
         self.revision = max(self.revision, latest)
-        for item in batch.puts:
-            if not item.key.startswith((*WATCHED_PREFIXES, self._cfg.platform.prefix)):
-                continue
-            known = self._entries.get(item.key)
-            if known is not None and known.mod_revision >= item.mod_revision:
-                continue
-            self._entries[item.key] = item
-            self._removal_due_ms.pop(item.key, None)
-            try:
-                self._apply_entry(item)
-            except Exception as exc:
-                logging.error(
-                    "entry %s of revision %d ends the service: %s; batch of revision %d with %d"
-                    " entries, complete to revision %d",
-                    item.key,
-                    item.mod_revision,
-                    type(exc).__name__,
-                    batch.revision,
-                    len(batch.puts),
-                    self._complete_revision,
-                )
-                raise
-        for key in batch.deletes:
-            self._delete(key)
-        for listener in self._batch_listeners:
-            listener(batch)
+        self._pending.add(Step(item.key, partial(self._put, item)) for item in batch.puts)
+        self._pending.add(Step(key, partial(self._delete, key)) for key in batch.deletes)
+        self._pending.add(
+            Step("a batch for a listener", partial(listener, batch))
+            for listener in self._batch_listeners
+        )
+
+    def _put(self, item: KeyValue) -> None:
+        """Apply a new or changed entry, unless it or a later state of it is known."""
+        if not item.key.startswith((*WATCHED_PREFIXES, self._cfg.platform.prefix)):
+            return
+        known = self._entries.get(item.key)
+        if known is not None and known.mod_revision >= item.mod_revision:
+            return
+        self._entries[item.key] = item
+        self._removal_due_ms.pop(item.key, None)
+        self._apply_entry(item)
 
     def _apply_entry(self, item: KeyValue) -> None:
         if item.key.startswith(self._cfg.platform.prefix):
@@ -382,7 +391,14 @@
                 logging.info("data centre %s is evacuated", data_centre)
                 self.routing_state.evacuated_data_centres |= {data_centre}
             case InvalidEntry(key, reason):
-                logging.warning("invalid entry %s ignored: %s", key, reason)
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    "invalid entry %s ignored: %s",
+                    INVALID_ENTRY_LOG_INTERVAL_S,
+                    key,
+                    reason,
+                )
+                self._invalid_entries.inc()
                 self.routing_state.remove_server(key.rpartition("/")[2], self._clock.now())
 
     def _delete(self, key: str) -> None:
@@ -436,11 +452,12 @@
             return
         try:
             items = decode_entries(await self._vm_client.get(address, STATE_PATH))
-        except (GatewayError, msgspec.MsgspecError) as exc:
+        except (GatewayError, InvalidBytesError) as exc:
             logging.info("cannot get entries from seed %s: %r", seed, exc)
             return
         logging.info("got %d entries from seed %s", len(items), seed)
         if self.before_bootstrap is not None:
             await self.before_bootstrap(address)
         if self.routing_state.config is None:
-            self._apply(WatchBatch(0, tuple(items)), latest=0)
+            self._add_changes(WatchBatch(0, tuple(items)), latest=0)
+            self._pending.apply()
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -55,6 +55,7 @@
 from hickorybeam.ports import FEED, FLEET, PLATFORM
 from hickorybeam.sockets import bind_socket
 from hickorybeam.store import PollingPlatform, WatchBatch
+from hickorybeam.untrusted import InvalidBytesError, decode_msgpack
 
 if TYPE_CHECKING:
     import socket
@@ -88,6 +89,8 @@
     | StreamAnswer
     | CrashNotice
 )
+# Anybody can send datagrams, as many as the link carries.
+INVALID_LOG_INTERVAL_S = 1
 # One in this many reports to the own data centre is whole; the others hold only what changed.
 WHOLE_REPORT_EVERY = 10
 # VMs of the own data centre that one report tells of streams, in turn; the others can ask them.
@@ -465,9 +468,11 @@
     def receive_datagram(self, data: bytes) -> None:
         """Decode a datagram and pass it to the handler of its type."""
         try:
-            message = msgspec.msgpack.decode(data, type=PeerMessage)
-        except msgspec.MsgspecError as exc:
-            logging.warning("invalid datagram ignored: %s", exc)
+            message = decode_msgpack(data, PeerMessage)
+        except InvalidBytesError as exc:
+            logging.log_every_n_seconds(
+                logging.WARNING, "invalid datagram ignored: %s", INVALID_LOG_INTERVAL_S, exc
+            )
             return
         handle = self._message_handlers.get(type(message))
         if handle is not None:
--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.targets import AdmittedRequest, foreign_route
-from hickorybeam.http1 import find_header
+from hickorybeam.http1 import find_header, parse_count
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
@@ -120,8 +120,8 @@
 def decode_forwarded_request(req: IncomingRequest) -> AdmittedRequest | None:
     """Decode a request forwarded by another VM, ``None`` if it isn't one."""
     service = find_header(req.headers, HOP_SERVICE)
-    time_left_ms = find_header(req.headers, HOP_TIME_LEFT_MS)
-    if service is None or time_left_ms is None or not time_left_ms.isdigit():
+    time_left_ms = parse_count(find_header(req.headers, HOP_TIME_LEFT_MS))
+    if service is None or time_left_ms is None:
         return None
     call = decode_call(req)
     account, resume_after = (
@@ -136,7 +136,7 @@
         service=service.decode("latin-1"),
         account=None if account is None else account.decode("latin-1"),
         urgency=decode_int(find_header(req.headers, HOP_URGENCY), DEFAULT_URGENCY),
-        deadline_ms=req.arrived_ms + int(time_left_ms),
+        deadline_ms=req.arrived_ms + time_left_ms,
         resume_after=None if resume_after is None else resume_after.decode("latin-1"),
         version_key=hop_version(req.headers),
         trial=find_header(req.headers, HOP_TRIAL) is not None,
@@ -145,4 +145,5 @@
 
 def decode_int(value: bytes | None, default: int) -> int:
     """Return the number in a header set by another VM, a default if it is missing or invalid."""
-    return int(value) if value is not None and value.isdigit() else default
+    number = parse_count(value)
+    return default if number is None else number
--- a/src/hickorybeam/gateway/leaving_records.py
+++ b/src/hickorybeam/gateway/leaving_records.py
@@ -12,7 +12,9 @@
 import msgspec
 
 from hickorybeam.errors import GatewayError
+from hickorybeam.model.bounds import BoundedInt  # noqa: TC001 - read by msgspec
 from hickorybeam.store import Put
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -32,7 +34,7 @@
 class _Record(msgspec.Struct, frozen=True):
     """The start of a server that said that it is leaving, as its entry names it."""
 
-    born_ms: int
+    born_ms: BoundedInt
 
 
 class LeavingRecords:
@@ -95,6 +97,6 @@
 def decode(value: bytes) -> _Record | None:
     """Decode a record, ``None`` if it is none."""
     try:
-        return msgspec.json.decode(value, type=_Record)
-    except msgspec.MsgspecError:
+        return decode_json(value, _Record)
+    except InvalidBytesError:
         return None
--- a/src/hickorybeam/gateway/part_blocks.py
+++ b/src/hickorybeam/gateway/part_blocks.py
@@ -35,6 +35,7 @@
 from hickorybeam.ports import FEED, FLEET, PART_BLOCKS, PLATFORM
 from hickorybeam.store import PollingPlatform
 from hickorybeam.telemetry.decisions import DecisionLog
+from hickorybeam.untrusted import InvalidBytesError, decode_msgpack
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -286,8 +287,8 @@
         """
         try:
             data = await self._vm_client.get(address, SUSPECTS_PATH)
-            told = msgspec.msgpack.decode(data, type=list[ToldPart])
-        except (GatewayError, msgspec.MsgspecError) as exc:
+            told = decode_msgpack(data, list[ToldPart])
+        except (GatewayError, InvalidBytesError) as exc:
             logging.info("cannot get suspects from %s:%d: %r", *address, exc)
             return
         self._merge(told, by="seed")
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import msgspec
 from absl import logging
 
 from hickorybeam.model.routing import GatewayVm
@@ -17,6 +16,8 @@
     quota_peer_timeout_ms,
     remote_report_interval_ms,
 )
+from hickorybeam.sockets import is_ip_address
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -219,10 +220,13 @@
     def apply_registration(self, value: bytes) -> None:
         """Apply a VM's registration; a new incarnation replaces the old one's record."""
         try:
-            vm = msgspec.json.decode(value, type=GatewayVm)
-        except msgspec.MsgspecError as exc:
+            vm = decode_json(value, GatewayVm)
+        except InvalidBytesError as exc:
             logging.warning("invalid VM registration ignored: %s", exc)
             return
+        if not is_ip_address(vm.host):
+            logging.warning("VM registration ignored, %r is no IP number", vm.host)
+            return
         if vm.name == self._own_vm.name:
             return
         known = self.by_name.get(vm.name)
@@ -243,7 +247,8 @@
         :return: ``None`` if the VM is unknown or this one.
         """
         peer = self.by_name.get(name)
-        if peer is None and vm is not None and name != self._own_vm.name:
+        is_new = peer is None and name != self._own_vm.name
+        if is_new and vm is not None and is_ip_address(vm.host):
             peer = self.by_name[name] = Peer(vm, self._clock.now(), registered=False)
         if peer is not None:
             peer.last_seen_ms = self._clock.now()
--- a/src/hickorybeam/gateway/placement_messages.py
+++ b/src/hickorybeam/gateway/placement_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hickorybeam.gateway.status_report import ReportedLoad  # noqa: TC001 - read by msgspec
+from hickorybeam.model.bounds import BoundedFloat, BoundedInt  # noqa: TC001 - read by msgspec
 
 __all__ = (
     "HeldPlacements",
@@ -56,17 +57,17 @@
     """
 
     vm: str
-    number: int
+    number: BoundedInt
     service: str
     account: str | None
     homes: list[str]
-    parts: list[tuple[str, int]]
-    prompt_tokens: int
-    output_tokens: int
-    urgency: int
-    target_ms: int
-    gone_ms: int
-    left_ms: int
+    parts: list[tuple[str, BoundedInt]]
+    prompt_tokens: BoundedInt
+    output_tokens: BoundedInt
+    urgency: BoundedInt
+    target_ms: BoundedInt
+    gone_ms: BoundedInt
+    left_ms: BoundedInt
     tried: list[str]
     refused: list[str]
     again: bool
@@ -82,11 +83,11 @@
     wait at the target; if there is no capacity, the retry-after for the caller.
     """
 
-    number: int
+    number: BoundedInt
     verdict: PlacementResult
     target: str = ""
     copy_from: str | None = None
-    wait_ms: float = 0.0
+    wait_ms: BoundedFloat = 0.0
 
 
 class PlacementUpdate(msgspec.Struct, frozen=True, array_like=True, tag="told"):
@@ -96,7 +97,7 @@
     """
 
     vm: str
-    endings: list[tuple[int, SendStatus]]
+    endings: list[tuple[BoundedInt, SendStatus]]
     loads: dict[str, ReportedLoad] = {}
 
 
@@ -104,4 +105,4 @@
     """Lists the numbers of all requests for which a VM holds a slot grant or asks for one."""
 
     vm: str
-    numbers: list[int]
+    numbers: list[BoundedInt]
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -15,7 +15,7 @@
 from hickorybeam.gateway.part_blocks import SUSPECTS_PATH, PartBlocksService
 from hickorybeam.gateway.request_handler import RequestHandler
 from hickorybeam.gateway.settings_limits import shutdown_times
-from hickorybeam.http1 import HttpServer, UpstreamPool
+from hickorybeam.http1 import HttpServer, UpstreamPool, parse_count
 from hickorybeam.kernel import Service
 from hickorybeam.platform import decode_query, directory_response
 from hickorybeam.policy.directory_listing import RegionVms, vms_to_list
@@ -202,8 +202,8 @@
 
     def _serve_changes(self, req: IncomingRequest, reply: ResponseWriter) -> None:
         """Send the changes after a revision to a VM that doesn't watch the store."""
-        after = req.target.removeprefix(CHANGES_PREFIX)
-        found = self._feed.changes_after(int(after)) if after.isdigit() else None
+        after = parse_count(req.target.removeprefix(CHANGES_PREFIX))
+        found = None if after is None else self._feed.changes_after(after)
         if found is None:
             reply.send(404)
         else:
--- a/src/hickorybeam/gateway/status_report.py
+++ b/src/hickorybeam/gateway/status_report.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hickorybeam.model.bounds import BoundedFloat, BoundedInt, NonNegativeFloat, Revision
 from hickorybeam.model.routing import GatewayVm  # noqa: TC001 - msgspec reads the annotation
 from hickorybeam.policy.crash_messages import ToldPart  # noqa: TC001 - msgspec reads it too
 from hickorybeam.policy.stream_versions import ToldStreams  # noqa: TC001 - msgspec reads it too
@@ -25,13 +26,13 @@
 )
 
 # Usage of a server: running requests, prompt tokens not yet prefilled, tokens held in its memory.
-ServerUsage = tuple[int, int, int]
+ServerUsage = tuple[BoundedInt, BoundedInt, BoundedInt]
 NO_USAGE: ServerUsage = (0, 0, 0)
 # Usage in slots that other VMs granted, by the granting VM's name and the server's id.
 GrantedUsage = dict[str, dict[str, ServerUsage]]
 # Expected wait of an empty prompt in a region, in ms, and the number of requests in flight at the
 # server with that wait.
-WaitForecast = tuple[int, int]
+WaitForecast = tuple[BoundedInt, BoundedInt]
 
 
 class ReportedLimit(NamedTuple):
@@ -41,9 +42,9 @@
     store names it.
     """
 
-    per_s: float
-    age_ms: int
-    born_ms: int
+    per_s: NonNegativeFloat
+    age_ms: BoundedInt
+    born_ms: BoundedInt
 
 
 class ReportedLoad(NamedTuple):
@@ -53,10 +54,10 @@
     requests. ``born_ms`` is the server's start, as its entry in the store names it.
     """
 
-    factor: float
-    busy: int
-    age_ms: int
-    born_ms: int
+    factor: BoundedFloat
+    busy: BoundedInt
+    age_ms: BoundedInt
+    born_ms: BoundedInt
 
 
 class Audience(Enum):
@@ -86,24 +87,24 @@
 
     name: str
     incarnation: str
-    up_ms: int
+    up_ms: BoundedInt
     leaving: bool
-    revision: int
+    revision: Revision
     fresh: bool
-    spent: dict[str, float]
+    spent: dict[str, BoundedFloat]
     servers: dict[str, ServerUsage]
     forecasts: dict[str, WaitForecast]
     whole: bool = True
-    levels: dict[str, float] | None = None
+    levels: dict[str, BoundedFloat] | None = None
     vm: GatewayVm | None = None
     holds: dict[str, str] = {}
     relayed: list[StatusReport] = []
     follows: bool = False
-    cold: dict[str, int] = {}
+    cold: dict[str, BoundedInt] = {}
     granted: GrantedUsage = {}
     limits: dict[str, ReportedLimit] = {}
-    departing: dict[str, int] = {}
-    leads: dict[str, dict[str, float]] = {}
+    departing: dict[str, BoundedInt] = {}
+    leads: dict[str, dict[str, BoundedFloat]] = {}
     loads: dict[str, ReportedLoad] = {}
     streams: list[ToldStreams] = []
     suspects: list[ToldPart] = []
--- a/src/hickorybeam/gateway/stream_messages.py
+++ b/src/hickorybeam/gateway/stream_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from hickorybeam.model.bounds import BoundedInt  # noqa: TC001 - read by msgspec
+
 __all__ = ("StreamAnswer", "StreamQuestion")
 
 
@@ -15,7 +17,7 @@
     """
 
     vm: str
-    number: int
+    number: BoundedInt
     digest: bytes
     service: str
 
@@ -29,7 +31,7 @@
     """
 
     vm: str
-    number: int
+    number: BoundedInt
     version_key: bytes
     sole: bytes | None
     disputed: bool = False
--- a/src/hickorybeam/gateway/suspect_records.py
+++ b/src/hickorybeam/gateway/suspect_records.py
@@ -17,6 +17,7 @@
 from hickorybeam.gateway.block_records import StoredCrash, stored_crashes, told_crashes
 from hickorybeam.policy.crash_messages import ToldPart
 from hickorybeam.store import Put
+from hickorybeam.untrusted import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -106,11 +107,11 @@
 
     def _decode(self, value: bytes) -> Iterable[ToldPart]:
         try:
-            stored = msgspec.json.decode(value, type=list[StoredSuspect])
+            stored = decode_json(value, list[StoredSuspect])
             wall_ms = self._clock.wall()
             return [
                 ToldPart(bytes.fromhex(it.key), told_crashes(it.crashes, wall_ms), [], False)
                 for it in stored
             ]
-        except (msgspec.MsgspecError, ValueError):
+        except ValueError:
             return []
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -14,7 +14,7 @@
 from hickorybeam.http1.pool import ConnectFailedError, UpstreamPool
 from hickorybeam.http1.server import HttpServer, ResponseWriter
 from hickorybeam.http1.upstream import BrokenResponseError, UpstreamConnection
-from hickorybeam.http1.values import parse_decimal, parse_retry_after_ms
+from hickorybeam.http1.values import parse_count, parse_decimal, parse_retry_after_ms
 
 __all__ = (
     "ResponseHead",
@@ -32,6 +32,7 @@
     "has_ambiguous_framing",
     "is_encoded",
     "is_event_stream",
+    "parse_count",
     "parse_decimal",
     "parse_retry_after_ms",
 )
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -133,7 +133,8 @@
         try:
             with anyio.fail_after(connect_ms / MS_PER_SECOND):
                 transport, conn = await loop.create_connection(UpstreamConnection, *address)
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # The last two: the host can't be encoded, or the port is none.
             raise ConnectFailedError(f"{address[0]}:{address[1]}: {exc!r}") from exc
         self.opened += 1
         conn.opened_ms = self._clock.now()
--- a/src/hickorybeam/http1/response_writer.py
+++ b/src/hickorybeam/http1/response_writer.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from hickorybeam.http1.head import find_header, response_head_bytes
+from hickorybeam.http1.values import parse_count
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -170,5 +171,4 @@
 
 def declared_length(headers: RawHeaders) -> int | None:
     """Return the length that a response's headers declare, if they do and it is valid."""
-    value = find_header(headers, b"content-length") or b""
-    return int(value) if value.isdigit() else None
+    return parse_count(find_header(headers, b"content-length"))
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -10,6 +10,7 @@
 import httptools
 
 from hickorybeam.http1.head import Framing, ResponseHead, find_header
+from hickorybeam.http1.values import parse_count
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -301,6 +302,7 @@
     """Return the idle timeout in a Keep-Alive header, in seconds, if it has one."""
     for part in (value or b"").split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.strip().isdigit():
-            return float(seconds)
+        count = parse_count(seconds)
+        if name.lower() == b"timeout" and count is not None:
+            return float(count)
     return None
--- a/src/hickorybeam/http1/values.py
+++ b/src/hickorybeam/http1/values.py
@@ -7,13 +7,21 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 
-__all__ = ("parse_decimal", "parse_retry_after_ms")
+__all__ = ("parse_count", "parse_decimal", "parse_retry_after_ms")
 
 DECIMAL = re.compile(rb"\d{1,15}(?:\.\d{1,15})?")
+# A longer number makes no sense anywhere, and one of thousands of digits is an error to convert.
+MAX_DIGITS = 15
 # A server that asks for a longer rest is asked once an hour.
 MAX_RETRY_AFTER_MS = 3_600_000
 
 
+def parse_count(value: bytes | None) -> int | None:
+    """Parse a whole number without a sign; ``None`` if there is none, or it is invalid."""
+    digits = (value or b"").strip()
+    return int(digits) if digits.isdigit() and len(digits) <= MAX_DIGITS else None
+
+
 def parse_decimal(value: bytes) -> float | None:
     """Parse a non-negative decimal number; signs, exponents and names of numbers are invalid."""
     digits = value.strip()
--- a/src/hickorybeam/model/routing.py
+++ b/src/hickorybeam/model/routing.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from hickorybeam.model.bounds import BoundedFloat, Port  # noqa: TC001 - read by msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -175,9 +177,9 @@
     region: str
     data_centre: str
     host: str
-    caller_port: int
-    peer_port: int
-    power: float = 1.0
+    caller_port: Port
+    peer_port: Port
+    power: BoundedFloat = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/once/claims.py
+++ b/src/hickorybeam/once/claims.py
@@ -11,6 +11,7 @@
 from hickorybeam.policy.at_most_once import Claim, Refused, decide_claim
 from hickorybeam.policy.token_bucket import TokenBucket
 from hickorybeam.store.port import Compare, Delete, KeyValue, Put
+from hickorybeam.store.values import msgpack_value
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -86,7 +87,7 @@
             if found is None:
                 revision = 0
                 continue
-            existing = msgspec.msgpack.decode(found.value, type=Claim)
+            existing = msgpack_value(found, Claim)
             if (existing.owner, existing.attempt) == (self._own_vm_id, attempt):
                 return found.mod_revision
             self._check_claim(existing, attempt, content)
--- a/src/hickorybeam/peers/client.py
+++ b/src/hickorybeam/peers/client.py
@@ -13,7 +13,6 @@
 
 import anyio
 import h2.exceptions
-import msgspec
 from grpclib.const import Cardinality
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
@@ -31,6 +30,7 @@
     TransportEndedError,
     to_error,
 )
+from hickorybeam.untrusted import InvalidBytesError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Iterator
@@ -49,7 +49,7 @@
     StreamTerminatedError,
     AssertionError,
     h2.exceptions.ProtocolError,
-    msgspec.DecodeError,
+    InvalidBytesError,
     TransportEndedError,
 )
 
--- a/src/hickorybeam/peers/codec.py
+++ b/src/hickorybeam/peers/codec.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from functools import cache
 from typing import Any, TypeVar
 
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from hickorybeam.untrusted import decode_msgpack
+
 __all__ = ("MessagePackCodec", "pack", "unpack")
 
 T = TypeVar("T")
@@ -15,11 +16,6 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-@cache
-def _decoder(cls: Any) -> msgspec.msgpack.Decoder[Any]:
-    return msgspec.msgpack.Decoder(cls)
-
-
 def pack(value: object) -> bytes:
     """Encode a data class, with fields by name so that a newer VM may add some."""
     return _encoder.encode(value)
@@ -28,9 +24,9 @@
 def unpack(cls: type[T], data: bytes) -> T:
     """Decode a data class; fields unknown to this version are ignored.
 
-    Raises ``msgspec.ValidationError`` or ``msgspec.DecodeError`` if the data does not fit.
+    :raises InvalidBytesError: the data does not fit.
     """
-    value: T = _decoder(cls).decode(data)  # type: ignore[arg-type]
+    value: T = decode_msgpack(data, cls)
     return value
 
 
--- a/src/hickorybeam/peers/registry.py
+++ b/src/hickorybeam/peers/registry.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import msgspec
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.model import EntryVm
 from hickorybeam.peers.codec import pack, unpack
 from hickorybeam.store import Put
+from hickorybeam.untrusted import InvalidBytesError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,5 +95,5 @@
 def _decode(value: bytes) -> EntryVm | None:
     try:
         return unpack(EntryVm, value)
-    except msgspec.DecodeError:
+    except InvalidBytesError:
         return None
--- a/src/hickorybeam/peers/service.py
+++ b/src/hickorybeam/peers/service.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any, ClassVar, TypeVar
 
 import anyio
-import msgspec
 from absl import logging
 
 from hickorybeam import ports
@@ -21,6 +20,7 @@
 from hickorybeam.peers.server import PeerServer
 from hickorybeam.peers.tls import check_certificate, client_context, server_context
 from hickorybeam.peers.wire import AskReply, AskRequest, ForwardRequest, ResponseParts, to_wire
+from hickorybeam.untrusted import InvalidBytesError
 
 if TYPE_CHECKING:
     import ssl
@@ -126,7 +126,7 @@
         async def answer(sender: VmId, body: bytes) -> bytes:
             try:
                 request = unpack(topic.request, body)
-            except msgspec.DecodeError as exc:
+            except InvalidBytesError as exc:
                 raise GatewayError(ErrorKind.BAD_REQUEST, topic.name) from exc
             return pack(await handler(sender, request))
 
@@ -146,7 +146,7 @@
             body = await send(self._address(vm), ask, timeout_ms=timeout_ms)
             try:
                 return unpack(topic.reply, body)
-            except msgspec.DecodeError as exc:
+            except InvalidBytesError as exc:
                 raise GatewayError(ErrorKind.INTERNAL, f"reply to {topic.name}") from exc
 
     async def forward(self, call: Call, vm: EntryVm) -> AsyncGenerator[ResponsePart, None]:
--- a/src/hickorybeam/platform/entries.py
+++ b/src/hickorybeam/platform/entries.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -23,9 +22,18 @@
     WeightedService,
 )
 from hickorybeam.platform import names
-
-if TYPE_CHECKING:
-    from collections.abc import Mapping
+from hickorybeam.platform.entry_types import (
+    MAX_NAME_CHARS,
+    RawAccount,
+    RawConfig,
+    RawLimits,
+    RawRoute,
+    RawServer,
+    RawService,
+    RawWeightedService,
+)
+from hickorybeam.sockets import split_ip_address
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 __all__ = (
     "ConfigEntry",
@@ -42,6 +50,12 @@
     "streaming": Repeat.STREAM,
 }
 LEAVING_BY_STATE = {"ready": False, "draining": True}
+DEFAULT_TIMEOUT_MS = 60_000
+DEFAULT_TARGET_MS = 1_000
+DEFAULT_RANK = 5
+DEFAULT_HEALTH_PATH = "/health"
+# More requests at once than any server runs.
+MAX_SLOTS = 100_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,113 +93,141 @@
 def decode_entry(key: str, value: bytes) -> DecodedEntry:
     """Decode one entry of the store.
 
-    Other writers may leave entries with missing fields or fields of another type. Such an entry
-    becomes an ``InvalidEntry`` and does not affect the others.
+    Other writers may leave entries with missing fields, fields of another type, or bytes of any
+    kind. Such an entry becomes an ``InvalidEntry`` and does not affect the others.
     """
     if key.startswith(names.EVACUATION_PREFIX):
         return EvacuationEntry(key.removeprefix(names.EVACUATION_PREFIX))
     try:
-        raw = msgspec.json.decode(value)
         if key == names.CONFIG_KEY:
-            return ConfigEntry(decode_config(raw))
+            return ConfigEntry(decode_config(decode_json(value, RawConfig)))
         if key.startswith(names.SERVER_PREFIX):
+            raw = decode_json(value, RawServer)
             return ServerEntry(decode_server(key.removeprefix(names.SERVER_PREFIX), raw))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError, AttributeError) as exc:
-        return InvalidEntry(key, f"{type(exc).__name__}: {exc}")
+    except InvalidBytesError as exc:
+        return InvalidEntry(key, str(exc))
     return InvalidEntry(key, "unknown key")
 
 
-def decode_config(raw: Mapping[str, Any]) -> RoutingConfig:
-    """Decode the routing configuration."""
-    accounts = raw.get("tenants") or []
-    limits = raw.get("limits") or {}
+def decode_config(raw: RawConfig) -> RoutingConfig:
+    """Decode the routing configuration.
+
+    :raises InvalidBytesError: a route is of an unknown kind, or has no service.
+    """
+    accounts = raw.tenants or []
+    limits = raw.limits or RawLimits()
     return RoutingConfig(
-        version=int(raw["version"]),
-        routes=tuple(decode_route(route) for route in raw["routes"]),
-        services=MappingProxyType({it["name"]: decode_service(it) for it in raw["services"]}),
-        accounts=MappingProxyType({it["name"]: decode_account(it) for it in accounts}),
-        keys=MappingProxyType(
-            {key_digest(key): it["name"] for it in accounts for key in it["api-keys"]}
-        ),
+        version=raw.version,
+        routes=tuple(decode_route(route) for route in raw.routes),
+        services=MappingProxyType({it.name: decode_service(it) for it in raw.services}),
+        accounts=MappingProxyType({it.name: decode_account(it) for it in accounts}),
+        keys=MappingProxyType({key_digest(key): it.name for it in accounts for key in it.api_keys}),
         callers=CallerLimits(
-            header_bytes=int(limits.get("max-header-bytes", 16_384)),
-            body_bytes=int(limits.get("max-body-bytes", 4_194_304)),
-            header_ms=int(limits.get("header-timeout-ms", 3_000)),
-            idle_ms=int(limits.get("idle-timeout-ms", 15_000)),
+            header_bytes=int(limits.max_header_bytes),
+            body_bytes=int(limits.max_body_bytes),
+            header_ms=int(limits.header_timeout_ms),
+            idle_ms=int(limits.idle_timeout_ms),
         ),
-        with_accounts="tenants" in raw,
+        with_accounts=raw.tenants is not msgspec.UNSET,
     )
 
 
-def decode_route(raw: Mapping[str, Any]) -> Route:
-    """Decode one route; its kind says whether requests may be retried."""
-    targets = raw.get("traffic-split") or [{"service": raw["service"], "weight": 1}]
+def decode_route(raw: RawRoute) -> Route:
+    """Decode one route; its kind says whether requests may be retried.
+
+    :raises InvalidBytesError: it is of an unknown kind, or has no service.
+    """
+    if raw.kind not in REPEAT_BY_KIND:
+        raise InvalidBytesError(f"route {raw.name!r} is of unknown kind {raw.kind!r}")
+    targets = raw.traffic_split
+    if not targets:
+        if raw.service is None:
+            raise InvalidBytesError(f"route {raw.name!r} has no service")
+        targets = [RawWeightedService(raw.service, 1)]
     return Route(
-        name=raw["name"],
-        host=raw["host"].lower(),
-        prefix=raw["prefix"],
-        repeat=REPEAT_BY_KIND[raw["kind"]],
-        targets=tuple(WeightedService(it["service"], float(it["weight"])) for it in targets),
-        timeout_ms=int(raw.get("timeout-ms") or 60_000),
-        target_ms=int(raw.get("target-latency-ms") or 1_000),
-        gap_ms=int(raw.get("target-gap-ms") or 0),
-        rank=int(raw.get("priority", 5)),
-        max_attempts=max(1, int(raw.get("max-attempts") or 1)),
-        public=bool(raw.get("public", False)),
-        by_prefix=bool(raw.get("sticky", False)),
-        resumable=bool(raw.get("resumable", False)),
-        homes=frozenset(raw.get("home-regions") or ()),
+        name=raw.name,
+        host=raw.host.lower(),
+        prefix=raw.prefix,
+        repeat=REPEAT_BY_KIND[raw.kind],
+        targets=tuple(WeightedService(it.service, it.weight) for it in targets),
+        timeout_ms=int(raw.timeout_ms or DEFAULT_TIMEOUT_MS),
+        target_ms=int(raw.target_latency_ms or DEFAULT_TARGET_MS),
+        gap_ms=int(raw.target_gap_ms or 0),
+        rank=DEFAULT_RANK if raw.priority is None else int(raw.priority),
+        max_attempts=max(1, int(raw.max_attempts or 1)),
+        public=bool(raw.public),
+        by_prefix=bool(raw.sticky),
+        resumable=bool(raw.resumable),
+        homes=frozenset(raw.home_regions or ()),
     )
 
 
-def decode_service(raw: Mapping[str, Any]) -> ServiceSpec:
+def decode_service(raw: RawService) -> ServiceSpec:
     """Decode one service."""
-    engine = raw.get("engine")
+    engine = raw.engine
     return ServiceSpec(
-        name=raw["name"],
-        health_path=raw.get("health-path") or "/health",
-        max_connections=int(raw.get("max-connections") or 0),
-        cold_start_ms=int(float(raw.get("cold-start-s") or 0) * MS_PER_SECOND),
-        cold_per_s=float(raw.get("cold-per-s") or 0),
+        name=raw.name,
+        health_path=decode_health_path(raw.health_path),
+        max_connections=int(raw.max_connections or 0),
+        cold_start_ms=int((raw.cold_start_s or 0) * MS_PER_SECOND),
+        cold_per_s=raw.cold_per_s or 0.0,
         engine=EngineSpec(
-            slots=int(engine.get("slots") or 0),
-            cache_tokens=int(engine.get("kv-cache-tokens") or 0),
+            slots=int(engine.slots or 0), cache_tokens=int(engine.kv_cache_tokens or 0)
         )
         if engine
         else None,
     )
 
 
-def decode_account(raw: Mapping[str, Any]) -> AccountTerms:
+def decode_health_path(path: str | None) -> str:
+    """Return where a service's health is asked; the usual path in place of one that can't be sent.
+
+    A path with a space or the end of a line in it would be read as more than a path.
+    """
+    if path and path.startswith("/") and is_header_text(path) and " " not in path:
+        return path
+    return DEFAULT_HEALTH_PATH
+
+
+def decode_account(raw: RawAccount) -> AccountTerms:
     """Decode one account's terms; the wire calls an account a tenant."""
-    rank = raw.get("priority")
     return AccountTerms(
-        name=raw["name"],
-        rate_per_s=float(raw.get("rate-per-s") or 0),
-        burst=float(raw.get("burst") or 0),
-        unit=Unit.TOKENS if raw.get("unit") == "tokens" else Unit.REQUESTS,
-        tokens_when_untold=int(raw.get("uncached-tokens") or 1),
-        rank=None if rank is None else int(rank),
-        homes=frozenset(raw.get("home-regions") or ()),
+        name=raw.name,
+        rate_per_s=raw.rate_per_s or 0.0,
+        burst=raw.burst or 0.0,
+        unit=Unit.TOKENS if raw.unit == "tokens" else Unit.REQUESTS,
+        tokens_when_untold=int(raw.uncached_tokens or 1),
+        rank=None if raw.priority is None else int(raw.priority),
+        homes=frozenset(raw.home_regions or ()),
     )
 
 
-def decode_server(server_id: str, raw: Mapping[str, Any]) -> RegisteredServer:
-    """Decode a backend server's registration; the wire calls a data centre a zone."""
-    host, _, port = raw["address"].rpartition(":")
-    if not isinstance(raw["service"], str) or not isinstance(raw["zone"], str) or not host:
-        raise ValueError("service and zone must be strings, address host:port")
-    gone_in_ms = raw.get("remaining-ms")
+def decode_server(server_id: str, raw: RawServer) -> RegisteredServer:
+    """Decode a backend server's registration; the wire calls a data centre a zone.
+
+    :raises InvalidBytesError: its id can't be sent to it, its state is unknown, or its address is
+        none of an IP number and a port.
+    """
+    if not is_header_text(server_id):
+        raise InvalidBytesError(f"the id {server_id[:MAX_NAME_CHARS]!r} can't be sent in a header")
+    if raw.state not in LEAVING_BY_STATE:
+        raise InvalidBytesError(f"unknown state {raw.state[:MAX_NAME_CHARS]!r}")
+    host, port = split_ip_address(raw.address)
     return RegisteredServer(
         id=server_id,
-        service=raw["service"],
+        service=raw.service,
         host=host,
-        port=int(port),
-        data_centre=raw["zone"],
-        slots=max(1, int(raw["slots"])),
-        leaving=LEAVING_BY_STATE[raw["state"]],
-        cold_ms=int(raw.get("cold-remaining-ms") or 0),
-        gone_in_ms=None if gone_in_ms is None else int(gone_in_ms),
-        born_ms=int(raw.get("born") or 0),
-        version=version if isinstance(version := raw.get("version"), str) else "",
+        port=port,
+        data_centre=raw.zone,
+        slots=min(MAX_SLOTS, max(1, int(raw.slots))),
+        leaving=LEAVING_BY_STATE[raw.state],
+        cold_ms=int(raw.cold_remaining_ms or 0),
+        gone_in_ms=None if raw.remaining_ms is None else int(raw.remaining_ms),
+        born_ms=int(raw.born or 0),
+        version=raw.version or "",
     )
+
+
+def is_header_text(text: str) -> bool:
+    """Return whether a text can be the value of a header as it is."""
+    return bool(text) and text.isascii() and text.isprintable() and text == text.strip()
--- a/src/hickorybeam/platform/requests.py
+++ b/src/hickorybeam/platform/requests.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.http1 import find_header
+from hickorybeam.http1 import find_header, parse_count
 from hickorybeam.model.routing import PromptPart, RelayCall
 from hickorybeam.platform import names
 
@@ -21,7 +21,7 @@
 def decode_call(req: IncomingRequest) -> RelayCall:
     """Decode a caller's request; invalid headers count as not sent."""
     headers = req.headers
-    remaining_ms = parse_number(find_header(headers, names.DEADLINE))
+    remaining_ms = parse_count(find_header(headers, names.DEADLINE))
     prompt, output = token_counts(find_header(headers, names.TOKENS))
     return RelayCall(
         request_id=decode_text(find_header(headers, names.REQUEST_ID)),
@@ -93,16 +93,17 @@
     parts = []
     for entry in value.split(b",")[:MAX_PROMPT_PARTS]:
         name, _, tokens = entry.strip().rpartition(b":")
-        if not name or not tokens.isdigit():
+        size = parse_count(tokens)
+        if not name or size is None:
             return ()
-        parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
+        parts.append(PromptPart(name.decode("latin-1"), size))
     return tuple(parts)
 
 
 def token_counts(value: bytes | None) -> tuple[int, int]:
     """Decode prompt tokens and maximum output tokens; both are 0 unless both are declared."""
     first, _, second = (value or b"").partition(b",")
-    prompt, output = parse_number(first), parse_number(second)
+    prompt, output = parse_count(first), parse_count(second)
     return (0, 0) if prompt is None or output is None else (prompt, output)
 
 
@@ -119,12 +120,6 @@
     return host if port.isdigit() else value.lower()
 
 
-def parse_number(value: bytes | None) -> int | None:
-    """Decode a non-negative integer of less than 16 digits."""
-    digits = (value or b"").strip()
-    return int(digits) if digits.isdigit() and len(digits) < 16 else None
-
-
 def decode_text(value: bytes | None) -> str:
     """Decode a header's value; a missing one is empty."""
     return (value or b"").decode("latin-1")
--- a/src/hickorybeam/platform/responses.py
+++ b/src/hickorybeam/platform/responses.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hickorybeam.http1 import find_header, is_event_stream, parse_decimal, parse_retry_after_ms
+from hickorybeam.http1 import (
+    find_header,
+    is_event_stream,
+    parse_count,
+    parse_decimal,
+    parse_retry_after_ms,
+)
 from hickorybeam.platform import names
 from hickorybeam.policy.time_factor import MAX_TIME_FACTOR
 
@@ -114,8 +120,7 @@
 
 def decode_cold(value: bytes | None) -> int | None:
     """Decode how long a server stays cold, in ms."""
-    digits = (value or b"").strip()
-    return int(digits) if digits.isdigit() else None
+    return parse_count(value)
 
 
 def decode_limit(value: bytes | None) -> float | None:
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -5,7 +5,7 @@
 import base64
 import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, ClassVar
+from typing import TYPE_CHECKING, ClassVar
 from urllib.parse import quote
 
 import anyio
@@ -16,6 +16,7 @@
 from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, UpstreamPool
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.kernel import Service
+from hickorybeam.platform.replies import StoreReply, decode_batches, decode_items, decode_reply
 from hickorybeam.ports import PLATFORM
 from hickorybeam.sockets import split_address
 from hickorybeam.store.port import (
@@ -32,7 +33,7 @@
 from hickorybeam.store.retry import RetryBudget, backoff_ms
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping
+    from collections.abc import AsyncIterator
 
     from hickorybeam.clock import Clock
     from hickorybeam.settings import Settings
@@ -61,7 +62,7 @@
     "watch": ("at",),
     "txn": ("revision",),
     "lease": ("lease",),
-    "keep": ("ttl-ms",),
+    "keep": ("ttl_ms",),
 }
 
 
@@ -102,9 +103,11 @@
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
         status, reply = await self._read("read", f"/kv-key?key={quote(key, safe='/')}")
+        at = reply.at or 0
         if status == NOT_FOUND:
-            return ReadResult(int(reply.get("at") or 0), ())
-        return ReadResult(int(reply["at"]), (decode_item(reply),))
+            return ReadResult(at, ())
+        item = KeyValue(reply.key or key, reply.value or b"", reply.revision or 0, reply.lease or 0)
+        return ReadResult(at, (item,))
 
     async def read_prefix(self, prefix: str, *, start: str = "", limit: int = 0) -> ReadResult:
         """Read the keys under a prefix; the returned revision is that of the first page."""
@@ -116,11 +119,13 @@
             if after:
                 path += f"&after={quote(after, safe='/')}"
             _, reply = await self._read("range", path)
-            revision = revision or int(reply["at"])
-            page = [decode_item(raw) for raw in reply["items"]]
+            revision = revision or reply.at or 0
+            page = decode_items(reply.items or ())
             items += [item for item in page if item.key >= start]
-            if not reply.get("has-more") or not page or (limit and len(items) >= limit):
+            if not reply.has_more or (limit and len(items) >= limit):
                 return ReadResult(revision, tuple(items[:limit] if limit else items))
+            if not page or page[-1].key <= after:
+                raise GatewayError(ErrorKind.PLATFORM_OUT, f"no page follows {after!r}")
             after = page[-1].key
 
     async def txn(self, compares: tuple[Compare, ...], writes: tuple[Write, ...]) -> TxnResult:
@@ -139,19 +144,19 @@
         status, reply = await self._write("txn", "POST", "/kv-txn", body)
         if status == NOT_FOUND:
             raise GatewayError(ErrorKind.LEASE_LOST)
-        return TxnResult(status == OK, int(reply.get("revision") or 0))
+        return TxnResult(status == OK, reply.revision or 0)
 
     async def grant(self, ttl_ms: int) -> int:
         """Create a lease."""
         _, reply = await self._write("lease", "POST", "/kv-lease", {"ttl-ms": ttl_ms})
-        return int(reply["lease"])
+        return reply.lease or 0
 
     async def keep_alive(self, lease: int) -> int:
         """Renew a lease and return its time to live in ms, or raise ``LEASE_LOST``."""
         status, reply = await self._write("keep", "POST", f"/kv-keep/{lease}", {})
         if status == NOT_FOUND:
             raise GatewayError(ErrorKind.LEASE_LOST)
-        return int(reply["ttl-ms"])
+        return reply.ttl_ms or 0
 
     async def revoke(self, lease: int) -> None:
         """End a lease, which removes its keys; an expired one is no error."""
@@ -172,10 +177,10 @@
                 after = max(after, batch.revision)
                 yield batch
             # Once per poll: a pause per batch would delay a backlog of changes.
-            if reply.get("events"):
+            if reply.events:
                 await self._clock.sleep(self.watch_pause_ms)
 
-    async def _poll(self, prefix: str, after: int) -> tuple[int, Mapping[str, Any]]:
+    async def _poll(self, prefix: str, after: int) -> tuple[int, StoreReply]:
         poll_timeout_ms = self.watch_poll_timeout_ms
         path = f"/kv-watch?prefix={quote(prefix, safe='/')}&after={after}&wait-ms={poll_timeout_ms}"
         poll = _PendingPoll(anyio.CancelScope(), self._clock.now())
@@ -211,7 +216,7 @@
                 poll.scope.cancel()
         self._last_failure_ms = None
 
-    async def _read(self, kind: str, path: str) -> tuple[int, Mapping[str, Any]]:
+    async def _read(self, kind: str, path: str) -> tuple[int, StoreReply]:
         self._retry_budget.earn()
         for attempt in range(1, MAX_READ_ATTEMPTS + 1):
             try:
@@ -224,7 +229,7 @@
 
     async def _write(
         self, kind: str, method: str, path: str, body: object | None
-    ) -> tuple[int, Mapping[str, Any]]:
+    ) -> tuple[int, StoreReply]:
         return await self._call(kind, method, path, body, limit_ms=self._timeout_ms, write=True)
 
     async def _call(
@@ -236,7 +241,7 @@
         *,
         limit_ms: int,
         write: bool = False,
-    ) -> tuple[int, Mapping[str, Any]]:
+    ) -> tuple[int, StoreReply]:
         try:
             status, raw = await self._exchange(method, path, body, limit_ms=limit_ms)
         except ConnectFailedError as exc:
@@ -269,15 +274,16 @@
 
     def _check_response(
         self, kind: str, status: int, raw: bytes, *, write: bool
-    ) -> tuple[int, Mapping[str, Any]]:
+    ) -> tuple[int, StoreReply]:
         if status not in (OK, NOT_FOUND, GONE, CONFLICT):
             self._record_failure(kind, "refused")
             raise GatewayError(ErrorKind.PLATFORM_OUT, f"{kind}: unexpected status {status}")
-        reply = decode_object(raw)
-        missing = missing_fields(kind, reply) if status == OK else ()
+        reply = decode_reply(raw)
+        required = REQUIRED_FIELDS.get(kind, ()) if status == OK else ()
+        missing = reply.missing_fields(required) if reply is not None else ()
         if reply is None or missing:
             self._count(kind, "unknown")
-            what = f"lacks {', '.join(missing)}" if reply is not None else "is not valid JSON"
+            what = f"lacks {', '.join(missing)}" if reply is not None else "can't be read"
             error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
             raise GatewayError(error, f"{kind}: the response of {len(raw)} bytes {what}")
         self._count(kind, "ok")
@@ -286,42 +292,3 @@
 
     def _count(self, kind: str, outcome: str) -> None:
         self._calls.labels(kind, outcome).inc()
-
-
-def decode_object(raw: bytes) -> Mapping[str, Any] | None:
-    """Decode the body of a response; ``None`` if it is no JSON, empty if it is no object."""
-    try:
-        reply = msgspec.json.decode(raw or b"{}")
-    except msgspec.DecodeError:
-        return None
-    return reply if isinstance(reply, dict) else {}
-
-
-def missing_fields(kind: str, reply: Mapping[str, Any] | None) -> tuple[str, ...]:
-    """Return the fields that a good response to this kind of call must have and this one lacks."""
-    return tuple(field for field in REQUIRED_FIELDS.get(kind, ()) if field not in (reply or {}))
-
-
-def decode_item(raw: Mapping[str, Any]) -> KeyValue:
-    """Decode one item; its value is base64."""
-    value = base64.b64decode(raw.get("value") or "")
-    return KeyValue(raw["key"], value, int(raw["revision"]), int(raw.get("lease") or 0))
-
-
-def decode_batches(reply: Mapping[str, Any]) -> list[WatchBatch]:
-    """Decode a poll's response: a batch per revision, the last one at the store's revision."""
-    puts: dict[int, list[KeyValue]] = {}
-    deletes: dict[int, list[str]] = {}
-    for raw in reply.get("events") or ():
-        if raw.get("deleted"):
-            deletes.setdefault(int(raw["revision"]), []).append(raw["key"])
-        else:
-            item = decode_item(raw)
-            puts.setdefault(item.mod_revision, []).append(item)
-    batches = [
-        WatchBatch(revision, tuple(puts.get(revision, ())), tuple(deletes.get(revision, ())))
-        for revision in sorted(puts.keys() | deletes.keys())
-    ]
-    if not batches or batches[-1].revision < int(reply["at"]):
-        batches.append(WatchBatch(int(reply["at"])))
-    return batches
--- a/src/hickorybeam/policy/crash_messages.py
+++ b/src/hickorybeam/policy/crash_messages.py
@@ -6,6 +6,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+from hickorybeam.model.bounds import BoundedInt  # noqa: TC001 - read by msgspec
 from hickorybeam.policy.crash_suspects import REQUEST_DIGEST_BYTES, Trait
 
 __all__ = (
@@ -42,7 +43,7 @@
     """
 
     server: bytes
-    age_ms: int
+    age_ms: BoundedInt
     request: bytes
 
 
--- a/src/hickorybeam/policy/stream_versions.py
+++ b/src/hickorybeam/policy/stream_versions.py
@@ -13,6 +13,8 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, NamedTuple
 
+from hickorybeam.model.bounds import BoundedInt  # noqa: TC001 - read by msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -44,7 +46,7 @@
     """Streams of one version as a report tells them: digests end to end, kept for ``keep_s``."""
 
     version_key: bytes
-    keep_s: int
+    keep_s: BoundedInt
     digests: bytes
 
 
--- a/src/hickorybeam/shares/ledger.py
+++ b/src/hickorybeam/shares/ledger.py
@@ -23,6 +23,7 @@
 )
 from hickorybeam.policy.spending_lease import SpendingLease, TakeOverMonitor
 from hickorybeam.store.port import Compare, Put
+from hickorybeam.untrusted import InvalidBytesError, decode_msgpack
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -460,7 +461,8 @@
 
 def _decode(item: KeyValue) -> GroupLedger | None:
     try:
-        return msgspec.msgpack.decode(item.value, type=GroupLedger)
-    except msgspec.DecodeError as exc:
+        found: GroupLedger = decode_msgpack(item.value, GroupLedger)
+    except InvalidBytesError as exc:
         logging.error("cannot decode ledger key %s: %s", item.key, exc)
         return None
+    return found
--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -36,6 +36,7 @@
 
     Beside the stand-in's own faults, ``turn_away`` is a status that every call gets, 0 for
     none; ``silent`` leaves every call unanswered; the next ``deaf_watches`` watches never answer;
+    ``odd_items`` holds, by ``items`` and ``events``, what comes before each item of an answer;
     ``answer_share`` is the share of each answer's body that comes before the connection ends in
     order, ``None`` for whole answers.
     """
@@ -47,6 +48,7 @@
         self.deaf_watches = 0
         self.answer_share: float | None = None
         self.page = PAGE
+        self.odd_items: Mapping[str, Mapping[str, Any]] = {}
 
     def put(self, key: str, value: bytes) -> None:
         """Write a key as an operator or a backend server would."""
@@ -83,7 +85,7 @@
             if faults.take_lost_answer():
                 reply.abort()
                 return
-        data = msgspec.json.encode(body)
+        data = msgspec.json.encode(self._with_odd_items(body))
         if self.answer_share is None:
             reply.send(status, JSON, data)
             return
@@ -91,6 +93,12 @@
         reply.send_raw(data[: round(len(data) * self.answer_share)])
         reply.end_by_close()
 
+    def _with_odd_items(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        for field in self.odd_items.keys() & body.keys():
+            pairs = [(self.odd_items[field], item) for item in body[field]]
+            body = {**body, field: [it for pair in pairs for it in pair]}
+        return body
+
     async def _call(
         self, method: str, path: str, told: Mapping[str, str], raw: bytes
     ) -> tuple[int, Mapping[str, Any]]:
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -8,7 +8,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import msgspec
@@ -93,6 +93,7 @@
     ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
     ``time_factor`` is the percentage of the usual time that its work takes, as its answers tell it
     if it is set.
+    ``odd_headers`` come before the others in its answers.
     ``health_checks`` holds the times at which its health was checked.
     ``version`` is that of its software, as its entry names it.
     ``crash`` says under which requests it crashes; ``crashes`` holds the times at which it
@@ -114,6 +115,7 @@
     leaving: bool = False
     rest_s: bytes | None = None
     time_factor: bytes | None = None
+    odd_headers: RawHeaders = ()
     port: int = 0
     born: int = 0
     running: int = 0
@@ -143,7 +145,12 @@
     def register(self, *, state: str = "ready", cold_ms: int = 0, born: int = 0) -> None:
         """Write its entry."""
         self.born = born
-        entry = {
+        entry = self.entry(state=state, cold_ms=cold_ms)
+        self.store.put(names.SERVER_PREFIX + self.id, msgspec.json.encode(entry))
+
+    def entry(self, *, state: str, cold_ms: int = 0) -> dict[str, Any]:
+        """Return its entry."""
+        return {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": self.data_centre,
@@ -152,9 +159,8 @@
             "state": state,
             "cold-remaining-ms": cold_ms,
             "sequence": 1,
-            "born": born,
+            "born": self.born,
         }
-        self.store.put(names.SERVER_PREFIX + self.id, msgspec.json.encode(entry))
 
     def withdraw(self) -> None:
         """Remove its entry, as a lapsed lease does."""
@@ -171,7 +177,7 @@
         rejection = self._rejection(req)
         request_id = find_header(req.headers, names.REQUEST_ID) or b""
         arrival = Arrival(
-            request_id.decode(), req.headers, req.body, rejection is None, self.clock.now()
+            request_id.decode("latin-1"), req.headers, req.body, rejection is None, self.clock.now()
         )
         self.arrivals.append(arrival)
         if rejection is not None:
@@ -332,7 +338,7 @@
                 batch.cancel(stream.id)
 
     def _headers(self, request_id: bytes) -> RawHeaders:
-        headers = [(names.REQUEST_ID, request_id), self._load()]
+        headers = [(names.REQUEST_ID, request_id), *self.odd_headers, self._load()]
         if not self.faults.take("unsigned"):
             headers.append((names.SIGNATURE, b"signed-" + self.id.encode()))
         return (*headers, *self._notices())
--- a/src/hickorybeam/store/etcd.py
+++ b/src/hickorybeam/store/etcd.py
@@ -27,6 +27,7 @@
     Write,
 )
 from hickorybeam.store.retry import RetryBudget, backoff_ms
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -371,22 +372,22 @@
 def _decode(raw: bytes, reply: type[T]) -> T:
     """Decode a response; one that is cut short or not the service's is handled as none."""
     try:
-        return msgspec.json.decode(raw, type=reply)
-    except msgspec.MsgspecError as exc:
+        return decode_json(raw, reply)
+    except InvalidBytesError as exc:
         raise _NoResponseError("the answer can't be read") from exc
 
 
 def _decode_watch(line: bytes) -> wire.WatchReply:
     try:
-        return msgspec.json.decode(line, type=wire.WatchReply)
-    except msgspec.MsgspecError as exc:
+        return decode_json(line, wire.WatchReply)
+    except InvalidBytesError as exc:
         raise GatewayError(ErrorKind.PLATFORM_OUT, "a watch line can't be read") from exc
 
 
 def _decode_refusal(status: int, body: bytes) -> _RefusalError:
     """Decode the body of an error response; without a readable body, only its status is known."""
     try:
-        reply = msgspec.json.decode(body, type=wire.StatusReply)
-    except msgspec.DecodeError:
+        reply = decode_json(body, wire.StatusReply)
+    except InvalidBytesError:
         return _RefusalError(0, f"status {status}")
     return _RefusalError(reply.code, reply.message or reply.error)
--- a/src/hickorybeam/tickets/apply.py
+++ b/src/hickorybeam/tickets/apply.py
@@ -11,6 +11,7 @@
 
 from hickorybeam.model import ChangeTicket, ConfigObject, ConfigState, ObjectRef, Versioned, ref_of
 from hickorybeam.tickets.checks import MAX_NUMBER, MAX_TICKET_BYTES, find_faults
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -124,8 +125,8 @@
     unchanged; the checks refuse it.
     """
     try:
-        return msgspec.json.decode(msgspec.json.encode(ticket), type=ChangeTicket)
-    except msgspec.ValidationError:
+        return decode_json(msgspec.json.encode(ticket), ChangeTicket)
+    except InvalidBytesError:
         return ticket
 
 
--- a/src/hickorybeam/tickets/codec.py
+++ b/src/hickorybeam/tickets/codec.py
@@ -24,6 +24,7 @@
     Versioned,
 )
 from hickorybeam.tickets.apply import LogState, UsedNumber
+from hickorybeam.untrusted import InvalidBytesError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -113,11 +114,14 @@
 
 
 def decode_snapshot(snapshot: Snapshot) -> LogState:
-    """Return the state that a snapshot encodes."""
+    """Return the state that a snapshot encodes.
+
+    :raises InvalidBytesError: a part of it can't be read.
+    """
     objects: dict[ObjectRef, Versioned[ConfigObject]] = {}
     used: dict[int, UsedNumber] = {}
     for part in snapshot.parts:
-        for item in msgspec.json.decode(part, type=tuple[_SnapshotItem, ...]):
+        for item in decode_json(part, tuple[_SnapshotItem, ...]):
             if item.used is not None:
                 used[item.ticket] = item.used
             if item.ref is not None:
@@ -130,7 +134,10 @@
 def _decode_value(ref: ObjectRef, raw: msgspec.Raw) -> ConfigObject | None:
     if raw == _NULL:
         return None
-    return msgspec.json.decode(raw, type=_OBJECT_CLASSES[ref.kind])
+    if ref.kind not in _OBJECT_CLASSES:
+        raise InvalidBytesError(f"unknown kind of object {ref.kind!r}")
+    value: ConfigObject = decode_json(raw, _OBJECT_CLASSES[ref.kind])
+    return value
 
 
 def _encoded_items(state: LogState) -> Iterator[bytes]:
--- a/src/hickorybeam/tickets/log.py
+++ b/src/hickorybeam/tickets/log.py
@@ -18,7 +18,9 @@
 
 import msgspec
 
+from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.store import Compare, Delete, Put
+from hickorybeam.store.values import json_value
 from hickorybeam.tickets.codec import (
     Head,
     LogEntry,
@@ -27,6 +29,7 @@
     decode_snapshot,
     encode_snapshot,
 )
+from hickorybeam.untrusted import InvalidBytesError
 
 if TYPE_CHECKING:
     from hickorybeam.store import Platform, WatchBatch
@@ -74,7 +77,7 @@
         if not found.items:
             return HeadRead(Head(), 0)
         item = found.items[0]
-        return HeadRead(msgspec.json.decode(item.value, type=Head), item.mod_revision)
+        return HeadRead(json_value(item, Head), item.mod_revision)
 
     async def append(self, read: HeadRead, entry: LogEntry) -> bool:
         """Append a ticket after the head that was read; :return: whether the head was unchanged."""
@@ -94,7 +97,7 @@
         while True:
             start = _entry_key(after + len(entries) + 1)
             read = await self._platform.read_prefix(LOG_PREFIX, start=start, limit=MAX_PAGE_ENTRIES)
-            found = tuple(msgspec.json.decode(item.value, type=LogEntry) for item in read.items)
+            found = tuple(json_value(item, LogEntry) for item in read.items)
             for entry in found:
                 if entry.position != after + len(entries) + 1:
                     return Page(tuple(entries), read.revision)
@@ -108,7 +111,7 @@
         if not found.items:
             return None, 0
         item = found.items[0]
-        return msgspec.json.decode(item.value, type=SnapshotHead), item.mod_revision
+        return json_value(item, SnapshotHead), item.mod_revision
 
     async def snapshot(self) -> LogState | None:
         """Return the state of the latest snapshot, or ``None`` when there is none.
@@ -121,7 +124,8 @@
                 return None
             found = await self._platform.read_prefix(_parts_prefix(head.position))
             if len(found.items) == head.parts:
-                return decode_snapshot(Snapshot(head, tuple(item.value for item in found.items)))
+                parts = tuple(item.value for item in found.items)
+                return _readable_snapshot(Snapshot(head, parts))
 
     async def compact(self, state: LogState) -> bool:
         """Write a snapshot, then delete the previous one and the entries that it covers.
@@ -162,9 +166,16 @@
             await self._platform.txn((), tuple(Delete(key) for key in chunk))
 
 
+def _readable_snapshot(snapshot: Snapshot) -> LogState:
+    try:
+        return decode_snapshot(snapshot)
+    except InvalidBytesError as exc:
+        raise GatewayError(ErrorKind.PLATFORM_OUT, f"snapshot can't be read: {exc}") from exc
+
+
 def entries_of(batch: WatchBatch) -> tuple[LogEntry, ...]:
     """Return the log entries in a batch of a watch."""
-    return tuple(msgspec.json.decode(item.value, type=LogEntry) for item in batch.puts)
+    return tuple(json_value(item, LogEntry) for item in batch.puts)
 
 
 def _entry_key(position: int) -> str:
--- a/src/hickorybeam/tickets/service.py
+++ b/src/hickorybeam/tickets/service.py
@@ -32,6 +32,7 @@
     store_watchers,
 )
 from hickorybeam.tickets.submit import Submitter
+from hickorybeam.untrusted import InvalidBytesError, decode_msgpack
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -403,7 +404,10 @@
                 head, parts = reply.head, []
                 continue
             parts.append(reply.part)
-        return decode_snapshot(Snapshot(head, tuple(parts)))
+        try:
+            return decode_snapshot(Snapshot(head, tuple(parts)))
+        except InvalidBytesError as exc:
+            raise GatewayError(ErrorKind.PEER_UNREACHABLE, f"snapshot of {vm.id.name}") from exc
 
     async def _on_fetch(self, _: VmId, request: FetchRequest) -> FetchReply:
         state, age_ms = self._state, self.age_ms()
@@ -426,8 +430,8 @@
 
     def _on_note(self, vm: EntryVm, raw: bytes) -> None:
         try:
-            note = msgspec.msgpack.decode(raw, type=Note)
-        except msgspec.MsgspecError:
+            note = decode_msgpack(raw, Note)
+        except InvalidBytesError:
             return
         if note.position > self._state.position:
             self._hinted_vm = vm
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -15,10 +15,10 @@
     Examples:
       | key       | value                                                                      |
       | servers/x | {"service":"a"}                                                            |
-      | servers/x | {"service":7,"address":"h:1","zone":"z","slots":1,"state":"ready"}         |
-      | servers/x | {"service":"a","address":"h:1","zone":"z","slots":1,"state":"asleep"}      |
-      | servers/x | {"service":"a","address":"h","zone":"z","slots":1,"state":"ready"}         |
-      | servers/x | {"service":"a","address":"h:1","zone":"z","slots":[],"state":"ready"}      |
+      | servers/x | {"service":7,"address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready"}         |
+      | servers/x | {"service":"a","address":"10.0.0.1:1","zone":"z","slots":1,"state":"asleep"}      |
+      | servers/x | {"service":"a","address":"10.0.0.1","zone":"z","slots":1,"state":"ready"}         |
+      | servers/x | {"service":"a","address":"10.0.0.1:1","zone":"z","slots":[],"state":"ready"}      |
       | servers/x | not json                                                                   |
       | servers/x | []                                                                         |
       | op/config | {"version":"x"}                                                            |
