settings: a file that can't be read changes nothing, however deep or long it is, and holds up no request

A settings file nested some hundred levels deep, or with a number of 400 digits, ended the daemon at its reload (RecursionError, OverflowError); one with grace_s 1e308 was taken. The reader takes 20 s for a megabyte (4.4 s for 214 KB, measured), in which no request was served.

--- a/src/hickorybeam/decode.py
+++ b/src/hickorybeam/decode.py
@@ -9,7 +9,7 @@
 import dataclasses
 import difflib
 import enum
-import math
+import sys
 import types
 import typing
 from dataclasses import dataclass
@@ -19,6 +19,8 @@
 
 T = TypeVar("T")
 
+MAX_SHOWN = 10**18
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -124,7 +126,8 @@
 def _decode_scalar(expected_type: Any, raw: object, key: str, faults: list[Fault]) -> object:
     # bool is a subclass of int; `"port": true` must not be taken for 1.
     if expected_type is float and isinstance(raw, int | float) and not isinstance(raw, bool):
-        if math.isfinite(raw):
+        # An integer may have more digits than a float can hold.
+        if -sys.float_info.max <= raw <= sys.float_info.max:
             return float(raw)
     elif isinstance(raw, expected_type) and (expected_type is bool or not isinstance(raw, bool)):
         return raw
@@ -156,6 +159,9 @@
             return "an object"
         case list() | tuple():
             return "a list"
+        case _ if isinstance(raw, int) and abs(raw) > MAX_SHOWN:
+            # Too many digits are an error to write out.
+            return "a number of many digits"
         case _:
             return repr(raw)
 
--- a/src/hickorybeam/gateway/daemon.py
+++ b/src/hickorybeam/gateway/daemon.py
@@ -20,6 +20,8 @@
 from hickorybeam.telemetry import Counters
 
 if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
     from hickorybeam.settings import Settings
 
 __all__ = ("build", "run", "serve")
@@ -63,18 +65,18 @@
     settings_file = SettingsFile(path, cfg, kernel, kernel.clock)
 
     async with anyio.create_task_group() as tg:
-        tg.start_soon(_handle_signals, kernel, settings_file)
+        tg.start_soon(_handle_signals, kernel, settings_file, tg)
         tg.start_soon(settings_file.poll)
         await kernel.run(ready=lambda: logging.info("VM %s is serving", cfg.vm.name))
         tg.cancel_scope.cancel()
     logging.info("VM %s has stopped", cfg.vm.name)
 
 
-async def _handle_signals(kernel: Kernel, settings_file: SettingsFile) -> None:
+async def _handle_signals(kernel: Kernel, settings_file: SettingsFile, tg: TaskGroup) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for signum in signals:
             logging.info("received signal %s", signal.Signals(signum).name)
             if signum is signal.SIGHUP:
-                settings_file.reload()
+                tg.start_soon(settings_file.reload)
             else:
                 kernel.stop()
--- a/src/hickorybeam/gateway/reload.py
+++ b/src/hickorybeam/gateway/reload.py
@@ -6,6 +6,8 @@
 from dataclasses import fields
 from typing import TYPE_CHECKING, Protocol, runtime_checkable
 
+import anyio
+import anyio.to_thread
 from absl import logging
 
 from hickorybeam.errors import GatewayError
@@ -47,6 +49,7 @@
         self._cfg = cfg
         self._kernel = kernel
         self._clock = clock
+        self._lock = anyio.Lock()
         self._last_stamp = self._stamp()
 
     async def poll(self) -> None:
@@ -54,13 +57,20 @@
         while True:
             await self._clock.sleep(CHECK_INTERVAL_MS)
             if self._stamp() != self._last_stamp:
-                self.reload()
+                await self.reload()
 
-    def reload(self) -> None:
-        """Read the file and apply its settings; an invalid file changes nothing."""
+    async def reload(self) -> None:
+        """Read the file and apply its settings; an invalid file changes nothing.
+
+        It is read in a thread: the reader is slow, and requests are served meanwhile.
+        """
+        async with self._lock:
+            await self._reload()
+
+    async def _reload(self) -> None:
         self._last_stamp = self._stamp()
         try:
-            cfg = load_settings(self._path)
+            cfg = await anyio.to_thread.run_sync(load_settings, self._path)
         except GatewayError as exc:
             logging.warning("settings not reloaded, the file is invalid: %s", exc)
             return
--- a/src/hickorybeam/settings/checks.py
+++ b/src/hickorybeam/settings/checks.py
@@ -18,6 +18,8 @@
 LOG_FORMATS = ("text", "json")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MAX_PORT = 65_535
+# Of any number; a product of larger ones can't be turned into an integer.
+MAX_NUMBER = 2**53
 
 # 0 means "no limit" for these; for every other duration or size it is a fault.
 ZERO_ALLOWED = frozenset({"config.stale_after_ms"})
@@ -41,6 +43,8 @@
         path = f"{key}.{field.name}" if key else field.name
         if is_dataclass(value):
             yield from _sizes_and_durations(value, path)
+        elif isinstance(value, int | float) and abs(value) > MAX_NUMBER:
+            yield Fault(path, f"a number up to {MAX_NUMBER}", "a larger one")
         elif field.name.endswith(("_ms", "_bytes", "_per_s")) and path not in ZERO_ALLOWED:
             if value <= 0:
                 yield Fault(path, "a number above 0", repr(value))
--- a/src/hickorybeam/settings/load.py
+++ b/src/hickorybeam/settings/load.py
@@ -19,6 +19,9 @@
 
 T = TypeVar("T")
 
+# The reader takes 20 s for a megabyte.
+MAX_FILE_BYTES = 131_072
+
 
 def load_settings(path: str | Path) -> Settings:
     """Load and check a settings file.
@@ -42,8 +45,8 @@
     :param check: returns the faults that type checks cannot find.
     """
     try:
-        raw = json5.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as exc:
+        raw = json5.loads(_read(Path(path)))
+    except (OSError, ValueError, RecursionError) as exc:
         raise GatewayError(kind, f"{path}: {exc}", faults=(f"{path}: {exc}",)) from exc
     value, faults = decode(cls, raw)
     if value is not None:
@@ -52,3 +55,15 @@
         texts = tuple(f"{path}: {fault}" for fault in faults)
         raise GatewayError(kind, f"{len(texts)} faults: " + "; ".join(texts), faults=texts)
     return value
+
+
+def _read(path: Path) -> str:
+    """Return the text of a file.
+
+    :raises ValueError: it is longer than any file of settings, or no text.
+    """
+    with path.open("rb") as file:
+        data = file.read(MAX_FILE_BYTES + 1)
+    if len(data) > MAX_FILE_BYTES:
+        raise ValueError(f"longer than {MAX_FILE_BYTES} bytes")
+    return data.decode("utf-8")
--- a/tests/gateway/odd_values.feature
+++ b/tests/gateway/odd_values.feature
@@ -125,3 +125,17 @@
       | Server-Limit                    |
       | Keep-Alive                      |
       | Content-Type                    |
+
+  Scenario Outline: a settings file that can't be read changes nothing
+    Given a daemon of a small gateway, started from a settings file
+    When its settings file changes to "<line>" and is reloaded within 20 s
+    Then its retry allowance is 40
+    And it still serves callers
+
+    Examples:
+      | line                                    |
+      | repeat_allowance: <deep>                |
+      | a_field_that_nobody_reads: <deep>       |
+      | repeat_allowance: <400 digits>          |
+      | grace_s: 1e308                          |
+      | repeat_allowance: 7, grace_s: <200 KB>  |
