http1/server: a caller of HTTP/1.0 that leaves before its answer ends no request but its own

ResponseWriter.abort resets the connection of a caller that takes no chunks. The caller had closed it, an option can't be set on a closed socket, and the OSError left HttpServer._handle in its finally, so it ended the task group and all requests of the VM.

A closed connection is not reset again, and a socket that takes no option is aborted all the same. tests/gateway/odd_values.feature, 'a caller that leaves': its row of HTTP/1.0 before the answer failed before.

--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -56,6 +56,7 @@
     def __init__(self, server: HttpServer) -> None:
         self.server = server
         self.response: ResponseWriter | None = None
+        self.closed = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._pipelined = b""
@@ -83,6 +84,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the request in progress that its caller has disconnected."""
+        self.closed = True
         self.server.conns.discard(self)
         self._writable.set()
         if self.response is not None:
@@ -237,11 +239,16 @@
             self._transport.abort()
 
     def reset(self) -> None:
-        """Reset the connection, so that the caller sees an error and no orderly close."""
-        if self._transport is not None:
-            sock = self._transport.get_extra_info("socket")
+        """Reset the connection, so that the caller sees an error and no orderly close.
+
+        A caller that has left has closed it already, and its socket takes no options.
+        """
+        if self._transport is None or self.closed:
+            return
+        sock = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self._transport.abort()
+        self._transport.abort()
 
     def fall_silent(self) -> Callable[[], None]:
         """Read and write nothing any more, and keep the connection open.
--- a/tests/gateway/odd_values.feature
+++ b/tests/gateway/odd_values.feature
@@ -139,3 +139,18 @@
       | repeat_allowance: <400 digits>          |
       | grace_s: 1e308                          |
       | repeat_allowance: 7, grace_s: <200 KB>  |
+
+  # Guards against a caller that leaves and ends all requests of its VM.
+  Scenario Outline: a caller that leaves before its answer ends no other request
+    Given a small gateway
+    And server "m1" takes 200 ms for each event
+    When a caller with HTTP/<version> leaves "n1" <moment>, while a stream runs
+    Then the stream was complete with events 1 to 6
+    And no service was started again
+
+    Examples:
+      | version | moment               |
+      | 1.0     | before the answer    |
+      | 1.0     | within the answer    |
+      | 1.1     | before the answer    |
+      | 1.1     | within the answer    |
