http1, gateway: bytes without end from servers, callers, other VMs and the store are bounded in bytes and in time

What callers saw (real daemons on loopback, a server that answers health checks): an answer whose head never ends took a VM from 39 to 250 MB and stopped all its requests for seconds; small chunks, extensions of chunks and interim responses did so too, behind a signed head as well, and callers, other VMs and the store could do the same. Orders waited for their deadline.

Cause: the parser gathers a header until its end, and skips blank lines, leading zeros of a chunk's size, extensions and spaces without a callback; bounds were on what it told. An event loop reads on while there is more, so all of it was parsed before anybody else's turn. Bodies were held up to 64 MB.

- http1/paced_reader: a parser is fed 16 KiB in each turn of the loop, reading pauses until then.
- http1/message_bounds: bytes are counted as they are fed.
Before a head 64 KiB for servers, the configured limit for callers; beside a body 64 KiB, more for small chunks, twice the body's bytes.
- a response over its bound breaks off and its connection is closed at once; safe requests and streams that may go on are sent to another server, orders get 502.
All requests together hold 16 MiB; without room, a response is passed on. 64 MiB at most in any case.
- a rejection's body costs 250 ms and 64 KiB at most, and the request is known not to have run.
- replies of the store are bounded to 8 MiB, those of VMs to 16 MiB; a read whose pages don't go on ends.
- a caller that sends more than a request and 256 KiB before its answer gets that answer, as the last one; before, its connection was aborted and the answer lost.

http1/server.py is split: caller_connection, request_parser.

--- a/src/hickorybeam/demo/platform.py
+++ b/src/hickorybeam/demo/platform.py
@@ -185,9 +185,9 @@
         data = request_bytes(method, path.encode(), (*headers, *more), body)
         return await self.exchange(self.vms[vm].ports.callers, data)
 
-    async def exchange(self, port: int, data: bytes) -> Answer:
+    async def exchange(self, port: int, data: bytes, *, host: str = "127.0.0.1") -> Answer:
         """Send bytes on a new connection and read one answer."""
-        conn = await self._pool.acquire(("127.0.0.1", port), fresh=True)
+        conn = await self._pool.acquire((host, port), fresh=True)
         parts: list[bytes] = []
         status = 0
         headers: RawHeaders = ()
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -35,6 +35,9 @@
 )
 
 FAILOVER_CHECK_INTERVAL_MS = 200
+# A rejection has no body, or one of a few words.
+MAX_DRAINED_BYTES = 65_536
+MAX_DRAIN_MS = 250
 BLOCKED_KINDS = {
     PART_BLOCKED: ErrorKind.PART_BLOCKED,
     REQUEST_BLOCKED: ErrorKind.REQUEST_BLOCKED,
@@ -143,7 +146,7 @@
     async def _decode(self, head: ResponseHead) -> tuple[ResponseHead, ResponseInfo]:
         not_run = find_header(head.headers, HOP_NOT_RUN)
         if not_run is not None:
-            await self._drain_body()
+            await self.drain_body()
             raise NotRunError(
                 "the other region did not run it",
                 rejected=not_run == REJECTED,
@@ -204,11 +207,16 @@
             raise BrokenResponseError("the attempt has no open connection", sent=False)
         await self._conn.forward_body(forward, wait_ready)
 
-    async def read_body(self) -> bytes:
-        """Return the whole body of the response."""
+    @property
+    def declared_bytes(self) -> int | None:
+        """The length that the response declares for its body, ``None`` if it declares none."""
+        return None if self._conn is None else self._conn.declared_bytes
+
+    async def read_chunk(self) -> bytes:
+        """Wait for bytes of the response's body and return them; empty at its end."""
         if self._conn is None:
             raise BrokenResponseError("the attempt has no open connection", sent=False)
-        return await self._conn.read_body()
+        return await self._conn.read_chunk()
 
     def release(self) -> None:
         """Return the connection to the pool after the body was read to its proper end."""
@@ -226,10 +234,18 @@
         """Close the pool's idle connections to the target's address."""
         self._pool.close_idle(self._address)
 
-    async def _drain_body(self) -> None:
-        try:
-            await self.read_body()
-        except BrokenResponseError:
-            self.close()
-        else:
-            self.release()
+    async def drain_body(self) -> None:
+        """Read the body of a response that says that nothing ran, for the connection's sake.
+
+        That the request was not run is known by the head. A body that doesn't end soon costs the
+        connection, and neither the answer nor time.
+        """
+        with anyio.move_on_after(MAX_DRAIN_MS / MS_PER_SECOND):
+            try:
+                if self._conn is not None:
+                    await self._conn.read_body(max_bytes=MAX_DRAINED_BYTES)
+            except BrokenResponseError:
+                self.close()
+            else:
+                self.release()
+        self.close()
--- a/src/hickorybeam/gateway/cold_health_checks.py
+++ b/src/hickorybeam/gateway/cold_health_checks.py
@@ -36,6 +36,7 @@
 
 # A server with a free slot responds at once.
 RESPONSE_TIMEOUT_MS = 250
+MAX_RESPONSE_BYTES = 65_536
 HOST_HEADER = ((b"host", b"server"),)
 
 
@@ -155,7 +156,7 @@
         try:
             conn.send(request_bytes("GET", health_path.encode(), HOST_HEADER, b""))
             info = decode_response(await conn.read_head())
-            await conn.read_body()
+            await conn.read_body(max_bytes=MAX_RESPONSE_BYTES)
         except BaseException:
             conn.abort()
             raise
--- a/src/hickorybeam/gateway/event_splitter.py
+++ b/src/hickorybeam/gateway/event_splitter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hickorybeam.gateway.held_bytes import HeldBytes
 from hickorybeam.http1 import EventScanner
 
 __all__ = ("EventSplitter",)
@@ -18,13 +19,15 @@
     it would precede the first event of the run that resumes the stream, and the caller would
     parse one event made of two.
 
+    :param held: what the VM holds for all requests; without room, an event is passed on unfinished.
     :param hold_partial: hold an event back until it is whole, for a stream that may be resumed.
     """
 
-    def __init__(self, *, hold_partial: bool) -> None:
+    def __init__(self, *, hold_partial: bool, held: HeldBytes | None = None) -> None:
         self.last_id: str | None = None
         self._hold_partial = hold_partial
         self._held = b""
+        self._holding = (held or HeldBytes()).hold()
         self._scanner = EventScanner()
         self._is_text = True
 
@@ -49,6 +52,7 @@
             return self._take_overlong()
         if self._held or whole_end < len(data):
             whole, self._held = self._held + data[:whole_end], data[whole_end:]
+            self._holding.resize(0)
         else:
             whole = data
         self._update_last_id(whole)
@@ -60,7 +64,8 @@
         return self._hold_partial
 
     def _take_overlong(self) -> bytes:
-        if len(self._held) <= MAX_HELD_BYTES:
+        size = len(self._held)
+        if size <= MAX_HELD_BYTES and self._holding.resize(size):
             return b""
         self._hold_partial = False
         return self.take_rest()
@@ -68,11 +73,13 @@
     def take_rest(self) -> bytes:
         """Return what is held; at the proper end of a stream, the start of a comment's line."""
         data, self._held = self._held, b""
+        self._holding.resize(0)
         return data
 
     def discard_partial(self) -> None:
         """Drop the partial event that a broken run left; the next bytes are another run's."""
         self._held = b""
+        self._holding.resize(0)
         self._scanner = EventScanner()
 
     def _update_last_id(self, events: bytes) -> None:
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -11,6 +11,7 @@
 from hickorybeam.gateway.admission import Admission
 from hickorybeam.gateway.event_splitter import EventSplitter
 from hickorybeam.gateway.final_responses import FinalResponses
+from hickorybeam.gateway.held_bytes import HeldBytes
 from hickorybeam.gateway.local_placement import LocalPlacement
 from hickorybeam.gateway.peer_connections import PeerConnections
 from hickorybeam.gateway.placement_client import PlacementClient
@@ -148,6 +149,7 @@
             on_proven=part_blocks.recorder.record_proven,
             on_whole=part_blocks.recorder.record_whole,
         )
+        self._held_bytes = HeldBytes()
         self._sender = Sender(
             clock=clock,
             counters=counters,
@@ -158,6 +160,7 @@
             stream_origins=self._stream_origins,
             server_ends=self._server_ends,
             part_blocks=part_blocks,
+            held_bytes=self._held_bytes,
         )
 
     async def run_placement(self) -> None:
@@ -202,7 +205,7 @@
         :param own_region_only: another VM forwarded it: it is run at most once, by a server of this
             region.
         """
-        splitter = EventSplitter(hold_partial=request.route.resumable)
+        splitter = EventSplitter(hold_partial=request.route.resumable, held=self._held_bytes)
         progress = RequestProgress(response, splitter, own_region_only=own_region_only)
         left_ms = request.deadline_ms - self._clock.now()
         with anyio.CancelScope() as scope:
@@ -213,6 +216,7 @@
                 progress.reason = "deadline"
                 self._final_responses.give_up(request, progress)
         response.on_disconnect(None)
+        splitter.discard_partial()
         if not progress.may_have_run and request.account is not None and not own_region_only:
             self._fleet.quota.refund(request.account, request.cost, self._clock.now())
         if scope.cancelled_caught:
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -17,6 +17,7 @@
 )
 from hickorybeam.gateway.resumed_streams import ResumedStreams, version_of
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget
+from hickorybeam.gateway.whole_responses import WholeResponses
 from hickorybeam.http1 import BrokenResponseError, Framing, find_header, is_encoded
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
@@ -27,6 +28,7 @@
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.final_responses import FinalResponses
+    from hickorybeam.gateway.held_bytes import HeldBytes
     from hickorybeam.gateway.in_flight import InFlightRequest
     from hickorybeam.gateway.part_blocks import PartBlocksService
     from hickorybeam.gateway.progress import RequestProgress
@@ -59,6 +61,7 @@
         stream_origins: StreamOrigins,
         server_ends: ServerEnds,
         part_blocks: PartBlocksService,
+        held_bytes: HeldBytes,
     ) -> None:
         self._clock = clock
         self._server_notices = server_notices
@@ -68,6 +71,7 @@
         self._stream_origins = stream_origins
         self._server_ends = server_ends
         self._part_blocks = part_blocks
+        self._whole_responses = WholeResponses(held_bytes)
         self._response_ends = ResponseEnds(counters)
         self._resumed_streams = ResumedStreams(counters, final_responses)
         self._first_byte = counters.histogram("first_byte", "Time to the first byte", ("route",))
@@ -222,8 +226,7 @@
     ) -> None:
         server_state = target.server_state if isinstance(target, ServerTarget) else None
         if info.not_run:
-            await attempt.read_body()
-            attempt.release()
+            await attempt.drain_body()
             if server_state is not None and info.misdirected:
                 server_state.record_unreachable(self._clock.now())
                 self._part_blocks.recorder.record_replaced(server_state)
@@ -234,17 +237,49 @@
         if success and info.streamed:
             await self._relay_stream(attempt, head, request, progress, target, open_request)
         else:
-            body = await attempt.read_body()
-            attempt.release()
-            if success:
-                await self._record_whole(head, open_request)
-            self._handle_whole_response(head, info, body, request, progress)
+            await self._relay_whole(attempt, head, info, request, progress, open_request)
         if server_state is not None:
             if success:
                 server_state.record_success()
             else:
                 server_state.record_failure()
 
+    async def _relay_whole(
+        self,
+        attempt: Attempt,
+        head: ResponseHead,
+        info: ResponseInfo,
+        request: AdmittedRequest,
+        progress: RequestProgress,
+        open_request: OpenRequest | None,
+    ) -> None:
+        """Pass on a response that is no stream, or keep it as a failure."""
+        is_failure = is_failed(info, progress)
+        headers = without_hop_version(response_headers(head.headers))
+
+        def record_bytes() -> None:
+            now = self._clock.now()
+            progress.timing.record_chunk(now)
+            if open_request is not None:
+                self._server_ends.record_bytes(open_request, now)
+
+        body = await self._whole_responses.read(
+            attempt, progress, None if is_failure else (info.status, headers), record_bytes
+        )
+        attempt.release()
+        if info.status < FIRST_NON_SUCCESS_STATUS:
+            await self._record_whole(head, open_request)
+        progress.runs += 1
+        if is_failure:
+            # A failure, or a whole response where a stream was to be resumed.
+            progress.failed_response = (head, info, body or b"")
+            progress.reason = f"status {info.status}"
+        elif body is None:
+            progress.response.end()
+        else:
+            progress.response.send(info.status, headers, body)
+            progress.timing.record_chunk(self._clock.now())
+
     async def _record_whole(self, head: ResponseHead, open_request: OpenRequest | None) -> None:
         """Record that a response ended as a whole one, before its caller learns of the end.
 
@@ -258,29 +293,6 @@
         if not framed:
             await self._server_ends.wait_checked(open_request)
 
-    def _handle_whole_response(
-        self,
-        head: ResponseHead,
-        info: ResponseInfo,
-        body: bytes,
-        request: AdmittedRequest,
-        progress: RequestProgress,
-    ) -> None:
-        progress.runs += 1
-        if (
-            info.status >= FIRST_SERVER_ERROR_STATUS
-            or info.implies_not_run
-            or progress.response.started
-        ):
-            # A failure, or a whole response where a stream was to be resumed.
-            progress.failed_response = (head, info, body)
-            progress.reason = f"status {info.status}"
-            return
-        progress.response.send(
-            info.status, without_hop_version(response_headers(head.headers)), body
-        )
-        progress.timing.record_chunk(self._clock.now())
-
     async def _relay_stream(
         self,
         attempt: Attempt,
@@ -336,6 +348,12 @@
                 peer.forecasts = None
 
 
+def is_failed(info: ResponseInfo, progress: RequestProgress) -> bool:
+    """Return whether a whole response is kept as a failure, in case that no better one comes."""
+    is_error = info.status >= FIRST_SERVER_ERROR_STATUS or info.implies_not_run
+    return is_error or progress.response.started
+
+
 def version_key_of(target: Target, head: ResponseHead) -> bytes:
     """Return the key of the version that a response comes from."""
     match target:
--- a/src/hickorybeam/gateway/server_identity.py
+++ b/src/hickorybeam/gateway/server_identity.py
@@ -27,6 +27,7 @@
 # A health check is answered at once, or waits for a slot: then nobody is told in time.
 RESPONSE_TIMEOUT_MS = 60
 HOST_HEADER = ((b"host", b"server"),)
+MAX_RESPONSE_BYTES = 65_536
 # Checks of all VMs together: each is paid for, and responses break off at servers that live.
 MAX_CHECKS_PER_S = 50.0
 
@@ -56,7 +57,7 @@
             with anyio.fail_after(RESPONSE_TIMEOUT_MS / MS_PER_SECOND):
                 conn.send(request_bytes("GET", spec.health_path.encode(), HOST_HEADER, b""))
                 info = decode_response(await conn.read_head())
-                await conn.read_body()
+                await conn.read_body(max_bytes=MAX_RESPONSE_BYTES)
             if not conn.reusable:
                 conn.abort()
         except (BrokenResponseError, TimeoutError):
--- a/src/hickorybeam/gateway/vm_client.py
+++ b/src/hickorybeam/gateway/vm_client.py
@@ -21,6 +21,8 @@
 # A running VM responds from memory within some ms; one in another region within 200.
 RESPONSE_TIMEOUT_MS = 1_000
 CONNECT_TIMEOUT_MS = 300
+# All entries: a configuration of a megabyte, and a kilobyte for each of some thousand others.
+MAX_RESPONSE_BYTES = 16_777_216
 
 
 class VmClient:
@@ -42,7 +44,7 @@
                 try:
                     conn.send(request_bytes("GET", path.encode(), ((b"host", b"vm"),), b""))
                     head = await conn.read_head()
-                    body = await conn.read_body()
+                    body = await conn.read_body(max_bytes=MAX_RESPONSE_BYTES)
                 finally:
                     conn.abort()
         except (ConnectFailedError, BrokenResponseError, TimeoutError) as exc:
--- /dev/null
+++ b/src/hickorybeam/http1/request_parser.py
@@ -0,0 +1,149 @@
+"""Parser of callers' requests, with bounds on all bytes that it is fed."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import httptools
+
+from hickorybeam.http1.head import (
+    IncomingRequest,
+    find_header,
+    has_ambiguous_framing,
+)
+from hickorybeam.http1.message_bounds import MessageBounds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorybeam.clock import Clock
+    from hickorybeam.model.routing import CallerLimits
+
+__all__ = ("ParsedRequest", "RequestParser")
+
+# Callers with this version take no chunks.
+OLD_HTTP_VERSION = "1.0"
+# The method, the version, and the spaces around them and around values.
+MAX_UNCOUNTED_HEAD_BYTES = 1_024
+BAD_REQUEST, BODY_TOO_LARGE, HEADERS_TOO_LARGE = 400, 413, 431
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedRequest:
+    """A complete request, and what its connection is to do after the response."""
+
+    req: IncomingRequest
+    closes: bool
+    takes_chunks: bool
+
+
+class RequestParser:
+    """Parses one request after the other.
+
+    ``refused`` is the error status for a request that broke a rule, 0 while none did; nothing is
+    parsed after it. ``in_request``: part of a request has come.
+
+    :param on_request: called with each complete request.
+    :param on_expect: called when a caller waits to be told to send its body.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: Callable[[], CallerLimits],
+        *,
+        on_request: Callable[[ParsedRequest], None],
+        on_expect: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._on_request = on_request
+        self._on_expect = on_expect
+        self._parser = httptools.HttpRequestParser(self)
+        self.refused = 0
+        self.in_request = False
+        self._reset_request()
+
+    def _reset_request(self) -> None:
+        self._method = ""
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._arrived_ms = 0
+        self._bounds = MessageBounds()
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes.
+
+        :raises httptools.HttpParserError: they are no request.
+        """
+        self.in_request = True
+        self._bounds.add_fed(len(data))
+        # Bytes after a request that offers another protocol are dropped.
+        with contextlib.suppress(httptools.HttpParserUpgrade):
+            self._parser.feed_data(data)
+        if self.in_request and not self.refused:
+            self._check_bounds()
+
+    def _check_bounds(self) -> None:
+        """Refuse a request whose bytes go on beside its head and its body."""
+        bounds = self._bounds
+        most = self._limits().header_bytes + MAX_UNCOUNTED_HEAD_BYTES
+        if bounds.head_bytes is None and bounds.other_bytes > most:
+            self.refused = HEADERS_TOO_LARGE
+        elif bounds.has_excess_framing():
+            self.refused = BAD_REQUEST
+
+    def on_url(self, url: bytes) -> None:
+        """Append to the request target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append one header."""
+        self._headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._limits().header_bytes:
+            self.refused = self.refused or HEADERS_TOO_LARGE
+
+    def on_headers_complete(self) -> None:
+        """Check the head before any part of the body is stored."""
+        self._bounds.end_head()
+        self._arrived_ms = self._clock.now()
+        self._method = self._parser.get_method().decode("ascii")
+        headers = tuple(self._headers)
+        if has_ambiguous_framing(headers):
+            self.refused = self.refused or BAD_REQUEST
+        elif not self.refused and find_header(headers, b"expect") == b"100-continue":
+            self._on_expect()
+
+    def on_body(self, data: bytes) -> None:
+        """Append to the body."""
+        self._bounds.add_body(len(data))
+        if self._bounds.body_bytes > self._limits().body_bytes:
+            self.refused = self.refused or BODY_TOO_LARGE
+        if not self.refused:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Pass the request on, unless its body is still to be read."""
+        if self.refused:
+            return
+        req = IncomingRequest(
+            method=self._method,
+            target=self._target,
+            headers=tuple(self._headers),
+            body=b"".join(self._body),
+            arrived_ms=self._arrived_ms,
+        )
+        closes = not self._parser.should_keep_alive()
+        takes_chunks = self._parser.get_http_version() != OLD_HTTP_VERSION
+        self.in_request = False
+        self._reset_request()
+        self._on_request(ParsedRequest(req, closes, takes_chunks))
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -10,6 +10,8 @@
 import httptools
 
 from hickorybeam.http1.head import Framing, ResponseHead, find_header
+from hickorybeam.http1.message_bounds import MessageBounds
+from hickorybeam.http1.paced_reader import PacedReader
 from hickorybeam.http1.values import parse_count
 
 if TYPE_CHECKING:
@@ -17,7 +19,12 @@
 
 __all__ = ("BrokenResponseError", "UpstreamConnection")
 
+# Of all that comes before a body: blank lines, interim responses, the status line, the headers.
 MAX_HEAD_BYTES = 65_536
+# A body, whether kept or passed on. No answer of a model or an application is as long.
+MAX_BODY_BYTES = 67_108_864
+# The body of a response to another request that is skipped.
+MAX_SKIPPED_BYTES = 1_048_576
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = (204, 304)
 # Reading from the socket pauses while more than this is buffered.
@@ -51,6 +58,7 @@
         self.on_close: Callable[[UpstreamConnection], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._reader = PacedReader(self._feed)
         self._progress = anyio.Event()
         self._closed = False
         self._awaiting_response = False
@@ -59,7 +67,9 @@
     def _reset_response(self) -> None:
         self._head: ResponseHead | None = None
         self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
+        self._bounds = MessageBounds()
+        self._skipped_bytes = 0
+        self._fed: list[bytes] = []
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
         self._complete = False
@@ -73,6 +83,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = transport  # type: ignore[assignment]
+        self._reader.attach(transport)  # type: ignore[arg-type]
 
     def eof_received(self) -> bool:
         """Complete a response that ends with its connection.
@@ -87,6 +98,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the current response and notify the pool."""
+        self._reader.finish()
         self._closed = True
         self.reusable = False
         if not self._complete:
@@ -103,19 +115,55 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close the connection if no response is expected."""
+        self._reader.receive(data)
+
+    def _feed(self, data: bytes) -> None:
         if not self._awaiting_response or self._complete:
-            self.reusable = False
             self.abort()
             return
+        self._bounds.add_fed(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            if not self._complete:
-                self._failure = f"invalid HTTP: {exc}"
+            self._fail(f"invalid HTTP: {exc}")
+        self._keep_body()
+        if self._complete and self._reader.has_more:
+            # Bytes after the end, which the next response must not begin with.
             self.abort()
+        elif not self._complete:
+            self._check_bounds()
         if self._forward is None or not self._forward_chunks():
             self._progress.set()
 
+    def _fail(self, failure: str) -> None:
+        """Break the response off and close the connection."""
+        if not self._complete:
+            self._failure = self._failure or failure
+        self.abort()
+
+    def _check_bounds(self) -> None:
+        """Close the connection if bytes go on that are no answer, or more of one than any has."""
+        bounds = self._bounds
+        if self._head is None and bounds.other_bytes > MAX_HEAD_BYTES:
+            self._fail(f"no head within {bounds.other_bytes} bytes")
+        elif self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail(f"{self._skipped_bytes} bytes of another request's response")
+        elif bounds.body_bytes > MAX_BODY_BYTES:
+            self._fail(f"a body of {bounds.body_bytes} bytes and more")
+        elif bounds.has_excess_framing():
+            self._fail(f"{bounds.other_bytes} bytes beside a body of {bounds.body_bytes}")
+
+    def _keep_body(self) -> None:
+        """Keep what the parser found of the body, as one piece however many chunks it came in."""
+        if not self._fed:
+            return
+        data = b"".join(self._fed)
+        self._fed.clear()
+        self._chunks.append(data)
+        self._buffered += len(data)
+        if self._buffered > MAX_BUFFERED_BYTES:
+            self._reader.block()
+
     def _forward_chunks(self) -> bool:
         """Pass buffered bytes on; return whether the task that reads the response may sleep on."""
         if self._forward is None or self._complete or self._failure:
@@ -133,13 +181,10 @@
         if self._complete:
             self.reusable = False
         self._headers = []
-        self._head_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append one header."""
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise httptools.HttpParserError("response head too large")
+        self._bounds.add_header(len(name) + len(value))
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -155,6 +200,7 @@
                 self._skipping = True
                 return
         self._skipping = False
+        self._bounds.end_head()
         self._head = ResponseHead(status, headers)
         self._keep_alive = self._parser.should_keep_alive()
         self.keep_alive_s = keep_alive_seconds(find_header(headers, b"keep-alive"))
@@ -163,15 +209,26 @@
         if self._head_only:
             # The parser would wait for a body that never comes.
             self._complete_message()
+        elif (self.declared_bytes or 0) > MAX_BODY_BYTES:
+            self._fail(f"a body of {self.declared_bytes} bytes")
+
+    @property
+    def declared_bytes(self) -> int | None:
+        """The length that the response declares for its body, ``None`` if it declares none."""
+        head = self._head
+        if head is None or self._head_only or head.status in BODILESS_STATUSES:
+            return None
+        if head.framing is not Framing.LENGTH:
+            return None
+        return parse_count(find_header(head.headers, b"content-length"))
 
     def on_body(self, data: bytes) -> None:
         """Append to the body."""
-        if self._skipping or self._complete or self._head is None:
-            return
-        self._chunks.append(data)
-        self._buffered += len(data)
-        if self._buffered > MAX_BUFFERED_BYTES and self._transport is not None:
-            self._transport.pause_reading()
+        self._bounds.add_body(len(data))
+        if self._skipping:
+            self._skipped_bytes += len(data)
+        elif self._head is not None and not self._complete:
+            self._fed.append(data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
@@ -200,6 +257,9 @@
         """
         if self._closed or self._transport is None or self._transport.is_closing():
             raise BrokenResponseError("connection closed before the request", sent=False)
+        if self._reader.has_more:
+            self.abort()
+            raise BrokenResponseError("bytes that belong to no request", sent=False)
         self._reset_response()
         self._parser = httptools.HttpResponseParser(self)
         self._awaiting_response = True
@@ -259,12 +319,11 @@
     def _take_chunks(self) -> bytes:
         data = b"".join(self._chunks)
         self._chunks.clear()
-        if self._buffered > MAX_BUFFERED_BYTES and self._transport is not None:
-            self._transport.resume_reading()
         self._buffered = 0
+        self._reader.unblock()
         return data
 
-    async def read_body(self, *, max_bytes: int = 64_000_000) -> bytes:
+    async def read_body(self, *, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Read the rest of the body.
 
         :raises BrokenResponseError: it ended early or is larger than ``max_bytes``.
@@ -294,6 +353,7 @@
     def abort(self) -> None:
         """Abort the connection, which cancels what runs at the other end."""
         self.reusable = False
+        self._reader.discard()
         if self._transport is not None:
             self._transport.abort()
 
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -52,6 +52,11 @@
 # in which a change must then be in force.
 WATCH_POLL_TIMEOUT_MS = 6_000
 WATCH_POLL_MARGIN_MS = 900
+# A page holds about a megabyte, or one value in base64. A watch with more changes than this is read
+# anew, page by page.
+MAX_RESPONSE_BYTES = 8_388_608
+# Of all pages of one read.
+MAX_READ_BYTES = 67_108_864
 OK, NOT_FOUND, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 404, 410, 412, 429, 503
 JSON = ((b"content-type", b"application/json"),)
 # Fields of a good response, by kind of call. A response without a length whose connection ended
@@ -112,7 +117,7 @@
     async def read_prefix(self, prefix: str, *, start: str = "", limit: int = 0) -> ReadResult:
         """Read the keys under a prefix; the returned revision is that of the first page."""
         items: list[KeyValue] = []
-        revision = 0
+        size = revision = 0
         after = ""
         while True:
             path = f"/kv-range?prefix={quote(prefix, safe='/')}"
@@ -124,8 +129,11 @@
             items += [item for item in page if item.key >= start]
             if not reply.has_more or (limit and len(items) >= limit):
                 return ReadResult(revision, tuple(items[:limit] if limit else items))
-            if not page or page[-1].key <= after:
-                raise GatewayError(ErrorKind.PLATFORM_OUT, f"no page follows {after!r}")
+            size += sum(len(item.value) for item in page)
+            if not page or page[-1].key <= after or size > MAX_READ_BYTES:
+                raise GatewayError(
+                    ErrorKind.PLATFORM_OUT, f"no page follows {after!r} after {size} bytes"
+                )
             after = page[-1].key
 
     async def txn(self, compares: tuple[Compare, ...], writes: tuple[Write, ...]) -> TxnResult:
@@ -265,7 +273,7 @@
             with anyio.fail_after(limit_ms / MS_PER_SECOND):
                 conn.send(request_bytes(method, path.encode("ascii"), headers, data))
                 head = await conn.read_head()
-                raw = await conn.read_body()
+                raw = await conn.read_body(max_bytes=MAX_RESPONSE_BYTES)
         except BaseException:
             conn.abort()
             raise
