http1/request_parser: the body of a request that offers another protocol is read as its body

Cause: the parser takes such a request to end with its head, says that it is complete, and stops. The request was started at that moment, and what followed, its body, was dropped.

A request that offers another protocol is not started then. A new parser is given a head that holds only the request's framing, and reads its body and all that follows. The offer isn't taken up and is not forwarded, as before.

--- a/src/hickorybeam/http1/request_parser.py
+++ b/src/hickorybeam/http1/request_parser.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,6 +18,7 @@
     from collections.abc import Callable
 
     from hickorybeam.clock import Clock
+    from hickorybeam.http1.head import RawHeaders
     from hickorybeam.model.routing import CallerLimits
 
 __all__ = ("ParsedRequest", "RequestParser")
@@ -28,6 +28,9 @@
 # The method, the version, and the spaces around them and around values.
 MAX_UNCOUNTED_HEAD_BYTES = 1_024
 BAD_REQUEST, BODY_TOO_LARGE, HEADERS_TOO_LARGE = 400, 413, 431
+# What a head must hold for a parser to read the body behind it.
+FRAMING_NAMES = frozenset({b"content-length", b"transfer-encoding"})
+UPGRADE = b"upgrade"
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +76,7 @@
         self._body: list[bytes] = []
         self._head_bytes = 0
         self._arrived_ms = 0
+        self._reads_again = False
         self._bounds = MessageBounds()
 
     def feed(self, data: bytes) -> None:
@@ -82,12 +86,33 @@
         """
         self.in_request = True
         self._bounds.add_fed(len(data))
-        # Bytes after a request that offers another protocol are dropped.
-        with contextlib.suppress(httptools.HttpParserUpgrade):
-            self._parser.feed_data(data)
+        while True:
+            try:
+                self._parser.feed_data(data)
+                break
+            except httptools.HttpParserUpgrade as exc:
+                data = self._begin_without_upgrade() + data[exc.args[0] :]
         if self.in_request and not self.refused:
             self._check_bounds()
 
+    def _begin_without_upgrade(self) -> bytes:
+        """Begin to read the body of a request that offers another protocol, which isn't taken up.
+
+        The parser takes such a request to end with its head. Its body would be missing, and be
+        read as the next request. So a new parser is given a head that holds the framing alone.
+
+        :return: that head.
+        """
+        tokens = connection_tokens(self._headers) - {UPGRADE}
+        kept = [pair for pair in self._headers if pair[0] in FRAMING_NAMES]
+        if tokens:
+            kept.append((b"connection", b", ".join(sorted(tokens))))
+        version = self._parser.get_http_version().encode("ascii")
+        lines = [b"POST / HTTP/" + version, *(b"%s: %s" % pair for pair in kept)]
+        self._reads_again = True
+        self._parser = httptools.HttpRequestParser(self)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def _check_bounds(self) -> None:
         """Refuse a request whose bytes go on beside its head and its body."""
         bounds = self._bounds
@@ -99,13 +124,15 @@
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
-        self._target += url
-        self._count_head(len(url))
+        if not self._reads_again:
+            self._target += url
+            self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append one header."""
-        self._headers.append((name.lower(), value))
-        self._count_head(len(name) + len(value) + 4)
+        if not self._reads_again:
+            self._headers.append((name.lower(), value))
+            self._count_head(len(name) + len(value) + 4)
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -114,6 +141,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the head before any part of the body is stored."""
+        if self._reads_again:
+            return
         self._bounds.end_head()
         self._arrived_ms = self._clock.now()
         self._method = self._parser.get_method().decode("ascii")
@@ -133,7 +162,7 @@
 
     def on_message_complete(self) -> None:
         """Pass the request on, unless its body is still to be read."""
-        if self.refused:
+        if self.refused or (self._parser.should_upgrade() and not self._reads_again):
             return
         req = IncomingRequest(
             method=self._method,
@@ -147,3 +176,9 @@
         self.in_request = False
         self._reset_request()
         self._on_request(ParsedRequest(req, closes, takes_chunks))
+
+
+def connection_tokens(headers: list[tuple[bytes, bytes]] | RawHeaders) -> set[bytes]:
+    """Return what the headers say of the connection, in lower case."""
+    values = [value for name, value in headers if name == b"connection"]
+    return {token.strip().lower() for value in values for token in value.split(b",")} - {b""}
--- a/tests/gateway/input.feature
+++ b/tests/gateway/input.feature
@@ -24,6 +24,23 @@
     When "n1" gets a request for "/look/x" with an upgrade to "h2c" from a caller of "small"
     Then the caller gets 200 with body "done by b1" and its signature
 
+  # Guards against a body that is lost behind an offer of another protocol: the request ran without it.
+  Scenario Outline: the body of a request that offers another protocol is part of it
+    Given a small gateway
+    When an order with a body of <size> bytes, framed by <framing>, offers h2c to "n1", sent <pieces>
+    Then each order is answered once
+    And server "b1" has run one order with that body
+
+    Examples:
+      | size  | framing  | pieces            |
+      | 600   | a length | at once           |
+      | 600   | a length | byte by byte      |
+      | 600   | chunks   | at once           |
+      | 600   | chunks   | byte by byte      |
+      | 40000 | a length | at once           |
+      | 40000 | chunks   | behind another    |
+      | 0     | a length | at once           |
+
   Scenario Outline: invalid messages between VMs are ignored
     Given a small gateway with VMs "n1, n2"
     When the peers' port of "n1" gets <what>
