gateway, kernel: a shutdown takes the grace period that the settings give now

Cause: the kernel was given the limit of a drain at its start, and ended the relay's drain, and all requests with it, after the old one. The relay worked out its schedule once, when its drain began.

A reload sets the kernel's limit, also that of a drain in progress; the relay works out each phase by the settings of now; SIGTERM reads a settings file that has changed without a signal first.

--- a/src/hickorybeam/gateway/daemon.py
+++ b/src/hickorybeam/gateway/daemon.py
@@ -8,13 +8,14 @@
 import anyio
 from absl import logging
 
-from hickorybeam.clock import MS_PER_SECOND, SystemClock
+from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.cold_health_checks import ColdHealthCheckService
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.part_blocks import PartBlocksService
 from hickorybeam.gateway.relay import RelayService
 from hickorybeam.gateway.reload import SettingsFile
+from hickorybeam.gateway.settings_limits import drain_limit_ms
 from hickorybeam.kernel import Kernel
 from hickorybeam.platform import PlatformStore
 from hickorybeam.telemetry import Counters
@@ -49,8 +50,7 @@
 def build(cfg: Settings, *, counters: Counters | None = None) -> Kernel:
     """Return a kernel with the gateway's services, the client of the platform's store included."""
     clock, counters = SystemClock(), counters or Counters()
-    grace_ms = round(cfg.gateway.grace_s * MS_PER_SECOND) if cfg.gateway else 0
-    kernel = Kernel(clock, drain_limit_ms=grace_ms)
+    kernel = Kernel(clock, drain_limit_ms=drain_limit_ms(cfg.gateway) if cfg.gateway else 0)
     for kind in SERVICES:
         kernel.add(kind(cfg=cfg, clock=clock, counters=counters))
     return kernel
@@ -79,4 +79,6 @@
             if signum is signal.SIGHUP:
                 tg.start_soon(settings_file.reload)
             else:
+                # The file may have changed without a signal, and with it the grace period.
+                await settings_file.reload_if_changed()
                 kernel.stop()
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -25,13 +25,14 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from hickorybeam.clock import Clock
     from hickorybeam.http1 import IncomingRequest, ResponseWriter
     from hickorybeam.http1.server import Handler
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.model.routing import GatewayVm
+    from hickorybeam.policy.shutdown import ShutdownSchedule
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
 
@@ -48,6 +49,7 @@
 MSGPACK_HEADERS = ((b"content-type", b"application/msgpack"),)
 METRICS_HEADERS = ((b"content-type", b"text/plain; version=0.0.4"),)
 DRAIN_POLL_INTERVAL_MS = 25
+MAX_SHUTDOWN_SLEEP_MS = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,30 +156,37 @@
         """
         began_ms = self._clock.now()
         self._leaving = True
-        schedule = shutdown_times(self._gateway)
-        end_ms = began_ms + schedule.finish_by_ms
         for server in self._servers:
             server.closing = True
         await self._fleet.announce_leaving()
-        await self._sleep_until(began_ms + schedule.accept_all_until_ms)
-        self._handler.accept_until(round(end_ms))
-        await self._sleep_until(began_ms + schedule.accept_until_ms)
+        await self._sleep_in_shutdown(began_ms, lambda it: it.accept_all_until_ms)
+        self._handler.accept_until(round(began_ms + self._shutdown().finish_by_ms))
+        await self._sleep_in_shutdown(began_ms, lambda it: it.accept_until_ms)
         self._handler.drain()
         for server in self._servers:
             server.stop_accepting()
             server.close_idle()
-        while self._in_flight_count() and self._clock.now() < end_ms:
+        while (
+            self._in_flight_count() and self._clock.now() < began_ms + self._shutdown().finish_by_ms
+        ):
             await self._clock.sleep(DRAIN_POLL_INTERVAL_MS)
             for server in self._servers[:2]:
                 server.close_idle()
         logging.info("drained, %d requests cut off", self._in_flight_count())
 
+    def _shutdown(self) -> ShutdownSchedule:
+        return shutdown_times(self._gateway)
+
+    async def _sleep_in_shutdown(
+        self, began_ms: int, phase_ends_ms: Callable[[ShutdownSchedule], float]
+    ) -> None:
+        """Sleep until a phase of a shutdown ends; its length may change with the settings."""
+        while (left_ms := began_ms + phase_ends_ms(self._shutdown()) - self._clock.now()) > 0:
+            await self._clock.sleep(min(left_ms, MAX_SHUTDOWN_SLEEP_MS))
+
     def _in_flight_count(self) -> int:
         return sum(server.in_flight for server in self._servers[:2])
 
-    async def _sleep_until(self, due_ms: float) -> None:
-        await self._clock.sleep(due_ms - self._clock.now())
-
     def _count_malformed(self, status: int) -> None:
         self._counters.refusals.labels(f"malformed_{status}").inc()
 
--- a/src/hickorybeam/gateway/reload.py
+++ b/src/hickorybeam/gateway/reload.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from hickorybeam.errors import GatewayError
+from hickorybeam.gateway.settings_limits import drain_limit_ms
 from hickorybeam.settings import load_settings
 
 if TYPE_CHECKING:
@@ -56,8 +57,12 @@
         """Reload the file whenever it has changed, until cancelled."""
         while True:
             await self._clock.sleep(CHECK_INTERVAL_MS)
-            if self._stamp() != self._last_stamp:
-                await self.reload()
+            await self.reload_if_changed()
+
+    async def reload_if_changed(self) -> None:
+        """Reload the file if it has changed since it was read."""
+        if self._stamp() != self._last_stamp:
+            await self.reload()
 
     async def reload(self) -> None:
         """Read the file and apply its settings; an invalid file changes nothing.
@@ -83,6 +88,7 @@
                 "settings: a change of gateway.%s takes effect only after a restart", name
             )
         self._cfg = cfg
+        self._kernel.set_drain_limit(drain_limit_ms(cfg.gateway))
         for service in self._kernel.services():
             if isinstance(service, Reloadable):
                 service.reload(cfg.gateway)
--- a/src/hickorybeam/gateway/settings_limits.py
+++ b/src/hickorybeam/gateway/settings_limits.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from hickorybeam.settings import GatewaySettings
 
-__all__ = ("retry_limits_of", "shutdown_times")
+__all__ = ("drain_limit_ms", "retry_limits_of", "shutdown_times")
 
 
 def shutdown_times(cfg: GatewaySettings) -> ShutdownSchedule:
@@ -19,6 +19,11 @@
     return ShutdownSchedule(cfg.grace_s * MS_PER_SECOND)
 
 
+def drain_limit_ms(cfg: GatewaySettings) -> int:
+    """Return the time that the services have to finish their work in a shutdown."""
+    return round(cfg.grace_s * MS_PER_SECOND)
+
+
 def retry_limits_of(cfg: GatewaySettings) -> FleetRetryLimits:
     """Return the fleet's retry limits from the settings."""
     return FleetRetryLimits(
--- a/src/hickorybeam/kernel/kernel.py
+++ b/src/hickorybeam/kernel/kernel.py
@@ -75,6 +75,9 @@
     def __init__(self, clock: Clock, *, drain_limit_ms: int = DEFAULT_DRAIN_LIMIT_MS) -> None:
         self.clock = clock
         self._drain_limit_ms = drain_limit_ms
+        # Of the service that is being drained, and when that began.
+        self._drain_scope: anyio.CancelScope | None = None
+        self._drain_began_s = 0.0
         self.restarts: dict[str, int] = {}
         self._services: dict[str, Service] = {}
         self._stop = anyio.Event()
@@ -137,6 +140,12 @@
                 scopes[service.name].cancel()
                 await ended[service.name].wait()
 
+    def set_drain_limit(self, limit_ms: int) -> None:
+        """Set the time that each service has for its ``drain``, also for one that drains now."""
+        self._drain_limit_ms = limit_ms
+        if self._drain_scope is not None:
+            self._drain_scope.deadline = self._drain_began_s + limit_ms / MS_PER_SECOND
+
     async def _drain(self, order: list[Service]) -> None:
         """Drain the services in reverse start order, each for the drain limit at most.
 
@@ -145,8 +154,11 @@
         of their own for what they wait for; this one covers what they miss.
         """
         for service in reversed(order):
+            self._drain_began_s = anyio.current_time()
             with anyio.move_on_after(self._drain_limit_ms / MS_PER_SECOND) as scope:
+                self._drain_scope = scope
                 await service.drain()
+            self._drain_scope = None
             if scope.cancelled_caught:
                 logging.error("service %s was not drained within the limit", service.name)
 
--- a/tests/kernel/kernel.feature
+++ b/tests/kernel/kernel.feature
@@ -29,3 +29,15 @@
     And service "stuck" never finishes draining
     When the kernel runs and is stopped
     Then the events are "start steady, start stuck, drain stuck, drain steady, stop stuck, stop steady"
+
+  # Guards against work that is cut off at the limit that was set when the process started.
+  Scenario Outline: the drain limit may change while the kernel runs, and while it drains
+    Given a kernel with services "slow" and a drain limit of 50 ms
+    And service "slow" takes 300 ms to drain
+    When the kernel runs and is stopped, and the drain limit is set to 5000 ms <moment>
+    Then service "slow" was drained
+
+    Examples:
+      | moment           |
+      | before that      |
+      | 20 ms after that |
--- a/tests/steps/gateway/reload_steps.py
+++ b/tests/steps/gateway/reload_steps.py
@@ -82,3 +82,32 @@
 def step_still_serves(context):
     ask(context, "n1", "/look/x")
     assert context.reply.status == 200
+
+
+@when("its grace period is raised to {grace:d} s {moment}, and it is stopped while a stream runs")
+def step_stopped_while_streaming(context, grace, moment):
+    rig = context.rig
+    vm = rig.vms["n1"]
+
+    async def raise_grace():
+        write_settings(context, f"grace_s: {grace}")
+        await context.file.reload()
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            if "before" in moment:
+                await raise_grace()
+
+            async def stream():
+                context.stream = await rig.call(
+                    "n1", "/chat/x", method="POST", body=BODY, tokens=b"50,10", wait_ms=8_000
+                )
+
+            tg.start_soon(stream)
+            await anyio.sleep(0.1)
+            vm.kernel.stop()
+            if "after" in moment:
+                await anyio.sleep(0.5)
+                await raise_grace()
+
+    context.call(run)
--- a/tests/steps/kernel/kernel_steps.py
+++ b/tests/steps/kernel/kernel_steps.py
@@ -13,6 +13,8 @@
     class Probe(Service):
         crashes = 0
         stuck = False
+        drain_s = 0.0
+        drained = False
         starts = 0
 
         async def main(self, started):
@@ -31,6 +33,8 @@
             events.append(f"drain {self.name}")
             if self.stuck:
                 await anyio.sleep_forever()
+            await anyio.sleep(self.drain_s)
+            self.drained = True
 
     Probe.name = name.strip()
     Probe.needs = tuple(needs.split()) if needs else ()
@@ -106,3 +110,32 @@
     else:
         raise AssertionError("the kernel ran")
     assert context.events == []
+
+
+@given('service "{name}" takes {ms:d} ms to drain')
+def step_slow_drain(context, name, ms):
+    context.probes[name].drain_s = ms / 1000
+
+
+@when("the kernel runs and is stopped, and the drain limit is set to {limit_ms:d} ms {moment}")
+def step_change_limit(context, limit_ms, moment):
+    kernel = context.kernel
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            if moment == "before that":
+                kernel.set_drain_limit(limit_ms)
+            else:
+                tg.start_soon(change)
+            await kernel.run(ready=kernel.stop)
+
+    async def change():
+        await anyio.sleep(0.02)
+        kernel.set_drain_limit(limit_ms)
+
+    context.call(run)
+
+
+@then('service "{name}" was drained')
+def step_drained(context, name):
+    assert context.probes[name].drained
