gateway/relay: the head of a forwarded request may be longer by what the VM adds, and a VM's refusal is no answer for a caller

Cause: a VM that forwards a request adds headers of its own, and the other VM holds the longer head against the limit for callers. Its refusal has no mark of a VM, so it was passed on as a server's.

The peers' port takes heads that are 4 KiB longer, and what it refuses unread bears the mark of a request that has not run, so the first VM asks elsewhere or tells the caller when to come back.

--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -19,6 +19,7 @@
     "HOP_NOT_RUN",
     "HOP_RETRY_AFTER_MS",
     "HOP_VERSION",
+    "MAX_HOP_HEADER_BYTES",
     "NO_SERVER_ASKED",
     "PART_BLOCKED",
     "REJECTED",
@@ -66,6 +67,9 @@
         HOP_ELAPSED_MS,
     }
 )
+# By how much these headers make a caller's head longer: some numbers, and the names of a service
+# and an account.
+MAX_HOP_HEADER_BYTES = 4_096
 DEFAULT_URGENCY = 5
 DEFAULT_TARGET_MS = 1_000
 
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
@@ -10,7 +10,12 @@
 
 from hickorybeam.gateway.feed import CHANGES_PATH, STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
-from hickorybeam.gateway.hop import decode_forwarded_request
+from hickorybeam.gateway.hop import (
+    HOP_NOT_RUN,
+    MAX_HOP_HEADER_BYTES,
+    NO_SERVER_ASKED,
+    decode_forwarded_request,
+)
 from hickorybeam.gateway.learned_metrics import LearnedMetrics
 from hickorybeam.gateway.part_blocks import SUSPECTS_PATH, PartBlocksService
 from hickorybeam.gateway.request_handler import RequestHandler
@@ -27,11 +32,13 @@
     import socket
     from collections.abc import Callable, Sequence
 
+    from anyio.abc import TaskGroup
+
     from hickorybeam.clock import Clock
     from hickorybeam.http1 import IncomingRequest, ResponseWriter
     from hickorybeam.http1.server import Handler
     from hickorybeam.kernel import Kernel, Started
-    from hickorybeam.model.routing import GatewayVm
+    from hickorybeam.model.routing import CallerLimits, GatewayVm
     from hickorybeam.policy.shutdown import ShutdownSchedule
     from hickorybeam.settings import GatewaySettings, Settings
     from hickorybeam.telemetry import Counters
@@ -111,13 +118,7 @@
         try:
             async with anyio.create_task_group() as tg:
                 for handler, sock in self._listeners():
-                    server = HttpServer(
-                        handler,
-                        clock=self._clock,
-                        tasks=tg,
-                        limits=self._feed.routing_state.caller_limits,
-                        on_malformed=self._count_malformed,
-                    )
+                    server = self._server(handler, tg)
                     await server.listen_on(sock)
                     self._servers.append(server)
                 self._in_flight.set_function(lambda: self._caller_server.in_flight)
@@ -130,6 +131,26 @@
                 server.stop_accepting()
             self._servers = []
 
+    def _server(self, handler: Handler, tg: TaskGroup) -> HttpServer:
+        """Return a server; that of the peers' port takes the heads that other VMs' make longer.
+
+        What it refuses by itself has not run, and the VM that forwarded it may ask elsewhere. The
+        refusal is none of a backend server's, and must not reach the caller as one.
+        """
+        is_for_peers = handler == self._serve_peer
+        return HttpServer(
+            handler,
+            clock=self._clock,
+            tasks=tg,
+            limits=self._peer_limits if is_for_peers else self._feed.routing_state.caller_limits,
+            on_malformed=self._count_malformed,
+            refusal_headers=((HOP_NOT_RUN, NO_SERVER_ASKED),) if is_for_peers else (),
+        )
+
+    def _peer_limits(self) -> CallerLimits:
+        limits = self._feed.routing_state.caller_limits()
+        return replace(limits, header_bytes=limits.header_bytes + MAX_HOP_HEADER_BYTES)
+
     def _listeners(self) -> tuple[tuple[Handler, socket.socket], ...]:
         cfg, bound = self._gateway, self._bound_ports
         return (
--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -202,7 +202,7 @@
             return
         self.server.on_malformed(status)
         self._reader.discard()
-        self.write(response_head_bytes(status, (), length=0, close=True))
+        self.write(response_head_bytes(status, self.server.refusal_headers, length=0, close=True))
         if self._transport is not None:
             self._transport.close()
 
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -24,7 +24,7 @@
     from anyio.abc import TaskGroup
 
     from hickorybeam.clock import Clock
-    from hickorybeam.http1.head import IncomingRequest
+    from hickorybeam.http1.head import IncomingRequest, RawHeaders
 
     # Handles one request.
     Handler = Callable[[IncomingRequest, "ResponseWriter"], Awaitable[None]]
@@ -43,6 +43,7 @@
         is aborted.
     :param limits: returns the limits in force.
     :param on_malformed: called with the error status sent for each invalid request.
+    :param refusal_headers: sent with that status.
     """
 
     def __init__(
@@ -53,10 +54,12 @@
         tasks: TaskGroup,
         limits: Callable[[], CallerLimits] = CallerLimits,
         on_malformed: Callable[[int], None] = lambda _: None,
+        refusal_headers: RawHeaders = (),
     ) -> None:
         self.clock = clock
         self.limits = limits
         self.on_malformed = on_malformed
+        self.refusal_headers = refusal_headers
         self.conns: set[CallerConnection] = set()
         self.closing = False
         self.in_flight = 0
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -117,3 +117,24 @@
     And a caller of "small" asks "n1" for "/look/x"
     Then the caller gets 503 with a retry-after time
     And "n1" counts the refusal as "overloaded"
+
+  # Guards against a sound request that another region's VM refuses for the headers which the first
+  # one added, and against that refusal reaching the caller.
+  Scenario Outline: a request whose head is just within the limit is served by another region
+    Given a small gateway with a southern region
+    When the operator evacuates "north-1"
+    And a caller asks "n1" for "/look/x" with a head of <size> bytes, of <limit> that are allowed
+    Then the caller gets <status>
+
+    Examples:
+      | size | limit | status |
+      | 4000 | 4096  | 200    |
+      | 4090 | 4096  | 200    |
+      | 5200 | 4096  | 431    |
+
+  Scenario: what another region's VM refuses unread is no answer for the caller
+    Given a small gateway with a southern region
+    And "s1" takes heads of 300 bytes only
+    When the operator evacuates "north-1"
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 503 with a retry-after time
