gateway, http1: names of accounts and services of any script reach servers and other regions' VMs

Beyond Latin-1 an account's name reached servers as '?', and a request of its was an error where it was forwarded; a name with the end of a line in it could add headers. Found by reading in the review.

They go as Latin-1 where that suffices, as before, else as UTF-8, control characters replaced. tests/gateway/regions.feature, 'an account of any name': 2 of 3 rows failed on. Also: a change of the section platform in the settings, which needs a restart, is logged.

--- a/src/hickorybeam/gateway/hop.py
+++ b/src/hickorybeam/gateway/hop.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.gateway.targets import AdmittedRequest, foreign_route
-from hickorybeam.http1 import find_header, parse_count
+from hickorybeam.http1 import find_header, header_bytes, header_text, parse_count
 from hickorybeam.platform import decode_call
 from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
@@ -88,14 +88,14 @@
     left_ms = request.deadline_ms - now_ms
     elapsed_ms = now_ms - request.call.arrived_ms
     headers = [
-        (HOP_SERVICE, request.service.encode("latin-1")),
+        (HOP_SERVICE, header_bytes(request.service)),
         (HOP_TIME_LEFT_MS, b"%d" % max(1, left_ms)),
         (HOP_URGENCY, b"%d" % request.urgency),
         (HOP_TARGET_MS, b"%d" % request.route.target_ms),
         (HOP_ELAPSED_MS, b"%d" % (max(0, elapsed_ms) + REGION_ROUND_TRIP_MS)),
     ]
     if request.account is not None:
-        headers.append((HOP_ACCOUNT, request.account.encode("latin-1")))
+        headers.append((HOP_ACCOUNT, header_bytes(request.account)))
     if request.resume_after is not None:
         headers.append((HOP_RESUME_AFTER, request.resume_after.encode("latin-1")))
     if request.version_key is not None:
@@ -137,8 +137,8 @@
     return AdmittedRequest(
         call=replace(call, arrived_ms=call.arrived_ms - elapsed_ms),
         route=foreign_route("hop", target_ms=target_ms),
-        service=service.decode("latin-1"),
-        account=None if account is None else account.decode("latin-1"),
+        service=header_text(service),
+        account=None if account is None else header_text(account),
         urgency=decode_int(find_header(req.headers, HOP_URGENCY), DEFAULT_URGENCY),
         deadline_ms=req.arrived_ms + time_left_ms,
         resume_after=None if resume_after is None else resume_after.decode("latin-1"),
--- a/src/hickorybeam/gateway/reload.py
+++ b/src/hickorybeam/gateway/reload.py
@@ -87,6 +87,8 @@
             logging.warning(
                 "settings: a change of gateway.%s takes effect only after a restart", name
             )
+        if cfg.platform != self._cfg.platform:
+            logging.warning("settings: a change of platform takes effect only after a restart")
         self._cfg = cfg
         self._kernel.set_drain_limit(drain_limit_ms(cfg.gateway))
         for service in self._kernel.services():
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -14,7 +14,13 @@
 from hickorybeam.http1.pool import ConnectFailedError, UpstreamPool
 from hickorybeam.http1.server import HttpServer, ResponseWriter
 from hickorybeam.http1.upstream import BrokenResponseError, UpstreamConnection
-from hickorybeam.http1.values import parse_count, parse_decimal, parse_retry_after_ms
+from hickorybeam.http1.values import (
+    header_bytes,
+    header_text,
+    parse_count,
+    parse_decimal,
+    parse_retry_after_ms,
+)
 
 __all__ = (
     "ResponseHead",
@@ -29,6 +35,8 @@
     "UpstreamConnection",
     "UpstreamPool",
     "find_header",
+    "header_bytes",
+    "header_text",
     "has_ambiguous_framing",
     "is_encoded",
     "is_event_stream",
--- a/src/hickorybeam/http1/values.py
+++ b/src/hickorybeam/http1/values.py
@@ -7,7 +7,7 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 
-__all__ = ("parse_count", "parse_decimal", "parse_retry_after_ms")
+__all__ = ("header_bytes", "header_text", "parse_count", "parse_decimal", "parse_retry_after_ms")
 
 DECIMAL = re.compile(rb"\d{1,15}(?:\.\d{1,15})?")
 # A longer number makes no sense anywhere, and one of thousands of digits is an error to convert.
@@ -16,6 +16,26 @@
 MAX_RETRY_AFTER_MS = 3_600_000
 
 
+def header_bytes(text: str) -> bytes:
+    """Encode a name for a header: Latin-1 where that suffices, else UTF-8.
+
+    Control characters, which would end the header, are replaced.
+    """
+    printable = "".join(it if it.isprintable() else "?" for it in text)
+    try:
+        return printable.encode("latin-1")
+    except UnicodeEncodeError:
+        return printable.encode("utf-8")
+
+
+def header_text(value: bytes) -> str:
+    """Decode a name that ``header_bytes`` encoded, as far as one can tell."""
+    try:
+        return value.decode("utf-8")
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def parse_count(value: bytes | None) -> int | None:
     """Parse a whole number without a sign; ``None`` if there is none, or it is invalid."""
     digits = (value or b"").strip()
--- a/src/hickorybeam/platform/requests.py
+++ b/src/hickorybeam/platform/requests.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.http1 import find_header, parse_count
+from hickorybeam.http1 import find_header, header_bytes, parse_count
 from hickorybeam.model.routing import PromptPart, RelayCall
 from hickorybeam.platform import names
 
@@ -68,7 +68,7 @@
     headers.append((names.EXPECT_SERVER, server_id.encode("latin-1")))
     headers.append((names.URGENCY, b"%d" % urgency))
     if account is not None:
-        headers.append((names.ACCOUNT, account.encode("latin-1", "replace")))
+        headers.append((names.ACCOUNT, header_bytes(account)))
     if copy_from is not None:
         headers.append((names.COPY_FROM, copy_from.encode("ascii")))
     if resume_after is not None:
--- a/tests/gateway/regions.feature
+++ b/tests/gateway/regions.feature
@@ -138,3 +138,20 @@
     When the operator evacuates "north-1"
     And a caller of "small" asks "n1" for "/look/x"
     Then the caller gets 503 with a retry-after time
+
+  # Guards against requests of an account that fail where they are forwarded, for its name.
+  Scenario Outline: an account of any name is served here and in another region
+    Given a small gateway with a southern region
+    And account "small" is named "<name>"
+    When a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200
+    And the server got the account's name as <bytes>
+    When a caller of "small" asks "n1" for "/local/x"
+    Then the caller gets 200
+    And the server got the account's name as <bytes>
+
+    Examples:
+      | name       | bytes             |
+      | caf\u00e9  | 636166e9          |
+      | \u65e5\u672c | e697a5e69cac    |
+      | a\r\nx: b  | 613f3f783a2062    |
