--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -237,7 +237,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or handled."""
-        in_request = self._parser.in_request or self._reader.has_more
+        in_request = self._parser.in_request or bool(self._reader.unfed)
         if self.response is None and not in_request and self._transport is not None:
             self._transport.close()
 
--- a/src/hickorybeam/http1/message_bounds.py
+++ b/src/hickorybeam/http1/message_bounds.py
@@ -21,29 +21,22 @@
 class MessageBounds:
     """Counts the bytes of one message.
 
-    ``head_bytes`` and ``body_bytes`` are those of the head, once it is known, and of the body so
-    far. A count may be too high by the piece that the parser was fed last.
+    ``fed_bytes`` are all that the parser was fed, ``body_bytes`` those of the body, or of one that
+    is skipped. ``head_bytes`` are those of the head, ``None`` until it is known; the count may be
+    too high by the piece that the parser was fed last.
     """
 
-    __slots__ = ("_fed", "_trailer_bytes", "body_bytes", "head_bytes")
+    __slots__ = ("_trailer_bytes", "body_bytes", "fed_bytes", "head_bytes")
 
     def __init__(self) -> None:
-        self._fed = 0
+        self.fed_bytes = 0
         self._trailer_bytes = 0
         self.body_bytes = 0
         self.head_bytes: int | None = None
 
-    def add_fed(self, size: int) -> None:
-        """Count bytes that the parser is fed."""
-        self._fed += size
-
-    def add_body(self, size: int) -> None:
-        """Count bytes of the body, or of one that is skipped."""
-        self.body_bytes += size
-
     def end_head(self) -> None:
         """Record that the head is known."""
-        self.head_bytes = self._fed - self.body_bytes
+        self.head_bytes = self.other_bytes
 
     def add_header(self, size: int) -> None:
         """Count a header; one behind the head is a trailer."""
@@ -53,7 +46,7 @@
     @property
     def other_bytes(self) -> int:
         """Bytes that are no part of a body."""
-        return self._fed - self.body_bytes
+        return self.fed_bytes - self.body_bytes
 
     def has_excess_framing(self) -> bool:
         """Return whether too many bytes after the head are no part of the body."""
--- a/src/hickorybeam/http1/paced_reader.py
+++ b/src/hickorybeam/http1/paced_reader.py
@@ -19,13 +19,15 @@
 class PacedReader:
     """Feeds a parser one piece in each turn of the event loop; reading pauses until all is fed.
 
+    ``unfed`` are the bytes that were received and have not been fed yet.
+
     :param feed: takes bytes. It may call ``discard``, after which nothing more is fed.
     """
 
     def __init__(self, feed: Callable[[bytes], None]) -> None:
         self._feed = feed
         self._transport: asyncio.Transport | None = None
-        self._rest = b""
+        self.unfed = b""
         self._is_scheduled = False
         self._is_blocked = False
 
@@ -33,35 +35,30 @@
         """Set the transport whose reading is paused."""
         self._transport = transport
 
-    @property
-    def has_more(self) -> bool:
-        """Whether bytes were received that have not been fed yet."""
-        return bool(self._rest)
-
     def receive(self, data: bytes) -> None:
         """Feed bytes, at once if they are few and nothing waits before them."""
-        if self._rest:
-            self._rest += data
+        if self.unfed:
+            self.unfed += data
         elif len(data) <= PIECE_BYTES:
             self._feed(data)
         else:
-            self._rest = data
+            self.unfed = data
             self._feed_piece()
 
     def finish(self) -> None:
         """Feed all that is left, as the connection has ended."""
-        while self._rest:
+        while self.unfed:
             self._take_piece()
 
     def take_rest(self) -> bytes:
         """Return what is left, and feed nothing of it."""
-        rest, self._rest = self._rest, b""
+        rest, self.unfed = self.unfed, b""
         self._update_reading()
         return rest
 
     def discard(self) -> None:
         """Drop what is left."""
-        self._rest = b""
+        self.unfed = b""
 
     def block(self) -> None:
         """Pause reading until ``unblock``, since what was fed has not been taken."""
@@ -77,13 +74,13 @@
     def _feed_piece(self) -> None:
         self._is_scheduled = False
         self._take_piece()
-        if self._rest and not self._is_scheduled:
+        if self.unfed and not self._is_scheduled:
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._feed_piece)
         self._update_reading()
 
     def _take_piece(self) -> None:
-        piece, self._rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
+        piece, self.unfed = self.unfed[:PIECE_BYTES], self.unfed[PIECE_BYTES:]
         if piece:
             self._feed(piece)
 
@@ -91,7 +88,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if self._rest or self._is_blocked:
+        if self.unfed or self._is_blocked:
             transport.pause_reading()
         else:
             transport.resume_reading()
--- a/src/hickorybeam/http1/request_parser.py
+++ b/src/hickorybeam/http1/request_parser.py
@@ -85,7 +85,7 @@
         :raises httptools.HttpParserError: they are no request.
         """
         self.in_request = True
-        self._bounds.add_fed(len(data))
+        self._bounds.fed_bytes += len(data)
         while True:
             try:
                 self._parser.feed_data(data)
@@ -154,7 +154,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append to the body."""
-        self._bounds.add_body(len(data))
+        self._bounds.body_bytes += len(data)
         if self._bounds.body_bytes > self._limits().body_bytes:
             self.refused = self.refused or BODY_TOO_LARGE
         if not self.refused:
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING
 
 import anyio
@@ -11,7 +10,7 @@
 
 from hickorybeam.http1.head import Framing, ResponseHead, find_header
 from hickorybeam.http1.message_bounds import MessageBounds
-from hickorybeam.http1.paced_reader import PacedReader
+from hickorybeam.http1.paced_reader import PIECE_BYTES, PacedReader
 from hickorybeam.http1.values import parse_count
 
 if TYPE_CHECKING:
@@ -27,6 +26,8 @@
 MAX_SKIPPED_BYTES = 1_048_576
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = (204, 304)
+# More pieces of a body are joined, as one of a byte takes far more memory than it holds.
+MAX_PIECES = 64
 # Reading from the socket pauses while more than this is buffered.
 MAX_BUFFERED_BYTES = 1_048_576
 
@@ -69,8 +70,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._bounds = MessageBounds()
         self._skipped_bytes = 0
-        self._fed: list[bytes] = []
-        self._chunks: deque[bytes] = deque()
+        self._chunks: list[bytes] = []
         self._buffered = 0
         self._complete = False
         self._failure = ""
@@ -115,22 +115,29 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close the connection if no response is expected."""
-        self._reader.receive(data)
+        if len(data) <= PIECE_BYTES and not self._reader.unfed:
+            self._feed(data)
+        else:
+            self._reader.receive(data)
 
     def _feed(self, data: bytes) -> None:
         if not self._awaiting_response or self._complete:
             self.abort()
             return
-        self._bounds.add_fed(len(data))
+        self._bounds.fed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(f"invalid HTTP: {exc}")
-        self._keep_body()
-        if self._complete and self._reader.has_more:
-            # Bytes after the end, which the next response must not begin with.
-            self.abort()
-        elif not self._complete:
+        if len(self._chunks) > MAX_PIECES:
+            self._chunks = [b"".join(self._chunks)]
+        if self._buffered > MAX_BUFFERED_BYTES:
+            self._reader.block()
+        if self._complete:
+            if self._reader.unfed:
+                # Bytes after the end, which the next response must not begin with.
+                self.abort()
+        elif self._bounds.fed_bytes > MAX_HEAD_BYTES:
             self._check_bounds()
         if self._forward is None or not self._forward_chunks():
             self._progress.set()
@@ -153,17 +160,6 @@
         elif bounds.has_excess_framing():
             self._fail(f"{bounds.other_bytes} bytes beside a body of {bounds.body_bytes}")
 
-    def _keep_body(self) -> None:
-        """Keep what the parser found of the body, as one piece however many chunks it came in."""
-        if not self._fed:
-            return
-        data = b"".join(self._fed)
-        self._fed.clear()
-        self._chunks.append(data)
-        self._buffered += len(data)
-        if self._buffered > MAX_BUFFERED_BYTES:
-            self._reader.block()
-
     def _forward_chunks(self) -> bool:
         """Pass buffered bytes on; return whether the task that reads the response may sleep on."""
         if self._forward is None or self._complete or self._failure:
@@ -204,12 +200,13 @@
         self._head = ResponseHead(status, headers)
         self._keep_alive = self._parser.should_keep_alive()
         self.keep_alive_s = keep_alive_seconds(find_header(headers, b"keep-alive"))
-        ends_at_close = self._head.framing is Framing.CLOSE
+        framing = self._head.framing
+        ends_at_close = framing is Framing.CLOSE
         self._ends_at_close = ends_at_close and status not in BODILESS_STATUSES
         if self._head_only:
             # The parser would wait for a body that never comes.
             self._complete_message()
-        elif (self.declared_bytes or 0) > MAX_BODY_BYTES:
+        elif framing is Framing.LENGTH and (self.declared_bytes or 0) > MAX_BODY_BYTES:
             self._fail(f"a body of {self.declared_bytes} bytes")
 
     @property
@@ -224,11 +221,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Append to the body."""
-        self._bounds.add_body(len(data))
+        self._bounds.body_bytes += len(data)
         if self._skipping:
             self._skipped_bytes += len(data)
         elif self._head is not None and not self._complete:
-            self._fed.append(data)
+            self._chunks.append(data)
+            self._buffered += len(data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
@@ -257,7 +255,7 @@
         """
         if self._closed or self._transport is None or self._transport.is_closing():
             raise BrokenResponseError("connection closed before the request", sent=False)
-        if self._reader.has_more:
+        if self._reader.unfed:
             self.abort()
             raise BrokenResponseError("bytes that belong to no request", sent=False)
         self._reset_response()
@@ -317,10 +315,11 @@
             self._forward = None
 
     def _take_chunks(self) -> bytes:
-        data = b"".join(self._chunks)
+        data = self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
         self._chunks.clear()
+        if self._buffered > MAX_BUFFERED_BYTES:
+            self._reader.unblock()
         self._buffered = 0
-        self._reader.unblock()
         return data
 
     async def read_body(self, *, max_bytes: int = MAX_BODY_BYTES) -> bytes:
--- a/src/hickorybeam/sockets.py
+++ b/src/hickorybeam/sockets.py
@@ -4,11 +4,14 @@
 
 import ipaddress
 import socket
+from functools import lru_cache
 
 from hickorybeam.untrusted import InvalidBytesError
 
 __all__ = ("bind_socket", "is_ip_address", "split_address", "split_ip_address")
 
+# Servers renew their entries every second or so, and their addresses stay.
+MAX_CACHED_ADDRESSES = 4_096
 MAX_PORT = 65_535
 MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
 
@@ -39,6 +42,7 @@
     return host, int(port)
 
 
+@lru_cache(MAX_CACHED_ADDRESSES)
 def split_ip_address(address: str) -> tuple[str, int]:
     """Return host and port of an address that another writer has left in the store.
 
