--- a/tools/mutation_tables/__init__.py
+++ b/tools/mutation_tables/__init__.py
@@ -8,6 +8,7 @@
     ends,
     front,
     once,
+    outside,
     repeats,
     shares,
     streams,
@@ -27,4 +28,5 @@
     *crashes.MUTATIONS,
     *repeats.MUTATIONS,
     *ends.MUTATIONS,
+    *outside.MUTATIONS,
 )
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -143,8 +143,8 @@
     Mutation(
         "a version's key is for VMs only",
         "gateway/sender.py",
-        "    headers = without_hop_version(response_headers(head.headers))\n",
-        "    headers = response_headers(head.headers)\n",
+        "    headers = without_hop_version(response_headers(head.headers))\n    if not",
+        "    headers = response_headers(head.headers)\n    if not",
         GATEWAY,
         "callers don't get the key",
     ),
