platform/entry_types: a generous rate of an account doesn't refuse the whole configuration

Found on the last read of the diff: the bound on all numbers of entries was 3e12, chosen for times, and a rate of 1e15, which an operator may write for no limit, refused all of the configuration. The bound is 2^53 now, which sums in 64 bits still hold. tests/platform/decoding.feature, 'an account with a rate that no caller reaches', failed before.

--- a/src/hickorybeam/platform/entry_types.py
+++ b/src/hickorybeam/platform/entry_types.py
@@ -21,8 +21,8 @@
     "RawWeightedService",
 )
 
-# A century in ms, which a sum of times still holds in 64 bits; other VMs are told such times.
-MAX_NUMBER = 3_000_000_000_000
+# Sums of such numbers are told to other VMs, in 64 bits. No sound rate or time comes near it.
+MAX_NUMBER = 2**53
 Version = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 # The end of an entry's key, or the name of a service or a data centre, goes into headers and logs.
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -24,6 +24,10 @@
       | op/config | {"version":"x"}                                                            |
       | op/other  | {}                                                                         |
 
+  # Guards against a bound on numbers that refuses a whole configuration for one generous rate.
+  Scenario: an account with a rate that no caller reaches is valid
+    Then a configuration whose account has a rate of 1e15 tokens per second is valid
+
   Scenario Outline: request headers
     Then a request with header "<name>" set to "<value>" has <field> "<found>"
 
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -341,3 +341,14 @@
         context.client._check_response(call, status, body.encode(), write=False)
 
     assert (outcome(context, check) == "done") == (taken == "yes")
+
+
+@then("a configuration whose account has a rate of {rate:g} tokens per second is valid")
+def step_generous_rate(context, rate):
+    account = EXAMPLE["tenants"][0] | {"rate-per-s": rate}
+    data = msgspec.json.encode(EXAMPLE | {"tenants": [account]})
+    match decode_entry("op/config", data):
+        case ConfigEntry(config):
+            assert config.accounts["acc"].rate_per_s == rate
+        case other:
+            raise AssertionError(other)
