gateway/final_responses, http1: each answer that promises 'not run' has its ground in the log, by id

An operator could not tell on what ground three orders were refused that had run: refused and not_sent lines stop at 20 a second and name neither the connection nor its age, refusals of the parser were only counted.

Now a request that was sent has a not_run line of its own (whose word, on which connection, after how many requests); requests that were never sent share a line by ground each second, as refusals under overload are thousands; refusals of unread requests and failures that are passed on are named likewise.

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -18,6 +18,7 @@
     forwarded_headers,
 )
 from hickorybeam.gateway.forwarding.run_messages import RunAnswers
+from hickorybeam.gateway.send_records import NotRunGround
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, address_of
 from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, find_header, parse_count
 from hickorybeam.http1.head import request_bytes
@@ -59,6 +60,7 @@
     :param rejected: a server received the request and rejected it.
     :param retry_after_ms: when the other end expects to have a free slot, if it says so.
     :param blocked: another region's VM blocks it, or a part of its prompt; the kind of error.
+    :param ground: how it is known.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         rejected: bool = False,
         retry_after_ms: int | None = None,
         blocked: ErrorKind | None = None,
+        ground: NotRunGround = NotRunGround.UNSENT,
     ) -> None:
         super().__init__(text)
+        self.ground = ground
         self.unreachable = unreachable
         self.rejected = rejected
         self.retry_after_ms = retry_after_ms
@@ -119,6 +123,15 @@
         self._request = request
         self._address = address_of(target)
         self._conn: UpstreamConnection | None = None
+        # What it was sent on: its connection, and how many requests that had then carried.
+        self._sent_on: UpstreamConnection | None = None
+        self._request_number = 0
+
+    def describe_connection(self) -> str:
+        """Return what it was sent on, for the log; empty if it was not sent."""
+        if self._sent_on is None:
+            return ""
+        return f"port {self._sent_on.local_port}, request {self._request_number}"
 
     @property
     def is_connected(self) -> bool:
@@ -198,7 +211,8 @@
         if not_run is not None:
             await self.drain_body()
             raise NotRunError(
-                "the other region did not run it",
+                f"the other region did not run it: {not_run.decode('latin-1')}",
+                ground=NotRunGround.VM,
                 rejected=not_run == REJECTED,
                 blocked=BLOCKED_KINDS.get(not_run),
                 retry_after_ms=parse_count(find_header(head.headers, HOP_RETRY_AFTER_MS)),
@@ -218,6 +232,7 @@
                     raise NotRunError("it or a part of its prompt was blocked meanwhile")
                 self._conn.send(data, expected_id=expected, head_only=call.method == "HEAD")
                 self.was_sent = True
+                self._sent_on, self._request_number = self._conn, self._conn.request_count
             except ConnectFailedError as exc:
                 raise NotRunError(str(exc), unreachable=True) from exc
             except BrokenResponseError as exc:
--- a/src/hickorybeam/gateway/final_responses.py
+++ b/src/hickorybeam/gateway/final_responses.py
@@ -14,9 +14,11 @@
     REQUEST_BLOCKED,
     without_hop_headers,
 )
+from hickorybeam.gateway.send_records import ground_of
 from hickorybeam.gateway.targets import target_name
 from hickorybeam.platform import refusal_headers, response_headers
 from hickorybeam.policy.retry_after import clamp_retry_after_ms, outage_retry_after_ms
+from hickorybeam.telemetry.promise_log import PROMISES_NOT_RUN
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -28,9 +30,12 @@
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.telemetry import Counters
     from hickorybeam.telemetry.decisions import DecisionLog
+    from hickorybeam.telemetry.promise_log import PromiseLog
 
 __all__ = ("FinalResponses",)
 
+NO_SERVICE = 503
+
 
 def not_run_headers(progress: RequestProgress, exc: GatewayError) -> RawHeaders:
     """Return the headers that tell the VM which forwarded a request that it was not run here."""
@@ -56,12 +61,14 @@
         feed: FeedService,
         selector: TargetSelector,
         log: DecisionLog,
+        promises: PromiseLog,
     ) -> None:
         self._clock = clock
         self._feed = feed
         self._selector = selector
         self._counters = counters
         self._log = log
+        self._promises = promises
 
     def give_up(self, request: AdmittedRequest, progress: RequestProgress) -> None:
         """Send the final response to a request that will not be run, or not again."""
@@ -84,6 +91,7 @@
             head, info, body = progress.failed_response
             # A status that implies that nothing ran can't be passed on: the request may have run.
             if info.signed and not info.implies_not_run:
+                self.record_passed_on(request, info.status, progress)
                 response.send(
                     info.status, without_hop_headers(response_headers(head.headers)), body
                 )
@@ -153,11 +161,46 @@
             retry_after_ms=exc.retry_after_ms,
             config=config.version if config else None,
         )
+        if error.status in PROMISES_NOT_RUN:
+            self._record_promise(call, error.status, exc, progress)
         headers = refusal_headers(call.request_id, retry_after_ms=exc.retry_after_ms)
         if error.ran is Ran.NO and progress is not None:
             headers = (*headers, *not_run_headers(progress, exc))
         response.send(error.status, headers, close=exc.kind is ErrorKind.DRAINING)
 
+    def _record_promise(
+        self,
+        call: RelayCall,
+        status: int,
+        exc: GatewayError,
+        progress: RequestProgress | None,
+    ) -> None:
+        """Log on what ground a request is said not to have run."""
+        kind = exc.kind.value
+        if progress is None or not progress.records:
+            self._promises.write_unsent(call.request_id, status=status, kind=kind)
+            return
+        self._promises.write_sent(
+            call.request_id,
+            status=status,
+            kind=kind,
+            ground=ground_of(progress.records).value,
+            sends=[it.describe(call.arrived_ms) for it in progress.records],
+        )
+
+    def refuse_cancelled(self, call: RelayCall, response: ResponseWriter) -> None:
+        """Tell another region's VM that a request which it has cancelled will not be run."""
+        self._promises.write_unsent(call.request_id, status=NO_SERVICE, kind="run_cancelled")
+        headers = refusal_headers(call.request_id, retry_after_ms=None)
+        response.send(NO_SERVICE, (*headers, (HOP_NOT_RUN, NO_SERVER_ASKED)))
+
+    def record_passed_on(
+        self, request: AdmittedRequest, status: int, progress: RequestProgress
+    ) -> None:
+        """Log that a server's own failure is the final answer."""
+        target = progress.records[-1].target if progress.records else ""
+        self._promises.write_passed_on(request.call.request_id, status=status, target=target)
+
     def record_success(
         self, request: AdmittedRequest, target: Target, progress: RequestProgress
     ) -> None:
--- a/src/hickorybeam/gateway/forwarding/hop.py
+++ b/src/hickorybeam/gateway/forwarding/hop.py
@@ -7,7 +7,7 @@
 
 from hickorybeam.gateway.targets import AdmittedRequest, foreign_route
 from hickorybeam.http1 import find_header, header_bytes, header_text, parse_count
-from hickorybeam.platform import decode_call
+from hickorybeam.platform import REQUEST_ID, decode_call
 from hickorybeam.policy.region_path import REGION_ROUND_TRIP_MS
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
@@ -88,6 +88,8 @@
     :param run: the name of the run that the other VM is asked for.
     """
     sent = tuple(pair for pair in request.call.headers if pair[0] not in HOP_HEADERS)
+    # First, so that a refusal of the head as too long names the request.
+    sent = tuple(sorted(sent, key=lambda pair: pair[0] != REQUEST_ID))
     return (*sent, (HOP_RUN, header_bytes(run)), *_hop_headers(request, now_ms))
 
 
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -23,11 +23,12 @@
 from hickorybeam.gateway.settings_limits import shutdown_times
 from hickorybeam.http1 import HttpServer, UpstreamPool, parse_count
 from hickorybeam.kernel import Service
-from hickorybeam.platform import decode_query, directory_response
+from hickorybeam.platform import REQUEST_ID, decode_query, directory_response
 from hickorybeam.policy.directory_listing import RegionVms, vms_to_list
 from hickorybeam.ports import FEED, FLEET, PART_BLOCKS, RELAY
 from hickorybeam.sockets import bind_socket, split_address
 from hickorybeam.telemetry.decisions import DecisionLog
+from hickorybeam.telemetry.promise_log import PromiseLog
 
 if TYPE_CHECKING:
     import socket
@@ -81,6 +82,7 @@
         self._cfg = cfg
         self._clock = clock
         self._counters = counters
+        self._promises = PromiseLog(clock, counters)
         self._servers: list[HttpServer] = []
         self._bound_ports = Ports()
         self._leaving = False
@@ -105,6 +107,7 @@
                 self._clock, connect_ms=CONNECT_TIMEOUT_MS, silent_ms=UNACKED_TIMEOUT_MS
             ),
             log=DecisionLog(self._clock),
+            promises=self._promises,
             part_blocks=self._part_blocks,
         )
         self._fleet.region_forecasts = self._handler.forecasts
@@ -144,7 +147,8 @@
             clock=self._clock,
             tasks=tg,
             limits=self._peer_limits if is_for_peers else self._feed.routing_state.caller_limits,
-            on_malformed=self._count_malformed,
+            on_refused=self._record_refused,
+            id_header=REQUEST_ID,
             refusal_headers=((HOP_NOT_RUN, NO_SERVER_ASKED),) if is_for_peers else (),
             # A run whose VM is cut off would go on for nobody.
             silent_ms=UNACKED_TIMEOUT_MS if is_for_peers else 0,
@@ -211,8 +215,11 @@
     def _in_flight_count(self) -> int:
         return sum(server.in_flight for server in self._servers[:2])
 
-    def _count_malformed(self, status: int) -> None:
-        self._counters.refusals.labels(f"malformed_{status}").inc()
+    def _record_refused(self, status: int, request_id: str) -> None:
+        """Count and log a request that was refused before it was read; none of it has run."""
+        kind = f"malformed_{status}"
+        self._counters.refusals.labels(kind).inc()
+        self._promises.write_unread(request_id, status=status, kind=kind)
 
     async def _serve_peer(self, req: IncomingRequest, reply: ResponseWriter) -> None:
         """Serve the peers' port: requests forwarded by another region's VM, metrics, changes.
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -12,7 +12,6 @@
 from hickorybeam.gateway.event_splitter import EventSplitter
 from hickorybeam.gateway.final_responses import FinalResponses
 from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRuns
-from hickorybeam.gateway.forwarding.hop import HOP_NOT_RUN, NO_SERVER_ASKED
 from hickorybeam.gateway.forwarding.peer_connections import PeerConnections
 from hickorybeam.gateway.forwarding.run_cancels import RunCancels
 from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunAnswers, RunEnded
@@ -69,6 +68,7 @@
     from hickorybeam.settings import GatewaySettings
     from hickorybeam.telemetry import Counters
     from hickorybeam.telemetry.decisions import DecisionLog
+    from hickorybeam.telemetry.promise_log import PromiseLog
 
 __all__ = ("RequestHandler",)
 
@@ -78,7 +78,6 @@
 # another region and its own start. Until then callers wait; if they were refused, they would retry
 # after as long and have no further attempt. After that, a VM without configuration refuses at once.
 MAX_CONFIG_WAIT_MS = 1_000
-NO_SERVICE = 503
 
 
 class RequestHandler:
@@ -94,9 +93,11 @@
         fleet: FleetService,
         pool: UpstreamPool,
         log: DecisionLog,
+        promises: PromiseLog,
         part_blocks: PartBlocksService,
     ) -> None:
         self._cfg = cfg
+        self._promises = promises
         self._clock = clock
         self._counters = counters
         self._feed = feed
@@ -126,7 +127,12 @@
             servers=servers,
         )
         self._final_responses = FinalResponses(
-            clock=clock, counters=counters, feed=feed, selector=self._selector, log=log
+            clock=clock,
+            counters=counters,
+            feed=feed,
+            selector=self._selector,
+            log=log,
+            promises=promises,
         )
         self._local_placement = LocalPlacement(
             clock=clock,
@@ -191,6 +197,7 @@
             self._server_ends.start(tg)
             tg.start_soon(self._placement_client.run)
             tg.start_soon(self._peer_connections.run)
+            tg.start_soon(self._promises.run)
             await self._placement_coordinator.run(tg)
 
     async def handle(self, req: IncomingRequest, response: ResponseWriter) -> None:
@@ -219,7 +226,7 @@
         """
         with self._forwarded_runs.open(run_name) as run:
             if run is None:
-                response.send(NO_SERVICE, ((HOP_NOT_RUN, NO_SERVER_ASKED),))
+                self._final_responses.refuse_cancelled(request.call, response)
             else:
                 await self.handle_admitted(request, response, run=run)
                 run.left = response.is_disconnected
--- a/src/hickorybeam/gateway/send_records.py
+++ b/src/hickorybeam/gateway/send_records.py
@@ -16,7 +16,18 @@
 
     from hickorybeam.telemetry import Counters
 
-__all__ = ("SendCounts", "SendEnd", "SendRecord", "is_notable")
+__all__ = ("NotRunGround", "SendCounts", "SendEnd", "SendRecord", "ground_of", "is_notable")
+
+
+class NotRunGround(Enum):
+    """On what ground a send counts as not run.
+
+    ``UNSENT``: not a byte of it was sent. ``SERVER``, ``VM``: the word of the one it was sent to.
+    """
+
+    UNSENT = "unsent"
+    SERVER = "server"
+    VM = "vm"
 
 
 class SendEnd(Enum):
@@ -44,7 +55,8 @@
     """One send of a request, on this VM's clock.
 
     ``target`` is a server's id or a VM's name. ``run`` names the run that another region's VM was
-    asked for, empty if a server was asked.
+    asked for, empty if a server was asked. ``conn`` tells its connection. If it was not run,
+    ``ground`` tells how that is known, and ``why`` in words.
     """
 
     target: str
@@ -52,17 +64,32 @@
     sent_ms: int
     ended_ms: int = 0
     end: SendEnd = SendEnd.OPEN
+    conn: str = ""
+    ground: NotRunGround | None = None
+    why: str = ""
 
     def close(self, end: SendEnd, now_ms: int) -> None:
         """Record how it ended; further calls do nothing."""
         if self.end is SendEnd.OPEN:
             self.end, self.ended_ms = end, now_ms
 
+    def close_not_run(self, now_ms: int, *, ground: NotRunGround, why: str, conn: str = "") -> None:
+        """Record that it was not run, and how that is known.
+
+        :param conn: the connection that it was sent on, empty if there was none.
+        """
+        self.close(SendEnd.NOT_RUN, now_ms)
+        self.ground, self.why, self.conn = ground, why, conn
+
     def describe(self, arrived_ms: int) -> str:
         """Return it as text, in ms since the request arrived."""
         via = f" as {self.run}" if self.run else ""
         times = f"{self.sent_ms - arrived_ms}-{self.ended_ms - arrived_ms}"
-        return f"{self.target}{via} {times} ms {self.end.value}"
+        text = f"{self.target}{via} {times} ms {self.end.value}"
+        if self.ground is None:
+            return text
+        on = f" on {self.conn}" if self.conn else ""
+        return f"{text} by {self.ground.value}{on}: {self.why}"
 
 
 class SendCounts:
@@ -81,6 +108,15 @@
         self._children[bool(record.run), record.end].inc()
 
 
+def ground_of(records: Sequence[SendRecord]) -> NotRunGround:
+    """Return on what ground a request that was sent was not run: the weakest of its sends."""
+    grounds = {it.ground for it in records}
+    for ground in (NotRunGround.SERVER, NotRunGround.VM):
+        if ground in grounds:
+            return ground
+    return NotRunGround.UNSENT
+
+
 def is_notable(records: Sequence[SendRecord]) -> bool:
     """Return whether a request was sent more than once, or may still run after its end."""
     return len(records) > 1 or any(it.end in UNSETTLED_ENDS for it in records)
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -17,7 +17,7 @@
 )
 from hickorybeam.gateway.resumed_streams import ResumedStreams, version_of
 from hickorybeam.gateway.run_settlement import RunSettlement, may_overlap
-from hickorybeam.gateway.send_records import SendCounts, SendEnd, SendRecord
+from hickorybeam.gateway.send_records import NotRunGround, SendCounts, SendEnd, SendRecord
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, target_name
 from hickorybeam.gateway.whole_responses import WholeResponses
 from hickorybeam.http1 import (
@@ -152,7 +152,12 @@
             if progress.response.done:
                 self._final_responses.record_success(request, target, progress)
         except NotRunError as exc:
-            record.close(SendEnd.NOT_RUN, self._clock.now())
+            record.close_not_run(
+                self._clock.now(),
+                ground=exc.ground,
+                why=str(exc),
+                conn=attempt.describe_connection(),
+            )
             is_left = progress.outcome_open = False
             progress.rejected |= exc.rejected
             progress.blocked = exc.blocked or progress.blocked
@@ -265,7 +270,9 @@
             if server_state is not None and info.misdirected:
                 server_state.record_unreachable(self._clock.now())
                 self._part_blocks.recorder.record_replaced(server_state)
-            raise NotRunError(f"status {info.status}: not run", rejected=True)
+            raise NotRunError(
+                f"status {info.status}: not run", rejected=True, ground=NotRunGround.SERVER
+            )
         success = OK_STATUS <= info.status < FIRST_NON_SUCCESS_STATUS
         if success and not info.signed:
             raise BrokenResponseError("a success that no server signed")
@@ -312,6 +319,8 @@
         elif body is None:
             progress.response.end()
         else:
+            if info.status >= FIRST_NON_SUCCESS_STATUS:
+                self._final_responses.record_passed_on(request, info.status, progress)
             progress.response.send(info.status, headers, body)
             progress.timing.record_chunk(self._clock.now())
 
--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -198,9 +198,13 @@
         """Send an error status for an invalid request and close the connection."""
         if self.closing:
             return
-        self.server.on_malformed(status)
+        request_id = self._parser.header(self.server.id_header)
+        self.server.on_refused(status, request_id.decode("latin-1"))
         self._reader.discard()
-        self.write(response_head_bytes(status, self.server.refusal_headers, length=0, close=True))
+        headers = self.server.refusal_headers
+        if request_id:
+            headers = (*headers, (self.server.id_header, request_id))
+        self.write(response_head_bytes(status, headers, length=0, close=True))
         if self._transport is not None:
             self._transport.close()
 
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -133,5 +133,6 @@
             raise ConnectFailedError(f"{address[0]}:{address[1]}: {exc!r}") from exc
         self.opened += 1
         conn.opened_ms = self._clock.now()
+        conn.local_port = transport.get_extra_info("sockname")[1]
         end_if_silent(transport, self._silent_ms)
         return conn
--- a/src/hickorybeam/http1/request_parser.py
+++ b/src/hickorybeam/http1/request_parser.py
@@ -95,6 +95,10 @@
         if self.in_request and not self.refused:
             self._check_bounds()
 
+    def header(self, name: bytes) -> bytes:
+        """Return a header of the request that is being read, empty if it has not come."""
+        return find_header(tuple(self._headers), name) or b""
+
     def _begin_without_upgrade(self) -> bytes:
         """Begin to read the body of a request that offers another protocol, which isn't taken up.
 
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -42,8 +42,10 @@
     :param handler: handles one request; if it returns without a complete response, the connection
         is aborted.
     :param limits: returns the limits in force.
-    :param on_malformed: called with the error status sent for each invalid request.
+    :param on_refused: called with the error status sent for each invalid request, and its id.
     :param refusal_headers: sent with that status.
+    :param id_header: the header that names a request, in lower case; it comes with that status
+        too, so that a VM which forwarded the request knows it for the answer.
     :param silent_ms: a connection ends when sent bytes, or probes, stay unacknowledged for this
         long; 0 for no bound.
     """
@@ -55,13 +57,15 @@
         clock: Clock,
         tasks: TaskGroup,
         limits: Callable[[], CallerLimits] = CallerLimits,
-        on_malformed: Callable[[int], None] = lambda _: None,
+        on_refused: Callable[[int, str], None] = lambda status, request_id: None,
         refusal_headers: RawHeaders = (),
+        id_header: bytes = b"",
         silent_ms: int = 0,
     ) -> None:
         self.clock = clock
         self.limits = limits
-        self.on_malformed = on_malformed
+        self.on_refused = on_refused
+        self.id_header = id_header
         self.refusal_headers = refusal_headers
         self.silent_ms = silent_ms
         self.conns: set[CallerConnection] = set()
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -60,6 +60,7 @@
     def __init__(self) -> None:
         self.reusable = False
         self.keep_alive_s: float | None = None
+        self.local_port = 0
         self.opened_ms = 0
         self.request_count = 0
         # Whether the other end closed or reset it, which ends what runs there.
