--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -102,7 +102,7 @@
     With a ``shape`` it is a model engine, which answers what tells its tokens from its ``batch``.
     ``limit`` is the value of the header in which all its answers name a rate limit, if any.
     If it is ``leaving``, all its answers say so. If it ``keeps_runs``, they go on when their
-    connections close.
+    connections close. If it ``tells_id``, its answers name the request in their bodies too.
     ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
     ``time_factor`` is the percentage of the usual time that its work takes, as its answers tell it
     if it is set.
@@ -128,6 +128,7 @@
     limit: bytes | None = None
     leaving: bool = False
     keeps_runs: bool = False
+    tells_id: bool = False
     rest_s: bytes | None = None
     time_factor: bytes | None = None
     odd_headers: RawHeaders = ()
@@ -262,7 +263,7 @@
             if self.faults.take("extra"):
                 other = self._headers(b"of-another-request")
                 reply.send_raw(response_head_bytes(200, other, length=5, close=False) + b"other")
-            reply.send(200, headers, b"done by " + self.id.encode())
+            reply.send(200, headers, self._done(request_id))
 
     async def _stream(
         self, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
@@ -281,9 +282,13 @@
                     await self.clock.sleep(self.event_every_ms)
                     reply.abort() if cut else stream.end()
                     return
-            await stream.send(event(number, version))
+            await stream.send(event(number, version, self._own_id(req)))
         stream.end()
 
+    def _own_id(self, req: IncomingRequest) -> str:
+        request_id = find_header(req.headers, names.REQUEST_ID) or b""
+        return request_id.decode("latin-1") if self.tells_id else ""
+
     async def _crash_under(
         self, reply: ResponseWriter, headers: RawHeaders, body: bytes, *, is_stream: bool
     ) -> None:
@@ -360,6 +365,10 @@
             if not stream.done:
                 batch.cancel(stream.id)
 
+    def _done(self, request_id: bytes) -> bytes:
+        told = b" for " + request_id if self.tells_id else b""
+        return b"done by " + self.id.encode() + told
+
     def _headers(self, request_id: bytes) -> RawHeaders:
         headers = [(names.REQUEST_ID, request_id), *self.odd_headers, self._load()]
         if not self.faults.take("unsigned"):
@@ -396,9 +405,13 @@
     )
 
 
-def event(number: int, version: str) -> bytes:
-    """Return one event of a stream, which tells the version of the server's software."""
-    return b"id: %d\ndata: event %d of %s\n\n" % (number, number, version.encode())
+def event(number: int, version: str, request_id: str = "") -> bytes:
+    """Return one event of a stream, which tells the version of the server's software.
+
+    :param request_id: the id of the stream's request, if the event tells it.
+    """
+    told = f"event {number} of {version}" + (f" for {request_id}" if request_id else "")
+    return b"id: %d\ndata: %s\n\n" % (number, told.encode("latin-1"))
 
 
 @asynccontextmanager
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -140,17 +140,18 @@
 class Daemon:
     """A VM's daemon in a process of its own."""
 
-    def __init__(self, folder, url, *, seeds=()):
+    def __init__(self, folder, url, *, seeds=(), name="n1", centre="north-1"):
         # An address of its own: on 127.0.0.1, another test may take a port before it is bound.
-        self.host = host = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.1"
+        net = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+        self.host = host = f"{net}.{1 if name == 'n1' else 2}"
         self._log = (folder / "daemon.log").open("ab")
         self.log = folder / "daemon.log"
         ports = free_ports(5, host)
         self.callers, self.ready, self.directory, self.state, self.peers = ports
         path = folder / "vm.json"
         path.write_text(
-            f"""{{vm: {{name: "n1", region: "north", data_centre: "north-1", host: "{host}",
-              peer_port: {self.peers}}},
+            f"""{{vm: {{name: "{name}", region: "{centre[:5]}", data_centre: "{centre}",
+              host: "{host}", peer_port: {self.peers}}},
             platform: {{urls: ["{url}"], prefix: "hickorybeam/", timeout_ms: 1500}},
             peers: {{tls: {{plain: true}}}},
             gateway: {{regions: {{"north-1": "north", "south-1": "south"}},
