backends: the older interface takes a response for a call's only if it echoes the call's id

A caller got another's answer, or was told that nothing ran, if a server's response named no call; of two ids the first counted. check_request_id asks http1/response_owner now, so both interfaces share the rule; anything else leaves the outcome open (backend_failed or backend_unknown). It fails at once: calls that aren't idempotent have a connection of their own, and others are repeated.

Found by it: a second response in the same read replaced the headers of the first, which then went to the caller (row 'extra bytes' of wire.feature failed).

Stand-ins and raw servers echo the id in refusals too, as servers do; load reports and cancels bear no id.

--- a/src/hickorybeam/backends/cancels.py
+++ b/src/hickorybeam/backends/cancels.py
@@ -54,7 +54,7 @@
 
     async def _send(self, cancel: CancelRequest) -> None:
         backend = cancel.backend
-        call = Call(request_id="cancel", account="", key_digest="", kind=CallKind.PLAIN, served="")
+        call = Call(request_id="", account="", key_digest="", kind=CallKind.PLAIN, served="")
         request = HttpRequest(
             method="DELETE",
             target=f"/streams/{cancel.stream_id}".encode(),
--- a/src/hickorybeam/backends/http1.py
+++ b/src/hickorybeam/backends/http1.py
@@ -125,12 +125,16 @@
     def on_message_begin(self) -> None:
         """Start the head of a response."""
         if self._message_ended:
+            # Its headers must not replace those of the response before it.
             self._excess_bytes = True
+            return
         self.headers = []
         self._head_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
+        if self._message_ended:
+            return
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
             raise BrokenResponseError
--- a/src/hickorybeam/backends/http_client.py
+++ b/src/hickorybeam/backends/http_client.py
@@ -7,7 +7,7 @@
 
 from hickorybeam.backends.exchange import Exchange, ExchangeError
 from hickorybeam.errors import ErrorKind, GatewayError, Ran
-from hickorybeam.http1 import parse_retry_after_ms
+from hickorybeam.http1 import Owner, RequestId, owner_of, parse_retry_after_ms
 
 if TYPE_CHECKING:
     from hickorybeam.backends.headers import RawHeaders
@@ -21,6 +21,7 @@
 SERVICE_UNAVAILABLE = 503
 TOO_MANY_REQUESTS = 429
 RAN_NO = "no"
+ID_HEADER = b"x-request-id"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,16 +78,16 @@
 
 
 def check_request_id(exchange: Exchange, call: Call, backend: BackendServer) -> None:
-    """Raise if the response is for another request.
+    """Raise unless the response is the request's by its id; the request may have run.
 
-    A backend server that mixes up its responses would show one caller another's content; the
-    echoed request id is the only sign of it.
+    A backend server that mixes up its responses, or sends more than one, would show one caller
+    another's content, or have it told that nothing ran.
     """
-    echoed_id = exchange.header(b"x-request-id")
-    if echoed_id and echoed_id != call.request_id:
-        raise possibly_run_error(
-            call, backend, ErrorKind.BACKEND_FAILED, "answered another request"
-        )
+    headers = tuple((name.lower(), value) for name, value in exchange.headers)
+    owner = owner_of(headers, RequestId(ID_HEADER, call.request_id.encode()))
+    if owner is not Owner.REQUEST:
+        detail = f"answered {owner.value}, status {exchange.status}"
+        raise possibly_run_error(call, backend, ErrorKind.BACKEND_FAILED, detail)
 
 
 def check_refusal(exchange: Exchange, backend: BackendServer) -> None:
--- a/src/hickorybeam/backends/reports.py
+++ b/src/hickorybeam/backends/reports.py
@@ -107,7 +107,7 @@
                 await self._clock.sleep(self._poll_interval_ms())
 
     async def _poll(self, backend: BackendServer) -> None:
-        call = Call(request_id="load", account="", key_digest="", kind=CallKind.PLAIN, served="")
+        call = Call(request_id="", account="", key_digest="", kind=CallKind.PLAIN, served="")
         host = f"{backend.host}:{backend.port}".encode()
         request = HttpRequest(method="GET", target=b"/load", headers=[(b"host", host)])
         try:
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -12,7 +12,7 @@
     has_ambiguous_framing,
 )
 from hickorybeam.http1.pool import ConnectFailedError, UpstreamPool
-from hickorybeam.http1.response_owner import RequestId, Stray
+from hickorybeam.http1.response_owner import Owner, RequestId, Stray, owner_of
 from hickorybeam.http1.server import HttpServer, ResponseWriter
 from hickorybeam.http1.upstream import (
     BrokenResponseError,
@@ -36,6 +36,7 @@
     "Framing",
     "HttpServer",
     "IncomingRequest",
+    "Owner",
     "RawHeaders",
     "RequestId",
     "ResponseWriter",
@@ -48,6 +49,7 @@
     "has_ambiguous_framing",
     "is_encoded",
     "is_event_stream",
+    "owner_of",
     "parse_count",
     "parse_decimal",
     "parse_retry_after_ms",
--- a/src/hickorybeam/standins/http.py
+++ b/src/hickorybeam/standins/http.py
@@ -57,6 +57,9 @@
     """The other end closed its connection before the request was whole."""
 
 
+ID_HEADER = "x-request-id"
+
+
 class FaultKind(Enum):
     """What a stand-in can be told to do wrong.
 
@@ -153,7 +156,9 @@
         self._conn.abort()
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
-        """Send status and headers."""
+        """Send status and headers, with the request's id unless they have one."""
+        if request_id := self.headers.get(ID_HEADER, ""):
+            headers = {ID_HEADER: request_id} | headers
         raw = [(name.encode(), value.encode("latin-1")) for name, value in headers.items()]
         await self._send({"type": "http.response.start", "status": status, "headers": raw})
 
--- a/tests/backends/wire.feature
+++ b/tests/backends/wire.feature
@@ -34,6 +34,10 @@
       | oversized head        | GET    | backend_failed       | no   |
       | switching protocols   | GET    | backend_failed       | no   |
       | response to another   | GET    | backend_failed       | no   |
+      | response to nobody    | GET    | backend_failed       | no   |
+      | refusal of nobody     | GET    | backend_failed       | no   |
+      | refusal of another    | GET    | backend_failed       | no   |
+      | refusal of two        | GET    | backend_failed       | no   |
       | no length             | GET    | 200 hello            | no   |
       | no length, reset      | GET    | stream_broken        | no   |
       | no length, silent     | GET    | backend_silent       | no   |
--- a/tests/steps/backends/wire_steps.py
+++ b/tests/steps/backends/wire_steps.py
@@ -37,6 +37,13 @@
     "no length, reset": OK + b"\r\nhello",
     "no length, silent": OK + b"\r\nhel",
     "response to another": OK + b"x-request-id: other\r\ncontent-length: 5\r\n\r\nhello",
+    "response to nobody": OK + b"x-request-id:\r\nContent-length: 5\r\n\r\nhello",
+    "refusal of nobody": b"HTTP/1.1 503 Full\r\nx-request-id:\r\nx-ran: no\r\n"
+    b"content-length: 0\r\n\r\n",
+    "refusal of another": b"HTTP/1.1 503 Full\r\nx-ran: no\r\nx-request-id: other\r\n"
+    b"content-length: 0\r\n\r\n",
+    "refusal of two": b"HTTP/1.1 503 Full\r\nx-ran: no\r\nx-request-id: other\r\n"
+    b"x-request-id: other2\r\ncontent-length: 0\r\n\r\n",
 }
 STAYS_OPEN = {
     "length",
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import struct
 
 LIMIT_S = 5
 READ_BYTES = 65_536
 RESET_AFTER_S = 0.05
+FINAL_LINE = re.compile(rb"HTTP/1\.[01] [2-5][^\r]*\r\n")
+ID_LINE = re.compile(rb"\r\n(x-request-id: [^\r]*\r\n)", re.IGNORECASE)
 EVENT_STREAM = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
 
 
@@ -36,8 +39,8 @@
 
     async def respond(reader, writer):
         try:
-            await reader.read(READ_BYTES)
-            writer.write(data)
+            request = await reader.read(READ_BYTES)
+            writer.write(with_id(data, request))
             await writer.drain()
             if stays_open:
                 await asyncio.sleep(LIMIT_S)
@@ -50,6 +53,14 @@
     return await listen(tg, respond)
 
 
+def with_id(data, request):
+    """Return an answer's bytes with the id of its request, as servers echo it, unless it has one."""
+    found = ID_LINE.search(request)
+    if found is None or b"x-request-id" in data:
+        return data
+    return FINAL_LINE.sub(lambda line: line[0] + found[1], data, count=1)
+
+
 async def listen(tg, respond):
     """Handle connections by reader and writer until the task group ends; return the port."""
     server = await asyncio.start_server(respond, "127.0.0.1", 0)
