platform/store: a reply that is another call's by its content is not taken for this one's

A reply that the store (or something before it) tells twice was taken for the next call's: a write counted as done that was not, a key or a page of another prefix as read. The protocol has no ids, so the content decides: keys and prefixes asked for, a revision above what was known before a write, a lease that was not granted last, nothing older than known. All else is an unknown outcome of a write, a failed read. Calls keep off kept connections after bytes of no call. What is left: a 404 or a renewal shows nothing of its call.

--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -17,6 +17,12 @@
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.kernel import Service
 from hickorybeam.platform.replies import StoreReply, decode_batches, decode_items, decode_reply
+from hickorybeam.platform.reply_checks import (
+    misfit_of_batches,
+    misfit_of_commit,
+    misfit_of_page,
+    misfit_of_revision,
+)
 from hickorybeam.ports import PLATFORM
 from hickorybeam.sockets import split_address
 from hickorybeam.store.port import (
@@ -101,6 +107,9 @@
         self._rng = random.Random()
         self._pending_polls: set[_PendingPoll] = set()
         self._last_failure_ms: int | None = None
+        # The highest revision of all replies, and the lease that was granted last.
+        self._known_revision = 0
+        self._last_lease: int | None = None
         self._calls = counters.counter(
             "platform_calls", "Calls made of the platform", ("kind", "outcome")
         )
@@ -111,6 +120,8 @@
         at = reply.at or 0
         if status == NOT_FOUND:
             return ReadResult(at, ())
+        if reply.key != key:
+            raise self._misfit("read", f"key {reply.key!r} for {key!r}")
         item = KeyValue(reply.key or key, reply.value or b"", reply.revision or 0, reply.lease or 0)
         return ReadResult(at, (item,))
 
@@ -126,6 +137,8 @@
             _, reply = await self._read("range", path)
             revision = revision or reply.at or 0
             page = decode_items(reply.items or ())
+            if why := misfit_of_page(page, prefix=prefix, after=after):
+                raise self._misfit("range", why)
             items += [item for item in page if item.key >= start]
             if not reply.has_more or (limit and len(items) >= limit):
                 return ReadResult(revision, tuple(items[:limit] if limit else items))
@@ -149,14 +162,22 @@
             ],
             "remove": [it.key for it in writes if isinstance(it, Delete)],
         }
+        known = self._known_revision
         status, reply = await self._write("txn", "POST", "/kv-txn", body)
         if status == NOT_FOUND:
             raise GatewayError(ErrorKind.LEASE_LOST)
+        if status == OK and puts and (why := misfit_of_commit(reply, known)):
+            raise self._misfit("txn", why, error=ErrorKind.PLATFORM_UNKNOWN)
+        self._note_revision(reply.revision if status == OK else None)
         return TxnResult(status == OK, reply.revision or 0)
 
     async def grant(self, ttl_ms: int) -> int:
         """Create a lease."""
         _, reply = await self._write("lease", "POST", "/kv-lease", {"ttl-ms": ttl_ms})
+        if reply.lease == self._last_lease:
+            why = f"lease {reply.lease} was granted before"
+            raise self._misfit("lease", why, error=ErrorKind.PLATFORM_UNKNOWN)
+        self._last_lease = reply.lease
         return reply.lease or 0
 
     async def keep_alive(self, lease: int) -> int:
@@ -181,6 +202,8 @@
             if status == GONE:
                 raise GatewayError(ErrorKind.WATCH_COMPACTED, f"after {after}")
             batches = decode_batches(reply)
+            if why := misfit_of_batches(batches, prefix=prefix, after=after):
+                raise self._misfit("watch", why)
             for batch in batches:
                 after = max(after, batch.revision)
                 yield batch
@@ -205,6 +228,17 @@
             "watch: poll cancelled, it began before the store's last failure",
         )
 
+    def _misfit(
+        self, kind: str, why: str, *, error: ErrorKind = ErrorKind.PLATFORM_OUT
+    ) -> GatewayError:
+        """Return the error for a reply that is another call's; the connections may hold more."""
+        self._pool.close_idle(self._address)
+        self._record_failure(kind, "misfit")
+        return GatewayError(error, f"{kind}: the reply is another call's: {why}")
+
+    def _note_revision(self, revision: int | None) -> None:
+        self._known_revision = max(self._known_revision, revision or 0)
+
     def _record_failure(self, kind: str, outcome: str) -> None:
         self._last_failure_ms = self._clock.now()
         self._count(kind, outcome)
@@ -250,6 +284,7 @@
         limit_ms: int,
         write: bool = False,
     ) -> tuple[int, StoreReply]:
+        known = self._known_revision
         try:
             status, raw = await self._exchange(method, path, body, limit_ms=limit_ms)
         except ConnectFailedError as exc:
@@ -261,14 +296,20 @@
             self._record_failure(kind, "unknown")
             error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
             raise GatewayError(error, f"{kind}: {exc!r}") from exc
-        return self._check_response(kind, status, raw, write=write)
+        status, reply = self._check_response(kind, status, raw, write=write)
+        if why := misfit_of_revision(reply, known):
+            error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
+            raise self._misfit(kind, why, error=error)
+        self._note_revision(reply.at)
+        return status, reply
 
     async def _exchange(
         self, method: str, path: str, body: object | None, *, limit_ms: int
     ) -> tuple[int, bytes]:
         data = b"" if body is None else msgspec.json.encode(body)
         headers = (*(JSON if body is not None else ()), (b"host", b"store"))
-        conn = await self._pool.acquire(self._address)
+        fresh = self._pool.sent_strays(self._address)
+        conn = await self._pool.acquire(self._address, fresh=fresh)
         try:
             with anyio.fail_after(limit_ms / MS_PER_SECOND):
                 conn.send(request_bytes(method, path.encode("ascii"), headers, data))
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -104,3 +104,27 @@
       | txn    | 412    | {"items":[]}        | yes   |
       | txn    | 200    | {"revision":9}      | yes   |
       | txn    | 200    | {}                  | no    |
+
+  # Guards against a write that is taken for done, and state that is taken for read, by another call's reply.
+  Scenario Outline: a reply that is told again is not taken for that to <call>
+    Given a key-value store and its client, with keys under "a/" and "b/"
+    And the key-value client has made the call "<earlier>"
+    When the store tells that reply again in place of the one to "<call>"
+    Then that call ends with "<error>"
+
+    Examples:
+      | earlier     | call        | error            |
+      | read b/1    | read a/1    | platform_out     |
+      | range b/    | range a/    | platform_out     |
+      | watch b/ 0  | watch a/ 0  | platform_out     |
+      | watch a/ 0  | watch a/ 9  | platform_out     |
+      | write a/2   | write a/3   | platform_unknown |
+      | grant       | grant       | platform_unknown |
+      | read a/1    | write a/4   | platform_unknown |
+
+  Scenario: a read that is older than what was known is not taken
+    Given a key-value store and its client, with keys under "a/" and "b/"
+    And the key-value client has made the call "read a/1"
+    When the key-value client writes "a/1" again
+    And the store tells that reply again in place of the one to "read a/1"
+    Then that call ends with "platform_out"
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -352,3 +352,63 @@
             assert config.accounts["acc"].rate_per_s == rate
         case other:
             raise AssertionError(other)
+
+
+@given('a key-value store and its client, with keys under "{one}" and "{other}"')
+def step_served_with_keys(context, one, other):
+    step_served(context)
+    for prefix in (one, other):
+        for number in range(4):
+            context.app.put(f"{prefix}{number}", b"1")
+
+
+async def one_batch(client, prefix, after):
+    async for _ in client.watch(prefix, after=after):
+        return
+
+
+def store_call(client, text):
+    match text.split():
+        case ["read", key]:
+            return lambda: client.read(key)
+        case ["range", prefix]:
+            return lambda: client.read_prefix(prefix)
+        case ["watch", prefix, after]:
+            return lambda: one_batch(client, prefix, int(after))
+        case ["write", key]:
+            return lambda: client.txn((), (Put(key, b"2"),))
+        case ["grant"]:
+            return lambda: client.grant(5_000)
+    raise ValueError(text)
+
+
+@given('the key-value client has made the call "{call}"')
+def step_earlier_call(context, call):
+    client, exchange = context.client, context.client._exchange
+
+    async def keep(*args, **options):
+        context.told = await exchange(*args, **options)
+        return context.told
+
+    client._exchange = keep
+    context.call(store_call(client, call))
+    client._exchange = exchange
+
+
+@when('the key-value client writes "{key}" again')
+def step_write_again(context, key):
+    context.call(store_call(context.client, f"write {key}"))
+
+
+@when('the store tells that reply again in place of the one to "{call}"')
+def step_told_again(context, call):
+    async def tell_again(*args, **options):
+        return context.told
+
+    context.client._exchange = tell_again
+    context.found = outcome(context, store_call(context.client, call))
+
+
+@then('that call ends with "{kind}"')
+def step_told_again_outcome(context, kind):
+    assert context.found == kind, context.found
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -54,7 +54,7 @@
 
 
 def with_id(data, request):
-    """Return an answer's bytes with the id of its request, as servers echo it, unless it has one."""
+    """Return an answer's bytes with the id of its request, as servers echo it."""
     found = ID_LINE.search(request)
     if found is None or b"x-request-id" in data:
         return data
