--- a/src/hickorybeam/http1/response_owner.py
+++ b/src/hickorybeam/http1/response_owner.py
@@ -17,7 +17,9 @@
 if TYPE_CHECKING:
     from hickorybeam.http1.head import RawHeaders
 
-__all__ = ("Owner", "RequestId", "Stray", "StrayKind", "owner_of")
+__all__ = ("Owner", "RequestId", "Stray", "StrayKind", "is_merged", "owner_of")
+
+STATUS_LINE = b"HTTP/1."
 
 
 class Owner(Enum):
@@ -73,9 +75,25 @@
 
     One that echoes several ids doesn't show which of them is meant.
     """
-    found = {value for name, value in headers if name == expected.header}
-    if not found:
-        return Owner.NOBODY if expected.value else Owner.REQUEST
-    if found == {expected.value}:
-        return Owner.REQUEST
-    return Owner.NOBODY if expected.value in found else Owner.ANOTHER
+    header, value = expected.header, expected.value
+    is_own = is_other = False
+    for name, echoed in headers:
+        if name == header:
+            if echoed == value:
+                is_own = True
+            else:
+                is_other = True
+    if is_own:
+        return Owner.NOBODY if is_other else Owner.REQUEST
+    if is_other:
+        return Owner.ANOTHER
+    return Owner.NOBODY if value else Owner.REQUEST
+
+
+def is_merged(reason: bytes, headers: RawHeaders) -> bool:
+    """Return whether a head is the beginning of one, and all of the next.
+
+    Where a head breaks off, the next one is read as the end of its status line, or of a header's
+    value: a refusal's status with the id of the response that follows.
+    """
+    return STATUS_LINE in reason or any(value.startswith(STATUS_LINE) for _, value in headers)
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -13,7 +13,7 @@
 from hickorybeam.http1.head import Framing, ResponseHead, find_header
 from hickorybeam.http1.message_bounds import MessageBounds
 from hickorybeam.http1.paced_reader import PIECE_BYTES, PacedReader
-from hickorybeam.http1.response_owner import Owner, RequestId, StrayKind, owner_of
+from hickorybeam.http1.response_owner import Owner, RequestId, StrayKind, is_merged, owner_of
 from hickorybeam.http1.values import parse_count
 
 if TYPE_CHECKING:
@@ -28,7 +28,6 @@
 # The body of a response to another request that is skipped.
 MAX_SKIPPED_BYTES = 1_048_576
 FIRST_FINAL_STATUS = 200
-STATUS_LINE_BEGIN = b"HTTP/1."
 BODILESS_STATUSES = (204, 304)
 # More pieces of a body are joined, as one of a byte takes far more memory than it holds.
 MAX_PIECES = 64
@@ -99,7 +98,9 @@
         self._head_only = False
         self._skipping = False
         self._began_early = False
-        self._is_merged = False
+        # More than one head has come, or one in pieces.
+        self._may_be_merged = False
+        self._reason = b""
         self._ends_at_close = False
         self._forward: Callable[[bytes], bool] | None = None
 
@@ -156,6 +157,8 @@
         if not self._awaiting_response or self._complete:
             self._take_surplus(data)
             return
+        if self._head is None and not self._may_be_merged:
+            self._may_be_merged = bool(self._bounds.fed_bytes) or data.count(b"HTTP/1.") > 1
         self._bounds.fed_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -231,20 +234,17 @@
     def on_message_begin(self) -> None:
         """Start a head; one after the response's end makes the connection unfit for reuse."""
         self._began_early = self._is_early
-        self._is_merged = False
+        self._reason = b""
         if self._complete:
             self._report_stray(StrayKind.SURPLUS)
         self._headers = []
 
     def on_status(self, reason: bytes) -> None:
-        """Check the reason phrase."""
-        if STATUS_LINE_BEGIN in reason:
-            self._is_merged = True
+        """Append to the reason phrase."""
+        self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append one header."""
-        if value.startswith(STATUS_LINE_BEGIN):
-            self._is_merged = True
         self._bounds.add_header(len(name) + len(value))
         self._headers.append((name.lower(), value))
 
@@ -253,12 +253,11 @@
         status = self._parser.get_status_code()
         if self._complete or status < FIRST_FINAL_STATUS:
             return
-        if self._is_merged:
-            # A part of one head and all of the next: the status of one with the id of the other.
+        headers = tuple(self._headers)
+        if self._may_be_merged and is_merged(self._reason, headers):
             self._report_stray(StrayKind.INVALID, status)
             self._fail("a head inside a head")
             return
-        headers = tuple(self._headers)
         if self.expected_id is not None:
             owner = Owner.NOBODY if self._began_early else owner_of(headers, self.expected_id)
             if owner is not Owner.REQUEST:
@@ -343,7 +342,7 @@
         if self._early and expected_id is None:
             self.abort()
             raise BrokenResponseError("bytes that belong to no request", sent=False)
-        if expected_id is not None and expected_id.value and expected_id == self.expected_id:
+        if expected_id is not None and expected_id.value and self._has_just_carried(expected_id):
             # A response to the first one, told twice, would be taken for the second one's.
             raise BrokenResponseError("it has just carried a request of this id", sent=False)
         self._reset_response()
@@ -356,6 +355,9 @@
         self._skip_early()
         self._transport.write(data)
 
+    def _has_just_carried(self, request_id: RequestId) -> bool:
+        return self.expected_id is not None and self.expected_id.value == request_id.value
+
     def _skip_early(self) -> None:
         """Parse what came before the first request, as responses of nobody."""
         if not self._early:
