--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -21,7 +21,7 @@
 from functools import partial
 from itertools import pairwise
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, ClassVar
 
 import anyio
 import fire
@@ -76,7 +76,32 @@
 
 
 class LinkSoak:
-    """One run: VMs of two regions, the links between them, callers and faults."""
+    """One run: VMs of two regions, the links between them, callers and faults.
+
+    ``faults`` names the methods that do harm.
+    """
+
+    faults: ClassVar[tuple[str, ...]] = (
+        "delay",
+        "evacuate",
+        "forget",
+        "kill",
+        "leave",
+        "mark",
+        "pause",
+        "reconfigure",
+        "reset",
+        "silent",
+        "spoil",
+        "stop",
+    )
+
+    # What callers ask for, with the tokens they tell.
+    kinds: ClassVar[tuple[tuple[str, bytes | None], ...]] = (
+        ("/order/x", None),
+        ("/chat/x", b"50,10"),
+        *(("/plan/x", b"50,10"),) * 4,
+    )
 
     def __init__(self, app: KeyValueApp, folder: Path, *, seed: int, only: str) -> None:
         self.app = app
@@ -87,7 +112,7 @@
         self.violations: list[str] = []
         self._config = first_config()
         self._folder = folder
-        self._faults = [only] if only else sorted(FAULTS)
+        self._faults = (only,) if only else self.faults
         self._ports = free_ports(PORTS_PER_VM * len(VMS))
         self._cfgs: list[Settings] = []
         self._vms: list[subprocess.Popen[bytes]] = []
@@ -98,6 +123,10 @@
         self._once: set[str] = set()
         self._over = False
 
+    async def add_server(self, stack: AsyncExitStack, server: ServerStandIn) -> None:
+        """Run a server until the stack closes."""
+        self.servers.append(await stack.enter_async_context(serve_server(server)))
+
     async def run(self, seconds: float) -> None:
         """Play the faults, then a calm span."""
         for terms in self._config["routes"]:
@@ -180,7 +209,7 @@
                     await anyio.sleep(self.rng.uniform(0.2, 1.5))
                     name = self.rng.choice(self._faults)
                     print(f"  {SystemClock().now()} {name}", flush=True)
-                    tg.start_soon(FAULTS[name], self)
+                    tg.start_soon(getattr(self, name))
 
     def _heal(self) -> None:
         """End what faults left undone."""
@@ -197,9 +226,8 @@
             self.app.delete(names.EVACUATION_PREFIX + centre)
 
     async def _caller(self) -> None:
-        kinds = (("/order/x", None), ("/chat/x", b"50,10"), *(("/plan/x", b"50,10"),) * 4)
         while not self._over:
-            path, tokens = self.rng.choice(kinds)
+            path, tokens = self.rng.choice(self.kinds)
             request_id, answer = await self._call(self.rng.choice((0, 1, 0, 1, 2, 3)), path, tokens)
             whole = answer.whole and answer.status == 200
             outcome = "whole" if whole else f"{answer.status}{'' if answer.whole else ' cut'}"
@@ -365,26 +393,14 @@
                 self.violations.append(f"{request_id}: two runs overlap by {overlap_ms} ms: {text}")
 
 
-FAULTS: dict[str, Any] = {
-    name: getattr(LinkSoak, name)
-    for name in (
-        "silent",
-        "delay",
-        "reset",
-        "forget",
-        "pause",
-        "kill",
-        "stop",
-        "spoil",
-        "mark",
-        "leave",
-        "evacuate",
-        "reconfigure",
-    )
-}
-
-
-async def soak(seed: int, seconds: float, *, only: str = "", logs: str = "") -> LinkSoak:
+async def soak(
+    seed: int,
+    seconds: float,
+    *,
+    only: str = "",
+    logs: str = "",
+    kind: type[LinkSoak] = LinkSoak,
+) -> LinkSoak:
     """Run one soak and return it, judged.
 
     :param only: the one kind of fault to do, such as ``silent``; empty for all.
@@ -393,7 +409,7 @@
     async with AsyncExitStack() as stack:
         folder = Path(logs or stack.enter_context(tempfile.TemporaryDirectory()))
         served = await stack.enter_async_context(serve_store())
-        run = LinkSoak(served.app, folder, seed=seed, only=only)
+        run = kind(served.app, folder, seed=seed, only=only)
         for name, service, centre, slots in SERVERS:
             server = ServerStandIn(
                 name,
@@ -405,10 +421,10 @@
                 event_every_ms=EVENT_EVERY_MS,
                 events=EVENTS,
             )
-            run.servers.append(await stack.enter_async_context(serve_server(server)))
+            await run.add_server(stack, server)
         for name, centre in BOOKS:
             server = ServerStandIn(name, "books", centre, served.app, work_ms=WORK_MS)
-            run.servers.append(await stack.enter_async_context(serve_server(server)))
+            await run.add_server(stack, server)
         await run.run(seconds)
         run.check_runs()
         return run
@@ -416,8 +432,12 @@
 
 def main(seed: int = 1, seconds: float = 30.0, only: str = "", logs: str = "") -> None:
     """Run one soak and print its verdict."""
-    run = anyio.run(partial(soak, seed, seconds, only=only, logs=logs))
-    print(f"link soak, seed {seed}, {seconds} s: {dict(sorted(run.outcomes.items()))}")
+    report(anyio.run(partial(soak, seed, seconds, only=only, logs=logs)), "link", seed, seconds)
+
+
+def report(run: LinkSoak, name: str, seed: int, seconds: float) -> None:
+    """Print a verdict, and end with it."""
+    print(f"{name} soak, seed {seed}, {seconds} s: {dict(sorted(run.outcomes.items()))}")
     for text in run.violations[:20]:
         print(f"VIOLATED {text}")
     print(f"{len(run.violations)} violations")
--- a/tests/steps/bench/gateway_soak_steps.py
+++ b/tests/steps/bench/gateway_soak_steps.py
@@ -14,10 +14,10 @@
     run_soak(context, "gateway", [f"--seed={seed}", f"--seconds={seconds}", f"--only={fault}"])
 
 
-@when("the soak of links runs for {seconds:d} s with seed {seed:d} and {faults}")
-def step_link_soak(context, seconds, seed, faults):
-    only = [] if faults == "all faults" else [f"--only={faults.split()[-1]}"]
-    run_soak(context, "links", [f"--seed={seed}", f"--seconds={seconds}", *only])
+@when("the soak of {name} runs for {seconds:d} s with seed {seed:d} and {faults}")
+def step_named_soak(context, name, seconds, seed, faults):
+    only = [] if faults == "all faults" else [f"--only={faults.split()[-1].strip(chr(34))}"]
+    run_soak(context, name, [f"--seed={seed}", f"--seconds={seconds}", *only])
 
 
 def run_soak(context, name, options):
