--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -6,7 +6,7 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import Attempt, FirstByteTimeoutError, NotRunError
-from hickorybeam.gateway.forwarding.hop import HOP_VERSION, hop_version, without_hop_headers
+from hickorybeam.gateway.forwarding.hop import without_hop_headers
 from hickorybeam.gateway.open_requests import OpenRequest
 from hickorybeam.gateway.placement_messages import SendStatus
 from hickorybeam.gateway.response_ends import (
@@ -15,6 +15,7 @@
     ResponseEnds,
     broken_end,
 )
+from hickorybeam.gateway.response_heads import headers_to_pass_on, is_failed, version_key_of
 from hickorybeam.gateway.resumed_streams import ResumedStreams, version_of
 from hickorybeam.gateway.run_settlement import RunSettlement, may_overlap
 from hickorybeam.gateway.send_records import NotRunGround, SendCounts, SendEnd, SendRecord
@@ -29,7 +30,6 @@
 )
 from hickorybeam.platform import response_headers
 from hickorybeam.policy.first_byte_timeout import first_byte_timeout_ms
-from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,13 +46,13 @@
     from hickorybeam.gateway.stream_origins import StreamOrigins
     from hickorybeam.gateway.target_selector import TargetSelector
     from hickorybeam.gateway.targets import AdmittedRequest, Target
-    from hickorybeam.http1 import RawHeaders, ResponseHead, UpstreamPool
+    from hickorybeam.http1 import ResponseHead, UpstreamPool
     from hickorybeam.platform import ResponseInfo
     from hickorybeam.telemetry import Counters
 
 __all__ = ("Sender",)
 
-OK_STATUS, FIRST_NON_SUCCESS_STATUS, FIRST_SERVER_ERROR_STATUS = 200, 300, 500
+OK_STATUS, FIRST_NON_SUCCESS_STATUS = 200, 300
 
 
 class Sender:
@@ -390,29 +390,3 @@
                 server_state.record_unreachable(self._clock.now())
             case PeerTarget(peer):
                 peer.forecasts = None
-
-
-def is_failed(info: ResponseInfo, progress: RequestProgress) -> bool:
-    """Return whether a whole response is kept as a failure, in case that no better one comes."""
-    is_error = info.status >= FIRST_SERVER_ERROR_STATUS or info.implies_not_run
-    return is_error or progress.response.started
-
-
-def version_key_of(target: Target, head: ResponseHead) -> bytes:
-    """Return the key of the version that a response comes from."""
-    match target:
-        case ServerTarget(server_state):
-            return server_state.version_key
-        case PeerTarget():
-            return hop_version(head.headers) or UNKNOWN_VERSION
-
-
-def headers_to_pass_on(head: ResponseHead, progress: RequestProgress, key: bytes) -> RawHeaders:
-    """Return a response's headers for its caller, or for the VM that forwarded the request.
-
-    :param key: key of the version that the response comes from, which only that VM is told.
-    """
-    headers = without_hop_headers(response_headers(head.headers))
-    if not progress.own_region_only:
-        return headers
-    return (*headers, (HOP_VERSION, key.hex().encode()))
--- a/src/hickorybeam/http1/__init__.py
+++ b/src/hickorybeam/http1/__init__.py
@@ -12,13 +12,10 @@
     has_ambiguous_framing,
 )
 from hickorybeam.http1.pool import ConnectFailedError, UpstreamPool
+from hickorybeam.http1.response_errors import BrokenResponseError, EndlessResponseError
 from hickorybeam.http1.response_owner import Owner, RequestId, Stray, owner_of
 from hickorybeam.http1.server import HttpServer, ResponseWriter
-from hickorybeam.http1.upstream import (
-    BrokenResponseError,
-    EndlessResponseError,
-    UpstreamConnection,
-)
+from hickorybeam.http1.upstream import UpstreamConnection
 from hickorybeam.http1.values import (
     header_bytes,
     header_text,
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -13,13 +13,14 @@
 from hickorybeam.http1.head import Framing, ResponseHead, find_header
 from hickorybeam.http1.message_bounds import MessageBounds
 from hickorybeam.http1.paced_reader import PIECE_BYTES, PacedReader
+from hickorybeam.http1.response_errors import BrokenResponseError, EndlessResponseError
 from hickorybeam.http1.response_owner import Owner, RequestId, StrayKind, is_merged, owner_of
-from hickorybeam.http1.values import parse_count
+from hickorybeam.http1.values import keep_alive_seconds, parse_count
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-__all__ = ("BrokenResponseError", "EndlessResponseError", "UpstreamConnection")
+__all__ = ("UpstreamConnection",)
 
 # Of all that comes before a body: blank lines, interim responses, the status line, the headers.
 MAX_HEAD_BYTES = 65_536
@@ -35,21 +36,6 @@
 MAX_BUFFERED_BYTES = 1_048_576
 
 
-class BrokenResponseError(Exception):
-    """The response is missing, malformed or incomplete.
-
-    :param sent: the other end may have received bytes of the request.
-    """
-
-    def __init__(self, text: str, *, sent: bool = True) -> None:
-        super().__init__(text)
-        self.sent = sent
-
-
-class EndlessResponseError(BrokenResponseError):
-    """The response goes on beyond what any answer has."""
-
-
 class UpstreamConnection(asyncio.Protocol):
     """A connection that carries one request after the other.
 
@@ -483,13 +469,3 @@
         self._reader.discard()
         if self._transport is not None:
             self._transport.abort()
-
-
-def keep_alive_seconds(value: bytes | None) -> float | None:
-    """Return the idle timeout in a Keep-Alive header, in seconds, if it has one."""
-    for part in (value or b"").split(b","):
-        name, _, seconds = part.strip().partition(b"=")
-        count = parse_count(seconds)
-        if name.lower() == b"timeout" and count is not None:
-            return float(count)
-    return None
--- a/src/hickorybeam/http1/values.py
+++ b/src/hickorybeam/http1/values.py
@@ -7,7 +7,14 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 
-__all__ = ("header_bytes", "header_text", "parse_count", "parse_decimal", "parse_retry_after_ms")
+__all__ = (
+    "header_bytes",
+    "header_text",
+    "keep_alive_seconds",
+    "parse_count",
+    "parse_decimal",
+    "parse_retry_after_ms",
+)
 
 DECIMAL = re.compile(rb"\d{1,15}(?:\.\d{1,15})?")
 # A longer number makes no sense anywhere, and one of thousands of digits is an error to convert.
@@ -52,3 +59,13 @@
     """Parse a retry-after in seconds; 0 if it is invalid, or a date."""
     seconds = parse_decimal(value)
     return 0 if seconds is None else math.ceil(min(seconds * MS_PER_SECOND, MAX_RETRY_AFTER_MS))
+
+
+def keep_alive_seconds(value: bytes | None) -> float | None:
+    """Return the idle timeout in a Keep-Alive header, in seconds, if it has one."""
+    for part in (value or b"").split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        count = parse_count(seconds)
+        if name.lower() == b"timeout" and count is not None:
+            return float(count)
+    return None
--- a/tests/steps/untrusted_steps.py
+++ b/tests/steps/untrusted_steps.py
@@ -26,7 +26,7 @@
 from hickorybeam.gateway.suspect_records import SuspectRecords
 from hickorybeam.http1 import IncomingRequest, ResponseHead
 from hickorybeam.http1.head import request_bytes
-from hickorybeam.http1.upstream import keep_alive_seconds
+from hickorybeam.http1.values import keep_alive_seconds
 from hickorybeam.model import CallKind
 from hickorybeam.model.routing import GatewayVm
 from hickorybeam.model.ticket import ChangeTicket
