--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -103,6 +103,7 @@
     ``limit`` is the value of the header in which all its answers name a rate limit, if any.
     If it is ``leaving``, all its answers say so. If it ``keeps_runs``, they go on when their
     connections close. If it ``tells_id``, its answers name the request in their bodies too.
+    If it is ``nameless``, its health answers don't name the server.
     ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
     ``time_factor`` is the percentage of the usual time that its work takes, as its answers tell it
     if it is set.
@@ -129,6 +130,7 @@
     leaving: bool = False
     keeps_runs: bool = False
     tells_id: bool = False
+    nameless: bool = False
     rest_s: bytes | None = None
     time_factor: bytes | None = None
     odd_headers: RawHeaders = ()
@@ -188,8 +190,8 @@
         if req.target == HEALTH_PATH:
             self.health_checks.append(self.clock.now())
             cold = ((names.COLD, b"%d" % self.cold_ms),) if self.cold_ms else ()
-            headers = ((names.SERVER_ID, self.id.encode()), self._load(), *cold, *self._notices())
-            reply.send(200, headers)
+            own_id = () if self.nameless else ((names.SERVER_ID, self.id.encode()),)
+            reply.send(200, (*own_id, self._load(), *cold, *self._notices()))
             return
         request_id = find_header(req.headers, names.REQUEST_ID) or b""
         rejection = self._rejection(req)
--- a/tests/gateway/server_speed.feature
+++ b/tests/gateway/server_speed.feature
@@ -14,6 +14,19 @@
     When a caller of "small" asks "n1" for "/look/x"
     Then within 1 s every VM knows that work takes 2.5 times as long at "b1"
 
+  # Guards against the answer to something else that is taken for that to a health check.
+  Scenario Outline: a health answer that <names> is <taken>
+    Given a small gateway with VMs "n1, n2"
+    And server "b1" says that work takes 250 percent of usual
+    And its health answers <how>
+    When "n1" checks the health of "b1"
+    Then "n1" <knows> how long work takes at "b1"
+
+    Examples:
+      | names            | taken       | how             | knows         |
+      | names its server | recorded    | name it         | knows         |
+      | names no server  | not recorded | don't name it  | doesn't know  |
+
   # Guards against a restarted server that is taken for as slow as the one before it.
   Scenario: what an earlier start of a server said is forgotten
     Given a small gateway with VMs "n1, n2"
--- a/tests/steps/gateway/server_speed_steps.py
+++ b/tests/steps/gateway/server_speed_steps.py
@@ -4,7 +4,9 @@
 import httpcore
 from behave import given, then, when
 
+from hickorybeam.gateway.cold_health_checks import ColdHealthCheckService
 from hickorybeam.gateway.status_report import ReportedLoad
+from hickorybeam.ports import COLD_HEALTH_CHECKS
 
 SOON_S = 1.0
 
@@ -109,3 +111,22 @@
 def step_report(context, vm, server, busy, factor, age):
     born_ms = context.rig.vms[vm].routing_state.server_states[server].server.born_ms
     apply(context, vm, server, ReportedLoad(float(factor), int(busy), int(age), born_ms))
+
+
+@given("its health answers {how}")
+def step_health_answers(context, how):
+    context.rig.servers["b1"].nameless = how == "don't name it"
+
+
+@when('"{vm}" checks the health of "{server}"')
+def step_check_health(context, vm, server):
+    kernel = context.rig.vms[vm].kernel
+    service = kernel.find(COLD_HEALTH_CHECKS, ColdHealthCheckService)
+    state = context.rig.vms[vm].routing_state.server_states[server]
+    context.call(service._check, state, "/health")
+
+
+@then('"{vm}" {knows} how long work takes at "{server}"')
+def step_knows_speed(context, vm, knows, server):
+    found = context.rig.vms[vm].routing_state.server_states[server].time_factor.heard_ms
+    assert bool(found) == (knows == "knows"), found
