gateway/run_settlement: a send that another VM says never began is logged as not run by its word

A refusal after such a send was logged with the ground 'unsent', though its ground is the VM's word. The new step failed before: '.. broken' without a ground.

--- a/src/hickorybeam/gateway/run_settlement.py
+++ b/src/hickorybeam/gateway/run_settlement.py
@@ -13,6 +13,7 @@
 
 from hickorybeam.gateway.attempt import FirstByteTimeoutError
 from hickorybeam.gateway.forwarding.run_cancels import RemoteRun
+from hickorybeam.gateway.send_records import NotRunGround
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, address_of
 from hickorybeam.model.routing import Repeat
 
@@ -85,6 +86,8 @@
             progress.reason += f", {run.vm} did not say that its run has ended"
         elif not ended.begun:
             progress.runs -= 1
+            record = progress.records[-1]
+            record.ground, record.why = NotRunGround.VM, f"{run.vm} had not begun it"
 
     async def _settle_at_server(
         self, attempt: Attempt, request: AdmittedRequest, progress: RequestProgress
--- a/tests/gateway/forwarding/runs.feature
+++ b/tests/gateway/forwarding/runs.feature
@@ -78,6 +78,7 @@
     When an order waits in the south, a server starts in the north and the links reset their connections
     Then each order runs once
     And the order that waited was run in the north
+    And the log tells that the first send was not run by the word of "s1"
 
   # Guards against a run that goes on for a caller that left, as the link carries no close.
   Scenario: a run ends when its caller has left, though the connection between the VMs is forgotten
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -125,10 +125,30 @@
     context.rig.vms[SOUTH].relay._handler._local_placement.place = wait
 
 
+def logged_sends(vm):
+    """Return a list that gets the sends of each request whose line a VM logs."""
+    log, found = vm.relay._handler._final_responses._log, []
+    write = log.write
+
+    def keep(event, **fields):
+        if event == "sends":
+            found.append(fields["sends"])
+        write(event, **fields)
+
+    log.write = keep
+    return found
+
+
+@then('the log tells that the first send was not run by the word of "{vm}"')
+def step_ground_logged(context, vm):
+    assert f"by vm: {vm} had not begun it" in context.sends[0][0], context.sends
+
+
 @when("an order waits in the south, a server starts in the north and the links {harm}")
 def step_order_waits(context, harm):
     rig = context.rig
     context.replies = []
+    context.sends = logged_sends(rig.vms[NORTH])
 
     async def order():
         reply = await rig.call(NORTH, "/order/x", method="POST", body=b"{}", wait_ms=WAIT_MS)
