--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -128,3 +128,9 @@
     When the key-value client writes "a/1" again
     And the store tells that reply again in place of the one to "read a/1"
     Then that call ends with "platform_out"
+
+  # Guards against a reply that comes late, where the next call's is expected.
+  Scenario: after bytes of no call the next calls come on new connections
+    Given a key-value store and its client, before which bytes of no call follow a reply
+    When the key-value client reads once, and then 3 times without such bytes
+    Then it has opened 4 connections
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -16,6 +16,7 @@
     decode_entry,
     decode_response,
 )
+from hickorybeam.standins.strays import serve_strays
 from hickorybeam.store import Put
 from steps.store.contract_steps import kv_client, serve_kv
 
@@ -412,3 +413,27 @@
 @then('that call ends with "{kind}"')
 def step_told_again_outcome(context, kind):
     assert context.found == kind, context.found
+
+
+@given("a key-value store and its client, before which bytes of no call follow a reply")
+def step_strays_before_store(context):
+    context.app = serve_kv(context).app
+    port = int(context.served.url.rpartition(":")[2])
+    manager = context.portal.wrap_async_context_manager(serve_strays(port))
+    context.relay = context.stack.enter_context(manager)
+    context.relay.form = "no HTTP"
+    context.client = context.call(kv_client, f"http://127.0.0.1:{context.relay.port}")
+
+
+@when("the key-value client reads once, and then {count:d} times without such bytes")
+def step_reads_after_strays(context, count):
+    context.call(context.client.read, "a")
+    context.call(anyio.sleep, 0.05)
+    context.relay.form = ""
+    for _ in range(count):
+        context.call(context.client.read, "a")
+
+
+@then("it has opened {count:d} connections")
+def step_opened(context, count):
+    assert context.client._pool.opened == count, context.client._pool.opened
