backends: a head that breaks off gives the next one no status in the older interface either

A call was refused as not run (backend_refused) where a refusal's head broke off and the response behind it echoed the call's id: its status and x-ran were taken for the response's. Found on the last read of the diff. http1/response_owner's is_merged decides here as well. Two rows of backends/wire.feature failed before.

--- a/src/hickorybeam/backends/http1.py
+++ b/src/hickorybeam/backends/http1.py
@@ -13,6 +13,8 @@
 import httpcore
 import httptools
 
+from hickorybeam.http1.response_owner import is_merged
+
 if TYPE_CHECKING:
     from hickorybeam.backends.headers import RawHeaders
 
@@ -58,6 +60,7 @@
         self._ends_at_close = False
         self._excess_bytes = False
         self._head_bytes = 0
+        self._reason = b""
         self._cut_off = False
 
     async def send(self, method: str, target: bytes, headers: RawHeaders, body: bytes) -> None:
@@ -129,8 +132,13 @@
             self._excess_bytes = True
             return
         self.headers = []
+        self._reason = b""
         self._head_bytes = 0
 
+    def on_status(self, reason: bytes) -> None:
+        """Append to the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
         if self._message_ended:
@@ -144,6 +152,8 @@
         """Process a head, except an interim one (1xx), which is not passed on."""
         if self._message_ended:
             return
+        if is_merged(self._reason, tuple(self.headers)):
+            raise BrokenResponseError
         self.status = self._parser.get_status_code()
         if self.status < FIRST_FINAL_STATUS:
             if self.status == SWITCHING_PROTOCOLS:
--- a/tests/backends/wire.feature
+++ b/tests/backends/wire.feature
@@ -38,6 +38,8 @@
       | refusal of nobody     | GET    | backend_failed       | no   |
       | refusal of another    | GET    | backend_failed       | no   |
       | refusal of two        | GET    | backend_failed       | no   |
+      | half a status line    | GET    | backend_failed       | no   |
+      | half a refusal        | GET    | backend_failed       | no   |
       | no length             | GET    | 200 hello            | no   |
       | no length, reset      | GET    | stream_broken        | no   |
       | no length, silent     | GET    | backend_silent       | no   |
--- a/tests/steps/backends/wire_steps.py
+++ b/tests/steps/backends/wire_steps.py
@@ -42,6 +42,10 @@
     b"content-length: 0\r\n\r\n",
     "refusal of another": b"HTTP/1.1 503 Full\r\nx-ran: no\r\nx-request-id: other\r\n"
     b"content-length: 0\r\n\r\n",
+    "half a status line": b"HTTP/1.1 503 " + OK + b"x-ran: no\r\ncontent-length: 5\r\n\r\nhello",
+    "half a refusal": b"HTTP/1.1 503 Full\r\nx-ran: no\r\nx-a: "
+    + OK
+    + b"content-length: 5\r\n\r\nhello",
     "refusal of two": b"HTTP/1.1 503 Full\r\nx-ran: no\r\nx-request-id: other\r\n"
     b"x-request-id: other2\r\ncontent-length: 0\r\n\r\n",
 }
