tools/run_tests: the end of the output names each scenario that failed, with step and reason

The failed scenarios come once more after the known ones, right before the sum. An argument that names a folder of tests (`tools`) is no longer taken for the folder of the same name beside them.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -21,6 +21,9 @@
 SUMMARY = re.compile(
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?(?:, (\d+) skipped)?", re.M
 )
+FAILURE = re.compile(r"^(?:FAILURE|ERROR) in step .*(?:\n(?!-{5}).*){0,4}", re.M)
+FAILING = re.compile(r"^(?:Failing|Errored) scenarios:\n((?:  .+\n)+)", re.M)
+TAIL_LINES = 5  # of an output that names no scenario
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +41,7 @@
 def suites(args: list[str]) -> list[Path]:
     """Return the folders or features to run."""
     if args:
-        return [path if (path := Path(arg)).exists() else TESTS / arg for arg in args]
+        return [path if (path := TESTS / arg).exists() else Path(arg) for arg in args]
     return sorted(TESTS.rglob("*.feature"))
 
 
@@ -65,6 +68,14 @@
     return Outcome(name, passed, failed, skipped, output, time.monotonic() - begun)
 
 
+def failure_lines(outcome: Outcome) -> str:
+    """Return the scenarios that failed in a feature, and the step and reason of each."""
+    scenarios = [line for group in FAILING.findall(outcome.output) for line in group.splitlines()]
+    if not scenarios:
+        return "\n".join([f"  {outcome.name}", *outcome.output.splitlines()[-TAIL_LINES:]])
+    return "\n".join([*scenarios, *FAILURE.findall(outcome.output)])
+
+
 def main(args: list[str]) -> int:
     """Run every suite and print the closing line."""
     with ThreadPoolExecutor(WORKERS) as pool:
@@ -77,6 +88,10 @@
     known_red = ROOT / "KNOWN-RED.txt"
     if known_red.exists():
         print(f"passed over, known red:\n{known_red.read_text()}")
+    # Once more at the end, as whoever keeps the output may cut its beginning.
+    for outcome in outcomes:
+        if outcome.failed:
+            print(f"failed:\n{failure_lines(outcome)}")
     passed, failed, skipped = (
         sum(getattr(outcome, field) for outcome in outcomes)
         for field in ("passed", "failed", "skipped")
