tests/gateway/promises: the scenario of many refusals in a second has four servers

This one fails on in 2 of 3 runs alone on an idle machine, with 14 orders refused by the server's word where 25 have to be: how many reach the one server before the first refusal is back depends on the machine's speed. The check and its bound are as they were.

--- a/tests/gateway/promises.feature
+++ b/tests/gateway/promises.feature
@@ -2,8 +2,8 @@
 
   # Guards against a wrong promise whose request no line names, as its line was over the limit.
   Scenario: each refused order is named, with its server's word, its connection and its place there
-    Given a daemon before servers "b1:books"
-    And server "b1" has fault "full" 120 times
+    Given a daemon before servers "b1:books, b2:books, b3:books, b4:books"
+    And every server has fault "full" 120 times
     When 60 callers order at once
     Then all of the orders get 503
     And the log names each of them, at least 25 with the server's word on a connection
--- a/tests/steps/gateway/gateway_steps.py
+++ b/tests/steps/gateway/gateway_steps.py
@@ -80,6 +80,12 @@
     setattr(context.rig.servers[name].faults, fault, count)
 
 
+@given('every server has fault "{fault}" {count:d} times')
+def step_faults_everywhere(context, fault, count):
+    for server in context.rig.servers.values():
+        setattr(server.faults, fault, count)
+
+
 @given('every server of "{service}" has fault "{fault}" once')
 def step_fault_every_server(context, service, fault):
     for server in context.rig.servers.values():
