gateway/sender: sends that broke, stayed silent or were left name their connection

A line `sends` told the connection only of a send that was refused as not run; of one whose outcome is open nothing told on which connection it went, and after how many requests. Each send of a notable request does now, also one of which a VM says that it had not begun it. A request that was sent once and got its whole response pays nothing.

One constant for a status line's begin.

--- a/src/hickorybeam/gateway/send_records.py
+++ b/src/hickorybeam/gateway/send_records.py
@@ -55,8 +55,9 @@
     """One send of a request, on this VM's clock.
 
     ``target`` is a server's id or a VM's name. ``run`` names the run that another region's VM was
-    asked for, empty if a server was asked. ``conn`` tells its connection. If it was not run,
-    ``ground`` tells how that is known, and ``why`` in words.
+    asked for, empty if a server was asked. ``conn`` tells its connection; it is empty if there was
+    none, or if this is the only send and got a whole response. If it was not run, ``ground`` tells
+    how that is known, and ``why`` in words.
     """
 
     target: str
@@ -73,22 +74,19 @@
         if self.end is SendEnd.OPEN:
             self.end, self.ended_ms = end, now_ms
 
-    def close_not_run(self, now_ms: int, *, ground: NotRunGround, why: str, conn: str = "") -> None:
-        """Record that it was not run, and how that is known.
-
-        :param conn: the connection that it was sent on, empty if there was none.
-        """
+    def close_not_run(self, now_ms: int, *, ground: NotRunGround, why: str) -> None:
+        """Record that it was not run, and how that is known."""
         self.close(SendEnd.NOT_RUN, now_ms)
-        self.ground, self.why, self.conn = ground, why, conn
+        self.ground, self.why = ground, why
 
     def describe(self, arrived_ms: int) -> str:
         """Return it as text, in ms since the request arrived."""
         via = f" as {self.run}" if self.run else ""
         times = f"{self.sent_ms - arrived_ms}-{self.ended_ms - arrived_ms}"
+        on = f" on {self.conn}" if self.conn else ""
         text = f"{self.target}{via} {times} ms {self.end.value}"
         if self.ground is None:
-            return text
-        on = f" on {self.conn}" if self.conn else ""
+            return f"{text}{on}"
         return f"{text} by {self.ground.value}{on}: {self.why}"
 
 
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -156,7 +156,6 @@
                 self._clock.now(),
                 ground=exc.ground,
                 why=str(exc),
-                conn=attempt.describe_connection(),
             )
             is_left = progress.outcome_open = False
             progress.rejected |= exc.rejected
@@ -186,6 +185,8 @@
                 await self._server_ends.wait_checked(open_request)
         finally:
             record.close(SendEnd.LEFT, self._clock.now())
+            if record.end is not SendEnd.ANSWERED or progress.sends > 1:
+                record.conn = attempt.describe_connection()
             self._send_counts.count(record)
             if in_flight is not None:
                 in_flight.end(status)
--- a/src/hickorybeam/http1/response_owner.py
+++ b/src/hickorybeam/http1/response_owner.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from hickorybeam.http1.head import RawHeaders
 
-__all__ = ("Owner", "RequestId", "Stray", "StrayKind", "is_merged", "owner_of")
+__all__ = ("STATUS_LINE", "Owner", "RequestId", "Stray", "StrayKind", "is_merged", "owner_of")
 
 STATUS_LINE = b"HTTP/1."
 
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -14,7 +14,14 @@
 from hickorybeam.http1.message_bounds import MessageBounds
 from hickorybeam.http1.paced_reader import PIECE_BYTES, PacedReader
 from hickorybeam.http1.response_errors import BrokenResponseError, EndlessResponseError
-from hickorybeam.http1.response_owner import Owner, RequestId, StrayKind, is_merged, owner_of
+from hickorybeam.http1.response_owner import (
+    STATUS_LINE,
+    Owner,
+    RequestId,
+    StrayKind,
+    is_merged,
+    owner_of,
+)
 from hickorybeam.http1.values import keep_alive_seconds, parse_count
 
 if TYPE_CHECKING:
@@ -144,7 +151,7 @@
             self._take_surplus(data)
             return
         if self._head is None and not self._may_be_merged:
-            self._may_be_merged = bool(self._bounds.fed_bytes) or data.count(b"HTTP/1.") > 1
+            self._may_be_merged = bool(self._bounds.fed_bytes) or data.count(STATUS_LINE) > 1
         self._bounds.fed_bytes += len(data)
         try:
             self._parser.feed_data(data)
--- a/tests/gateway/forwarding/runs.feature
+++ b/tests/gateway/forwarding/runs.feature
@@ -63,6 +63,13 @@
       | not-asked | 500    | the north   |
       | not-asked | 500    | the south   |
 
+  # Guards against a server's refusal, passed on by a VM, that lets an order run again.
+  Scenario: a server's word that it did not run an order is not believed of a VM
+    Given two regions whose orders wait in the south, linked by what can be harmed
+    And the southern VM answers as a server that did not run them
+    When 1 callers send an order to "n1"
+    Then the answer promises nothing
+
   # Guards against a late answer to an earlier request that is taken for this one's refusal.
   Scenario: a refusal that names no request doesn't let it run again
     Given a small gateway with servers "b1:books, b2:books"
--- a/tests/gateway/promises.feature
+++ b/tests/gateway/promises.feature
@@ -33,3 +33,11 @@
     When 5 callers order at once
     Then all of the orders get 500
     And the log names each of them as "passed_on"
+
+  # Guards against a send that may have run, of which no line tells on which connection.
+  Scenario: a send whose outcome is unknown names its connection
+    Given a daemon before servers "b1:books"
+    And server "b1" has fault "lost" 5 times
+    When 5 callers order at once
+    Then all of the orders get 502
+    And the log names the connection of each send that broke
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import re
 import socket
 from functools import partial
 from itertools import pairwise
@@ -12,6 +13,7 @@
 from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRuns
 from hickorybeam.gateway.forwarding.run_cancels import RemoteRun, RunCancels
 from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunEnded
+from hickorybeam.platform import names
 from hickorybeam.standins.links import CALM, LinkHarm
 from hickorybeam.telemetry import Counters
 from support.gateway import executed_requests
@@ -139,9 +141,26 @@
     return found
 
 
+@given("the southern VM answers as a server that did not run them")
+def step_answers_as_server(context):
+    handler = context.rig.vms[SOUTH].relay._handler
+
+    async def answer(request, response, run_name):
+        request_id = request.call.request_id.encode()
+        response.send(503, ((names.REQUEST_ID, request_id), (names.NOT_RUN, b"1")))
+
+    handler.handle_forwarded = answer
+
+
+@then("the answer promises nothing")
+def step_promises_nothing(context):
+    assert [it.status for it in context.replies] == [502], context.replies
+
+
 @then('the log tells that the first send was not run by the word of "{vm}"')
 def step_ground_logged(context, vm):
-    assert f"by vm: {vm} had not begun it" in context.sends[0][0], context.sends
+    told = rf"by vm on port \d+, request \d+: {vm} had not begun it"
+    assert re.search(told, context.sends[0][0]), context.sends
 
 
 @when("an order waits in the south, a server starts in the north and the links {harm}")
--- a/tests/steps/gateway/promises_steps.py
+++ b/tests/steps/gateway/promises_steps.py
@@ -109,3 +109,9 @@
 @then('the log names it as "{event}"')
 def step_it_is_named(context, event):
     wait_named(context, event, {REFUSED_ID})
+
+
+@then("the log names the connection of each send that broke")
+def step_connections_named(context):
+    for line in wait_named(context, "sends", context.ids):
+        assert re.search(r"broken on port \d+, request \d+", line["sends"][-1]), line
