gateway/runs: the end of a stream's run is told by its servers' reports, not by a connection alone

What callers saw: a server that closed its end of a connection and worked on ran a stream beside the next server (the red row of server_runs.feature).

That a run ended was told by a connection's close, at a server, and by one process's word, at another VM. Model servers report what they run, some hundred ms late.

Change: after its connection's close a run counts as ended once its server's report, asked for half a second or more after the send, doesn't list it; listed for 700 ms, or without a report, it may run on, and its caller gets the final answer. The VM that ran it for another region asks so too before it says that it ended, and asks all of its region's servers of the service if it doesn't know the run. If a VM closed its connection after a response had begun and says nothing for 100 ms, two other VMs of its region ask all servers, and speak only if none lists the run. Servers without reports are judged as before; calm requests pay nothing.

Weighed: to go on at once and end the new run if the old one is reported. A report may be as old as the 400 ms that two runs may overlap, so that can't be kept.

Measured: the red row passes, six more rows of server_runs and eight of forwarding/runs.feature; without witnesses two of the five with a killed VM fail.

The steps of stream_versions.feature let their streams break off at once instead of one by one, as each break takes longer now and the first streams' deadlines passed meanwhile; what is checked of each is the same.

--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -4,8 +4,8 @@
     python -m bench.soak.links --seed 1 --only silent --logs FOLDER
 
 Links between the regions fall silent, both ways or one, delay, reset and forget connections; VMs
-are paused, killed, stopped in order and started again; servers fail, and answer with headers that
-only VMs tell each other; the configuration changes. Faults follow each other and overlap. An order
+are paused, killed, stopped in order and started again; servers fail, work on when connections
+close, and answer with headers that only VMs tell each other; the configuration changes. Faults follow each other and overlap. An order
 and a stream without resuming run at most once, and two runs of a stream that may be resumed
 overlap by no more than ``MAX_OVERLAP_MS``; exits 1 otherwise.
 """
@@ -65,6 +65,8 @@
 # The stated aim for two runs of one stream.
 MAX_OVERLAP_MS = 400
 MAX_ONCE = 1
+# How old what a server reports may be.
+REPORT_AGES_MS = (0, 200, 450)
 CALLERS = 14
 CALM_S = 5.0
 WAIT_MS = 4_000
@@ -85,6 +87,7 @@
         "delay",
         "evacuate",
         "forget",
+        "keep_runs",
         "kill",
         "leave",
         "mark",
@@ -220,7 +223,7 @@
                 vm.kill()
                 self._restart(i, vm)
         for server in self.servers:
-            server.faults, server.odd_headers = ServerFaults(), ()
+            server.faults, server.odd_headers, server.keeps_runs = ServerFaults(), (), False
             server.register()
         for centre in CENTRES:
             self.app.delete(names.EVACUATION_PREFIX + centre)
@@ -340,6 +343,13 @@
         for name in ("errors", "full", "lost", "hung", "cut", "misread"):
             setattr(server.faults, name, self.rng.choice((0, 0, 1, 2)))
 
+    async def keep_runs(self) -> None:
+        """Let a model server work on when connections close, and report its runs late."""
+        server = self.rng.choice([it for it in self.servers if it.service == "model"])
+        server.keeps_runs, server.report_age_ms = True, self.rng.choice(REPORT_AGES_MS)
+        await anyio.sleep(self.rng.uniform(1.0, 4.0))
+        server.keeps_runs = False
+
     async def mark(self) -> None:
         """Let servers answer with headers that only VMs tell each other."""
         server = self.rng.choice(self.servers)
--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -38,6 +38,7 @@
     from hickorybeam.gateway.forwarding.run_messages import RunEnded
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import RawHeaders, ResponseHead, UpstreamConnection, UpstreamPool
+    from hickorybeam.http1.pool import Address
     from hickorybeam.platform import ResponseInfo
 
 __all__ = (
@@ -122,6 +123,7 @@
         self._pool = pool
         self._fresh = fresh
         self.was_sent = False
+        self._is_answered = False
         self.run = run
         self.connected_ms = 0
         self._is_blocked = is_blocked
@@ -140,6 +142,16 @@
         conn, number = self._sent_on
         return f"port {conn.local_port}, request {number}"
 
+    @property
+    def address(self) -> Address:
+        """Where it is sent."""
+        return self._address
+
+    @property
+    def closed_by_peer(self) -> bool:
+        """Whether the other end closed the connection after a response had begun on it."""
+        return self._is_answered and self._conn is not None and self._conn.closed_by_peer
+
     @property
     def is_connected(self) -> bool:
         """Whether its connection is open."""
@@ -219,6 +231,7 @@
                 blocked=BLOCKED_KINDS.get(not_run),
                 retry_after_ms=parse_count(find_header(head.headers, HOP_RETRY_AFTER_MS)),
             )
+        self._is_answered = True
         return head, decode_response(head)
 
     async def _send(self, now_ms: int) -> UpstreamConnection:
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -22,7 +22,12 @@
 from hickorybeam.gateway.crash_notice import CrashNotice
 from hickorybeam.gateway.datagrams import DatagramReceiver
 from hickorybeam.gateway.feed import FeedService
-from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunAnswers, RunEnded
+from hickorybeam.gateway.forwarding.run_messages import (
+    CancelRun,
+    CheckRun,
+    RunAnswers,
+    RunEnded,
+)
 from hickorybeam.gateway.leaving_records import LeavingRecords
 from hickorybeam.gateway.peers import DISCOVERY_MS, MIN_STABLE_MS, PeerTable
 from hickorybeam.gateway.placement_messages import (
@@ -91,6 +96,7 @@
     | StreamAnswer
     | CrashNotice
     | CancelRun
+    | CheckRun
     | RunEnded
     | RunAnswers
 )
--- a/src/hickorybeam/gateway/forwarding/forwarded_runs.py
+++ b/src/hickorybeam/gateway/forwarding/forwarded_runs.py
@@ -10,15 +10,24 @@
 
 from contextlib import contextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunAnswers, RunEnded
+from hickorybeam.gateway.forwarding.run_messages import (
+    CancelRun,
+    CheckRun,
+    RunAnswers,
+    RunEnded,
+    RunTrace,
+)
+from hickorybeam.gateway.runs.server_reports import UNENDED_STATES, RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Collection, Iterator
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.runs.region_check import RegionCheck
     from hickorybeam.telemetry import Counters
     from hickorybeam.telemetry.decisions import DecisionLog
 
@@ -37,8 +46,9 @@
     """A run that another region's VM asked for.
 
     ``begun``: a backend server may have run it. ``left``: its VM's connection ended first.
-    ``cancelled_ms`` is when a cancel arrived. ``runs_on``: its server did not close its connection,
-    and may work on.
+    ``cancelled_ms`` is when a cancel arrived, ``trace`` what it told of the run, if its end must be
+    shown by its server's report as well. ``runs_on``: its server did not close its connection,
+    or reports the run, and may work on.
     """
 
     def __init__(self, name: str, arrived_ms: int) -> None:
@@ -48,6 +58,7 @@
         self.left = False
         self.runs_on = False
         self.cancelled_ms: int | None = None
+        self.trace: RunTrace | None = None
         self.asked_by: set[str] = set()
         self._cancel: Callable[[], None] | None = None
         self._is_answering: Callable[[], bool] = lambda: False
@@ -78,22 +89,33 @@
 
 @dataclass(frozen=True, slots=True)
 class _Cancelled:
-    """A run that must not begin, or begin again, until a time."""
+    """A run that must not begin, or begin again, until a time.
+
+    ``is_shown``: that it has ended need not be asked of servers any more.
+    """
 
     until_ms: int
     begun: bool
     runs_on: bool = False
+    is_shown: bool = True
 
 
 class ForwardedRuns:
     """Follows the runs of other regions' VMs, and answers their cancels."""
 
     def __init__(
-        self, *, clock: Clock, counters: Counters, fleet: FleetService, log: DecisionLog
+        self,
+        *,
+        clock: Clock,
+        counters: Counters,
+        fleet: FleetService,
+        log: DecisionLog,
+        region_check: RegionCheck,
     ) -> None:
         self._clock = clock
         self._fleet = fleet
         self._log = log
+        self._region_check = region_check
         self._open: dict[str, ForwardedRun] = {}
         # By name; the oldest come first.
         self._cancelled: dict[str, _Cancelled] = {}
@@ -152,6 +174,7 @@
         if run is not None:
             self._counter.labels("running").inc()
             run.asked_by.add(message.vm)
+            run.trace = message.trace or run.trace
             run.cancel(self._clock.now())
             return
         # It has ended, or belonged to an earlier process of this VM, or has yet to arrive.
@@ -160,10 +183,32 @@
         if known is not None and known.runs_on:
             return
         begun = known is None or known.begun
-        if self._keep_cancelled(message.run, begun=begun):
+        is_shown = message.trace is None or (known is not None and known.is_shown)
+        if not self._keep_cancelled(message.run, begun=begun, is_shown=is_shown):
+            return
+        if is_shown or message.trace is None:
             self._fleet.send_message(message.vm, RunEnded(message.run, begun))
-
-    def _keep_cancelled(self, name: str, *, begun: bool, runs_on: bool = False) -> bool:
+            return
+        # Nothing is left whose close could show that its server has dropped it.
+        self._region_check.start(message.run, message.trace, partial(self._show_ended, message))
+
+    def _show_ended(self, message: CancelRun, states: Collection[RunState]) -> None:
+        """Answer a cancel unless a server of this region may still work on the run."""
+        if UNENDED_STATES.isdisjoint(states):
+            self._keep_cancelled(message.run, begun=True)
+            self._fleet.send_message(message.vm, RunEnded(message.run, begun=True))
+
+    def handle_check(self, message: CheckRun) -> None:
+        """Tell whether this region's servers report that another VM's run has ended."""
+        self._region_check.start(message.run, message.trace, partial(self._bear_witness, message))
+
+    def _bear_witness(self, message: CheckRun, states: Collection[RunState]) -> None:
+        if states and all(it is RunState.ENDED for it in states):
+            self._fleet.send_message(message.vm, RunEnded(message.run, begun=True))
+
+    def _keep_cancelled(
+        self, name: str, *, begun: bool, runs_on: bool = False, is_shown: bool = True
+    ) -> bool:
         """Remember that a run must not begin; return whether there was room."""
         now = self._clock.now()
         while self._cancelled and next(iter(self._cancelled.values())).until_ms <= now:
@@ -172,5 +217,5 @@
         if len(self._cancelled) >= MAX_CANCELLED:
             self._counter.labels("no_room").inc()
             return False
-        self._cancelled[name] = _Cancelled(now + CANCELLED_KEPT_MS, begun, runs_on)
+        self._cancelled[name] = _Cancelled(now + CANCELLED_KEPT_MS, begun, runs_on, is_shown)
         return True
--- a/src/hickorybeam/gateway/forwarding/run_cancels.py
+++ b/src/hickorybeam/gateway/forwarding/run_cancels.py
@@ -2,22 +2,33 @@
 
 That the connection to the VM broke, or that nothing comes on it, doesn't show that the run there
 has ended: the VM may be cut off, busy or paused, and go on with it, or begin it, at any time. Only
-its own word shows that. No timer of the other VM could stand in for it, as a VM that is paused
-keeps none, while its backend server works on.
+the runner's word shows that: the VM's own or, once the VM has closed its connection and says
+nothing, that of servers whose reports no longer list the run. No timer of the other VM could stand
+in for it, as a VM that is paused keeps none, while its backend server works on.
 """
 
 from __future__ import annotations
 
 import itertools
-from dataclasses import dataclass, field
+import zlib
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import anyio
 
 from hickorybeam.clock import MS_PER_SECOND
-from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunAnswers, RunEnded, RunWord
+from hickorybeam.gateway.forwarding.run_messages import (
+    CancelRun,
+    CheckRun,
+    RunAnswers,
+    RunEnded,
+    RunTrace,
+    RunWord,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.http1.pool import Address
@@ -31,15 +42,26 @@
 # By then the other VM is cut off, or too busy to run anything in time. The request gets its final
 # response, so that its caller may come back.
 MAX_WAIT_MS = 1_000
+# Other VMs of the region are asked once the VM of the run has left one cancel unanswered. They wait
+# for reports of their servers.
+MAX_WITNESS_WAIT_MS = 1_500
+WITNESSES = 2
 
 
 @dataclass(frozen=True, slots=True)
 class RemoteRun:
-    """A run at another region's VM, at the address that its request was sent to."""
+    """A run at another region's VM, at the address that its request was sent to.
+
+    ``request_id`` is empty if the servers that may run it report no runs.
+    """
 
     name: str
     vm: str
     address: Address
+    region: str = ""
+    request_id: str = ""
+    service: str = ""
+    asked_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -76,35 +98,66 @@
         The connection is closed as well, which a link may not carry.
         """
         self._counter.labels("not_awaited").inc()
-        self._send(run)
+        self._send(replace(run, request_id=""))
 
-    async def settle(self, run: RemoteRun) -> RunEnded | None:
-        """Cancel a run and return its VM's guarantee that it has ended; ``None`` without one."""
-        word = await self._ask(run, unless_answering=False)
+    async def settle(self, run: RemoteRun, *, was_closed: bool = False) -> RunEnded | None:
+        """Cancel a run and return the guarantee that it has ended; ``None`` without one.
+
+        :param was_closed: its VM closed the connection after its response had begun. If it was
+            killed, other VMs of its region may give the guarantee.
+        """
+        witnesses = self._witnesses(run) if was_closed and run.request_id else []
+        word = await self._ask(run, unless_answering=False, witnesses=witnesses)
         return word if isinstance(word, RunEnded) else None
 
     async def settle_silent(self, run: RemoteRun) -> RunWord | None:
         """Cancel a run unless its response has begun; return its VM's word, ``None`` without."""
         return await self._ask(run, unless_answering=True)
 
-    async def _ask(self, run: RemoteRun, *, unless_answering: bool) -> RunWord | None:
+    def _witnesses(self, run: RemoteRun) -> list[str]:
+        """Return some other VMs of a run's region, not the same ones for all runs."""
+        found = sorted(it.name for it in self._fleet.region_vms(run.region) if it.name != run.vm)
+        first = zlib.crc32(run.name.encode()) % max(1, len(found))
+        return [*found[first:], *found[:first]][:WITNESSES]
+
+    async def _ask(
+        self, run: RemoteRun, *, unless_answering: bool, witnesses: Sequence[str] = ()
+    ) -> RunWord | None:
         began_ms = self._clock.now()
         question = self._questions.setdefault(run.name, _Question())
+        limit_ms = MAX_WITNESS_WAIT_MS if witnesses else MAX_WAIT_MS
+        asked: Sequence[str] = ()
         try:
-            with anyio.move_on_after(MAX_WAIT_MS / MS_PER_SECOND):
+            with anyio.move_on_after(limit_ms / MS_PER_SECOND):
                 while question.word is None:
                     self._send(run, unless_answering=unless_answering)
+                    self._send_checks(run, asked)
                     with anyio.move_on_after(REPEAT_INTERVAL_MS / MS_PER_SECOND):
                         await question.answered.wait()
+                    asked = witnesses
         finally:
             self._questions.pop(run.name, None)
         self._record(run, question.word, self._clock.now() - began_ms)
         return question.word
 
     def _send(self, run: RemoteRun, *, unless_answering: bool = False) -> None:
-        message = CancelRun(self._fleet.own_vm.name, run.name, unless_answering)
+        message = CancelRun(
+            self._fleet.own_vm.name, run.name, unless_answering, self._trace_of(run)
+        )
         self._fleet.send_to(run.address, message)
 
+    def _send_checks(self, run: RemoteRun, vms: Sequence[str]) -> None:
+        trace = self._trace_of(run)
+        if trace is None:
+            return
+        for vm in vms:
+            self._fleet.send_message(vm, CheckRun(self._fleet.own_vm.name, run.name, trace))
+
+    def _trace_of(self, run: RemoteRun) -> RunTrace | None:
+        if not run.request_id:
+            return None
+        return RunTrace(run.request_id, run.service, self._clock.now() - run.asked_ms)
+
     def _record(self, run: RemoteRun, word: RunWord | None, took_ms: int) -> None:
         match word:
             case None:
--- a/src/hickorybeam/gateway/forwarding/run_messages.py
+++ b/src/hickorybeam/gateway/forwarding/run_messages.py
@@ -4,19 +4,40 @@
 
 import msgspec
 
-__all__ = ("CancelRun", "RunAnswers", "RunEnded", "RunWord")
+__all__ = ("CancelRun", "CheckRun", "RunAnswers", "RunEnded", "RunTrace", "RunWord")
+
+
+class RunTrace(msgspec.Struct, frozen=True, array_like=True):
+    """What the servers of a service know a run by, and how long ago it was asked for."""
+
+    request_id: str
+    service: str
+    age_ms: int
 
 
 class CancelRun(msgspec.Struct, frozen=True, array_like=True, tag="cancel-run"):
     """Asks to end a run, or never to begin it.
 
     ``vm`` is the VM that asks, ``run`` the name that it gave the run. ``unless_answering``: the
-    run goes on if its response has begun, which is on its way then.
+    run goes on if its response has begun, which is on its way then. ``trace``: the answer must
+    rest on the reports of servers as well; ``None`` if they make none.
     """
 
     vm: str
     run: str
     unless_answering: bool = False
+    trace: RunTrace | None = None
+
+
+class CheckRun(msgspec.Struct, frozen=True, array_like=True, tag="check-run"):
+    """Asks a VM whether the reports of its region's servers show that a run has ended.
+
+    The run's own VM has closed its connections and says nothing, as one that was killed.
+    """
+
+    vm: str
+    run: str
+    trace: RunTrace
 
 
 class RunEnded(msgspec.Struct, frozen=True, array_like=True, tag="run-ended"):
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from hickorybeam.errors import ErrorKind
     from hickorybeam.gateway.event_splitter import EventSplitter
+    from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRun
     from hickorybeam.gateway.send_records import SendRecord
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import ResponseHead, ResponseWriter
@@ -50,6 +51,7 @@
     ``failed_response`` is a server's own failing response, kept in case that no better one comes.
     ``next_target`` is where the request goes next, chosen when it failed over from a silent target.
     ``own_region_only``: another VM forwarded it, so it is run in this region or not at all.
+    ``forwarded_run`` is the run that the other VM asked for.
     ``placement_ms`` is the time spent on placement, most of it in the queue.
     ``expected_wait_ms`` is the wait that was expected at the last target.
     """
@@ -71,6 +73,7 @@
     reason: str = ""
     next_target: Target | None = None
     own_region_only: bool = False
+    forwarded_run: ForwardedRun | None = None
     placement_ms: int = 0
     expected_wait_ms: float = 0.0
     timing: ResponseTiming = field(default_factory=ResponseTiming)
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -14,7 +14,12 @@
 from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRuns
 from hickorybeam.gateway.forwarding.peer_connections import PeerConnections
 from hickorybeam.gateway.forwarding.run_cancels import RunCancels
-from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunAnswers, RunEnded
+from hickorybeam.gateway.forwarding.run_messages import (
+    CancelRun,
+    CheckRun,
+    RunAnswers,
+    RunEnded,
+)
 from hickorybeam.gateway.held_bytes import HeldBytes
 from hickorybeam.gateway.local_placement import LocalPlacement
 from hickorybeam.gateway.placement_client import PlacementClient
@@ -29,6 +34,8 @@
 from hickorybeam.gateway.progress import RequestProgress
 from hickorybeam.gateway.region_servers import RegionServers
 from hickorybeam.gateway.remote_selector import RemoteSelector
+from hickorybeam.gateway.runs.region_check import RegionCheck
+from hickorybeam.gateway.runs.server_reports import ServerReports
 from hickorybeam.gateway.send_records import is_notable
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.server_ends import ServerEnds
@@ -163,8 +170,21 @@
             on_whole=part_blocks.recorder.record_whole,
         )
         self._held_bytes = HeldBytes()
+        self._server_reports = ServerReports(clock=clock, counters=counters, log=log)
         self._run_cancels = RunCancels(clock=clock, counters=counters, fleet=fleet, log=log)
-        self._forwarded_runs = ForwardedRuns(clock=clock, counters=counters, fleet=fleet, log=log)
+        self._region_check = RegionCheck(
+            clock=clock,
+            fleet=fleet,
+            routing_state=feed.routing_state,
+            server_reports=self._server_reports,
+        )
+        self._forwarded_runs = ForwardedRuns(
+            clock=clock,
+            counters=counters,
+            fleet=fleet,
+            log=log,
+            region_check=self._region_check,
+        )
         self._sender = Sender(
             clock=clock,
             counters=counters,
@@ -177,6 +197,7 @@
             part_blocks=part_blocks,
             held_bytes=self._held_bytes,
             run_cancels=self._run_cancels,
+            server_reports=self._server_reports,
         )
 
     async def run_placement(self) -> None:
@@ -188,6 +209,7 @@
         self._fleet.on_message(StreamQuestion, self._stream_origins.handle_question)
         self._fleet.on_message(StreamAnswer, self._stream_origins.handle_answer)
         self._fleet.on_message(CancelRun, self._forwarded_runs.handle_cancel)
+        self._fleet.on_message(CheckRun, self._forwarded_runs.handle_check)
         self._fleet.on_message(RunEnded, self._run_cancels.handle_word)
         self._fleet.on_message(RunAnswers, self._run_cancels.handle_word)
         self._fleet.granted_usage = self._placement_client.granted_usage
@@ -195,6 +217,7 @@
         self._fleet.reports.on_leads = self._apply_leads
         async with anyio.create_task_group() as tg:
             self._server_ends.start(tg)
+            self._region_check.set_tasks(tg)
             tg.start_soon(self._placement_client.run)
             tg.start_soon(self._peer_connections.run)
             tg.start_soon(self._promises.run)
@@ -245,7 +268,9 @@
         """
         own_region_only = run is not None
         splitter = EventSplitter(hold_partial=request.route.resumable, held=self._held_bytes)
-        progress = RequestProgress(response, splitter, own_region_only=own_region_only)
+        progress = RequestProgress(
+            response, splitter, own_region_only=own_region_only, forwarded_run=run
+        )
         left_ms = request.deadline_ms - self._clock.now()
         with anyio.CancelScope() as scope:
             response.on_disconnect(scope.cancel)
--- a/src/hickorybeam/gateway/run_settlement.py
+++ b/src/hickorybeam/gateway/runs/settlement.py
@@ -1,8 +1,8 @@
 """Decide whether a request goes on after a send whose outcome is unknown.
 
 It may run on where it was sent. What this VM sees of the connection doesn't tell: a link that fails
-carries no close. Only the runner's word does, which is the other VM's answer, or that a server
-closes its end after this VM has closed its own.
+carries no close. Only the runner's word does: the other VM's answer, or that a server closes its
+end after this VM has closed its own, and no longer lists the run if it reports what it runs.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from hickorybeam.gateway.attempt import FirstByteTimeoutError
 from hickorybeam.gateway.forwarding.run_cancels import RemoteRun
+from hickorybeam.gateway.runs.server_reports import UNENDED_STATES
 from hickorybeam.gateway.send_records import NotRunGround
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, address_of
 from hickorybeam.model.routing import Repeat
@@ -21,6 +22,7 @@
     from hickorybeam.gateway.attempt import Attempt
     from hickorybeam.gateway.forwarding.run_cancels import RunCancels
     from hickorybeam.gateway.progress import RequestProgress
+    from hickorybeam.gateway.runs.server_reports import ServerReports
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import BrokenResponseError
 
@@ -30,15 +32,23 @@
 class RunSettlement:
     """Ends the runs of sends that broke off, and records whether their requests may go on."""
 
-    def __init__(self, run_cancels: RunCancels) -> None:
+    def __init__(self, run_cancels: RunCancels, server_reports: ServerReports) -> None:
         self._run_cancels = run_cancels
+        self._server_reports = server_reports
 
-    def name_run(self, target: Target) -> RemoteRun | None:
+    def name_run(self, target: Target, request: AdmittedRequest, now_ms: int) -> RemoteRun | None:
         """Return the run that a VM is asked for; ``None`` if the target is a server."""
         match target:
             case PeerTarget(peer):
-                name = self._run_cancels.new_name()
-                return RemoteRun(name, peer.vm.name, address_of(target))
+                return RemoteRun(
+                    self._run_cancels.new_name(),
+                    peer.vm.name,
+                    address_of(target),
+                    region=peer.vm.region,
+                    request_id=request.call.request_id if is_reported(request) else "",
+                    service=request.service,
+                    asked_ms=now_ms,
+                )
             case ServerTarget():
                 return None
 
@@ -53,17 +63,22 @@
         if attempt.run is None:
             await self._settle_at_server(attempt, request, progress)
             return
+        was_closed = attempt.closed_by_peer
         attempt.close()
-        await self._settle_at_vm(attempt.run, exc, request, progress)
+        await self._settle_at_vm(attempt.run, exc, request, progress, was_closed=was_closed)
 
     async def end_left_run(self, attempt: Attempt, progress: RequestProgress) -> None:
         """End the run of a forwarded request that its VM left or cancelled.
 
-        Its VM sends the request elsewhere on this VM's word, which needs the server's close.
+        Its VM sends the request elsewhere on this VM's word, which needs the server's.
         """
-        if attempt.was_sent:
-            with anyio.CancelScope(shield=True):
-                progress.runs_on = not await attempt.close_acknowledged()
+        if not attempt.was_sent:
+            return
+        with anyio.CancelScope(shield=True):
+            progress.runs_on = not await attempt.close_acknowledged()
+            run = progress.forwarded_run
+            if run is not None and run.trace is not None and not progress.runs_on:
+                await self._settle_by_report(attempt, run.trace.request_id, progress)
 
     async def _settle_at_vm(
         self,
@@ -71,6 +86,8 @@
         exc: BrokenResponseError,
         request: AdmittedRequest,
         progress: RequestProgress,
+        *,
+        was_closed: bool,
     ) -> None:
         is_final = progress.response.started and not progress.may_run_again(request)
         if may_overlap(request) or is_final:
@@ -80,7 +97,7 @@
             case FirstByteTimeoutError(ended=ended):
                 pass
             case _:
-                ended = await self._run_cancels.settle(run)
+                ended = await self._run_cancels.settle(run, was_closed=was_closed)
         progress.runs_on = ended is None
         if ended is None:
             progress.reason += f", {run.vm} did not say that its run has ended"
@@ -98,6 +115,23 @@
         if not await attempt.close_acknowledged():
             progress.runs_on = True
             progress.reason += ", the server did not close its connection"
+            return
+        if is_reported(request):
+            await self._settle_by_report(attempt, request.call.request_id, progress)
+
+    async def _settle_by_report(
+        self, attempt: Attempt, request_id: str, progress: RequestProgress
+    ) -> None:
+        sent_ms = max(progress.records[-1].sent_ms, attempt.connected_ms)
+        state = await self._server_reports.wait_ended(attempt.address, request_id, sent_ms=sent_ms)
+        if state in UNENDED_STATES:
+            progress.runs_on = True
+            progress.reason += f", the server closed its connection and its report is {state.value}"
+
+
+def is_reported(request: AdmittedRequest) -> bool:
+    """Return whether its servers, as model servers, report what they run."""
+    return request.call.tokens_told
 
 
 def may_overlap(request: AdmittedRequest) -> bool:
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -17,7 +17,7 @@
 )
 from hickorybeam.gateway.response_heads import headers_to_pass_on, is_failed, version_key_of
 from hickorybeam.gateway.resumed_streams import ResumedStreams, version_of
-from hickorybeam.gateway.run_settlement import RunSettlement, may_overlap
+from hickorybeam.gateway.runs.settlement import RunSettlement, may_overlap
 from hickorybeam.gateway.send_records import NotRunGround, SendCounts, SendEnd, SendRecord
 from hickorybeam.gateway.targets import PeerTarget, ServerTarget, target_name
 from hickorybeam.gateway.whole_responses import WholeResponses
@@ -41,6 +41,7 @@
     from hickorybeam.gateway.in_flight import InFlightRequest
     from hickorybeam.gateway.part_blocks import PartBlocksService
     from hickorybeam.gateway.progress import RequestProgress
+    from hickorybeam.gateway.runs.server_reports import ServerReports
     from hickorybeam.gateway.server_ends import ServerEnds
     from hickorybeam.gateway.server_notices import ServerNotices
     from hickorybeam.gateway.stream_origins import StreamOrigins
@@ -72,10 +73,11 @@
         part_blocks: PartBlocksService,
         held_bytes: HeldBytes,
         run_cancels: RunCancels,
+        server_reports: ServerReports,
     ) -> None:
         self._clock = clock
         self._run_cancels = run_cancels
-        self._run_settlement = RunSettlement(run_cancels)
+        self._run_settlement = RunSettlement(run_cancels, server_reports)
         self._server_notices = server_notices
         self._selector = selector
         self._pool = pool
@@ -114,7 +116,7 @@
             copy_from=copy_from,
             is_blocked=lambda: self._part_blocks.is_blocked(request),
             fresh=server_state is not None and self._part_blocks.needs_proof(request),
-            run=self._run_settlement.name_run(target),
+            run=self._run_settlement.name_run(target, request, self._clock.now()),
         )
         open_request = self._open_request(target, request, progress, attempt)
         record = SendRecord(
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -35,6 +35,11 @@
 class ConnectFailedError(Exception):
     """The connection could not be opened, so nothing was sent."""
 
+    @property
+    def refused(self) -> bool:
+        """Whether the other end refused it, as where no process listens."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class UpstreamPool:
     """Idle connections by address; the most recently used is reused first.
--- a/src/hickorybeam/platform/__init__.py
+++ b/src/hickorybeam/platform/__init__.py
@@ -20,6 +20,7 @@
     refusal_headers,
     response_headers,
 )
+from hickorybeam.platform.server_report import REPORT_PATH, decode_runs
 from hickorybeam.platform.store import PlatformStore
 
 WATCHED_PREFIXES = ("op/", "servers/")
@@ -29,6 +30,7 @@
     "WATCHED_PREFIXES",
     "REQUEST_ID",
     "NO_ID",
+    "REPORT_PATH",
     "ResponseInfo",
     "DirectoryQuery",
     "EvacuationEntry",
@@ -43,6 +45,7 @@
     "decode_call",
     "decode_entry",
     "decode_query",
+    "decode_runs",
     "directory_response",
     "refusal_headers",
     "server_headers",
--- /dev/null
+++ b/src/hickorybeam/platform/server_report.py
@@ -0,0 +1,26 @@
+"""What a model server reports of itself: the requests that it runs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+__all__ = ("REPORT_PATH", "decode_runs")
+
+REPORT_PATH = b"/report"
+
+
+class _Report(msgspec.Struct):
+    """The part of a report that is read; a run's first item is its request's id."""
+
+    runs: list[tuple[str, Any, Any, Any]]
+
+
+def decode_runs(body: bytes) -> frozenset[str] | None:
+    """Return the ids of the requests that run; ``None`` if it isn't a report of them."""
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return frozenset(run[0] for run in report.runs)
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -16,7 +16,7 @@
 from hickorybeam.clock import Clock, SystemClock
 from hickorybeam.http1 import find_header
 from hickorybeam.http1.head import response_head_bytes
-from hickorybeam.platform import decode_call, names
+from hickorybeam.platform import REPORT_PATH, decode_call, names
 from hickorybeam.standins.batch import Batch
 from hickorybeam.standins.crashes import CrashPoint, CrashSwitch, ServerProcess
 from hickorybeam.standins.prefix_cache import CachedPart
@@ -34,6 +34,7 @@
 EVENTS = 6
 EVENT_EVERY_MS = 4
 HEALTH_PATH = b"/health"
+REPORT_AGE_MS = 200
 # Requests that an engine keeps waiting, for each of its slots.
 QUEUED_PER_SLOT = 2
 # What a request that tells no urgency counts as; 0 is the most urgent.
@@ -103,6 +104,8 @@
     ``limit`` is the value of the header in which all its answers name a rate limit, if any.
     If it is ``leaving``, all its answers say so. If it ``keeps_runs``, they go on when their
     connections close. If it ``tells_id``, its answers name the request in their bodies too.
+    Its reports list its runs as they were ``report_age_ms`` ago; ``None``: it has none.
+    If it has ``silent_reports``, it never answers what asks for one.
     If it is ``nameless``, its health answers don't name the server.
     ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
     ``time_factor`` is the percentage of the usual time that its work takes, as its answers tell it
@@ -131,6 +134,8 @@
     keeps_runs: bool = False
     tells_id: bool = False
     nameless: bool = False
+    report_age_ms: int | None = REPORT_AGE_MS
+    silent_reports: bool = False
     rest_s: bytes | None = None
     time_factor: bytes | None = None
     odd_headers: RawHeaders = ()
@@ -193,6 +198,11 @@
             own_id = () if self.nameless else ((names.SERVER_ID, self.id.encode()),)
             reply.send(200, (*own_id, self._load(), *cold, *self._notices()))
             return
+        if req.target == REPORT_PATH:
+            if self.silent_reports:
+                await anyio.sleep_forever()
+            self._report(reply)
+            return
         request_id = find_header(req.headers, names.REQUEST_ID) or b""
         rejection = self._rejection(req)
         arrival = Arrival(
@@ -217,6 +227,18 @@
             self.running -= 1
             span.ended_ms = self.clock.now()
 
+    def _report(self, reply: ResponseWriter) -> None:
+        if self.report_age_ms is None:
+            reply.send(404, ())
+            return
+        as_of_ms = self.clock.now() - self.report_age_ms
+        runs = [
+            (it.request_id, 0, 0, 0)
+            for it in self.spans
+            if it.began_ms <= as_of_ms and (not it.ended_ms or it.ended_ms > as_of_ms)
+        ]
+        reply.send(200, (), msgspec.json.encode({"runs": runs}))
+
     def _rejection(self, req: IncomingRequest) -> tuple[int, RawHeaders] | None:
         expected = find_header(req.headers, names.EXPECT_SERVER)
         if self.faults.take("misread") or (expected and expected.decode() != self.id):
--- a/tests/gateway/forwarding/runs.feature
+++ b/tests/gateway/forwarding/runs.feature
@@ -22,6 +22,35 @@
     When a stream runs in the south, a server starts in the north and the links cut its server off and reset their connections
     Then its caller gets no further event after 1
 
+  # Guards against streams that are cut with a killed VM though their servers' reports show their end.
+  Scenario Outline: a stream whose VM is killed goes on by the word of another VM of its region
+    Given two regions whose streams begin in the south, where two VMs are
+    And servers report <what>
+    When a stream has begun in the south, a server starts in the north, and its VM is killed while its server <does>
+    Then no two runs of it overlap by more than 400 ms
+    And its caller gets <answer> after <runs>
+
+    Examples:
+      | what                     | does            | answer           | runs |
+      | what they ran 0 ms ago   | drops it        | the whole stream | 2    |
+      | what they ran 450 ms ago | drops it        | the whole stream | 2    |
+      | what they ran 450 ms ago | works on        | some events      | 1    |
+      | no runs                  | drops it        | some events      | 1    |
+      | nothing in time          | drops it        | some events      | 1    |
+
+  # Guards against the word of a VM that has started again, while its earlier process's server works on.
+  Scenario Outline: a VM that doesn't know a run asks its servers before it says that it has ended
+    Given two regions whose streams begin in the south, linked by what can be harmed
+    And servers report <what>
+    When a run that the southern VM doesn't know is cancelled there while its server <does>
+    Then it <tells> that the run has ended
+
+    Examples:
+      | what                     | does     | tells      |
+      | what they ran 450 ms ago | works on | never says |
+      | what they ran 450 ms ago | drops it | says       |
+      | no runs                  | drops it | says       |
+
   # Guards against a response that is cut as its VM is asked to end the run while it is on its way.
   Scenario: a response that has begun is delivered, though it comes after the first-byte timeout
     Given two regions whose streams begin in the south, linked by what can be harmed
--- a/tests/gateway/server_runs.feature
+++ b/tests/gateway/server_runs.feature
@@ -14,12 +14,26 @@
       | ends                                        | the whole stream    | 2    |
       | hangs until its caller leaves               | the whole stream    | 2    |
       | sends bytes that are no response            | the whole stream    | 2    |
-
-    @known_red
-    Examples: not mended
-      | harm                                        | answer              | runs |
       | closes its end and works on                 | a failure within 3 s | 1    |
 
+  # Guards against a late report that is taken for what runs now.
+  Scenario Outline: a stream goes on only once its server no longer reports its run
+    Given a small gateway with servers "m1:model, m2:model"
+    And streams take 1200 ms to their first event
+    And servers report <what>
+    When the server of a stream <harm>
+    Then its caller gets <answer>, and servers ran it <runs> times
+    And no two of its runs are there at once for more than 400 ms
+
+    Examples:
+      | what                             | harm                          | answer               | runs |
+      | what they ran 0 ms ago           | closes its end and works on   | a failure within 3 s | 1    |
+      | what they ran 450 ms ago         | closes its end and works on   | a failure within 3 s | 1    |
+      | nothing in time                  | closes its end and works on   | a failure within 3 s | 1    |
+      | what they ran 450 ms ago         | hangs until its caller leaves | the whole stream     | 2    |
+      | what they ran 450 ms ago         | ends                          | the whole stream     | 2    |
+      | no runs                          | hangs until its caller leaves | the whole stream     | 2    |
+
   # Guards against lookups that wait for a server that can't be heard: they may run twice.
   Scenario: a lookup goes on at once
     Given a small gateway with servers "b1:books, b2:books"
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -15,12 +15,14 @@
 from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunEnded
 from hickorybeam.platform import names
 from hickorybeam.standins.links import CALM, LinkHarm
+from hickorybeam.standins.server import RunSpan
 from hickorybeam.telemetry import Counters
 from support.gateway import executed_requests
-from support.linked_gateway import NORTH, SOUTH, linked_gateway, spans_of
+from support.linked_gateway import NORTH, SECOND, SOUTH, linked_gateway, spans_of
 
 # The first event comes late, so that the first-byte timeout passes before it.
 WORK_MS, EVENT_EVERY_MS = 1_200, 200
+LONG_EVENT_MS = 600
 WAIT_MS = 6_000
 SILENT = LinkHarm(silent=True)
 ALL_EVENTS = [1, 2, 3, 4, 5, 6]
@@ -72,6 +74,77 @@
     context.spans = spans_of(rig, south.spans[0].request_id)
 
 
+@given("two regions whose streams begin in the south, where two VMs are")
+def step_two_southern(context):
+    manager = linked_gateway(second=True)
+    context.rig = context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+    context.rig.servers["m9"].event_every_ms = EVENT_EVERY_MS
+
+
+def set_dropping(server, what):
+    server.keeps_runs = what == "works on"
+    if server.keeps_runs:
+        # Its run outlasts all waits.
+        server.event_every_ms = LONG_EVENT_MS
+
+
+@when(
+    "a stream has begun in the south, a server starts in the north, and its VM is killed"
+    " while its server {does}"
+)
+def step_run_and_kill(context, does):
+    rig = context.rig
+    south = rig.servers["m9"]
+    set_dropping(south, does)
+
+    async def ask():
+        context.answer = await rig.call(
+            NORTH, "/plan/x", method="POST", body=b"{}", wait_ms=WAIT_MS, tokens=b"50,10"
+        )
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(ask)
+            await rig.until(lambda: bool(south.spans))
+            await anyio.sleep(2.5 * south.event_every_ms / 1_000)
+            rig.servers["m1"].register()
+            southern = [rig.vms[it] for it in (SOUTH, SECOND)]
+            next(it for it in southern if it.relay._handler._forwarded_runs._open).kill()
+
+    context.call(run)
+    context.spans = spans_of(rig, south.spans[0].request_id)
+
+
+@when("a run that the southern VM doesn't know is cancelled there while its server {does}")
+def step_unknown_cancelled(context, does):
+    rig = context.rig
+    south = rig.servers["m9"]
+    set_dropping(south, does)
+    cancels = rig.vms[NORTH].relay._handler._run_cancels
+    peer = rig.vms[NORTH].fleet.peers.by_name[SOUTH].vm
+    span = RunSpan("feed", "m9", SystemClock().now() - WAIT_MS)
+    if does == "works on":
+        south.spans.append(span)
+    run = RemoteRun(
+        "a",
+        SOUTH,
+        (peer.host, peer.peer_port),
+        request_id="feed",
+        service="model",
+        asked_ms=span.began_ms,
+    )
+
+    async def settle():
+        context.ended = await cancels.settle(run)
+
+    context.call(settle)
+
+
+@then("it {tells} that the run has ended")
+def step_tells_ended(context, tells):
+    assert (context.ended is not None) == (tells == "says"), context.ended
+
+
 async def apply_harm(links, harm):
     match harm:
         case "forget their connections":
@@ -112,6 +185,8 @@
             answer.status,
             events,
         )
+    elif what == "some events":
+        assert not answer.whole and events == ALL_EVENTS[: len(events)], (answer.status, events)
     else:
         # It may have run, so nothing may promise that it has not.
         assert answer.status in (0, 502, 504) and not events, (answer.status, events)
@@ -396,7 +471,7 @@
 def step_runner(context):
     context.fleet, context.clock = Fleet(), ManualClock()
     context.runs = ForwardedRuns(
-        clock=context.clock, counters=Counters(), fleet=context.fleet, log=Log()
+        region_check=None, clock=context.clock, counters=Counters(), fleet=context.fleet, log=Log()
     )
 
 
--- a/tests/steps/gateway/server_runs_steps.py
+++ b/tests/steps/gateway/server_runs_steps.py
@@ -22,6 +22,18 @@
     context.call(rig.settled)
 
 
+@given("servers report {what}")
+def step_report(context, what):
+    for server in context.rig.servers.values():
+        match what.split():
+            case ["what", "they", "ran", ms, "ms", "ago"]:
+                server.report_age_ms = int(ms)
+            case ["no", "runs"]:
+                server.report_age_ms = None
+            case _:
+                server.silent_reports = True
+
+
 @when("the server of a stream {harm}")
 def step_harm_stream(context, harm):
     ask(context, harm, "/plan/x", method="POST", body=b"{}", tokens=b"50,10")
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -198,23 +198,26 @@
         server.faults.cut = count
 
 
-async def broken_off(context, vm, stream, request):
-    """Let each server of the stream break off, so that its VM can't resume it."""
-    set_cuts(context, 1)
-    await request(context, vm, stream)
+async def broken_off(context, vm, streams, request):
+    """Let each server of the streams break off, so that their VM can't resume them."""
+    set_cuts(context, len(streams))
+    async with anyio.create_task_group() as tg:
+        for stream in streams:
+            tg.start_soon(request, context, vm, stream)
     set_cuts(context, 0)
-    assert stream.answer.status == 200, stream.answer.status
-    assert not stream.answer.whole
+    for stream in streams:
+        assert stream.answer.status == 200, stream.answer.status
+        assert not stream.answer.whole
 
 
 @when('{count:d} streams from "{vm}" break off')
 def step_break_off(context, count, vm):
     async def run():
-        for _ in range(count):
-            stream = CallersStream("")
-            await broken_off(context, vm, stream, send)
+        streams = [CallersStream("") for _ in range(count)]
+        await broken_off(context, vm, streams, send)
+        for stream in streams:
             assert stream.last == length(context) // 2, stream.last
-            context.streams.append(stream)
+        context.streams += streams
 
     context.call(run)
 
@@ -331,7 +334,7 @@
     async def run():
         for stream in context.streams:
             stream.last = 1
-            await broken_off(context, vm, stream, take_up)
+        await broken_off(context, vm, context.streams, take_up)
 
     context.call(run)
 
--- a/tests/support/linked_gateway.py
+++ b/tests/support/linked_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack, asynccontextmanager
+from itertools import permutations
 
 import anyio
 
@@ -11,14 +12,19 @@
 from hickorybeam.http1 import HttpServer
 from hickorybeam.standins.links import LinkedStore, Links
 
-NORTH, SOUTH = "n1", "s1"
+NORTH, SOUTH, SECOND = "n1", "s1", "s2"
 TIMEOUT_MS = 6_000
 CENTRES = {NORTH: "north-1", SOUTH: "south-1"}
+SECOND_CENTRE = "south-1"
 
 
 @asynccontextmanager
-async def linked_gateway(*, service="model"):
-    """Run a store, a VM and a server in each region; the northern one isn't registered."""
+async def linked_gateway(*, service="model", second=False):
+    """Run a store, a VM and a server in each region; the northern one isn't registered.
+
+    :param second: run another VM in the south.
+    """
+    centres = {**CENTRES, SECOND: SECOND_CENTRE} if second else CENTRES
     async with AsyncExitStack() as stack:
         tg = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tg.cancel_scope.cancel)
@@ -28,12 +34,12 @@
             route["timeout-ms"] = TIMEOUT_MS
         fleet.config["version"] += 1
         fleet.configure()
-        await links.add(tg, NORTH, SOUTH)
-        await links.add(tg, SOUTH, NORTH)
+        for pair in permutations(centres, 2):
+            await links.add(tg, *pair)
         await fleet.add_server("m9", service, CENTRES[SOUTH])
         late = await fleet.add_server("m1", service, CENTRES[NORTH])
         late.withdraw()
-        for name, centre in CENTRES.items():
+        for name, centre in centres.items():
             store = LinkedStore(fleet.app, links, name)
             server = HttpServer(store.answer, clock=SystemClock(), tasks=tg)
             await server.listen("127.0.0.1", 0)
@@ -49,7 +55,9 @@
     peers = vm.fleet.peers.by_name.values()
     has_config = vm.routing_state.config is not None
     has_no_other = "m1" not in vm.routing_state.server_states
-    return has_config and has_no_other and any(service in (it.forecasts or {}) for it in peers)
+    has_all = vm.fleet.live_vm_count() == len(fleet.vms)
+    has_forecast = any(service in (it.forecasts or {}) for it in peers)
+    return has_config and has_no_other and has_all and has_forecast
 
 
 def spans_of(fleet, request_id):
