--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -5,9 +5,9 @@
 
 Links between the regions fall silent, both ways or one, delay, reset and forget connections; VMs
 are paused, killed, stopped in order and started again; servers fail, work on when connections
-close, and answer with headers that only VMs tell each other; the configuration changes. Faults follow each other and overlap. An order
-and a stream without resuming run at most once, and two runs of a stream that may be resumed
-overlap by no more than ``MAX_OVERLAP_MS``; exits 1 otherwise.
+close, and answer with headers that only VMs tell each other; the configuration changes. Faults
+follow each other and overlap. An order and a stream without resuming run at most once, and two
+runs of a stream that may be resumed overlap by no more than ``MAX_OVERLAP_MS``; exits 1 otherwise.
 """
 
 from __future__ import annotations
