--- a/src/hickorybeam/platform/server_report.py
+++ b/src/hickorybeam/platform/server_report.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from hickorybeam.untrusted import InvalidBytesError, decode_json
+
 __all__ = ("REPORT_PATH", "decode_runs")
 
 REPORT_PATH = b"/report"
@@ -20,7 +22,7 @@
 def decode_runs(body: bytes) -> frozenset[str] | None:
     """Return the ids of the requests that run; ``None`` if it isn't a report of them."""
     try:
-        report = msgspec.json.decode(body, type=_Report)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        report = decode_json(body, _Report)
+    except InvalidBytesError:
         return None
     return frozenset(run[0] for run in report.runs)
--- a/tests/gateway/server_runs.feature
+++ b/tests/gateway/server_runs.feature
@@ -39,3 +39,16 @@
     Given a small gateway with servers "b1:books, b2:books"
     When the server of a lookup can't be reached any more, and works on
     Then its caller gets the answer within 600 ms
+
+  # Guards against a report of another form that is taken for one that lists no runs.
+  Scenario Outline: a report tells runs only if it lists them
+    Then the report <report> tells <runs>
+
+    Examples:
+      | report                                                    | runs      |
+      | {"running": 1, "runs": [["a", 10, 2, 5], ["b", 1, 0, 0]]} | runs a, b |
+      | {"runs": []}                                              | no runs   |
+      | {"running": 1}                                            | nothing   |
+      | {"runs": [[7, 1, 1, 1]]}                                  | nothing   |
+      | {"runs": ["a"]}                                           | nothing   |
+      | not found                                                 | nothing   |
--- a/tests/steps/gateway/server_runs_steps.py
+++ b/tests/steps/gateway/server_runs_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from hickorybeam.clock import SystemClock
+from hickorybeam.platform import decode_runs
 
 EVENT_EVERY_MS = 200
 WAIT_MS = 6_000
@@ -113,3 +114,13 @@
 def step_lookup_answer(context, limit):
     assert context.answer.status == 200, context.answer.status
     assert context.took_ms < limit, context.took_ms
+
+
+@then("the report {report} tells {runs}")
+def step_report_tells(context, report, runs):
+    expected = {
+        "nothing": None,
+        "no runs": frozenset(),
+        "runs a, b": frozenset({"a", "b"}),
+    }
+    assert decode_runs(report.encode()) == expected[runs], decode_runs(report.encode())
