--- a/bench/crash_evidence_cost.py
+++ b/bench/crash_evidence_cost.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from hickorybeam.gateway.crash_notice import CrashNotice
+from hickorybeam.gateway.crashes.notice import CrashNotice
 from hickorybeam.gateway.fleet import WHOLE_REPORT_EVERY
 from hickorybeam.model.routing import PromptPart, RelayCall
 from hickorybeam.policy.crash_evidence import MAX_PARTS, MAX_SOUND, CrashEvidence
--- a/bench/placing_cost.py
+++ b/bench/placing_cost.py
@@ -16,14 +16,18 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.fleet import PeerMessage
-from hickorybeam.gateway.local_placement import LocalPlacement
 from hickorybeam.gateway.peers import Peer, PeerTable
-from hickorybeam.gateway.placement_coordinator import PlacementCoordinator
-from hickorybeam.gateway.placement_messages import PlacementRequest, PlacementUpdate, SendStatus
+from hickorybeam.gateway.placement.coordinator import PlacementCoordinator
+from hickorybeam.gateway.placement.local import LocalPlacement
+from hickorybeam.gateway.placement.messages import (
+    PlacementRequest,
+    PlacementUpdate,
+    SendStatus,
+)
+from hickorybeam.gateway.placement.service_queue import ServiceQueues
 from hickorybeam.gateway.region_servers import RegionServers
 from hickorybeam.gateway.remote_selector import RemoteSelector
 from hickorybeam.gateway.routing_state import RoutingState
-from hickorybeam.gateway.service_queue import ServiceQueues
 from hickorybeam.gateway.target_selector import TargetSelector
 from hickorybeam.model.routing import GatewayVm, RegisteredServer
 from hickorybeam.policy.prefix_holders import PrefixHolders
--- a/src/hickorybeam/gateway/end_moments.py
+++ b/src/hickorybeam/gateway/crashes/end_moments.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from hickorybeam.gateway.open_requests import Look, OpenRequest
+    from hickorybeam.gateway.crashes.open_requests import Look, OpenRequest
     from hickorybeam.http1.pool import Address
     from hickorybeam.policy.server_choice import ServerState
 
--- a/src/hickorybeam/gateway/crash_notices.py
+++ b/src/hickorybeam/gateway/crashes/notices.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from hickorybeam.gateway.crash_notice import CrashNotice
+from hickorybeam.gateway.crashes.notice import CrashNotice
 
 if TYPE_CHECKING:
     from hickorybeam.gateway.fleet import FleetService
--- a/src/hickorybeam/gateway/part_blocks.py
+++ b/src/hickorybeam/gateway/crashes/part_blocks.py
@@ -14,13 +14,13 @@
 from absl import logging
 
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.gateway.block_records import BlockRecords
-from hickorybeam.gateway.crash_notice import CrashNotice
-from hickorybeam.gateway.crash_notices import relay_notice, send_notice
-from hickorybeam.gateway.crash_recorder import CrashRecorder, has_crashes, shared_parts
+from hickorybeam.gateway.crashes.block_records import BlockRecords
+from hickorybeam.gateway.crashes.notice import CrashNotice
+from hickorybeam.gateway.crashes.notices import relay_notice, send_notice
+from hickorybeam.gateway.crashes.recorder import CrashRecorder, has_crashes, shared_parts
+from hickorybeam.gateway.crashes.suspect_records import SuspectRecords
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
-from hickorybeam.gateway.suspect_records import SuspectRecords
 from hickorybeam.gateway.vm_client import VmClient
 from hickorybeam.kernel import Service
 from hickorybeam.policy.block_trials import UndecidedTrials
--- a/src/hickorybeam/gateway/crash_recorder.py
+++ b/src/hickorybeam/gateway/crashes/recorder.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable, Iterable
 
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.open_requests import EndedServer, OpenRequest
+    from hickorybeam.gateway.crashes.open_requests import EndedServer, OpenRequest
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.gateway.targets import AdmittedRequest
     from hickorybeam.model.routing import RelayCall
--- a/src/hickorybeam/gateway/server_end_log.py
+++ b/src/hickorybeam/gateway/crashes/server_end_log.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.open_requests import Look, OpenRequest, ServerEnd
+    from hickorybeam.gateway.crashes.open_requests import Look, OpenRequest, ServerEnd
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
--- a/src/hickorybeam/gateway/server_ends.py
+++ b/src/hickorybeam/gateway/crashes/server_ends.py
@@ -19,16 +19,16 @@
 import anyio
 
 from hickorybeam.clock import MS_PER_SECOND
-from hickorybeam.gateway.end_moments import EndMoments, address_of
-from hickorybeam.gateway.open_requests import (
+from hickorybeam.gateway.crashes.end_moments import EndMoments, address_of
+from hickorybeam.gateway.crashes.open_requests import (
     EndedServer,
     EndedUnder,
     Look,
     OpenRequest,
     ServerEnd,
 )
-from hickorybeam.gateway.server_end_log import ServerEndLog
-from hickorybeam.gateway.server_identity import ServerIdentity
+from hickorybeam.gateway.crashes.server_end_log import ServerEndLog
+from hickorybeam.gateway.crashes.server_identity import ServerIdentity
 from hickorybeam.http1 import ConnectFailedError
 from hickorybeam.policy.crash_suspects import Trait
 
--- a/src/hickorybeam/gateway/suspect_records.py
+++ b/src/hickorybeam/gateway/crashes/suspect_records.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from hickorybeam.errors import GatewayError
-from hickorybeam.gateway.block_records import StoredCrash, stored_crashes, told_crashes
+from hickorybeam.gateway.crashes.block_records import StoredCrash, stored_crashes, told_crashes
 from hickorybeam.policy.crash_messages import ToldPart
 from hickorybeam.store import Put
 from hickorybeam.untrusted import decode_json
--- a/src/hickorybeam/gateway/daemon.py
+++ b/src/hickorybeam/gateway/daemon.py
@@ -10,9 +10,9 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.cold_health_checks import ColdHealthCheckService
+from hickorybeam.gateway.crashes.part_blocks import PartBlocksService
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.fleet import FleetService
-from hickorybeam.gateway.part_blocks import PartBlocksService
 from hickorybeam.gateway.relay import RelayService
 from hickorybeam.gateway.reload import SettingsFile
 from hickorybeam.gateway.settings_limits import drain_limit_ms
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -19,7 +19,7 @@
 from absl import logging
 
 from hickorybeam.gateway.coordinator_ranking import CoordinatorRanking
-from hickorybeam.gateway.crash_notice import CrashNotice
+from hickorybeam.gateway.crashes.notice import CrashNotice
 from hickorybeam.gateway.datagrams import DatagramReceiver
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.forwarding.run_messages import (
@@ -30,7 +30,7 @@
 )
 from hickorybeam.gateway.leaving_records import LeavingRecords
 from hickorybeam.gateway.peers import DISCOVERY_MS, MIN_STABLE_MS, PeerTable
-from hickorybeam.gateway.placement_messages import (
+from hickorybeam.gateway.placement.messages import (
     HeldPlacements,
     PlacementRequest,
     PlacementResponse,
--- a/src/hickorybeam/gateway/in_flight.py
+++ b/src/hickorybeam/gateway/in_flight.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.placement_messages import SendStatus
+from hickorybeam.gateway.placement.messages import SendStatus
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.gateway.service_queue import ServiceQueue
-    from hickorybeam.gateway.slot_grant import SlotGrant
+    from hickorybeam.gateway.placement.service_queue import ServiceQueue
+    from hickorybeam.gateway.placement.slot_grant import SlotGrant
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.policy.shortlist import Shortlist
 
--- a/src/hickorybeam/gateway/placement_client.py
+++ b/src/hickorybeam/gateway/placement/client.py
@@ -11,7 +11,7 @@
 import anyio
 
 from hickorybeam.clock import MS_PER_SECOND
-from hickorybeam.gateway.placement_messages import (
+from hickorybeam.gateway.placement.messages import (
     HeldPlacements,
     PlacementRequest,
     PlacementResponse,
@@ -19,7 +19,7 @@
     PlacementUpdate,
     SendStatus,
 )
-from hickorybeam.gateway.slot_grant import SlotGrant
+from hickorybeam.gateway.placement.slot_grant import SlotGrant
 from hickorybeam.gateway.status_report import NO_USAGE, add_usage
 from hickorybeam.gateway.targets import NoCapacity, NoTarget, PeerTarget, ServerTarget
 
--- a/src/hickorybeam/gateway/placement_coordinator.py
+++ b/src/hickorybeam/gateway/placement/coordinator.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from hickorybeam.gateway.placement_messages import (
+from hickorybeam.gateway.placement.messages import (
     PlacementRequest,
     PlacementResponse,
     PlacementResult,
@@ -28,8 +28,8 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.in_flight import InFlightRequest
-    from hickorybeam.gateway.local_placement import LocalPlacement
-    from hickorybeam.gateway.placement_messages import HeldPlacements, PlacementUpdate
+    from hickorybeam.gateway.placement.local import LocalPlacement
+    from hickorybeam.gateway.placement.messages import HeldPlacements, PlacementUpdate
     from hickorybeam.gateway.target_selector import TargetSelector
     from hickorybeam.gateway.targets import Target
     from hickorybeam.policy.wait_queue import QueueEntry
--- a/src/hickorybeam/gateway/local_placement.py
+++ b/src/hickorybeam/gateway/placement/local.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from hickorybeam.gateway.service_queue import SlotRequest
+from hickorybeam.gateway.placement.service_queue import SlotRequest
 from hickorybeam.gateway.targets import NoCapacity, ServerTarget
 from hickorybeam.policy.retry_after import clamp_retry_after_ms, max_retry_after_ms
 from hickorybeam.policy.return_promises import Promise
@@ -12,8 +12,8 @@
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
+    from hickorybeam.gateway.placement.service_queue import ServiceQueue, ServiceQueues
     from hickorybeam.gateway.routing_state import RoutingState
-    from hickorybeam.gateway.service_queue import ServiceQueue, ServiceQueues
     from hickorybeam.gateway.target_selector import TargetSelector
     from hickorybeam.gateway.targets import AdmittedRequest, Target, TargetFilter
     from hickorybeam.policy.return_promises import PromiseKey
--- a/src/hickorybeam/gateway/slot_grant.py
+++ b/src/hickorybeam/gateway/placement/slot_grant.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from hickorybeam.gateway.placement_messages import SendStatus
+from hickorybeam.gateway.placement.messages import SendStatus
 from hickorybeam.gateway.status_report import NO_USAGE
 
 if TYPE_CHECKING:
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -8,6 +8,7 @@
 import anyio
 from absl import logging
 
+from hickorybeam.gateway.crashes.part_blocks import SUSPECTS_PATH, PartBlocksService
 from hickorybeam.gateway.feed import CHANGES_PATH, STATE_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.forwarding.hop import (
@@ -18,7 +19,6 @@
     hop_run,
 )
 from hickorybeam.gateway.learned_metrics import LearnedMetrics
-from hickorybeam.gateway.part_blocks import SUSPECTS_PATH, PartBlocksService
 from hickorybeam.gateway.request_handler import RequestHandler
 from hickorybeam.gateway.settings_limits import shutdown_times
 from hickorybeam.gateway.stray_log import StrayLog
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -9,6 +9,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.admission import Admission
+from hickorybeam.gateway.crashes.server_ends import ServerEnds
 from hickorybeam.gateway.event_splitter import EventSplitter
 from hickorybeam.gateway.final_responses import FinalResponses
 from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRuns
@@ -21,16 +22,18 @@
     RunEnded,
 )
 from hickorybeam.gateway.held_bytes import HeldBytes
-from hickorybeam.gateway.local_placement import LocalPlacement
-from hickorybeam.gateway.placement_client import PlacementClient
-from hickorybeam.gateway.placement_coordinator import PlacementCoordinator
-from hickorybeam.gateway.placement_messages import (
+from hickorybeam.gateway.placement.client import PlacementClient
+from hickorybeam.gateway.placement.coordinator import PlacementCoordinator
+from hickorybeam.gateway.placement.local import LocalPlacement
+from hickorybeam.gateway.placement.messages import (
     HeldPlacements,
     PlacementRequest,
     PlacementResponse,
     PlacementUpdate,
     SendStatus,
 )
+from hickorybeam.gateway.placement.service_queue import ServiceQueues
+from hickorybeam.gateway.placement.slot_grant import SlotGrant
 from hickorybeam.gateway.progress import RequestProgress
 from hickorybeam.gateway.region_servers import RegionServers
 from hickorybeam.gateway.remote_selector import RemoteSelector
@@ -38,10 +41,7 @@
 from hickorybeam.gateway.runs.server_reports import ServerReports
 from hickorybeam.gateway.send_records import is_notable
 from hickorybeam.gateway.sender import Sender
-from hickorybeam.gateway.server_ends import ServerEnds
-from hickorybeam.gateway.service_queue import ServiceQueues
 from hickorybeam.gateway.settings_limits import retry_limits_of, shutdown_times
-from hickorybeam.gateway.slot_grant import SlotGrant
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.gateway.stream_origins import (
     StreamOrigins,
@@ -65,10 +65,10 @@
     from collections.abc import Mapping
 
     from hickorybeam.clock import Clock
+    from hickorybeam.gateway.crashes.part_blocks import PartBlocksService
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRun
-    from hickorybeam.gateway.part_blocks import PartBlocksService
     from hickorybeam.gateway.status_report import WaitForecast
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import IncomingRequest, ResponseWriter, UpstreamPool
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -6,9 +6,9 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.attempt import Attempt, FirstByteTimeoutError, NotRunError
+from hickorybeam.gateway.crashes.open_requests import OpenRequest
 from hickorybeam.gateway.forwarding.hop import without_hop_headers
-from hickorybeam.gateway.open_requests import OpenRequest
-from hickorybeam.gateway.placement_messages import SendStatus
+from hickorybeam.gateway.placement.messages import SendStatus
 from hickorybeam.gateway.response_ends import (
     EndedInsideEventError,
     ResponseEnd,
@@ -35,14 +35,14 @@
     from collections.abc import Callable
 
     from hickorybeam.clock import Clock
+    from hickorybeam.gateway.crashes.part_blocks import PartBlocksService
+    from hickorybeam.gateway.crashes.server_ends import ServerEnds
     from hickorybeam.gateway.final_responses import FinalResponses
     from hickorybeam.gateway.forwarding.run_cancels import RunCancels
     from hickorybeam.gateway.held_bytes import HeldBytes
     from hickorybeam.gateway.in_flight import InFlightRequest
-    from hickorybeam.gateway.part_blocks import PartBlocksService
     from hickorybeam.gateway.progress import RequestProgress
     from hickorybeam.gateway.runs.server_reports import ServerReports
-    from hickorybeam.gateway.server_ends import ServerEnds
     from hickorybeam.gateway.server_notices import ServerNotices
     from hickorybeam.gateway.stream_origins import StreamOrigins
     from hickorybeam.gateway.target_selector import TargetSelector
--- a/src/hickorybeam/gateway/target_selector.py
+++ b/src/hickorybeam/gateway/target_selector.py
@@ -29,11 +29,11 @@
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.placement.service_queue import ServiceQueues
+    from hickorybeam.gateway.placement.slot_grant import SlotGrant
     from hickorybeam.gateway.region_servers import RegionServers
     from hickorybeam.gateway.remote_selector import RemoteSelector
     from hickorybeam.gateway.routing_state import RoutingState
-    from hickorybeam.gateway.service_queue import ServiceQueues
-    from hickorybeam.gateway.slot_grant import SlotGrant
     from hickorybeam.gateway.status_report import WaitForecast
     from hickorybeam.gateway.targets import AdmittedRequest, PeerTarget, Target, TargetFilter
     from hickorybeam.model.routing import RelayCall
--- a/src/hickorybeam/gateway/targets.py
+++ b/src/hickorybeam/gateway/targets.py
@@ -12,7 +12,7 @@
     from collections.abc import Collection
 
     from hickorybeam.gateway.peers import Peer
-    from hickorybeam.gateway.slot_grant import SlotGrant
+    from hickorybeam.gateway.placement.slot_grant import SlotGrant
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.server_choice import ServerState
 
--- a/tests/steps/gateway/crashing_parts_steps.py
+++ b/tests/steps/gateway/crashing_parts_steps.py
@@ -9,8 +9,8 @@
 import anyio.lowlevel
 from behave import given, then, when
 
-from hickorybeam.gateway.open_requests import ServerEnd
-from hickorybeam.gateway.part_blocks import PartBlocksService
+from hickorybeam.gateway.crashes.open_requests import ServerEnd
+from hickorybeam.gateway.crashes.part_blocks import PartBlocksService
 from hickorybeam.http1 import ConnectFailedError, find_header
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import names
--- a/tests/steps/gateway/fair_share_steps.py
+++ b/tests/steps/gateway/fair_share_steps.py
@@ -7,7 +7,7 @@
 
 from hickorybeam.clock import ManualClock
 from hickorybeam.gateway.overload_report import OverloadReport
-from hickorybeam.gateway.service_queue import ServiceQueue, SlotRequest
+from hickorybeam.gateway.placement.service_queue import ServiceQueue, SlotRequest
 from hickorybeam.policy.return_promises import Promise
 from hickorybeam.telemetry import Counters
 
--- a/tests/steps/gateway/placement_steps.py
+++ b/tests/steps/gateway/placement_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from hickorybeam.clock import SystemClock
-from hickorybeam.gateway.placement_messages import (
+from hickorybeam.gateway.placement.messages import (
     HeldPlacements,
     PlacementRequest,
     PlacementResponse,
--- a/tests/steps/gateway/repeated_requests_steps.py
+++ b/tests/steps/gateway/repeated_requests_steps.py
@@ -7,7 +7,7 @@
 import anyio
 from behave import given, then, when
 
-from hickorybeam.gateway.part_blocks import PartBlocksService
+from hickorybeam.gateway.crashes.part_blocks import PartBlocksService
 from hickorybeam.http1 import ConnectFailedError
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import names
--- a/tests/steps/gateway/service_queue_steps.py
+++ b/tests/steps/gateway/service_queue_steps.py
@@ -6,7 +6,7 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.gateway.overload_report import OverloadReport
-from hickorybeam.gateway.service_queue import ServiceQueue, ServiceQueues
+from hickorybeam.gateway.placement.service_queue import ServiceQueue, ServiceQueues
 from hickorybeam.telemetry import Counters
 
 
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -12,7 +12,7 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.platform import start_platform_fleet
-from hickorybeam.gateway.placement_messages import PlacementRequest, PlacementResult
+from hickorybeam.gateway.placement.messages import PlacementRequest, PlacementResult
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.model.routing import Repeat
 from hickorybeam.policy.stream_versions import ToldStreams, stream_digest, version_key
--- a/tests/steps/gateway/waiting_account_steps.py
+++ b/tests/steps/gateway/waiting_account_steps.py
@@ -3,7 +3,7 @@
 from behave import then, when
 
 from hickorybeam.clock import SystemClock
-from hickorybeam.gateway.placement_coordinator import request_from
+from hickorybeam.gateway.placement.coordinator import request_from
 from hickorybeam.gateway.targets import NoCapacity, TargetFilter
 from hickorybeam.http1 import IncomingRequest
 from hickorybeam.platform import decode_call
--- a/tests/steps/untrusted_steps.py
+++ b/tests/steps/untrusted_steps.py
@@ -15,15 +15,15 @@
 from hickorybeam.dispatch.crashed_calls import CrashNote
 from hickorybeam.errors import GatewayError
 from hickorybeam.front.bodies import BodyError, parse_body
-from hickorybeam.gateway.block_records import BlockRecords
 from hickorybeam.gateway.changes import decode_changes, decode_entries
+from hickorybeam.gateway.crashes.block_records import BlockRecords
+from hickorybeam.gateway.crashes.suspect_records import SuspectRecords
 from hickorybeam.gateway.fleet import PeerMessage
 from hickorybeam.gateway.forwarding.hop import decode_forwarded_request
 from hickorybeam.gateway.leaving_records import decode as decode_leaving
 from hickorybeam.gateway.peers import PeerTable
 from hickorybeam.gateway.settings_limits import retry_limits_of, shutdown_times
 from hickorybeam.gateway.status_report import StatusReport
-from hickorybeam.gateway.suspect_records import SuspectRecords
 from hickorybeam.http1 import IncomingRequest, ResponseHead
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.http1.values import keep_alive_seconds
--- a/tools/mutation_tables/crashes.py
+++ b/tools/mutation_tables/crashes.py
@@ -125,7 +125,7 @@
     ),
     Mutation(
         "an unframed end is looked into",
-        "gateway/server_ends.py",
+        "gateway/crashes/server_ends.py",
         "if framed:\n            self._prove",
         "if True:\n            self._prove",
         GATEWAY,
@@ -141,7 +141,7 @@
     ),
     Mutation(
         "one broken response is no end of a server",
-        "gateway/server_ends.py",
+        "gateway/crashes/server_ends.py",
         "                return ServerEnd.ALIVE\n        elif self._has_connection",
         "                return ServerEnd.ENDED\n        elif self._has_connection",
         GATEWAY,
@@ -149,7 +149,7 @@
     ),
     Mutation(
         "a planned end is no crash",
-        "gateway/server_ends.py",
+        "gateway/crashes/server_ends.py",
         "if not planned:\n            if was_undecided",
         "if True:\n            if was_undecided",
         KNOWN,
@@ -157,7 +157,7 @@
     ),
     Mutation(
         "prompts are checked",
-        "gateway/part_blocks.py",
+        "gateway/crashes/part_blocks.py",
         "if not refused and progress.blocked is None:",
         "if True:",
         GATEWAY,
@@ -165,7 +165,7 @@
     ),
     Mutation(
         "VMs tell each other",
-        "gateway/part_blocks.py",
+        "gateway/crashes/part_blocks.py",
         "send_notice(self._fleet, untold)",
         "pass",
         KNOWN,
@@ -173,7 +173,7 @@
     ),
     Mutation(
         "a VM that starts is told by others",
-        "gateway/part_blocks.py",
+        "gateway/crashes/part_blocks.py",
         "self._fleet.suspects_to_report = self._to_report",
         "pass",
         KNOWN,
@@ -181,7 +181,7 @@
     ),
     Mutation(
         "a VM that starts reads the store's records",
-        "gateway/part_blocks.py",
+        "gateway/crashes/part_blocks.py",
         "feed.on_batch(self._apply_batch)",
         "pass",
         KNOWN,
@@ -189,7 +189,7 @@
     ),
     Mutation(
         "blocked parts are recorded in the store",
-        "gateway/part_blocks.py",
+        "gateway/crashes/part_blocks.py",
         "await self._records.write_due(blocked)",
         "pass",
         KNOWN,
--- a/tools/mutation_tables/repeats.py
+++ b/tools/mutation_tables/repeats.py
@@ -10,8 +10,8 @@
 GATEWAY = "gateway/repeated_requests.feature"
 EVIDENCE = "policy/crash_evidence.py"
 SUSPECTS = "policy/crash_suspects.py"
-RECORDER = "gateway/crash_recorder.py"
-BLOCKS = "gateway/part_blocks.py"
+RECORDER = "gateway/crashes/recorder.py"
+BLOCKS = "gateway/crashes/part_blocks.py"
 KEY = "policy/request_key.py"
 PROMPTS = "repeats one after the other .*@1.1 "
 SEVERAL_VMS = "repeats one after the other .*@1.2 "
@@ -166,7 +166,7 @@
     ),
     Mutation(
         "the store's records block requests",
-        "gateway/block_records.py",
+        "gateway/crashes/block_records.py",
         "return [told]",
         "return []",
         GATEWAY,
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -150,7 +150,7 @@
     ),
     Mutation(
         "the placement coordinator is told the version",
-        "gateway/placement_client.py",
+        "gateway/placement/client.py",
         "            version_key=request.version_key,\n",
         "",
         GATEWAY,
@@ -158,7 +158,7 @@
     ),
     Mutation(
         "the placement coordinator reads the version",
-        "gateway/placement_coordinator.py",
+        "gateway/placement/coordinator.py",
         "        version_key=message.version_key,\n",
         "",
         GATEWAY,
@@ -166,7 +166,7 @@
     ),
     Mutation(
         "a grant at another version is not used",
-        "gateway/placement_client.py",
+        "gateway/placement/client.py",
         "        if version_key not in (None, server_state.version_key):\n",
         "        if False:\n",
         GATEWAY,
@@ -222,7 +222,7 @@
     ),
     Mutation(
         "new streams don't wait behind those of a full version",
-        "gateway/service_queue.py",
+        "gateway/placement/service_queue.py",
         "return queue if version_key is None else queue.of_version(version_key)",
         "return queue",
         "gateway/service_queue.feature",
@@ -230,7 +230,7 @@
     ),
     Mutation(
         "a free slot is offered to streams that wait for a version",
-        "gateway/service_queue.py",
+        "gateway/placement/service_queue.py",
         "            queue.record_departure()\n        self._wake_front(0)",
         "            pass\n        self._wake_front(0)",
         "gateway/service_queue.feature",
