--- a/tests/gateway/forwarding/runs.feature
+++ b/tests/gateway/forwarding/runs.feature
@@ -38,6 +38,17 @@
       | no runs                  | drops it        | some events      | 1    |
       | nothing in time          | drops it        | some events      | 1    |
 
+  # Guards against a VM that can't be heard, and may send its run elsewhere, but counts as killed.
+  Scenario Outline: other VMs are asked of a run only if its VM closed the connection of its response
+    Given a VM that asks others for runs
+    When a stream breaks off that a VM of another region runs, <how>
+    Then another VM of that region <is> asked of its run
+
+    Examples:
+      | how                        | is     |
+      | as that VM closed it       | is     |
+      | without a close from there | is not |
+
   # Guards against the word of a VM that has started again, while its earlier process's server works on.
   Scenario Outline: a VM that doesn't know a run asks its servers before it says that it has ended
     Given two regions whose streams begin in the south, linked by what can be harmed
@@ -51,6 +62,33 @@
       | what they ran 450 ms ago | drops it | says       |
       | no runs                  | drops it | says       |
 
+  # Guards against a run that goes on at a server which has closed its end.
+  Scenario Outline: a VM tells of a run that it ends only what its server reports
+    Given two regions whose streams begin in the south, linked by what can be harmed
+    And servers report <what>
+    When a run that the southern VM has is cancelled there while its server <does>
+    Then it <tells> that the run has ended
+
+    Examples:
+      | what                     | does     | tells      |
+      | what they ran 450 ms ago | works on | never says |
+      | what they ran 450 ms ago | drops it | says       |
+
+  # Guards against a guess about another VM's run, made of what some servers tell.
+  Scenario Outline: a VM speaks of another VM's run only if it has ended at each server that it knows
+    Given a VM that other regions' VMs ask for runs
+    When it is asked of another VM's run "a", and reports of its servers tell "<states>"
+    Then it <tells> that run "a" has ended
+
+    Examples:
+      | states         | tells      |
+      | ended          | says       |
+      | ended ended    | says       |
+      | ended running  | never says |
+      | ended silent   | never says |
+      | ended untold   | never says |
+      |                | never says |
+
   # Guards against a response that is cut as its VM is asked to end the run while it is on its way.
   Scenario: a response that has begun is delivered, though it comes after the first-byte timeout
     Given two regions whose streams begin in the south, linked by what can be harmed
--- a/tests/gateway/server_runs.feature
+++ b/tests/gateway/server_runs.feature
@@ -40,6 +40,14 @@
     When the server of a lookup can't be reached any more, and works on
     Then its caller gets the answer within 600 ms
 
+  # Guards against a report from before a run began, which doesn't list it yet.
+  Scenario: a stream doesn't go on by a report that may be older than its run
+    Given a small gateway with servers "m1:model, m2:model"
+    And streams take 1200 ms to their first event
+    And servers report what they ran 450 ms ago
+    When the server of a stream sends bytes that are no response, and works on
+    Then its caller gets a failure within 3 s, and servers ran it 1 times
+
   # Guards against a report of another form that is taken for one that lists no runs.
   Scenario Outline: a report tells runs only if it lists them
     Then the report <report> tells <runs>
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -12,7 +12,16 @@
 from hickorybeam.clock import ManualClock, SystemClock
 from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRuns
 from hickorybeam.gateway.forwarding.run_cancels import RemoteRun, RunCancels
-from hickorybeam.gateway.forwarding.run_messages import CancelRun, RunEnded
+from hickorybeam.gateway.forwarding.run_messages import (
+    CancelRun,
+    CheckRun,
+    RunEnded,
+    RunTrace,
+)
+from hickorybeam.gateway.runs.server_reports import RunState
+from hickorybeam.gateway.runs.settlement import RunSettlement
+from hickorybeam.http1 import BrokenResponseError
+from hickorybeam.model.routing import Repeat
 from hickorybeam.platform import names
 from hickorybeam.standins.links import CALM, LinkHarm
 from hickorybeam.standins.server import RunSpan
@@ -115,6 +124,27 @@
     context.spans = spans_of(rig, south.spans[0].request_id)
 
 
+@when("a stream breaks off that a VM of another region runs, {how}")
+def step_breaks_off(context, how):
+    context.fleet.region_vms = lambda region: [SimpleNamespace(name=it) for it in ("s1", "s2")]
+    run = RemoteRun("a", "s1", ("127.0.0.1", 1), region="south", request_id="feed", service="model")
+    attempt = SimpleNamespace(
+        run=run, closed_by_peer=how == "as that VM closed it", close=lambda: None
+    )
+    request = SimpleNamespace(route=SimpleNamespace(repeat=Repeat.STREAM))
+    progress = SimpleNamespace(response=SimpleNamespace(started=False), reason="", runs_on=False)
+    settlement = RunSettlement(context.cancels, server_reports=None)
+    exc = BrokenResponseError("connection closed")
+    context.call(settlement.settle, attempt, exc, request, progress)
+    assert progress.runs_on
+
+
+@then("another VM of that region {is_asked} asked of its run")
+def step_is_asked(context, is_asked):
+    asked = {vm for vm, it in context.fleet.sent if isinstance(it, CheckRun)}
+    assert asked == ({"s2"} if is_asked == "is" else set()), asked
+
+
 @when("a run that the southern VM doesn't know is cancelled there while its server {does}")
 def step_unknown_cancelled(context, does):
     rig = context.rig
@@ -140,6 +170,55 @@
     context.call(settle)
 
 
+@when("a run that the southern VM has is cancelled there while its server {does}")
+def step_known_cancelled(context, does):
+    rig = context.rig
+    south = rig.servers["m9"]
+    set_dropping(south, does)
+    cancels = rig.vms[NORTH].relay._handler._run_cancels
+    peer = rig.vms[NORTH].fleet.peers.by_name[SOUTH].vm
+    runs = rig.vms[SOUTH].relay._handler._forwarded_runs._open
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(
+                partial(rig.call, NORTH, "/plan/x", method="POST", wait_ms=WAIT_MS, tokens=b"5,1")
+            )
+            await rig.until(lambda: bool(south.spans))
+            span = south.spans[0]
+            named = RemoteRun(
+                next(iter(runs)),
+                SOUTH,
+                (peer.host, peer.peer_port),
+                request_id=span.request_id,
+                service="model",
+                asked_ms=span.began_ms,
+            )
+            context.ended = await cancels.settle(named)
+            tg.cancel_scope.cancel()
+
+    context.call(run)
+
+
+@when('it is asked of another VM\'s run "{name}", and reports of its servers tell "{states}"')
+def step_asked_to_witness(context, name, states):
+    context.runs._bear_witness(
+        CheckRun("n1", name, RunTrace("feed", "model", WAIT_MS)),
+        [RunState(it) for it in states.split()],
+    )
+
+
+@when('it is asked of another VM\'s run "{name}", and reports of its servers tell ""')
+def step_asked_without_servers(context, name):
+    step_asked_to_witness(context, name, "")
+
+
+@then('it {tells} that run "{name}" has ended')
+def step_tells_run_ended(context, tells, name):
+    told = [it for _, it in context.fleet.sent]
+    assert told == ([RunEnded(name, begun=True)] if tells == "says" else []), told
+
+
 @then("it {tells} that the run has ended")
 def step_tells_ended(context, tells):
     assert (context.ended is not None) == (tells == "says"), context.ended
--- a/tests/steps/gateway/server_runs_steps.py
+++ b/tests/steps/gateway/server_runs_steps.py
@@ -50,7 +50,7 @@
 def ask(context, harm, path, **options):
     rig = context.rig
 
-    if harm == "closes its end and works on":
+    if harm in ("closes its end and works on", "sends bytes that are no response, and works on"):
         for server in rig.servers.values():
             server.keeps_runs = True
 
@@ -82,7 +82,7 @@
             server.process.end()
         case "hangs until its caller leaves" | "closes its end and works on":
             pass
-        case "sends bytes that are no response":
+        case "sends bytes that are no response" | "sends bytes that are no response, and works on":
             for conn in server.process._server.conns:
                 conn.write(b"no response\r\n\r\n")
 
--- a/tools/mutation_tables/__init__.py
+++ b/tools/mutation_tables/__init__.py
@@ -10,6 +10,7 @@
     once,
     outside,
     repeats,
+    runs,
     shares,
     streams,
     tickets,
@@ -29,4 +30,5 @@
     *repeats.MUTATIONS,
     *ends.MUTATIONS,
     *outside.MUTATIONS,
+    *runs.MUTATIONS,
 )
