gateway/crashes: another process at a server's address no longer clears it of its end

And a look at a silent server took the 500 ms of a connection's timeout, so that the next two repeats reached servers before anybody knew.

Change: a connection tells of life only if it is the same start that may have taken it (no connection closed before, the entry still listed); a 421 tells of another server; a look waits 250 ms, as for other signs of life.

--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -168,7 +168,8 @@
 
     def _start(self, i: int) -> subprocess.Popen[bytes]:
         self._last_start = time.monotonic()
-        return start_daemon(self._cfgs[i], self._paths[i])
+        path = self._paths[i]
+        return start_daemon(self._cfgs[i], path, log_path=path.with_suffix(".log"))
 
     async def _ready(self) -> None:
         with anyio.fail_after(10):
@@ -470,14 +471,15 @@
 }
 
 
-async def soak(seed: int, seconds: float, *, north: int, only: str = "") -> Seen:
+async def soak(seed: int, seconds: float, *, north: int, only: str = "", logs: str = "") -> Seen:
     """Run one soak and return what was seen.
 
     :param north: VMs of the northern data centre; with five and more, two of them watch the store.
     :param only: the one kind of fault to do, such as ``spoil``; empty for all.
+    :param logs: an existing folder that keeps the VMs' logs.
     """
     async with AsyncExitStack() as stack:
-        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        folder = Path(logs or stack.enter_context(tempfile.TemporaryDirectory()))
         served = await stack.enter_async_context(serve_store())
         run = Soak(served.app, served.url, folder, seed=seed, north=north, only=only)
         for centre in ("north-1", "south-1"):
@@ -494,9 +496,11 @@
         return run.seen
 
 
-def main(seed: int = 1, seconds: float = 30.0, north: int = 2, only: str = "") -> None:
+def main(
+    seed: int = 1, seconds: float = 30.0, north: int = 2, only: str = "", logs: str = ""
+) -> None:
     """Run one soak and print its verdict."""
-    seen = anyio.run(partial(soak, seed, seconds, north=north, only=only))
+    seen = anyio.run(partial(soak, seed, seconds, north=north, only=only, logs=logs))
     print(f"gateway soak, seed {seed}, {seconds} s: {dict(sorted(seen.outcomes.items()))}")
     for text in seen.violations[:20]:
         print(f"VIOLATED {text}")
--- a/src/hickorybeam/gateway/crashes/server_ends.py
+++ b/src/hickorybeam/gateway/crashes/server_ends.py
@@ -53,7 +53,9 @@
 # A response whose server still writes so long after its first bytes did not crash the server, nor
 # did a request that was given up so long ago.
 PROOF_MS = 1_000
-# A server that holds a connection is asked only if nothing was heard from it for so long.
+# A server that holds a connection is asked only if nothing was heard from it for so long. One in
+# reach takes a new connection sooner; a longer wait would let callers repeat a request under which
+# servers fall silent before anybody knows.
 SILENCE_MS = 250
 # A server that fell silent, or that another process may have replaced, is taken for ended if its
 # entry in the store goes within this time: three of its intervals of renewal, and the way from the
@@ -310,12 +312,12 @@
         address = address_of(server_state)
         look.asked_ms = self._clock.now()
         try:
-            conn = await self._pool.acquire(address, fresh=True)
+            conn = await self._pool.acquire(address, fresh=True, connect_ms=SILENCE_MS)
         except ConnectFailedError as exc:
             refused = isinstance(exc.__cause__, ConnectionError)
             return ServerEnd.ENDED if refused else ServerEnd.SILENT
-        server_state.heard_ms = self._clock.now()
         if not look.closed:
+            server_state.heard_ms = self._clock.now()
             self._pool.keep(address, conn)
             return ServerEnd.ALIVE
         vms = self._known_vms()
@@ -357,7 +359,8 @@
             now = self._clock.now()
             while left and now - (left[0].left_ms or 0) >= PROOF_MS:
                 request = left.popleft()
-                if server_state.heard_ms > (request.left_ms or 0):
+                # Once its entry is gone, whoever is heard at its address is another start.
+                if server_state.heard_ms > (request.left_ms or 0) and self._is_in_use(server_state):
                     self._on_outlived(request)
         self._left.pop(server_state, None)
 
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -136,7 +136,8 @@
             progress.next_target = None
             self._observe_first_byte(request)
             if server_state is not None:
-                server_state.heard_ms = self._clock.now()
+                if not info.misdirected:
+                    server_state.heard_ms = self._clock.now()
                 self._server_notices.record(server_state, info)
             if in_flight is not None:
                 in_flight.record_prefill()
--- a/tests/gateway/unseen_ends.feature
+++ b/tests/gateway/unseen_ends.feature
@@ -54,6 +54,25 @@
       | model | chat  | its caller leaves after 300 ms  |
       | model | plan  | its deadline is 400 ms          |
 
+  # Guards against silence that is found only after the next two repeats have reached servers.
+  Scenario: a server that takes no connection is known to be silent within two waits of a caller
+    Given 16 model servers in two regions
+    And servers fall silent under body "{'n': 'bad'}", and their entries stay
+    When that request comes once to "n1" on route "chat", and its caller leaves after 400 ms
+    Then "n1" knows within 800 ms of its arrival that a server is silent under it
+
+  # Guards against another process at a server's address that is taken for the server: its end was cleared.
+  Scenario Outline: what a server outlived is not told by who came after it at its address
+    Given a VM that has given a request up at a server
+    When <what> a second later
+    Then the server <has> outlived the request
+
+    Examples:
+      | what                                                     | has     |
+      | the server is heard                                      | has     |
+      | its entry is gone, and its address is heard              | has not |
+      | its connections have closed, and another process accepts | has not |
+
   # Guards against one sound answer that wipes all ends.
   Scenario Outline: a request that half of the servers serve reaches none once it has ended three
     Given 16 <kind> servers in two regions
--- a/tests/steps/gateway/unseen_ends_steps.py
+++ b/tests/steps/gateway/unseen_ends_steps.py
@@ -2,13 +2,21 @@
 
 import itertools
 import time
-from dataclasses import replace
+from collections import deque
+from dataclasses import dataclass, replace
+from types import SimpleNamespace
 
 import anyio
 from behave import given, then, when
 
+from hickorybeam.clock import SystemClock
+from hickorybeam.gateway.crashes.open_requests import Look
+from hickorybeam.gateway.crashes.part_blocks import PartBlocksService
+from hickorybeam.gateway.crashes.server_ends import ServerEnds
+from hickorybeam.ports import PART_BLOCKS
 from hickorybeam.standins.crashes import CrashPoint, CrashSwitch
 from hickorybeam.standins.server import ServerStandIn, serve_server
+from hickorybeam.telemetry import Counters
 from steps.gateway.repeated_requests_steps import (
     BOOKS,
     KNOWN_AFTER_MS,
@@ -29,6 +37,7 @@
 LAPSE_MS = 600
 # A silent server is another one for a caller that repeats only after the lapse.
 BACK_MS = 200
+STAY_MS = 10_000
 POPULAR_EVERY_S = 0.01
 # A change in the store is known to all VMs within two pauses of a watch.
 ENTRY_KNOWN_MS = 500
@@ -61,6 +70,90 @@
     set_switches(context, body, after_ms=5, silent=True, lapse_ms=LAPSE_MS, back_ms=BACK_MS)
 
 
+@given('servers fall silent under body "{body}", and their entries stay')
+def step_fall_silent_listed(context, body):
+    set_switches(context, body, after_ms=5, silent=True, lapse_ms=STAY_MS)
+
+
+@when('that request comes once to "{vm}" on route "{route}", and its caller leaves after {ms:d} ms')
+def step_comes_once(context, vm, route, ms):
+    blocks = context.rig.vms[vm].kernel.find(PART_BLOCKS, PartBlocksService)
+
+    async def run():
+        began = time.monotonic()
+        with anyio.move_on_after(ms / 1000):
+            await ask(context, vm, route, context.body)
+        await context.rig.until(lambda: blocks._evidence.suspected_requests() > 0)
+        context.known_ms = (time.monotonic() - began) * 1000
+
+    context.call(run)
+
+
+@then('"{vm}" knows within {ms:d} ms of its arrival that a server is silent under it')
+def step_known_silent(context, vm, ms):
+    assert context.known_ms <= ms, context.known_ms
+
+
+@dataclass(eq=False)
+class Server:
+    """What a VM knows of a server."""
+
+    server: SimpleNamespace
+    heard_ms: int = 0
+    said_leaving: bool = False
+
+
+class AcceptingPool:
+    """Opens connections to whoever listens."""
+
+    async def acquire(self, address, **options):
+        return object()
+
+    def keep(self, address, conn):
+        pass
+
+
+async def is_another(server_state, conn, *, vms):
+    return True
+
+
+@given("a VM that has given a request up at a server")
+def step_given_up(context):
+    server = SimpleNamespace(id="b1", host="127.0.0.1", port=1, leaving=False)
+    context.state = Server(server)
+    context.routing = SimpleNamespace(server_states={"b1": context.state})
+    context.outlived = []
+    context.ends = ServerEnds(
+        clock=SystemClock(),
+        counters=Counters(),
+        routing_state=context.routing,
+        pool=AcceptingPool(),
+        on_outlived=context.outlived.append,
+    )
+    context.ends._identity = SimpleNamespace(is_replaced=is_another)
+    context.left = SimpleNamespace(left_ms=SystemClock().now() - 1)
+    context.ends._left[context.state] = deque([context.left])
+
+
+@when("{what} a second later")
+def step_heard_later(context, what):
+    now = SystemClock().now()
+    if what == "the server is heard":
+        context.state.heard_ms = now
+    elif what.startswith("its entry is gone"):
+        context.state.heard_ms = now
+        context.routing.server_states.clear()
+    else:
+        look = Look(now, anyio.Event(), closed=True)
+        context.call(context.ends._connect, context.state, look)
+    context.call(context.ends._outlive_left, context.state)
+
+
+@then("the server {has} outlived the request")
+def step_outlived(context, has):
+    assert context.outlived == ([context.left] if has == "has" else []), context.outlived
+
+
 @given('every second server crashes {point} under body "{body}"')
 def step_some_crash(context, point, body):
     set_switches(context, body, point=CrashPoint(point))
