gateway/forwarding: a run that its server broke off and told of is not asked of the region's other servers

A VM settles such a run with its server before it answers, and forgot that: the cancel that follows found no run, so all servers of the service were asked, and one that is silent left the stream without its next run. The scenario failed before (it asks nobody).

--- a/src/hickorybeam/gateway/forwarding/forwarded_runs.py
+++ b/src/hickorybeam/gateway/forwarding/forwarded_runs.py
@@ -49,6 +49,7 @@
     ``cancelled_ms`` is when a cancel arrived, ``trace`` what it told of the run, if its end must be
     shown by its server's report as well. ``runs_on``: its server did not close its connection,
     or reports the run, and may work on.
+    ``broke_off``: its server broke it off, and has told since that it ended.
     """
 
     def __init__(self, name: str, arrived_ms: int) -> None:
@@ -57,6 +58,7 @@
         self.begun = True
         self.left = False
         self.runs_on = False
+        self.broke_off = False
         self.cancelled_ms: int | None = None
         self.trace: RunTrace | None = None
         self.asked_by: set[str] = set()
@@ -145,6 +147,9 @@
                 self._keep_cancelled(name, begun=True, runs_on=True)
             elif run.cancelled_ms is not None:
                 self._report_end(run)
+            elif run.broke_off:
+                # Its VM asks next. Other servers of the region need not be asked for that.
+                self._keep_cancelled(name, begun=True)
             elif run.left and not run.begun:
                 # Its VM may ask, and send the request elsewhere if it has never begun.
                 self._keep_cancelled(run.name, begun=False)
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from hickorybeam.gateway.send_records import SendEnd
+
 if TYPE_CHECKING:
     from hickorybeam.errors import ErrorKind
     from hickorybeam.gateway.event_splitter import EventSplitter
@@ -95,6 +97,11 @@
         """Whether the request has run or may have."""
         return self.runs > 0 or self.outcome_open
 
+    @property
+    def broke_off(self) -> bool:
+        """Whether its last send broke off."""
+        return bool(self.records) and self.records[-1].end is SendEnd.BROKEN
+
     @property
     def may_have_arrived(self) -> bool:
         """Whether a server has received the request or may have."""
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -285,6 +285,7 @@
         splitter.discard_partial()
         if run is not None:
             run.begun, run.runs_on = progress.may_have_run, progress.runs_on
+            run.broke_off = progress.broke_off and not progress.outcome_open
         if is_notable(progress.records):
             self._final_responses.log_sends(request, progress, run=run.name if run else "")
         if not progress.may_have_run and request.account is not None and not own_region_only:
--- a/tests/gateway/forwarding/runs.feature
+++ b/tests/gateway/forwarding/runs.feature
@@ -172,6 +172,12 @@
     Then nothing is told before it has ended
     And its VM is told that "a" has ended and may have begun
 
+  # Guards against a run whose server has told its end, and of which a silent server is asked as well.
+  Scenario: a run that its server broke off is told of without asking other servers
+    Given a VM that other regions' VMs ask for runs
+    When a run "a" is broken off by its server, and is cancelled after that
+    Then its VM is told that "a" has ended and may have begun
+
   # Guards against a request that is read after its cancel: late, or by a process that was paused.
   Scenario: a request that arrives after its cancel is not run
     Given a VM that other regions' VMs ask for runs
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -620,6 +620,13 @@
     assert len(context.fleet.sent) == 1, context.fleet.sent
 
 
+@when('a run "{name}" is broken off by its server, and is cancelled after that')
+def step_broken_then_cancelled(context, name):
+    with context.runs.open(name) as run:
+        run.broke_off = True
+    context.runs.handle_cancel(CancelRun("n1", name, trace=RunTrace("feed", "model", WAIT_MS)))
+
+
 @given("a VM that asks others for runs")
 def step_asking(context):
     context.fleet = Fleet()
