--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -12,15 +12,7 @@
 from hickorybeam.gateway.crashes.server_ends import ServerEnds
 from hickorybeam.gateway.event_splitter import EventSplitter
 from hickorybeam.gateway.final_responses import FinalResponses
-from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRuns
 from hickorybeam.gateway.forwarding.peer_connections import PeerConnections
-from hickorybeam.gateway.forwarding.run_cancels import RunCancels
-from hickorybeam.gateway.forwarding.run_messages import (
-    CancelRun,
-    CheckRun,
-    RunAnswers,
-    RunEnded,
-)
 from hickorybeam.gateway.held_bytes import HeldBytes
 from hickorybeam.gateway.placement.client import PlacementClient
 from hickorybeam.gateway.placement.coordinator import PlacementCoordinator
@@ -37,8 +29,7 @@
 from hickorybeam.gateway.progress import RequestProgress
 from hickorybeam.gateway.region_servers import RegionServers
 from hickorybeam.gateway.remote_selector import RemoteSelector
-from hickorybeam.gateway.runs.region_check import RegionCheck
-from hickorybeam.gateway.runs.server_reports import ServerReports
+from hickorybeam.gateway.runs.control import RunControl
 from hickorybeam.gateway.send_records import is_notable
 from hickorybeam.gateway.sender import Sender
 from hickorybeam.gateway.settings_limits import retry_limits_of, shutdown_times
@@ -170,20 +161,12 @@
             on_whole=part_blocks.recorder.record_whole,
         )
         self._held_bytes = HeldBytes()
-        self._server_reports = ServerReports(clock=clock, counters=counters, log=log)
-        self._run_cancels = RunCancels(clock=clock, counters=counters, fleet=fleet, log=log)
-        self._region_check = RegionCheck(
-            clock=clock,
-            fleet=fleet,
-            routing_state=feed.routing_state,
-            server_reports=self._server_reports,
-        )
-        self._forwarded_runs = ForwardedRuns(
+        self._runs = RunControl(
             clock=clock,
             counters=counters,
             fleet=fleet,
+            routing_state=feed.routing_state,
             log=log,
-            region_check=self._region_check,
         )
         self._sender = Sender(
             clock=clock,
@@ -196,8 +179,8 @@
             server_ends=self._server_ends,
             part_blocks=part_blocks,
             held_bytes=self._held_bytes,
-            run_cancels=self._run_cancels,
-            server_reports=self._server_reports,
+            run_cancels=self._runs.cancels,
+            server_reports=self._runs.reports,
         )
 
     async def run_placement(self) -> None:
@@ -208,16 +191,12 @@
         self._fleet.on_message(PlacementResponse, self._placement_client.handle_response)
         self._fleet.on_message(StreamQuestion, self._stream_origins.handle_question)
         self._fleet.on_message(StreamAnswer, self._stream_origins.handle_answer)
-        self._fleet.on_message(CancelRun, self._forwarded_runs.handle_cancel)
-        self._fleet.on_message(CheckRun, self._forwarded_runs.handle_check)
-        self._fleet.on_message(RunEnded, self._run_cancels.handle_word)
-        self._fleet.on_message(RunAnswers, self._run_cancels.handle_word)
         self._fleet.granted_usage = self._placement_client.granted_usage
         self._fleet.account_leads = self._account_leads
         self._fleet.reports.on_leads = self._apply_leads
         async with anyio.create_task_group() as tg:
             self._server_ends.start(tg)
-            self._region_check.set_tasks(tg)
+            self._runs.start(tg)
             tg.start_soon(self._placement_client.run)
             tg.start_soon(self._peer_connections.run)
             tg.start_soon(self._promises.run)
@@ -247,7 +226,7 @@
 
         :param run_name: the name that the VM gave the run.
         """
-        with self._forwarded_runs.open(run_name) as run:
+        with self._runs.forwarded.open(run_name) as run:
             if run is None:
                 self._final_responses.refuse_cancelled(request.call, response)
             else:
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -118,7 +118,7 @@
             await anyio.sleep(2.5 * south.event_every_ms / 1_000)
             rig.servers["m1"].register()
             southern = [rig.vms[it] for it in (SOUTH, SECOND)]
-            next(it for it in southern if it.relay._handler._forwarded_runs._open).kill()
+            next(it for it in southern if it.relay._handler._runs.forwarded._open).kill()
 
     context.call(run)
     context.spans = spans_of(rig, south.spans[0].request_id)
@@ -150,7 +150,7 @@
     rig = context.rig
     south = rig.servers["m9"]
     set_dropping(south, does)
-    cancels = rig.vms[NORTH].relay._handler._run_cancels
+    cancels = rig.vms[NORTH].relay._handler._runs.cancels
     peer = rig.vms[NORTH].fleet.peers.by_name[SOUTH].vm
     span = RunSpan("feed", "m9", SystemClock().now() - WAIT_MS)
     if does == "works on":
@@ -175,9 +175,9 @@
     rig = context.rig
     south = rig.servers["m9"]
     set_dropping(south, does)
-    cancels = rig.vms[NORTH].relay._handler._run_cancels
+    cancels = rig.vms[NORTH].relay._handler._runs.cancels
     peer = rig.vms[NORTH].fleet.peers.by_name[SOUTH].vm
-    runs = rig.vms[SOUTH].relay._handler._forwarded_runs._open
+    runs = rig.vms[SOUTH].relay._handler._runs.forwarded._open
 
     async def run():
         async with anyio.create_task_group() as tg:
@@ -330,7 +330,7 @@
     async def run():
         async with anyio.create_task_group() as tg:
             tg.start_soon(order)
-            await rig.until(lambda: bool(rig.vms[SOUTH].relay._handler._forwarded_runs._open))
+            await rig.until(lambda: bool(rig.vms[SOUTH].relay._handler._runs.forwarded._open))
             rig.servers["m1"].register()
             await rig.until(lambda: "m1" in rig.vms[NORTH].routing_state.server_states)
             await apply_harm(rig.links, harm)
