--- a/src/hickorybeam/gateway/runs/server_reports.py
+++ b/src/hickorybeam/gateway/runs/server_reports.py
@@ -58,14 +58,21 @@
 class _Report:
     """One question for a server's report, which those who wait share.
 
-    ``state`` is ``SILENT`` or ``UNTOLD`` if it has no ``runs``.
+    ``runs`` holds the ids of the requests that it lists, ``None`` without a report; then
+    ``failure`` tells why there is none.
     """
 
     asked_ms: int
-    state: RunState = RunState.SILENT
-    runs: frozenset[str] = frozenset()
+    runs: frozenset[str] | None = None
+    failure: RunState = RunState.SILENT
     answered: anyio.Event = field(default_factory=anyio.Event)
 
+    def state_of(self, request_id: str) -> RunState:
+        """Return what it tells of a request."""
+        if self.runs is None:
+            return self.failure
+        return RunState.RUNNING if request_id in self.runs else RunState.ENDED
+
 
 class ServerReports:
     """Asks this region's model servers for their reports."""
@@ -85,7 +92,7 @@
     async def wait_ended(self, address: Address, request_id: str, *, sent_ms: int) -> RunState:
         """Wait until a server's reports show that a run has ended, and return what they tell.
 
-        :param sent_ms: when the request was sent there; by then an older report lists it not yet.
+        :param sent_ms: when the request was sent there. A report may tell of a time before that.
         """
         began_ms = self._clock.now()
         state = await self._wait_ended(address, request_id, began_ms, sent_ms)
@@ -104,11 +111,9 @@
     ) -> RunState:
         while True:
             report = await self._latest_report(address)
-            is_old_enough = report.asked_ms - sent_ms >= MAX_REPORT_AGE_MS
-            state = report.state
-            if state is RunState.RUNNING and request_id not in report.runs:
-                state = RunState.ENDED
-            if state is RunState.UNTOLD or (state is RunState.ENDED and is_old_enough):
+            state = report.state_of(request_id)
+            is_since_sent = report.asked_ms - sent_ms >= MAX_REPORT_AGE_MS
+            if state is RunState.UNTOLD or (state is RunState.ENDED and is_since_sent):
                 return state
             if self._clock.now() - began_ms >= MAX_WAIT_MS:
                 return RunState.RUNNING if state is RunState.ENDED else state
@@ -138,14 +143,13 @@
         self._asked.inc()
         try:
             with anyio.fail_after(RESPONSE_TIMEOUT_MS / MS_PER_SECOND):
-                runs = await self._query(address)
+                report.runs = await self._query(address)
         except ConnectFailedError as exc:
-            report.state = RunState.UNTOLD if exc.refused else RunState.SILENT
+            report.failure = RunState.UNTOLD if exc.refused else RunState.SILENT
         except (BrokenResponseError, TimeoutError):
-            report.state = RunState.SILENT
+            report.failure = RunState.SILENT
         else:
-            report.runs = runs or frozenset()
-            report.state = RunState.UNTOLD if runs is None else RunState.RUNNING
+            report.failure = RunState.UNTOLD
 
     async def _query(self, address: Address) -> frozenset[str] | None:
         """Return the runs that a server lists, ``None`` if its answer is no report of them."""
