gateway/forwarding: all VMs ask the same others of one killed VM's runs

Which VMs are asked was drawn by the run, so that after the end of one VM each other VM of its region could ask all its servers for their reports, on its own: of six runs eight VMs, where two share the reports. The scenario failed so before.

--- a/src/hickorybeam/gateway/forwarding/run_cancels.py
+++ b/src/hickorybeam/gateway/forwarding/run_cancels.py
@@ -115,9 +115,12 @@
         return await self._ask(run, unless_answering=True)
 
     def _witnesses(self, run: RemoteRun) -> list[str]:
-        """Return some other VMs of a run's region, not the same ones for all runs."""
+        """Return some other VMs of a run's region.
+
+        All VMs ask the same ones of one VM's runs, so that its servers are not asked by each.
+        """
         found = sorted(it.name for it in self._fleet.region_vms(run.region) if it.name != run.vm)
-        first = zlib.crc32(run.name.encode()) % max(1, len(found))
+        first = zlib.crc32(run.vm.encode()) % max(1, len(found))
         return [*found[first:], *found[:first]][:WITNESSES]
 
     async def _ask(
--- a/tests/gateway/forwarding/runs.feature
+++ b/tests/gateway/forwarding/runs.feature
@@ -49,6 +49,12 @@
       | as that VM closed it       | is     |
       | without a close from there | is not |
 
+  # Guards against servers that all VMs of a region ask at once, as one of them was killed.
+  Scenario: the same other VMs are asked of all runs of a VM
+    Given a VM that asks others for runs
+    When 6 streams break off that a VM of a region of 9 runs
+    Then 2 other VMs of that region are asked of them
+
   # Guards against the word of a VM that has started again, while its earlier process's server works on.
   Scenario Outline: a VM that doesn't know a run asks its servers before it says that it has ended
     Given two regions whose streams begin in the south, linked by what can be harmed
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -139,6 +139,26 @@
     assert progress.runs_on
 
 
+@when("{count:d} streams break off that a VM of a region of {vms:d} runs")
+def step_many_break_off(context, count, vms):
+    region = [SimpleNamespace(name=f"s{it}") for it in range(vms)]
+    context.fleet.region_vms = lambda name: region
+
+    async def settle_all():
+        async with anyio.create_task_group() as tg:
+            for number in range(count):
+                run = RemoteRun(f"run-{number}", "s1", ("127.0.0.1", 1), request_id="feed")
+                tg.start_soon(partial(context.cancels.settle, run, was_closed=True))
+
+    context.call(settle_all)
+
+
+@then("{count:d} other VMs of that region are asked of them")
+def step_few_asked(context, count):
+    asked = {vm for vm, it in context.fleet.sent if isinstance(it, CheckRun)}
+    assert len(asked) == count and "s1" not in asked, asked
+
+
 @then("another VM of that region {is_asked} asked of its run")
 def step_is_asked(context, is_asked):
     asked = {vm for vm, it in context.fleet.sent if isinstance(it, CheckRun)}
