--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -265,9 +265,20 @@
     async def _check_serving(self) -> None:
         for i, (name, _) in enumerate(VMS):
             for path, tokens in (("/order/x", None), ("/plan/x", b"50,10")):
-                _, answer = await self._call(i, path, tokens)
+                request_id, answer = await self._call(i, path, tokens)
                 if answer.status != 200:
-                    self.violations.append(f"{name} answers {answer.status} after a calm span")
+                    text = f"{name} answers {answer.status} to {path} after a calm span"
+                    self.violations.append(f"{text}: {self._logged(request_id)}")
+
+    def _logged(self, request_id: str) -> list[str]:
+        """Return the lines of all VMs' logs that name a request."""
+        logs = [(it, it.read_text()) for it in sorted(self._folder.glob("*.log"))]
+        return [
+            f"{path.stem}: {line}"
+            for path, text in logs
+            for line in text.splitlines()
+            if request_id in line
+        ]
 
     async def silent(self) -> None:
         """Let links fall silent, both ways or one."""
