tests/gateway/stream_out_of_step: streams of another version go on at VMs that are out of step (red)

Callers took streams up at VMs that had lost the store, or the store and other VMs, in silence, while servers of v2 joined: 8 of 16 streams that had begun at v2 went on at v1.

The stand-in store can be harmed on its way to each VM, also for polls that it holds already; no logic of the product changes.

--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -17,12 +17,14 @@
 from hickorybeam.model.routing import Repeat
 from hickorybeam.policy.stream_versions import ToldStreams, stream_digest, version_key
 from hickorybeam.standins.deployment import caller_headers
+from hickorybeam.standins.links import LinkHarm
 from hickorybeam.standins.server import (
     ServerFaults,
     ServerStandIn,
     serve_server,
 )
 from steps.gateway.gateway_steps import BODY, events_of, split_names
+from support.linked_fleet import cut_from_vms, harm_store, linked_fleet
 
 MODEL = "model"
 RESUMES = b"resumes"
@@ -76,6 +78,58 @@
     context.streams, context.parts = [], ()
 
 
+@given('a gateway with links of VMs "{vms}"')
+def step_linked_vms(context, vms):
+    manager = linked_fleet([(name, place) for name, _, place in places(vms)])
+    context.rig = context.stack.enter_context(context.portal.wrap_async_context_manager(manager))
+    context.call(context.rig.until, lambda: met(context.rig))
+    context.numbers = iter(range(1, 1_000_000))
+    context.streams, context.parts = [], ()
+
+
+@when('VMs "{names}" lose the store and other VMs in silence')
+def step_cut_off(context, names):
+    context.call(cut_off, context.rig, split_names(names))
+
+
+async def restart_polls(rig):
+    """Let all VMs begin a poll of the store now, so that none notices a silence for seconds."""
+    rig.config["version"] += 1
+    rig.configure()
+    version = rig.config["version"]
+    await rig.until(lambda: all(vm.routing_state.config.version == version for vm in running(rig)))
+
+
+async def cut_off(rig, names):
+    await restart_polls(rig)
+    harm_store(rig, names, LinkHarm(silent=True))
+    cut_from_vms(rig, names)
+
+
+@when('VMs "{names}" lose the store in silence')
+def step_store_silent(context, names):
+    context.call(harm_store_of, context.rig, split_names(names), LinkHarm(silent=True))
+
+
+@when('VMs "{names}" lose the store in silence where they watch it')
+def step_store_silent_for_watchers(context, names):
+    rig = context.rig
+    watchers = [it for it in split_names(names) if rig.vms[it].feed.is_watcher]
+    assert len(watchers) == 2, watchers
+    context.call(harm_store_of, rig, watchers, LinkHarm(silent=True))
+    rig.out_of_step = set(split_names(names))
+
+
+@when('VMs "{names}" reach the store {ms:d} ms late each way')
+def step_store_late(context, names, ms):
+    context.call(harm_store_of, context.rig, split_names(names), LinkHarm(delay_ms=ms))
+
+
+async def harm_store_of(rig, names, harm):
+    await restart_polls(rig)
+    harm_store(rig, names, harm)
+
+
 @given('model servers "{servers}"')
 @when('model servers "{servers}" join')
 def step_servers_join(context, servers):
@@ -90,7 +144,9 @@
 
 
 def running(rig):
-    return [vm for vm in rig.vms.values() if not vm.ended.is_set()]
+    """Return the VMs that run and hear of servers."""
+    out_of_step = getattr(rig, "out_of_step", ())
+    return [vm for name, vm in rig.vms.items() if not vm.ended.is_set() and name not in out_of_step]
 
 
 def knows(vm, servers, service=MODEL):
@@ -499,6 +555,18 @@
     resume_all(context, split_names(vms))
 
 
+@when('their callers take them up at "{vms}" in turn, and name {what}')
+def step_take_up_at_vms_named_or_not(context, vms, what):
+    resume_all(context, split_names(vms), named={"them": True, "none": False}[what])
+
+
+@then('at least {count:d} streams began at each version of "{versions}"')
+def step_began_at_versions(context, count, versions):
+    found = versions_by_request(context)
+    began = Counter(it for stream in context.streams for it in found[stream.requests[0]])
+    assert all(began[version] >= count for version in split_names(versions)), began
+
+
 @when('the peers\' port of "{vm}" gets a forwarded stream that goes on after event {last:d}')
 def step_forwarded_stream(context, vm, last):
     headers = (
