gateway/stream_origins: a stream that goes on tells whose word its version rests on

Cause: the logs could not tell three hypotheses apart for streams that go on at another version: a VM as stale as the one that asks agreed, silent VMs counted as consent, or what was known had no age. The resumed line named the version only, and a stream that was refused as unknown had no word on why.

Now resumed lines have word, word_of and word_age_ms; a table of streams keeps who told each one and since when (one record for all streams of a report); an answer tells how long its VM has known the stream; refused lines of stream_unknown name the VMs that were silent, can't tell, or know of several versions.

--- a/src/hickorybeam/gateway/report_receiver.py
+++ b/src/hickorybeam/gateway/report_receiver.py
@@ -93,7 +93,7 @@
         peer.watches_store = report.follows
         self._feed.note_peer_revision(report.revision, now, source=self._change_source(peer))
         self._prefix_holders.merge(report.holds, now)
-        self._stream_versions.merge(report.streams, now)
+        self._stream_versions.merge(report.streams, now, vm=report.name)
         if self._peers.in_own_region(peer):
             self._apply_own_region(report, peer, now)
         else:
--- a/src/hickorybeam/gateway/resumed_streams.py
+++ b/src/hickorybeam/gateway/resumed_streams.py
@@ -16,6 +16,12 @@
 __all__ = ("ResumedBy", "ResumedStreams", "version_of")
 
 
+# The version's ground where nobody was asked for it: the events that this VM has passed on itself,
+# or the VM of another region that forwarded the request.
+OWN_RESPONSE = "own_response"
+FORWARDED = "forwarded"
+
+
 class ResumedBy(Enum):
     """Who resumed a stream: its caller, with a new request, or this VM, inside one response."""
 
@@ -37,6 +43,7 @@
         if request.resume_after is None and request.call.resumes is None:
             return
         by = ResumedBy.VM if progress.began else ResumedBy.CALLER
+        word = request.version_word
         self._resumed.labels(by.value).inc()
         self._log.log_decision(
             "resumed",
@@ -46,6 +53,9 @@
             began=request.call.resumes,
             after=request.resume_after,
             version=version_of(target),
+            word=word.by.value if word else OWN_RESPONSE if progress.began else FORWARDED,
+            word_of=word.vm if word else "",
+            word_age_ms=word.age_ms if word else 0,
         )
 
 
--- a/src/hickorybeam/gateway/stream_messages.py
+++ b/src/hickorybeam/gateway/stream_messages.py
@@ -28,6 +28,7 @@
     ``version_key`` is that of the stream's version, empty if the VM doesn't know the stream.
     ``sole`` is the key of the only version that the service has had lately, empty if there were
     several, ``None`` if the VM can't tell. ``disputed``: the VM knows the stream by two versions.
+    ``age_ms`` is how long it has known the stream.
     """
 
     vm: str
@@ -35,3 +36,4 @@
     version_key: bytes
     sole: bytes | None
     disputed: bool = False
+    age_ms: BoundedInt = 0
--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -16,6 +16,7 @@
 from hickorybeam.policy.retry_after import clamp_retry_after_ms
 from hickorybeam.policy.stream_answers import StreamAnswers
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION, stream_digest
+from hickorybeam.policy.version_word import VersionWord, Witness
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -40,6 +41,13 @@
 HISTORY_MS = 5_000
 # What is not known now may be told with the next reports, or by the entry of a server that starts.
 RETRY_AFTER_MS = 500
+# How the version was found, as the metric names it.
+LOOKUPS = {
+    Witness.HERE: "here",
+    Witness.REPORT: "here",
+    Witness.ANSWER: "elsewhere",
+    Witness.SOLE_VERSION: "sole_version",
+}
 
 
 def is_taken_up(request: AdmittedRequest) -> bool:
@@ -92,14 +100,15 @@
 
         :raises GatewayError: the version isn't known, or no server of it is left.
         """
-        key = await self._find(request)
-        if key is None:
+        word = await self._find(request)
+        if isinstance(word, str):
             self._lookups.labels("unknown").inc()
-            raise self._refusal(ErrorKind.STREAM_UNKNOWN, request)
-        service = self._service_of(request, key)
+            raise self._refusal(ErrorKind.STREAM_UNKNOWN, request, word)
+        self._lookups.labels(LOOKUPS[word.by]).inc()
+        service = self._service_of(request, word.key)
         if service is None:
-            raise self._refusal(ErrorKind.STREAM_VERSION_GONE, request)
-        request.service, request.version_key = service, key
+            raise self._refusal(ErrorKind.STREAM_VERSION_GONE, request, f"by {word}")
+        request.service, request.version_key, request.version_word = service, word.key, word
 
     def record_begun(self, request: AdmittedRequest, key: bytes) -> None:
         """Record that the first event of a request's stream is about to be passed on.
@@ -116,27 +125,27 @@
                 digest = stream_digest(request_id)
                 self._fleet.stream_versions.record(digest, key, keep_ms=keep_ms, now_ms=now)
 
-    async def _find(self, request: AdmittedRequest) -> bytes | None:
-        """Return the key of the version that began a stream, ``None`` if it isn't known."""
+    async def _find(self, request: AdmittedRequest) -> VersionWord | str:
+        """Return whose word tells the version that began a stream, or why none does."""
         digest = stream_digest(request.call.resumes) if request.call.resumes else b""
-        key = self._fleet.stream_versions.find(digest, self._clock.now()) if digest else None
-        if key is not None:
-            self._lookups.labels("here").inc()
-            return key
+        word = self._word_here(digest)
+        if word is not None:
+            return word
         if self._is_disputed(digest):
             # Another VM may know one of the versions only, and would be believed.
-            return None
+            return "it is known here by two versions"
         services = {it.service for it in request.route.targets}
         service = services.pop() if len(services) == 1 else ""
         answers = await self._ask(digest, service)
-        key = answers.told
-        if key is not None:
-            self._lookups.labels("elsewhere").inc()
-            return key
-        key = answers.concluded
-        if key is not None:
-            self._lookups.labels("sole_version").inc()
-        return key
+        return answers.told or answers.concluded or answers.why_unknown()
+
+    def _word_here(self, digest: bytes) -> VersionWord | None:
+        now = self._clock.now()
+        known = self._fleet.stream_versions.find(digest, now) if digest else None
+        if known is None:
+            return None
+        by = Witness.REPORT if known.told_by else Witness.HERE
+        return VersionWord(known.version_key, by, known.told_by, now - known.since_ms)
 
     async def _ask(self, digest: bytes, service: str) -> StreamAnswers:
         """Ask other VMs, the region's first; return their answers once they suffice."""
@@ -169,14 +178,14 @@
 
     def handle_question(self, message: StreamQuestion) -> None:
         """Answer another VM's question."""
-        now = self._clock.now()
-        key = self._fleet.stream_versions.find(message.digest, now) if message.digest else None
+        word = self._word_here(message.digest)
         answer = StreamAnswer(
             self._fleet.own_vm.name,
             message.number,
-            key or UNKNOWN_VERSION,
+            word.key if word else UNKNOWN_VERSION,
             self._sole_version(message.service),
             self._is_disputed(message.digest),
+            word.age_ms if word else 0,
         )
         self._fleet.send_message(message.vm, answer)
 
@@ -188,7 +197,11 @@
         question = self._questions.get(message.number)
         if question is not None:
             question.answers.add(
-                message.vm, message.version_key, message.sole, disputed=message.disputed
+                message.vm,
+                message.version_key,
+                message.sole,
+                disputed=message.disputed,
+                age_ms=message.age_ms,
             )
             question.changed.set()
 
@@ -220,9 +233,10 @@
                 return target.service
         return None
 
-    def _refusal(self, kind: ErrorKind, request: AdmittedRequest) -> GatewayError:
+    def _refusal(self, kind: ErrorKind, request: AdmittedRequest, why: str) -> GatewayError:
         left_ms = request.deadline_ms - self._clock.now()
-        return GatewayError(kind, retry_after_ms=clamp_retry_after_ms(RETRY_AFTER_MS, left_ms))
+        retry_after_ms = clamp_retry_after_ms(RETRY_AFTER_MS, left_ms)
+        return GatewayError(kind, why, retry_after_ms=retry_after_ms)
 
     def _near_vms(self) -> list[str]:
         """Return the live VMs of this data centre, and some of the region's other ones."""
--- a/src/hickorybeam/gateway/targets.py
+++ b/src/hickorybeam/gateway/targets.py
@@ -15,6 +15,7 @@
     from hickorybeam.gateway.placement.slot_grant import SlotGrant
     from hickorybeam.model.routing import RelayCall
     from hickorybeam.policy.server_choice import ServerState
+    from hickorybeam.policy.version_word import VersionWord
 
 __all__ = (
     "AdmittedRequest",
@@ -55,7 +56,8 @@
     ``resume_after`` is the id of the last event that the caller has received; it advances when a
     stream breaks off. ``deadline_ms`` is on this VM's clock. ``version_key`` is the key of the only
     version of the servers' software that may run it, since it began the stream; ``None`` if no
-    event of the stream has been passed on, and unknown if the server named no version. ``trial``:
+    event of the stream has been passed on, and unknown if the server named no version.
+    ``version_word`` is whose word that rests on, if the stream was taken up at this VM. ``trial``:
     it is sent to see whether a blocked part of its prompt still crashes servers. ``account_homes``
     are the home regions of its account at its admission, empty for any.
     """
@@ -69,6 +71,7 @@
     resume_after: str | None
     cost: float = 0.0
     version_key: bytes | None = None
+    version_word: VersionWord | None = None
     trial: bool = False
     account_homes: frozenset[str] = frozenset()
     _outline: bytes | None = field(default=None, repr=False)
--- a/src/hickorybeam/policy/stream_versions.py
+++ b/src/hickorybeam/policy/stream_versions.py
@@ -20,6 +20,7 @@
 
 __all__ = (
     "UNKNOWN_VERSION",
+    "KnownStream",
     "StreamVersions",
     "ToldStreams",
     "stream_digest",
@@ -42,6 +43,14 @@
 MAX_TOLD_AT_ONCE = 512
 
 
+class KnownStream(NamedTuple):
+    """A stream's version; the VM that told it, empty if the stream began here; and since when."""
+
+    version_key: bytes
+    told_by: str
+    since_ms: int
+
+
 class ToldStreams(NamedTuple):
     """Streams of one version as a report tells them: digests end to end, kept for ``keep_s``."""
 
@@ -72,7 +81,7 @@
     def __init__(self, *, max_streams: int = MAX_STREAMS) -> None:
         self._max_streams = max_streams
         # By the end of the span, counted in spans.
-        self._spans: dict[int, dict[bytes, bytes]] = {}
+        self._spans: dict[int, dict[bytes, KnownStream]] = {}
         self._count = 0
         # By audience: the streams that began here since its last report, each with its end.
         self._untold: dict[str, dict[bytes, tuple[bytes, int]]] = {}
@@ -84,18 +93,19 @@
     def record(self, digest: bytes, key: bytes, *, keep_ms: int, now_ms: int) -> None:
         """Record a stream that began, or goes on, at this VM, to be told to others."""
         keep_ms = min(keep_ms, MAX_KEEP_MS)
-        self._put(digest, key, keep_ms, now_ms)
+        self._put(digest, KnownStream(key, "", now_ms), keep_ms)
         for untold in self._untold.values():
             untold[digest] = (key, now_ms + keep_ms)
             if len(untold) > MAX_UNTOLD:
                 del untold[next(iter(untold))]
 
-    def merge(self, told: Iterable[ToldStreams], now_ms: int) -> None:
+    def merge(self, told: Iterable[ToldStreams], now_ms: int, *, vm: str) -> None:
         """Record the streams that another VM tells."""
         for key, keep_s, digests in told:
             keep_ms = min(max(0, keep_s) * 1_000, MAX_KEEP_MS)
+            stream = KnownStream(key, vm, now_ms)
             for start in range(0, len(digests), DIGEST_BYTES):
-                self._put(digests[start : start + DIGEST_BYTES], key, keep_ms, now_ms)
+                self._put(digests[start : start + DIGEST_BYTES], stream, keep_ms)
 
     def take_untold(self, audience: str, now_ms: int) -> list[ToldStreams]:
         """Return what an audience has not been told yet, and remember that it is told now."""
@@ -113,30 +123,35 @@
             for key, found in digests.items()
         ]
 
-    def find(self, digest: bytes, now_ms: int) -> bytes | None:
-        """Return the key of the version that began a stream, ``None`` if it isn't known.
+    def find(self, digest: bytes, now_ms: int) -> KnownStream | None:
+        """Return what is known of a stream, ``None`` if its version isn't.
 
         It isn't known either if two versions are recorded.
         """
-        keys = self._keys(digest, now_ms)
-        return None if len(keys) != 1 or UNKNOWN_VERSION in keys else keys.pop()
+        found = self._entries(digest, now_ms)
+        if len({it.version_key for it in found}) != 1:
+            return None
+        return None if found[0].version_key == UNKNOWN_VERSION else found[0]
 
     def is_disputed(self, digest: bytes, now_ms: int) -> bool:
         """Return whether two versions are recorded for a stream."""
-        keys = self._keys(digest, now_ms)
+        keys = {it.version_key for it in self._entries(digest, now_ms)}
         return len(keys) > 1 or UNKNOWN_VERSION in keys
 
-    def _keys(self, digest: bytes, now_ms: int) -> set[bytes]:
+    def _entries(self, digest: bytes, now_ms: int) -> list[KnownStream]:
         self._drop_ended(now_ms)
-        return {span[digest] for span in self._spans.values() if digest in span}
+        return [span[digest] for span in self._spans.values() if digest in span]
 
-    def _put(self, digest: bytes, key: bytes, keep_ms: int, now_ms: int) -> None:
+    def _put(self, digest: bytes, stream: KnownStream, keep_ms: int) -> None:
+        now_ms = stream.since_ms
         self._drop_ended(now_ms)
         span = self._spans.setdefault((now_ms + keep_ms) // SPAN_MS + 1, {})
         known = span.get(digest)
         if known is None:
             self._count += 1
-        span[digest] = key if known in (None, key) else UNKNOWN_VERSION
+            span[digest] = stream
+        elif known.version_key != stream.version_key:
+            span[digest] = KnownStream(UNKNOWN_VERSION, "", now_ms)
         while self._count > self._max_streams:
             self._drop_first()
 
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -584,4 +584,4 @@
     fleet = context.rig.vms[vm].fleet
     digests = b"".join(stream_digest(it.began) for it in context.streams)
     told = ToldStreams(version_key(MODEL, version), 10, digests)
-    fleet.stream_versions.merge([told], SystemClock().now())
+    fleet.stream_versions.merge([told], SystemClock().now(), vm="other")
--- a/tests/steps/policy/stream_versions_steps.py
+++ b/tests/steps/policy/stream_versions_steps.py
@@ -53,7 +53,8 @@
 @when('another VM tells streams "{streams}" of version "{version}" with {left:d} s left')
 def step_told(context, streams, version, left):
     digests = b"".join(stream_digest(name) for name in names(streams))
-    context.stream_table.merge([ToldStreams(key_of(version), left, digests)], context.now_ms)
+    told = [ToldStreams(key_of(version), left, digests)]
+    context.stream_table.merge(told, context.now_ms, vm="other")
 
 
 @when("{seconds:d} s pass for the table")
@@ -62,7 +63,8 @@
 
 
 def find(context, name, table=None):
-    return (table or context.stream_table).find(stream_digest(name), context.now_ms)
+    known = (table or context.stream_table).find(stream_digest(name), context.now_ms)
+    return known and known.version_key
 
 
 @then('streams "{streams}" are known as "{version}"')
@@ -99,7 +101,7 @@
 @then('another table that is told them knows "{first}" as "{one}" and "{second}" as "{other}"')
 def step_other_table(context, first, one, second, other):
     table = StreamVersions()
-    table.merge(context.told, context.now_ms)
+    table.merge(context.told, context.now_ms, vm="other")
     for streams, version in ((first, one), (second, other)):
         for name in names(streams):
             assert find(context, name, table) == key_of(version), name
@@ -149,7 +151,8 @@
 @then('the stream\'s version is "{version}"')
 def step_concluded(context, version):
     expected = None if version == "-" else key_of(version)
-    assert context.answers.concluded == expected, context.answers.concluded
+    word = context.answers.concluded
+    assert (word and word.key) == expected, word
 
 
 @given("a history of versions")
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -21,15 +21,15 @@
     Mutation(
         "a stream told with two versions is unknown",
         "policy/stream_versions.py",
-        "span[digest] = key if known in (None, key) else UNKNOWN_VERSION",
-        "span[digest] = key",
+        'span[digest] = KnownStream(UNKNOWN_VERSION, "", now_ms)',
+        "span[digest] = stream",
         POLICY,
     ),
     Mutation(
         "two entries of a stream agree",
         "policy/stream_versions.py",
-        "return None if len(keys) != 1 or UNKNOWN_VERSION in keys else keys.pop()",
-        "return keys.pop() if keys else None",
+        "if len({it.version_key for it in found}) != 1:",
+        "if not found:",
         POLICY,
     ),
     Mutation(
@@ -63,8 +63,8 @@
     Mutation(
         "a VM that nobody answers concludes nothing",
         "policy/stream_answers.py",
-        "if self._keys or self.disputed or self._is_cut_off:",
-        "if self._keys or self.disputed:",
+        "if self._words or self.disputed or self._is_cut_off:",
+        "if self._words or self.disputed:",
         POLICY,
     ),
     # connections
@@ -183,7 +183,7 @@
     Mutation(
         "streams that reports tell of are recorded",
         "gateway/report_receiver.py",
-        "        self._stream_versions.merge(report.streams, now)\n",
+        "        self._stream_versions.merge(report.streams, now, vm=report.name)\n",
         "",
         GATEWAY,
         CRASHED,
