--- a/src/hickorybeam/gateway/crashes/part_blocks.py
+++ b/src/hickorybeam/gateway/crashes/part_blocks.py
@@ -123,7 +123,7 @@
         )
         feed = kernel.find(FEED, FeedService)
         feed.on_batch(self._apply_batch)
-        feed.before_bootstrap = self._fetch_suspects
+        feed.bootstrap.before_apply = self._fetch_suspects
         self.recorder = CrashRecorder(
             self._evidence,
             clock=self._clock,
--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -17,30 +17,30 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
-from hickorybeam.gateway.changes import ChangeLog, decode_changes, decode_entries, encode_entries
+from hickorybeam.gateway.changes import ChangeLog, decode_changes, encode_entries
 from hickorybeam.gateway.known_entries import KnownEntries
 from hickorybeam.gateway.pending_changes import PendingChanges, Step
 from hickorybeam.gateway.routing_state import RoutingState
+from hickorybeam.gateway.seed_bootstrap import SeedBootstrap
 from hickorybeam.gateway.vm_client import VmClient
 from hickorybeam.kernel import Service
 from hickorybeam.ports import FEED, PLATFORM
-from hickorybeam.sockets import split_address
 from hickorybeam.store import PollingPlatform, ReadResult, WatchBatch
 from hickorybeam.untrusted import InvalidBytesError
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from hickorybeam.clock import Clock
     from hickorybeam.http1.pool import Address
     from hickorybeam.kernel import Kernel, Started
     from hickorybeam.model.routing import RoutingConfig
     from hickorybeam.settings import GatewaySettings, Settings
+    from hickorybeam.store import KeyValue
     from hickorybeam.telemetry import Counters
 
-__all__ = ("CHANGES_PATH", "STATE_PATH", "FeedService")
+__all__ = ("CHANGES_PATH", "FeedService")
 
-STATE_PATH = "/state"
 # On the peers' port, followed by the revision after which changes are requested.
 CHANGES_PATH = "/changes/"
 INITIAL_RETRY_MS = 100
@@ -86,14 +86,19 @@
         self._source: Address | None = None
         self._changes_available = anyio.Event()
         self._config_known = anyio.Event()
-        self._seeds = cfg.gateway.seeds if cfg.gateway else ()
         # Since when another VM has had a later revision, and that revision.
         self._lagging_since_ms: int | None = None
         self._missing_revision = 0
         self._follow_scope = anyio.CancelScope()
         self._vm_client = VmClient(clock)
-        # Called with the address of a VM before its entries are applied here.
-        self.before_bootstrap: Callable[[Address], Awaitable[None]] | None = None
+        self.bootstrap = SeedBootstrap(
+            clock=clock,
+            vm_client=self._vm_client,
+            own_host=cfg.vm.host,
+            seeds=cfg.gateway.seeds if cfg.gateway else (),
+            is_needed=lambda: self.routing_state.config is None,
+            apply=self._apply_bootstrapped,
+        )
         self.entries = KnownEntries(
             clock=clock,
             counters=counters,
@@ -111,7 +116,7 @@
 
     def reload(self, cfg: GatewaySettings) -> None:
         """Use the new seeds."""
-        self._seeds = cfg.seeds
+        self.bootstrap.seeds = cfg.seeds
 
     def on_batch(self, listener: Callable[[WatchBatch], None]) -> None:
         """Register a listener for every batch of changes."""
@@ -140,7 +145,7 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._follow)
             tg.start_soon(self._remove_expired)
-            tg.start_soon(self._bootstrap_from_seeds)
+            tg.start_soon(self.bootstrap.run)
 
     async def _follow(self) -> None:
         retry_ms = INITIAL_RETRY_MS
@@ -375,31 +380,7 @@
             await self._clock.sleep(EXPIRY_CHECK_INTERVAL_MS)
             self.entries.remove_expired()
 
-    async def _bootstrap_from_seeds(self) -> None:
-        """Fetch entries from another VM while no configuration could be read from the store.
-
-        Otherwise a VM that starts during an outage of the store would refuse all requests until
-        the store is back, although the VMs around it serve.
-        """
-        await self._clock.sleep(600)
-        while self.routing_state.config is None:
-            for seed in self._seeds:
-                if self.routing_state.config is None:
-                    await self._fetch_state(seed)
-            await self._clock.sleep(500)
-
-    async def _fetch_state(self, seed: str) -> None:
-        address = split_address(seed)
-        if address[0] == self._cfg.vm.host:
-            return
-        try:
-            items = decode_entries(await self._vm_client.get(address, STATE_PATH))
-        except (GatewayError, InvalidBytesError) as exc:
-            logging.info("cannot get entries from seed %s: %r", seed, exc)
-            return
-        logging.info("got %d entries from seed %s", len(items), seed)
-        if self.before_bootstrap is not None:
-            await self.before_bootstrap(address)
-        if self.routing_state.config is None:
-            self._add_changes(WatchBatch(0, tuple(items)), latest=0)
-            self._pending.apply()
+    def _apply_bootstrapped(self, items: list[KeyValue]) -> None:
+        """Apply the entries that another VM has sent."""
+        self._add_changes(WatchBatch(0, tuple(items)), latest=0)
+        self._pending.apply()
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from hickorybeam.gateway.crashes.part_blocks import SUSPECTS_PATH, PartBlocksService
-from hickorybeam.gateway.feed import CHANGES_PATH, STATE_PATH, FeedService
+from hickorybeam.gateway.feed import CHANGES_PATH, FeedService
 from hickorybeam.gateway.fleet import FleetService
 from hickorybeam.gateway.forwarding.hop import (
     HOP_NOT_RUN,
@@ -20,6 +20,7 @@
 )
 from hickorybeam.gateway.learned_metrics import LearnedMetrics
 from hickorybeam.gateway.request_handler import RequestHandler
+from hickorybeam.gateway.seed_bootstrap import STATE_PATH
 from hickorybeam.gateway.settings_limits import shutdown_times
 from hickorybeam.gateway.stray_log import StrayLog
 from hickorybeam.http1 import HttpServer, UpstreamPool, parse_count
--- a/tools/mutation_tables/ends.py
+++ b/tools/mutation_tables/ends.py
@@ -248,7 +248,7 @@
     Mutation(
         "a VM that starts with the store away asks what is blocked",
         BLOCKS,
-        "feed.before_bootstrap = self._fetch_suspects",
+        "feed.bootstrap.before_apply = self._fetch_suspects",
         "pass",
         REPEATED,
         "a VM that starts with the store away knows .*@1.2",
