gateway/stream_origins: only words given after the question show that a service has had one version

Callers saw: a stream that had begun at a server of v2 was taken up at a VM that had lost the store, and other VMs, in silence, and went on at v1 in a whole 200 (8 of 16 streams; seven rows of twelve of stream_out_of_step fail before, each twice).

Cause: no news was taken for knowledge, without its age. The word of a VM as stale as the one that asked counted as agreement and cleared it of being cut off; silent VMs did not count against a conclusion; once near VMs agreed, far ones, which knew of v2, weren't waited for; and whether a VM hears of servers was believed until a silent poll ended, 6.9 s after it began. The traces tell the three apart: with two VMs cut off n2 said 'only v1' (H1); with the store alone silent for a region the southern VM's 'several' came 80 ms after the conclusion (H2).

Now a version that nobody names is concluded from words given after the question: the store's, by a call without a wait that catches up with all changes and that all questions of that moment share (StoreConfirmation); or, where the store doesn't answer, every known VM's, that it has known servers of one version. A stream begins at a server that its VM knows, so either suffices whatever the age of the rest. A VM that has just started, or read everything anew after a gap, needs the word of one that followed without a gap up to that read (StoreHistory). Batches that are known already are skipped, as two calls may bring them out of order.

Scenario 'refused while the store is away' is replaced: a version that no VM has heard of began no stream, so it goes on where every VM vouches, and is refused where a VM is silent or has just started (three scenarios for one).

--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -22,6 +22,8 @@
 from hickorybeam.gateway.pending_changes import PendingChanges, Step
 from hickorybeam.gateway.routing_state import RoutingState
 from hickorybeam.gateway.seed_bootstrap import SeedBootstrap
+from hickorybeam.gateway.store_confirmation import StoreConfirmation
+from hickorybeam.gateway.store_history import StoreHistory
 from hickorybeam.gateway.vm_client import VmClient
 from hickorybeam.kernel import Service
 from hickorybeam.ports import FEED, PLATFORM
@@ -72,13 +74,11 @@
         self._last_failure_ms = -RECENT_FAILURE_MS
         self._recovered_ms = -SERVER_RECOVERY_MS
         self._store_reachable = False
-        # Revision of the latest change known here, sent in status reports; and the revision up to
-        # which the state is complete.
+        # Revision of the latest change known here, sent in status reports.
         self.revision = 0
-        self._complete_revision = 0
         self._loaded = False
-        # Since when all entries of the store have been known here.
-        self.loaded_since_ms: int | None = None
+        self.history = StoreHistory()
+        self.confirmation = StoreConfirmation(clock, self._catch_up)
         self._change_log = ChangeLog()
         self._pending = PendingChanges()
         # Whether this VM watches the store itself; otherwise it requests changes from `_source`.
@@ -137,13 +137,14 @@
             " all entries read: %s",
             len(self.entries),
             self.revision,
-            self._complete_revision,
+            self.history.complete_to,
             self._loaded,
         )
         self._pending.apply()
         started()
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._follow)
+            tg.start_soon(self.confirmation.run)
             tg.start_soon(self._remove_expired)
             tg.start_soon(self.bootstrap.run)
 
@@ -175,7 +176,7 @@
         :return: whether it sent them. If not, it is asked again only after it reports a later
             revision.
         """
-        if self._source is None or not self._complete_revision:
+        if self._source is None or not self.history.complete_to:
             return False
         try:
             await self._fetch_changes(self._source)
@@ -194,10 +195,20 @@
         self._store_reachable = False
 
     async def _watch(self) -> None:
-        async for batch in self._store.watch("", after=self._complete_revision):
+        async for batch in self._store.watch("", after=self.history.complete_to):
             self._mark_reachable()
             self._receive(batch)
 
+    async def _catch_up(self) -> None:
+        """Apply all changes that the store has now, whatever a pending poll will bring.
+
+        :raises GatewayError: the store can't be reached, or this VM has to read all entries.
+        """
+        if not self._loaded:
+            raise GatewayError(ErrorKind.PLATFORM_OUT, "not all entries have been read")
+        for batch in await self._store.catch_up("", after=self.history.complete_to):
+            self._receive(batch)
+
     async def _follow_source(self) -> None:
         """Request changes whenever another VM has some; return if the store must be read."""
         while True:
@@ -209,7 +220,7 @@
                 return
 
     async def _fetch_changes(self, source: Address) -> None:
-        raw = await self._vm_client.get(source, f"{CHANGES_PATH}{self._complete_revision}")
+        raw = await self._vm_client.get(source, f"{CHANGES_PATH}{self.history.complete_to}")
         try:
             changes = decode_changes(raw)
         except InvalidBytesError as exc:
@@ -217,7 +228,7 @@
         self._last_failure_ms = max(self._last_failure_ms, self._clock.now() - changes.trouble_ms)
         for batch in changes.to_watch_batches():
             self._receive(batch)
-        self._complete_revision = max(self._complete_revision, changes.revision)
+        self.history.note_complete(changes.revision)
 
     async def wait_for_config(self, limit_ms: float) -> None:
         """Wait until a configuration is known, or until the limit has passed."""
@@ -230,7 +241,7 @@
             return None
         trouble_ms = self._clock.now() - self._last_failure_ms
         found = self._change_log.changes_after(
-            revision, complete_to=self._complete_revision, trouble_ms=trouble_ms
+            revision, complete_to=self.history.complete_to, trouble_ms=trouble_ms
         )
         return None if found is None else msgspec.msgpack.encode(found)
 
@@ -251,7 +262,7 @@
 
         :param source: address to request its changes from; ``None`` if it can't provide them.
         """
-        if revision > self._complete_revision and source is not None:
+        if revision > self.history.complete_to and source is not None:
             self._source = source
             self._changes_available.set()
         self._check_lag(revision, now_ms)
@@ -264,9 +275,9 @@
 
         :param revision: the other VM's revision.
         """
-        if self._complete_revision >= self._missing_revision:
+        if self.history.complete_to >= self._missing_revision:
             self._lagging_since_ms = None
-        if revision <= self._complete_revision or not self._store_reachable:
+        if revision <= self.history.complete_to or not self._store_reachable:
             # During an outage of the store, reads are retried anyway.
             return
         if self._lagging_since_ms is None:
@@ -292,9 +303,9 @@
         """Read all entries from the store and apply them."""
         result = await self._read_while_fetching()
         self._mark_reachable()
-        if self.loaded_since_ms is None:
-            self.loaded_since_ms = self._clock.now()
-        if result.revision < self._complete_revision:
+        if result.revision > self.history.complete_to:
+            self.history.begin(result.revision, self._clock.now())
+        if result.revision < self.history.complete_to:
             # Another VM has sent later changes meanwhile; applying this read would undo them.
             self._loaded = True
             return
@@ -308,7 +319,7 @@
         self._pending.apply()
 
     def _complete_read(self, revision: int) -> None:
-        self._complete_revision = max(self._complete_revision, revision)
+        self.history.note_complete(revision)
         self._change_log.reset(revision)
         self._loaded = True
 
@@ -339,14 +350,19 @@
             await self._fetch_from_source()
 
     def _receive(self, batch: WatchBatch) -> None:
-        """Apply a batch from a watch, this VM's or another's, and keep it in the change log."""
+        """Apply a batch from a watch, this VM's or another's, and keep it in the change log.
+
+        One that is known already would undo later changes of its keys.
+        """
+        if batch.revision <= self.history.complete_to:
+            return
         changed = bool(batch.puts or batch.deletes)
         self._add_changes(batch, latest=batch.revision if changed else 0)
         self._pending.add([Step("a whole batch", partial(self._complete_batch, batch))])
         self._pending.apply()
 
     def _complete_batch(self, batch: WatchBatch) -> None:
-        self._complete_revision = max(self._complete_revision, batch.revision)
+        self.history.note_complete(batch.revision)
         self._change_log.add(batch)
 
     def _add_changes(self, batch: WatchBatch, *, latest: int) -> None:
--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -14,16 +14,17 @@
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.model.routing import Repeat
 from hickorybeam.policy.retry_after import clamp_retry_after_ms
-from hickorybeam.policy.stream_answers import StreamAnswers
+from hickorybeam.policy.stream_answers import OwnKnowledge, StreamAnswers
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION, stream_digest
 from hickorybeam.policy.version_word import VersionWord, Witness
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
+    from hickorybeam.gateway.store_confirmation import Confirmation
     from hickorybeam.gateway.targets import AdmittedRequest
     from hickorybeam.telemetry import Counters
 
@@ -36,8 +37,8 @@
 MAX_ASKED_BESIDE = 24
 # Questions that wait for answers; a stream beyond them counts as unknown.
 MAX_QUESTIONS = 256
-# Once it has known the servers for so long, a VM has heard of all that other VMs use, and no caller
-# still takes up a stream of a server that was gone before.
+# Once a VM has known the servers for so long, no caller takes up a stream of a server that was gone
+# before.
 HISTORY_MS = 5_000
 # What is not known now may be told with the next reports, or by the entry of a server that starts.
 RETRY_AFTER_MS = 500
@@ -46,7 +47,8 @@
     Witness.HERE: "here",
     Witness.REPORT: "here",
     Witness.ANSWER: "elsewhere",
-    Witness.SOLE_VERSION: "sole_version",
+    Witness.STORE: "sole_version",
+    Witness.EVERY_VM: "sole_version",
 }
 
 
@@ -69,11 +71,21 @@
 
 @dataclass(slots=True)
 class _Question:
-    """A question that waits for answers; ``changed`` is set with each one."""
+    """A question that waits for answers; ``changed`` is set with each one.
 
+    ``confirmation`` is the call that confirms with the store what this VM knows.
+    """
+
+    service: str
     answers: StreamAnswers
+    confirmation: Confirmation
     changed: anyio.Event = field(default_factory=anyio.Event)
 
+    def note_change(self) -> None:
+        """Wake whoever waits for an answer."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
 
 class StreamOrigins:
     """Binds requests to the versions that began their streams, and records where streams begin."""
@@ -82,6 +94,7 @@
         self, *, clock: Clock, counters: Counters, fleet: FleetService, feed: FeedService
     ) -> None:
         self._clock = clock
+        self._started_ms = clock.now()
         self._fleet = fleet
         self._feed = feed
         self._routing_state = feed.routing_state
@@ -136,8 +149,7 @@
             return "it is known here by two versions"
         services = {it.service for it in request.route.targets}
         service = services.pop() if len(services) == 1 else ""
-        answers = await self._ask(digest, service)
-        return answers.told or answers.concluded or answers.why_unknown()
+        return await self._ask(digest, service)
 
     def _word_here(self, digest: bytes) -> VersionWord | None:
         now = self._clock.now()
@@ -147,35 +159,75 @@
         by = Witness.REPORT if known.told_by else Witness.HERE
         return VersionWord(known.version_key, by, known.told_by, now - known.since_ms)
 
-    async def _ask(self, digest: bytes, service: str) -> StreamAnswers:
-        """Ask other VMs, the region's first; return their answers once they suffice."""
-        near, far = self._near_vms(), self._far_vms()
-        # If no VM that is known is live, this one is cut off, and none of them answers.
-        asked = [*near, *far] or list(self._fleet.peers.by_name)
-        answers = StreamAnswers(asked, sole=self._sole_version(service))
+    async def _ask(self, digest: bytes, service: str) -> VersionWord | str:
+        """Ask the store and other VMs which version began a stream; return why none tells it."""
         if len(self._questions) >= MAX_QUESTIONS:
-            return answers
+            return f"{MAX_QUESTIONS} other questions wait for answers"
+        answers = StreamAnswers(self._fleet.peers.by_name)
+        question = _Question(service, answers, self._feed.confirmation.request())
         number = next(self._numbers)
-        question = self._questions[number] = _Question(answers)
+        self._questions[number] = question
         message = StreamQuestion(self._fleet.own_vm.name, number, digest, service)
         try:
-            for vm in (*near, *far):
-                self._fleet.send_message(vm, message)
-            await self._wait(question, near, NEAR_ANSWERS_MS)
-            if answers.concluded is None and not answers.disputed:
-                await self._wait(question, [*near, *far], FAR_ANSWERS_MS - NEAR_ANSWERS_MS)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(self._await_confirmation, question)
+                await self._collect(question, message)
+                tg.cancel_scope.cancel()
         finally:
             del self._questions[number]
-        return answers
+        own = self._own_knowledge(question)
+        return answers.conclude(own) or answers.why_unknown(own)
+
+    async def _collect(self, question: _Question, message: StreamQuestion) -> None:
+        """Ask VMs, some first and all if need be, and wait for their answers.
+
+        All are asked only where the store doesn't answer, as each message is paid for.
+        """
+        near, far = self._near_vms(), self._far_vms()
+        everyone = list(self._fleet.peers.by_name)
+        some = everyone if self._feed.confirmation.is_overdue else [*near, *far]
+        self._send(message, some)
+        await self._wait(question, near, NEAR_ANSWERS_MS)
+        await self._wait(question, some, FAR_ANSWERS_MS - NEAR_ANSWERS_MS)
+        rest = set(everyone).difference(some)
+        if rest and question.answers.may_be_sole(self._own_knowledge(question)):
+            self._send(message, rest)
+            await self._wait(question, everyone, FAR_ANSWERS_MS)
+
+    def _send(self, message: StreamQuestion, vms: Iterable[str]) -> None:
+        for vm in vms:
+            self._fleet.send_message(vm, message)
+
+    async def _await_confirmation(self, question: _Question) -> None:
+        await question.confirmation.done.wait()
+        question.note_change()
 
     async def _wait(self, question: _Question, vms: Sequence[str], limit_ms: int) -> None:
-        """Wait until the stream is known, or until all of some VMs have answered."""
+        """Wait until the version is known, or until no answer of some VMs can tell it any more."""
         with anyio.move_on_after(limit_ms / MS_PER_SECOND):
-            answers = question.answers
-            while answers.told is None and not answers.disputed and not answers.heard_all(vms):
-                question.changed = anyio.Event()
+            while not self._is_settled(question, vms):
                 await question.changed.wait()
 
+    def _is_settled(self, question: _Question, vms: Sequence[str]) -> bool:
+        answers = question.answers
+        own = self._own_knowledge(question)
+        if answers.disputed or answers.conclude(own) is not None:
+            return True
+        if not answers.heard_all(vms):
+            return False
+        return question.confirmation.done.is_set() or not answers.may_be_sole(own)
+
+    def _own_knowledge(self, question: _Question) -> OwnKnowledge:
+        now = self._clock.now()
+        confirmation = question.confirmation
+        began_ms = confirmation.began_ms if confirmation.confirmed else None
+        return OwnKnowledge(
+            self._routing_state.version_history.sole_version(question.service, now),
+            is_new=self._is_new(now),
+            confirmed_age_ms=None if began_ms is None else now - began_ms,
+            followed_from=0 if self._complete_to() else self._feed.history.begins_at,
+        )
+
     def handle_question(self, message: StreamQuestion) -> None:
         """Answer another VM's question."""
         word = self._word_here(message.digest)
@@ -186,6 +238,7 @@
             self._sole_version(message.service),
             self._is_disputed(message.digest),
             word.age_ms if word else 0,
+            self._complete_to(),
         )
         self._fleet.send_message(message.vm, answer)
 
@@ -196,34 +249,26 @@
         """Pass an answer to the request that waits for it."""
         question = self._questions.get(message.number)
         if question is not None:
-            question.answers.add(
-                message.vm,
-                message.version_key,
-                message.sole,
-                disputed=message.disputed,
-                age_ms=message.age_ms,
-            )
-            question.changed.set()
+            question.answers.add(message.to_vm_answer())
+            question.note_change()
 
     def _sole_version(self, service: str) -> bytes | None:
-        """Return the key of the only version that a service has had, as an answer tells it.
+        """Return the key of the only version of a service that this VM has known, for an answer.
 
-        A VM that has just started, or that doesn't hear of new servers, can't tell that there was
-        one only.
+        It may have sent streams to servers of no other one; a VM that has just started can't tell
+        that of its earlier incarnation.
         """
         if not service:
             return None
         now = self._clock.now()
         sole = self._routing_state.version_history.sole_version(service, now)
-        complete = self._has_history(now) and self._hears_of_servers()
-        return sole if complete or sole == UNKNOWN_VERSION else None
+        return None if self._is_new(now) and sole != UNKNOWN_VERSION else sole
 
-    def _has_history(self, now_ms: int) -> bool:
-        loaded_ms = self._feed.loaded_since_ms
-        return loaded_ms is not None and now_ms - loaded_ms >= HISTORY_MS
+    def _complete_to(self) -> int:
+        return self._feed.history.complete_after(HISTORY_MS, self._clock.now())
 
-    def _hears_of_servers(self) -> bool:
-        return self._feed.watches_store or self._fleet.has_local_watcher()
+    def _is_new(self, now_ms: int) -> bool:
+        return now_ms - self._started_ms < HISTORY_MS
 
     def _service_of(self, request: AdmittedRequest, key: bytes) -> str | None:
         """Return the service of a route that has servers of a version, if one has."""
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -77,6 +77,11 @@
 }
 
 
+def watch_path(prefix: str, after: int, *, wait_ms: int) -> str:
+    """Return the path of one poll for the changes after a revision."""
+    return f"/kv-watch?prefix={quote(prefix, safe='/')}&after={after}&wait-ms={wait_ms}"
+
+
 @dataclass(slots=True, eq=False)
 class _PendingPoll:
     """A poll of a watch that the store holds since ``started_ms``."""
@@ -199,21 +204,36 @@
         """
         while True:
             status, reply = await self._poll(prefix, after)
-            if status == GONE:
-                raise GatewayError(ErrorKind.WATCH_COMPACTED, f"after {after}")
-            batches = decode_batches(reply)
-            if why := misfit_of_batches(batches, prefix=prefix, after=after):
-                raise self._misfit("watch", why)
-            for batch in batches:
+            for batch in self._batches_of(status, reply, prefix, after):
                 after = max(after, batch.revision)
                 yield batch
             # Once per poll: a pause per batch would delay a backlog of changes.
             if reply.events:
                 await self._clock.sleep(self.watch_pause_ms)
 
+    async def catch_up(self, prefix: str, *, after: int) -> list[WatchBatch]:
+        """Return the changes after a revision, at the least those until the call began.
+
+        :raises GatewayError: as a watch does.
+        """
+        path = watch_path(prefix, after, wait_ms=0)
+        status, reply = await self._call("watch", "GET", path, None, limit_ms=self._timeout_ms)
+        return self._batches_of(status, reply, prefix, after)
+
+    def _batches_of(
+        self, status: int, reply: StoreReply, prefix: str, after: int
+    ) -> list[WatchBatch]:
+        """Return the batches of a poll's reply, if it is one."""
+        if status == GONE:
+            raise GatewayError(ErrorKind.WATCH_COMPACTED, f"after {after}")
+        batches = decode_batches(reply)
+        if why := misfit_of_batches(batches, prefix=prefix, after=after):
+            raise self._misfit("watch", why)
+        return batches
+
     async def _poll(self, prefix: str, after: int) -> tuple[int, StoreReply]:
         poll_timeout_ms = self.watch_poll_timeout_ms
-        path = f"/kv-watch?prefix={quote(prefix, safe='/')}&after={after}&wait-ms={poll_timeout_ms}"
+        path = watch_path(prefix, after, wait_ms=poll_timeout_ms)
         poll = _PendingPoll(anyio.CancelScope(), self._clock.now())
         self._pending_polls.add(poll)
         try:
--- a/src/hickorybeam/policy/stream_answers.py
+++ b/src/hickorybeam/policy/stream_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
@@ -10,44 +11,72 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ("StreamAnswers",)
+__all__ = ("OwnKnowledge", "StreamAnswers", "VmAnswer")
+
+
+@dataclass(frozen=True, slots=True)
+class OwnKnowledge:
+    """What the VM that asks knows itself of the versions of a service.
+
+    ``sole`` is the key of the only version it has known lately, empty for several or none.
+    ``is_new``: it has just started, so an earlier incarnation of it may have known others.
+    ``confirmed_age_ms`` is how long ago a call to the store began that showed all changes until
+    then, ``None`` if none began after the question. ``followed_from`` is the revision from which
+    on it has followed all changes, 0 if it has done so for long enough.
+    """
+
+    sole: bytes
+    is_new: bool = False
+    confirmed_age_ms: int | None = None
+    followed_from: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class VmAnswer:
+    """What another VM answered.
+
+    ``version_key`` is that of the stream's version, empty if the VM doesn't know the stream, which
+    it has known for ``age_ms``. ``sole`` is the key of the only version of the service that the VM
+    has known lately, empty for several, ``None`` if it has just started. ``disputed``: it knows
+    the stream by two versions, so that no other answer counts. It has followed all changes of the
+    store for long enough up to the revision ``complete_to``; 0 if it has not.
+    """
+
+    vm: str
+    version_key: bytes
+    sole: bytes | None
+    disputed: bool = False
+    age_ms: int = 0
+    complete_to: int = 0
 
 
 class StreamAnswers:
     """The answers to one question.
 
-    :param asked: names of the VMs that were asked, nearest first.
-    :param sole: what this VM itself says of the service's only version, as an answer does.
+    A version that nobody names is concluded only from words that were given after the question:
+    the store's, that this VM knows all servers there are, or those of all VMs that can have begun
+    the stream. What was not heard, and what a VM heard earlier, shows nothing: a VM that is cut
+    off hears of no other version, and neither do those that are cut off with it.
+
+    :param vms: names of all VMs that are known.
     """
 
-    def __init__(self, asked: Iterable[str], *, sole: bytes | None) -> None:
-        self._silent = set(asked)
+    def __init__(self, vms: Iterable[str]) -> None:
+        self._silent = set(vms)
         self._is_cut_off = bool(self._silent)
+        self._answers: list[VmAnswer] = []
         self._words: dict[bytes, VersionWord] = {}
         self.disputed = False
-        # By VM, what it says of the service's only version; this VM's name is empty.
-        self._soles = {"": sole}
-
-    def add(
-        self,
-        vm: str,
-        version_key: bytes,
-        sole: bytes | None,
-        *,
-        disputed: bool = False,
-        age_ms: int = 0,
-    ) -> None:
-        """Add a VM's answer.
-
-        :param disputed: the VM knows the stream by two versions, so that no other answer counts.
-        :param age_ms: how long it has known the stream.
-        """
-        self.disputed |= disputed
-        self._silent.discard(vm)
+
+    def add(self, answer: VmAnswer) -> None:
+        """Add a VM's answer."""
+        self.disputed |= answer.disputed
+        self._silent.discard(answer.vm)
         self._is_cut_off = False
-        self._soles[vm] = sole
-        if version_key != UNKNOWN_VERSION:
-            self._words[version_key] = VersionWord(version_key, Witness.ANSWER, vm, age_ms)
+        self._answers.append(answer)
+        key = answer.version_key
+        if key != UNKNOWN_VERSION:
+            self._words[key] = VersionWord(key, Witness.ANSWER, answer.vm, answer.age_ms)
 
     def heard_all(self, vms: Iterable[str]) -> bool:
         """Return whether all of some VMs have answered."""
@@ -56,36 +85,59 @@
     @property
     def told(self) -> VersionWord | None:
         """The word of a VM that knows the stream; ``None`` if none does, or they disagree."""
-        return (
-            next(iter(self._words.values()))
-            if len(self._words) == 1 and not self.disputed
-            else None
-        )
+        if len(self._words) != 1 or self.disputed:
+            return None
+        return next(iter(self._words.values()))
 
-    @property
-    def concluded(self) -> VersionWord | None:
-        """The version told, or else the only one that could have begun the stream.
+    def may_be_sole(self, own: OwnKnowledge) -> bool:
+        """Return whether no word so far speaks against this VM's only version."""
+        if own.sole == UNKNOWN_VERSION or self._words or self.disputed:
+            return False
+        return all(it.sole in (None, own.sole) for it in self._answers)
 
-        One VM that knows of several versions outweighs all that know of one: it heard of the
-        other version first. A VM that nobody answers concludes nothing, since it may be cut off
-        from whoever has heard of another version.
+    def conclude(self, own: OwnKnowledge) -> VersionWord | None:
+        """Return the version told, or else the only one that can have begun the stream.
+
+        A VM that nobody answers concludes nothing.
         """
-        if self._words or self.disputed or self._is_cut_off:
+        if self._is_cut_off or not self.may_be_sole(own):
             return self.told
-        soles = set(self._soles.values()) - {None}
-        sole = soles.pop() if len(soles) == 1 else None
-        return VersionWord(sole, Witness.SOLE_VERSION) if sole else None
-
-    def why_unknown(self) -> str:
+        if own.confirmed_age_ms is not None and self._is_covered(own):
+            return VersionWord(own.sole, Witness.STORE, age_ms=own.confirmed_age_ms)
+        if self._is_unanimous(own):
+            return VersionWord(own.sole, Witness.EVERY_VM)
+        return None
+
+    def _is_covered(self, own: OwnKnowledge) -> bool:
+        """Return whether no version can have come and gone before this VM followed the store."""
+        if not own.followed_from:
+            return True
+        return any(it.sole and it.complete_to >= own.followed_from for it in self._answers)
+
+    def _is_unanimous(self, own: OwnKnowledge) -> bool:
+        """Return whether every VM has answered that it has known this version only."""
+        if self._silent or own.is_new:
+            return False
+        return all(it.sole == own.sole for it in self._answers)
+
+    def why_unknown(self, own: OwnKnowledge) -> str:
         """Return why no version is concluded, for the log."""
         said = {
             "two versions by": [str(it.vm) for it in self._words.values()],
             "several versions by": self._vms_that_say(UNKNOWN_VERSION),
-            "cannot tell": self._vms_that_say(None),
+            "just started": self._vms_that_say(None),
             "silent": sorted(self._silent),
         }
-        parts = [f"{what}: {', '.join(vms)}" for what, vms in said.items() if vms]
-        return "; ".join(["disputed"] * self.disputed + parts)
+        parts = [f"{what} {', '.join(vms)}" for what, vms in said.items() if vms]
+        if self.disputed:
+            parts.append("disputed")
+        if own.sole == UNKNOWN_VERSION:
+            parts.append("several versions, or none, known here")
+        if own.confirmed_age_ms is None:
+            parts.append("not confirmed by the store")
+        elif own.followed_from:
+            parts.append(f"changes of the store followed from revision {own.followed_from} on")
+        return "; ".join(parts)
 
     def _vms_that_say(self, sole: bytes | None) -> list[str]:
-        return sorted(vm or "this VM" for vm, said in self._soles.items() if said == sole)
+        return sorted(it.vm for it in self._answers if it.sole == sole)
--- a/src/hickorybeam/policy/version_word.py
+++ b/src/hickorybeam/policy/version_word.py
@@ -17,8 +17,10 @@
     """Another VM told it in a report, without being asked."""
     ANSWER = "answer"
     """Another VM knows the stream, and was asked."""
-    SOLE_VERSION = "sole_version"
-    """The VMs that answered know of one version only."""
+    STORE = "store"
+    """The store has confirmed that this VM knows all servers, and they have had one version."""
+    EVERY_VM = "every_vm"
+    """Every VM has said that it has known servers of one version only."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +28,7 @@
     """The key of a stream's version, and who says so.
 
     ``vm`` is the VM whose word it is, empty for this one or several. ``age_ms`` is how long ago it
-    was said, or recorded at that VM.
+    was recorded there, or the store was asked.
     """
 
     key: bytes
--- a/src/hickorybeam/store/port.py
+++ b/src/hickorybeam/store/port.py
@@ -141,3 +141,7 @@
 
     watch_poll_timeout_ms: int
     watch_pause_ms: int
+
+    async def catch_up(self, prefix: str, *, after: int) -> list[WatchBatch]:
+        """Return the changes after a revision, at the least those until the call began."""
+        ...
--- a/tests/gateway/stream_lookups.feature
+++ b/tests/gateway/stream_lookups.feature
@@ -61,12 +61,33 @@
     Then each caller is refused within 500 ms and told when to come back
     And servers of "model" executed 0 requests
 
-  # Guards against a version that came while no VM heard of new servers.
-  Scenario: a stream that nobody knows is refused while the store is away
-    Given a gateway of VMs "n1@north-1, n2@north-1"
+  # Guards against a version that only a VM which does not answer has heard of.
+  Scenario: a stream that nobody knows is refused while the store is away and a VM is silent
+    Given a gateway of VMs "n1@north-1, n2@north-1, n3@north-1"
     And model servers "m1:v1@north-1"
     And all VMs have run for 5 s
     When the store answers nothing any more and every VM has noticed
+    And VM "n3" has crashed and is no longer live for "n1"
+    And callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+  # Guards against refusing what every VM vouches for: a version nobody heard of began no stream.
+  Scenario: a stream that nobody knows goes on while the store is away and each VM knows one version
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m9:v1@south-1"
+    And all VMs have run for 5 s
+    When the store answers nothing any more and every VM has noticed
+    And callers take up 4 streams that no VM has served at "n1"
+    Then each stream goes on to its end at version "v1"
+
+  # Guards against a VM that knows too little of its servers to have missed another version.
+  Scenario: a stream that nobody knows is refused while the store is away and a VM has just started
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    And all VMs have run for 5 s
+    When VM "n2" crashes and comes back
+    And the store answers nothing any more
     And callers take up 4 streams that no VM has served at "n1"
     Then each caller is refused within 500 ms and told when to come back
     And servers of "model" executed 0 requests
--- a/tests/gateway/stream_out_of_step.feature
+++ b/tests/gateway/stream_out_of_step.feature
@@ -12,24 +12,20 @@
     Then at least 4 streams began at each version of "v1, v2"
     And no stream ran at two versions
 
-    Examples: right
-      | vms                                                                 | vms out of step | what                                    | named |
-      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | lose the store in silence               | them |
-      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | reach the store 1500 ms late each way   | them |
-      | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1, s1@south-1 | n1, n2, n3, n4, n5, n6 | lose the store in silence where they watch it | them |
-      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1              | lose the store and other VMs in silence | none  |
-      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1              | lose the store in silence               | none  |
-
-    @known_red
-    Examples: wrong
+    Examples:
       | vms                                                                 | vms out of step | what                                    | named |
       | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2          | lose the store and other VMs in silence | them |
       | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2          | lose the store and other VMs in silence | none  |
       | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | lose the store and other VMs in silence | them |
       | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | lose the store and other VMs in silence | none  |
+      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | lose the store in silence               | them |
       | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | lose the store in silence               | none  |
+      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | reach the store 1500 ms late each way   | them |
       | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1, n2, t1      | reach the store 1500 ms late each way   | none  |
+      | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1, s1@south-1 | n1, n2, n3, n4, n5, n6 | lose the store in silence where they watch it | them |
       | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1, s1@south-1 | n1, n2, n3, n4, n5, n6 | lose the store in silence where they watch it | none |
+      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1              | lose the store and other VMs in silence | none  |
+      | n1@north-1, n2@north-1, t1@north-2, s1@south-1, s2@south-1          | n1              | lose the store in silence               | none  |
 
   # Guards against refusing what can be shown: the store, or each VM, says that there was one version.
   Scenario Outline: streams that nobody knows go on at the only version while VMs <what>
--- a/tests/policy/stream_versions.feature
+++ b/tests/policy/stream_versions.feature
@@ -64,33 +64,45 @@
     And version "v1" of two services has different keys
 
   Scenario Outline: a stream's version is concluded from what VMs answer
-    When this VM says "<own>" and others answer "<answers>"
+    When this VM says "<own>", the store confirms <store>, and others answer "<answers>"
     Then the stream's version is "<version>"
 
     Examples:
       # Each answer is the version that the VM knows the stream by, and the only one there has been.
-      | own     | answers                    | version |
-      | nothing | v1/nothing                 | v1      |
-      | several | v1/several, -/several      | v1      |
-      | several | v1/several, v2/several     | -       |
-      | several | -/several                  | -       |
-      | v1      | -/v1, -/v1                 | v1      |
-      | v1      | -/v1, -/several            | -       |
-      | several | -/v1                       | -       |
-      | nothing | -/v1                       | v1      |
-      | nothing | -/nothing                  | -       |
-      | v1      | -/v2                       | -       |
-      | v1      | v2/several                 | v2      |
-      | v1      |                            | v1      |
-      | v1      | silent, -/v1               | v1      |
-      | v1      | silent, v2/several         | v2      |
+      | own     | store   | answers                    | version |
+      | nothing | it      | v1/nothing                 | v1      |
+      | several | it      | v1/several, -/several      | v1      |
+      | several | it      | v1/several, v2/several     | -       |
+      | several | it      | -/several                  | -       |
+      | v1      | it      | -/v1, -/v1                 | v1      |
+      | v1      | it      | -/v1, -/several            | -       |
+      | several | it      | -/v1                       | -       |
+      | nothing | it      | -/v1                       | v1      |
+      | nothing | it      | -/nothing                  | -       |
+      | v1      | it      | -/v2                       | -       |
+      | v1      | it      | v2/several                 | v2      |
+      | v1      | it      |                            | v1      |
+      | v1      | it      | silent, -/v1               | v1      |
+      | v1      | it      | silent, v2/several         | v2      |
       # Guards against a VM that knows one of a stream's two versions and is believed.
-      | several | both/several, v1/several   | -       |
-      | several | v1/several, both/several   | -       |
-      | v1      | both/v1                    | -       |
+      | several | it      | both/several, v1/several   | -       |
+      | several | it      | v1/several, both/several   | -       |
+      | v1      | it      | both/v1                    | -       |
       # Guards against a VM that is cut off and knows of one version only.
-      | v1      | silent, silent             | -       |
-      | nothing |                            | -       |
+      | v1      | it      | silent, silent             | -       |
+      | nothing | it      |                            | -       |
+      # Guards against a version that came and went before a VM that has just started read the store.
+      | nothing | it      | -/v1 earlier               | -       |
+      | nothing | it      | -/v1 earlier, -/v1         | v1      |
+      # Guards against words from before the question: without the store, each VM has to say it.
+      | v1      | nothing | -/v1, -/v1                 | v1      |
+      | v1      | nothing |                            | v1      |
+      | v1      | nothing | silent, -/v1               | -       |
+      | v1      | nothing | -/nothing, -/v1            | -       |
+      | v1      | nothing | -/v1, -/several            | -       |
+      | nothing | nothing | -/v1                       | -       |
+      | v1      | nothing | silent, v1/v1              | v1      |
+      | v1      | nothing | silent, v2/several         | v2      |
 
   Scenario: a version counts until a minute after its last server
     Given a history of versions
--- a/tests/steps/gateway/store_steps.py
+++ b/tests/steps/gateway/store_steps.py
@@ -169,7 +169,7 @@
         feed = context.feed = context.rig.vms[vm].feed
         context.report_ms = SystemClock().now()
         context.reads = context.rig.app.stand_in.calls["range"]
-        missing = feed._complete_revision + 1
+        missing = feed.history.complete_to + 1
         feed.note_peer_revision(missing, context.report_ms, source=None)
         feed._receive(WatchBatch(missing))
         # So far ahead that the gateway's own writes to the store don't reach it.
@@ -184,7 +184,7 @@
         rig, feed = context.rig, context.feed
         rig.app.put("other/x", b"1")
         wanted = rig.app.stand_in.store.revision
-        await rig.until(lambda: feed._complete_revision >= wanted)
+        await rig.until(lambda: feed.history.complete_to >= wanted)
 
     context.call(change)
 
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -397,6 +397,7 @@
 
 @when('callers take up {count:d} streams that no VM has served at "{vm}"')
 def step_take_up_unknown(context, count, vm):
+    context.polls_before = context.rig.app.stand_in.calls["watch"]
     context.streams = [CallersStream(f"unknown-{i}", last=3) for i in range(count)]
     resume_all(context, [vm])
 
--- a/tests/steps/policy/stream_versions_steps.py
+++ b/tests/steps/policy/stream_versions_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from hickorybeam.policy.stream_answers import StreamAnswers
+from hickorybeam.policy.stream_answers import OwnKnowledge, StreamAnswers, VmAnswer
 from hickorybeam.policy.stream_versions import (
     DIGEST_BYTES,
     UNKNOWN_VERSION,
@@ -14,6 +14,8 @@
 from hickorybeam.policy.version_history import VersionHistory
 
 SERVICE = "model"
+# Revision at which a VM that has just started has read all entries.
+FIRST_READ = 100
 
 
 def names(text):
@@ -133,25 +135,41 @@
             return key_of(version)
 
 
-@when('this VM says "{own}" and others answer "{answers}"')
-@when('this VM says "{own}" and others answer ""')
-def step_answers(context, own, answers=""):
+@when('this VM says "{own}", the store confirms {word}, and others answer "{answers}"')
+@when('this VM says "{own}", the store confirms {word}, and others answer ""')
+def step_answers(context, own, word, answers=""):
     found = names(answers)
-    context.answers = StreamAnswers(map(str, range(len(found))), sole=sole_of(own))
+    context.answers = StreamAnswers(map(str, range(len(found))))
+    is_new = own == "nothing"
+    context.own = OwnKnowledge(
+        key_of("v1") if is_new else sole_of(own),
+        is_new=is_new,
+        confirmed_age_ms={"it": 10, "nothing": None}[word],
+        followed_from=FIRST_READ if is_new else 0,
+    )
     for number, answer in enumerate(found):
         if answer == "silent":
             continue
-        known, sole = answer.split("/")
+        known, sole = answer.removesuffix(" earlier").split("/")
         key = UNKNOWN_VERSION if known in ("-", "both") else key_of(known)
         assert not context.answers.heard_all([str(number)])
-        context.answers.add(str(number), key, sole_of(sole), disputed=known == "both")
+        complete_to = FIRST_READ - 1 if answer.endswith("earlier") else FIRST_READ
+        context.answers.add(
+            VmAnswer(
+                str(number),
+                key,
+                sole_of(sole),
+                disputed=known == "both",
+                complete_to=complete_to,
+            )
+        )
         assert context.answers.heard_all([str(number)])
 
 
 @then('the stream\'s version is "{version}"')
 def step_concluded(context, version):
     expected = None if version == "-" else key_of(version)
-    word = context.answers.concluded
+    word = context.answers.conclude(context.own)
     assert (word and word.key) == expected, word
 
 
--- a/tests/support/linked_fleet.py
+++ b/tests/support/linked_fleet.py
@@ -14,7 +14,7 @@
 from hickorybeam.standins.links import LinkedStore, LinkHarm, Links
 
 # One way between two regions.
-REGIONS_APART = LinkHarm(delay_ms=80)
+REGIONS_APART = LinkHarm(delay_ms=40)
 
 
 @asynccontextmanager
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -9,6 +9,8 @@
 POLICY = "policy/stream_versions.feature"
 GATEWAY = "gateway/stream_versions.feature"
 LOOKUPS = "gateway/stream_lookups.feature"
+OUT_OF_STEP = "gateway/stream_out_of_step.feature"
+CONFIRMATION = "gateway/store_confirmation.feature"
 TAKEN_UP = "that its caller takes up .*@1.2"
 INSIDE = "inside one answer keeps its version .*@1.1"
 HOP_INSIDE = "inside one answer keeps its version .*@1.5"
@@ -56,17 +58,60 @@
     Mutation(
         "one VM that knows two versions outweighs the others",
         "policy/stream_answers.py",
-        "sole = soles.pop() if len(soles) == 1 else None",
-        "sole = max(soles) if soles else None",
+        "return all(it.sole in (None, own.sole) for it in self._answers)",
+        "return True",
         POLICY,
     ),
     Mutation(
         "a VM that nobody answers concludes nothing",
         "policy/stream_answers.py",
-        "if self._words or self.disputed or self._is_cut_off:",
-        "if self._words or self.disputed:",
+        "if self._is_cut_off or not self.may_be_sole(own):",
+        "if not self.may_be_sole(own):",
+        POLICY,
+    ),
+    Mutation(
+        "without the store a silent VM does not agree",
+        "policy/stream_answers.py",
+        "if self._silent or own.is_new:",
+        "if own.is_new:",
+        POLICY,
+    ),
+    Mutation(
+        "without the store a VM that has just started does not agree",
+        "policy/stream_answers.py",
+        "return all(it.sole == own.sole for it in self._answers)",
+        "return True",
+        POLICY,
+    ),
+    Mutation(
+        "the store's word does not reach back before the first read",
+        "policy/stream_answers.py",
+        "return any(it.sole and it.complete_to >= own.followed_from for it in self._answers)",
+        "return bool(self._answers)",
         POLICY,
     ),
+    Mutation(
+        "the store's word is from after the question",
+        "gateway/store_confirmation.py",
+        "        return self._next\n",
+        "        return self._current\n",
+        CONFIRMATION,
+    ),
+    Mutation(
+        "what the store shows is applied before it counts",
+        "gateway/feed.py",
+        "            self._receive(batch)\n\n    async def _follow_source",
+        "            pass\n\n    async def _follow_source",
+        OUT_OF_STEP,
+        "reach the store 1500 ms late",
+    ),
+    Mutation(
+        "a batch that is known already undoes nothing",
+        "gateway/feed.py",
+        "        if batch.revision <= self.history.complete_to:\n            return\n",
+        "",
+        CONFIRMATION,
+    ),
     # connections
     Mutation(
         "the first event binds a request",
@@ -247,17 +292,17 @@
     Mutation(
         "a VM that has just started can't tell of versions before",
         "gateway/stream_origins.py",
-        "return loaded_ms is not None and now_ms - loaded_ms >= HISTORY_MS",
-        "return True",
+        "return now_ms - self._started_ms < HISTORY_MS",
+        "return False",
         LOOKUPS,
-        "while its VMs have just started",
+        "a VM has just started",
     ),
     Mutation(
-        "a VM that doesn't hear of servers can't tell of versions",
+        "where the store is silent all VMs are asked",
         "gateway/stream_origins.py",
-        "return self._feed.watches_store or self._fleet.has_local_watcher()",
-        "return True",
-        LOOKUPS,
-        "refused while the store is away",
+        "            self._send(message, rest)\n",
+        "            pass\n",
+        OUT_OF_STEP,
+        "go on at the only version",
     ),
 )
