gateway/stream_origins: a stream that its caller doesn't name is refused at once where several versions serve

Callers that name no request waited 200 to 250 ms for VMs that could not know their stream, where a VM was silent; nor is the store asked.

--- a/src/hickorybeam/gateway/store_confirmation.py
+++ b/src/hickorybeam/gateway/store_confirmation.py
@@ -31,6 +31,13 @@
         self.confirmed = False
         self.done = anyio.Event()
 
+    @classmethod
+    def never(cls) -> Confirmation:
+        """Return the confirmation of a call that is not made."""
+        found = cls()
+        found.done.set()
+        return found
+
 
 class StoreConfirmation:
     """Calls the store for those that ask, one call after the other.
--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -11,6 +11,7 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.gateway.store_confirmation import Confirmation
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.model.routing import Repeat
 from hickorybeam.policy.retry_after import clamp_retry_after_ms
@@ -24,7 +25,6 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
-    from hickorybeam.gateway.store_confirmation import Confirmation
     from hickorybeam.gateway.targets import AdmittedRequest
     from hickorybeam.telemetry import Counters
 
@@ -73,9 +73,11 @@
 class _Question:
     """A question that waits for answers; ``changed`` is set with each one.
 
-    ``confirmation`` is the call that confirms with the store what this VM knows.
+    ``is_named``: the stream's caller names the request that began it. ``confirmation`` is the call
+    that confirms with the store what this VM knows.
     """
 
+    is_named: bool
     service: str
     answers: StreamAnswers
     confirmation: Confirmation
@@ -164,7 +166,7 @@
         if len(self._questions) >= MAX_QUESTIONS:
             return f"{MAX_QUESTIONS} other questions wait for answers"
         answers = StreamAnswers(self._fleet.peers.by_name)
-        question = _Question(service, answers, self._feed.confirmation.request())
+        question = _Question(bool(digest), service, answers, self._confirmation_for(service))
         number = next(self._numbers)
         self._questions[number] = question
         message = StreamQuestion(self._fleet.own_vm.name, number, digest, service)
@@ -178,6 +180,13 @@
         own = self._own_knowledge(question)
         return answers.conclude(own) or answers.why_unknown(own)
 
+    def _confirmation_for(self, service: str) -> Confirmation:
+        """Ask for a call to the store, unless the service has several versions anyway."""
+        sole = self._routing_state.version_history.sole_version(service, self._clock.now())
+        if sole == UNKNOWN_VERSION:
+            return Confirmation.never()
+        return self._feed.confirmation.request()
+
     async def _collect(self, question: _Question, message: StreamQuestion) -> None:
         """Ask VMs, some first and all if need be, and wait for their answers.
 
@@ -213,6 +222,8 @@
         own = self._own_knowledge(question)
         if answers.disputed or answers.conclude(own) is not None:
             return True
+        if not answers.may_be_sole(own) and not question.is_named:
+            return True
         if not answers.heard_all(vms):
             return False
         return question.confirmation.done.is_set() or not answers.may_be_sole(own)
--- a/tests/gateway/stream_lookups.feature
+++ b/tests/gateway/stream_lookups.feature
@@ -12,6 +12,15 @@
       | no VM has served               |
       | they do not name the request of |
 
+  # Guards against waiting for answers that can't tell a stream which its caller doesn't name.
+  Scenario: a stream that its caller does not name is refused without waiting for silent VMs
+    Given a gateway with links of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m2:v2@north-1, m9:v1@south-1"
+    When VMs "s1" lose the store and other VMs in silence
+    And callers take up 4 streams that they do not name the request of at "n1"
+    Then each caller is refused within 150 ms and told when to come back
+    And servers of "model" executed 0 requests
+
   # Each of the southern VMs has been told of some of the streams.
   Scenario: a stream goes on at a VM that has to ask which version began it
     Given a gateway of VMs "n1@north-1, s1@south-1, s2@south-1"
