--- a/src/hickorybeam/policy/stream_answers.py
+++ b/src/hickorybeam/policy/stream_answers.py
@@ -64,7 +64,10 @@
     def __init__(self, vms: Iterable[str]) -> None:
         self._silent = set(vms)
         self._is_cut_off = bool(self._silent)
-        self._answers: list[VmAnswer] = []
+        # By what VMs say of the service's only version: who they are, and up to which revision they
+        # have followed the store.
+        self._vms_by_sole: dict[bytes | None, list[str]] = {}
+        self._followed_to: dict[bytes | None, int] = {}
         self._words: dict[bytes, VersionWord] = {}
         self.disputed = False
 
@@ -73,7 +76,9 @@
         self.disputed |= answer.disputed
         self._silent.discard(answer.vm)
         self._is_cut_off = False
-        self._answers.append(answer)
+        self._vms_by_sole.setdefault(answer.sole, []).append(answer.vm)
+        followed_to = self._followed_to.get(answer.sole, 0)
+        self._followed_to[answer.sole] = max(followed_to, answer.complete_to)
         key = answer.version_key
         if key != UNKNOWN_VERSION:
             self._words[key] = VersionWord(key, Witness.ANSWER, answer.vm, answer.age_ms)
@@ -93,7 +98,7 @@
         """Return whether no word so far speaks against this VM's only version."""
         if own.sole == UNKNOWN_VERSION or self._words or self.disputed:
             return False
-        return all(it.sole in (None, own.sole) for it in self._answers)
+        return self._vms_by_sole.keys() <= {None, own.sole}
 
     def conclude(self, own: OwnKnowledge) -> VersionWord | None:
         """Return the version told, or else the only one that can have begun the stream.
@@ -112,20 +117,20 @@
         """Return whether no version can have come and gone before this VM followed the store."""
         if not own.followed_from:
             return True
-        return any(it.sole and it.complete_to >= own.followed_from for it in self._answers)
+        return self._followed_to.get(own.sole, 0) >= own.followed_from
 
     def _is_unanimous(self, own: OwnKnowledge) -> bool:
         """Return whether every VM has answered that it has known this version only."""
         if self._silent or own.is_new:
             return False
-        return all(it.sole == own.sole for it in self._answers)
+        return self._vms_by_sole.keys() <= {own.sole}
 
     def why_unknown(self, own: OwnKnowledge) -> str:
         """Return why no version is concluded, for the log."""
         said = {
             "two versions by": [str(it.vm) for it in self._words.values()],
-            "several versions by": self._vms_that_say(UNKNOWN_VERSION),
-            "just started": self._vms_that_say(None),
+            "several versions by": sorted(self._vms_by_sole.get(UNKNOWN_VERSION, ())),
+            "just started": sorted(self._vms_by_sole.get(None, ())),
             "silent": sorted(self._silent),
         }
         parts = [f"{what} {', '.join(vms)}" for what, vms in said.items() if vms]
@@ -138,6 +143,3 @@
         elif own.followed_from:
             parts.append(f"changes of the store followed from revision {own.followed_from} on")
         return "; ".join(parts)
-
-    def _vms_that_say(self, sole: bytes | None) -> list[str]:
-        return sorted(it.vm for it in self._answers if it.sole == sole)
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -58,7 +58,7 @@
     Mutation(
         "one VM that knows two versions outweighs the others",
         "policy/stream_answers.py",
-        "return all(it.sole in (None, own.sole) for it in self._answers)",
+        "return self._vms_by_sole.keys() <= {None, own.sole}",
         "return True",
         POLICY,
     ),
@@ -79,15 +79,15 @@
     Mutation(
         "without the store a VM that has just started does not agree",
         "policy/stream_answers.py",
-        "return all(it.sole == own.sole for it in self._answers)",
+        "return self._vms_by_sole.keys() <= {own.sole}",
         "return True",
         POLICY,
     ),
     Mutation(
         "the store's word does not reach back before the first read",
         "policy/stream_answers.py",
-        "return any(it.sole and it.complete_to >= own.followed_from for it in self._answers)",
-        "return bool(self._answers)",
+        "return self._followed_to.get(own.sole, 0) >= own.followed_from",
+        "return bool(self._vms_by_sole)",
         POLICY,
     ),
     Mutation(
