gateway/feed: a VM whose calls to the store fail does not count as a watcher

Callers lost requests at servers that turned cold while the store was silent: no VM checked them, and they got the full rate. Cause: a VM said that it watches the store until its own poll ended, 6.9 s after the poll began (20.9 s in a fleet with 20 watchers). Then two other VMs took the watch over, and counted as watchers before the store had answered them, on the word of an answer from before. So the claim went from pair to pair, for as long as there were pairs: the silence of the store had no bound that did not grow with the data centre.

Each VM renews its lease every 4 s anyway, and that call fails within its own limit. Now a VM says that it watches the store only while its latest call succeeded, and the store's client tells that. There is no further call, and what is known stays in force.

The new rows failed before.

--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -231,8 +231,13 @@
 
     @property
     def watches_store(self) -> bool:
-        """Whether this VM watches the store and reaches it, so that others may request changes."""
-        return self.is_watcher and self._loaded and self._store_reachable
+        """Whether this VM watches the store and reaches it, so that others may request changes.
+
+        A poll that the store leaves unanswered shows so only when it ends, seconds later, and the
+        VM that takes over has a poll of its own to wait for. Other calls fail sooner.
+        """
+        reachable = self._store_reachable and not self._store.failing
+        return self.is_watcher and self._loaded and reachable
 
     def set_watcher(self, is_watcher: bool) -> None:
         """Watch the store from now on, or leave that to other VMs of the data centre."""
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -114,6 +114,11 @@
             "platform_calls", "Calls made of the platform", ("kind", "outcome")
         )
 
+    @property
+    def failing(self) -> bool:
+        """Whether a call has failed, and none has succeeded since."""
+        return self._last_failure_ms is not None
+
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
         status, reply = await self._read("read", f"/kv-key?key={quote(key, safe='/')}")
--- a/src/hickorybeam/store/port.py
+++ b/src/hickorybeam/store/port.py
@@ -136,8 +136,14 @@
     """A platform whose watches are repeated long polls, each counted as a call.
 
     ``watch_poll_timeout_ms`` is the maximum wait of one poll, ``watch_pause_ms`` the pause after a
-    poll that returned changes.
+    poll that returned changes. ``failing``: a call has failed, and none has succeeded since. A poll
+    that waits meanwhile may never be answered.
     """
 
     watch_poll_timeout_ms: int
     watch_pause_ms: int
+
+    @property
+    def failing(self) -> bool:
+        """Whether a call has failed, and none has succeeded since."""
+        ...
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -53,9 +53,11 @@
     And a watch of the key-value store has a pending poll
     When the key-value client has read once and then the store stops responding
     Then a key-value read fails
+    And the key-value client says that calls fail
     When the key-value store responds again
     Then a key-value read succeeds at once on a new connection
     And the watch ended with "platform_out"
+    And the key-value client says that calls succeed
 
   Scenario: a pending poll continues while calls succeed
     Given a key-value store and its client
--- /dev/null
+++ b/tests/steps/gateway/out_of_step_steps.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+from behave import given, then, when
+
+from hickorybeam.standins.links import LinkHarm
+from steps.gateway.gateway_steps import split_names
+from support.linked_fleet import harm_store, linked_fleet
+
+SERVERS = (("m1", "model", "north-1"), ("b1", "books", "north-1"))
+
+
+@asynccontextmanager
+async def settled_fleet(vms):
+    async with linked_fleet([tuple(it.split("@")) for it in split_names(vms)]) as rig:
+        for server in SERVERS:
+            await rig.add_server(*server)
+        await rig.settled()
+        yield rig
+
+
+@given('a linked gateway of VMs "{vms}"')
+def step_linked_gateway(context, vms):
+    manager = context.portal.wrap_async_context_manager(settled_fleet(vms))
+    context.rig = context.stack.enter_context(manager)
+
+
+async def restart_polls(rig):
+    """Let all VMs begin a poll of the store now: its silence then shows as late as it can."""
+    rig.config["version"] += 1
+    rig.configure()
+    version = rig.config["version"]
+    await rig.until(
+        lambda: all(vm.routing_state.config.version == version for vm in rig.vms.values())
+    )
+
+
+@when("the store falls silent to all VMs")
+def step_store_silent(context):
+    async def silence():
+        rig = context.rig
+        # A large data centre has its two watchers only some reports after it has met.
+        await rig.until(lambda: is_watched_by_few(rig))
+        await restart_polls(rig)
+        harm_store(rig, rig.vms, LinkHarm(silent=True))
+
+    context.call(silence)
+
+
+def is_watched_by_few(rig):
+    by_centre = {}
+    for vm in rig.vms.values():
+        by_centre.setdefault(vm.fleet.own_vm.data_centre, []).append(vm.feed.is_watcher)
+    return all(sum(it) == (2 if len(it) > 4 else len(it)) for it in by_centre.values())
+
+
+@then('all VMs still serve callers of "{key}"')
+def step_still_served(context, key):
+    rig = context.rig
+    replies = [context.call(lambda vm=vm: rig.call(vm, "/look/x", key=key)) for vm in rig.vms]
+    assert all(it.status == 200 for it in replies), [it.status for it in replies]
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -437,3 +437,8 @@
 @then("it has opened {count:d} connections")
 def step_opened(context, count):
     assert context.client._pool.opened == count, context.client._pool.opened
+
+
+@then("the key-value client says that calls {what}")
+def step_client_fails(context, what):
+    assert context.client.failing == {"fail": True, "succeed": False}[what]
