gateway/cold_health_checks: a VM that hears nobody checks its servers

Callers of a VM that was cut off from the store and from other VMs lost requests at servers that turned cold meanwhile: it sent at the full rate until a call to the store had failed, up to 4 s plus the call's limit. The bound for cold servers holds for such VMs as well. It could have known: other VMs report ten times a second, and it counts as isolated after 1.2 s for quotas.

Now it checks for cold servers once reports of all VMs have been missed for that long and the store has answered nothing since, and all of those that it sends to, as it would not hear what the others find. A VM that has lost the others only stops at the store's next answer to a call that it makes anyway, 4 s later at most.

--- a/src/hickorybeam/gateway/cold_health_checks.py
+++ b/src/hickorybeam/gateway/cold_health_checks.py
@@ -70,12 +70,21 @@
         """Check the servers that may turn cold while this VM receives no changes of the store."""
         while True:
             await self._clock.sleep(HEALTH_CHECK_INTERVAL_MS)
-            if self._feed.watches_store or self._fleet.has_local_watcher():
+            if self._receives_changes():
                 continue
             async with anyio.create_task_group() as tg:
                 for state, health_path in self._servers_to_check():
                     tg.start_soon(self._check, state, health_path)
 
+    def _receives_changes(self) -> bool:
+        """Return whether changes of the store arrive, as far as this VM can tell.
+
+        One that is cut off from all others as well knows that sooner than a poll ends.
+        """
+        if self._fleet.hears_nobody():
+            return False
+        return self._feed.watches_store or self._fleet.has_local_watcher()
+
     async def _check_idle(self) -> None:
         """Ask an idle server of each service how fast it is, where that may change a choice.
 
@@ -118,9 +127,11 @@
             for it in routing_state.available_servers(service)
             if self._fleet.in_own_region(it.server.data_centre) and it.limit_per_s > spec.cold_per_s
         }
-        own = servers_to_check(
-            self._fleet.own_vm.name, servers=candidates, vms=self._fleet.coordinators.serving_vms()
-        )
+        name = self._fleet.own_vm.name
+        # Others may check, and this VM would not hear of it.
+        alone = self._fleet.hears_nobody()
+        vms = [name] if alone else self._fleet.coordinators.serving_vms()
+        own = servers_to_check(name, servers=candidates, vms=vms)
         return [candidates[name] for name in own if self._take_check(candidates[name][0])]
 
     def _take_check(self, state: ServerState) -> bool:
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -260,6 +260,16 @@
         """Return whether another live VM of this data centre watches the store."""
         return any(self._live_local_peers().values())
 
+    def hears_nobody(self) -> bool:
+        """Return whether all that this VM hears of has been silent for a while.
+
+        The store may be silent as nothing changes, and other VMs as they have ended. If the store
+        answers a call after their reports have been missed, this VM is not cut off.
+        """
+        since_ms = self.peers.isolated_since_ms()
+        answered_ms = self._store.answered_ms
+        return since_ms is not None and (answered_ms is None or answered_ms <= since_ms)
+
     def report_cold(self, server_id: str, cold_ms: int) -> None:
         """Report to the region's VMs that a server said it is cold."""
         self._own_usage.mark_cold(server_id, cold_ms)
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -89,12 +89,18 @@
 
     def quota_peer_count(self) -> int:
         """Return how many VMs share the accounts' rates with this one, 0 if it is isolated."""
-        now = self._clock.now()
-        ages_ms = [now - it.last_seen_ms for it in self.by_name.values()]
-        if min(ages_ms, default=0) > isolation_timeout_ms(len(self.local_peers())):
+        if self.isolated_since_ms() is not None:
             return 0
-        limit_ms = self.quota_peer_timeout_ms()
-        return sum(age_ms < limit_ms for age_ms in ages_ms)
+        now, limit_ms = self._clock.now(), self.quota_peer_timeout_ms()
+        return sum(now - it.last_seen_ms < limit_ms for it in self.by_name.values())
+
+    def isolated_since_ms(self) -> int | None:
+        """Return since when reports of all VMs have been missing for too long, ``None`` if not."""
+        if not self.by_name:
+            return None
+        last_ms = max(it.last_seen_ms for it in self.by_name.values())
+        since_ms = last_ms + isolation_timeout_ms(len(self.local_peers()))
+        return since_ms if self._clock.now() > since_ms else None
 
     def quota_peer_timeout_ms(self) -> int:
         """Return how long a VM may send no report before it counts as spending its own share."""
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -107,6 +107,7 @@
         self._rng = random.Random()
         self._pending_polls: set[_PendingPoll] = set()
         self._last_failure_ms: int | None = None
+        self._answered_ms: int | None = None
         # The highest revision of all replies, and the lease that was granted last.
         self._known_revision = 0
         self._last_lease: int | None = None
@@ -119,6 +120,11 @@
         """Whether a call has failed, and none has succeeded since."""
         return self._last_failure_ms is not None
 
+    @property
+    def answered_ms(self) -> int | None:
+        """When a call last succeeded; ``None`` if none has."""
+        return self._answered_ms
+
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
         status, reply = await self._read("read", f"/kv-key?key={quote(key, safe='/')}")
@@ -341,6 +347,7 @@
             error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
             raise GatewayError(error, f"{kind}: the response of {len(raw)} bytes {what}")
         self._count(kind, "ok")
+        self._answered_ms = self._clock.now()
         self._cancel_stale_polls()
         return status, reply
 
--- a/src/hickorybeam/store/port.py
+++ b/src/hickorybeam/store/port.py
@@ -147,3 +147,8 @@
     def failing(self) -> bool:
         """Whether a call has failed, and none has succeeded since."""
         ...
+
+    @property
+    def answered_ms(self) -> int | None:
+        """When a call last succeeded; ``None`` if none has."""
+        ...
--- a/tests/gateway/cold_out_of_step.feature
+++ b/tests/gateway/cold_out_of_step.feature
@@ -14,3 +14,24 @@
       | n1@north-1, n2@north-1, n3@north-1                                                         |
       | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1                     |
       | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1, t1@north-2         |
+
+  # Guards against a VM that is cut off from everything and waits for its poll to end before it checks
+  # the servers that it sends to.
+  Scenario Outline: a server turns cold while one VM hears nobody
+    Given a linked gateway of VMs "<vms>"
+    When "n1" loses the store and other VMs in silence
+    And server "m1" turns cold for 60000 ms
+    Then within 3 s "n1" knows that server "m1" is cold
+    And all VMs still serve callers of "small"
+
+    Examples:
+      | vms                                                                                |
+      | n1@north-1, n2@north-1, n3@north-1                                                 |
+      | n1@north-1, t1@north-2                                                             |
+      | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1, t1@north-2 |
+
+  # Guards against checks, each of which is paid for, by a VM that hears of the store alone.
+  Scenario: a VM that loses the others only stops its checks once the store has answered
+    Given a linked gateway of VMs "n1@north-1, n2@north-1, n3@north-1"
+    When "n1" loses other VMs in silence
+    Then "n1" hears nobody, and within 7 s the store; it sends no checks in 1.5 s then
--- a/tests/steps/gateway/out_of_step_steps.py
+++ b/tests/steps/gateway/out_of_step_steps.py
@@ -2,11 +2,13 @@
 
 from contextlib import asynccontextmanager
 
+import anyio
 from behave import given, then, when
 
+from hickorybeam.clock import SystemClock
 from hickorybeam.standins.links import LinkHarm
 from steps.gateway.gateway_steps import split_names
-from support.linked_fleet import harm_store, linked_fleet
+from support.linked_fleet import cut_from_vms, harm_store, linked_fleet
 
 SERVERS = (("m1", "model", "north-1"), ("b1", "books", "north-1"))
 
@@ -60,3 +62,55 @@
     rig = context.rig
     replies = [context.call(lambda vm=vm: rig.call(vm, "/look/x", key=key)) for vm in rig.vms]
     assert all(it.status == 200 for it in replies), [it.status for it in replies]
+
+
+@when('"{vm}" loses the store and other VMs in silence')
+def step_cut_off(context, vm):
+    async def cut_off():
+        await restart_polls(context.rig)
+        harm_store(context.rig, [vm], LinkHarm(silent=True))
+        cut_from_vms(context.rig, [vm])
+
+    context.call(cut_off)
+
+
+@when('"{vm}" loses other VMs in silence')
+def step_cut_from_vms(context, vm):
+    async def cut():
+        await restart_polls(context.rig)
+        cut_from_vms(context.rig, [vm])
+
+    context.call(cut)
+
+
+@then('within {limit:d} s "{vm}" knows that server "{name}" is cold')
+def step_cold_server_known_at(context, limit, vm, name):
+    clock, routing_state = SystemClock(), context.rig.vms[vm].routing_state
+
+    async def known():
+        await context.rig.until(lambda: routing_state.is_cold(name, clock.now()), limit_s=limit)
+
+    context.call(known)
+
+
+@then(
+    '"{vm}" hears nobody, and within {limit:d} s the store; it sends no checks in {quiet:g} s then'
+)
+def step_checks_end(context, limit, vm, quiet):
+    rig = context.rig
+    before = [0]
+
+    async def ended():
+        await rig.until(rig.vms[vm].fleet.hears_nobody)
+        await rig.until(lambda: not rig.vms[vm].fleet.hears_nobody(), limit_s=limit)
+        # Those that it had begun end meanwhile.
+        await anyio.sleep(0.3)
+        before[0] = health_checks(rig)
+        await anyio.sleep(quiet)
+
+    context.call(ended)
+    assert health_checks(rig) == before[0], (before[0], health_checks(rig))
+
+
+def health_checks(rig):
+    return sum(len(server.health_checks) for server in rig.servers.values())
