gateway/feed: a poll that outlived an outage of the store shows no absence of one

Callers got 503 from all VMs after the store had stood still: entries of servers expire meanwhile, and those that are alive are back within about two seconds. A VM keeps them for that long after a failure of the store, but counted failures of its own polls and reads only. A poll that the store holds while it stands still does not fail; it brings the removals as soon as the store goes on. That the VM's other calls had failed was known to the client, and cleared by the answer to that very poll before the removals were applied.

Now a failure of any call counts, here and for VMs that get their changes from this one.

--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -223,7 +223,7 @@
         """Return the encoded changes after a revision, ``None`` if some are not known here."""
         if not self._loaded:
             return None
-        trouble_ms = self._clock.now() - self._last_failure_ms
+        trouble_ms = self._trouble_ms()
         found = self._change_log.changes_after(
             revision, complete_to=self._complete_revision, trouble_ms=trouble_ms
         )
@@ -364,10 +364,17 @@
 
     def _delete(self, key: str) -> None:
         """Apply a deletion; a server's entry may only have expired with the store."""
-        now = self._clock.now()
-        has_failed = now - self._last_failure_ms < RECENT_FAILURE_MS
+        has_failed = self._trouble_ms() < RECENT_FAILURE_MS
         self.entries.delete(key, keep_ms=SERVER_RECOVERY_MS if has_failed else 0)
 
+    def _trouble_ms(self) -> int:
+        """Return the time since the store last failed this VM, or the VM that it gets changes from.
+
+        A poll may outlive an outage that shows in other calls only.
+        """
+        times_ms = (self._last_failure_ms, self._store.failed_ms)
+        return self._clock.now() - max(it for it in times_ms if it is not None)
+
     def _record_config(self, config: RoutingConfig) -> None:
         self._version_gauge.set(config.version)
         self._config_known.set()
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -106,7 +106,8 @@
         self._retry_budget = RetryBudget(burst=MAX_SAVED_RETRIES)
         self._rng = random.Random()
         self._pending_polls: set[_PendingPoll] = set()
-        self._last_failure_ms: int | None = None
+        self._failing = False
+        self._failed_ms: int | None = None
         self._answered_ms: int | None = None
         # The highest revision of all replies, and the lease that was granted last.
         self._known_revision = 0
@@ -118,13 +119,18 @@
     @property
     def failing(self) -> bool:
         """Whether a call has failed, and none has succeeded since."""
-        return self._last_failure_ms is not None
+        return self._failing
 
     @property
     def answered_ms(self) -> int | None:
         """When a call last succeeded; ``None`` if none has."""
         return self._answered_ms
 
+    @property
+    def failed_ms(self) -> int | None:
+        """When a call last failed; ``None`` if none has."""
+        return self._failed_ms
+
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
         status, reply = await self._read("read", f"/kv-key?key={quote(key, safe='/')}")
@@ -251,7 +257,7 @@
         self._known_revision = max(self._known_revision, revision or 0)
 
     def _record_failure(self, kind: str, outcome: str) -> None:
-        self._last_failure_ms = self._clock.now()
+        self._failing, self._failed_ms = True, self._clock.now()
         self._count(kind, outcome)
 
     def _cancel_stale_polls(self) -> None:
@@ -262,12 +268,12 @@
         force seconds after its end, though other calls work. Costs one more read and one more
         poll per outage.
         """
-        if self._last_failure_ms is None:
+        if not self._failing or self._failed_ms is None:
             return
         for poll in self._pending_polls:
-            if poll.started_ms <= self._last_failure_ms:
+            if poll.started_ms <= self._failed_ms:
                 poll.scope.cancel()
-        self._last_failure_ms = None
+        self._failing = False
 
     async def _read(self, kind: str, path: str) -> tuple[int, StoreReply]:
         self._retry_budget.earn()
--- a/src/hickorybeam/store/port.py
+++ b/src/hickorybeam/store/port.py
@@ -152,3 +152,8 @@
     def answered_ms(self) -> int | None:
         """When a call last succeeded; ``None`` if none has."""
         ...
+
+    @property
+    def failed_ms(self) -> int | None:
+        """When a call last failed; ``None`` if none has."""
+        ...
--- a/tests/gateway/store.feature
+++ b/tests/gateway/store.feature
@@ -53,6 +53,20 @@
     Then the caller gets 200
     And "n1" removes server "b1" within 4 s
 
+  # Guards against a VM that removes servers at once since its poll, unlike its other calls, did not
+  # fail: a store that stood still answers the polls that it holds.
+  Scenario Outline: an entry that expired with the store is kept though the poll has outlived it
+    Given a small gateway with VMs "<vms>"
+    When calls of all VMs but their polls fail and the entry of "b1" expires
+    And a caller of "small" asks "n1" for "/look/x"
+    Then the caller gets 200
+    And "n1" removes server "b1" within 4 s
+
+    Examples:
+      | vms                    |
+      | n1                     |
+      | n1, n2, n3, n4, n5, n6 |
+
   Scenario: a VM whose registration expired registers again
     Given a small gateway
     When the registration of "n1" expires
--- a/tests/steps/gateway/store_steps.py
+++ b/tests/steps/gateway/store_steps.py
@@ -246,3 +246,18 @@
 @when('the store responds to "{vm}" again')
 def step_store_responds(context, vm):
     context.rig.vms[vm].feed._store._call = context.real_call
+
+
+@when('calls of all VMs but their polls fail and the entry of "{name}" expires')
+def step_calls_fail_and_expiry(context, name):
+    async def expire():
+        rig = context.rig
+        vms = rig.vms.values()
+        rig.app.stand_in.faults.drop_writes = 1_000
+        await rig.until(lambda: all(vm.feed._store.failing for vm in vms))
+        rig.app.stand_in.faults.drop_writes = 0
+        rig.servers[name].withdraw()
+        revision = rig.app.stand_in.store.revision
+        await rig.until(lambda: all(vm.feed._complete_revision >= revision for vm in vms))
+
+    context.call(expire)
