gateway/forwarding: a VM that knows no servers vouches for no run

Callers could get a stream that two servers ran at once. A VM that is asked to end a run it does not know, one of its earlier process, asks the region's servers that it knows of, and tells that the run has ended unless one still lists it. A VM that has just started and has read nothing of the store knows none, and took that for the answer of all.

Now it says nothing without a server's report. The cancel is repeated each 100 ms, so the answer comes once it knows servers; where it never does, the stream ends for its caller with what it had, as when a server's report is missing.

The first two rows failed before (told as ended while the server worked on, or had dropped it unseen); the third, of a VM that knows its servers, passes before and after.

--- a/src/hickorybeam/gateway/forwarding/forwarded_runs.py
+++ b/src/hickorybeam/gateway/forwarding/forwarded_runs.py
@@ -198,8 +198,11 @@
         self._region_check.start(message.run, message.trace, partial(self._show_ended, message))
 
     def _show_ended(self, message: CancelRun, states: Collection[RunState]) -> None:
-        """Answer a cancel unless a server of this region may still work on the run."""
-        if UNENDED_STATES.isdisjoint(states):
+        """Answer a cancel unless a server of this region may still work on the run.
+
+        A VM that has just started may know no servers yet; the cancel is repeated meanwhile.
+        """
+        if states and UNENDED_STATES.isdisjoint(states):
             self._keep_cancelled(message.run, begun=True)
             self._fleet.send_message(message.vm, RunEnded(message.run, begun=True))
 
--- a/tests/gateway/forwarding/runs.feature
+++ b/tests/gateway/forwarding/runs.feature
@@ -75,6 +75,20 @@
       | what they ran 450 ms ago | drops it | says       |
       | no runs                  | drops it | says       |
 
+  # Guards against the word of a VM that has started again and has not read yet which servers there are.
+  Scenario Outline: a VM that knows neither a run nor servers for it does not say that it has ended
+    Given two regions whose streams begin in the south, linked by what can be harmed
+    And servers report what they ran 450 ms ago
+    And the southern VM <knows> its servers
+    When a run that the southern VM doesn't know is cancelled there while its server <does>
+    Then it <tells> that the run has ended
+
+    Examples:
+      | knows             | does     | tells      |
+      | does not yet know | works on | never says |
+      | does not yet know | drops it | never says |
+      | knows             | drops it | says       |
+
   # Guards against a run that goes on at a server which has closed its end.
   Scenario Outline: a VM tells of a run that it ends only what its server reports
     Given two regions whose streams begin in the south, linked by what can be harmed
--- a/tests/steps/gateway/forwarding/runs_steps.py
+++ b/tests/steps/gateway/forwarding/runs_steps.py
@@ -170,6 +170,13 @@
     step_unknown_cancelled(context, "works on", began_ms_ago=0)
 
 
+@given("the southern VM {knows} its servers")
+def step_servers_known(context, knows):
+    if knows == "does not yet know":
+        routing_state = context.rig.vms[SOUTH].routing_state
+        context.call(lambda: routing_state.remove_server("m9", SystemClock().now()))
+
+
 @when("a run that the southern VM doesn't know is cancelled there while its server {does}")
 def step_unknown_cancelled(context, does, *, began_ms_ago=WAIT_MS):
     rig = context.rig
