gateway: metrics and the log tell how old the news is that a VM acts on

Nothing told operators how old the state is that a VM acts on: a store that leaves calls unanswered showed once a poll had ended, and silent data centres only in the count of live VMs.

Gauges: time since the store last answered a call of this VM, and age of the latest report by data centre, the own one without this VM. Log lines: the first call that fails and the first that succeeds again, with the time between; on what ground a VM begins and ends checks for cold servers, with both ages; entries that are kept as they may have expired with the store.

The scenario failed before for want of the metrics. The gauges cost nothing until they are read.

--- a/src/hickorybeam/gateway/cold_health_checks.py
+++ b/src/hickorybeam/gateway/cold_health_checks.py
@@ -49,6 +49,7 @@
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
         self._clock = clock
         self._log = DecisionLog(clock)
+        self._checks_cold = False
         self._pool = UpstreamPool(
             clock, connect_ms=RESPONSE_TIMEOUT_MS, silent_ms=RESPONSE_TIMEOUT_MS
         )
@@ -70,7 +71,8 @@
         """Check the servers that may turn cold while this VM receives no changes of the store."""
         while True:
             await self._clock.sleep(HEALTH_CHECK_INTERVAL_MS)
-            if self._receives_changes():
+            self._set_checks_cold(on=not self._receives_changes())
+            if not self._checks_cold:
                 continue
             async with anyio.create_task_group() as tg:
                 for state, health_path in self._servers_to_check():
@@ -85,6 +87,20 @@
             return False
         return self._feed.watches_store or self._fleet.has_local_watcher()
 
+    def _set_checks_cold(self, *, on: bool) -> None:
+        """Record whether checks are due, and on what ground."""
+        if on == self._checks_cold:
+            return
+        self._checks_cold = on
+        self._log.write(
+            "cold_checks",
+            on=on,
+            watches_store=self._feed.watches_store,
+            local_watcher=self._fleet.has_local_watcher(),
+            store_answer_age_ms=self._fleet.store_answer_age_ms(),
+            report_ages_ms=self._fleet.peers.report_ages_ms(),
+        )
+
     async def _check_idle(self) -> None:
         """Ask an idle server of each service how fast it is, where that may change a choice.
 
--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -270,6 +270,11 @@
         answered_ms = self._store.answered_ms
         return since_ms is not None and (answered_ms is None or answered_ms <= since_ms)
 
+    def store_answer_age_ms(self) -> int | None:
+        """Return the time since the store last answered a call, ``None`` if it never has."""
+        answered_ms = self._store.answered_ms
+        return None if answered_ms is None else self._clock.now() - answered_ms
+
     def report_cold(self, server_id: str, cold_ms: int) -> None:
         """Report to the region's VMs that a server said it is cold."""
         self._own_usage.mark_cold(server_id, cold_ms)
--- a/src/hickorybeam/gateway/known_entries.py
+++ b/src/hickorybeam/gateway/known_entries.py
@@ -114,7 +114,9 @@
             self._routing_state.evacuated_data_centres -= {data_centre}
             logging.info("data centre %s is in use again", data_centre)
         elif keep_ms and key.startswith(SERVER_PREFIX):
-            self._removal_due_ms.setdefault(key, self._clock.now() + keep_ms)
+            if key not in self._removal_due_ms:
+                self._removal_due_ms[key] = self._clock.now() + keep_ms
+                logging.info("%s is gone, maybe as the store failed: kept for %d ms", key, keep_ms)
         else:
             self._remove(key)
 
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -112,6 +112,19 @@
         """Return whether a report of the VM arrived within the timeout."""
         return peer.is_live(self._clock.now(), self.peer_timeout_ms)
 
+    def report_ages_ms(self) -> dict[str, int]:
+        """Return the age of the latest report of each data centre's VMs.
+
+        A VM that has sent none since it became known counts from then on.
+        """
+        now = self._clock.now()
+        ages: dict[str, int] = {}
+        for peer in self.by_name.values():
+            age_ms = now - max(peer.last_seen_ms, peer.known_since_ms)
+            centre = peer.vm.data_centre
+            ages[centre] = min(age_ms, ages.get(centre, age_ms))
+        return ages
+
     def known_count(self) -> int:
         """Return how many VMs are known, leaving ones not counted."""
         return sum(not peer.leaving for peer in self.by_name.values())
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -19,6 +19,7 @@
     hop_run,
 )
 from hickorybeam.gateway.learned_metrics import LearnedMetrics
+from hickorybeam.gateway.report_metrics import ReportMetrics
 from hickorybeam.gateway.request_handler import RequestHandler
 from hickorybeam.gateway.settings_limits import shutdown_times
 from hickorybeam.gateway.stray_log import StrayLog
@@ -89,6 +90,7 @@
         self._bound_ports = Ports()
         self._leaving = False
         self._learned_metrics = LearnedMetrics(counters)
+        self._report_metrics = ReportMetrics(counters)
         self._in_flight = counters.gauge("requests_in_flight", "Requests being answered")
 
     def bind(self, kernel: Kernel) -> None:
@@ -234,6 +236,7 @@
         if req.target == METRICS_PATH:
             states = self._feed.routing_state.server_states.values()
             self._learned_metrics.update(states, self._clock.now())
+            self._report_metrics.update(self._fleet.peers.report_ages_ms())
             reply.send(200, METRICS_HEADERS, self._counters.text())
             return
         if req.target.startswith(CHANGES_PREFIX):
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -10,6 +10,7 @@
 
 import anyio
 import msgspec
+from absl import logging
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
@@ -106,7 +107,7 @@
         self._retry_budget = RetryBudget(burst=MAX_SAVED_RETRIES)
         self._rng = random.Random()
         self._pending_polls: set[_PendingPoll] = set()
-        self._failing = False
+        self._failing_since_ms: int | None = None
         self._failed_ms: int | None = None
         self._answered_ms: int | None = None
         # The highest revision of all replies, and the lease that was granted last.
@@ -115,11 +116,15 @@
         self._calls = counters.counter(
             "platform_calls", "Calls made of the platform", ("kind", "outcome")
         )
+        age = counters.gauge(
+            "store_answer_age_ms", "Time since the store last answered a call, -1 if never, in ms"
+        )
+        age.set_function(self._answer_age_ms)
 
     @property
     def failing(self) -> bool:
         """Whether a call has failed, and none has succeeded since."""
-        return self._failing
+        return self._failing_since_ms is not None
 
     @property
     def answered_ms(self) -> int | None:
@@ -257,9 +262,32 @@
         self._known_revision = max(self._known_revision, revision or 0)
 
     def _record_failure(self, kind: str, outcome: str) -> None:
-        self._failing, self._failed_ms = True, self._clock.now()
+        self._failed_ms = self._clock.now()
+        if self._failing_since_ms is None:
+            self._failing_since_ms = self._failed_ms
+            logging.warning(
+                "store: a call (%s) failed (%s), the last answer came %d ms ago",
+                kind,
+                outcome,
+                self._answer_age_ms(),
+            )
         self._count(kind, outcome)
 
+    def _answer_age_ms(self) -> int:
+        return -1 if self._answered_ms is None else self._clock.now() - self._answered_ms
+
+    def _record_success(self, kind: str) -> None:
+        now = self._answered_ms = self._clock.now()
+        self._count(kind, "ok")
+        if self._failing_since_ms is not None:
+            logging.info(
+                "store: a call (%s) succeeded, %d ms after the first that failed",
+                kind,
+                now - self._failing_since_ms,
+            )
+            self._cancel_stale_polls()
+            self._failing_since_ms = None
+
     def _cancel_stale_polls(self) -> None:
         """Cancel polls that began before a call failed, now that one has succeeded again.
 
@@ -268,12 +296,9 @@
         force seconds after its end, though other calls work. Costs one more read and one more
         poll per outage.
         """
-        if not self._failing or self._failed_ms is None:
-            return
         for poll in self._pending_polls:
-            if poll.started_ms <= self._failed_ms:
+            if self._failed_ms is not None and poll.started_ms <= self._failed_ms:
                 poll.scope.cancel()
-        self._failing = False
 
     async def _read(self, kind: str, path: str) -> tuple[int, StoreReply]:
         self._retry_budget.earn()
@@ -352,9 +377,7 @@
             what = f"lacks {', '.join(missing)}" if reply is not None else "can't be read"
             error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
             raise GatewayError(error, f"{kind}: the response of {len(raw)} bytes {what}")
-        self._count(kind, "ok")
-        self._answered_ms = self._clock.now()
-        self._cancel_stale_polls()
+        self._record_success(kind)
         return status, reply
 
     def _count(self, kind: str, outcome: str) -> None:
--- a/tests/gateway/cold_out_of_step.feature
+++ b/tests/gateway/cold_out_of_step.feature
@@ -30,8 +30,18 @@
       | n1@north-1, t1@north-2                                                             |
       | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1, t1@north-2 |
 
+  # Guards against a VM that acts on old news, of which neither metrics nor the log tell the age.
+  Scenario: metrics and the log tell how old the news is that a VM acts on
+    Given a linked gateway of VMs "n1@north-1, n2@north-1, t1@north-2"
+    Then metrics of "n1" tell news of the store and of "north-1, north-2" that is at most 7000 ms old
+    When "n1" loses the store and other VMs in silence
+    And "n1" hears nobody
+    Then metrics of "n1" tell news of the store and of "north-1, north-2" that is at least 1000 ms old
+    And the log tells on what ground "n1" checks servers for coldness
+
   # Guards against checks, each of which is paid for, by a VM that hears of the store alone.
   Scenario: a VM that loses the others only stops its checks once the store has answered
     Given a linked gateway of VMs "n1@north-1, n2@north-1, n3@north-1"
     When "n1" loses other VMs in silence
-    Then "n1" hears nobody, and within 7 s the store; it sends no checks in 1.5 s then
+    And "n1" hears nobody
+    Then within 7 s "n1" hears the store, and sends no checks in 1.5 s then
--- a/tests/steps/gateway/out_of_step_steps.py
+++ b/tests/steps/gateway/out_of_step_steps.py
@@ -3,9 +3,12 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import httpcore
 from behave import given, then, when
 
 from hickorybeam.clock import SystemClock
+from hickorybeam.gateway.cold_health_checks import ColdHealthCheckService
+from hickorybeam.ports import COLD_HEALTH_CHECKS
 from hickorybeam.standins.links import LinkHarm
 from steps.gateway.gateway_steps import split_names
 from support.linked_fleet import cut_from_vms, harm_store, linked_fleet
@@ -93,15 +96,17 @@
     context.call(known)
 
 
-@then(
-    '"{vm}" hears nobody, and within {limit:d} s the store; it sends no checks in {quiet:g} s then'
-)
+@when('"{vm}" hears nobody')
+def step_hears_nobody(context, vm):
+    context.call(context.rig.until, context.rig.vms[vm].fleet.hears_nobody)
+
+
+@then('within {limit:d} s "{vm}" hears the store, and sends no checks in {quiet:g} s then')
 def step_checks_end(context, limit, vm, quiet):
     rig = context.rig
     before = [0]
 
     async def ended():
-        await rig.until(rig.vms[vm].fleet.hears_nobody)
         await rig.until(lambda: not rig.vms[vm].fleet.hears_nobody(), limit_s=limit)
         # Those that it had begun end meanwhile.
         await anyio.sleep(0.3)
@@ -114,3 +119,31 @@
 
 def health_checks(rig):
     return sum(len(server.health_checks) for server in rig.servers.values())
+
+
+@then('metrics of "{vm}" tell news of the store and of "{centres}" that is {bound} {ms:d} ms old')
+def step_news_ages(context, vm, centres, bound, ms):
+    port = context.rig.vms[vm].relay.ports().peers
+    text = httpcore.request("GET", f"http://127.0.0.1:{port}/metrics").content.decode()
+    names = ["store_answer_age_ms"]
+    names += [f'report_age_ms{{data_centre="{it}"}}' for it in split_names(centres)]
+    for name in names:
+        line = next(it for it in text.splitlines() if it.startswith(f"hickorybeam_{name} "))
+        age_ms = float(line.split()[-1])
+        assert age_ms >= 0, line
+        assert age_ms <= ms if bound == "at most" else age_ms >= ms, line
+
+
+@then('the log tells on what ground "{vm}" checks servers for coldness')
+def step_ground_logged(context, vm):
+    checks = context.rig.vms[vm].kernel.find(COLD_HEALTH_CHECKS, ColdHealthCheckService)
+    written = []
+    checks._log.write = lambda event, **fields: written.append((event, fields))
+    checks._checks_cold = False
+    context.call(context.rig.until, lambda: any(event == "cold_checks" for event, _ in written))
+    fields = next(fields for event, fields in written if event == "cold_checks")
+    assert fields["on"], fields
+    assert fields["watches_store"], fields
+    ages_ms = [fields["store_answer_age_ms"], *fields["report_ages_ms"].values()]
+    assert len(ages_ms) == 3, fields
+    assert min(ages_ms) >= 1_000, fields
