tests/gateway/cold_out_of_step: VMs that reach the store don't rely for long on deaf watchers

Callers of VMs that reach the store had a revoked key accepted, while the store left the two watchers of their data centre unanswered and no other data centre told of a later revision: the watchers said that they watch until their polls had ended.

--- a/tests/gateway/cold_out_of_step.feature
+++ b/tests/gateway/cold_out_of_step.feature
@@ -15,6 +15,13 @@
       | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1                     |
       | n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1, t1@north-2         |
 
+  # Guards against VMs that reach the store and rely on watchers that it leaves unanswered.
+  Scenario: a key is revoked while the store answers neither watcher
+    Given a linked gateway of VMs "n1@north-1, n2@north-1, n3@north-1, n4@north-1, n5@north-1, n6@north-1"
+    When the store falls silent to the watchers
+    And the key of "large" is revoked
+    Then within 6 s a caller of "large" gets 401 from every VM that reaches the store
+
   # Guards against a VM that is cut off from everything and waits for its poll to end before it checks
   # the servers that it sends to.
   Scenario Outline: a server turns cold while one VM hears nobody
--- a/tests/steps/gateway/out_of_step_steps.py
+++ b/tests/steps/gateway/out_of_step_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from functools import partial
 
 import anyio
 import httpcore
@@ -43,14 +44,23 @@
 
 @when("the store falls silent to all VMs")
 def step_store_silent(context):
-    async def silence():
-        rig = context.rig
-        # A large data centre has its two watchers only some reports after it has met.
-        await rig.until(lambda: is_watched_by_few(rig))
-        await restart_polls(rig)
-        harm_store(rig, rig.vms, LinkHarm(silent=True))
-
-    context.call(silence)
+    context.call(partial(silence_store, context.rig, watchers_only=False))
+
+
+@when("the store falls silent to the watchers")
+def step_store_silent_to_watchers(context):
+    rig = context.rig
+    context.call(partial(silence_store, rig, watchers_only=True))
+    context.running = {name: vm for name, vm in rig.vms.items() if name not in rig.out_of_step}
+    assert len(context.running) == len(rig.vms) - 2, context.running
+
+
+async def silence_store(rig, *, watchers_only):
+    # A large data centre has its two watchers only some reports after it has met.
+    await rig.until(lambda: is_watched_by_few(rig))
+    await restart_polls(rig)
+    names = [name for name, vm in rig.vms.items() if vm.feed.is_watcher or not watchers_only]
+    harm_store(rig, names, LinkHarm(silent=True))
 
 
 def is_watched_by_few(rig):
