gateway/report_receiver: a status report is news of when it was made

Callers could be sent to VMs that had ended, by VMs that were sound. A VM that stands still reads what the others sent it meanwhile once it goes on, and relays the reports of other data centres. Each counted as heard now, however old: VMs that had ended since were live again for 1.5 s and more, were listed by the directory and asked, watched the store and shared quotas, at this VM and at all of its data centre. The age had no bound but that of the pause.

Each report tells how long its VM has been up. What the fastest of a VM's reports make of its start tells how late the others are, without clocks that agree and without a further field (`policy/report_age.py`). A report that is as late as one may be missing before its VM counts as gone tells nothing of the VM now. What holds however late it comes is still taken from it: spent totals, where streams began, parts and servers that were told of. Reports that stay late for 3 s are taken for a way that has become longer.

Three rows failed before: a VM of the own data centre was live again at the one that had stood still; one of another data centre and one of another region at its neighbour as well. Behind a way that becomes 3 s longer a VM counts as live again within 8 s and stays so (the scenario passes before and after). By the time-outs a VM that ended counts as live for twice the time-out at most.

--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -259,17 +259,18 @@
         if name in self.by_name:
             self.by_name[name].registered = False
 
-    def record_report(self, name: str, vm: GatewayVm | None) -> Peer | None:
+    def record_report(self, name: str, vm: GatewayVm | None, *, is_old: bool) -> Peer | None:
         """Return the VM that sent a report and update when it was last seen.
 
         :param vm: its own record, sent by a VM that isn't registered.
+        :param is_old: the report arrived too late to tell that the VM is live.
         :return: ``None`` if the VM is unknown or this one.
         """
         peer = self.by_name.get(name)
         is_new = peer is None and name != self._own_vm.name
         if is_new and vm is not None and is_ip_address(vm.host):
             peer = self.by_name[name] = Peer(vm, self._clock.now(), registered=False)
-        if peer is not None:
+        if peer is not None and not is_old:
             peer.last_seen_ms = self._clock.now()
         return peer
 
--- a/src/hickorybeam/gateway/report_receiver.py
+++ b/src/hickorybeam/gateway/report_receiver.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from absl import logging
 
 from hickorybeam.gateway.peers import DISCOVERY_MS
+from hickorybeam.policy.report_age import ReportAge
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +32,9 @@
 
 __all__ = ("ReportReceiver",)
 
+# A VM that stood still reads many at once.
+OLD_REPORT_LOG_INTERVAL_S = 1
+
 
 class ReportReceiver:
     """Passes what status reports tell to whoever keeps it.
@@ -62,6 +67,8 @@
         self._server_notices = server_notices
         self._send_levels = send_levels
         self._to_relay: list[StatusReport] = []
+        # By name, for one start of the VM.
+        self._ages: dict[str, tuple[str, ReportAge]] = {}
         self.on_leads: LeadsHandler = lambda region, leads: None
         self.on_suspects: SuspectsHandler = lambda suspects: None
         # Whether this VM has just started and needs an older one's quota levels.
@@ -83,31 +90,58 @@
         return found
 
     def _apply(self, report: StatusReport) -> Peer | None:
-        peer = self._peers.record_report(report.name, report.vm)
+        """Apply a VM's report; return the VM unless it is unknown, or the report is old."""
+        now = self._clock.now()
+        age_ms = self._age_ms(report, now)
+        is_old = age_ms >= self._peers.peer_timeout_ms
+        peer = self._peers.record_report(report.name, report.vm, is_old=is_old)
         if peer is None:
             return None
-        now = self._clock.now()
+        self._apply_lasting(report, peer, now)
+        if is_old:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "a report of VM %s is no news of it, it arrived %d ms late",
+                OLD_REPORT_LOG_INTERVAL_S,
+                report.name,
+                age_ms,
+            )
+            return None
         if report.leaving and not peer.leaving:
             peer.leaving_since_ms = now
         peer.leaving = report.leaving
         peer.watches_store = report.follows
         self._feed.note_peer_revision(report.revision, now, source=self._change_source(peer))
-        self._prefix_holders.merge(report.holds, now)
-        self._stream_versions.merge(report.streams, now)
         if self._peers.in_own_region(peer):
             self._apply_own_region(report, peer, now)
         else:
             peer.forecasts = report.forecasts
-        if report.suspects:
-            self.on_suspects(report.suspects)
         if report.leads:
             self.on_leads(peer.vm.region, report.leads)
-        started_later = report.up_ms < now - self._started_ms
-        incarnation = f"{report.name}/{report.incarnation}"
-        self._quota.apply_totals(incarnation, report.spent, now, started_later=started_later)
         self._exchange_levels(report, peer, now)
         return peer
 
+    def _age_ms(self, report: StatusReport, now_ms: int) -> int:
+        incarnation, age = self._ages.get(report.name, ("", ReportAge()))
+        if incarnation != report.incarnation:
+            known = self._peers.by_name
+            self._ages = {name: it for name, it in self._ages.items() if name in known}
+            age = ReportAge()
+            self._ages[report.name] = (report.incarnation, age)
+        return age.age_ms(report.up_ms, now_ms)
+
+    def _apply_lasting(self, report: StatusReport, peer: Peer, now_ms: int) -> None:
+        """Apply what holds however late a report arrives."""
+        self._prefix_holders.merge(report.holds, now_ms)
+        self._stream_versions.merge(report.streams, now_ms)
+        if self._peers.in_own_region(peer):
+            self._server_notices.apply_leaving(report.departing)
+        if report.suspects:
+            self.on_suspects(report.suspects)
+        started_later = report.up_ms < now_ms - self._started_ms
+        incarnation = f"{report.name}/{report.incarnation}"
+        self._quota.apply_totals(incarnation, report.spent, now_ms, started_later=started_later)
+
     def _apply_own_region(self, report: StatusReport, peer: Peer, now_ms: int) -> None:
         """Apply what a VM of this region tells of the region's servers."""
         known = {} if report.whole or peer.servers is None else peer.servers
@@ -116,7 +150,6 @@
         for server, cold_ms in report.cold.items():
             self._feed.routing_state.mark_cold(server, cold_ms, now_ms)
         self._server_notices.limits.apply(report.limits)
-        self._server_notices.apply_leaving(report.departing)
         self._server_notices.loads.apply(report.loads)
 
     def _change_source(self, peer: Peer) -> Address | None:
--- a/tests/steps/gateway/out_of_step_steps.py
+++ b/tests/steps/gateway/out_of_step_steps.py
@@ -15,12 +15,13 @@
 from support.linked_fleet import cut_from_vms, harm_store, linked_fleet
 
 SERVERS = (("m1", "model", "north-1"), ("b1", "books", "north-1"))
+SOUTHERN_SERVERS = (("m9", "model", "south-1"), ("b9", "books", "south-1"))
 
 
 @asynccontextmanager
 async def settled_fleet(vms):
     async with linked_fleet([tuple(it.split("@")) for it in split_names(vms)]) as rig:
-        for server in SERVERS:
+        for server in SERVERS + (SOUTHERN_SERVERS if "@south" in vms else ()):
             await rig.add_server(*server)
         await rig.settled()
         yield rig
@@ -157,3 +158,70 @@
     ages_ms = [fields["store_answer_age_ms"], *fields["report_ages_ms"].values()]
     assert len(ages_ms) == 3, fields
     assert min(ages_ms) >= 1_000, fields
+
+
+@when('"{vm}" reads nothing of other VMs for a while in which "{other}" crashes')
+def step_reads_late(context, vm, other):
+    rig = context.rig
+
+    async def read_late():
+        receiver = rig.vms[vm].fleet._transport.get_protocol()
+        receive, held = receiver._receive, []
+        receiver._receive = held.append
+        await anyio.sleep(1.5)
+        rig.vms[other].kill()
+        await rig.vms[other].ended.wait()
+        survivors = [it for name, it in rig.vms.items() if name != other]
+        await rig.until(lambda: not any(is_live(it, other) for it in survivors))
+        # A report tells that its VM is live until it is as old as one may be missing.
+        await anyio.sleep(survivors[0].fleet.peers.peer_timeout_ms / 1_000)
+        receiver._receive = receive
+        for data in held:
+            receive(data)
+
+    context.call(read_late)
+
+
+def is_live(vm, other):
+    peers = vm.fleet.peers
+    return other in peers.by_name and peers.is_live(peers.by_name[other])
+
+
+@then('neither of "{names}" counts "{other}" as live in the next {span:g} s')
+def step_not_live(context, names, other, span):
+    vms = [context.rig.vms[name] for name in split_names(names)]
+    found = []
+
+    async def watch():
+        with anyio.move_on_after(span):
+            while True:
+                found.extend(vm.fleet.own_vm.name for vm in vms if is_live(vm, other))
+                await anyio.sleep(0.01)
+
+    context.call(watch)
+    assert not found, set(found)
+
+
+@when('the way between "{vm}" and "{other}" gets {ms:d} ms longer')
+def step_way_longer(context, vm, other, ms):
+    links = context.rig.links
+    for pair in ((vm, other), (other, vm)):
+        context.call(links.way(*pair).apply, LinkHarm(delay_ms=ms))
+
+
+@then('within {limit:d} s "{vm}" counts "{other}" as live, and for {span:g} s after that')
+def step_stays_live(context, limit, vm, other, span):
+    rig = context.rig
+    here = rig.vms[vm]
+    seen = []
+
+    async def watch():
+        await anyio.sleep(4)
+        await rig.until(lambda: is_live(here, other), limit_s=limit - 4)
+        with anyio.move_on_after(span):
+            while True:
+                seen.append(is_live(here, other))
+                await anyio.sleep(0.01)
+
+    context.call(watch)
+    assert all(seen), seen.count(False)
