--- a/src/hickorybeam/gateway/feed.py
+++ b/src/hickorybeam/gateway/feed.py
@@ -239,7 +239,7 @@
         """Return the encoded changes after a revision, ``None`` if some are not known here."""
         if not self._loaded:
             return None
-        trouble_ms = self._clock.now() - self._last_failure_ms
+        trouble_ms = self._trouble_ms()
         found = self._change_log.changes_after(
             revision, complete_to=self.history.complete_to, trouble_ms=trouble_ms
         )
@@ -247,8 +247,13 @@
 
     @property
     def watches_store(self) -> bool:
-        """Whether this VM watches the store and reaches it, so that others may request changes."""
-        return self.is_watcher and self._loaded and self._store_reachable
+        """Whether this VM watches the store and reaches it, so that others may request changes.
+
+        A poll that the store leaves unanswered shows so only when it ends, seconds later, and the
+        VM that takes over has a poll of its own to wait for. Other calls fail sooner.
+        """
+        reachable = self._store_reachable and not self._store.failing
+        return self.is_watcher and self._loaded and reachable
 
     def set_watcher(self, is_watcher: bool) -> None:
         """Watch the store from now on, or leave that to other VMs of the data centre."""
@@ -380,10 +385,17 @@
 
     def _delete(self, key: str) -> None:
         """Apply a deletion; a server's entry may only have expired with the store."""
-        now = self._clock.now()
-        has_failed = now - self._last_failure_ms < RECENT_FAILURE_MS
+        has_failed = self._trouble_ms() < RECENT_FAILURE_MS
         self.entries.delete(key, keep_ms=SERVER_RECOVERY_MS if has_failed else 0)
 
+    def _trouble_ms(self) -> int:
+        """Return the time since the store last failed this VM, or the VM that it gets changes from.
+
+        A poll may outlive an outage that shows in other calls only.
+        """
+        times_ms = (self._last_failure_ms, self._store.failed_ms)
+        return self._clock.now() - max(it for it in times_ms if it is not None)
+
     def _record_config(self, config: RoutingConfig) -> None:
         self._version_gauge.set(config.version)
         self._config_known.set()
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -228,7 +228,7 @@
     Mutation(
         "streams that reports tell of are recorded",
         "gateway/report_receiver.py",
-        "        self._stream_versions.merge(report.streams, now, vm=report.name)\n",
+        "        self._stream_versions.merge(report.streams, now_ms, vm=report.name)\n",
         "",
         GATEWAY,
         CRASHED,
