--- a/tests/steps/store/contract_steps.py
+++ b/tests/steps/store/contract_steps.py
@@ -26,18 +26,18 @@
         return super().now() + self.offset_ms
 
 
-def etcd_client(*urls, prefix="/hickorybeam/"):
+def etcd_client(*urls, prefix="/hickorybeam/", timeout_ms=TIMEOUT_MS):
     cfg = Settings(
         vm=VmSettings(name="vm", region="r", data_centre="d"),
-        platform=PlatformSettings(urls=urls, timeout_ms=TIMEOUT_MS, prefix=prefix),
+        platform=PlatformSettings(urls=urls, timeout_ms=timeout_ms, prefix=prefix),
     )
     return EtcdPlatform(cfg=cfg, clock=SystemClock(), counters=Counters())
 
 
-def kv_client(url):
+def kv_client(url, *, timeout_ms=TIMEOUT_MS):
     cfg = Settings(
         vm=VmSettings(name="vm", region="r", data_centre="d"),
-        platform=PlatformSettings(urls=(url,), timeout_ms=TIMEOUT_MS),
+        platform=PlatformSettings(urls=(url,), timeout_ms=timeout_ms),
     )
     return PlatformStore(cfg=cfg, clock=SystemClock(), counters=Counters())
 
