gateway/runs: a report that broke off tells nothing, rather than that its server has no reports

Callers could get a stream that two servers ran at once: its first server closes its end and works on, and its report comes without a length and breaks off in the middle. The part that came is no JSON; the VM took it for the answer of a server that tells no runs, and sent the stream elsewhere.

What can't be read and what is readable but lists no runs were one case (`None`, untold). Only the second says something of its server; the first is a report that didn't come, as one that is late (silent). This holds for any framing: a model server's 200 that is no JSON is damaged in any case.

Failed before: the row of a whole VM (`server_runs.feature`, two runs of the request at m1 and m2 side by side), the row of all cuts of a report framed by its close (`broken_answers.feature`, untold at each cut of the body), and the row of a part of a report. The row "not found" of the decoder expected "nothing", which let the stream go on; it has to be told apart now. A server without reports answers 404, which is untold as before, by its status (row "no runs").

--- a/src/hickorybeam/gateway/runs/server_reports.py
+++ b/src/hickorybeam/gateway/runs/server_reports.py
@@ -17,6 +17,7 @@
 from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, UpstreamPool
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import NO_ID, REPORT_PATH, decode_runs
+from hickorybeam.untrusted import InvalidBytesError
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
@@ -41,8 +42,8 @@
 class RunState(Enum):
     """What a server's reports tell of a run.
 
-    ``ENDED``: it isn't listed. ``RUNNING``: it stays listed. ``SILENT``: no report came in time.
-    ``UNTOLD``: nothing listens there, or what does tells no runs.
+    ``ENDED``: it isn't listed. ``RUNNING``: it stays listed. ``SILENT``: no report came in time, or
+    none that can be read. ``UNTOLD``: nothing listens there, or what does tells no runs.
     """
 
     ENDED = "ended"
@@ -146,13 +147,16 @@
                 report.runs = await self._query(address)
         except ConnectFailedError as exc:
             report.failure = RunState.UNTOLD if exc.refused else RunState.SILENT
-        except (BrokenResponseError, TimeoutError):
+        except (BrokenResponseError, InvalidBytesError, TimeoutError):
             report.failure = RunState.SILENT
         else:
             report.failure = RunState.UNTOLD
 
     async def _query(self, address: Address) -> frozenset[str] | None:
-        """Return the runs that a server lists, ``None`` if its answer is no report of them."""
+        """Return the runs that a server lists, ``None`` if its answer is no report of them.
+
+        :raises InvalidBytesError: it can't be read. Without a length it may have broken off.
+        """
         conn = await self._pool.acquire(address)
         try:
             conn.send(request_bytes("GET", REPORT_PATH, HOST_HEADER, b""), expected_id=NO_ID)
--- a/src/hickorybeam/platform/server_report.py
+++ b/src/hickorybeam/platform/server_report.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from hickorybeam.untrusted import InvalidBytesError, decode_json
+from hickorybeam.untrusted import WrongTypeError, decode_json
 
 __all__ = ("REPORT_PATH", "decode_runs")
 
@@ -20,9 +20,12 @@
 
 
 def decode_runs(body: bytes) -> frozenset[str] | None:
-    """Return the ids of the requests that run; ``None`` if it isn't a report of them."""
+    """Return the ids of the requests that run; ``None`` if it isn't a report of them.
+
+    :raises InvalidBytesError: it is no JSON, as one that broke off.
+    """
     try:
         report = decode_json(body, _Report)
-    except InvalidBytesError:
+    except WrongTypeError:
         return None
     return frozenset(run[0] for run in report.runs)
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -105,7 +105,8 @@
     If it is ``leaving``, all its answers say so. If it ``keeps_runs``, they go on when their
     connections close. If it ``tells_id``, its answers name the request in their bodies too.
     Its reports list its runs as they were ``report_age_ms`` ago; ``None``: it has none.
-    If it has ``silent_reports``, it never answers what asks for one.
+    If it has ``silent_reports``, it never answers what asks for one; if it has ``broken_reports``,
+    they come without a length and break off in the middle.
     If it is ``nameless``, its health answers don't name the server.
     ``rest_s`` is the number of seconds for which its rejections ask for rest, if they do.
     ``time_factor`` is the percentage of the usual time that its work takes, as its answers tell it
@@ -136,6 +137,7 @@
     nameless: bool = False
     report_age_ms: int | None = REPORT_AGE_MS
     silent_reports: bool = False
+    broken_reports: bool = False
     rest_s: bytes | None = None
     time_factor: bytes | None = None
     odd_headers: RawHeaders = ()
@@ -237,7 +239,12 @@
             for it in self.spans
             if it.began_ms <= as_of_ms and (not it.ended_ms or it.ended_ms > as_of_ms)
         ]
-        reply.send(200, (), msgspec.json.encode({"runs": runs}))
+        report = msgspec.json.encode({"runs": runs})
+        if self.broken_reports:
+            reply.send_raw(b"HTTP/1.1 200 OK\r\n\r\n" + report[: len(report) // 2])
+            reply.end_by_close()
+            return
+        reply.send(200, (), report)
 
     def _rejection(self, req: IncomingRequest) -> tuple[int, RawHeaders] | None:
         expected = find_header(req.headers, names.EXPECT_SERVER)
--- a/tests/broken_answers.feature
+++ b/tests/broken_answers.feature
@@ -58,6 +58,7 @@
       | identity check | close       | head | same server                       |
       | runs report    | length      | body | silent                            |
       | runs report    | chunked     | body | silent                            |
+      | runs report    | close       | body | silent                            |
       | load report    | length      | body | no report                         |
       | load report    | close       | body | no report                         |
       | engine's state | length      | body | backend_unknown                   |
--- a/tests/gateway/server_runs.feature
+++ b/tests/gateway/server_runs.feature
@@ -30,6 +30,7 @@
       | what they ran 0 ms ago           | closes its end and works on   | a failure within 3 s | 1    |
       | what they ran 450 ms ago         | closes its end and works on   | a failure within 3 s | 1    |
       | nothing in time                  | closes its end and works on   | a failure within 3 s | 1    |
+      | what breaks off                  | closes its end and works on   | a failure within 3 s | 1    |
       | what they ran 450 ms ago         | hangs until its caller leaves | the whole stream     | 2    |
       | what they ran 450 ms ago         | ends                          | the whole stream     | 2    |
       | no runs                          | hangs until its caller leaves | the whole stream     | 2    |
@@ -48,15 +49,16 @@
     When the server of a stream sends bytes that are no response, and works on
     Then its caller gets a failure within 3 s, and servers ran it 1 times
 
-  # Guards against a report of another form that is taken for one that lists no runs.
+  # Guards against a report of another form, or a part of one, that is taken for one that lists no runs.
   Scenario Outline: a report tells runs only if it lists them
     Then the report <report> tells <runs>
 
     Examples:
-      | report                                                    | runs      |
-      | {"running": 1, "runs": [["a", 10, 2, 5], ["b", 1, 0, 0]]} | runs a, b |
-      | {"runs": []}                                              | no runs   |
-      | {"running": 1}                                            | nothing   |
-      | {"runs": [[7, 1, 1, 1]]}                                  | nothing   |
-      | {"runs": ["a"]}                                           | nothing   |
-      | not found                                                 | nothing   |
+      | report                                                    | runs               |
+      | {"running": 1, "runs": [["a", 10, 2, 5], ["b", 1, 0, 0]]} | runs a, b          |
+      | {"runs": []}                                              | no runs            |
+      | {"running": 1}                                            | nothing            |
+      | {"runs": [[7, 1, 1, 1]]}                                  | nothing            |
+      | {"runs": ["a"]}                                           | nothing            |
+      | not found                                                 | too little to read |
+      | {"running": 1, "runs": [["a", 10, 2, 5]                   | too little to read |
--- a/tests/steps/gateway/server_runs_steps.py
+++ b/tests/steps/gateway/server_runs_steps.py
@@ -5,6 +5,7 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.platform import decode_runs
+from hickorybeam.untrusted import InvalidBytesError
 
 EVENT_EVERY_MS = 200
 WAIT_MS = 6_000
@@ -31,6 +32,8 @@
                 server.report_age_ms = int(ms)
             case ["no", "runs"]:
                 server.report_age_ms = None
+            case ["what", "breaks", "off"]:
+                server.broken_reports = True
             case _:
                 server.silent_reports = True
 
@@ -122,5 +125,10 @@
         "nothing": None,
         "no runs": frozenset(),
         "runs a, b": frozenset({"a", "b"}),
+        "too little to read": InvalidBytesError,
     }
-    assert decode_runs(report.encode()) == expected[runs], decode_runs(report.encode())
+    try:
+        found = decode_runs(report.encode())
+    except InvalidBytesError:
+        found = InvalidBytesError
+    assert found == expected[runs], found
