backends/http1: chunks end a response that has spaces behind its transfer coding

Callers of the other gateway could get a 200 with an empty or short body, framed as whole, of a plain service that broke off: its head said "Transfer-Encoding: chunked " with a space behind. The parser read chunks, but the connection had a reading of its own of how a response is framed, which kept the space and so took the response for one that its connection ends.

One function (`framing_of` in `http1/head.py`) now decides it for both gateways; the second reading is gone.

--- a/src/hickorybeam/backends/http1.py
+++ b/src/hickorybeam/backends/http1.py
@@ -13,6 +13,7 @@
 import httpcore
 import httptools
 
+from hickorybeam.http1.head import Framing, framing_of
 from hickorybeam.http1.response_owner import is_merged
 
 if TYPE_CHECKING:
@@ -164,7 +165,8 @@
         if self._is_head_request or self.status in BODILESS_STATUSES:
             self._message_ended = self._complete = True
             return
-        self._ends_at_close = not is_framed(self.headers)
+        headers = tuple((name.lower(), value) for name, value in self.headers)
+        self._ends_at_close = framing_of(headers) is Framing.CLOSE
 
     def on_body(self, data: bytes) -> None:
         """Store body bytes."""
@@ -177,14 +179,6 @@
             self._message_ended = self._complete = True
 
 
-def is_framed(headers: RawHeaders) -> bool:
-    """Whether a response marks its own end; otherwise it ends with its connection."""
-    names = {name.lower(): value.lower() for name, value in headers}
-    if b"transfer-encoding" in names:
-        return names[b"transfer-encoding"].endswith(b"chunked")
-    return b"content-length" in names
-
-
 def encode_request(method: str, target: bytes, headers: RawHeaders, body: bytes) -> bytes:
     """Return the bytes of a request.
 
--- a/src/hickorybeam/http1/head.py
+++ b/src/hickorybeam/http1/head.py
@@ -13,6 +13,7 @@
     "RawHeaders",
     "response_head_bytes",
     "find_header",
+    "framing_of",
     "has_ambiguous_framing",
     "request_bytes",
 )
@@ -54,17 +55,22 @@
 
     @property
     def framing(self) -> Framing:
-        """How the response tells where its body ends.
-
-        Of all transfer codings only chunked marks the end; with another one last, the body ends
-        with the connection, whatever length is given.
-        """
-        codings = [value for name, value in self.headers if name == b"transfer-encoding"]
-        if codings:
-            return Framing.CHUNKED if is_chunked(codings[-1]) else Framing.CLOSE
-        if find_header(self.headers, b"content-length") is not None:
-            return Framing.LENGTH
-        return Framing.CLOSE
+        """How the response tells where its body ends."""
+        return framing_of(self.headers)
+
+
+def framing_of(headers: RawHeaders) -> Framing:
+    """Return how a response with these headers tells where its body ends.
+
+    Of all transfer codings only chunked marks the end; with another one last, the body ends with
+    the connection, whatever length is given.
+    """
+    codings = [value for name, value in headers if name == b"transfer-encoding"]
+    if codings:
+        return Framing.CHUNKED if is_chunked(codings[-1]) else Framing.CLOSE
+    if find_header(headers, b"content-length") is not None:
+        return Framing.LENGTH
+    return Framing.CLOSE
 
 
 def is_chunked(coding: bytes) -> bool:
--- a/tests/backends/wire.feature
+++ b/tests/backends/wire.feature
@@ -24,6 +24,7 @@
       | extra bytes           | GET    | 200 hello            | no   |
       | short                 | GET    | stream_broken        | no   |
       | half chunk            | GET    | stream_broken        | no   |
+      | half chunk, spaces    | GET    | stream_broken        | no   |
       | no last chunk         | GET    | stream_broken        | no   |
       | bad chunk             | GET    | backend_failed       | no   |
       | not http              | GET    | backend_failed       | no   |
--- a/tests/steps/backends/wire_steps.py
+++ b/tests/steps/backends/wire_steps.py
@@ -24,6 +24,7 @@
     "extra bytes": OK + b"content-length: 5\r\n\r\nhello" + OK + b"content-length: 1\r\n\r\nx",
     "short": OK + b"content-length: 9\r\n\r\nhello",
     "half chunk": CHUNKED + b"9\r\nhello",
+    "half chunk, spaces": OK + b"transfer-encoding: chunked \r\n\r\n9\r\nhello",
     "no last chunk": CHUNKED + b"5\r\nhello\r\n",
     "bad chunk": CHUNKED + b"5\r\nhello\r\nzz\r\n",
     "not http": b"SSH-2.0-OpenSSH\r\n\r\n",
--- a/tests/steps/http1/upstream_steps.py
+++ b/tests/steps/http1/upstream_steps.py
@@ -12,7 +12,7 @@
 
 
 class FakeTransport:
-    """Transport that only keeps whether reading is paused."""
+    """Transport that only keeps whether reading is paused, and never closes."""
 
     def __init__(self):
         self.reading = True
@@ -20,6 +20,12 @@
     def write(self, data):
         pass
 
+    def write_eof(self):
+        pass
+
+    def abort(self):
+        pass
+
     def is_closing(self):
         return False
 
