http1/upstream: what this end broke off is never completed by the other end's close

A slow caller could get a part of an endless response, framed as whole: a response without a length or chunks goes on past the bound of a body (64 MiB), and this end closes its side. The server closes in turn, and that orderly close completed the response, since it has no other end; the failure was only looked at by a task that waits for bytes, and this one was still passing on what had come.

The other end's close now completes a response only if this end hasn't given it up.

Found by reading: a connection with a failure that the end of the connection overrides. Tried on the connection with a stand-in of its transport; not seen at a whole VM.

--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -107,13 +107,13 @@
         self._reader.attach(transport)  # type: ignore[arg-type]
 
     def eof_received(self) -> bool:
-        """Complete a response that ends with its connection.
+        """Complete a response that ends with its connection, unless this end broke it off.
 
         What is sent afterwards can't spoil it: the other end may have answered before it read the
         whole request, and resets the connection when more of that arrives.
         """
         self.closed_by_peer = True
-        if self._head is not None and self._ends_at_close:
+        if self._head is not None and self._ends_at_close and not self._failure:
             self._complete = True
             self._progress.set()
         return False
--- a/tests/http1/upstream.feature
+++ b/tests/http1/upstream.feature
@@ -43,3 +43,13 @@
     When the events "a, b" arrive without chunks
     And the connection is reset
     Then the receiver got "ab" in all and the response is broken
+
+  # Guards against bytes without end that this end breaks off, and whose part counts as whole once the
+  # other end closes its side in turn, while a slow caller still takes what came.
+  Scenario: a response that this end broke off is not completed by the other end's close
+    Given a request was sent whose response has neither a length nor chunks
+    And bodies are bounded by 100000 bytes
+    And the receiver is not ready after 1 more piece
+    When 120000 bytes arrive without chunks, and the other end closes its side
+    And the receiver is ready
+    Then the response counts as broken
--- a/tests/steps/http1/upstream_steps.py
+++ b/tests/steps/http1/upstream_steps.py
@@ -1,14 +1,17 @@
 from __future__ import annotations
 
+from unittest import mock
+
 import anyio
 import anyio.lowlevel
 from behave import given, then, when
 
-from hickorybeam.http1 import BrokenResponseError, UpstreamConnection
+from hickorybeam.http1 import BrokenResponseError, UpstreamConnection, upstream
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+PIECE = 10_000
 
 
 class FakeTransport:
@@ -140,6 +143,38 @@
     context.call(end)
 
 
+@given("bodies are bounded by {count:d} bytes")
+def step_bound(context, count):
+    context.stack.enter_context(mock.patch.object(upstream, "MAX_BODY_BYTES", count))
+
+
+@when("{count:d} bytes arrive without chunks, and the other end closes its side")
+def step_endless(context, count):
+    async def arrive():
+        for _ in range(0, count, PIECE):
+            context.conn.data_received(b"x" * PIECE)
+            await settle(context.conn)
+        context.conn.eof_received()
+        context.conn.connection_lost(None)
+
+    context.call(arrive)
+
+
+@when("the receiver is ready")
+def step_ready_again(context):
+    async def take():
+        context.receiver.pieces = None
+        context.receiver.ready.set()
+        await settle()
+
+    context.call(take)
+
+
+@then("the response counts as broken")
+def step_is_broken(context):
+    assert context.end == "broken", (context.end, len(context.receiver.got))
+
+
 @when("the connection is lost")
 def step_lost(context):
     async def lose():
