http1/head: a transfer coding that nobody asked for frames no response

Callers of both gateways could get a 200 with an empty or short body, framed as whole, of a server whose framing header had been cut: "Transfer-Encoding: chu". Any coding but chunked counted as one that the connection ends, so every place at which the server closed was the end of the answer, and what came of the chunks was content. With "gzip, chunked" a caller got gzip's bytes without a header that says so.

Requests ask for no coding, so besides chunked and identity none can be read. `framing_of`, which decides for both gateways, says so (`Framing.UNKNOWN`), and such a response is broken at its head, as invalid bytes are: nothing of it is passed on. Identity is whole as before, and answers without a body (HEAD, 204, 304) aren't concerned.

Failed before: five rows of `http1/cut_responses.feature`, each whole at every cut of its body, and two rows of `gateway/answer_ends.feature` through whole VMs (200 with "plain text", and through another region's VM 200 with nothing). A header whose name is cut can't be told from one that was never sent.

--- a/src/hickorybeam/backends/http1.py
+++ b/src/hickorybeam/backends/http1.py
@@ -166,7 +166,10 @@
             self._message_ended = self._complete = True
             return
         headers = tuple((name.lower(), value) for name, value in self.headers)
-        self._ends_at_close = framing_of(headers) is Framing.CLOSE
+        framing = framing_of(headers)
+        if framing is Framing.UNKNOWN:
+            raise BrokenResponseError
+        self._ends_at_close = framing is Framing.CLOSE
 
     def on_body(self, data: bytes) -> None:
         """Store body bytes."""
--- a/src/hickorybeam/http1/head.py
+++ b/src/hickorybeam/http1/head.py
@@ -20,6 +20,8 @@
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
+CHUNKED = b"chunked"
+KNOWN_CODINGS = frozenset({CHUNKED, b"identity"})
 # Framing is set anew on each hop; a forwarded value would contradict it.
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"connection", b"keep-alive"})
 
@@ -39,11 +41,12 @@
 
 
 class Framing(Enum):
-    """How a response tells where its body ends."""
+    """How a response tells where its body ends; ``UNKNOWN``: by a coding that can't be read."""
 
     LENGTH = "length"
     CHUNKED = "chunked"
     CLOSE = "close"
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,20 +65,26 @@
 def framing_of(headers: RawHeaders) -> Framing:
     """Return how a response with these headers tells where its body ends.
 
-    Of all transfer codings only chunked marks the end; with another one last, the body ends with
-    the connection, whatever length is given.
+    Of the transfer codings only chunked marks the end, and identity changes nothing. No request
+    asks for another one, so its name is damaged, or what it encodes would reach a caller that can't
+    decode it.
     """
-    codings = [value for name, value in headers if name == b"transfer-encoding"]
-    if codings:
-        return Framing.CHUNKED if is_chunked(codings[-1]) else Framing.CLOSE
+    values = [value for name, value in headers if name == b"transfer-encoding"]
+    if values:
+        return _framing_by_codings(values)
     if find_header(headers, b"content-length") is not None:
         return Framing.LENGTH
     return Framing.CLOSE
 
 
-def is_chunked(coding: bytes) -> bool:
-    """Return whether the last of the transfer codings in a header is chunked."""
-    return coding.rpartition(b",")[2].strip().lower() == b"chunked"
+def _framing_by_codings(values: list[bytes]) -> Framing:
+    found = [coding.strip().lower() for coding in b",".join(values).split(b",")]
+    codings = [coding for coding in found if coding]
+    if not KNOWN_CODINGS.issuperset(codings):
+        return Framing.UNKNOWN
+    if CHUNKED not in codings:
+        return Framing.CLOSE
+    return Framing.CHUNKED if codings[-1] == CHUNKED else Framing.UNKNOWN
 
 
 def find_header(headers: RawHeaders, name: bytes) -> bytes | None:
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -258,17 +258,24 @@
                 return
         self._skipping = False
         self._bounds.end_head()
-        self._head = ResponseHead(status, headers)
+        self._take_head(ResponseHead(status, headers))
+
+    def _take_head(self, head: ResponseHead) -> None:
+        """Store the head of the request's response, unless its body can't be read by it."""
+        self._head = head
         self._keep_alive = self._parser.should_keep_alive()
-        self.keep_alive_s = keep_alive_seconds(find_header(headers, b"keep-alive"))
-        framing = self._head.framing
-        ends_at_close = framing is Framing.CLOSE
-        self._ends_at_close = ends_at_close and status not in BODILESS_STATUSES
+        self.keep_alive_s = keep_alive_seconds(find_header(head.headers, b"keep-alive"))
         if self._head_only:
             # The parser would wait for a body that never comes.
             self._complete_message()
-        elif framing is Framing.LENGTH and (self.declared_bytes or 0) > MAX_BODY_BYTES:
+            return
+        framing = head.framing if head.status not in BODILESS_STATUSES else None
+        self._ends_at_close = framing is Framing.CLOSE
+        if framing is Framing.UNKNOWN:
+            self._fail("a transfer coding that can't be read")
+        elif (self.declared_bytes or 0) > MAX_BODY_BYTES:
             self._fail_endless(f"a body of {self.declared_bytes} bytes")
+        if self._failure:
             # Nothing of it may be passed on.
             self._head = None
 
--- a/tests/gateway/answer_ends.feature
+++ b/tests/gateway/answer_ends.feature
@@ -116,6 +116,8 @@
       | south-1 | close           | plain text   | resets | 502                                      |
       | north-1 | longer length   | plain text   | closes | 502                                      |
       | north-1 | chunks, no last | plain text   | closes | 502                                      |
+      | north-1 | a cut coding    | plain text   | closes | 502                                      |
+      | south-1 | a cut coding    | nothing      | closes | 502                                      |
 
   # Guards against a whole answer that is taken for broken, since its header names a coding that marks no end.
   Scenario Outline: an answer whose transfer coding marks no end ends with its connection
--- a/tests/http1/cut_responses.feature
+++ b/tests/http1/cut_responses.feature
@@ -39,25 +39,30 @@
     Then both connections take a response with "<framing>" for whole never
 
     Examples:
-      | framing                         |
-      | two lengths                     |
-      | one length twice                |
-      | a list of lengths               |
-      | an empty length                 |
-      | a negative length               |
-      | a length with a sign            |
-      | a length cut by a space         |
-      | a name of a length alone        |
-      | a length after a space          |
-      | a length and chunks             |
-      | chunks and a length             |
-      | a length and identity           |
-      | an empty coding                 |
-      | chunks, and a tab after the name |
-      | a chunk with a size cut short   |
-      | a chunk without a size          |
-      | lines ended by LF               |
-      | lines ended by CR               |
-      | a status of two digits          |
-      | no status                       |
-      | another protocol from now on    |
+      | framing                             |
+      | two lengths                         |
+      | one length twice                    |
+      | a list of lengths                   |
+      | an empty length                     |
+      | a negative length                   |
+      | a length with a sign                |
+      | a length cut by a space             |
+      | a name of a length alone            |
+      | a length after a space              |
+      | a length and chunks                 |
+      | chunks and a length                 |
+      | a length and identity               |
+      | an empty coding                     |
+      | chunks, and a tab after the name    |
+      | a coding's name cut short           |
+      | a coding nobody asked for           |
+      | chunks of a coding nobody asked for |
+      | chunks before identity              |
+      | chunks with a parameter             |
+      | a chunk with a size cut short       |
+      | a chunk without a size              |
+      | lines ended by LF                   |
+      | lines ended by CR                   |
+      | a status of two digits              |
+      | no status                           |
+      | another protocol from now on        |
--- a/tests/steps/gateway/answer_ends_steps.py
+++ b/tests/steps/gateway/answer_ends_steps.py
@@ -60,6 +60,8 @@
                 lines += ["Transfer-Encoding: identity", "Transfer-Encoding: chunked"]
             case "identity":
                 lines.append("Transfer-Encoding: identity")
+            case "a cut coding":
+                lines.append("Transfer-Encoding: chu")
             case "close":
                 pass
             case _:
--- a/tests/steps/http1/cut_responses_steps.py
+++ b/tests/steps/http1/cut_responses_steps.py
@@ -67,6 +67,11 @@
     "a length and identity": response((*LENGTH, CODED + b"identity"), BODY),
     "an empty coding": response((CODED,), CHUNKS),
     "chunks, and a tab after the name": response((CODED + b"chunked\t",), CHUNKS),
+    "a coding's name cut short": response((CODED + b"chunke",), CHUNKS),
+    "a coding nobody asked for": response((CODED + b"gzip",), BODY),
+    "chunks of a coding nobody asked for": response((CODED + b"gzip, chunked",), CHUNKS),
+    "chunks before identity": response((CODED + b"chunked", CODED + b"identity"), CHUNKS),
+    "chunks with a parameter": response((CODED + b"chunked;q=1",), CHUNKS),
     "a chunk with a size cut short": response(
         (CODED + b"chunked",), CHUNKS.replace(b"11\r\n", b"1\r\n")
     ),
