backends/http1: bytes behind a whole response do not break it

Callers of the other gateway could get 502 for a whole answer: bytes that are no HTTP came behind its end, in the same read. The parser's error for them counted as the response's own. In a read of their own they did no harm, so the outcome depended on how the bytes were cut on the way.

An error behind the end of the response is one of excess bytes now: the response is whole and its connection isn't used again, as for bytes that are HTTP, and as the gateway's connection has it.

The two new rows of `wire.feature` ended as backend_failed before.

--- a/src/hickorybeam/backends/http1.py
+++ b/src/hickorybeam/backends/http1.py
@@ -124,7 +124,9 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            raise BrokenResponseError from exc
+            if not self._message_ended:
+                raise BrokenResponseError from exc
+            self._excess_bytes = True
 
     def on_message_begin(self) -> None:
         """Start the head of a response."""
--- a/tests/backends/wire.feature
+++ b/tests/backends/wire.feature
@@ -22,6 +22,8 @@
       | no content            | GET    | 204                  | yes  |
       | not modified          | GET    | 304                  | yes  |
       | extra bytes           | GET    | 200 hello            | no   |
+      | extra bytes, no HTTP  | GET    | 200 hello            | no   |
+      | extra bytes, closing  | GET    | 200 hello            | no   |
       | short                 | GET    | stream_broken        | no   |
       | half chunk            | GET    | stream_broken        | no   |
       | half chunk, spaces    | GET    | stream_broken        | no   |
--- a/tests/steps/backends/wire_steps.py
+++ b/tests/steps/backends/wire_steps.py
@@ -22,6 +22,8 @@
     "no content": b"HTTP/1.1 204 No Content\r\n\r\n",
     "not modified": b"HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n",
     "extra bytes": OK + b"content-length: 5\r\n\r\nhello" + OK + b"content-length: 1\r\n\r\nx",
+    "extra bytes, no HTTP": OK + b"content-length: 5\r\n\r\nhello!",
+    "extra bytes, closing": OK + b"connection: close\r\ncontent-length: 5\r\n\r\nhello!",
     "short": OK + b"content-length: 9\r\n\r\nhello",
     "half chunk": CHUNKED + b"9\r\nhello",
     "half chunk, spaces": OK + b"transfer-encoding: chunked \r\n\r\n9\r\nhello",
