platform/store: a call takes only the statuses that answer it

A VM could take an empty store for read, and drop all entries, routes and servers, by a whole head with a 404 and nothing else: one set of statuses (200, 404, 410, 412) served all calls, and what a reply has to hold was looked at for 200 only. So a range without items, a watch at revision 0, a lease with the number 0 and a renewal of 0 ms passed as done. And a write with any other status, such as 500 or 502 of something before the store, was told as not done, which the store says by 503 and 429 only (and by refusing what is invalid).

Each call now has the statuses that answer it; for any other one a read fails, and a write's outcome is unknown unless the status says that the store rejects it. A status whose body is lost stays the answer where it says all by itself: 404 to a read of one key, a renewal or a transaction, 410, 412.

Found by reading, for answers that break off after their head; no store was seen to send these statuses.

--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -63,7 +63,20 @@
 MAX_RESPONSE_BYTES = 8_388_608
 # Of all pages of one read.
 MAX_READ_BYTES = 67_108_864
-OK, NOT_FOUND, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 404, 410, 412, 429, 503
+OK, NOT_FOUND, GONE, CONFLICT = 200, 404, 410, 412
+# With these the store has done nothing. What any other status means for a write that it isn't an
+# answer to is unknown.
+REJECTIONS = frozenset({400, 403, 413, 429, 503})
+# The statuses that answer a call, by its kind; any other is a failure, or another call's.
+ANSWERS = {
+    "read": (OK, NOT_FOUND),
+    "range": (OK,),
+    "watch": (OK, GONE),
+    "txn": (OK, NOT_FOUND, CONFLICT),
+    "lease": (OK,),
+    "keep": (OK, NOT_FOUND),
+    "revoke": (OK, NOT_FOUND),
+}
 JSON = ((b"content-type", b"application/json"),)
 # Fields of a good response, by kind of call. A response without a length whose connection ended
 # early may lack all of them.
@@ -324,9 +337,11 @@
     def _check_response(
         self, kind: str, status: int, raw: bytes, *, write: bool
     ) -> tuple[int, StoreReply]:
-        if status not in (OK, NOT_FOUND, GONE, CONFLICT):
-            self._record_failure(kind, "refused")
-            raise GatewayError(ErrorKind.PLATFORM_OUT, f"{kind}: unexpected status {status}")
+        if status not in ANSWERS[kind]:
+            is_unknown = write and status not in REJECTIONS
+            self._record_failure(kind, "unknown" if is_unknown else "refused")
+            error = ErrorKind.PLATFORM_UNKNOWN if is_unknown else ErrorKind.PLATFORM_OUT
+            raise GatewayError(error, f"{kind}: unexpected status {status}")
         reply = decode_reply(raw)
         required = REQUIRED_FIELDS.get(kind, ()) if status == OK else ()
         missing = reply.missing_fields(required) if reply is not None else ()
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -104,6 +104,39 @@
       | txn    | 412    | {"items":[]}        | yes   |
       | txn    | 200    | {"revision":9}      | yes   |
       | txn    | 200    | {}                  | no    |
+      | txn    | 404    |                     | yes   |
+      | txn    | 410    |                     | no    |
+      | read   | 404    |                     | yes   |
+      | read   | 410    |                     | no    |
+      | range  | 404    |                     | no    |
+      | range  | 410    |                     | no    |
+      | range  | 412    | {"items":[]}        | no    |
+      | watch  | 404    |                     | no    |
+      | lease  | 404    |                     | no    |
+      | lease  | 412    | {"items":[]}        | no    |
+      | keep   | 412    | {"items":[]}        | no    |
+      | revoke | 404    |                     | yes   |
+
+  # Guards against an empty store, a lease without a number, or a write that counts as not done, by a status
+  # that is no answer to the call.
+  Scenario Outline: a call that is answered with <status> is neither done nor known not to be
+    Given a key-value store and its client
+    When the key-value store returns <status> for every call
+    Then the key-value client's <call> ends with "<kind>"
+
+    Examples:
+      | call    | status | kind             |
+      | range   | 404    | platform_out     |
+      | watch   | 404    | platform_out     |
+      | grant   | 404    | platform_unknown |
+      | grant   | 412    | platform_unknown |
+      | renewal | 410    | platform_unknown |
+      | write   | 410    | platform_unknown |
+      | write   | 500    | platform_unknown |
+      | write   | 502    | platform_unknown |
+      | write   | 204    | platform_unknown |
+      | write   | 403    | platform_out     |
+      | read    | 500    | platform_out     |
 
   # Guards against a write that is taken for done, and state that is taken for read, by another call's reply.
   Scenario Outline: a reply that is told again is not taken for that to <call>
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -329,7 +329,7 @@
         "watch": (watch_once, client),
         "write": (client.txn, (), (Put("a", b"1"),)),
         "grant": (client.grant, 5_000),
-        "renewal": (client.keep_alive, context.lease),
+        "renewal": (client.keep_alive, getattr(context, "lease", 1)),
     }
     found = outcome(context, *calls[call])
     assert found == kind, found
