peers/members: failure detection and pauses of the process have modules of their own

Moved as it was, behaviour unchanged: topics, timeouts, metrics, log lines, status and the order of calls are the same.

--- a/src/hickorybeam/peers/members.py
+++ b/src/hickorybeam/peers/members.py
@@ -2,7 +2,7 @@
 
 Each VM derives its heartbeat partners from its own view (``ring``), sends only what changed
 (``gossip``) and marks another VM as silent only after other VMs failed to reach it as well
-(``suspicion``). Nothing is elected, and nothing waits for the platform.
+(``failure_detector``). Nothing is elected, and nothing waits for the platform.
 """
 
 from __future__ import annotations
@@ -15,18 +15,16 @@
 from absl import logging
 
 from hickorybeam import ports
-from hickorybeam.errors import GatewayError, Ran
+from hickorybeam.errors import GatewayError
 from hickorybeam.kernel import Service
 from hickorybeam.model import EntryVm, VmId, VmState
 from hickorybeam.peers.discovery import Discovery, new_incarnation
+from hickorybeam.peers.failure_detector import FailureDetector
 from hickorybeam.peers.gossip import GossipState
 from hickorybeam.peers.heartbeat import (
     HEARTBEAT,
-    PROBE,
     WHO,
     Heartbeat,
-    ProbeReply,
-    ProbeRequest,
     WhoReply,
     WhoRequest,
 )
@@ -35,8 +33,8 @@
     REMOTE_INTERVAL_HEARTBEATS,
     Partners,
 )
+from hickorybeam.peers.pauses import PauseWatch
 from hickorybeam.peers.registry import Registry
-from hickorybeam.peers.suspicion import PeerContact, Verdict, verdict_from
 from hickorybeam.store import Platform
 
 if TYPE_CHECKING:
@@ -60,15 +58,9 @@
 REGISTRY_INTERVAL_HEARTBEATS = 20
 # Urgent updates do not wait for the next heartbeat; the delay lets several in a row go together.
 MEAN_PUSH_DELAY_MS = 50
-# Of ``silent_after_ms``: a tick that is late by more means that the process was paused for long
-# enough to miss replies. Shorter delays are usual on a busy machine, which must still detect
-# failures of others.
-PAUSE_THRESHOLD_FRACTION = 1 / 8
 # Pushing to three partners each reaches a data centre in about as many hops as pushing to all, with
 # half the messages; VMs that are missed get the update with the next heartbeats.
 PUSH_FANOUT = 3
-MAX_WITNESSES = 3
-RECENT_CONTACT_HEARTBEATS = 2.5
 MAX_CANDIDATES_AT_JOIN = 6
 MAX_CANDIDATES_PER_SEARCH = 2
 JOIN_TIMEOUT_MS = 2_000
@@ -105,22 +97,28 @@
         self._gossip = GossipState(own_vm, now_ms=clock.now(), wall_ms=clock.wall())
         self._listeners: dict[str, list[Callable[[EntryVm, bytes], None]]] = {}
         self._delivered_notes: dict[tuple[str, str], tuple[VmId, bytes]] = {}
-        self._contacts: dict[VmId, PeerContact] = {}
-        self._unreachable: set[VmId] = set()
         self._in_flight: set[VmId] = set()
-        self._being_confirmed: set[VmId] = set()
         self._partners = Partners(self._gossip, cfg.peers)
         self._tick_count = 0
-        self._tick_done = anyio.Event()
-        self._next_tick_ms = float(clock.now())
-        self._last_pause_ms = clock.now()
-        self._pause_threshold_ms = PAUSE_THRESHOLD_FRACTION * cfg.peers.silent_after_ms
+        self._pauses = PauseWatch(clock, silent_after_ms=cfg.peers.silent_after_ms)
         self._push_requested = anyio.Event()
         self._cached_vms: tuple[int, tuple[EntryVm, ...]] = (-1, ())
         self._tasks: TaskGroup | None = None
         self._live_gauge = counters.gauge("members_alive", "VMs believed alive", ("scope",))
         self._heartbeats = counters.counter("heartbeats", "Heartbeats sent", ("outcome",))
-        self._verdicts = counters.counter("suspicions", "Verdicts on silent peers", ("verdict",))
+        self._failures = FailureDetector(
+            cfg=cfg.peers,
+            clock=clock,
+            gossip=self._gossip,
+            partners=self._partners,
+            pauses=self._pauses,
+            fleet=self,
+            rng=self._random,
+            verdicts=counters.counter("suspicions", "Verdicts on silent peers", ("verdict",)),
+            start_task=self._start_task,
+            on_change=self._forget_cached_vms,
+            on_silent=self._request_push,
+        )
 
     def bind(self, kernel: Kernel) -> None:
         """Look up peers and platform, and register the handlers of membership messages."""
@@ -140,7 +138,7 @@
             seeds=self._cfg.peers.seeds,
         )
         self._peers.serve(HEARTBEAT, self._on_heartbeat)
-        self._peers.serve(PROBE, self._on_probe)
+        self._failures.bind(self._peers)
         self._peers.serve(WHO, self._on_who)
 
     @property
@@ -212,10 +210,9 @@
                     "data_centre": record.vm.data_centre,
                     "state": record.vm.state.value,
                     "alive": record.live,
-                    "heard_ms_ago": now - contact.last_seen_ms if contact else None,
+                    "heard_ms_ago": self._failures.ms_since_contact(record.vm.id, now),
                 }
                 for record in self._gossip.view
-                for contact in (self._contacts.get(record.vm.id),)
             ],
         }
 
@@ -231,12 +228,8 @@
                 # After ``drain`` this VM is in no view, its own included, and sends no heartbeats.
                 if not self._gossip.own_record.gone:
                     self._tick()
-                pause_ms = self._next_interval_ms()
-                self._next_tick_ms = self._clock.now() + pause_ms
-                await self._clock.sleep(pause_ms)
-                self._exclude_pause(self._clock.now() - self._next_tick_ms)
-                self._tick_done.set()
-                self._tick_done = anyio.Event()
+                self._exclude_pause(await self._pauses.sleep(self._next_interval_ms()))
+                self._pauses.end_tick()
 
     async def drain(self) -> None:
         """Announce to partners that this VM has left, and remove its registry entry."""
@@ -298,8 +291,24 @@
             self._start_task(self._discover_missing)
         if self._tick_count % PRUNE_INTERVAL_HEARTBEATS == 0:
             self._prune()
+        self._forget_cached_vms()
+
+    def _exclude_pause(self, late_ms: float) -> None:
+        """Exclude a pause of this process from the times since other VMs were last heard.
+
+        :param late_ms: how late the tick was.
+        """
+        now = self._clock.now()
+        if self._pauses.record_tick(late_ms):
+            self._gossip.exclude_pause(round(late_ms), now)
+        self._failures.exclude_pause(late_ms, now)
+
+    def _forget_cached_vms(self) -> None:
         self._cached_vms = (-1, ())
 
+    def _request_push(self) -> None:
+        self._push_requested.set()
+
     def _start_heartbeat(self, vm: EntryVm) -> None:
         self._start_task(self._heartbeat, vm)
 
@@ -317,15 +326,17 @@
         self._in_flight.add(vm.id)
         request = self._gossip.next_heartbeat(vm)
         try:
-            reply = await self._peers.ask(vm, HEARTBEAT, request, timeout_ms=self._timeout_ms(vm))
+            reply = await self._peers.ask(
+                vm, HEARTBEAT, request, timeout_ms=self._failures.timeout_ms(vm)
+            )
         except GatewayError as exc:
             self._heartbeats.labels(exc.kind.value).inc()
-            self._handle_failure(vm, exc)
+            self._failures.record_failure(vm, exc)
             return False
         finally:
             self._in_flight.discard(vm.id)
         self._heartbeats.labels("ok").inc()
-        self._record_contact(vm.id)
+        self._failures.record_contact(vm.id)
         self._partners.record_remote_success(vm.data_centre)
         updates = self._gossip.on_reply(
             vm.id, request, reply, now_ms=self._clock.now(), wall_ms=self._clock.wall()
@@ -334,23 +345,13 @@
         return True
 
     async def _on_heartbeat(self, sender: VmId, heartbeat: Heartbeat) -> Heartbeat:
-        self._record_contact(sender)
+        self._failures.record_contact(sender)
         reply, updates = self._gossip.on_request(
             sender, heartbeat, now_ms=self._clock.now(), wall_ms=self._clock.wall()
         )
         self._handle_updates(sender, updates)
         return reply
 
-    def _timeout_ms(self, vm: EntryVm) -> int:
-        if vm.data_centre != self.own_vm.data_centre:
-            return self._cfg.peers.call_timeout_ms
-        return min(self._cfg.peers.call_timeout_ms, self._cfg.peers.silent_after_ms // 2)
-
-    def _record_contact(self, vm: VmId) -> None:
-        self._unreachable.discard(vm)
-        contact = self._contacts.setdefault(vm, PeerContact(self._clock.now()))
-        contact.record_contact(self._clock.now())
-
     def _handle_updates(self, sender: VmId, updates: Updates) -> None:
         if updates.members:
             self._push_requested.set()
@@ -387,118 +388,7 @@
                 if self._gossip.has_urgent_updates(vm.id):
                     self._start_heartbeat(vm)
 
-    # Failure detection.
-
-    def _handle_failure(self, vm: EntryVm, exc: GatewayError) -> None:
-        if vm.data_centre != self.own_vm.data_centre:
-            self._partners.record_remote_failure(vm.data_centre)
-            return
-        if self.find(vm.id) is None:
-            return
-        contact = self._contacts.setdefault(vm.id, PeerContact(self._clock.now()))
-        refused = _is_connection_refused(exc)
-        timeout_ms = self._cfg.peers.silent_after_ms
-        if contact.record_failure(self._clock.now(), refused=refused, silent_after_ms=timeout_ms):
-            self._start_task(self._confirm_failure, vm)
-
-    async def _confirm_failure(self, vm: EntryVm) -> None:
-        """Ask witnesses to reach a suspect, and mark it as silent if they fail as well."""
-        if vm.id in self._being_confirmed:
-            return
-        self._being_confirmed.add(vm.id)
-        started_ms = self._clock.now()
-        reached: list[bool | None] = []
-        try:
-            async with anyio.create_task_group() as tg:
-                for witness in self._witnesses(vm):
-                    tg.start_soon(self._ask_witness, witness, vm, reached)
-        finally:
-            self._being_confirmed.discard(vm.id)
-        verdict = verdict_from(reached)
-        if verdict is not Verdict.REACHED_BY_OTHERS and await self._paused_since(started_ms):
-            # Replies that arrived during the pause were read too late; the next failed heartbeat
-            # asks again.
-            return
-        self._verdicts.labels(verdict.value).inc()
-        match verdict:
-            case Verdict.SILENT:
-                if self._gossip.mark_silent(vm.id, wall_ms=self._clock.wall()):
-                    logging.info("VM %s marked as silent: no witness reached it", vm.id.name)
-                    self._push_requested.set()
-            case Verdict.UNCONFIRMED:
-                self._unreachable.add(vm.id)
-            case Verdict.REACHED_BY_OTHERS:
-                self._contacts[vm.id] = PeerContact(self._clock.now())
-                # This VM may never receive a heartbeat from it: only its own partners do.
-                self._unreachable.discard(vm.id)
-        self._cached_vms = (-1, ())
-
-    def _witnesses(self, suspect: EntryVm) -> list[EntryVm]:
-        witnesses = self._partners.witnesses(suspect)
-        if not witnesses:
-            witnesses = [vm for vm in self.vms() if vm.data_centre != self.own_vm.data_centre]
-            self._random.shuffle(witnesses)
-        return witnesses[:MAX_WITNESSES]
-
-    async def _ask_witness(
-        self, witness: EntryVm, suspect: EntryVm, reached: list[bool | None]
-    ) -> None:
-        timeout_ms = 2 * self._timeout_ms(witness)
-        try:
-            reply = await self._peers.ask(
-                witness, PROBE, ProbeRequest(suspect), timeout_ms=timeout_ms
-            )
-        except GatewayError:
-            reached.append(None)
-            return
-        reached.append(reply.reached)
-
-    async def _on_probe(self, sender: VmId, probe: ProbeRequest) -> ProbeReply:
-        try:
-            request = WhoRequest(self.own_vm.id.name)
-            timeout_ms = self._timeout_ms(probe.suspect)
-            await self._peers.ask(probe.suspect, WHO, request, timeout_ms=timeout_ms)
-        except GatewayError:
-            # A VM to which nobody can connect may still reach others. Its heartbeats prove that it
-            # runs: marked as silent, it would refute that, and be marked again without end.
-            await self._wait_for_overdue_tick()
-            return ProbeReply(reached=self._seen_recently(probe.suspect.id))
-        return ProbeReply(reached=True)
-
-    def _exclude_pause(self, late_ms: float) -> None:
-        """Exclude a pause of this process from the time since other VMs were last seen.
-
-        A process that gets no CPU time on a busy machine reads nothing: heartbeats wait in its
-        sockets. Probed just then by another VM, it would deny having seen a VM that was never
-        silent, and that VM would vanish from all views.
-
-        :param late_ms: how late the tick was.
-        """
-        now = self._clock.now()
-        if late_ms > self._pause_threshold_ms:
-            self._last_pause_ms = now
-            self._gossip.exclude_pause(round(late_ms), now)
-        for contact in self._contacts.values():
-            contact.exclude_pause(round(late_ms), now)
-
-    async def _paused_since(self, started_ms: int) -> bool:
-        """Return whether this process was paused at any time since then."""
-        await self._wait_for_overdue_tick()
-        return self._last_pause_ms >= started_ms
-
-    async def _wait_for_overdue_tick(self) -> None:
-        """Wait for the tick that records a pause, if one has just ended.
-
-        After a pause, calls that timed out end before the messages of others are read: a VM to
-        which only some can connect would be marked as silent and vanish from all views.
-        """
-        if self._clock.now() - self._next_tick_ms > self._pause_threshold_ms:
-            await self._tick_done.wait()
-
-    def _seen_recently(self, vm: VmId) -> bool:
-        contact = self._contacts.get(vm)
-        limit_ms = RECENT_CONTACT_HEARTBEATS * self._cfg.peers.heartbeat_ms
-        return contact is not None and self._clock.now() - contact.last_seen_ms <= limit_ms
+    # VMs that this one lacks.
 
     async def _retry_silent(self) -> None:
         """Send a heartbeat to a silent VM, in case the partition that made it silent is over."""
@@ -528,7 +418,7 @@
             record.vm
             for record in self._gossip.view
             if record.live
-            and record.vm.id not in self._unreachable
+            and not self._failures.is_unreachable(record.vm.id)
             and record.vm.data_centre not in cut_off
         )
 
@@ -539,8 +429,7 @@
 
     def _prune(self) -> None:
         self._gossip.prune(self._clock.wall())
-        self._contacts = {vm: contact for vm, contact in self._contacts.items() if self.find(vm)}
-        self._unreachable = {vm for vm in self._unreachable if self.find(vm)}
+        self._failures.prune()
         self._live_gauge.labels("fleet").set(len(self.vms()))
         self._live_gauge.labels("data_centre").set(len(self._partners.local()))
 
@@ -551,10 +440,3 @@
             logging.info(
                 "registry entry not removed, it stays until its lease expires: %s", exc.kind.value
             )
-
-
-def _is_connection_refused(exc: GatewayError) -> bool:
-    """Return whether the peer's machine refused because the process called is not there."""
-    if isinstance(exc.__cause__, ConnectionRefusedError):
-        return True
-    return exc.__cause__ is None and exc.ran is Ran.NO
