tests/http1/cut_responses: responses are cut for a connection without ids as well

The store's and the load reports' connections expect no id, and there the head of an interim response is not skipped for its lack of one.

--- a/tests/steps/http1/cut_responses_steps.py
+++ b/tests/steps/http1/cut_responses_steps.py
@@ -90,11 +90,11 @@
     return [data[at : at + size] for at in range(0, len(data), size)]
 
 
-async def read_upstream(data, size):
+async def read_upstream(data, size, *, expected_id=ID_HEADER):
     """Return the body that the gateway's connection takes for whole, ``None`` if it is broken."""
     conn = UpstreamConnection()
     conn.connection_made(FakeTransport())
-    conn.send(b"GET / HTTP/1.1\r\n\r\n", expected_id=ID_HEADER)
+    conn.send(b"GET / HTTP/1.1\r\n\r\n", expected_id=expected_id)
     for piece in pieces(data, size):
         conn.data_received(piece)
     conn.eof_received()
@@ -106,6 +106,11 @@
         return None
 
 
+async def read_without_ids(data, size):
+    """Return the same of a connection to another end that knows no ids."""
+    return await read_upstream(data, size, expected_id=None)
+
+
 class FakeStream:
     """A stream that gives pieces and then its end."""
 
@@ -136,7 +141,7 @@
     """Return by connection, piece size and cut the bodies that count as whole."""
     data = RESPONSES[framing]
     found = {}
-    for read in (read_upstream, read_call):
+    for read in (read_upstream, read_without_ids, read_call):
         for size in (1, len(data)):
             bodies = {cut: await read(data[:cut], size) for cut in range(len(data) + 1)}
             taken = {cut: body for cut, body in bodies.items() if body is not None}
