gateway/datagrams: the service that exchanges reports can start again after a failure

Cause: `fleet` bound the TCP side of the peers' port at each start, to fix the port's number. The service `relay` has been listening there since the first one, so that each later start ended with "Address already in use", for good. Datagrams sent through the closed port in between could end their sender's service as well.

What operators would see: any error in a task of `fleet` takes its VM out of the fleet until the process ends: "service fleet crashed" every 5 s, no reports, no registration, and the others' reports unread. Of all six services it was the only one that could not start again.

Change: `PeerPort` owns both sides. The number is fixed once; the TCP side is the relay's from then on. While the port is closed, datagrams are dropped.

--- a/src/hickorybeam/gateway/fleet.py
+++ b/src/hickorybeam/gateway/fleet.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import secrets
 from dataclasses import replace
@@ -20,7 +19,7 @@
 
 from hickorybeam.gateway.coordinator_ranking import CoordinatorRanking
 from hickorybeam.gateway.crashes.notice import CrashNotice
-from hickorybeam.gateway.datagrams import DatagramReceiver
+from hickorybeam.gateway.datagrams import PeerPort
 from hickorybeam.gateway.feed import FeedService
 from hickorybeam.gateway.forwarding.run_messages import (
     CancelRun,
@@ -59,7 +58,6 @@
 from hickorybeam.policy.stream_versions import StreamVersions
 from hickorybeam.policy.watchers import count_watchers, should_watch
 from hickorybeam.ports import FEED, FLEET, PLATFORM
-from hickorybeam.sockets import bind_socket
 from hickorybeam.store import PollingPlatform, WatchBatch
 from hickorybeam.untrusted import InvalidBytesError, decode_msgpack
 
@@ -153,9 +151,7 @@
         self._local_report_count = 0
         self._report_turns: dict[str, int] = {}
         self._serving = anyio.Event()
-        # Bound to the TCP side of the peers' port, for the service that listens there.
-        self._peer_socket: socket.socket | None = None
-        self._transport: asyncio.DatagramTransport | None = None
+        self._peer_port = PeerPort(cfg.vm.host, cfg.vm.peer_port)
         self._sent_bytes = counters.counter("peer_bytes", "Bytes of datagrams sent to other VMs")
         live_vms = counters.gauge("vms_heard", "Live VMs of the fleet, including this one")
         live_vms.set_function(lambda: self.live_vm_count())
@@ -273,12 +269,7 @@
 
     async def main(self, started: Started) -> None:
         """Register and exchange reports until cancelled."""
-        loop = asyncio.get_running_loop()
-        self._peer_socket = bind_socket(self._cfg.vm.host, self.own_vm.peer_port)
-        port = self._peer_socket.getsockname()[1]
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: DatagramReceiver(self.receive_datagram), local_addr=(self._cfg.vm.host, port)
-        )
+        port = await self._peer_port.open(self.receive_datagram)
         self.own_vm = replace(self.own_vm, peer_port=port)
         started()
         try:
@@ -288,15 +279,11 @@
                 tg.start_soon(self._report_locally)
                 tg.start_soon(self._report_remotely)
         finally:
-            self._transport.close()
+            self._peer_port.close()
 
     def take_peer_socket(self) -> socket.socket:
-        """Return a socket bound to the TCP side of the peers' port.
-
-        It is bound together with the UDP port, so that both have the same number.
-        """
-        sock, self._peer_socket = self._peer_socket, None
-        return sock or bind_socket(self.own_vm.host, self.own_vm.peer_port)
+        """Return a socket bound to the TCP side of the peers' port."""
+        return self._peer_port.take_tcp_socket()
 
     def start_registering(self, *, caller_port: int) -> None:
         """Start to register this VM, once callers and peers can connect."""
@@ -434,9 +421,7 @@
         self._send_bytes(data, (peer.vm.host, peer.vm.peer_port))
 
     def _send_bytes(self, data: bytes, address: Address) -> None:
-        if self._transport is not None:
-            self._transport.sendto(data, address)
-            self._sent_bytes.inc(len(data))
+        self._sent_bytes.inc(self._peer_port.send(data, address))
 
     def _build_report(
         self, audience: Audience, *, whole: bool, relayed: Sequence[StatusReport], with_levels: bool
--- a/tests/steps/gateway/placement_steps.py
+++ b/tests/steps/gateway/placement_steps.py
@@ -127,7 +127,7 @@
     name = context.isolated = context.rig.vms[context.coordinator].fleet.coordinators.ranking(
         MODEL
     )[-1]
-    context.rig.vms[name].fleet._transport.get_protocol()._receive = lambda data: None
+    context.rig.vms[name].fleet._peer_port._transport.get_protocol()._receive = lambda data: None
 
 
 @when("a caller sends it {count:d} prompts one after the other")
