gateway/crashes: a record that VMs can't tell each other is refused where it is read

Cause: what a record of crashes in the store says is told to all VMs, in their whole status reports. A record was read into other types than VMs tell it in: digests of any length, and times that are within bounds as times but not as ages. The reports that told it were refused by all receivers ("invalid datagram ignored: Expected int <="), or were too large for a datagram. Reports to other regions are always whole.

What operators would see: nothing ends; VMs of different regions stop hearing each other, for as long as what the record said is kept, also after its deletion. A VM that starts while the store is away can get no suspects of the others.

Change: `told_part` turns a record into what VMs tell, and `untrusted.checked` passes it through the same decoder as its receivers'. Digests have a length on the wire. Ages of crashes grow from a bound far below what VMs take, not from the largest number that they take.

--- a/src/hickorybeam/gateway/crashes/block_records.py
+++ b/src/hickorybeam/gateway/crashes/block_records.py
@@ -15,7 +15,7 @@
 from hickorybeam.policy.crash_messages import ToldCrash, ToldPart
 from hickorybeam.policy.crash_suspects import is_request_key
 from hickorybeam.store import Compare, Delete, Put
-from hickorybeam.untrusted import decode_json
+from hickorybeam.untrusted import checked, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,7 +23,7 @@
     from hickorybeam.clock import Clock
     from hickorybeam.store import KeyValue, Platform, WatchBatch, Write
 
-__all__ = ("BlockRecords", "StoredBlock", "StoredCrash", "stored_crashes", "told_crashes")
+__all__ = ("BlockRecords", "StoredBlock", "StoredCrash", "stored_crashes", "told_part")
 
 # The VM that has blocked a part records it at once. Others do if that fails, one after the other,
 # so that the rest see the record before they write it.
@@ -123,7 +123,7 @@
     def _apply_record(self, part: bytes, item: KeyValue) -> list[ToldPart]:
         try:
             block = decode_json(item.value, StoredBlock)
-            told = self._told(part, block)
+            told = told_part(part, block.crashes, self._clock.wall(), blocked=True)
         except ValueError:
             return []
         self._records[part] = _Record(block, item.mod_revision)
@@ -140,9 +140,6 @@
         cleared = [bytes.fromhex(crash.server) for crash in record.block.crashes]
         return [ToldPart(part, [], cleared, False)]
 
-    def _told(self, part: bytes, block: StoredBlock) -> ToldPart:
-        return ToldPart(part, told_crashes(block.crashes, self._clock.wall()), [], True)
-
     def _stored(self, told: ToldPart) -> StoredBlock:
         return StoredBlock(stored_crashes(told.crashes, self._clock.wall()))
 
@@ -179,12 +176,15 @@
     return [StoredCrash(it.server.hex(), wall_ms - it.age_ms, it.request.hex()) for it in crashes]
 
 
-def told_crashes(crashes: Iterable[StoredCrash], wall_ms: int) -> list[ToldCrash]:
-    """Return crashes of the store as VMs tell them.
+def told_part(
+    part: bytes, crashes: Iterable[StoredCrash], wall_ms: int, *, blocked: bool
+) -> ToldPart:
+    """Return what a record of the store says of a part or request, as VMs tell it.
 
-    :raises ValueError: a digest is no hexadecimal number.
+    :raises ValueError: a digest is no hexadecimal number, or VMs can't tell each other of it.
     """
-    return [
+    told = [
         ToldCrash(bytes.fromhex(it.server), wall_ms - it.at_ms, bytes.fromhex(it.request))
         for it in crashes
     ]
+    return checked(ToldPart(part, told, [], blocked), ToldPart)
--- a/src/hickorybeam/gateway/crashes/suspect_records.py
+++ b/src/hickorybeam/gateway/crashes/suspect_records.py
@@ -14,8 +14,7 @@
 import msgspec
 
 from hickorybeam.errors import GatewayError
-from hickorybeam.gateway.crashes.block_records import StoredCrash, stored_crashes, told_crashes
-from hickorybeam.policy.crash_messages import ToldPart
+from hickorybeam.gateway.crashes.block_records import StoredCrash, stored_crashes, told_part
 from hickorybeam.store import Put
 from hickorybeam.untrusted import decode_json
 
@@ -23,6 +22,7 @@
     from collections.abc import Callable, Iterable
 
     from hickorybeam.clock import Clock
+    from hickorybeam.policy.crash_messages import ToldPart
     from hickorybeam.store import Platform, WatchBatch
 
 __all__ = ("SuspectRecords",)
@@ -110,7 +110,7 @@
             stored = decode_json(value, list[StoredSuspect])
             wall_ms = self._clock.wall()
             return [
-                ToldPart(bytes.fromhex(it.key), told_crashes(it.crashes, wall_ms), [], False)
+                told_part(bytes.fromhex(it.key), it.crashes, wall_ms, blocked=False)
                 for it in stored
             ]
         except ValueError:
--- a/src/hickorybeam/policy/crash_evidence.py
+++ b/src/hickorybeam/policy/crash_evidence.py
@@ -283,8 +283,8 @@
         for part, crashes, cleared, _ in news:
             suspect = self._suspect(part)
             changes += self._clear(part, suspect, cleared)
-            for server, age_ms, request in crashes:
-                if suspect.add(server, Crash(now_ms - max(0, age_ms), request)):
+            for it in crashes:
+                if suspect.add(it.server, Crash(it.at_ms(now_ms), it.request)):
                     self._know_outline(part)
                     self._know_doubtful(suspect)
             sound_ms = self._sound_ms.get(part)
--- a/src/hickorybeam/policy/crash_messages.py
+++ b/src/hickorybeam/policy/crash_messages.py
@@ -6,7 +6,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from hickorybeam.model.bounds import BoundedInt  # noqa: TC001 - read by msgspec
+from hickorybeam.model.bounds import BoundedInt, Digest  # noqa: TC001 - read by msgspec
 from hickorybeam.policy.crash_suspects import REQUEST_DIGEST_BYTES, Trait
 
 __all__ = (
@@ -21,6 +21,9 @@
 )
 
 PART_DIGEST_BYTES = 8
+# Far older than any crash that counts. What is told grows older at each VM, and has to stay within
+# the bounds of what the others take.
+MAX_AGE_MS = 2**45
 CRASH_DIGEST_BYTES = 6
 
 
@@ -42,17 +45,21 @@
     Where the suspect is a request, ``request`` is what ``Crash`` holds instead.
     """
 
-    server: bytes
+    server: Digest
     age_ms: BoundedInt
-    request: bytes
+    request: Digest
+
+    def at_ms(self, now_ms: int) -> int:
+        """Return when it was, on the clock of ``now_ms``."""
+        return now_ms - min(max(0, self.age_ms), MAX_AGE_MS)
 
 
 class ToldPart(NamedTuple):
     """What a VM knows of a part: crashes it is a suspect of, and those it is cleared of."""
 
-    part: bytes
+    part: Digest
     crashes: list[ToldCrash]
-    cleared: list[bytes]
+    cleared: list[Digest]
     blocked: bool
 
 
--- a/src/hickorybeam/untrusted.py
+++ b/src/hickorybeam/untrusted.py
@@ -15,6 +15,7 @@
     "InvalidBytesError",
     "TooDeepError",
     "WrongTypeError",
+    "checked",
     "decode_json",
     "decode_msgpack",
 )
@@ -59,6 +60,16 @@
         raise _invalid(exc) from exc
 
 
+def checked(value: T, cls: type[T]) -> T:
+    """Return a value that was made from decoded ones as it comes to those who are told it.
+
+    :raises InvalidBytesError: it is out of the bounds of its type, so that they would refuse it.
+    """
+    # ``msgspec.convert`` doesn't check the length of bytes.
+    found: T = decode_msgpack(msgspec.msgpack.encode(value), cls)
+    return found
+
+
 def _invalid(exc: Exception) -> InvalidBytesError:
     match exc:
         case msgspec.ValidationError():
