gateway/known_entries: VMs that start get the configuration in force, not the entry as it stands

Cause: a VM kept the latest entry of the configuration, whether it had come into force or not, and passed it on to VMs that start. An entry that can't be read took the place of the good one, and so did one of an older version.

What callers would see: while the entry of the configuration can't be read, a VM that starts gets 503 to all requests, though all other VMs serve. After an older version has come, a VM that starts while the store is away serves a key that is withdrawn.

Change: of the configuration that entry is kept which is in force. It may have the revision of another VM's word (0), as its version orders it. A server's entry that can't be read still takes the place of the one before.

Test: gateway/store.feature, "a VM that starts while the configuration can't be read gets the one in force" (failed before: no configuration within 8 s) and "a VM that starts while the store is unavailable gets no older configuration" (failed before: 200 for a withdrawn key). store, odd_values, changes, fleet_start, watchers, odd_records: 88 passed.

--- a/src/hickorybeam/gateway/known_entries.py
+++ b/src/hickorybeam/gateway/known_entries.py
@@ -35,6 +35,9 @@
 class KnownEntries:
     """Keeps the latest state of each entry, and writes what it says into the routing state.
 
+    What it keeps is passed on to VMs that start. Of the configuration that is the one in force, not
+    a later entry that can't be read, nor one of an older version.
+
     :param own_prefix: prefix of the gateway's own entries, which say nothing of it.
     :param on_config: called with each configuration that comes into force.
     """
@@ -77,17 +80,26 @@
         known = self._entries.get(item.key)
         if known is not None and known.mod_revision >= item.mod_revision:
             return
+        # First, so that an entry at which this ends is not met again by each read.
         self._entries[item.key] = item
         self._removal_due_ms.pop(item.key, None)
-        if not item.key.startswith(self._own_prefix):
-            self._apply(item)
+        if item.key.startswith(self._own_prefix) or self._apply(item):
+            return
+        del self._entries[item.key]
+        if known is not None:
+            self._entries[item.key] = known
+
+    def _apply(self, item: KeyValue) -> bool:
+        """Write what an entry says into the routing state.
 
-    def _apply(self, item: KeyValue) -> None:
+        :return: whether it takes the place of the one that is kept.
+        """
         match decode_entry(item.key, item.value):
             case ConfigEntry(config):
-                if self._routing_state.update_config(config):
-                    logging.info("configuration version %d is in force", config.version)
-                    self._on_config(config)
+                if not self._routing_state.update_config(config):
+                    return False
+                logging.info("configuration version %d is in force", config.version)
+                self._on_config(config)
             case ServerEntry(server):
                 self._routing_state.update_server(server, self._clock.now())
             case EvacuationEntry(data_centre):
@@ -103,6 +115,8 @@
                 )
                 self._invalid.inc()
                 self._remove_server(key)
+                return key.startswith(SERVER_PREFIX)
+        return True
 
     def delete(self, key: str, *, keep_ms: int) -> None:
         """Apply an entry's deletion; a server's is applied after ``keep_ms`` unless it returns."""
--- a/tests/gateway/store.feature
+++ b/tests/gateway/store.feature
@@ -28,6 +28,24 @@
     And a caller of "small" asks "n2" for "/look/x"
     Then the caller gets 200
 
+  # Guards against a VM that passes on the configuration's entry as it stands in the store, though
+  # another one is in force.
+  Scenario: a VM that starts while the configuration can't be read gets the one in force
+    Given a small gateway
+    When another writer writes arrays nested 5000 deep at "op/config"
+    And VM "n2" starts with "n1" as its seed
+    And a caller of "small" asks "n2" for "/look/x"
+    Then the caller gets 200
+
+  Scenario: a VM that starts while the store is unavailable gets no older configuration
+    Given a small gateway
+    When the operator revokes the key of "large" in version 9
+    And an older configuration, of version 5, reaches "n1"
+    And the store stops responding
+    And VM "n2" starts with "n1" as its seed
+    And a caller of "large" asks "n2" for "/look/x"
+    Then the caller gets 401
+
   Scenario: a VM without a configuration refuses requests as not run
     Given a gateway without a configuration
     When a caller of "small" asks "n1" for "/look/x"
--- a/tests/steps/gateway/odd_records_steps.py
+++ b/tests/steps/gateway/odd_records_steps.py
@@ -27,6 +27,8 @@
 def record(what):
     now_ms = round(time.time() * 1000)
     match what:
+        case "arrays nested 5000 deep":
+            return msgspec.Raw(b"[" * 5_000 + b"]" * 5_000)
         case "a block of 2^53 ms before the epoch":
             return {"crashes": crashes(at_ms=-(2**53))}
         case "a block of 2^53 ms after the epoch":
