sockets: a port that can't be bound is named in the error

Cause: the error of a TCP port that another process has was "[Errno 98] Address already in use", and the settings of a VM name five. Nor did it say whether it was the peers' port.

What operators saw: a daemon that ends with status 1 about a second after each start, for as long as the other process has the port, and nothing that says which one.

Change: the error names host and port, for UDP as well, which is bound the same way now.

--- a/src/hickorybeam/gateway/datagrams.py
+++ b/src/hickorybeam/gateway/datagrams.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 
-from hickorybeam.sockets import bind_socket
+from hickorybeam.sockets import bind_datagram_socket, bind_socket
 
 if TYPE_CHECKING:
     import socket
@@ -65,7 +65,7 @@
             self._is_bound = True
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: DatagramReceiver(receive), local_addr=(self._host, self._port)
+            lambda: DatagramReceiver(receive), sock=bind_datagram_socket(self._host, self._port)
         )
         return self._port
 
--- a/src/hickorybeam/sockets.py
+++ b/src/hickorybeam/sockets.py
@@ -15,6 +15,7 @@
     from asyncio import BaseTransport
 
 __all__ = (
+    "bind_datagram_socket",
     "bind_socket",
     "end_if_silent",
     "is_ip_address",
@@ -42,11 +43,23 @@
     # the first event of a stream waits 40 ms for an acknowledgement.
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return _bound(sock, host, port)
+
+
+def bind_datagram_socket(host: str, port: int) -> socket.socket:
+    """Return a bound UDP socket.
+
+    :raises OSError: the address is in use or not on this machine.
+    """
+    return _bound(socket.socket(socket.AF_INET, socket.SOCK_DGRAM), host, port)
+
+
+def _bound(sock: socket.socket, host: str, port: int) -> socket.socket:
     try:
         sock.bind((host, port))
-    except OSError:
+    except OSError as exc:
         sock.close()
-        raise
+        raise OSError(exc.errno, f"cannot bind {host}:{port}: {exc.strerror}") from exc
     return sock
 
 
--- a/tests/gateway/service_restarts.feature
+++ b/tests/gateway/service_restarts.feature
@@ -18,3 +18,18 @@
       | cold_asking |
       | part_blocks |
       | relay       |
+
+  # Guards against an error that names no port where the settings name five.
+  Scenario Outline: a VM whose port another process has ends, and says which port
+    Given another process listens on a port of a VM's settings, as <side>
+    When the VM starts with that port for <use>
+    Then it ends with an error that names the address
+
+    Examples:
+      | side | use       |
+      | TCP  | callers   |
+      | TCP  | ready     |
+      | TCP  | directory |
+      | TCP  | state     |
+      | TCP  | peers     |
+      | UDP  | peers     |
