policy/fleet_quota: a request of an account of hardly any rate is refused with a time

What callers would see: each request of that account ends without an answer ("request handler failed: cannot convert float infinity to integer"); no other request suffers.

Change: the time is computed with a least rate.

--- a/src/hickorybeam/policy/fleet_quota.py
+++ b/src/hickorybeam/policy/fleet_quota.py
@@ -42,6 +42,8 @@
 RATE_AVERAGING_MS = 4_000
 # Peers' rates below this share of an account's rate are dropped.
 MIN_RATE_SHARE_PER_MS = 1e-4 / MS_PER_SECOND
+# The inverse of a smaller one may be no number.
+MIN_RATE_PER_MS = 1e-12
 
 
 @dataclass(slots=True)
@@ -144,7 +146,8 @@
             bucket.level -= cost
             self._spent[account] = self._spent.get(account, 0.0) + cost
             return None
-        return max(1, int((needed - bucket.level) / bucket.rate_per_ms) + 1)
+        rate_per_ms = max(bucket.rate_per_ms, MIN_RATE_PER_MS)
+        return max(1, int((needed - bucket.level) / rate_per_ms) + 1)
 
     def refund(self, account: str, cost: float, now_ms: int) -> None:
         """Refund the cost of a request that was not run."""
--- a/tests/policy/fleet_quota.feature
+++ b/tests/policy/fleet_quota.feature
@@ -62,3 +62,17 @@
     When 500 is spent at the first VM and reported to the others
     And the account is removed and added again at the first VM
     Then the second VM's level has not risen by more than the time allows
+
+  # Guards against a rate whose inverse is no number, which left each request of its account without
+  # an answer.
+  Scenario Outline: an account of hardly any rate is refused, and told a time
+    Given an account of <rate> a second with a burst of <burst>
+    When the account spends 10 twice
+    Then the second one has to wait for a number of ms
+
+    Examples:
+      | rate   | burst |
+      | 5e-324 | 0     |
+      | 1e-320 | 0     |
+      | 1e-300 | 10    |
+      | 1e-9   | 10    |
--- a/tests/steps/policy/fleet_quota_steps.py
+++ b/tests/steps/policy/fleet_quota_steps.py
@@ -210,3 +210,20 @@
         assert fleet.vms[0].take(NAME, COST, fleet.now) is not None, fleet.now - start_ms
     fleet.run(admitted - refused)
     assert fleet.vms[0].take(NAME, COST, fleet.now) is None
+
+
+@given("an account of {rate:g} a second with a burst of {burst:g}")
+def step_account(context, rate, burst):
+    context.quota = FleetQuota()
+    context.quota.configure([AccountTerms(name=NAME, rate_per_s=rate, burst=burst)], 1_000)
+
+
+@when("the account spends {cost:g} twice")
+def step_spends_twice(context, cost):
+    context.waits = [context.quota.take(NAME, cost, 2_000) for _ in range(2)]
+
+
+@then("the second one has to wait for a number of ms")
+def step_waits(context):
+    assert isinstance(context.waits[1], int), context.waits
+    assert context.waits[1] >= 1, context.waits
