gateway/routing_state: the declared size of a cache is in force with its configuration

Cause: a server's state kept the size from the last request that was sent to it. While a size leaves no room for any request, none is sent, so that the size of a later configuration never came into force. Negative sizes did the same to every service.

What callers would see: once `kv-cache-tokens` was too small (1, for example), requests of that service get 503 from all VMs that had sent one, for good, also after the configuration is corrected.

Change: a configuration that comes into force sets the size in the state of each server. Negative sizes and slots count as not declared.

--- a/src/hickorybeam/gateway/prefix_copies.py
+++ b/src/hickorybeam/gateway/prefix_copies.py
@@ -32,9 +32,7 @@
     def record_sent(self, server_state: ServerState, request: AdmittedRequest) -> None:
         """Record the prompt parts that a server's cache holds from now on."""
         parts = request.call.parts
-        config = self._routing_state.config
-        spec = config.services.get(request.service) if config else None
-        cache_tokens = spec.engine.cache_tokens if spec and spec.engine else 0
+        cache_tokens = self._routing_state.cache_tokens(request.service)
         server_state.cache_tokens = cache_tokens
         server_state.prefixes.add(parts, cache_tokens or DEFAULT_CACHE_TOKENS)
         self._fleet.prefix_holders.record_sent(parts, server_state.server.id, self._clock.now())
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -86,6 +86,8 @@
         self.route_table = RouteTable(config.routes)
         rates = [it.rate_per_s for it in config.accounts.values() if it.rate_per_s > 0]
         self._mean_rate_per_s = fmean(rates) if rates else 0.0
+        for state in self.server_states.values():
+            state.cache_tokens = self.cache_tokens(state.server.service)
         return True
 
     def may_run_in(self, request: AdmittedRequest, region: str) -> bool:
@@ -169,6 +171,11 @@
         """Return what the configuration says of a service."""
         return self.config.services.get(service) if self.config else None
 
+    def cache_tokens(self, service: str) -> int:
+        """Return the cache size of a service's servers, 0 if it isn't declared."""
+        spec = self.service_spec(service)
+        return spec.engine.cache_tokens if spec and spec.engine else 0
+
     def account_weight(self, account: str | None) -> float:
         """Return an account's share of a service that all accounts want, relative to others.
 
--- a/src/hickorybeam/platform/entries.py
+++ b/src/hickorybeam/platform/entries.py
@@ -172,7 +172,8 @@
         cold_start_ms=int((raw.cold_start_s or 0) * MS_PER_SECOND),
         cold_per_s=raw.cold_per_s or 0.0,
         engine=EngineSpec(
-            slots=int(engine.slots or 0), cache_tokens=int(engine.kv_cache_tokens or 0)
+            slots=max(0, int(engine.slots or 0)),
+            cache_tokens=max(0, int(engine.kv_cache_tokens or 0)),
         )
         if engine
         else None,
--- a/tests/gateway/odd_records.feature
+++ b/tests/gateway/odd_records.feature
@@ -1,4 +1,4 @@
-Feature: an odd record that VMs keep in the store parts no VM from the others
+Feature: odd records and sizes, which VMs keep, have no effect on anything else
 
   # Guards against what one record says and VMs tell each other, in reports that nobody can read or
   # that no datagram carries.
@@ -20,3 +20,19 @@
       | hickorybeam/blocked/<a key of 180>           | a block of now                       |
       | hickorybeam/suspects/x                       | a suspect of 100 KB                  |
       | hickorybeam/suspects/x                       | 300 suspects of now                  |
+
+  # Guards against a size that VMs keep with a server until they send to it again, which they don't
+  # do while the size leaves it no room.
+  Scenario Outline: servers get requests again once the size of their cache is right
+    Given a small gateway
+    When the operator writes that servers of "model" cache <tokens> tokens
+    And 2 prompts come to "n1"
+    And the operator writes that servers of "model" cache 10000 tokens
+    And 2 prompts come to "n1"
+    Then the last 2 prompts got 200
+
+    Examples:
+      | tokens             |
+      | 1                  |
+      | -1                 |
+      | -9007199254740992  |
--- a/tests/steps/gateway/odd_records_steps.py
+++ b/tests/steps/gateway/odd_records_steps.py
@@ -61,3 +61,34 @@
     address = ("127.0.0.1", vm.ports.state)
     data = context.call(VmClient(vm.kernel.clock).get, address, SUSPECTS_PATH)
     decode_msgpack(data, list[ToldPart])
+
+
+@when('the operator writes that servers of "{service}" cache {tokens:d} tokens')
+def step_cache_tokens(context, service, tokens):
+    rig = context.rig
+
+    async def change():
+        spec = next(it for it in rig.config["services"] if it["name"] == service)
+        spec["engine"] = {"slots": 8, "kv-cache-tokens": tokens}
+        rig.config["version"] += 1
+        rig.configure()
+        await rig.settled()
+
+    context.call(change)
+
+
+@when('{count:d} prompts come to "{vm}"')
+def step_prompts(context, count, vm):
+    async def ask():
+        return [
+            await context.rig.call(vm, "/chat/x", method="POST", body=b"{}", tokens=b"50,10")
+            for _ in range(count)
+        ]
+
+    context.replies = context.call(ask)
+
+
+@then("the last {count:d} prompts got {status:d}")
+def step_prompts_got(context, count, status):
+    statuses = [it.status for it in context.replies]
+    assert statuses == [status] * count, statuses
