tickets/service: the state in force and the exchange with peers have modules of their own

Behaviour is unchanged: topics, notes, metrics, limits and the order of steps are those of before. The steps of `tickets/follow.feature` reach the owner under its new name and check the same.

--- a/tests/steps/tickets/follow_steps.py
+++ b/tests/steps/tickets/follow_steps.py
@@ -32,7 +32,7 @@
 @when('the config service receives positions "{positions}"')
 def step_receive(context, positions):
     entries = tuple(entry(int(position)) for position in positions.split())
-    context.call(context.node.config._apply_entries, entries)
+    context.call(context.node.config._owner.apply_entries, entries)
     context.call(settle)
 
 
@@ -41,7 +41,7 @@
     state = LogState()
     for number in range(1, position + 1):
         state = apply(state, entry(number).ticket)
-    context.call(context.node.config._replace_state, state)
+    context.call(context.node.config._owner.replace_state, state)
     context.call(settle)
 
 
