cli/client: a reply that is no object is no answer, and ends in a message

Operators got a stack trace for a reply of another form, as something before a VM may send it (a number, `null`, a list with an error's status, an error that is a text), and an empty answer for an empty list, which counted as one. The reply was decoded as any JSON and taken for an object.

It is decoded as an object now, like all other bytes from outside (`hickorybeam.untrusted`); an error of another form is told as the refusal's message. Found by reading the client for broken answers; the rest of it took none of them.

--- a/src/hickorybeam/cli/client.py
+++ b/src/hickorybeam/cli/client.py
@@ -11,6 +11,8 @@
 import httpcore
 import msgspec
 
+from hickorybeam.untrusted import decode_json
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -77,7 +79,7 @@
                 content=content,
                 extensions={"timeout": timeout},
             )
-            response = json.loads(http_response.content)
+            response = decode_json(http_response.content, dict[str, Any])
         except (
             httpcore.NetworkError,
             httpcore.TimeoutException,
@@ -87,10 +89,11 @@
         ) as exc:
             raise UnreachableError(f"{self.url}: {type(exc).__name__}: {exc}") from exc
         if http_response.status >= MIN_ERROR_STATUS:
-            raise RefusedError(
-                response.get("error", {"code": http_response.status, "message": "no reason given"})
-            )
-        return dict(response)
+            error = response.get("error")
+            if not isinstance(error, dict):
+                error = {"code": http_response.status, "message": error or "no reason given"}
+            raise RefusedError(error)
+        return response
 
 
 def read_key(key_file: str | None) -> str:
