--- a/src/hickorybeam/shares/service.py
+++ b/src/hickorybeam/shares/service.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import secrets
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, ClassVar, Final, TypeVar
+from typing import TYPE_CHECKING, ClassVar, Final
 
 import anyio
 from absl import logging
@@ -12,34 +11,26 @@
 from hickorybeam import ports
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.kernel import Mailbox, Reply, Service
-from hickorybeam.model import VmId, VmState
 from hickorybeam.policy.rebalance import AccountDemand, plan_transfers
-from hickorybeam.policy.shares import PARTS_PER_ACCOUNT, GroupLedger, Holder
+from hickorybeam.policy.shares import PARTS_PER_ACCOUNT
 from hickorybeam.shares.accounts import AccountBuckets
-from hickorybeam.shares.ledger import LiveHolders, ShareLedgerClient
-from hickorybeam.shares.lending import LoanExchange, LoanSource
-from hickorybeam.shares.messages import (
-    LOANS,
-    SHARES_MOVED,
-    TAKE_OVER_PROMISE,
-    SharesMoved,
-    TakeOverPromiseReply,
-    TakeOverPromiseRequest,
-)
+from hickorybeam.shares.holders import Holders
+from hickorybeam.shares.ledger import ShareLedgerClient
+from hickorybeam.shares.lending import LoanExchange
+from hickorybeam.shares.messages import LOANS
+from hickorybeam.shares.neighbours import Neighbours
 from hickorybeam.store.port import Platform
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
     from hickorybeam.kernel import Kernel, Started
-    from hickorybeam.model import ClientAccount, ConfigState, EntryVm
+    from hickorybeam.model import ClientAccount, ConfigState
+    from hickorybeam.policy.shares import GroupLedger, Holder
     from hickorybeam.settings import Settings
     from hickorybeam.telemetry import Counters
 
 __all__ = ("BudgetService",)
 
-Q = TypeVar("Q")
-R = TypeVar("R")
-
 # Rounds of borrowing before a request is refused. The second replaces tokens that another request
 # of this VM spent between the replies of peers and this request's attempt to spend.
 MAX_BORROW_ROUNDS: Final = 2
@@ -85,16 +76,21 @@
         self._clock = clock
         self._counters = counters
         self._account_buckets = AccountBuckets(cfg.shares)
+        self._holders = Holders(cfg.vm, ledger_client=lambda: self._ledger_client)
         self._loan_exchange = LoanExchange(
             clock=clock,
             counters=counters,
             account_buckets=self._account_buckets,
-            sources=self._loan_sources,
+            sources=self._holders.loan_sources,
             may_spend=self._may_spend,
         )
+        self._neighbours = Neighbours(
+            clock,
+            ledger_client=lambda: self._ledger_client,
+            rebalance_ms=cfg.shares.rebalance_ms,
+            on_shares_moved=self._request_early_read,
+        )
         self._round_requests: Mailbox[_RoundRequest] = Mailbox(size=MAX_QUEUED_ROUNDS)
-        self._members: ports.Members | None = None
-        self._peers: ports.Peers | None = None
         self._applied_config: ConfigState | None = None
         self._last_round_ms = -MIN_CONFIRM_INTERVAL_MS
         self._draining = False
@@ -111,14 +107,16 @@
         """Look up the services in use and register the handlers of peers' requests."""
         self._platform = kernel.find(ports.PLATFORM, Platform)  # type: ignore[type-abstract]
         self._config = kernel.find(ports.CONFIG, ports.ConfigView)  # type: ignore[type-abstract]
+        members: ports.Members | None = None
+        peers: ports.Peers | None = None
         if kernel.has(ports.MEMBERS):
-            self._members = kernel.find(ports.MEMBERS, ports.Members)  # type: ignore[type-abstract]
+            members = kernel.find(ports.MEMBERS, ports.Members)  # type: ignore[type-abstract]
         if kernel.has(ports.PEERS):
-            self._peers = kernel.find(ports.PEERS, ports.Peers)  # type: ignore[type-abstract]
-            self._peers.serve(LOANS, self._loan_exchange.handle_loan_request)
-            self._peers.serve(SHARES_MOVED, self._handle_shares_moved)
-            self._peers.serve(TAKE_OVER_PROMISE, self._handle_promise_request)
-        self._loan_exchange.connect(self._peers)
+            peers = kernel.find(ports.PEERS, ports.Peers)  # type: ignore[type-abstract]
+            peers.serve(LOANS, self._loan_exchange.handle_loan_request)
+        self._holders.connect(members)
+        self._neighbours.connect(members, peers)
+        self._loan_exchange.connect(peers)
 
     async def main(self, started: Started) -> None:
         """Run rounds with the ledger, lend and borrow until cancelled."""
@@ -146,7 +144,7 @@
             await self._clock.sleep(DRAIN_POLL_MS)
             self._account_buckets.lender.expire(self._account_buckets.buckets, self._clock.now())
         try:
-            await self._ledger_client.release_all(self._live_holders())
+            await self._ledger_client.release_all(self._holders.live())
         except GatewayError as exc:
             logging.warning("shares were not released on shutdown: %s", exc)
 
@@ -289,7 +287,7 @@
             if not self._draining:
                 plan = self._add_transfers if allow_transfers else _no_transfers
                 await self._ledger_client.write(
-                    self._account_buckets.accounts, self._live_holders(), plan
+                    self._account_buckets.accounts, self._holders.live(), plan
                 )
         except GatewayError as exc:
             self._log_platform_state(exc.kind.value)
@@ -299,13 +297,17 @@
         # would promise only after a gap in which this VM refuses requests.
         next_rounds_end_ms = self._clock.now() + 2 * self._cfg.shares.rebalance_ms
         if not self._ledger_client.lease_state.lease_valid(next_rounds_end_ms):
-            await self._request_promises()
-        await self._notify_receivers(self._ledger_client.pop_receivers())
+            await self._neighbours.request_promises()
+        await self._neighbours.notify_receivers(self._ledger_client.pop_receivers())
         await self._loan_exchange.report_closed_loans()
         self._last_round_ms = self._clock.now()
         self._confirmed_gauge.set(self._may_spend())
         self._open_loans_gauge.set(self._account_buckets.lender.open_count())
 
+    def _request_early_read(self) -> None:
+        self._ledger_client.read_next_round()
+        self._early_read_requested = True
+
     def _log_platform_state(self, fault: str) -> None:
         """Log when the platform fails or recovers, not in every round of an outage."""
         if fault == self._platform_fault:
@@ -316,69 +318,6 @@
         else:
             logging.info("shares are updated at the platform")
 
-    async def _request_promises(self) -> None:
-        """Ask the VMs of this data centre not to take over, while the platform is unavailable.
-
-        If one has taken over, this VM stops at once. Otherwise one promise is enough: the others
-        receive each other's reports, and none takes over from a VM that is live to it. Without
-        any reply this VM may be the isolated one, and stops when its deadlines pass.
-        """
-        if not self._ledger_client.has_read:
-            return
-        asked_at_ms = self._clock.now()
-        promise_ms = 3 * self._cfg.shares.rebalance_ms
-        neighbours = self._ledger_client.neighbours()
-        if not neighbours:
-            self._ledger_client.lease_state.neighbours_promised(asked_at_ms, promise_ms)
-            return
-        replies = await self._ask_each(
-            neighbours, TAKE_OVER_PROMISE, TakeOverPromiseRequest(promise_ms)
-        )
-        if any(reply.taken for reply in replies):
-            self._ledger_client.stop_using_shares()
-        elif replies:
-            self._ledger_client.lease_state.neighbours_promised(asked_at_ms, promise_ms)
-
-    async def _ask_each(self, vms: set[VmId], topic: ports.Topic[Q, R], request: Q) -> list[R]:
-        """Send a request to several VMs at once and return the replies received."""
-        replies: list[R] = []
-        if self._peers is None or self._members is None:
-            return replies
-        peers = self._peers
-
-        async def ask(vm: EntryVm) -> None:
-            try:
-                replies.append(await peers.ask(vm, topic, request))
-            except GatewayError as exc:
-                logging.debug("request %s to VM %s failed: %s", topic.name, vm.id.name, exc)
-
-        async with anyio.create_task_group() as tg:
-            for vm_id in vms:
-                vm = self._members.find(vm_id)
-                if vm is not None:
-                    tg.start_soon(ask, vm)
-        return replies
-
-    async def _handle_promise_request(
-        self, sender: VmId, request: TakeOverPromiseRequest
-    ) -> TakeOverPromiseReply:
-        return TakeOverPromiseReply(
-            taken=not self._ledger_client.promise_no_take_over(sender, request.promise_ms)
-        )
-
-    async def _notify_receivers(self, vms: set[VmId]) -> None:
-        """Tell the receivers of shares to read the ledger early.
-
-        Until they read, neither side uses the transferred parts, and the account's total rate is
-        lower by that much. If the message is lost, they read within a few rounds anyway.
-        """
-        await self._ask_each(vms, SHARES_MOVED, SharesMoved())
-
-    async def _handle_shares_moved(self, sender: VmId, request: SharesMoved) -> SharesMoved:
-        self._ledger_client.read_next_round()
-        self._early_read_requested = True
-        return request
-
     def _apply_config(self) -> None:
         state = self._config.current()
         if state is not self._applied_config:
@@ -407,7 +346,7 @@
             cfg=self._cfg,
             clock=self._clock,
             counters=self._counters,
-            own_holder=self._own_holder(),
+            own_holder=self._holders.own(),
             update_buckets=self._update_buckets,
             levels=lambda: self._account_buckets.levels(self._clock.now()),
         )
@@ -455,43 +394,6 @@
             reserved_parts=self._account_buckets.lent_parts(account.name),
         )
 
-    def _loan_sources(self, account: str) -> list[LoanSource]:
-        """Return the peers that may lend of an account; all of them before the first read."""
-        if self._members is None:
-            return []
-        if not self._ledger_client.has_read:
-            return [
-                self._loan_source(vm, 1)
-                for vm in self._members.vms()
-                if vm.id != self._ledger_client.own_holder.vm
-            ]
-        found: list[LoanSource] = []
-        for holder, parts in self._ledger_client.parts_by_holder(account).items():
-            vm = self._members.find(holder.vm)
-            if vm is not None and parts and holder.vm != self._ledger_client.own_holder.vm:
-                found.append(self._loan_source(vm, parts))
-        return found
-
-    def _loan_source(self, vm: EntryVm, parts: int) -> LoanSource:
-        return LoanSource(vm, parts, local=vm.data_centre == self._cfg.vm.data_centre)
-
-    def _live_holders(self) -> LiveHolders:
-        if self._members is None:
-            return LiveHolders(())
-        return LiveHolders(
-            tuple(
-                Holder(vm.id, vm.data_centre)
-                for vm in self._members.vms()
-                if vm.state is not VmState.LEAVING
-            )
-        )
-
-    def _own_holder(self) -> Holder:
-        if self._members is not None:
-            return Holder(self._members.own_vm.id, self._members.own_vm.data_centre)
-        vm = VmId(self._cfg.vm.name, secrets.token_hex(8))
-        return Holder(vm, self._cfg.vm.data_centre)
-
 
 def _no_transfers(ledger: GroupLedger, planned: tuple[Holder, ...]) -> GroupLedger:
     return ledger
