policy/crash_evidence: one loss of power counts once for a lookup that many send

Cause: an end counted by itself if its request was sent after the first end and its server ended 25 ms or more after that. A popular lookup is open at each server, so that three signs of one loss of power passed for three causes: a lookup sent on a kept connection that its server had closed, before the event loop had read the close (tens of ms at load); an end that another VM told of, whose times arrive late by the way of the notice; and any end after the first moment, as "the first end" is that of an earlier loss of power.

Callers saw: a sound lookup refused as request_blocked after servers had ended at once.

Evidence: the ends as they were known when the block came, e.g. at 79365, 79365 and 79413 ms, the last one under a lookup sent 23 ms before it; at 1513, 2519 and 2566 ms, sent 112 ms before.

Change: an end under a request that servers have answered within ten seconds counts by itself only if the request was sent after the end before it and no other server ended from then on, which the VM that saw it judges on its own clock; else it counts if it is far from the last one. Nothing is added to other requests.

Two scenarios of the policy failed before, with the new argument ignored there.

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -106,6 +106,7 @@
     :param copy_from: ``host:port`` of a server that holds shared parts of the prompt.
     :param is_blocked: returns whether the request must not be sent any more.
     :param fresh: send on a new connection, which shows that the server is there.
+    :param checked: don't send on one that the server has closed, though nobody has noticed yet.
     :param run: the run that a VM is asked for; ``None`` if the target is a server.
     """
 
@@ -118,10 +119,12 @@
         copy_from: str | None = None,
         is_blocked: Callable[[], bool] = lambda: False,
         fresh: bool = False,
+        checked: bool = False,
         run: RemoteRun | None = None,
     ) -> None:
         self._pool = pool
         self._fresh = fresh
+        self._checked = checked
         self.was_sent = False
         self._is_answered = False
         self.run = run
@@ -242,7 +245,9 @@
         expected = RequestId(REQUEST_ID, call.request_id.encode("latin-1"))
         for fresh in (self._fresh or self._keeps_off_kept(), True):
             try:
-                self._conn = await self._pool.acquire(self._address, fresh=fresh)
+                self._conn = await self._pool.acquire(
+                    self._address, fresh=fresh, checked=self._checked
+                )
                 self.connected_ms = self._conn.opened_ms
                 self.connect_asked_ms = self._conn.asked_ms
                 if self._is_blocked():
--- a/src/hickorybeam/gateway/crashes/end_moments.py
+++ b/src/hickorybeam/gateway/crashes/end_moments.py
@@ -77,6 +77,18 @@
                 found -= outlines_of(requests).keys()
         return found
 
+    def is_only(
+        self, server_state: ServerState, since_ms: int, looks: Mapping[ServerState, Look]
+    ) -> bool:
+        """Return whether no other server has ended since a time, as far as this VM has seen.
+
+        :param looks: the looks at other servers.
+        """
+        own = address_of(server_state)
+        ended = [(it.address, it.at_ms) for it in self._ended]
+        ended += [(address_of(state), it.since_ms) for state, it in looks.items() if it.closed]
+        return all(address == own or at < since_ms for address, at in (*ended, *self._closed))
+
 
 def ended_of(server_state: ServerState, look: Look) -> _Ended:
     """Return what is kept of a server that ended, or seems to have."""
--- a/src/hickorybeam/gateway/crashes/open_requests.py
+++ b/src/hickorybeam/gateway/crashes/open_requests.py
@@ -85,13 +85,15 @@
     """A request under which a server ended, or seems to have.
 
     ``alive_ms`` is when the request was sent, or the server last heard if it fell silent.
-    ``was_open``: its connection closed with the server's others.
+    ``was_open``: its connection closed with the server's others; ``is_only``: and no other server
+    ended after it was sent.
     """
 
     request: AdmittedRequest
     alive_ms: int
     trait: Trait
     was_open: bool = False
+    is_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorybeam/gateway/crashes/recorder.py
+++ b/src/hickorybeam/gateway/crashes/recorder.py
@@ -145,8 +145,11 @@
             is_popular = self._evidence.was_answered(mark, now)
             if is_popular and not it.was_open:
                 continue
-            trait = Trait.SEEN if is_popular else it.trait
-            found.append(CrashedRequest(it.request.key(), ended.at_ms - it.alive_ms, trait))
+            trait = it.trait
+            if is_popular:
+                trait = Trait.ALONE if it.is_only else Trait.SEEN
+            open_ms = ended.at_ms - it.alive_ms
+            found.append(CrashedRequest(it.request.key(), open_ms, trait, is_popular))
         return found
 
     def _may_tell_undecided(self) -> bool:
--- a/src/hickorybeam/gateway/crashes/server_ends.py
+++ b/src/hickorybeam/gateway/crashes/server_ends.py
@@ -119,6 +119,11 @@
         self._tasks = tasks
         self._pool.on_idle_closed = self._record_idle_closed
 
+    @property
+    def is_looking(self) -> bool:
+        """Whether a server may have ended a moment ago, and others with it."""
+        return bool(self._looks)
+
     def open(self, request: OpenRequest) -> None:
         """Follow a request that is about to be sent."""
         self._open.setdefault(request.server_state, set()).add(request)
@@ -369,18 +374,20 @@
     ) -> tuple[EndedUnder, ...]:
         """Return the requests under which a server ended, or seems to have."""
         found = dict.fromkeys([*look.requests, *self._recently_left(server_state)])
-        alone = self._alone(server_state, look) if end is ServerEnd.ENDED else ()
+        looks = {state: it for state, it in self._looks.items() if state is not server_state}
+        alone: frozenset[bytes] = frozenset()
+        if end is ServerEnd.ENDED:
+            alone = self._moments.alone(server_state, look, looks=looks, opened=self._open)
         under = []
         for it in found:
             trait = Trait.ALONE if it.request.outline() in alone else end.trait
             was_open = end is ServerEnd.ENDED and it.left_ms is None
-            under.append(EndedUnder(it.request, it.alive_ms(end), trait, was_open=was_open))
+            is_only = was_open and self._moments.is_only(server_state, it.sent_ms, looks)
+            under.append(
+                EndedUnder(it.request, it.alive_ms(end), trait, was_open=was_open, is_only=is_only)
+            )
         return tuple(under)
 
-    def _alone(self, server_state: ServerState, look: Look) -> frozenset[bytes]:
-        looks = {state: it for state, it in self._looks.items() if state is not server_state}
-        return self._moments.alone(server_state, look, looks=looks, opened=self._open)
-
     def _lapsed_under(self, server_state: ServerState) -> tuple[EndedUnder, ...]:
         """Return the requests that still wait for a server whose entry has lapsed."""
         return tuple(
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -116,6 +116,7 @@
             copy_from=copy_from,
             is_blocked=lambda: self._part_blocks.is_blocked(request),
             fresh=server_state is not None and self._needs_proof(request, progress),
+            checked=self._server_ends.is_looking or self._part_blocks.has_crashes(request),
             run=self._run_settlement.name_run(target, request),
         )
         open_request = self._open_request(target, request, progress, attempt)
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -61,15 +61,21 @@
         self.on_idle_closed: Callable[[Address], None] = lambda address: None
 
     async def acquire(
-        self, address: Address, *, fresh: bool = False, connect_ms: int | None = None
+        self,
+        address: Address,
+        *,
+        fresh: bool = False,
+        checked: bool = False,
+        connect_ms: int | None = None,
     ) -> UpstreamConnection:
         """Return a connection for exclusive use.
 
         :param fresh: open a new connection even if there is an idle one.
+        :param checked: leave out idle ones whose close the event loop has yet to see.
         :raises ConnectFailedError: it cannot be opened.
         """
         if not fresh:
-            conn = self._acquire_idle(address)
+            conn = self._acquire_idle(address, checked=checked)
             if conn is not None:
                 return conn
         return await self._open(address, connect_ms or self._connect_ms)
@@ -140,12 +146,12 @@
             conn.on_close = None
             conn.abort()
 
-    def _acquire_idle(self, address: Address) -> UpstreamConnection | None:
+    def _acquire_idle(self, address: Address, *, checked: bool) -> UpstreamConnection | None:
         idle = self._idle.get(address)
         while idle:
             conn = idle.pop()
             conn.on_close = None
-            if self._is_usable(conn):
+            if self._is_usable(conn) and (not checked or conn.is_established):
                 return conn
             conn.abort()
         return None
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -23,6 +23,7 @@
     owner_of,
 )
 from hickorybeam.http1.values import keep_alive_seconds, parse_count
+from hickorybeam.sockets import is_established
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -99,6 +100,11 @@
         self._ends_at_close = False
         self._forward: Callable[[bytes], bool] | None = None
 
+    @property
+    def is_established(self) -> bool:
+        """Whether the other end has not closed it, which the kernel knows before the event loop."""
+        return self._transport is not None and is_established(self._transport)
+
     def describe(self) -> str:
         """Return this end's port and how many requests it has carried, for logs."""
         return f"port {self.local_port}, request {self.request_count}"
--- a/src/hickorybeam/policy/crash_evidence.py
+++ b/src/hickorybeam/policy/crash_evidence.py
@@ -37,6 +37,7 @@
     Crash,
     Suspect,
     alike_parts,
+    answered_crash,
     doubtful_prefix,
     encode_open_ms,
     is_request_key,
@@ -163,7 +164,7 @@
         # Requests first: once one is blocked, it explains the crash under its parts. Of the copies
         # of one, the last sent counts.
         by_age = sorted(requests, key=lambda it: it.open_ms, reverse=True)
-        found = {it.key: Crash(at_ms, encode_open_ms(it.open_ms, it.trait)) for it in by_age}
+        found = {it.key: self._crash_under(it, server, at_ms) for it in by_age}
         found |= {part: Crash(at_ms, request) for part, request in suspects}
         explained = {it: crash for it, crash in found.items() if self._explains(it)}
         self._alike = None
@@ -181,6 +182,15 @@
         self._limit(at_ms)
         return changes
 
+    def _crash_under(self, request: CrashedRequest, server: bytes, at_ms: int) -> Crash:
+        """Return a crash of a server under a request, as it counts."""
+        crash = Crash(at_ms, encode_open_ms(request.open_ms, request.trait))
+        if not request.is_answered:
+            return crash
+        suspect = self._suspects.get(request.key)
+        others = [] if suspect is None else suspect.crashes_beside(server)
+        return answered_crash(crash, max((it.at_ms for it in others), default=None))
+
     def confirm_end(self, server: bytes) -> list[BlockChange]:
         """Record that a server whose end was undecided has ended."""
         if not self._may_be_doubtful(server):
--- a/src/hickorybeam/policy/crash_messages.py
+++ b/src/hickorybeam/policy/crash_messages.py
@@ -28,12 +28,13 @@
     """A request that was open at a server that crashed, or given up shortly before.
 
     ``open_ms`` is how long before the crash it was sent, or the server last heard if it fell
-    silent; ``trait`` is how the crash is known.
+    silent; ``trait`` is how the crash is known. ``is_answered``: servers have answered it lately.
     """
 
     key: bytes
     open_ms: int
     trait: Trait = Trait.SEEN
+    is_answered: bool = False
 
 
 class ToldCrash(NamedTuple):
--- a/src/hickorybeam/policy/crash_suspects.py
+++ b/src/hickorybeam/policy/crash_suspects.py
@@ -12,6 +12,10 @@
   one was silent.
 - Its connections closed, it was the only server that ended at that moment, and no other server had
   a copy of the request. That counts by itself however close it is.
+- Its connections closed, but other servers have answered the request lately. Many may send it, so
+  that copies are at each server at each moment. It counts by itself only if the request was sent
+  after the crash before it, and no other server ended from then on. Only the VM that was there can
+  tell that: another one learns late of both.
 - It closed its connections or fell silent, and it is not known yet whether it has ended. Until then
   the crash doesn't count. Few servers fall silent under a request unless it ends them, so that one
   with as many silent servers as suffice is held; servers that live break off single responses.
@@ -36,6 +40,7 @@
     "Suspect",
     "Trait",
     "alike_parts",
+    "answered_crash",
     "doubtful_prefix",
     "encode_open_ms",
     "is_request_key",
@@ -295,6 +300,10 @@
         silent_ms = self._silent_ms(now_ms)
         return bool(silent_ms) and self.answered_ms < min(silent_ms)
 
+    def crashes_beside(self, server: bytes) -> list[Crash]:
+        """Return the crashes of other servers."""
+        return [crash for name, crash in self.crashes.items() if name != server]
+
     def last_ms(self) -> int:
         """Return when the last known crash was."""
         return max((crash.at_ms for crash in self.crashes.values()), default=0)
@@ -351,6 +360,22 @@
     return crash.at_ms - last_ms >= SAME_CAUSE_MS
 
 
+def answered_crash(crash: Crash, previous_ms: int | None) -> Crash:
+    """Return a crash under a request that other servers answer, as it counts.
+
+    :param previous_ms: when the last other crash under the request was, if there was one.
+    """
+    followed = (
+        previous_ms is not None
+        and crash.trait is Trait.ALONE
+        and crash.alive_ms >= previous_ms
+        and crash.at_ms - previous_ms >= SAME_MOMENT_MS
+    )
+    if followed:
+        return Crash(crash.at_ms, encode_open_ms(crash.at_ms - crash.alive_ms, Trait.ALONE))
+    return Crash(crash.at_ms, encode_open_ms(MAX_OPEN_MS, Trait.SEEN))
+
+
 def encode_open_ms(open_ms: int, trait: Trait = Trait.SEEN) -> bytes:
     """Encode how long a request was open, and how its crash is known, as a request's digest."""
     clamped_ms: int = min(max(0, open_ms), MAX_OPEN_MS)
--- a/src/hickorybeam/sockets.py
+++ b/src/hickorybeam/sockets.py
@@ -17,6 +17,7 @@
 __all__ = (
     "bind_socket",
     "end_if_silent",
+    "is_established",
     "is_ip_address",
     "reset_at_close",
     "split_address",
@@ -26,6 +27,8 @@
 # Servers renew their entries every second or so, and their addresses stay.
 MAX_CACHED_ADDRESSES = 4_096
 MAX_PORT = 65_535
+# The first byte of TCP_INFO is the connection's state.
+ESTABLISHED = 1
 # TCP keep-alive ends a connection about 3 s after the other end went silent. Without it, nothing
 # would detect that while there is nothing to send.
 KEEP_ALIVE_PROBE_INTERVAL_S = 1
@@ -74,6 +77,18 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def is_established(transport: BaseTransport) -> bool:
+    """Return whether neither end of a TCP connection has closed it, as far as the kernel knows."""
+    sock = transport.get_extra_info("socket")
+    try:
+        state: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except ValueError:  # its descriptor is closed
+        return False
+    except OSError:
+        return True
+    return state[0] == ESTABLISHED
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``host:port``.
 
--- a/tests/policy/crash_evidence.feature
+++ b/tests/policy/crash_evidence.feature
@@ -200,6 +200,24 @@
       | only if there are three                | 0, 300      | sent after each other     | not blocked |
       | if copies were sent at once after it   | 0, 90, 95   | sent after the first one  | blocked     |
 
+  # Guards against a loss of power that counts once for each server at which a popular request was.
+  Scenario Outline: crashes under a request that servers answer count <how>
+    When "n1" sees servers crash under answered request "bad" at "<times>" ms, <sent>
+    Then request "bad" is <verdict> at "n1"
+
+    Examples:
+      | how                                        | times               | sent                  | verdict     |
+      | once at one moment, though after the first | 0, 1000, 1050, 1090 | sent at 900 ms        | not blocked |
+      | if each was sent after the one before      | 0, 50, 100          | sent after each other | blocked     |
+      | by themselves when they are far apart      | 0, 300, 600         | sent at -10 ms        | blocked     |
+
+  # Guards against times that reach other VMs late, so that a crash seems to follow from another one.
+  Scenario: crashes of one moment that two VMs saw under a request that servers answer count once
+    When "n1" sees servers crash under answered request "bad" at "0, 1000" ms, sent at -10 ms
+    And "n2" sees servers crash under answered request "bad" at "0, 1000" ms, sent at -10 ms
+    And the VMs tell each other at 1100 ms, 60 ms late
+    Then request "bad" is not blocked at "n1"
+
   # Guards against a copy sent long before that hides the one sent after the first crash.
   Scenario: of the copies at one server the last sent counts
     When servers crash at "0, 50, 100" ms under copies of request "bad" sent 5 and 500 ms before
--- a/tests/steps/policy/crash_evidence_steps.py
+++ b/tests/steps/policy/crash_evidence_steps.py
@@ -74,12 +74,17 @@
 
 
 @when("the VMs tell each other at {at_ms:d} ms")
-def step_tell(context, at_ms):
+def step_tell(context, at_ms, late_ms=0):
     told = {name: evidence(context, name).reports.take_untold(at_ms) for name in VMS}
     for name in VMS:
         for other in VMS:
             if other != name:
-                evidence(context, name).merge(told[other], at_ms)
+                evidence(context, name).merge(told[other], at_ms + late_ms)
+
+
+@when("the VMs tell each other at {at_ms:d} ms, {late_ms:d} ms late")
+def step_tell_late(context, at_ms, late_ms):
+    step_tell(context, at_ms, late_ms)
 
 
 @when("the VMs tell each other {times:d} times from {at_ms:d} ms on")
@@ -173,16 +178,25 @@
     return request_key(name.encode().ljust(OUTLINE_BYTES)[:OUTLINE_BYTES], name.encode())
 
 
-def crash_under_request(context, vm, name, at_ms, open_ms, parts=(), trait=Trait.SEEN):
+def crash_under_request(
+    context, vm, name, at_ms, open_ms, parts=(), trait=Trait.SEEN, *, answered=False
+):
     known = evidence(context, vm)
     server = crash_digest(f"s{next(context.numbers)}", 0)
     suspects = [(digest(part), request_digest(f"{name}-{at_ms}")) for part in parts]
-    request = CrashedRequest(request_digest_of(name), open_ms, trait)
+    request = CrashedRequest(request_digest_of(name), open_ms, trait, answered)
     known.record_crash(server, suspects, at_ms, requests=[request])
 
 
+@when('"{vm}" sees servers crash under answered request "{name}" at "{times}" ms, {sent}')
+def step_crash_under_answered(context, vm, name, times, sent):
+    """Let servers crash, each as the only one since the request was sent there, if it was."""
+    trait = Trait.ALONE if sent == "sent after each other" else Trait.SEEN
+    step_crash_under_request(context, vm, name, times, sent, trait, answered=True)
+
+
 @when('"{vm}" sees servers crash under request "{name}" at "{times}" ms, {sent}')
-def step_crash_under_request(context, vm, name, times, sent):
+def step_crash_under_request(context, vm, name, times, sent, trait=Trait.SEEN, *, answered=False):
     times = [int(it) for it in split(times)]
     evidence(context, vm)
     last_ms = times[0] - 5
@@ -194,7 +208,7 @@
                 sent_ms = min(at_ms, times[0] + 1)
             case ["sent", "at", ms, "ms"]:
                 sent_ms = int(ms)
-        crash_under_request(context, vm, name, at_ms, at_ms - sent_ms)
+        crash_under_request(context, vm, name, at_ms, at_ms - sent_ms, (), trait, answered=answered)
 
 
 @when('servers crash under request "{name}" and parts "{parts}" of others at "{times}" ms')
