--- a/src/hickorybeam/standins/keyvalue.py
+++ b/src/hickorybeam/standins/keyvalue.py
@@ -85,6 +85,7 @@
             if faults.take_lost_answer():
                 reply.abort()
                 return
+        await self._before_answer()
         data = msgspec.json.encode(self._with_odd_items(self._shown(body)))
         if self.answer_share is None:
             reply.send(status, JSON, data)
@@ -93,6 +94,9 @@
         reply.send_raw(data[: round(len(data) * self.answer_share)])
         reply.end_by_close()
 
+    async def _before_answer(self) -> None:
+        """Wait until the answer to a call may go."""
+
     def show(self, item: Mapping[str, Any]) -> Mapping[str, Any]:
         """Return an item as the caller sees it."""
         return item
--- a/src/hickorybeam/standins/links.py
+++ b/src/hickorybeam/standins/links.py
@@ -25,6 +25,8 @@
     from anyio.abc import SocketStream, TaskGroup, UDPSocket
     from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+    from hickorybeam.http1 import IncomingRequest, ResponseWriter
+
 __all__ = ("CALM", "Link", "LinkHarm", "LinkedStore", "Links")
 
 HOST = "127.0.0.1"
@@ -249,14 +251,31 @@
 class LinkedStore(KeyValueApp):
     """The store as one VM sees it: other VMs have the ports of the links to them.
 
+    ``harm`` is done to each call on its way to the store, and to each answer on its way back, also
+    of calls that the store holds already.
+
     :param vm: the VM's name.
     """
 
     def __init__(self, app: KeyValueApp, links: Links, vm: str) -> None:
         super().__init__(app.stand_in)
+        self.harm = CALM
         self._links = links
         self._vm = vm
 
+    async def answer(self, req: IncomingRequest, reply: ResponseWriter) -> None:
+        """Answer one call that comes over the harmed way."""
+        await self._pass()
+        await super().answer(req, reply)
+
+    async def _before_answer(self) -> None:
+        await self._pass()
+
+    async def _pass(self) -> None:
+        if self.harm.silent:
+            await anyio.sleep_forever()
+        await anyio.sleep(self.harm.delay_ms / MS_PER_SECOND)
+
     def show(self, item: Mapping[str, Any]) -> Mapping[str, Any]:
         """Return an item as this VM sees it."""
         name = item["key"].removeprefix(VM_PREFIX)
