standins/server: each event of a stream names its server beside the version

A soak that finds a stream of two versions tells from its events which servers made them. Servers can also reset all their connections and go on, so that streams break off at any point.

--- a/bench/soak/streams.py
+++ b/bench/soak/streams.py
@@ -45,6 +45,8 @@
     began: str = ""
     events: list[int] = field(default_factory=list)
     versions: set[str] = field(default_factory=set)
+    # The server of each event, and its version.
+    makers: list[tuple[str, str]] = field(default_factory=list)
     whole: bool = False
 
     def add(self, answer: Answer) -> None:
@@ -52,7 +54,9 @@
         for event in answer.body.split(b"\n\n")[:-1]:
             fields = dict(line.partition(b": ")[::2] for line in event.split(b"\n"))
             self.events.append(int(fields[b"id"]))
-            self.versions.add(fields[b"data"].rpartition(b" of ")[2].decode())
+            version, _, server = fields[b"data"].decode().split()[3:6]
+            self.versions.add(version)
+            self.makers.append((server, version))
         self.whole = answer.whole and answer.status == OK
 
     def fault(self) -> str | None:
--- a/src/hickorybeam/standins/crashes.py
+++ b/src/hickorybeam/standins/crashes.py
@@ -110,6 +110,11 @@
             self._tasks.start_soon(end_server, server)
         self.ended.set()
 
+    def break_connections(self) -> None:
+        """Reset all open connections; the process goes on."""
+        if self._server is not None:
+            abort_connections(self._server)
+
     def run_later(self, after_ms: int, end: Callable[[], None]) -> None:
         """Call a function after a time, whatever becomes of the request that asked for it."""
 
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -293,7 +293,7 @@
         self, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
     ) -> None:
         # The process that began the stream ends it, whatever starts in its place meanwhile.
-        version = self.version
+        server_id, version = self.id, self.version
         first = int(find_header(req.headers, names.LAST_EVENT) or 0) + 1
         stream = StreamReply(reply, headers, unframed=self.faults.take("unframed"))
         stream.start()
@@ -306,7 +306,7 @@
                     await self.clock.sleep(self.event_every_ms)
                     reply.abort() if cut else stream.end()
                     return
-            await stream.send(event(number, version, self._own_id(req)))
+            await stream.send(event(number, version, server_id, self._own_id(req)))
         stream.end()
 
     def _own_id(self, req: IncomingRequest) -> str:
@@ -327,7 +327,7 @@
                 await stream.send(b"id: 1\nda")
             case CrashPoint.UNFRAMED_END if is_stream:
                 stream.start()
-                await stream.send(event(1, self.version))
+                await stream.send(event(1, self.version, self.id))
             case CrashPoint.INSIDE_EVENT:
                 reply.send_raw(response_head_bytes(200, headers, length=9, close=False) + b"half")
             case CrashPoint.UNFRAMED_END:
@@ -349,6 +349,16 @@
         else:
             self.process.end()
 
+    @property
+    def is_up(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.is_up
+
+    def break_connections(self) -> None:
+        """Reset all open connections; the process goes on."""
+        if self.process is not None:
+            self.process.break_connections()
+
     async def recover_from_crashes(self, process: ServerProcess) -> None:
         """Let the entry lapse after each crash and start again, until cancelled."""
         while True:
@@ -371,7 +381,7 @@
         self, batch: Batch, req: IncomingRequest, reply: ResponseWriter, headers: RawHeaders
     ) -> None:
         """Stream a token an event; an engine whose caller leaves stops."""
-        version = self.version
+        server_id, version = self.id, self.version
         stream = submitted(batch, req)
         answer = StreamReply(reply, headers, unframed=self.faults.take("unframed"))
         sent = 0
@@ -382,7 +392,7 @@
                 if not reply.started:
                     answer.start()
                 for number in range(sent + 1, stream.produced + 1):
-                    await answer.send(event(number, version))
+                    await answer.send(event(number, version, server_id))
                 sent = stream.produced
             answer.end()
         finally:
@@ -429,12 +439,14 @@
     )
 
 
-def event(number: int, version: str, request_id: str = "") -> bytes:
-    """Return one event of a stream, which tells the version of the server's software.
+def event(number: int, version: str, server_id: str, request_id: str = "") -> bytes:
+    """Return one event of a stream, which tells its server and the version of its software.
 
     :param request_id: the id of the stream's request, if the event tells it.
     """
-    told = f"event {number} of {version}" + (f" for {request_id}" if request_id else "")
+    told = f"event {number} of {version} at {server_id}" + (
+        f" for {request_id}" if request_id else ""
+    )
     return b"id: %d\ndata: %s\n\n" % (number, told.encode("latin-1"))
 
 
