bench/soak: links between all VMs, and what other soaks share with that of links

The VMs, servers and links of a run can differ from those of the soak of links, an exchange of a caller with a VM is one function for both soaks of the gateway, and VMs are asked side by side before and after the faults.

--- a/bench/soak/gateway.py
+++ b/bench/soak/gateway.py
@@ -31,6 +31,7 @@
 import fire
 from bench.gateway_cost import start_daemon
 from bench.soak.crashes import check_crashing_parts, crash_servers, crash_under_part
+from bench.soak.exchange import exchange
 from bench.soak.hard_load import change_speed, flood, read_nothing
 from bench.soak.repeats import check_repeated_requests, repeat_request
 from bench.soak.server_notices import ask_for_rest, name_limit, say_leaving
@@ -38,8 +39,7 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.deployment import free_ports
-from hickorybeam.demo.platform import Answer
-from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, UpstreamPool
+from hickorybeam.http1 import UpstreamPool
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.settings import (
     GatewaySettings,
@@ -56,6 +56,7 @@
 if TYPE_CHECKING:
     import subprocess
 
+    from hickorybeam.demo.platform import Answer
     from hickorybeam.standins.keyvalue import KeyValueApp
 
 SOUTH = ("south-1", "south-1")
@@ -257,23 +258,7 @@
         return await self._exchange(self.rng.choice(self.caller_ports), data)
 
     async def _exchange(self, port: int, data: bytes) -> Answer:
-        parts: list[bytes] = []
-        status, headers = 0, ()
-        conn = None
-        try:
-            with anyio.fail_after(CALL_LIMIT_S):
-                conn = await self._pool.acquire(("127.0.0.1", port), fresh=True)
-                conn.send(data)
-                head = await conn.read_head()
-                status, headers = head.status, head.headers
-                while chunk := await conn.read_chunk():
-                    parts.append(chunk)
-        except (BrokenResponseError, ConnectFailedError, TimeoutError):
-            return Answer(status, headers, b"".join(parts), whole=False)
-        finally:
-            if conn is not None:
-                conn.abort()
-        return Answer(status, headers, b"".join(parts))
+        return await exchange(self._pool, port, data, CALL_LIMIT_S)
 
     def _judge(self, request_id: str, answer: Answer, path: str, key: str, sent: float) -> None:
         self.seen.outcomes[
--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -26,11 +26,11 @@
 import anyio
 import fire
 from bench.gateway_cost import start_daemon
+from bench.soak.exchange import exchange
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.deployment import free_ports
-from hickorybeam.demo.platform import Answer
-from hickorybeam.http1 import BrokenResponseError, ConnectFailedError, HttpServer, UpstreamPool
+from hickorybeam.http1 import HttpServer, UpstreamPool
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.platform import names
 from hickorybeam.settings import (
@@ -43,7 +43,7 @@
 )
 from hickorybeam.standins.deployment import REGIONS, caller_headers, first_config
 from hickorybeam.standins.keyvalue import serve_store
-from hickorybeam.standins.links import LinkedStore, LinkHarm, Links
+from hickorybeam.standins.links import CALM, LinkedStore, LinkHarm, Links
 from hickorybeam.standins.server import ServerFaults, ServerStandIn, serve_server
 
 if TYPE_CHECKING:
@@ -52,11 +52,13 @@
 
     from anyio.abc import TaskGroup
 
+    from hickorybeam.demo.platform import Answer
+    from hickorybeam.http1 import RawHeaders
     from hickorybeam.standins.keyvalue import KeyValueApp
+    from hickorybeam.standins.links import Direction
     from hickorybeam.standins.server import RunSpan
 
 VMS = (("n0", "north-1"), ("n1", "north-1"), ("s0", "south-1"), ("s1", "south-1"))
-CENTRES = ("north-1", "south-1")
 # The north has few places, so that most streams and all orders run in the south.
 SERVERS = (("mn", "model", "north-1", 6), ("ms", "model", "south-1", 24))
 BOOKS = (("bs1", "south-1"), ("bs2", "south-1"))
@@ -106,6 +108,12 @@
         *(("/plan/x", b"50,10"),) * 4,
     )
 
+    vms: tuple[tuple[str, str], ...] = VMS
+    callers = CALLERS
+    wait_ms = WAIT_MS
+    # Whether there are links within a region too.
+    links_all = False
+
     def __init__(self, app: KeyValueApp, folder: Path, *, seed: int, only: str) -> None:
         self.app = app
         self.rng = random.Random(seed)
@@ -116,7 +124,7 @@
         self._config = first_config()
         self._folder = folder
         self._faults = (only,) if only else self.faults
-        self._ports = free_ports(PORTS_PER_VM * len(VMS))
+        self._ports = free_ports(PORTS_PER_VM * len(self.vms))
         self._cfgs: list[Settings] = []
         self._vms: list[subprocess.Popen[bytes]] = []
         self._ending: set[subprocess.Popen[bytes]] = set()
@@ -126,6 +134,27 @@
         self._once: set[str] = set()
         self._over = False
 
+    def make_servers(self) -> list[ServerStandIn]:
+        """Return the servers that this run begins with."""
+        models = [
+            ServerStandIn(
+                name,
+                service,
+                centre,
+                self.app,
+                slots=slots,
+                work_ms=WORK_MS,
+                event_every_ms=EVENT_EVERY_MS,
+                events=EVENTS,
+            )
+            for name, service, centre, slots in SERVERS
+        ]
+        books = [
+            ServerStandIn(name, "books", centre, self.app, work_ms=WORK_MS)
+            for name, centre in BOOKS
+        ]
+        return [*models, *books]
+
     async def add_server(self, stack: AsyncExitStack, server: ServerStandIn) -> None:
         """Run a server until the stack closes."""
         self.servers.append(await stack.enter_async_context(serve_server(server)))
@@ -133,15 +162,15 @@
     async def run(self, seconds: float) -> None:
         """Play the faults, then a calm span."""
         for terms in self._config["routes"]:
-            terms["timeout-ms"] = WAIT_MS
+            terms["timeout-ms"] = self.wait_ms
         self.app.configure(self._config)
         async with anyio.create_task_group() as tg:
             await self._link(tg)
-            self._vms = [self._start(i) for i in range(len(VMS))]
+            self._vms = [self._start(i) for i in range(len(self.vms))]
             try:
                 await self._ready()
                 async with anyio.create_task_group() as callers:
-                    for _ in range(CALLERS):
+                    for _ in range(self.callers):
                         callers.start_soon(self._caller)
                     await self._play(seconds)
                     self._heal()
@@ -155,22 +184,24 @@
                 tg.cancel_scope.cancel()
 
     async def _link(self, tasks: TaskGroup) -> None:
-        """Put a link between each two VMs of different regions, and show each VM its store."""
-        for i, (name, centre) in enumerate(VMS):
-            for other, other_centre in VMS:
-                if REGIONS[centre] != REGIONS[other_centre]:
+        """Put links between VMs, and show each VM its store."""
+        for i, (name, centre) in enumerate(self.vms):
+            for other, other_centre in self.vms:
+                if name != other and (self.links_all or REGIONS[centre] != REGIONS[other_centre]):
                     await self.links.add(tasks, name, other)
-            server = HttpServer(
-                LinkedStore(self.app, self.links, name).answer, clock=SystemClock(), tasks=tasks
-            )
+            store = self._make_store(name)
+            server = HttpServer(store.answer, clock=SystemClock(), tasks=tasks)
             await server.listen("127.0.0.1", 0)
             self._cfgs.append(self._settings(i, f"http://127.0.0.1:{server.port}"))
 
+    def _make_store(self, name: str) -> LinkedStore:
+        return LinkedStore(self.app, self.links, name)
+
     def _peer_port(self, i: int) -> int:
         return self._ports[PORTS_PER_VM * i + 4]
 
     def _settings(self, i: int, url: str) -> Settings:
-        name, centre = VMS[i]
+        name, centre = self.vms[i]
         ports = [f"127.0.0.1:{it}" for it in self._ports[PORTS_PER_VM * i :][:PORTS_PER_VM]]
         return Settings(
             vm=VmSettings(
@@ -193,16 +224,20 @@
         )
 
     def _start(self, i: int) -> subprocess.Popen[bytes]:
-        name = VMS[i][0]
+        name = self.vms[i][0]
         path = self._folder / f"{name}.json"
         return start_daemon(self._cfgs[i], path, log_path=self._folder / f"{name}.log")
 
     async def _ready(self) -> None:
         with anyio.fail_after(15):
-            for path, tokens in (("/order/x", None), ("/plan/x", b"50,10")):
-                for i in range(len(VMS)):
-                    while (await self._call(i, path, tokens))[1].status != 200:
-                        await anyio.sleep(0.2)
+            async with anyio.create_task_group() as tg:
+                for i in range(len(self.vms)):
+                    tg.start_soon(self._vm_ready, i)
+
+    async def _vm_ready(self, i: int) -> None:
+        for path, tokens in (("/order/x", None), ("/plan/x", b"50,10")):
+            while (await self._call(i, path, tokens))[1].status != 200:
+                await anyio.sleep(0.2)
 
     async def _play(self, seconds: float) -> None:
         """Start faults one after the other; most overlap with the next one."""
@@ -222,11 +257,17 @@
             if vm in self._ending or vm.poll() is not None:
                 vm.kill()
                 self._restart(i, vm)
+        self._heal_servers()
+        for centre in self._centres():
+            self.app.delete(names.EVACUATION_PREFIX + centre)
+
+    def _centres(self) -> list[str]:
+        return sorted({centre for _, centre in self.vms})
+
+    def _heal_servers(self) -> None:
         for server in self.servers:
             server.faults, server.odd_headers, server.keeps_runs = ServerFaults(), (), False
             server.register()
-        for centre in CENTRES:
-            self.app.delete(names.EVACUATION_PREFIX + centre)
 
     async def _caller(self) -> None:
         while not self._over:
@@ -240,35 +281,32 @@
             await anyio.sleep(self.rng.uniform(0.0, 0.1))
 
     async def _call(self, i: int, path: str, tokens: bytes | None) -> tuple[str, Answer]:
+        request_id, data = self._request(path, tokens)
+        return request_id, await exchange(self._pool, self.caller_port(i), data, CALL_LIMIT_S)
+
+    def _request(self, path: str, tokens: bytes | None, more: RawHeaders = ()) -> tuple[str, bytes]:
+        """Return the id of a new request, and its bytes."""
         request_id = f"{next(self._numbers):016x}"
         if not path.startswith("/plan"):
             self._once.add(request_id)
-        headers = caller_headers(request_id, key="small", wait_ms=WAIT_MS, tokens=tokens)
-        data = request_bytes("POST", path.encode(), headers, b"{}")
-        parts: list[bytes] = []
-        status, conn = 0, None
-        try:
-            with anyio.fail_after(CALL_LIMIT_S):
-                address = ("127.0.0.1", self._ports[PORTS_PER_VM * i])
-                conn = await self._pool.acquire(address, fresh=True)
-                conn.send(data)
-                status = (await conn.read_head()).status
-                while chunk := await conn.read_chunk():
-                    parts.append(chunk)
-        except (BrokenResponseError, ConnectFailedError, TimeoutError):
-            return request_id, Answer(status, (), b"".join(parts), whole=False)
-        finally:
-            if conn is not None:
-                conn.abort()
-        return request_id, Answer(status, (), b"".join(parts))
+        headers = caller_headers(request_id, key="small", wait_ms=self.wait_ms, tokens=tokens)
+        return request_id, request_bytes("POST", path.encode(), (*headers, *more), b"{}")
+
+    def caller_port(self, i: int) -> int:
+        """Return the port on which a VM takes callers' requests."""
+        return self._ports[PORTS_PER_VM * i]
 
     async def _check_serving(self) -> None:
-        for i, (name, _) in enumerate(VMS):
-            for path, tokens in (("/order/x", None), ("/plan/x", b"50,10")):
-                request_id, answer = await self._call(i, path, tokens)
-                if answer.status != 200:
-                    text = f"{name} answers {answer.status} to {path} after a calm span"
-                    self.violations.append(f"{text}: {self._logged(request_id)}")
+        async with anyio.create_task_group() as tg:
+            for i in range(len(self.vms)):
+                for path, tokens in (("/order/x", None), ("/plan/x", b"50,10")):
+                    tg.start_soon(self._check_answer, i, path, tokens)
+
+    async def _check_answer(self, i: int, path: str, tokens: bytes | None) -> None:
+        request_id, answer = await self._call(i, path, tokens)
+        if answer.status != 200:
+            text = f"{self.vms[i][0]} answers {answer.status} to {path} after a calm span"
+            self.violations.append(f"{text}: {self._logged(request_id)}")
 
     def _logged(self, request_id: str) -> list[str]:
         """Return the lines of all VMs' logs that name a request."""
@@ -289,15 +327,18 @@
         await self._harm(LinkHarm(delay_ms=self.rng.randint(100, 900)), self.rng.uniform(0.5, 3.0))
 
     async def _harm(self, harm: LinkHarm, seconds: float) -> None:
-        pairs = self._some_pairs()
-        sides = self.rng.choice(("both", "there", "back"))
-        ways = [self.links.way(a, b) for a, b in pairs if sides != "back"]
-        ways += [self.links.way(b, a) for a, b in pairs if sides != "there"]
+        ways = self._some_ways(self._some_pairs())
         for way in ways:
             way.apply(harm)
         await anyio.sleep(seconds)
         for way in ways:
-            way.apply(LinkHarm())
+            way.apply(CALM)
+
+    def _some_ways(self, pairs: Sequence[tuple[str, str]]) -> list[Direction]:
+        """Return the ways between pairs of VMs, both or one."""
+        sides = self.rng.choice(("both", "there", "back"))
+        ways = [self.links.way(a, b) for a, b in pairs if sides != "back"]
+        return ways + [self.links.way(b, a) for a, b in pairs if sides != "there"]
 
     def _some_pairs(self) -> Sequence[tuple[str, str]]:
         """Return some pairs of VMs of both regions, or all."""
@@ -323,7 +364,7 @@
 
     async def kill(self) -> None:
         """Kill a VM and start it again."""
-        i = self.rng.randrange(len(VMS))
+        i = self.rng.randrange(len(self.vms))
         vm = self._vms[i]
         self._ending.add(vm)
         vm.kill()
@@ -332,7 +373,7 @@
 
     async def stop(self) -> None:
         """Stop a VM in order and start it again."""
-        i = self.rng.randrange(len(VMS))
+        i = self.rng.randrange(len(self.vms))
         vm = self._vms[i]
         self._ending.add(vm)
         vm.send_signal(signal.SIGTERM)
@@ -377,7 +418,7 @@
 
     async def evacuate(self) -> None:
         """Empty a data centre for a while."""
-        key = names.EVACUATION_PREFIX + self.rng.choice(CENTRES)
+        key = names.EVACUATION_PREFIX + self.rng.choice(self._centres())
         self.app.put(key, b"{}")
         await anyio.sleep(self.rng.uniform(0.5, 2.0))
         self.app.delete(key)
@@ -431,20 +472,7 @@
         folder = Path(logs or stack.enter_context(tempfile.TemporaryDirectory()))
         served = await stack.enter_async_context(serve_store())
         run = kind(served.app, folder, seed=seed, only=only)
-        for name, service, centre, slots in SERVERS:
-            server = ServerStandIn(
-                name,
-                service,
-                centre,
-                served.app,
-                slots=slots,
-                work_ms=WORK_MS,
-                event_every_ms=EVENT_EVERY_MS,
-                events=EVENTS,
-            )
-            await run.add_server(stack, server)
-        for name, centre in BOOKS:
-            server = ServerStandIn(name, "books", centre, served.app, work_ms=WORK_MS)
+        for server in run.make_servers():
             await run.add_server(stack, server)
         await run.run(seconds)
         run.check_runs()
