--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -11,14 +11,16 @@
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
+from hickorybeam.gateway.store_confirmation import Confirmation
 from hickorybeam.gateway.stream_messages import StreamAnswer, StreamQuestion
 from hickorybeam.model.routing import Repeat
 from hickorybeam.policy.retry_after import clamp_retry_after_ms
-from hickorybeam.policy.stream_answers import StreamAnswers
+from hickorybeam.policy.stream_answers import OwnKnowledge, StreamAnswers
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION, stream_digest
+from hickorybeam.policy.version_word import VersionWord, Witness
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.feed import FeedService
@@ -35,11 +37,19 @@
 MAX_ASKED_BESIDE = 24
 # Questions that wait for answers; a stream beyond them counts as unknown.
 MAX_QUESTIONS = 256
-# Once it has known the servers for so long, a VM has heard of all that other VMs use, and no caller
-# still takes up a stream of a server that was gone before.
+# Once a VM has known the servers for so long, no caller takes up a stream of a server that was gone
+# before.
 HISTORY_MS = 5_000
 # What is not known now may be told with the next reports, or by the entry of a server that starts.
 RETRY_AFTER_MS = 500
+# How the version was found, as the metric names it.
+LOOKUPS = {
+    Witness.HERE: "here",
+    Witness.REPORT: "here",
+    Witness.ANSWER: "elsewhere",
+    Witness.STORE: "sole_version",
+    Witness.EVERY_VM: "sole_version",
+}
 
 
 def is_taken_up(request: AdmittedRequest) -> bool:
@@ -61,11 +71,23 @@
 
 @dataclass(slots=True)
 class _Question:
-    """A question that waits for answers; ``changed`` is set with each one."""
+    """A question that waits for answers; ``changed`` is set with each one.
 
+    ``is_named``: the stream's caller names the request that began it. ``confirmation`` is the call
+    that confirms with the store what this VM knows.
+    """
+
+    is_named: bool
+    service: str
     answers: StreamAnswers
+    confirmation: Confirmation
     changed: anyio.Event = field(default_factory=anyio.Event)
 
+    def note_change(self) -> None:
+        """Wake whoever waits for an answer."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
 
 class StreamOrigins:
     """Binds requests to the versions that began their streams, and records where streams begin."""
@@ -74,6 +96,7 @@
         self, *, clock: Clock, counters: Counters, fleet: FleetService, feed: FeedService
     ) -> None:
         self._clock = clock
+        self._started_ms = clock.now()
         self._fleet = fleet
         self._feed = feed
         self._routing_state = feed.routing_state
@@ -92,14 +115,15 @@
 
         :raises GatewayError: the version isn't known, or no server of it is left.
         """
-        key = await self._find(request)
-        if key is None:
+        word = await self._find(request)
+        if isinstance(word, str):
             self._lookups.labels("unknown").inc()
-            raise self._refusal(ErrorKind.STREAM_UNKNOWN, request)
-        service = self._service_of(request, key)
+            raise self._refusal(ErrorKind.STREAM_UNKNOWN, request, word)
+        self._lookups.labels(LOOKUPS[word.by]).inc()
+        service = self._service_of(request, word.key)
         if service is None:
-            raise self._refusal(ErrorKind.STREAM_VERSION_GONE, request)
-        request.service, request.version_key = service, key
+            raise self._refusal(ErrorKind.STREAM_VERSION_GONE, request, f"by {word}")
+        request.service, request.version_key, request.version_word = service, word.key, word
 
     def record_begun(self, request: AdmittedRequest, key: bytes) -> None:
         """Record that the first event of a request's stream is about to be passed on.
@@ -116,67 +140,116 @@
                 digest = stream_digest(request_id)
                 self._fleet.stream_versions.record(digest, key, keep_ms=keep_ms, now_ms=now)
 
-    async def _find(self, request: AdmittedRequest) -> bytes | None:
-        """Return the key of the version that began a stream, ``None`` if it isn't known."""
+    async def _find(self, request: AdmittedRequest) -> VersionWord | str:
+        """Return whose word tells the version that began a stream, or why none does."""
         digest = stream_digest(request.call.resumes) if request.call.resumes else b""
-        key = self._fleet.stream_versions.find(digest, self._clock.now()) if digest else None
-        if key is not None:
-            self._lookups.labels("here").inc()
-            return key
+        word = self._word_here(digest)
+        if word is not None:
+            return word
         if self._is_disputed(digest):
             # Another VM may know one of the versions only, and would be believed.
-            return None
+            return "it is known here by two versions"
         services = {it.service for it in request.route.targets}
         service = services.pop() if len(services) == 1 else ""
-        answers = await self._ask(digest, service)
-        key = answers.told
-        if key is not None:
-            self._lookups.labels("elsewhere").inc()
-            return key
-        key = answers.concluded
-        if key is not None:
-            self._lookups.labels("sole_version").inc()
-        return key
-
-    async def _ask(self, digest: bytes, service: str) -> StreamAnswers:
-        """Ask other VMs, the region's first; return their answers once they suffice."""
-        near, far = self._near_vms(), self._far_vms()
-        # If no VM that is known is live, this one is cut off, and none of them answers.
-        asked = [*near, *far] or list(self._fleet.peers.by_name)
-        answers = StreamAnswers(asked, sole=self._sole_version(service))
+        return await self._ask(digest, service)
+
+    def _word_here(self, digest: bytes) -> VersionWord | None:
+        now = self._clock.now()
+        known = self._fleet.stream_versions.find(digest, now) if digest else None
+        if known is None:
+            return None
+        by = Witness.REPORT if known.told_by else Witness.HERE
+        return VersionWord(known.version_key, by, known.told_by, now - known.since_ms)
+
+    async def _ask(self, digest: bytes, service: str) -> VersionWord | str:
+        """Ask the store and other VMs which version began a stream; return why none tells it."""
         if len(self._questions) >= MAX_QUESTIONS:
-            return answers
+            return f"{MAX_QUESTIONS} other questions wait for answers"
+        answers = StreamAnswers(self._fleet.peers.by_name)
+        question = _Question(bool(digest), service, answers, self._confirmation_for(service))
         number = next(self._numbers)
-        question = self._questions[number] = _Question(answers)
+        self._questions[number] = question
         message = StreamQuestion(self._fleet.own_vm.name, number, digest, service)
         try:
-            for vm in (*near, *far):
-                self._fleet.send_message(vm, message)
-            await self._wait(question, near, NEAR_ANSWERS_MS)
-            if answers.concluded is None and not answers.disputed:
-                await self._wait(question, [*near, *far], FAR_ANSWERS_MS - NEAR_ANSWERS_MS)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(self._await_confirmation, question)
+                await self._collect(question, message)
+                tg.cancel_scope.cancel()
         finally:
             del self._questions[number]
-        return answers
+        own = self._own_knowledge(question)
+        return answers.conclude(own) or answers.why_unknown(own)
+
+    def _confirmation_for(self, service: str) -> Confirmation:
+        """Ask for a call to the store, unless the service has several versions anyway."""
+        sole = self._routing_state.version_history.sole_version(service, self._clock.now())
+        if sole == UNKNOWN_VERSION:
+            return Confirmation.never()
+        return self._feed.confirmation.request()
+
+    async def _collect(self, question: _Question, message: StreamQuestion) -> None:
+        """Ask VMs, some first and all if need be, and wait for their answers.
+
+        All are asked only where the store doesn't answer, as each message is paid for.
+        """
+        near, far = self._near_vms(), self._far_vms()
+        everyone = list(self._fleet.peers.by_name)
+        some = everyone if self._feed.confirmation.is_overdue else [*near, *far]
+        self._send(message, some)
+        await self._wait(question, near, NEAR_ANSWERS_MS)
+        await self._wait(question, some, FAR_ANSWERS_MS - NEAR_ANSWERS_MS)
+        rest = set(everyone).difference(some)
+        if rest and question.answers.may_be_sole(self._own_knowledge(question)):
+            self._send(message, rest)
+            await self._wait(question, everyone, FAR_ANSWERS_MS)
+
+    def _send(self, message: StreamQuestion, vms: Iterable[str]) -> None:
+        for vm in vms:
+            self._fleet.send_message(vm, message)
+
+    async def _await_confirmation(self, question: _Question) -> None:
+        await question.confirmation.done.wait()
+        question.note_change()
 
     async def _wait(self, question: _Question, vms: Sequence[str], limit_ms: int) -> None:
-        """Wait until the stream is known, or until all of some VMs have answered."""
+        """Wait until the version is known, or until no answer of some VMs can tell it any more."""
         with anyio.move_on_after(limit_ms / MS_PER_SECOND):
-            answers = question.answers
-            while answers.told is None and not answers.disputed and not answers.heard_all(vms):
-                question.changed = anyio.Event()
+            while not self._is_settled(question, vms):
                 await question.changed.wait()
 
+    def _is_settled(self, question: _Question, vms: Sequence[str]) -> bool:
+        answers = question.answers
+        own = self._own_knowledge(question)
+        if answers.disputed or answers.conclude(own) is not None:
+            return True
+        if not answers.may_be_sole(own) and not question.is_named:
+            return True
+        if not answers.heard_all(vms):
+            return False
+        return question.confirmation.done.is_set() or not answers.may_be_sole(own)
+
+    def _own_knowledge(self, question: _Question) -> OwnKnowledge:
+        now = self._clock.now()
+        confirmation = question.confirmation
+        began_ms = confirmation.began_ms if confirmation.confirmed else None
+        return OwnKnowledge(
+            self._routing_state.version_history.sole_version(question.service, now),
+            is_new=self._is_new(now),
+            confirmed_age_ms=None if began_ms is None else now - began_ms,
+            followed_from=0 if self._complete_to() else self._feed.history.begins_at,
+        )
+
     def handle_question(self, message: StreamQuestion) -> None:
         """Answer another VM's question."""
-        now = self._clock.now()
-        key = self._fleet.stream_versions.find(message.digest, now) if message.digest else None
+        word = self._word_here(message.digest)
         answer = StreamAnswer(
             self._fleet.own_vm.name,
             message.number,
-            key or UNKNOWN_VERSION,
+            word.key if word else UNKNOWN_VERSION,
             self._sole_version(message.service),
             self._is_disputed(message.digest),
+            word.age_ms if word else 0,
+            self._complete_to(),
         )
         self._fleet.send_message(message.vm, answer)
 
@@ -187,30 +260,26 @@
         """Pass an answer to the request that waits for it."""
         question = self._questions.get(message.number)
         if question is not None:
-            question.answers.add(
-                message.vm, message.version_key, message.sole, disputed=message.disputed
-            )
-            question.changed.set()
+            question.answers.add(message.to_vm_answer())
+            question.note_change()
 
     def _sole_version(self, service: str) -> bytes | None:
-        """Return the key of the only version that a service has had, as an answer tells it.
+        """Return the key of the only version of a service that this VM has known, for an answer.
 
-        A VM that has just started, or that doesn't hear of new servers, can't tell that there was
-        one only.
+        It may have sent streams to servers of no other one; a VM that has just started can't tell
+        that of its earlier incarnation.
         """
         if not service:
             return None
         now = self._clock.now()
         sole = self._routing_state.version_history.sole_version(service, now)
-        complete = self._has_history(now) and self._hears_of_servers()
-        return sole if complete or sole == UNKNOWN_VERSION else None
+        return None if self._is_new(now) and sole != UNKNOWN_VERSION else sole
 
-    def _has_history(self, now_ms: int) -> bool:
-        loaded_ms = self._feed.loaded_since_ms
-        return loaded_ms is not None and now_ms - loaded_ms >= HISTORY_MS
+    def _complete_to(self) -> int:
+        return self._feed.history.complete_after(HISTORY_MS, self._clock.now())
 
-    def _hears_of_servers(self) -> bool:
-        return self._feed.watches_store or self._fleet.has_local_watcher()
+    def _is_new(self, now_ms: int) -> bool:
+        return now_ms - self._started_ms < HISTORY_MS
 
     def _service_of(self, request: AdmittedRequest, key: bytes) -> str | None:
         """Return the service of a route that has servers of a version, if one has."""
@@ -220,9 +289,10 @@
                 return target.service
         return None
 
-    def _refusal(self, kind: ErrorKind, request: AdmittedRequest) -> GatewayError:
+    def _refusal(self, kind: ErrorKind, request: AdmittedRequest, why: str) -> GatewayError:
         left_ms = request.deadline_ms - self._clock.now()
-        return GatewayError(kind, retry_after_ms=clamp_retry_after_ms(RETRY_AFTER_MS, left_ms))
+        retry_after_ms = clamp_retry_after_ms(RETRY_AFTER_MS, left_ms)
+        return GatewayError(kind, why, retry_after_ms=retry_after_ms)
 
     def _near_vms(self) -> list[str]:
         """Return the live VMs of this data centre, and some of the region's other ones."""
