--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -89,12 +89,18 @@
 
     def quota_peer_count(self) -> int:
         """Return how many VMs share the accounts' rates with this one, 0 if it is isolated."""
-        now = self._clock.now()
-        ages_ms = [now - it.last_seen_ms for it in self.by_name.values()]
-        if min(ages_ms, default=0) > isolation_timeout_ms(len(self.local_peers())):
+        if self.isolated_since_ms() is not None:
             return 0
-        limit_ms = self.quota_peer_timeout_ms()
-        return sum(age_ms < limit_ms for age_ms in ages_ms)
+        now, limit_ms = self._clock.now(), self.quota_peer_timeout_ms()
+        return sum(now - it.last_seen_ms < limit_ms for it in self.by_name.values())
+
+    def isolated_since_ms(self) -> int | None:
+        """Return since when reports of all VMs have been missing for too long, ``None`` if not."""
+        if not self.by_name:
+            return None
+        last_ms = max(it.last_seen_ms for it in self.by_name.values())
+        since_ms = last_ms + isolation_timeout_ms(len(self.local_peers()))
+        return since_ms if self._clock.now() > since_ms else None
 
     def quota_peer_timeout_ms(self) -> int:
         """Return how long a VM may send no report before it counts as spending its own share."""
@@ -106,6 +112,19 @@
         """Return whether a report of the VM arrived within the timeout."""
         return peer.is_live(self._clock.now(), self.peer_timeout_ms)
 
+    def report_ages_ms(self) -> dict[str, int]:
+        """Return the age of the latest report of each data centre's VMs.
+
+        A VM that has sent none since it became known counts from then on.
+        """
+        now = self._clock.now()
+        ages: dict[str, int] = {}
+        for peer in self.by_name.values():
+            age_ms = now - max(peer.last_seen_ms, peer.known_since_ms)
+            centre = peer.vm.data_centre
+            ages[centre] = min(age_ms, ages.get(centre, age_ms))
+        return ages
+
     def known_count(self) -> int:
         """Return how many VMs are known, leaving ones not counted."""
         return sum(not peer.leaving for peer in self.by_name.values())
@@ -240,17 +259,18 @@
         if name in self.by_name:
             self.by_name[name].registered = False
 
-    def record_report(self, name: str, vm: GatewayVm | None) -> Peer | None:
+    def record_report(self, name: str, vm: GatewayVm | None, *, is_old: bool) -> Peer | None:
         """Return the VM that sent a report and update when it was last seen.
 
         :param vm: its own record, sent by a VM that isn't registered.
+        :param is_old: the report arrived too late to tell that the VM is live.
         :return: ``None`` if the VM is unknown or this one.
         """
         peer = self.by_name.get(name)
         is_new = peer is None and name != self._own_vm.name
         if is_new and vm is not None and is_ip_address(vm.host):
             peer = self.by_name[name] = Peer(vm, self._clock.now(), registered=False)
-        if peer is not None:
+        if peer is not None and not is_old:
             peer.last_seen_ms = self._clock.now()
         return peer
 
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -10,6 +10,7 @@
 
 import anyio
 import msgspec
+from absl import logging
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.errors import ErrorKind, GatewayError
@@ -63,7 +64,20 @@
 MAX_RESPONSE_BYTES = 8_388_608
 # Of all pages of one read.
 MAX_READ_BYTES = 67_108_864
-OK, NOT_FOUND, GONE, CONFLICT, TOO_MANY, UNAVAILABLE = 200, 404, 410, 412, 429, 503
+OK, NOT_FOUND, GONE, CONFLICT = 200, 404, 410, 412
+# With these the store has done nothing. What any other status means for a write that it isn't an
+# answer to is unknown.
+REJECTIONS = frozenset({400, 403, 413, 429, 503})
+# The statuses that answer a call, by its kind; any other is a failure, or another call's.
+ANSWERS = {
+    "read": (OK, NOT_FOUND),
+    "range": (OK,),
+    "watch": (OK, GONE),
+    "txn": (OK, NOT_FOUND, CONFLICT),
+    "lease": (OK,),
+    "keep": (OK, NOT_FOUND),
+    "revoke": (OK, NOT_FOUND),
+}
 JSON = ((b"content-type", b"application/json"),)
 # Fields of a good response, by kind of call. A response without a length whose connection ended
 # early may lack all of them.
@@ -111,13 +125,34 @@
         self._retry_budget = RetryBudget(burst=MAX_SAVED_RETRIES)
         self._rng = random.Random()
         self._pending_polls: set[_PendingPoll] = set()
-        self._last_failure_ms: int | None = None
+        self._failing_since_ms: int | None = None
+        self._failed_ms: int | None = None
+        self._answered_ms: int | None = None
         # The highest revision of all replies, and the lease that was granted last.
         self._known_revision = 0
         self._last_lease: int | None = None
         self._calls = counters.counter(
             "platform_calls", "Calls made of the platform", ("kind", "outcome")
         )
+        age = counters.gauge(
+            "store_answer_age_ms", "Time since the store last answered a call, -1 if never, in ms"
+        )
+        age.set_function(self._answer_age_ms)
+
+    @property
+    def failing(self) -> bool:
+        """Whether a call has failed, and none has succeeded since."""
+        return self._failing_since_ms is not None
+
+    @property
+    def answered_ms(self) -> int | None:
+        """When a call last succeeded; ``None`` if none has."""
+        return self._answered_ms
+
+    @property
+    def failed_ms(self) -> int | None:
+        """When a call last failed; ``None`` if none has."""
+        return self._failed_ms
 
     async def read(self, key: str, *, limit: int = 0) -> ReadResult:
         """Read one key."""
@@ -260,9 +295,32 @@
         self._known_revision = max(self._known_revision, revision or 0)
 
     def _record_failure(self, kind: str, outcome: str) -> None:
-        self._last_failure_ms = self._clock.now()
+        self._failed_ms = self._clock.now()
+        if self._failing_since_ms is None:
+            self._failing_since_ms = self._failed_ms
+            logging.warning(
+                "store: a call (%s) failed (%s), the last answer came %d ms ago",
+                kind,
+                outcome,
+                self._answer_age_ms(),
+            )
         self._count(kind, outcome)
 
+    def _answer_age_ms(self) -> int:
+        return -1 if self._answered_ms is None else self._clock.now() - self._answered_ms
+
+    def _record_success(self, kind: str) -> None:
+        now = self._answered_ms = self._clock.now()
+        self._count(kind, "ok")
+        if self._failing_since_ms is not None:
+            logging.info(
+                "store: a call (%s) succeeded, %d ms after the first that failed",
+                kind,
+                now - self._failing_since_ms,
+            )
+            self._cancel_stale_polls()
+            self._failing_since_ms = None
+
     def _cancel_stale_polls(self) -> None:
         """Cancel polls that began before a call failed, now that one has succeeded again.
 
@@ -271,12 +329,9 @@
         force seconds after its end, though other calls work. Costs one more read and one more
         poll per outage.
         """
-        if self._last_failure_ms is None:
-            return
         for poll in self._pending_polls:
-            if poll.started_ms <= self._last_failure_ms:
+            if self._failed_ms is not None and poll.started_ms <= self._failed_ms:
                 poll.scope.cancel()
-        self._last_failure_ms = None
 
     async def _read(self, kind: str, path: str) -> tuple[int, StoreReply]:
         self._retry_budget.earn()
@@ -344,9 +399,11 @@
     def _check_response(
         self, kind: str, status: int, raw: bytes, *, write: bool
     ) -> tuple[int, StoreReply]:
-        if status not in (OK, NOT_FOUND, GONE, CONFLICT):
-            self._record_failure(kind, "refused")
-            raise GatewayError(ErrorKind.PLATFORM_OUT, f"{kind}: unexpected status {status}")
+        if status not in ANSWERS[kind]:
+            is_unknown = write and status not in REJECTIONS
+            self._record_failure(kind, "unknown" if is_unknown else "refused")
+            error = ErrorKind.PLATFORM_UNKNOWN if is_unknown else ErrorKind.PLATFORM_OUT
+            raise GatewayError(error, f"{kind}: unexpected status {status}")
         reply = decode_reply(raw)
         required = REQUIRED_FIELDS.get(kind, ()) if status == OK else ()
         missing = reply.missing_fields(required) if reply is not None else ()
@@ -355,8 +412,7 @@
             what = f"lacks {', '.join(missing)}" if reply is not None else "can't be read"
             error = ErrorKind.PLATFORM_UNKNOWN if write else ErrorKind.PLATFORM_OUT
             raise GatewayError(error, f"{kind}: the response of {len(raw)} bytes {what}")
-        self._count(kind, "ok")
-        self._cancel_stale_polls()
+        self._record_success(kind)
         return status, reply
 
     def _count(self, kind: str, outcome: str) -> None:
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -329,7 +329,7 @@
         "watch": (watch_once, client),
         "write": (client.txn, (), (Put("a", b"1"),)),
         "grant": (client.grant, 5_000),
-        "renewal": (client.keep_alive, context.lease),
+        "renewal": (client.keep_alive, getattr(context, "lease", 1)),
     }
     found = outcome(context, *calls[call])
     assert found == kind, found
@@ -437,3 +437,8 @@
 @then("it has opened {count:d} connections")
 def step_opened(context, count):
     assert context.client._pool.opened == count, context.client._pool.opened
+
+
+@then("the key-value client says that calls {what}")
+def step_client_fails(context, what):
+    assert context.client.failing == {"fail": True, "succeed": False}[what]
