--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -481,11 +481,18 @@
 
 def main(seed: int = 1, seconds: float = 30.0, only: str = "", logs: str = "") -> None:
     """Run one soak and print its verdict."""
-    report(anyio.run(partial(soak, seed, seconds, only=only, logs=logs)), "link", seed, seconds)
-
-
-def report(run: LinkSoak, name: str, seed: int, seconds: float) -> None:
-    """Print a verdict, and end with it."""
+    play(LinkSoak, "link", seed, seconds, only=only, logs=logs)
+
+
+def play(
+    kind: type[LinkSoak], name: str, seed: int, seconds: float, *, only: str, logs: str
+) -> None:
+    """Run one soak, print its verdict, and end with it."""
+    try:
+        run = anyio.run(partial(soak, seed, seconds, only=only, logs=logs, kind=kind))
+    except BaseExceptionGroup as exc:
+        # One error lies in as many groups as servers run, and would be printed without itself.
+        raise leaf_error(exc) from None
     print(f"{name} soak, seed {seed}, {seconds} s: {dict(sorted(run.outcomes.items()))}")
     for text in run.violations[:20]:
         print(f"VIOLATED {text}")
@@ -493,5 +500,10 @@
     sys.exit(1 if run.violations else 0)
 
 
+def leaf_error(exc: BaseException) -> BaseException:
+    """Return the first error of nested groups."""
+    return leaf_error(exc.exceptions[0]) if isinstance(exc, BaseExceptionGroup) else exc
+
+
 if __name__ == "__main__":
     fire.Fire(main)
--- a/bench/soak/releases.py
+++ b/bench/soak/releases.py
@@ -17,13 +17,12 @@
 from collections import Counter, defaultdict
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from functools import partial
 from typing import TYPE_CHECKING, Any, ClassVar
 
 import anyio
 import fire
 from bench.soak.exchange import exchange
-from bench.soak.links import CALL_LIMIT_S, EVENTS, PROMISES_NOT_RUN, LinkSoak, report, soak
+from bench.soak.links import CALL_LIMIT_S, EVENTS, PROMISES_NOT_RUN, LinkSoak, play
 from bench.soak.streams import MAX_WAIT_S, OK, VERSIONS, CallersStream
 
 from hickorybeam.clock import SystemClock
@@ -441,8 +440,7 @@
 
 def main(seed: int = 1, seconds: float = 20.0, only: str = "", logs: str = "") -> None:
     """Run one soak and print its verdict."""
-    run = anyio.run(partial(soak, seed, seconds, only=only, logs=logs, kind=ReleaseSoak))
-    report(run, "release", seed, seconds)
+    play(ReleaseSoak, "release", seed, seconds, only=only, logs=logs)
 
 
 if __name__ == "__main__":
--- a/bench/soak/strays.py
+++ b/bench/soak/strays.py
@@ -11,12 +11,11 @@
 from __future__ import annotations
 
 import re
-from functools import partial
 from typing import TYPE_CHECKING, ClassVar
 
 import anyio
 import fire
-from bench.soak.links import EVENTS, LinkSoak, report, soak
+from bench.soak.links import EVENTS, LinkSoak, play
 
 from hickorybeam.standins.strays import FORMS, RAW_FORMS, STRAY_BODY, Moment, serve_strays
 
@@ -105,8 +104,7 @@
 
 def main(seed: int = 1, seconds: float = 20.0, only: str = "", logs: str = "") -> None:
     """Run one soak and print its verdict."""
-    run = anyio.run(partial(soak, seed, seconds, only=only, logs=logs, kind=StraySoak))
-    report(run, "stray", seed, seconds)
+    play(StraySoak, "stray", seed, seconds, only=only, logs=logs)
 
 
 if __name__ == "__main__":
