--- a/bench/soak/links.py
+++ b/bench/soak/links.py
@@ -74,6 +74,8 @@
 WAIT_MS = 4_000
 CALL_LIMIT_S = 8.0
 GRACE_S = 2.0
+# To start all processes, on a machine with six times more to do than it has cores.
+READY_S = 30
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 PORTS_PER_VM = 5
 HOP_MARKS = (b"rejected", b"not-asked", b"part-blocked")
@@ -229,7 +231,7 @@
         return start_daemon(self._cfgs[i], path, log_path=self._folder / f"{name}.log")
 
     async def _ready(self) -> None:
-        with anyio.fail_after(15):
+        with anyio.fail_after(READY_S):
             async with anyio.create_task_group() as tg:
                 for i in range(len(self.vms)):
                     tg.start_soon(self._vm_ready, i)
