--- a/src/hickorybeam/gateway/known_entries.py
+++ b/src/hickorybeam/gateway/known_entries.py
@@ -96,7 +96,7 @@
         """
         match decode_entry(item.key, item.value):
             case ConfigEntry(config):
-                if not self._routing_state.update_config(config):
+                if not self._routing_state.update_config(config, self._clock.now()):
                     return False
                 logging.info("configuration version %d is in force", config.version)
                 self._on_config(config)
--- a/src/hickorybeam/gateway/peers.py
+++ b/src/hickorybeam/gateway/peers.py
@@ -31,6 +31,10 @@
 # on the placement coordinator. If it were longer, each VM would place alone after all were killed
 # at once, just while every caller reconnects.
 MIN_STABLE_MS = 1_000
+# A VM whose registration hasn't been heard of is remembered for as long as callers may take up a
+# stream of it; more than the fleet has are never new at once.
+STRANGER_MS = 120_000
+MAX_STRANGERS = 1_000
 
 
 @dataclass(slots=True, eq=False)
@@ -71,6 +75,25 @@
     age_ms: int
 
 
+class Strangers:
+    """Names of VMs that report and aren't registered, as far as is known here."""
+
+    def __init__(self) -> None:
+        self._heard_ms: dict[str, int] = {}
+
+    def note(self, name: str, now_ms: int, *, is_known: bool) -> None:
+        """Note a report of a VM."""
+        self._heard_ms.pop(name, None)
+        if not is_known:
+            self._heard_ms[name] = now_ms
+            if len(self._heard_ms) > MAX_STRANGERS:
+                del self._heard_ms[next(iter(self._heard_ms))]
+
+    def names(self, now_ms: int) -> list[str]:
+        """Return the VMs that have been heard lately and aren't known."""
+        return [name for name, at in self._heard_ms.items() if now_ms - at < STRANGER_MS]
+
+
 class PeerTable:
     """All other VMs of the fleet.
 
@@ -82,6 +105,14 @@
         self._own_vm = own_vm
         self.peer_timeout_ms = MIN_PEER_TIMEOUT_MS
         self.by_name: dict[str, Peer] = {}
+        self._strangers = Strangers()
+
+    def all_names(self) -> list[str]:
+        """Return the names of all VMs that can have served requests, as far as this one can tell.
+
+        Some report and aren't known otherwise: their registration has not been heard of.
+        """
+        return [*self.by_name, *self._strangers.names(self._clock.now())]
 
     def live_count(self) -> int:
         """Return how many VMs are live."""
@@ -268,6 +299,7 @@
         """
         peer = self.by_name.get(name)
         is_new = peer is None and name != self._own_vm.name
+        self._strangers.note(name, self._clock.now(), is_known=not is_new or vm is not None)
         if is_new and vm is not None and is_ip_address(vm.host):
             peer = self.by_name[name] = Peer(vm, self._clock.now(), registered=False)
         if peer is not None and not is_old:
--- a/src/hickorybeam/gateway/routing_state.py
+++ b/src/hickorybeam/gateway/routing_state.py
@@ -23,10 +23,10 @@
 from hickorybeam.policy.version_history import VersionHistory
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from hickorybeam.gateway.targets import AdmittedRequest
-    from hickorybeam.model.routing import RegisteredServer, ServiceSpec
+    from hickorybeam.model.routing import RegisteredServer, Route, ServiceSpec
     from hickorybeam.policy.server_rate import RateLimit
 
 __all__ = ("RoutingState",)
@@ -36,6 +36,11 @@
 MAX_REMOVED_SERVERS = 1_000
 
 
+def services_by_route(routes: Iterable[Route]) -> set[tuple[str, str]]:
+    """Return the routes' names, each with each service that it leads to."""
+    return {(it.name, target.service) for it in routes for target in it.targets}
+
+
 class RoutingState:
     """Latest state of the gateway's entries in the store, as this VM knows them."""
 
@@ -46,6 +51,8 @@
         # Grows with each change of the available servers, so that lists of them can be kept.
         self.servers_revision = 0
         self.version_history = VersionHistory()
+        # The services to which each route leads, and led lately.
+        self.service_history = VersionHistory()
         self._evacuated_data_centres: frozenset[str] = frozenset()
         self._mean_rate_per_s = 0.0
         self._by_service: dict[str, dict[str, ServerState]] = {}
@@ -72,7 +79,7 @@
         """Return the limits on callers' requests that are in force."""
         return self.config.callers if self.config else CallerLimits()
 
-    def update_config(self, config: RoutingConfig) -> bool:
+    def update_config(self, config: RoutingConfig, now_ms: int) -> bool:
         """Apply a configuration if it is newer than the one in force.
 
         A stale read or a lagging VM may return an older version; applying it would bring back
@@ -82,6 +89,7 @@
         """
         if self.config is not None and config.version <= self.config.version:
             return False
+        self._note_services(config, now_ms)
         self.config = config
         self.route_table = RouteTable(config.routes)
         rates = [it.rate_per_s for it in config.accounts.values() if it.rate_per_s > 0]
@@ -90,6 +98,15 @@
             state.cache_tokens = self.cache_tokens(state.server.service)
         return True
 
+    def _note_services(self, config: RoutingConfig, now_ms: int) -> None:
+        """Record which services routes lead to from now on, and which not any more."""
+        before = services_by_route(self.config.routes) if self.config else set()
+        after = services_by_route(config.routes)
+        for route, service in before - after:
+            self.service_history.remove(route, service.encode(), now_ms)
+        for route, service in after - before:
+            self.service_history.add(route, service.encode())
+
     def may_run_in(self, request: AdmittedRequest, region: str) -> bool:
         """Return whether a region is a home region of a request's route and of its account.
 
--- a/src/hickorybeam/gateway/store_confirmation.py
+++ b/src/hickorybeam/gateway/store_confirmation.py
@@ -16,6 +16,8 @@
 
 __all__ = ("Confirmation", "StoreConfirmation")
 
+# Pause between two calls, each of which is paid for; what is asked meanwhile shares the next one.
+PAUSE_MS = 50
 # After a call that failed, the next one waits for so long: each one is paid for.
 RETRY_PAUSE_MS = 500
 # A call that has no answer after this long is not worth waiting for; it goes on, and its failure
@@ -76,8 +78,7 @@
             self._wanted = anyio.Event()
             self._current, self._next = self._next, Confirmation()
             await self._make_call(self._current)
-            if self._has_failed:
-                await self._clock.sleep(RETRY_PAUSE_MS)
+            await self._clock.sleep(RETRY_PAUSE_MS if self._has_failed else PAUSE_MS)
 
     async def _make_call(self, confirmation: Confirmation) -> None:
         confirmation.began_ms = self._clock.now()
--- a/src/hickorybeam/gateway/stream_messages.py
+++ b/src/hickorybeam/gateway/stream_messages.py
@@ -14,13 +14,14 @@
     """Asks which version began a stream, and which one alone could have.
 
     ``digest`` is the stream's, empty if its caller names no request. ``service`` is the only one
-    that may have served it, empty if there are several.
+    that may have served it, empty if there are several, and ``route`` is the route that led there.
     """
 
     vm: str
     number: BoundedInt
     digest: bytes
     service: str
+    route: str = ""
 
 
 class StreamAnswer(msgspec.Struct, frozen=True, array_like=True, tag="began"):
--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -20,7 +20,7 @@
 from hickorybeam.policy.version_word import VersionWord, Witness
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Collection
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.feed import FeedService
@@ -33,6 +33,7 @@
 # VMs of this region answer within some ms, those of other regions after a round trip there.
 NEAR_ANSWERS_MS = 60
 FAR_ANSWERS_MS = 250
+LATER_ANSWERS_MS = FAR_ANSWERS_MS - NEAR_ANSWERS_MS
 # VMs of the region's other data centres that are asked; those of the own one all are.
 MAX_ASKED_BESIDE = 24
 # Questions that wait for answers; a stream beyond them counts as unknown.
@@ -78,9 +79,11 @@
     """
 
     is_named: bool
+    route: str
     service: str
     answers: StreamAnswers
     confirmation: Confirmation
+    waits_for_store: bool = True
     changed: anyio.Event = field(default_factory=anyio.Event)
 
     def note_change(self) -> None:
@@ -149,9 +152,11 @@
         if self._is_disputed(digest):
             # Another VM may know one of the versions only, and would be believed.
             return "it is known here by two versions"
-        services = {it.service for it in request.route.targets}
-        service = services.pop() if len(services) == 1 else ""
-        return await self._ask(digest, service)
+        return await self._ask(digest, request.route.name, self._sole_service(request.route.name))
+
+    def _sole_service(self, route: str) -> str:
+        """Return the only service that a route has led to lately, empty if there were several."""
+        return self._routing_state.service_history.sole(route, self._clock.now()).decode()
 
     def _word_here(self, digest: bytes) -> VersionWord | None:
         now = self._clock.now()
@@ -161,15 +166,15 @@
         by = Witness.REPORT if known.told_by else Witness.HERE
         return VersionWord(known.version_key, by, known.told_by, now - known.since_ms)
 
-    async def _ask(self, digest: bytes, service: str) -> VersionWord | str:
+    async def _ask(self, digest: bytes, route: str, service: str) -> VersionWord | str:
         """Ask the store and other VMs which version began a stream; return why none tells it."""
         if len(self._questions) >= MAX_QUESTIONS:
             return f"{MAX_QUESTIONS} other questions wait for answers"
-        answers = StreamAnswers(self._fleet.peers.by_name)
-        question = _Question(bool(digest), service, answers, self._confirmation_for(service))
+        answers = StreamAnswers(self._fleet.peers.all_names())
+        question = _Question(bool(digest), route, service, answers, self._confirmation_for(service))
         number = next(self._numbers)
         self._questions[number] = question
-        message = StreamQuestion(self._fleet.own_vm.name, number, digest, service)
+        message = StreamQuestion(self._fleet.own_vm.name, number, digest, service, route)
         try:
             async with anyio.create_task_group() as tg:
                 tg.start_soon(self._await_confirmation, question)
@@ -182,7 +187,7 @@
 
     def _confirmation_for(self, service: str) -> Confirmation:
         """Ask for a call to the store, unless the service has several versions anyway."""
-        sole = self._routing_state.version_history.sole_version(service, self._clock.now())
+        sole = self._routing_state.version_history.sole(service, self._clock.now())
         if sole == UNKNOWN_VERSION:
             return Confirmation.never()
         return self._feed.confirmation.request()
@@ -193,17 +198,20 @@
         All are asked only where the store doesn't answer, as each message is paid for.
         """
         near, far = self._near_vms(), self._far_vms()
-        everyone = list(self._fleet.peers.by_name)
+        everyone = self._fleet.peers.all_names()
         some = everyone if self._feed.confirmation.is_overdue else [*near, *far]
-        self._send(message, some)
-        await self._wait(question, near, NEAR_ANSWERS_MS)
-        await self._wait(question, some, FAR_ANSWERS_MS - NEAR_ANSWERS_MS)
+        self._send(question, message, some)
+        # A near VM that knows the stream, or of another version, goes before the store's word.
+        await self._wait(question, NEAR_ANSWERS_MS, lambda: self._has_heard(question, near))
+        await self._wait(question, LATER_ANSWERS_MS, lambda: self._is_settled(question, some))
+        question.waits_for_store = False
         rest = set(everyone).difference(some)
-        if rest and question.answers.may_be_sole(self._own_knowledge(question)):
-            self._send(message, rest)
-            await self._wait(question, everyone, FAR_ANSWERS_MS)
+        if rest and self._may_be_sole(question) and not self._is_concluded(question):
+            self._send(question, message, rest)
+            await self._wait(question, LATER_ANSWERS_MS, lambda: self._is_settled(question, rest))
 
-    def _send(self, message: StreamQuestion, vms: Iterable[str]) -> None:
+    def _send(self, question: _Question, message: StreamQuestion, vms: Collection[str]) -> None:
+        question.answers.note_asked(vms)
         for vm in vms:
             self._fleet.send_message(vm, message)
 
@@ -211,34 +219,51 @@
         await question.confirmation.done.wait()
         question.note_change()
 
-    async def _wait(self, question: _Question, vms: Sequence[str], limit_ms: int) -> None:
-        """Wait until the version is known, or until no answer of some VMs can tell it any more."""
+    async def _wait(self, question: _Question, limit_ms: int, is_over: Callable[[], bool]) -> None:
+        """Wait for answers until enough have come."""
         with anyio.move_on_after(limit_ms / MS_PER_SECOND):
-            while not self._is_settled(question, vms):
+            while not is_over():
                 await question.changed.wait()
 
-    def _is_settled(self, question: _Question, vms: Sequence[str]) -> bool:
+    def _has_heard(self, question: _Question, vms: Collection[str]) -> bool:
+        """Return whether some VMs have answered, or no further answer can tell the version."""
         answers = question.answers
-        own = self._own_knowledge(question)
-        if answers.disputed or answers.conclude(own) is not None:
+        if answers.disputed or answers.told is not None or answers.heard_all(vms):
             return True
-        if not answers.may_be_sole(own) and not question.is_named:
+        return not question.is_named and not self._may_be_sole(question)
+
+    def _is_settled(self, question: _Question, vms: Collection[str]) -> bool:
+        """Return whether the version is known, or no further answer can tell it."""
+        if self._is_concluded(question):
             return True
-        if not answers.heard_all(vms):
+        if not self._has_heard(question, vms):
             return False
-        return question.confirmation.done.is_set() or not answers.may_be_sole(own)
+        return question.confirmation.done.is_set() or not self._may_be_sole(question)
+
+    def _is_concluded(self, question: _Question) -> bool:
+        return question.answers.conclude(self._own_knowledge(question)) is not None
+
+    def _may_be_sole(self, question: _Question) -> bool:
+        return question.answers.may_be_sole(self._own_knowledge(question))
 
     def _own_knowledge(self, question: _Question) -> OwnKnowledge:
         now = self._clock.now()
         confirmation = question.confirmation
         began_ms = confirmation.began_ms if confirmation.confirmed else None
         return OwnKnowledge(
-            self._routing_state.version_history.sole_version(question.service, now),
+            self._known_version(question.route, question.service),
             is_new=self._is_new(now),
             confirmed_age_ms=None if began_ms is None else now - began_ms,
+            store_is_heard=self._is_store_heard(question),
             followed_from=0 if self._complete_to() else self._feed.history.begins_at,
         )
 
+    def _is_store_heard(self, question: _Question) -> bool:
+        """Return whether the store has confirmed what this VM knows, or isn't waited for."""
+        if not question.waits_for_store or question.confirmation.done.is_set():
+            return True
+        return self._feed.confirmation.is_overdue
+
     def handle_question(self, message: StreamQuestion) -> None:
         """Answer another VM's question."""
         word = self._word_here(message.digest)
@@ -246,7 +271,7 @@
             self._fleet.own_vm.name,
             message.number,
             word.key if word else UNKNOWN_VERSION,
-            self._sole_version(message.service),
+            self._sole_version(message.route, message.service),
             self._is_disputed(message.digest),
             word.age_ms if word else 0,
             self._complete_to(),
@@ -263,7 +288,16 @@
             question.answers.add(message.to_vm_answer())
             question.note_change()
 
-    def _sole_version(self, service: str) -> bytes | None:
+    def _known_version(self, route: str, service: str) -> bytes:
+        """Return the key of the only version that a route's streams have had, as known here.
+
+        :param service: the only service to which the route led when the question was asked.
+        """
+        if route and self._sole_service(route) != service:
+            return UNKNOWN_VERSION
+        return self._routing_state.version_history.sole(service, self._clock.now())
+
+    def _sole_version(self, route: str, service: str) -> bytes | None:
         """Return the key of the only version of a service that this VM has known, for an answer.
 
         It may have sent streams to servers of no other one; a VM that has just started can't tell
@@ -272,7 +306,7 @@
         if not service:
             return None
         now = self._clock.now()
-        sole = self._routing_state.version_history.sole_version(service, now)
+        sole = self._known_version(route, service)
         return None if self._is_new(now) and sole != UNKNOWN_VERSION else sole
 
     def _complete_to(self) -> int:
--- a/src/hickorybeam/platform/store.py
+++ b/src/hickorybeam/platform/store.py
@@ -64,6 +64,7 @@
 MAX_RESPONSE_BYTES = 8_388_608
 # Of all pages of one read.
 MAX_READ_BYTES = 67_108_864
+CATCH_UP = "catch_up"
 OK, NOT_FOUND, GONE, CONFLICT = 200, 404, 410, 412
 # With these the store has done nothing. What any other status means for a write that it isn't an
 # answer to is unknown.
@@ -73,6 +74,7 @@
     "read": (OK, NOT_FOUND),
     "range": (OK,),
     "watch": (OK, GONE),
+    CATCH_UP: (OK, GONE),
     "txn": (OK, NOT_FOUND, CONFLICT),
     "lease": (OK,),
     "keep": (OK, NOT_FOUND),
@@ -85,6 +87,7 @@
     "read": ("key", "revision", "at"),
     "range": ("items", "at"),
     "watch": ("at",),
+    CATCH_UP: ("at",),
     "txn": ("revision",),
     "lease": ("lease",),
     "keep": ("ttl_ms",),
@@ -252,7 +255,7 @@
         :raises GatewayError: as a watch does.
         """
         path = watch_path(prefix, after, wait_ms=0)
-        status, reply = await self._call("watch", "GET", path, None, limit_ms=self._timeout_ms)
+        status, reply = await self._call(CATCH_UP, "GET", path, None, limit_ms=self._timeout_ms)
         return self._batches_of(status, reply, prefix, after)
 
     def _batches_of(
@@ -295,6 +298,11 @@
         self._known_revision = max(self._known_revision, revision or 0)
 
     def _record_failure(self, kind: str, outcome: str) -> None:
+        self._count(kind, outcome)
+        if kind == CATCH_UP:
+            # Made beside the calls that keep this VM in step, most where the store is at its
+            # limit. Its failure must not end a watch that works.
+            return
         self._failed_ms = self._clock.now()
         if self._failing_since_ms is None:
             self._failing_since_ms = self._failed_ms
@@ -304,7 +312,6 @@
                 outcome,
                 self._answer_age_ms(),
             )
-        self._count(kind, outcome)
 
     def _answer_age_ms(self) -> int:
         return -1 if self._answered_ms is None else self._clock.now() - self._answered_ms
--- a/src/hickorybeam/policy/stream_answers.py
+++ b/src/hickorybeam/policy/stream_answers.py
@@ -9,10 +9,13 @@
 from hickorybeam.policy.version_word import VersionWord, Witness
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
 __all__ = ("OwnKnowledge", "StreamAnswers", "VmAnswer")
 
+# VMs that a log line names.
+MAX_NAMED = 6
+
 
 @dataclass(frozen=True, slots=True)
 class OwnKnowledge:
@@ -21,13 +24,15 @@
     ``sole`` is the key of the only version it has known lately, empty for several or none.
     ``is_new``: it has just started, so an earlier incarnation of it may have known others.
     ``confirmed_age_ms`` is how long ago a call to the store began that showed all changes until
-    then, ``None`` if none began after the question. ``followed_from`` is the revision from which
-    on it has followed all changes, 0 if it has done so for long enough.
+    then, ``None`` if none began after the question. ``store_is_heard``: the store has had its say;
+    it has confirmed that, failed, or leaves calls unanswered. ``followed_from`` is the revision
+    from which on it has followed all changes, 0 if it has done so for long enough.
     """
 
     sole: bytes
     is_new: bool = False
     confirmed_age_ms: int | None = None
+    store_is_heard: bool = False
     followed_from: int = 0
 
 
@@ -50,6 +55,12 @@
     complete_to: int = 0
 
 
+def name_some(vms: Sequence[str]) -> str:
+    """Return the names of some VMs and the number of the others, for the log."""
+    named = ", ".join(vms[:MAX_NAMED])
+    return f"{named} and {len(vms) - MAX_NAMED} more" if len(vms) > MAX_NAMED else named
+
+
 class StreamAnswers:
     """The answers to one question.
 
@@ -62,7 +73,9 @@
     """
 
     def __init__(self, vms: Iterable[str]) -> None:
-        self._silent = set(vms)
+        self._vms = frozenset(vms)
+        self._silent = set(self._vms)
+        self._asked: set[str] = set()
         self._is_cut_off = bool(self._silent)
         # By what VMs say of the service's only version: who they are, and up to which revision they
         # have followed the store.
@@ -71,6 +84,10 @@
         self._words: dict[bytes, VersionWord] = {}
         self.disputed = False
 
+    def note_asked(self, vms: Iterable[str]) -> None:
+        """Note that some VMs have been asked."""
+        self._asked.update(vms)
+
     def add(self, answer: VmAnswer) -> None:
         """Add a VM's answer."""
         self.disputed |= answer.disputed
@@ -110,7 +127,7 @@
         if own.confirmed_age_ms is not None and self._is_covered(own):
             return VersionWord(own.sole, Witness.STORE, age_ms=own.confirmed_age_ms)
         if self._is_unanimous(own):
-            return VersionWord(own.sole, Witness.EVERY_VM)
+            return VersionWord(own.sole, Witness.EVERY_VM, f"{len(self._asked)} VMs")
         return None
 
     def _is_covered(self, own: OwnKnowledge) -> bool:
@@ -120,20 +137,24 @@
         return self._followed_to.get(own.sole, 0) >= own.followed_from
 
     def _is_unanimous(self, own: OwnKnowledge) -> bool:
-        """Return whether every VM has answered that it has known this version only."""
-        if self._silent or own.is_new:
+        """Return whether every VM has answered that it has known this version only.
+
+        VMs that nobody here knows aren't asked, so the store's word goes before.
+        """
+        if self._silent or own.is_new or not own.store_is_heard:
             return False
         return self._vms_by_sole.keys() <= {own.sole}
 
     def why_unknown(self, own: OwnKnowledge) -> str:
         """Return why no version is concluded, for the log."""
         said = {
-            "two versions by": [str(it.vm) for it in self._words.values()],
+            "known by": [str(it.vm) for it in self._words.values()],
             "several versions by": sorted(self._vms_by_sole.get(UNKNOWN_VERSION, ())),
             "just started": sorted(self._vms_by_sole.get(None, ())),
-            "silent": sorted(self._silent),
+            "silent": sorted(self._silent & self._asked),
         }
-        parts = [f"{what} {', '.join(vms)}" for what, vms in said.items() if vms]
+        parts = [f"{what} {name_some(vms)}" for what, vms in said.items() if vms]
+        parts.append(f"{len(self._asked)} VMs asked of {len(self._vms)}")
         if self.disputed:
             parts.append("disputed")
         if own.sole == UNKNOWN_VERSION:
--- a/src/hickorybeam/policy/version_history.py
+++ b/src/hickorybeam/policy/version_history.py
@@ -1,5 +1,7 @@
 """Which versions of a service's software may have begun the streams that callers still have.
 
+The same is kept of the services that a route has led to.
+
 If only one may have, a stream's version is known though nobody has told of the stream: its caller
 names no request, or its VM ended before its first report.
 """
@@ -17,7 +19,10 @@
 
 
 class VersionHistory:
-    """Versions of the registered servers of each service, and of those that went lately."""
+    """Versions of the registered servers of each service, and of those that went lately.
+
+    Or the services of each route, and those to which it led lately.
+    """
 
     def __init__(self) -> None:
         self._present: defaultdict[str, Counter[bytes]] = defaultdict(Counter)
@@ -36,7 +41,7 @@
         self._drop_gone(service, now_ms)
         self._gone[service][key] = now_ms
 
-    def sole_version(self, service: str, now_ms: int) -> bytes:
+    def sole(self, service: str, now_ms: int) -> bytes:
         """Return the key of the only version there has been lately.
 
         :return: ``UNKNOWN_VERSION`` if there were several, or none.
--- a/tests/gateway/stream_lookups.feature
+++ b/tests/gateway/stream_lookups.feature
@@ -12,6 +12,59 @@
       | no VM has served               |
       | they do not name the request of |
 
+  # Guards against a VM that has just started and does not believe those that know what was before.
+  Scenario: a stream that nobody knows goes on at a VM that has just started
+    Given a gateway of VMs "n1@north-1, n2@north-1"
+    And model servers "m1:v1@north-1"
+    And all VMs have run for 5 s
+    When VM "n2" crashes and comes back
+    And callers take up 4 streams that no VM has served at "n2"
+    Then each stream goes on to its end at version "v1"
+
+  # Guards against the store's word going before that of a VM which knows the stream.
+  Scenario Outline: near VMs that answer late are waited for before the store's word counts
+    Given a gateway of VMs "n1@north-1, n2@north-1, n3@north-1"
+    And model servers "m1:v1@north-1"
+    When 4 streams from "n3" break off
+    And model servers "m2:v2@north-1" join
+    And model servers "m1" leave
+    And VM "n1" has known of version "v2" only
+    And VM "n2" has known of version "v2" only
+    And VM "n3" answers questions of streams 30 ms late
+    And their callers take them up at "n1" in turn, and name <named>
+    Then no caller got a stream of two versions
+
+    Examples:
+      | named |
+      | them  |
+      | none  |
+
+  # Guards against a version of a service to which the route did not lead when the stream began.
+  Scenario Outline: a stream that nobody knows is refused after its route has led to another service
+    Given a gateway of VMs "n1@north-1, n2@north-1, s1@south-1"
+    And model servers "m1:v1@north-1, m9:v1@south-1"
+    And all VMs have run for 5 s
+    When <what> the route of streams leads to service "other" with server "o1:v7@north-1"
+    And callers take up 4 streams that they do not name the request of at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
+    Examples:
+      | what                       |
+      | for all VMs                |
+      | for all VMs but "n1"       |
+
+  # Guards against a VM that reports, knows another version, and is not known to those that vouch.
+  Scenario: a stream that nobody knows is refused without the store where an unknown VM reports
+    Given a gateway of VMs "n1@north-1, n2@north-1, n3@north-1"
+    And model servers "m1:v1@north-1"
+    And all VMs have run for 5 s
+    When the store answers nothing any more and every VM has noticed
+    And "n1" does not know "n3"
+    And callers take up 4 streams that no VM has served at "n1"
+    Then each caller is refused within 500 ms and told when to come back
+    And servers of "model" executed 0 requests
+
   # Guards against waiting for answers that can't tell a stream which its caller doesn't name.
   Scenario: a stream that its caller does not name is refused without waiting for silent VMs
     Given a gateway with links of VMs "n1@north-1, n2@north-1, s1@south-1"
--- a/tests/policy/stream_versions.feature
+++ b/tests/policy/stream_versions.feature
@@ -101,6 +101,8 @@
       | v1      | nothing | -/nothing, -/v1            | -       |
       | v1      | nothing | -/v1, -/several            | -       |
       | nothing | nothing | -/v1                       | -       |
+      # Guards against the VMs' word going before the store's.
+      | v1      | it later | -/v1, -/v1                | -       |
       | v1      | nothing | silent, v1/v1              | v1      |
       | v1      | nothing | silent, v2/several         | v2      |
 
--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import re
+import threading
 import time
 from collections import Counter, defaultdict
 from contextlib import asynccontextmanager
@@ -13,7 +14,10 @@
 
 from hickorybeam.clock import SystemClock
 from hickorybeam.demo.platform import start_platform_fleet
+from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.gateway.placement.messages import PlacementRequest, PlacementResult
+from hickorybeam.gateway.stream_messages import StreamQuestion
+from hickorybeam.gateway.stream_origins import HISTORY_MS
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.model.routing import Repeat
 from hickorybeam.policy.stream_versions import ToldStreams, stream_digest, version_key
@@ -24,6 +28,7 @@
     ServerStandIn,
     serve_server,
 )
+from hickorybeam.store import Put
 from steps.gateway.gateway_steps import BODY, events_of, split_names
 from support.linked_fleet import cut_from_vms, harm_store, linked_fleet
 
@@ -609,3 +614,127 @@
     digests = b"".join(stream_digest(it.began) for it in context.streams)
     told = ToldStreams(version_key(MODEL, version), 10, digests)
     fleet.stream_versions.merge([told], SystemClock().now(), vm="other")
+
+
+@when('VM "{name}" has known of version "{version}" only')
+def step_known_version_only(context, name, version):
+    """Let a VM know nothing of what was before, as one that started some seconds ago."""
+
+    async def forget():
+        vm = context.rig.vms[name]
+        vm.routing_state.version_history._gone.clear()
+        vm.feed.history._since_ms = 0
+        vm.relay._handler._stream_origins._started_ms = 0
+        key = version_key(MODEL, version)
+        assert vm.routing_state.version_history.sole(MODEL, SystemClock().now()) == key
+        vm.fleet.stream_versions = type(vm.fleet.stream_versions)()
+
+    context.call(forget)
+
+
+@when('VM "{name}" answers questions of streams {ms:d} ms late')
+def step_answers_late(context, name, ms):
+    fleet = context.rig.vms[name].fleet
+    handle = fleet._message_handlers[StreamQuestion]
+
+    async def late(message):
+        await anyio.sleep(ms / 1000)
+        handle(message)
+
+    def start(message):
+        context.portal.start_task_soon(late, message)
+
+    fleet.on_message(
+        StreamQuestion, lambda message: threading.Thread(target=start, args=(message,)).start()
+    )
+
+
+@when('for all VMs the route of streams leads to service "{service}" with server "{server}"')
+@when(
+    'for all VMs but "{stale}" the route of streams leads to service "{service}"'
+    ' with server "{server}"'
+)
+def step_route_moves(context, service, server, stale=None):
+    async def move():
+        rig = context.rig
+        if stale is not None:
+            rig.vms[stale].feed._receive = lambda batch: None
+            rig.vms[stale].feed.entries.put = lambda item: None
+        for route in rig.config["routes"]:
+            if route["name"] == "plan":
+                route["service"] = service
+        rig.config["services"].append({**rig.config["services"][1], "name": service})
+        rig.config["version"] += 1
+        rig.configure()
+        version = rig.config["version"]
+        others = [vm for name, vm in rig.vms.items() if name != stale]
+        await rig.until(lambda: all(it.routing_state.config.version == version for it in others))
+
+    context.call(move)
+    for name, version, place in places(server):
+        stand_in = ServerStandIn(name, service, place, context.rig.app, version=version)
+        manager = context.portal.wrap_async_context_manager(serve_server(stand_in))
+        context.rig.servers[name] = context.stack.enter_context(manager)
+    context.call(anyio.sleep, 0.5)
+
+
+@when('"{name}" does not know "{other}"')
+def step_does_not_know(context, name, other):
+    async def forget():
+        peers = context.rig.vms[name].fleet.peers
+        # Its reports don't bring its own record, as it is registered.
+        del peers.by_name[other]
+        peers.apply_registration = lambda value: None
+        await context.rig.until(lambda: other in peers.all_names())
+        assert other not in peers.by_name
+
+    context.call(forget)
+
+
+@when('a confirmation of "{vm}" is refused by the store')
+def step_confirmation_refused(context, vm):
+    async def refuse():
+        feed, app = context.rig.vms[vm].feed, context.rig.app
+        context.polls = set(feed._store._pending_polls)
+        watch = app._watch
+
+        async def refuse_at_once(told):
+            if told["wait-ms"] == "0":
+                raise GatewayError(ErrorKind.PLATFORM_OUT)
+            return await watch(told)
+
+        app._watch = refuse_at_once
+        confirmation = feed.confirmation.request()
+        await confirmation.done.wait()
+        assert not confirmation.confirmed
+        await feed._store.read("a")
+
+    context.call(refuse)
+
+
+@then('"{vm}" watches the store, and its poll goes on')
+def step_poll_goes_on(context, vm):
+    feed = context.rig.vms[vm].feed
+    assert feed.watches_store
+    assert feed._store._pending_polls == context.polls
+
+
+@when('the store has compacted a change that "{vm}" has not seen')
+def step_compacted(context, vm):
+    async def compact():
+        feed, stand_in = context.rig.vms[vm].feed, context.rig.app.stand_in
+        assert feed.history.complete_after(HISTORY_MS, SystemClock().now())
+        before = feed.history.begins_at
+        # Written without notifying the watch.
+        stand_in.store.txn((), (Put("servers/odd", b"{}"),))
+        stand_in.store.compact()
+        stand_in.notify()
+        await context.rig.until(lambda: feed.history.begins_at > before)
+
+    context.call(compact)
+
+
+@then('"{vm}" has followed the store for less than {seconds:d} s')
+def step_followed(context, vm, seconds):
+    history = context.rig.vms[vm].feed.history
+    assert not history.complete_after(seconds * 1000, SystemClock().now())
