--- a/tests/gateway/odd_values.feature
+++ b/tests/gateway/odd_values.feature
@@ -20,6 +20,9 @@
       | servers/a-0    | a server with slots of 400 digits |
       | servers/a-0    | a server that is cold for 10^30   |
       | servers/a-0    | no UTF-8                          |
+      | servers/a-0    | a megabyte of open arrays         |
+      | servers/a-0    | a server at 3000 arrays           |
+      | servers/a-0    | a server with slots of 900 KB     |
       | servers/z-9    | arrays nested 5000 deep           |
       | servers/\r\nx: | a sound server                    |
       | servers/žluť   | a sound server                    |
--- a/tests/steps/gateway/odd_values_steps.py
+++ b/tests/steps/gateway/odd_values_steps.py
@@ -51,7 +51,16 @@
     "a VM whose host is a..b": msgspec.to_builtins(VM) | {"host": "a..b"},
     "a block of 10^30 ms": {"crashes": [CRASH, CRASH, CRASH]},
 }
-NO_TEXT = b"\xff\xfe{\x80}"
+ODD_BYTES = {
+    "no UTF-8": b"\xff\xfe{\x80}",
+    "a megabyte of open arrays": b"[" * 999_000,
+    "a server at 3000 arrays": as_json(SERVER)
+    .encode()
+    .replace(b'"127.0.0.1:9"', b"[" * 3_000 + b"]" * 3_000),
+    "a server with slots of 900 KB": as_json(SERVER)
+    .encode()
+    .replace(b'"slots":4', b'"slots":' + b"9" * 900_000),
+}
 ODD_HEADERS = (
     b"9" * 5_000,
     b"5:" + b"9" * 5_000,
@@ -70,7 +79,7 @@
 
 
 def encoded(what):
-    return NO_TEXT if what == "no UTF-8" else as_json(ODD_ENTRIES[what]).encode()
+    return ODD_BYTES[what] if what in ODD_BYTES else as_json(ODD_ENTRIES[what]).encode()
 
 
 @when('another writer writes {what} at "{key}" every {ms:d} ms')
