gateway/crashes: a server that hangs with its port open is told from a slow one

Cause: a server that held a request unanswered was taken to be there as soon as it took a new connection. The kernel takes those for a process that is stuck, so its end under a request was never noticed, and its lapsed entry told nothing, as nobody suspected it.

Callers saw: a request under which servers hang was sent to one server after the other, for as long as it was repeated.

Change: a server that takes the connection is asked for its health on it. Answered, it is there; no answer within 250 ms, and nothing else heard from it meanwhile, is silence like that of one that takes no connection: told as undecided (after 60 ms already, with the same notices and their budget), decided by its entry. What tells it from a slow server is proof before the send: a request of which ends are known, or that a server just left unheard, is sent on a new connection on which the server has answered its health check (60 ms at most; if it does not answer it gets the request all the same, and its silence then proves nothing). So servers that were all slow or stuck before never count, and only those count that answered and fell silent under the request. A request is held only if what is undecided would block it once confirmed.

Ways weighed: silence and the last bytes heard alone (no question before the send): nothing is heard of idle servers, so their ends do not count, and four or more servers are lost; asking each server that is slow: a question for each slow request. Health checks share the 50 a second of the fleet that server identities have; servers with a rate limit, cold or resting are not asked, and are judged as before.

An ordinary request does nothing more; one that is given up where nothing was heard for 250 ms costs a health check beside its connection.

--- a/src/hickorybeam/gateway/attempt.py
+++ b/src/hickorybeam/gateway/attempt.py
@@ -105,7 +105,8 @@
 
     :param copy_from: ``host:port`` of a server that holds shared parts of the prompt.
     :param is_blocked: returns whether the request must not be sent any more.
-    :param fresh: send on a new connection, which shows that the server is there.
+    :param prove: send on a new connection, on which this shows whether the server answers: it
+        returns when that was asked, 0 if the server did not answer, ``None`` if it wasn't asked.
     :param checked: don't send on one that the server has closed, though nobody has noticed yet.
     :param run: the run that a VM is asked for; ``None`` if the target is a server.
     """
@@ -118,18 +119,19 @@
         *,
         copy_from: str | None = None,
         is_blocked: Callable[[], bool] = lambda: False,
-        fresh: bool = False,
+        prove: Callable[[UpstreamConnection], Awaitable[int | None]] | None = None,
         checked: bool = False,
         run: RemoteRun | None = None,
     ) -> None:
         self._pool = pool
-        self._fresh = fresh
+        self._prove = prove
         self._checked = checked
         self.was_sent = False
         self._is_answered = False
         self.run = run
         self.connected_ms = 0
         self.connect_asked_ms = 0
+        self.proven_ms = 0
         self._is_blocked = is_blocked
         self._copy_from = copy_from
         self._target = target
@@ -243,13 +245,10 @@
         call = self._request.call
         data = request_bytes(call.method, call.target, self._headers(now_ms), call.body)
         expected = RequestId(REQUEST_ID, call.request_id.encode("latin-1"))
-        for fresh in (self._fresh or self._keeps_off_kept(), True):
+        for fresh in (self._prove is not None or self._keeps_off_kept(), True):
             try:
-                self._conn = await self._pool.acquire(
-                    self._address, fresh=fresh, checked=self._checked
-                )
+                self._conn = await self._connect(fresh=fresh)
                 self.connected_ms = self._conn.opened_ms
-                self.connect_asked_ms = self._conn.asked_ms
                 if self._is_blocked():
                     raise NotRunError("it or a part of its prompt was blocked meanwhile")
                 self._conn.send(data, expected_id=expected, head_only=call.method == "HEAD")
@@ -265,6 +264,24 @@
                 return self._conn
         raise NotRunError(reason)
 
+    async def _connect(self, *, fresh: bool) -> UpstreamConnection:
+        """Return a connection to send on, and note what shows that the server is there."""
+        conn = await self._pool.acquire(self._address, fresh=fresh, checked=self._checked)
+        self.connect_asked_ms = conn.asked_ms
+        if self._prove is None:
+            return conn
+        try:
+            proven_ms = await self._prove(conn)
+        except BaseException:
+            conn.abort()
+            raise
+        self.proven_ms = proven_ms or 0
+        if proven_ms == 0:
+            # It takes connections and answers nothing, or is slow: it is sent the request as well.
+            self.connect_asked_ms = 0
+            conn = await self._pool.acquire(self._address, fresh=True)
+        return conn
+
     def _keeps_off_kept(self) -> bool:
         """Return whether it must not be sent on a kept connection."""
         can_repeat = self._request.route.repeat is Repeat.IDEMPOTENT
--- a/src/hickorybeam/gateway/crashes/open_requests.py
+++ b/src/hickorybeam/gateway/crashes/open_requests.py
@@ -71,13 +71,22 @@
     left_ms: int | None = None
     checked: anyio.Event | None = None
 
-    def alive_ms(self, end: ServerEnd) -> int:
-        """Return when it was sent, or its server last heard if that fell silent."""
+    @property
+    def is_unheard(self) -> bool:
+        """Whether nothing was heard from its server since it was sent."""
+        return self.server_state.heard_ms <= self.sent_ms
+
+    def alive_ms(self, end: ServerEnd, *, hangs: bool = False) -> int:
+        """Return when it was sent, or its server last heard if that fell silent.
+
+        :param hangs: its server takes connections, which so show nothing.
+        """
         if end is not ServerEnd.SILENT:
             return self.sent_ms
         state = self.server_state
         heard_ms = state.heard_ms - MAX_READ_LAG_MS
-        return max(heard_ms, state.renewed_ms, self.attempt.connect_asked_ms)
+        connect_ms = 0 if hangs else self.attempt.connect_asked_ms
+        return max(heard_ms, state.renewed_ms, self.attempt.proven_ms, connect_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +126,8 @@
     ``closed``: one of its connections has closed. ``asked_ms`` is when the last request there ended
     unanswered, ``unheard_ms`` when it was sent; ``again``: something ended since the look began.
     ``connect_ms`` is when a connection was asked for. ``told`` counts the requests that were
-    reported as those of a server that may have ended.
+    reported as those of a server that may have ended. ``hangs``: it takes connections, and answers
+    nothing.
     """
 
     since_ms: int
@@ -129,3 +139,4 @@
     again: bool = False
     connect_ms: int = 0
     told: int = 0
+    hangs: bool = False
--- a/src/hickorybeam/gateway/crashes/server_ends.py
+++ b/src/hickorybeam/gateway/crashes/server_ends.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -33,13 +34,13 @@
 from hickorybeam.policy.crash_suspects import Trait
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.routing_state import RoutingState
-    from hickorybeam.http1 import UpstreamPool
+    from hickorybeam.http1 import UpstreamConnection, UpstreamPool
     from hickorybeam.http1.pool import Address
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
@@ -124,6 +125,15 @@
         """Whether a server may have ended a moment ago, and others with it."""
         return bool(self._looks)
 
+    def prover(
+        self, server_state: ServerState | None
+    ) -> Callable[[UpstreamConnection], Awaitable[int | None]] | None:
+        """Return what asks a server whether it answers; ``None`` where a VM is asked.
+
+        It returns when it asked, 0 if the server did not answer, ``None`` if it may not ask now.
+        """
+        return None if server_state is None else partial(self._probe.prove, server_state)
+
     def open(self, request: OpenRequest) -> None:
         """Follow a request that is about to be sent."""
         self._open.setdefault(request.server_state, set()).add(request)
@@ -198,7 +208,7 @@
     def _report_unheard(self, request: OpenRequest) -> None:
         """Report a request that ended before anything was heard of its server."""
         server_state, now = request.server_state, self._clock.now()
-        if server_state.heard_ms <= request.sent_ms and self._probe.is_in_use(server_state):
+        if request.is_unheard and self._probe.is_in_use(server_state):
             alive_ms = request.alive_ms(ServerEnd.SILENT)
             under = EndedUnder(request.request, alive_ms, Trait.SILENT)
             self._on_unheard(EndedServer(server_state, now, under=(under,)))
@@ -384,7 +394,13 @@
             was_open = end is ServerEnd.ENDED and it.left_ms is None
             is_only = was_open and self._moments.is_only(server_state, it.sent_ms, looks)
             under.append(
-                EndedUnder(it.request, it.alive_ms(end), trait, was_open=was_open, is_only=is_only)
+                EndedUnder(
+                    it.request,
+                    it.alive_ms(end, hangs=look.hangs),
+                    trait,
+                    was_open=was_open,
+                    is_only=is_only,
+                )
             )
         return tuple(under)
 
--- a/src/hickorybeam/gateway/crashes/server_identity.py
+++ b/src/hickorybeam/gateway/crashes/server_identity.py
@@ -20,9 +20,10 @@
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.routing_state import RoutingState
     from hickorybeam.http1 import UpstreamConnection
+    from hickorybeam.platform import ResponseInfo
     from hickorybeam.policy.server_choice import ServerState
 
-__all__ = ("ServerIdentity",)
+__all__ = ("RESPONSE_TIMEOUT_MS", "ServerIdentity")
 
 # A health check is answered at once, or waits for a slot: then nobody is told in time.
 RESPONSE_TIMEOUT_MS = 60
@@ -47,21 +48,38 @@
 
         :param vms: the number of known VMs, this one included.
         """
-        spec = self._routing_state.service_spec(server_state.server.service)
+        if not self.may_ask(server_state, vms=vms):
+            return False
+        info = await self.ask(server_state, conn, RESPONSE_TIMEOUT_MS)
+        if info is None:
+            conn.abort()
+            return False
+        return info.server_id not in (None, server_state.server.id)
+
+    def may_ask(self, server_state: ServerState, *, vms: int) -> bool:
+        """Return whether a server may be asked now, and count it towards what all VMs may ask."""
         now = self._clock.now()
-        if spec is None or self._routing_state.is_rate_limited(server_state, now):
+        if self._routing_state.service_spec(server_state.server.service) is None:
             return False
-        if server_state.is_resting(now) or not self._budget.take(now, vms):
+        if self._routing_state.is_rate_limited(server_state, now) or server_state.is_resting(now):
             return False
+        return self._budget.take(now, vms)
+
+    async def ask(
+        self, server_state: ServerState, conn: UpstreamConnection, timeout_ms: int
+    ) -> ResponseInfo | None:
+        """Return what a server says of itself, ``None`` if it says nothing in time."""
+        spec = self._routing_state.service_spec(server_state.server.service)
+        if spec is None:
+            return None
         try:
-            with anyio.fail_after(RESPONSE_TIMEOUT_MS / MS_PER_SECOND):
+            with anyio.fail_after(timeout_ms / MS_PER_SECOND):
                 data = request_bytes("GET", spec.health_path.encode(), HOST_HEADER, b"")
                 conn.send(data, expected_id=NO_ID)
                 info = decode_response(await conn.read_head())
                 await conn.read_body(max_bytes=MAX_RESPONSE_BYTES)
-            if not conn.reusable:
-                conn.abort()
         except (BrokenResponseError, TimeoutError):
+            return None
+        if not conn.reusable:
             conn.abort()
-            return False
-        return info.server_id not in (None, server_state.server.id)
+        return info
--- a/src/hickorybeam/gateway/crashes/server_probe.py
+++ b/src/hickorybeam/gateway/crashes/server_probe.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.gateway.crashes.end_moments import address_of
 from hickorybeam.gateway.crashes.open_requests import ServerEnd
-from hickorybeam.gateway.crashes.server_identity import ServerIdentity
+from hickorybeam.gateway.crashes.server_identity import RESPONSE_TIMEOUT_MS, ServerIdentity
 from hickorybeam.http1 import ConnectFailedError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.crashes.open_requests import Look
@@ -77,26 +78,67 @@
         except ConnectFailedError as exc:
             refused = isinstance(exc.__cause__, ConnectionError)
             return ServerEnd.ENDED if refused else ServerEnd.SILENT
+        vms = self._known_vms()
+        if not look.closed and self._identity.may_ask(server_state, vms=vms):
+            return await self._ask(server_state, look, conn, on_unanswered)
         if not look.closed:
             server_state.heard_ms = self._clock.now()
             self._pool.keep(address, conn)
             return ServerEnd.ALIVE
-        vms = self._known_vms()
         is_replaced = await self._identity.is_replaced(server_state, conn, vms=vms)
         self._pool.keep(address, conn)
         return ServerEnd.ENDED if is_replaced else ServerEnd.REPLACED
 
+    async def _ask(
+        self,
+        server_state: ServerState,
+        look: Look,
+        conn: UpstreamConnection,
+        on_unanswered: Callable[[], None],
+    ) -> ServerEnd:
+        """Ask a server that takes connections for its health: its process may be stuck."""
+
+        def warn() -> None:
+            look.hangs = server_state.heard_ms <= look.connect_ms
+            if look.hangs:
+                on_unanswered()
+
+        with call_later(RESPONSE_TIMEOUT_MS, warn):
+            info = await self._identity.ask(server_state, conn, SILENCE_MS)
+        look.hangs = False
+        if info is None and conn.closed:
+            look.closed, look.since_ms = True, self._clock.now()
+            return await self.connect(server_state, look, on_unanswered=lambda: None)
+        if info is None:
+            conn.abort()
+            look.hangs = server_state.heard_ms <= look.connect_ms
+            return ServerEnd.SILENT if look.hangs else ServerEnd.ALIVE
+        server_state.heard_ms = self._clock.now()
+        self._pool.keep(address_of(server_state), conn)
+        return ServerEnd.ALIVE
+
+    async def prove(self, server_state: ServerState, conn: UpstreamConnection) -> int | None:
+        """Ask a server for its health on a connection that a request is about to be sent on.
+
+        :return: when it was asked, 0 if it did not answer; ``None`` if it may not be asked now.
+        """
+        if not self._identity.may_ask(server_state, vms=self._known_vms()):
+            return None
+        asked_ms = self._clock.now()
+        info = await self._identity.ask(server_state, conn, RESPONSE_TIMEOUT_MS)
+        if info is None:
+            conn.abort()
+            return 0
+        server_state.heard_ms = self._clock.now()
+        return asked_ms
+
     async def _open(
         self, server_state: ServerState, on_unanswered: Callable[[], None]
     ) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(ACCEPT_MS / MS_PER_SECOND, on_unanswered)
-        try:
+        with call_later(ACCEPT_MS, on_unanswered):
             return await self._pool.acquire(
                 address_of(server_state), fresh=True, connect_ms=SILENCE_MS
             )
-        finally:
-            timer.cancel()
 
     async def decide(
         self, server_state: ServerState, look: Look, undecided: ServerEnd
@@ -112,3 +154,14 @@
                 break
             await self._clock.sleep(UNDECIDED_POLL_MS)
         return ServerEnd.ALIVE if undecided is ServerEnd.REPLACED else undecided
+
+
+@contextmanager
+def call_later(after_ms: int, function: Callable[[], None]) -> Iterator[None]:
+    """Call a function after a time unless the block has ended by then."""
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(after_ms / MS_PER_SECOND, function)
+    try:
+        yield
+    finally:
+        timer.cancel()
--- a/src/hickorybeam/gateway/progress.py
+++ b/src/hickorybeam/gateway/progress.py
@@ -42,6 +42,7 @@
 
     ``records`` holds the sends, ``sends`` counts them, ``runs`` those that may have run, and
     ``outcome_open`` is set while the outcome of one is unknown.
+    ``was_unheard``: nothing at all was heard from a server while it waited for its answer.
     ``runs_on``: the last send may run on at its target, which did not say that it ended.
     ``began``: bytes of a stream have been passed on.
     ``blocked``: the kind of error with which another region's VM stated that it, or a part of its
@@ -64,6 +65,7 @@
     sends: int = 0
     runs: int = 0
     outcome_open: bool = False
+    was_unheard: bool = False
     runs_on: bool = False
     began: bool = False
     rejected: bool = False
@@ -97,11 +99,6 @@
         """Whether the request has run or may have."""
         return self.runs > 0 or self.outcome_open
 
-    @property
-    def was_unanswered(self) -> bool:
-        """Whether a target that it was sent to sent nothing in time."""
-        return any(it.end is SendEnd.SILENT for it in self.records)
-
     @property
     def broke_off(self) -> bool:
         """Whether its last send broke off."""
--- a/src/hickorybeam/gateway/sender.py
+++ b/src/hickorybeam/gateway/sender.py
@@ -109,13 +109,15 @@
         progress.expected_wait_ms = in_flight.expected_wait_ms if in_flight else 0.0
         timeout_ms = self._first_byte_timeout_ms(request, progress)
         copy_from = in_flight.copy_from if in_flight else None
+        # Servers may end under it: one seems to have fallen silent, or is known to have ended.
+        needs_proof = progress.was_unheard or self._part_blocks.needs_proof(request)
         attempt = Attempt(
             self._pool,
             target,
             request,
             copy_from=copy_from,
             is_blocked=lambda: self._part_blocks.is_blocked(request),
-            fresh=server_state is not None and self._needs_proof(request, progress),
+            prove=self._server_ends.prover(server_state) if needs_proof else None,
             checked=self._server_ends.is_looking or self._part_blocks.has_crashes(request),
             run=self._run_settlement.name_run(target, request),
         )
@@ -186,6 +188,7 @@
             attempt.close()
             if open_request is not None:
                 self._server_ends.record_break(open_request, is_silent=is_silent)
+                progress.was_unheard |= is_silent and open_request.is_unheard
                 await self._server_ends.wait_checked(open_request)
         finally:
             record.close(SendEnd.LEFT, self._clock.now())
@@ -204,13 +207,6 @@
                 await self._run_settlement.end_left_run(attempt, progress)
             attempt.close()
 
-    def _needs_proof(self, request: AdmittedRequest, progress: RequestProgress) -> bool:
-        """Return whether it has to be known that its server was there when it was sent.
-
-        Servers may end under it: one left it unanswered a moment ago, or is known to have ended.
-        """
-        return progress.was_unanswered or self._part_blocks.needs_proof(request)
-
     def _open_request(
         self,
         target: Target,
--- a/src/hickorybeam/policy/crash_suspects.py
+++ b/src/hickorybeam/policy/crash_suspects.py
@@ -298,7 +298,10 @@
         if not self.is_request or self.count_likely(now_ms) < MIN_CRASHES_UNDER_REQUEST:
             return False
         silent_ms = self._silent_ms(now_ms)
-        return bool(silent_ms) and self.answered_ms < min(silent_ms)
+        if not silent_ms or self.answered_ms >= min(silent_ms):
+            return False
+        likely = [it.confirmed() for it in self.crashes.values() if it.trait is not Trait.CLOSED]
+        return count_followed(likely) >= MIN_CRASHES_UNDER_REQUEST
 
     def crashes_beside(self, server: bytes) -> list[Crash]:
         """Return the crashes of other servers."""
--- a/src/hickorybeam/standins/crashes.py
+++ b/src/hickorybeam/standins/crashes.py
@@ -52,8 +52,8 @@
     under another id, or with ``keeps_id`` under its own, and has an entry ``entry_ms`` later. With
     ``after_ms`` it crashes so long after the request began to run, whether the request is still
     there or not. ``silent``: it falls silent instead, so that its connections stay open and new
-    ones are neither taken nor refused. ``is_same``: it was cut off only, and what comes back is the
-    same start.
+    ones are neither taken nor refused. ``hangs``: they are taken, and nothing is answered.
+    ``is_same``: it was cut off only, and what comes back is the same start.
     """
 
     parts: frozenset[str] = frozenset()
@@ -63,6 +63,7 @@
     bodies: frozenset[bytes] = frozenset()
     after_ms: int | None = None
     silent: bool = False
+    hangs: bool = False
     keeps_id: bool = False
     entry_ms: int = 0
     is_same: bool = False
@@ -83,6 +84,7 @@
         self._server: HttpServer | None = None
         self._silence = contextlib.ExitStack()
         self.ended = anyio.Event()
+        self.is_hung = False
         self.port = 0
 
     @property
@@ -93,6 +95,7 @@
     async def start(self) -> None:
         """Listen, on the port of an earlier start unless another process has taken it since."""
         self._silence.close()
+        self.is_hung = False
         self.ended = anyio.Event()
         server = HttpServer(self._handler, clock=self._clock, tasks=self._tasks)
         try:
@@ -131,6 +134,17 @@
         self._silence.enter_context(unanswered_port(self.port))
         self.ended.set()
 
+    def hang(self) -> None:
+        """Answer nothing any more, as a process that is stuck: new connections are still taken."""
+        server, self._server = self._server, None
+        if server is None:
+            return
+        self.is_hung = True
+        for conn in tuple(server.conns):
+            self._silence.callback(conn.fall_silent())
+        self._silence.callback(end_hung, server)
+        self.ended.set()
+
     def close(self) -> None:
         """Close the port and all connections, without waiting for those that just came."""
         self._silence.close()
@@ -167,6 +181,12 @@
     server.stop_accepting()
 
 
+def end_hung(server: HttpServer) -> None:
+    """End a process that is stuck."""
+    server.stop_accepting()
+    abort_connections(server)
+
+
 def abort_connections(server: HttpServer) -> None:
     """Abort all connections that a server knows of."""
     for conn in tuple(server.conns):
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -114,6 +114,7 @@
     ``spans`` holds the runs, with the time of each.
     ``health_checks`` holds the times at which its health was checked.
     ``version`` is that of its software, as its entry names it.
+    Until ``stalled`` is set, if there is one, it answers nothing.
     ``crash`` says under which requests it crashes; ``crashes`` holds the times at which it
     did, ``ended_under`` the bodies under which it did as well.
     """
@@ -154,6 +155,7 @@
     crashes: list[int] = field(default_factory=list)
     ended_under: list[tuple[bytes, int]] = field(default_factory=list)
     process: ServerProcess | None = None
+    stalled: anyio.Event | None = None
 
     def __post_init__(self) -> None:
         """Make the batch of a model engine."""
@@ -192,6 +194,10 @@
 
     async def answer(self, req: IncomingRequest, reply: ResponseWriter) -> None:
         """Answer one request, or fail it as the switches say."""
+        if self.process is not None and self.process.is_hung:
+            await anyio.sleep_forever()
+        if self.stalled is not None:
+            await self.stalled.wait()
         if req.target == HEALTH_PATH:
             self.health_checks.append(self.clock.now())
             cold = ((names.COLD, b"%d" % self.cold_ms),) if self.cold_ms else ()
@@ -346,6 +352,8 @@
             return
         if self.crash.silent:
             self.process.fall_silent()
+        elif self.crash.hangs:
+            self.process.hang()
         else:
             self.process.end()
 
--- a/tests/gateway/sound_requests.feature
+++ b/tests/gateway/sound_requests.feature
@@ -22,6 +22,20 @@
       | 60   | many send it                     | stand still by turns         |
       | 60   | many send it                     | are back at once, one by one |
 
+  # Guards against an overload of all servers that is taken for servers which hang under one request.
+  Scenario Outline: a sound request that is repeated while no server answers is neither blocked nor held
+    Given 16 <kind> servers in two regions
+    And servers hang under body "{'n': 'bad'}"
+    When a sound request comes to all VMs on route "<route>" for 6 s, its caller leaves after 300 ms, while servers all answer nothing for a while
+    Then each VM blocks 0 requests and 0 parts
+    And no VM has refused a request as "request_blocked"
+
+    Examples:
+      | kind  | route |
+      | plain | look  |
+      | plain | order |
+      | model | chat  |
+
   # Guards against requests that are kept for as long as their VM runs.
   Scenario: a request that was given up is forgotten once its server has outlived it
     Given 16 plain servers in two regions
--- a/tests/gateway/unseen_ends.feature
+++ b/tests/gateway/unseen_ends.feature
@@ -50,6 +50,22 @@
       | model | chat  | its caller leaves after 300 ms  |
       | model | plan  | its deadline is 400 ms          |
 
+  # Guards against a process that is stuck and whose port still takes connections, so that it seems to be there.
+  Scenario Outline: a request under which servers hang with their port open reaches no more once three have
+    Given 16 <kind> servers in two regions
+    And servers hang under body "{'n': 'bad'}"
+    When that request comes to all VMs on route "<route>" for 8 s, <how>, beside sound ones
+    Then it reached no server once the entries of three silent ones had lapsed
+    And each VM blocks 1 request and 0 parts
+    And the sound requests of the last 2 s were answered
+
+    Examples:
+      | kind  | route | how                             |
+      | plain | look  | its caller leaves after 300 ms  |
+      | plain | order | its deadline is 400 ms          |
+      | model | chat  | its caller leaves after 300 ms  |
+      | model | plan  | its deadline is 400 ms          |
+
   # Guards against silence that is found only after the next two repeats have reached servers.
   Scenario: a server that takes no connection is known to be silent within two waits of a caller
     Given 16 model servers in two regions
--- a/tests/steps/gateway/unseen_ends_steps.py
+++ b/tests/steps/gateway/unseen_ends_steps.py
@@ -28,7 +28,7 @@
     sound_body,
     step_crash_under_body,
 )
-from steps.gateway.stream_versions_steps import MODEL, knows, running
+from steps.gateway.stream_versions_steps import MODEL, knows, refusals_at, running
 
 PLACES = ("north-1", "north-2", "south-1", "south-1")
 SERVICES = {"plain": BOOKS, "model": MODEL}
@@ -39,6 +39,8 @@
 # A silent server is another one for a caller that repeats only after the lapse.
 BACK_MS = 200
 STAY_MS = 10_000
+# Longer than callers wait, and than a server that answers nothing is asked.
+STALL_S = 0.7
 POPULAR_EVERY_S = 0.01
 # A change in the store is known to all VMs within two pauses of a watch.
 ENTRY_KNOWN_MS = 500
@@ -76,6 +78,11 @@
     set_switches(context, body, after_ms=5, silent=True, lapse_ms=STAY_MS)
 
 
+@given('servers hang under body "{body}"')
+def step_hang(context, body):
+    set_switches(context, body, after_ms=5, hangs=True, lapse_ms=LAPSE_MS, back_ms=BACK_MS)
+
+
 @when('that request comes once to "{vm}" on route "{route}", and its caller leaves after {ms:d} ms')
 def step_comes_once(context, vm, route, ms):
     async def run():
@@ -364,6 +371,17 @@
         server.faults.hung = 0
 
 
+async def stall_all(servers):
+    """Let all servers answer nothing for a while, again and again, as an overload does."""
+    while True:
+        await anyio.sleep(STALL_S)
+        stalled = anyio.Event()
+        for server in servers:
+            server.stalled = stalled
+        await anyio.sleep(STALL_S)
+        stalled.set()
+
+
 async def restart_in_turn(servers):
     for server in itertools.cycle(servers):
         server.crash = replace(server.crash, lapse_ms=0, back_ms=5)
@@ -377,6 +395,7 @@
     "fall silent half at once": silence_half,
     "are cut off and come back": cut_half,
     "stand still by turns": stand_still,
+    "all answer nothing for a while": stall_all,
     "are back at once, one by one": restart_in_turn,
 }
 
@@ -438,6 +457,12 @@
     check_late(context, ENTRY_KNOWN_MS)
 
 
+@then('no VM has refused a request as "{kind}"')
+def step_none_refused(context, kind):
+    found = [refusals_at(vm).get(kind, 0) for vm in running(context.rig)]
+    assert not any(found), found
+
+
 @then("no VM keeps a request that was given up")
 def step_none_kept(context):
     kept = [vm.relay._handler._server_ends._left for vm in running(context.rig)]
