gateway/crashes: a stream that is left once it is silent counts for the end of its server

Cause: a stream that had gone on for a second had proven its server, and when its caller gave it up nobody looked at that server any more. Ends that it caused later than that were counted for nobody.

Callers saw: a request whose stream stops after a second and more, as its server falls silent or hangs, was sent to one server after the other.

Callers that leave streams which go on cost nothing, as before. The moment that servers fell silent together is kept by EndMoments, so that server_ends.py is smaller.

--- a/src/hickorybeam/gateway/crashes/end_moments.py
+++ b/src/hickorybeam/gateway/crashes/end_moments.py
@@ -23,6 +23,9 @@
 __all__ = ("EndMoments", "address_of")
 
 MAX_KEPT = 256
+# Servers behind a network that is cut fall silent one after the other, as their connections time
+# out. Those within this time of the first have ended together.
+SAME_SILENCE_MS = 5_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +43,13 @@
     def __init__(self) -> None:
         self._closed: deque[tuple[Address, int]] = deque(maxlen=MAX_KEPT)
         self._ended: deque[_Ended] = deque(maxlen=MAX_KEPT)
+        self._silent_since_ms = -SAME_SILENCE_MS
+
+    def common_silence_ms(self, since_ms: int) -> int:
+        """Return since when a server is silent, or the servers that fell silent with it."""
+        if since_ms - self._silent_since_ms >= SAME_SILENCE_MS:
+            self._silent_since_ms = since_ms
+        return self._silent_since_ms
 
     def record_closed(self, address: Address, now_ms: int) -> None:
         """Record that the other end closed an idle connection."""
--- a/src/hickorybeam/gateway/crashes/server_ends.py
+++ b/src/hickorybeam/gateway/crashes/server_ends.py
@@ -54,9 +54,6 @@
 # A response whose server still writes so long after its first bytes did not crash the server, nor
 # did a request that was given up so long ago.
 PROOF_MS = 1_000
-# Servers behind a network that is cut fall silent one after the other, as their connections time
-# out. Those within this time of the first have ended together.
-SAME_SILENCE_MS = 5_000
 # Requests that were given up at one server, the latest ones.
 MAX_LEFT = 32
 
@@ -110,7 +107,6 @@
         self._probe = ServerProbe(
             clock=clock, routing_state=routing_state, pool=pool, known_vms=known_vms
         )
-        self._silent_since_ms = -SAME_SILENCE_MS
 
     def start(self, tasks: TaskGroup) -> None:
         """Check servers in tasks of a group from now on."""
@@ -194,10 +190,12 @@
         tell that, and a server that doesn't answer may have fallen silent already.
         """
         self._log.write_left(request)
-        if self._tasks is None or request.proven or not request.attempt.was_sent:
+        server_state, now = request.server_state, self._clock.now()
+        if self._tasks is None or not request.attempt.was_sent:
+            return
+        if request.proven and now - server_state.heard_ms < SILENCE_MS:
             return
-        server_state = request.server_state
-        request.left_ms = self._clock.now()
+        request.left_ms = now
         if server_state not in self._left:
             self._left[server_state] = deque(maxlen=MAX_LEFT)
             self._tasks.start_soon(self._outlive_left, server_state)
@@ -329,12 +327,6 @@
         ):
             await self._clock.sleep(SETTLE_MS)
 
-    def _common_silence_ms(self, since_ms: int) -> int:
-        """Return since when a server is silent, or the servers that fell silent with it."""
-        if since_ms - self._silent_since_ms >= SAME_SILENCE_MS:
-            self._silent_since_ms = since_ms
-        return self._silent_since_ms
-
     def _prove_unframed(self, look: Look) -> None:
         """Prove the requests whose unframed response ended, now that their server is there."""
         for request in look.requests:
@@ -359,7 +351,7 @@
         self, server_state: ServerState, look: Look, *, planned: bool, was_undecided: bool
     ) -> None:
         suspects = [it for it in look.requests if not it.proven]
-        at_ms = self._common_silence_ms(look.since_ms) if not look.closed else look.since_ms
+        at_ms = self._moments.common_silence_ms(look.since_ms) if not look.closed else look.since_ms
         left = len(self._recently_left(server_state))
         if look.requests or left:
             self._log.write_end(server_state, look, suspects, left=left, planned=planned)
--- a/src/hickorybeam/standins/crashes.py
+++ b/src/hickorybeam/standins/crashes.py
@@ -53,6 +53,7 @@
     ``after_ms`` it crashes so long after the request began to run, whether the request is still
     there or not. ``silent``: it falls silent instead, so that its connections stay open and new
     ones are neither taken nor refused. ``hangs``: they are taken, and nothing is answered.
+    ``streams``: until a crash that comes later the request is answered by a stream.
     ``is_same``: it was cut off only, and what comes back is the same start.
     """
 
@@ -64,6 +65,7 @@
     after_ms: int | None = None
     silent: bool = False
     hangs: bool = False
+    streams: bool = False
     keeps_id: bool = False
     entry_ms: int = 0
     is_same: bool = False
--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -33,6 +34,8 @@
 
 EVENTS = 6
 EVENT_EVERY_MS = 4
+# Between the events of a stream that only a crash ends.
+STREAM_EVERY_MS = 50
 HEALTH_PATH = b"/health"
 REPORT_AGE_MS = 200
 # Requests that an engine keeps waiting, for each of its slots.
@@ -263,6 +266,8 @@
         is_struck = self.crash.strikes(decode_call(req))
         if is_struck and self.crash.after_ms is not None and self.process is not None:
             self.process.run_later(self.crash.after_ms, lambda: self.end_process(req.body))
+            if self.crash.streams:
+                await self._stream_on(reply, self._headers(request_id))
             await anyio.sleep_forever()
         await self.clock.sleep(self.work_ms)
         if self.faults.take("lost"):
@@ -315,6 +320,16 @@
             await stream.send(event(number, version, self._own_id(req)))
         stream.end()
 
+    async def _stream_on(self, reply: ResponseWriter, headers: RawHeaders) -> None:
+        """Stream events for as long as the process runs."""
+        stream = StreamReply(reply, headers, unframed=False)
+        stream.start()
+        for number in itertools.count(1):
+            await self.clock.sleep(STREAM_EVERY_MS)
+            if self.process is None or self.process.ended.is_set():
+                return
+            await stream.send(event(number, self.version))
+
     def _own_id(self, req: IncomingRequest) -> str:
         request_id = find_header(req.headers, names.REQUEST_ID) or b""
         return request_id.decode("latin-1") if self.tells_id else ""
--- a/tests/gateway/unseen_ends.feature
+++ b/tests/gateway/unseen_ends.feature
@@ -66,6 +66,21 @@
       | model | chat  | its caller leaves after 300 ms  |
       | model | plan  | its deadline is 400 ms          |
 
+  # Guards against a stream that had gone on for a second, so that its server was taken for sound when its caller left.
+  Scenario Outline: a stream that its caller leaves once it is silent counts for the end of its server
+    Given 16 model servers in two regions
+    And servers <how> after 1200 ms of a stream under body "{'n': 'bad'}"
+    When that request comes to all VMs on route "<route>" for 10 s, its caller leaves after 1700 ms, beside sound ones
+    Then it reached no server once the entries of three silent ones had lapsed
+    And each VM blocks 1 request and 0 parts
+    And the sound requests of the last 2 s were answered
+
+    Examples:
+      | how         | route |
+      | fall silent | chat  |
+      | hang        | chat  |
+      | hang        | plan  |
+
   # Guards against silence that is found only after the next two repeats have reached servers.
   Scenario: a server that takes no connection is known to be silent within two waits of a caller
     Given 16 model servers in two regions
--- a/tests/steps/gateway/unseen_ends_steps.py
+++ b/tests/steps/gateway/unseen_ends_steps.py
@@ -83,6 +83,14 @@
     set_switches(context, body, after_ms=5, hangs=True, lapse_ms=LAPSE_MS, back_ms=BACK_MS)
 
 
+@given('servers {how} after {ms:d} ms of a stream under body "{body}"')
+def step_end_in_stream(context, how, ms, body):
+    kind = {"silent": how == "fall silent", "hangs": how == "hang"}
+    set_switches(
+        context, body, after_ms=ms, streams=True, lapse_ms=LAPSE_MS, back_ms=BACK_MS, **kind
+    )
+
+
 @when('that request comes once to "{vm}" on route "{route}", and its caller leaves after {ms:d} ms')
 def step_comes_once(context, vm, route, ms):
     async def run():
