--- a/bench/crash_evidence_cost.py
+++ b/bench/crash_evidence_cost.py
@@ -17,7 +17,7 @@
 from hickorybeam.gateway.crashes.notice import CrashNotice
 from hickorybeam.gateway.fleet import WHOLE_REPORT_EVERY
 from hickorybeam.model.routing import PromptPart, RelayCall
-from hickorybeam.policy.crash_evidence import MAX_PARTS, MAX_SOUND, CrashEvidence
+from hickorybeam.policy.crash_evidence import MAX_PARTS, CrashEvidence
 from hickorybeam.policy.crash_messages import (
     CrashedRequest,
     crash_digest,
@@ -25,6 +25,7 @@
     request_digest,
 )
 from hickorybeam.policy.crash_reports import MAX_REPORTED, TIMES_TOLD
+from hickorybeam.policy.recently_sound import MAX_SOUND
 from hickorybeam.policy.report_intervals import local_report_interval_ms, remote_report_interval_ms
 from hickorybeam.policy.request_key import request_key, request_mark, request_outline
 
--- a/src/hickorybeam/gateway/crashes/end_moments.py
+++ b/src/hickorybeam/gateway/crashes/end_moments.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hickorybeam.policy.crash_suspects import SAME_CAUSE_MS
+from hickorybeam.policy.crash_counts import SAME_CAUSE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/src/hickorybeam/gateway/crashes/open_requests.py
+++ b/src/hickorybeam/gateway/crashes/open_requests.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from hickorybeam.policy.crash_suspects import Trait
+from hickorybeam.policy.crash_counts import Trait
 
 if TYPE_CHECKING:
     import anyio
--- a/src/hickorybeam/gateway/crashes/recorder.py
+++ b/src/hickorybeam/gateway/crashes/recorder.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from hickorybeam.policy.crash_counts import Trait
 from hickorybeam.policy.crash_messages import (
     CrashedRequest,
     crash_digest,
     part_digest,
     request_digest,
 )
-from hickorybeam.policy.crash_suspects import Trait
 from hickorybeam.policy.notice_budget import NoticeBudget
 from hickorybeam.policy.request_key import request_mark
 from hickorybeam.telemetry.decisions import DecisionLog
--- a/src/hickorybeam/gateway/crashes/server_ends.py
+++ b/src/hickorybeam/gateway/crashes/server_ends.py
@@ -31,7 +31,7 @@
 )
 from hickorybeam.gateway.crashes.server_end_log import ServerEndLog
 from hickorybeam.gateway.crashes.server_probe import SILENCE_MS, ServerProbe
-from hickorybeam.policy.crash_suspects import Trait
+from hickorybeam.policy.crash_counts import Trait
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/hickorybeam/policy/crash_evidence.py
+++ b/src/hickorybeam/policy/crash_evidence.py
@@ -30,40 +30,33 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from hickorybeam.policy.crash_counts import Crash, answered_crash, encode_open_ms
 from hickorybeam.policy.crash_messages import BlockChange, BlockVerdict
 from hickorybeam.policy.crash_reports import CrashReports
 from hickorybeam.policy.crash_suspects import (
     MIN_CRASHES_TOLD,
-    Crash,
     Suspect,
     alike_parts,
-    answered_crash,
     doubtful_prefix,
-    encode_open_ms,
     is_request_key,
 )
+from hickorybeam.policy.recently_sound import RecentlySound
 from hickorybeam.policy.request_key import outline_of
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
 
+    from hickorybeam.policy.crash_counts import Trait
     from hickorybeam.policy.crash_messages import CrashedRequest, ToldPart
-    from hickorybeam.policy.crash_suspects import Trait
 
 __all__ = ("CrashEvidence",)
 
 # A part is to blame itself if so many of its crashes are not those of one blocked request.
 MIN_UNEXPLAINED = 2
-# A part that was sound this shortly before a crash has not caused it.
-RECENT_MS = 2_000
-# A request that was answered this shortly before is not held, nor blamed for crashes at one moment.
-RECENT_ANSWER_MS = 10_000
 # Crashes further apart are not taken for the work of one part.
 KEEP_MS = 3_600_000
 KEEP_BLOCKED_MS = 86_400_000
 MAX_PARTS = 1_024
-# Parts and requests whose last sound response is kept.
-MAX_SOUND = 1_024
 
 
 class CrashEvidence:
@@ -85,7 +78,7 @@
         # explained by another one are left out. ``None`` when it has to be worked out again.
         self._alike: dict[bytes, frozenset[bytes]] | None = None
         # When parts were last sound, and requests last answered.
-        self._sound_ms: OrderedDict[bytes, int] = OrderedDict()
+        self._sound = RecentlySound()
         self.reports = CrashReports(self._suspects, self._blocked)
 
     def __len__(self) -> int:
@@ -170,7 +163,7 @@
         self._alike = None
         added = []
         for it, crash in (explained or found).items():
-            if at_ms - self._sound_ms.get(it, at_ms - RECENT_MS) >= RECENT_MS:
+            if not self._sound.was_sound(it, at_ms):
                 suspect = self._suspect(it)
                 if suspect.add_seen(server, crash):
                     self._know_outline(it)
@@ -243,11 +236,11 @@
 
     def record_answered(self, mark: bytes, now_ms: int) -> None:
         """Record that a request was answered, by a mark that needs no digest of all its bytes."""
-        self._keep_sound(mark, now_ms)
+        self._sound.keep(mark, now_ms)
 
     def was_answered(self, mark: bytes, now_ms: int) -> bool:
         """Return whether a request that may be the same was answered here lately."""
-        return now_ms - self._sound_ms.get(mark, now_ms - RECENT_ANSWER_MS) < RECENT_ANSWER_MS
+        return self._sound.was_answered(mark, now_ms)
 
     def is_held(self, key: bytes, now_ms: int) -> bool:
         """Return whether a request waits until it is known which servers have ended under it."""
@@ -269,20 +262,13 @@
         """Record that a server has outlived prompts with these parts."""
         changes: list[BlockChange] = []
         for part in parts:
-            self._keep_sound(part, now_ms)
+            self._sound.keep(part, now_ms)
             suspect = self._suspects.get(part)
             if suspect is not None and suspect.crashes:
                 changes += self._clear(part, suspect, tuple(suspect.crashes))
                 self.reports.plan(part)
         return changes
 
-    def _keep_sound(self, mark: bytes, now_ms: int) -> None:
-        """Keep when a part or request was last sound, of the latest ones."""
-        self._sound_ms[mark] = now_ms
-        self._sound_ms.move_to_end(mark)
-        if len(self._sound_ms) > MAX_SOUND:
-            self._sound_ms.popitem(last=False)
-
     def merge(self, told: Iterable[ToldPart], now_ms: int) -> list[BlockChange]:
         """Merge what another VM tells, or what the store has kept."""
         changes: list[BlockChange] = []
@@ -297,7 +283,7 @@
                 if suspect.add(server, Crash(now_ms - max(0, age_ms), request)):
                     self._know_outline(part)
                     self._know_doubtful(suspect)
-            sound_ms = self._sound_ms.get(part)
+            sound_ms = self._sound.last_ms(part)
             outlived = [
                 server
                 for server, crash in suspect.crashes.items()
--- a/src/hickorybeam/policy/crash_messages.py
+++ b/src/hickorybeam/policy/crash_messages.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from hickorybeam.model.bounds import BoundedInt  # noqa: TC001 - read by msgspec
-from hickorybeam.policy.crash_suspects import REQUEST_DIGEST_BYTES, Trait
+from hickorybeam.policy.crash_counts import REQUEST_DIGEST_BYTES, Trait
 
 __all__ = (
     "BlockChange",
--- a/tests/policy/crash_evidence.feature
+++ b/tests/policy/crash_evidence.feature
@@ -208,6 +208,7 @@
     Examples:
       | how                                        | times               | sent                  | verdict     |
       | once at one moment, though after the first | 0, 1000, 1050, 1090 | sent at 900 ms        | not blocked |
+      | once if they were sent before              | 0, 50, 100          | sent at -10 ms        | not blocked |
       | if each was sent after the one before      | 0, 50, 100          | sent after each other | blocked     |
       | by themselves when they are far apart      | 0, 300, 600         | sent at -10 ms        | blocked     |
 
--- a/tests/steps/policy/crash_evidence_steps.py
+++ b/tests/steps/policy/crash_evidence_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when
 
 from hickorybeam.policy.block_trials import UndecidedTrials, trial_due_ms
+from hickorybeam.policy.crash_counts import Trait
 from hickorybeam.policy.crash_evidence import CrashEvidence
 from hickorybeam.policy.crash_messages import (
     CrashedRequest,
@@ -13,7 +14,6 @@
     part_digest,
     request_digest,
 )
-from hickorybeam.policy.crash_suspects import Trait
 from hickorybeam.policy.request_key import OUTLINE_BYTES, outline_of, request_key
 
 VM = "n1"
@@ -190,8 +190,8 @@
 
 @when('"{vm}" sees servers crash under answered request "{name}" at "{times}" ms, {sent}')
 def step_crash_under_answered(context, vm, name, times, sent):
-    """Let servers crash, each as the only one since the request was sent there, if it was."""
-    trait = Trait.ALONE if sent == "sent after each other" else Trait.SEEN
+    """Let servers crash, each as the only one that ended, unless copies were sent in between."""
+    trait = Trait.SEEN if sent == "sent at 900 ms" else Trait.ALONE
     step_crash_under_request(context, vm, name, times, sent, trait, answered=True)
 
 
--- a/tools/mutation_tables/crashes.py
+++ b/tools/mutation_tables/crashes.py
@@ -31,7 +31,7 @@
     ),
     Mutation(
         "crashes at the same moment count once",
-        "policy/crash_suspects.py",
+        "policy/crash_counts.py",
         "if last_ms is None or at_ms - last_ms >= SAME_CAUSE_MS:",
         "if last_ms is None or at_ms - last_ms >= 0:",
         POLICY,
@@ -45,7 +45,7 @@
     ),
     Mutation(
         "a part that was sound shortly before is no suspect",
-        "policy/crash_evidence.py",
+        "policy/recently_sound.py",
         "RECENT_MS = 2_000",
         "RECENT_MS = 0",
         POLICY,
--- a/tools/mutation_tables/ends.py
+++ b/tools/mutation_tables/ends.py
@@ -13,7 +13,9 @@
 DISPATCH = "dispatch/crashed_calls.feature"
 EVIDENCE = "policy/crash_evidence.py"
 SUSPECTS = "policy/crash_suspects.py"
+COUNTS = "policy/crash_counts.py"
 ENDS = "gateway/crashes/server_ends.py"
+PROBE = "gateway/crashes/server_probe.py"
 RECORDER = "gateway/crashes/recorder.py"
 BLOCKS = "gateway/crashes/part_blocks.py"
 CALLS = "dispatch/crashed_calls.py"
@@ -70,7 +72,7 @@
     ),
     Mutation(
         "silent servers count only if they were heard after the first one",
-        SUSPECTS,
+        COUNTS,
         "        case Trait.LAPSED:\n            return False\n",
         "",
         POLICY,
@@ -87,7 +89,7 @@
     Mutation(
         "a request with three silent servers is held",
         SUSPECTS,
-        "return bool(silent_ms) and self.answered_ms < min(silent_ms)",
+        "return count_followed(likely) >= MIN_CRASHES_UNDER_REQUEST",
         "return False",
         POLICY,
         "is held until that is known",
@@ -95,7 +97,7 @@
     Mutation(
         "a request that servers answer is not held",
         SUSPECTS,
-        " and self.answered_ms < min(silent_ms)",
+        " or self.answered_ms >= min(silent_ms)",
         "",
         POLICY,
         "that servers answer meanwhile",
@@ -126,7 +128,7 @@
     ),
     Mutation(
         "copies sent at once count each where nothing else ended",
-        SUSPECTS,
+        COUNTS,
         "        case Trait.ALONE:\n            return True\n",
         "",
         POLICY,
@@ -192,8 +194,8 @@
     Mutation(
         "a request of which ends are known goes out on a new connection",
         "gateway/sender.py",
-        "fresh=server_state is not None and self._part_blocks.needs_proof(request),",
-        "",
+        "progress.was_unheard or self._part_blocks.needs_proof(request)",
+        "progress.was_unheard",
         UNSEEN,
         "goes out on a new connection",
     ),
@@ -207,7 +209,7 @@
     ),
     Mutation(
         "a server that takes connections again is asked who it is",
-        ENDS,
+        PROBE,
         "return ServerEnd.ENDED if is_replaced else ServerEnd.REPLACED",
         "return ServerEnd.REPLACED",
         UNSEEN,
@@ -325,4 +327,28 @@
         DISPATCH,
         "again and again is cleared",
     ),
+    Mutation(
+        "a stuck server that takes connections is asked",
+        PROBE,
+        "if not look.closed and self._identity.may_ask(server_state, vms=vms):",
+        "if False:",
+        UNSEEN,
+        "servers hang with their port open .*@1.2 ",
+    ),
+    Mutation(
+        "an end under an answered request follows only the one before it",
+        COUNTS,
+        "and crash.alive_ms >= previous_ms",
+        "",
+        POLICY,
+        "of one moment that two VMs saw|requests? that servers answer count",
+    ),
+    Mutation(
+        "a silent stream that is left is looked at",
+        ENDS,
+        "if request.proven and now - server_state.heard_ms < SILENCE_MS:",
+        "if request.proven:",
+        UNSEEN,
+        "caller leaves once it is silent .*@1.1 ",
+    ),
 )
--- a/tools/mutation_tables/repeats.py
+++ b/tools/mutation_tables/repeats.py
@@ -10,6 +10,7 @@
 GATEWAY = "gateway/repeated_requests.feature"
 EVIDENCE = "policy/crash_evidence.py"
 SUSPECTS = "policy/crash_suspects.py"
+COUNTS = "policy/crash_counts.py"
 RECORDER = "gateway/crashes/recorder.py"
 BLOCKS = "gateway/crashes/part_blocks.py"
 KEY = "policy/request_key.py"
@@ -39,21 +40,21 @@
     ),
     Mutation(
         "an end that followed the request counts",
-        SUSPECTS,
+        COUNTS,
         "if crash.alive_ms >= first_ms and crash.at_ms - first_ms >= SAME_MOMENT_MS:",
         "if False:",
         POLICY,
     ),
     Mutation(
         "ends at one moment count once",
-        SUSPECTS,
+        COUNTS,
         " and crash.at_ms - first_ms >= SAME_MOMENT_MS",
         "",
         POLICY,
     ),
     Mutation(
         "an end under a request that was sent before counts once",
-        SUSPECTS,
+        COUNTS,
         "crash.alive_ms >= first_ms and ",
         "",
         POLICY,
@@ -135,8 +136,8 @@
     Mutation(
         "what broke off is answered once its server is checked",
         "gateway/sender.py",
-        "is_silent=is_silent)\n                await self._server_ends.wait_checked(open_request)",
-        "is_silent=is_silent)",
+        "                await self._server_ends.wait_checked(open_request)\n        finally",
+        "        finally",
         GATEWAY,
         SEVERAL_VMS,
     ),
