--- a/src/hickorybeam/gateway/crashes/server_ends.py
+++ b/src/hickorybeam/gateway/crashes/server_ends.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -30,16 +31,16 @@
 )
 from hickorybeam.gateway.crashes.server_end_log import ServerEndLog
 from hickorybeam.gateway.crashes.server_probe import SILENCE_MS, ServerProbe
-from hickorybeam.policy.crash_suspects import Trait
+from hickorybeam.policy.crash_counts import Trait
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from anyio.abc import TaskGroup
 
     from hickorybeam.clock import Clock
     from hickorybeam.gateway.routing_state import RoutingState
-    from hickorybeam.http1 import UpstreamPool
+    from hickorybeam.http1 import UpstreamConnection, UpstreamPool
     from hickorybeam.http1.pool import Address
     from hickorybeam.policy.server_choice import ServerState
     from hickorybeam.telemetry import Counters
@@ -53,9 +54,6 @@
 # A response whose server still writes so long after its first bytes did not crash the server, nor
 # did a request that was given up so long ago.
 PROOF_MS = 1_000
-# Servers behind a network that is cut fall silent one after the other, as their connections time
-# out. Those within this time of the first have ended together.
-SAME_SILENCE_MS = 5_000
 # Requests that were given up at one server, the latest ones.
 MAX_LEFT = 32
 
@@ -109,7 +107,6 @@
         self._probe = ServerProbe(
             clock=clock, routing_state=routing_state, pool=pool, known_vms=known_vms
         )
-        self._silent_since_ms = -SAME_SILENCE_MS
 
     def start(self, tasks: TaskGroup) -> None:
         """Check servers in tasks of a group from now on."""
@@ -124,6 +121,15 @@
         """Whether a server may have ended a moment ago, and others with it."""
         return bool(self._looks)
 
+    def prover(
+        self, server_state: ServerState | None
+    ) -> Callable[[UpstreamConnection], Awaitable[int | None]] | None:
+        """Return what asks a server whether it answers; ``None`` where a VM is asked.
+
+        It returns when it asked, 0 if the server did not answer, ``None`` if it may not ask now.
+        """
+        return None if server_state is None else partial(self._probe.prove, server_state)
+
     def open(self, request: OpenRequest) -> None:
         """Follow a request that is about to be sent."""
         self._open.setdefault(request.server_state, set()).add(request)
@@ -184,10 +190,12 @@
         tell that, and a server that doesn't answer may have fallen silent already.
         """
         self._log.write_left(request)
-        if self._tasks is None or request.proven or not request.attempt.was_sent:
+        server_state, now = request.server_state, self._clock.now()
+        if self._tasks is None or not request.attempt.was_sent:
+            return
+        if request.proven and now - server_state.heard_ms < SILENCE_MS:
             return
-        server_state = request.server_state
-        request.left_ms = self._clock.now()
+        request.left_ms = now
         if server_state not in self._left:
             self._left[server_state] = deque(maxlen=MAX_LEFT)
             self._tasks.start_soon(self._outlive_left, server_state)
@@ -198,7 +206,7 @@
     def _report_unheard(self, request: OpenRequest) -> None:
         """Report a request that ended before anything was heard of its server."""
         server_state, now = request.server_state, self._clock.now()
-        if server_state.heard_ms <= request.sent_ms and self._probe.is_in_use(server_state):
+        if request.is_unheard and self._probe.is_in_use(server_state):
             alive_ms = request.alive_ms(ServerEnd.SILENT)
             under = EndedUnder(request.request, alive_ms, Trait.SILENT)
             self._on_unheard(EndedServer(server_state, now, under=(under,)))
@@ -319,12 +327,6 @@
         ):
             await self._clock.sleep(SETTLE_MS)
 
-    def _common_silence_ms(self, since_ms: int) -> int:
-        """Return since when a server is silent, or the servers that fell silent with it."""
-        if since_ms - self._silent_since_ms >= SAME_SILENCE_MS:
-            self._silent_since_ms = since_ms
-        return self._silent_since_ms
-
     def _prove_unframed(self, look: Look) -> None:
         """Prove the requests whose unframed response ended, now that their server is there."""
         for request in look.requests:
@@ -349,7 +351,7 @@
         self, server_state: ServerState, look: Look, *, planned: bool, was_undecided: bool
     ) -> None:
         suspects = [it for it in look.requests if not it.proven]
-        at_ms = self._common_silence_ms(look.since_ms) if not look.closed else look.since_ms
+        at_ms = self._moments.common_silence_ms(look.since_ms) if not look.closed else look.since_ms
         left = len(self._recently_left(server_state))
         if look.requests or left:
             self._log.write_end(server_state, look, suspects, left=left, planned=planned)
@@ -384,7 +386,13 @@
             was_open = end is ServerEnd.ENDED and it.left_ms is None
             is_only = was_open and self._moments.is_only(server_state, it.sent_ms, looks)
             under.append(
-                EndedUnder(it.request, it.alive_ms(end), trait, was_open=was_open, is_only=is_only)
+                EndedUnder(
+                    it.request,
+                    it.alive_ms(end, hangs=look.hangs),
+                    trait,
+                    was_open=was_open,
+                    is_only=is_only,
+                )
             )
         return tuple(under)
 
