--- a/src/hickorybeam/standins/server.py
+++ b/src/hickorybeam/standins/server.py
@@ -335,7 +335,7 @@
             await self.clock.sleep(STREAM_EVERY_MS)
             if self.process is None or self.process.ended.is_set():
                 return
-            await stream.send(event(number, self.version))
+            await stream.send(event(number, self.version, self.id))
 
     def _own_id(self, req: IncomingRequest) -> str:
         request_id = find_header(req.headers, names.REQUEST_ID) or b""
