policy/stream_answers: a VM in step for seconds only concludes nothing while one that it asked is silent

Five seconds after its start a VM counted as one that remembers all versions, while others keep one that has gone in mind for 60 s and weren't waited for.

Now the store's word suffices alone only where the VM has followed it for those 60 s; until then all VMs that it asks have to answer. Two rows of the policy failed before. What VMs that are silent and no longer live remember is not heard, so this narrows the hole and doesn't close it.

--- a/src/hickorybeam/gateway/stream_origins.py
+++ b/src/hickorybeam/gateway/stream_origins.py
@@ -17,6 +17,7 @@
 from hickorybeam.policy.retry_after import clamp_retry_after_ms
 from hickorybeam.policy.stream_answers import OwnKnowledge, StreamAnswers
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION, stream_digest
+from hickorybeam.policy.version_history import GONE_VERSION_MS
 from hickorybeam.policy.version_word import VersionWord, Witness
 
 if TYPE_CHECKING:
@@ -256,6 +257,7 @@
             confirmed_age_ms=None if began_ms is None else now - began_ms,
             store_is_heard=self._is_store_heard(question),
             followed_from=0 if self._complete_to() else self._feed.history.begins_at,
+            remembers=self._feed.history.complete_after(GONE_VERSION_MS, now) > 0,
         )
 
     def _is_store_heard(self, question: _Question) -> bool:
--- a/src/hickorybeam/policy/stream_answers.py
+++ b/src/hickorybeam/policy/stream_answers.py
@@ -26,7 +26,8 @@
     ``confirmed_age_ms`` is how long ago a call to the store began that showed all changes until
     then, ``None`` if none began after the question. ``store_is_heard``: the store has had its say;
     it has confirmed that, failed, or leaves calls unanswered. ``followed_from`` is the revision
-    from which on it has followed all changes, 0 if it has done so for long enough.
+    from which on it has followed all changes, 0 if it has done so for some seconds. ``remembers``:
+    it has done so for as long as callers may take streams up.
     """
 
     sole: bytes
@@ -34,6 +35,7 @@
     confirmed_age_ms: int | None = None
     store_is_heard: bool = False
     followed_from: int = 0
+    remembers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +133,14 @@
         return None
 
     def _is_covered(self, own: OwnKnowledge) -> bool:
-        """Return whether no version can have come and gone before this VM followed the store."""
+        """Return whether no version can have come and gone before this VM followed the store.
+
+        Where it doesn't remember that far back, a VM that does may be among those it has asked.
+        """
+        if own.remembers:
+            return True
+        if self._silent & self._asked:
+            return False
         if not own.followed_from:
             return True
         return self._followed_to.get(own.sole, 0) >= own.followed_from
@@ -161,6 +170,8 @@
             parts.append("several versions, or none, known here")
         if own.confirmed_age_ms is None:
             parts.append("not confirmed by the store")
-        elif own.followed_from:
+        elif not own.remembers:
+            parts.append("not long enough in step to remember all versions")
+        if own.followed_from:
             parts.append(f"changes of the store followed from revision {own.followed_from} on")
         return "; ".join(parts)
--- a/src/hickorybeam/policy/version_history.py
+++ b/src/hickorybeam/policy/version_history.py
@@ -12,7 +12,7 @@
 
 from hickorybeam.policy.stream_versions import UNKNOWN_VERSION
 
-__all__ = ("VersionHistory",)
+__all__ = ("GONE_VERSION_MS", "VersionHistory")
 
 # A stream may be taken up for so long after the last server of its version has gone.
 GONE_VERSION_MS = 60_000
--- a/tests/policy/stream_versions.feature
+++ b/tests/policy/stream_versions.feature
@@ -94,6 +94,10 @@
       # Guards against a version that came and went before a VM that has just started read the store.
       | nothing | it      | -/v1 earlier               | -       |
       | nothing | it      | -/v1 earlier, -/v1         | v1      |
+      # Guards against a version that came and went before a VM which has been in step for seconds only.
+      | v1 lately | it    | silent, -/v1               | -       |
+      | v1 lately | it    | -/several, -/v1            | -       |
+      | v1 lately | it    | -/v1, -/v1                 | v1      |
       # Guards against words from before the question: without the store, each VM has to say it.
       | v1      | nothing | -/v1, -/v1                 | v1      |
       | v1      | nothing |                            | v1      |
--- a/tests/steps/policy/stream_versions_steps.py
+++ b/tests/steps/policy/stream_versions_steps.py
@@ -141,13 +141,17 @@
     found = names(answers)
     context.answers = StreamAnswers(map(str, range(len(found))))
     is_new = own == "nothing"
+    remembers = not is_new and not own.endswith(" lately")
+    own = own.removesuffix(" lately")
     context.own = OwnKnowledge(
         key_of("v1") if is_new else sole_of(own),
         is_new=is_new,
         confirmed_age_ms={"it": 10, "nothing": None, "it later": None}[word],
         store_is_heard=word != "it later",
         followed_from=FIRST_READ if is_new else 0,
+        remembers=remembers,
     )
+    context.answers.note_asked(map(str, range(len(found))))
     for number, answer in enumerate(found):
         if answer == "silent":
             continue
--- a/tools/mutation_tables/streams.py
+++ b/tools/mutation_tables/streams.py
@@ -72,8 +72,8 @@
     Mutation(
         "without the store a silent VM does not agree",
         "policy/stream_answers.py",
-        "if self._silent or own.is_new:",
-        "if own.is_new:",
+        "if self._silent or own.is_new or not own.store_is_heard:",
+        "if own.is_new or not own.store_is_heard:",
         POLICY,
     ),
     Mutation(
@@ -90,6 +90,13 @@
         "return bool(self._vms_by_sole)",
         POLICY,
     ),
+    Mutation(
+        "a VM in step for seconds only waits for those that remember more",
+        "policy/stream_answers.py",
+        "        if self._silent & self._asked:\n            return False\n        if not",
+        "        if not",
+        POLICY,
+    ),
     Mutation(
         "the store's word is from after the question",
         "gateway/store_confirmation.py",
