tests/gateway/stream_out_of_step: VMs that remember a minute go on beside silent VMs, others wait

The two rows of streams that go on while other VMs are cut off have VMs that have followed the store for a minute; those that have for seconds refuse while a VM they asked is silent, and go on once it is no longer live (one scenario more).

--- a/tests/steps/gateway/stream_versions_steps.py
+++ b/tests/steps/gateway/stream_versions_steps.py
@@ -21,6 +21,7 @@
 from hickorybeam.http1.head import request_bytes
 from hickorybeam.model.routing import Repeat
 from hickorybeam.policy.stream_versions import ToldStreams, stream_digest, version_key
+from hickorybeam.policy.version_history import GONE_VERSION_MS
 from hickorybeam.standins.deployment import caller_headers
 from hickorybeam.standins.links import LinkHarm
 from hickorybeam.standins.server import (
@@ -227,6 +228,13 @@
     context.parts = ((b"x-hickorybeam-prompt-prefix", b"5c1e:30,91bd:20"),)
 
 
+@given("all VMs have followed the store for a minute")
+def step_followed_long(context):
+    context.call(anyio.sleep, HISTORY_MS / 1000)
+    for vm in context.rig.vms.values():
+        vm.feed.history._since_ms -= GONE_VERSION_MS
+
+
 @given("all VMs have run for {seconds:g} s")
 def step_vms_have_run(context, seconds):
     context.call(anyio.sleep, seconds)
@@ -344,6 +352,12 @@
     await vm.ended.wait()
 
 
+@when('VM "{name}" is no longer live for "{other}"')
+def step_not_live(context, name, other):
+    peers = context.rig.vms[other].fleet.peers
+    context.call(context.rig.until, lambda: not peers.is_live(peers.by_name[name]))
+
+
 @when('VM "{name}" and all northern VMs crash')
 def step_region_crashes(context, name):
     async def crash():
