settings: a VM knows its memory and its file descriptors

The platform tells both (memory-mb, file-descriptors) and the template passed on the share of a core alone, so nothing in the process could bound what it takes in. Checked: 64 MB and 256 descriptors at least.

--- a/src/hickorybeam/settings/checks.py
+++ b/src/hickorybeam/settings/checks.py
@@ -21,6 +21,10 @@
 # Of any number; a product of larger ones can't be turned into an integer.
 MAX_NUMBER = 2**53
 
+# What a VM needs before it takes in any bytes or connections of others.
+MIN_MEMORY_MB = 64
+MIN_FILE_DESCRIPTORS = 256
+
 # 0 means "no limit" for these; for every other duration or size it is a fault.
 ZERO_ALLOWED = frozenset({"config.stale_after_ms"})
 
@@ -30,6 +34,7 @@
     return (
         *_sizes_and_durations(cfg, ""),
         *_choices_and_names(cfg),
+        *_vm_size(cfg),
         *_ports(cfg),
         *_tls(cfg),
         *_timeouts(cfg),
@@ -75,6 +80,13 @@
         yield Fault("shares.groups", "a whole number above 0", repr(cfg.shares.groups))
 
 
+def _vm_size(cfg: Settings) -> Iterator[Fault]:
+    for name, least in (("memory_mb", MIN_MEMORY_MB), ("file_descriptors", MIN_FILE_DESCRIPTORS)):
+        found = getattr(cfg.vm, name)
+        if found < least:
+            yield Fault(f"vm.{name}", f"at least {least}", repr(found))
+
+
 def _ports(cfg: Settings) -> Iterator[Fault]:
     for name in ("http_port", "peer_port"):
         port = getattr(cfg.vm, name)
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -26,7 +26,8 @@
 class VmSettings:
     """Identity of this entry VM and the addresses that it listens on; port 0 picks a free one.
 
-    It has ``core_share`` of a core that is ``core_speed`` times as fast as a standard core.
+    It has ``core_share`` of a core that is ``core_speed`` times as fast as a standard core, and its
+    process may take ``memory_mb`` of memory and ``file_descriptors`` open files and sockets.
     """
 
     name: str
@@ -37,6 +38,8 @@
     peer_port: int = 0
     core_share: float = 1.0
     core_speed: float = 1.0
+    memory_mb: float = 300.0
+    file_descriptors: int = 4_096
 
     @property
     def power(self) -> float:
