--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,6 +1,7 @@
 """Run the behave features, one process for each feature file, and add up the counts.
 
-Features run side by side because each owns its ports and clocks; the sum is printed in one
+Features run side by side because each owns its ports and clocks, but for those tagged ``@alone``,
+which read the memory of processes and run one at a time after the others. The sum is printed in one
 line that CI reads. Arguments name folders (``tickets``) or paths to features.
 """
 
@@ -23,6 +24,7 @@
 )
 FAILURE = re.compile(r"^(?:FAILURE|ERROR) in step .*(?:\n(?!-{5}).*){0,4}", re.M)
 FAILING = re.compile(r"^(?:Failing|Errored) scenarios:\n((?:  .+\n)+)", re.M)
+ALONE = "@alone"
 TAIL_LINES = 5  # of an output that names no scenario
 
 
@@ -45,6 +47,11 @@
     return sorted(TESTS.rglob("*.feature"))
 
 
+def runs_alone(path: Path) -> bool:
+    """Return whether a feature runs while no other one does."""
+    return path.is_file() and path.read_text().startswith(ALONE)
+
+
 def run_suite(path: Path) -> Outcome:
     """Run one folder and read its counts; a crash counts as one failure."""
     cmd = [sys.executable, "-m", "behave", "--format=progress3", str(path)]
@@ -78,8 +85,10 @@
 
 def main(args: list[str]) -> int:
     """Run every suite and print the closing line."""
+    paths = suites(args)
     with ThreadPoolExecutor(WORKERS) as pool:
-        outcomes = list(pool.map(run_suite, suites(args)))
+        outcomes = list(pool.map(run_suite, [path for path in paths if not runs_alone(path)]))
+    outcomes += [run_suite(path) for path in paths if runs_alone(path)]
     for outcome in outcomes:
         counts = f"{outcome.passed} passed, {outcome.failed} failed"
         print(f"{outcome.name}: {counts} in {outcome.seconds:.0f} s")
