--- a/tests/steps/gateway/crowds_steps.py
+++ b/tests/steps/gateway/crowds_steps.py
@@ -2,6 +2,7 @@
 
 import anyio
 from behave import given, then, when
+
 from support.crowd import MB, Crowd, ask, crowded_fleet, terminate
 from support.crowd_kinds import payloads
 
