http1: what servers send on for callers that read nothing is counted and bounded

Cause: beside the caller's buffer, which the budget counts, each such answer held 1 MiB in its server's connection, and some MB in the kernel, which enlarges a receive buffer by itself. Change: a server's connection pauses at 64 KiB, its kernel's buffer is bounded to 64 KiB, and an answer that waits for its caller is charged for both.

--- a/src/hickorybeam/gateway/held_bytes.py
+++ b/src/hickorybeam/gateway/held_bytes.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ("HeldBytes", "Holding")
+__all__ = ("MAX_HELD_BYTES", "HeldBytes", "Holding")
 
-# A tenth of the smallest VM's memory. Usual answers take nothing of it.
+# Usual answers take nothing of it.
 MAX_HELD_BYTES = 16_777_216
 # What each request may hold in any case.
 FREE_BYTES = 65_536
--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -19,6 +19,7 @@
     decode_forwarded_request,
     hop_run,
 )
+from hickorybeam.gateway.held_bytes import HeldBytes
 from hickorybeam.gateway.intake_bounds import IntakeBounds
 from hickorybeam.gateway.learned_metrics import LearnedMetrics
 from hickorybeam.gateway.report_metrics import ReportMetrics
@@ -125,6 +126,7 @@
             log=DecisionLog(self._clock),
             promises=self._promises,
             part_blocks=self._part_blocks,
+            held_bytes=HeldBytes(self._bounds.max_held_bytes),
         )
         self._fleet.region_forecasts = self._handler.forecasts
 
--- a/src/hickorybeam/gateway/request_handler.py
+++ b/src/hickorybeam/gateway/request_handler.py
@@ -13,7 +13,6 @@
 from hickorybeam.gateway.event_splitter import EventSplitter
 from hickorybeam.gateway.final_responses import FinalResponses
 from hickorybeam.gateway.forwarding.peer_connections import PeerConnections
-from hickorybeam.gateway.held_bytes import HeldBytes
 from hickorybeam.gateway.placement.client import PlacementClient
 from hickorybeam.gateway.placement.coordinator import PlacementCoordinator
 from hickorybeam.gateway.placement.local import LocalPlacement
@@ -61,6 +60,7 @@
     from hickorybeam.gateway.feed import FeedService
     from hickorybeam.gateway.fleet import FleetService
     from hickorybeam.gateway.forwarding.forwarded_runs import ForwardedRun
+    from hickorybeam.gateway.held_bytes import HeldBytes
     from hickorybeam.gateway.status_report import WaitForecast
     from hickorybeam.gateway.targets import AdmittedRequest, Target
     from hickorybeam.http1 import IncomingRequest, ResponseWriter, UpstreamPool
@@ -94,6 +94,7 @@
         log: DecisionLog,
         promises: PromiseLog,
         part_blocks: PartBlocksService,
+        held_bytes: HeldBytes,
     ) -> None:
         self._cfg = cfg
         self._promises = promises
@@ -161,7 +162,7 @@
             on_proven=part_blocks.recorder.record_proven,
             on_whole=part_blocks.recorder.record_whole,
         )
-        self._held_bytes = HeldBytes()
+        self._held_bytes = held_bytes
         self._runs = RunControl(
             clock=clock,
             counters=counters,
--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -31,6 +31,8 @@
 WRITE_STALL_TIMEOUT_MS = 5_000
 # What is written beyond this waits until the caller has read.
 MAX_UNSENT_BYTES = 16_384
+# What a server goes on to send meanwhile: in the kernel's buffer, and in its connection's.
+HELD_UP_BYTES = 196_608
 # A refused caller may send on for this long. Closed with bytes unread, the connection would be
 # reset, and the refusal may be lost on its way.
 LINGER_MS = 2_000
@@ -147,7 +149,8 @@
         """What the caller has not read, if it is so much that writing waits."""
         if self._transport is None or self._writable.is_set():
             return 0
-        return self._transport.get_write_buffer_size()
+        held_up = HELD_UP_BYTES if self.response is not None else 0
+        return held_up + self._transport.get_write_buffer_size()
 
     def yield_room(self) -> None:
         """Give memory back, as the process is short of it.
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -11,7 +11,7 @@
 from hickorybeam.clock import MS_PER_SECOND
 from hickorybeam.http1.response_owner import Stray, StrayKind
 from hickorybeam.http1.upstream import UpstreamConnection
-from hickorybeam.sockets import end_if_silent
+from hickorybeam.sockets import bound_unread, end_if_silent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +30,8 @@
 # For how long after bytes of no request an address is known for them. Kept connections that may
 # hold more of them are closed as idle by then.
 STRAYS_KEPT_MS = 10_000
+# What the kernel keeps for a connection whose response is not read on.
+UNREAD_BYTES = 65_536
 
 
 class ConnectFailedError(Exception):
@@ -196,4 +198,5 @@
         conn.on_stray = partial(self._record_stray, address)
         conn.on_lost = partial(self._record_lost, address)
         end_if_silent(transport, self._silent_ms)
+        bound_unread(transport.get_extra_info("socket"), UNREAD_BYTES)
         return conn
--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -40,8 +40,8 @@
 BODILESS_STATUSES = (204, 304)
 # More pieces of a body are joined, as one of a byte takes far more memory than it holds.
 MAX_PIECES = 64
-# Reading from the socket pauses while more than this is buffered.
-MAX_BUFFERED_BYTES = 1_048_576
+# Reading from the socket pauses while more than this is buffered, as the receiver takes no more.
+MAX_BUFFERED_BYTES = 65_536
 
 
 class UpstreamConnection(asyncio.Protocol):
--- a/src/hickorybeam/sockets.py
+++ b/src/hickorybeam/sockets.py
@@ -17,6 +17,7 @@
 __all__ = (
     "bind_datagram_socket",
     "bind_socket",
+    "bound_unread",
     "end_if_silent",
     "is_established",
     "last_data_age_ms",
@@ -85,6 +86,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
 
 
+def bound_unread(sock: socket.socket, size: int) -> None:
+    """Bound what the kernel keeps of what was received and is not read yet, in bytes.
+
+    It keeps up to twice as much, and some MB by itself: with hundreds of connections, of which
+    none is read from for a while, more than a small machine has.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def peer_host(transport: BaseTransport) -> str:
     """Return the address of a connection's other end, empty if it isn't known."""
     name = transport.get_extra_info("peername")
