http1/server, gateway/intake_bounds: connections have a share of descriptors and memory

Seen: 400 connections that send nothing took 422 descriptors where the settings allow 300, at any port; on the platform 3,900 of 3,900, and three of four ordinary requests were closed unanswered. Cause: nothing bounded connections but the process's descriptors, which servers, VMs, the store and logs need too; what the kernel keeps for each (some MB) counts as the machine's memory. For a connection over that, those are closed that never asked for anything, then idle ones, then those that have not sent their whole request, each the oldest first. Counted as connections_closed{port,why}.

--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -59,6 +59,7 @@
         self._pipelined = PipelinedInput()
         self._lingers = False
         self._discarded_bytes = 0
+        self._has_asked = False
         self._writable = anyio.Event()
         self._writable.set()
         self._stalled_since_ms: int | None = None
@@ -74,7 +75,8 @@
         self._reader.attach(transport)  # type: ignore[arg-type]
         self._holding.origin = peer_host(transport)
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)  # type: ignore[attr-defined]
-        self.server.conns.add(self)
+        if not self.server.take_connection(self):
+            self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the request in progress that its caller has disconnected."""
@@ -240,6 +242,7 @@
         self._start(parsed)
 
     def _start(self, parsed: ParsedRequest) -> None:
+        self._has_asked = True
         # What was held for it while it was read is its own from now on.
         self._holding.release()
         if not self.server.intake.budget.start_running(parsed.cost_bytes, self._holding.origin):
@@ -392,6 +395,28 @@
         if is_idle and self._transport is not None:
             self._transport.close()
 
+    @property
+    def closing_order(self) -> tuple[int, int] | None:
+        """What decides which connection is closed first for others; ``None`` for none.
+
+        Those that have never asked for anything go first, then idle ones, then those that have
+        not sent their whole request; each in the order of time.
+        """
+        if self._is_busy and not self._lingers:
+            return None
+        if self._lingers:
+            return 0, self._state_since_ms
+        if self._parser.in_request:
+            return 3, self._state_since_ms
+        return (2 if self._has_asked else 1), self._state_since_ms
+
+    def close_for_others(self) -> None:
+        """Close the connection at once, as others need its descriptor."""
+        slow = self._parser.in_request
+        self.server.intake.on_closed(ClosedReason.SLOW if slow else ClosedReason.IDLE)
+        self.server.conns.discard(self)
+        self.abort()
+
     def check_timeouts(self, now_ms: int, limits: CallerLimits) -> None:
         """Enforce the timeouts for idling, for sending a request and for reading a response."""
         if self._lingers:
--- a/src/hickorybeam/http1/intake.py
+++ b/src/hickorybeam/http1/intake.py
@@ -6,18 +6,25 @@
 from typing import TYPE_CHECKING
 
 from hickorybeam.policy.memory_budget import MemoryBudget
+from hickorybeam.sockets import bound_unread
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
 __all__ = ("ClosedReason", "Intake", "unbounded_intake")
 
 UNBOUNDED = 1 << 60
+# Connections that wait to be accepted come all at once, before any of them can be closed.
+BACKLOG = 2_048
 
 
 class ClosedReason:
     """Why a connection was closed for the sake of others, as counters name it."""
 
+    IDLE = "idle"
+    SLOW = "slow"
+    NEW = "new"
     UNREAD = "unread"
 
 
@@ -26,12 +33,23 @@
     """Bounds of one port.
 
     :param budget: the process's memory for what callers send and don't read; all ports share it.
+    :param max_connections: connections that the port may have.
+    :param backlog: connections that may wait to be accepted.
+    :param receive_bytes: the kernel's buffer for each connection; 0 for its own choice.
     :param on_closed: called with the reason for which a connection was closed.
     """
 
     budget: MemoryBudget
+    max_connections: int = UNBOUNDED
+    backlog: int = BACKLOG
+    receive_bytes: int = 0
     on_closed: Callable[[str], None] = field(default=lambda reason: None)
 
+    def apply_to(self, sock: socket.socket) -> None:
+        """Bound what the kernel keeps for each connection of a listening socket."""
+        if self.receive_bytes:
+            bound_unread(sock, self.receive_bytes)
+
 
 def unbounded_intake(now: Callable[[], int]) -> Intake:
     """Return bounds that are never met, for servers of tests and stand-ins."""
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import contextlib
+import heapq
 import socket
 from typing import TYPE_CHECKING
 
 from absl import logging
 
 from hickorybeam.http1.caller_connection import CallerConnection
-from hickorybeam.http1.intake import Intake, unbounded_intake
+from hickorybeam.http1.intake import ClosedReason, Intake, unbounded_intake
 from hickorybeam.http1.response_writer import ResponseWriter
 from hickorybeam.model.routing import CallerLimits
 from hickorybeam.sockets import bind_socket
@@ -34,7 +35,8 @@
 
 # Interval of the checks for idle and slow connections; a timeout is noticed up to this late.
 TIMEOUT_CHECK_INTERVAL_MS = 250
-BACKLOG = 2_048
+# How many connections are closed for others at a time, as all are looked at each time.
+CLOSED_SHARE = 1 / 32
 
 
 class HttpServer:
@@ -90,8 +92,9 @@
     async def listen_on(self, sock: socket.socket) -> None:
         """Start to accept connections on a bound socket."""
         loop = asyncio.get_running_loop()
+        self.intake.apply_to(sock)
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=sock, backlog=BACKLOG
+            lambda: CallerConnection(self), sock=sock, backlog=self.intake.backlog
         )
         self.port = sock.getsockname()[1]
         self._tasks.start_soon(self._check_timeouts)
@@ -119,6 +122,25 @@
         """The number of requests that are handled, or whose response is not all sent."""
         return self.in_flight + sum(conn.has_unsent_rest for conn in self.conns)
 
+    def take_connection(self, conn: CallerConnection) -> bool:
+        """Add a connection, for which others are closed if there are too many.
+
+        :return: ``False`` if none of them can be.
+        """
+        if len(self.conns) >= self.intake.max_connections and not self._close_some():
+            self.intake.on_closed(ClosedReason.NEW)
+            return False
+        self.conns.add(conn)
+        return True
+
+    def _close_some(self) -> bool:
+        """Close connections on which nothing is answered; return whether there were any."""
+        ordered = [(order, id(it), it) for it in self.conns if (order := it.closing_order)]
+        count = max(1, round(self.intake.max_connections * CLOSED_SHARE))
+        for _, _, conn in heapq.nsmallest(count, ordered):
+            conn.close_for_others()
+        return bool(ordered)
+
     def spawn(self, req: IncomingRequest, response: ResponseWriter, cost_bytes: int) -> None:
         """Start the task that handles one request.
 
--- a/src/hickorybeam/settings/checks.py
+++ b/src/hickorybeam/settings/checks.py
@@ -24,6 +24,7 @@
 # What a VM needs before it takes in any bytes or connections of others.
 MIN_MEMORY_MB = 64
 MIN_FILE_DESCRIPTORS = 256
+MAX_INTAKE_SHARE = 0.75
 
 # 0 means "no limit" for these; for every other duration or size it is a fault.
 ZERO_ALLOWED = frozenset({"config.stale_after_ms"})
@@ -93,6 +94,11 @@
         share = getattr(cfg.intake, field.name)
         if not 0 < share < 1:
             yield Fault(f"intake.{field.name}", "a fraction between 0 and 1", repr(share))
+    # What is left is for the process itself.
+    taken = cfg.intake.request_share + cfg.intake.connection_share
+    if taken > MAX_INTAKE_SHARE:
+        expected = f"at most {MAX_INTAKE_SHARE} together with intake.connection_share"
+        yield Fault("intake.request_share", expected, repr(round(taken, 3)))
 
 
 def _ports(cfg: Settings) -> Iterator[Fault]:
--- a/src/hickorybeam/settings/types.py
+++ b/src/hickorybeam/settings/types.py
@@ -213,10 +213,13 @@
     """What all who connect to a VM may make it hold together; whoever is over it is refused.
 
     ``request_share`` is the share of the VM's memory for requests that are being read or run, and
-    for responses that nobody reads.
+    for responses that nobody reads; ``connection_share`` that for connections, with what the
+    kernel keeps for each; ``descriptor_share`` the connections' share of the file descriptors.
     """
 
     request_share: float = 0.2
+    connection_share: float = 0.4
+    descriptor_share: float = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/settings/load.feature
+++ b/tests/settings/load.feature
@@ -28,6 +28,8 @@
       | name: "dk-1"   | name: "dk-1", http_port: true  | vm.http_port: expected a whole number, found True                                  |
       | name: "dk-1"   | name: "dk-1", memory_mb: 63    | vm.memory_mb: expected at least 64, found 63.0                                    |
       | name: "dk-1"   | name: "dk-1", file_descriptors: 255 | vm.file_descriptors: expected at least 256, found 255                         |
+      | peers: {       | intake: {descriptor_share: 1}, peers: { | intake.descriptor_share: expected a fraction between 0 and 1, found 1.0 |
+      | peers: {       | intake: {request_share: 0.5}, peers: { | intake.request_share: expected at most 0.75 together with intake.connection_share, found 0.9 |
       | plain: true    | plain: true, ca_file: "a" | peers.tls.ca_file: expected nothing, as peers.tls.plain is true, found 'a'              |
       | peers: {       | load: {profile: "best"}, peers: { | load.profile: expected one of 'cheap', 'fast', found 'best'                     |
       | peers: {       | peers: {heartbeat_ms: 1500, | peers.silent_after_ms: expected at least twice peers.heartbeat_ms (3000), found 2000  |
