gateway/report_receiver: relayed reports are bounded between two of this VM's own

By reading: reports in a known VM's name, of another data centre, were gathered for the next report however many came, and anybody can send datagrams. 800 at most, twice the largest fleet. No test: what a flood of such datagrams does to a VM's time was not tried.

--- a/src/hickorybeam/gateway/report_receiver.py
+++ b/src/hickorybeam/gateway/report_receiver.py
@@ -32,6 +32,9 @@
 
 __all__ = ("ReportReceiver",)
 
+# Twice the largest fleet. Anybody can send datagrams in a VM's name, as many as the link carries,
+# until the next report takes along what there is to relay.
+MAX_TO_RELAY = 800
 # A VM that stood still reads many at once.
 OLD_REPORT_LOG_INTERVAL_S = 1
 
@@ -80,7 +83,9 @@
         for relayed in report.relayed:
             if relayed.name != self._own_vm.name:
                 self._apply(relayed)
-        if sender is not None and sender.vm.data_centre != self._own_vm.data_centre:
+        if sender is None or sender.vm.data_centre == self._own_vm.data_centre:
+            return
+        if len(self._to_relay) < MAX_TO_RELAY:
             # Whoever needs a stream's version asks the VMs of its data centre, this one too.
             self._to_relay.append(msgspec.structs.replace(report, streams=[]))
 
