--- a/src/hickorybeam/front/calls.py
+++ b/src/hickorybeam/front/calls.py
@@ -134,9 +134,8 @@
 async def read_call_body(context: FrontContext, req: Request, identity: Identity) -> bytes:
     """Read the body of an admitted call, and refuse a key outside of the headers."""
     try:
-        context.memory.reserve(REQUEST_OVERHEAD_BYTES)
-        req.reserved_bytes += REQUEST_OVERHEAD_BYTES
-        body = await req.body(context.memory, limit=context.cfg.front.max_body_bytes)
+        req.memory.reserve(REQUEST_OVERHEAD_BYTES)
+        body = await req.body(limit=context.cfg.front.max_body_bytes)
     except GatewayError as exc:
         raise context.add_entries(exc, identity.allowed_regions) from exc
     if (
--- a/src/hickorybeam/front/context.py
+++ b/src/hickorybeam/front/context.py
@@ -13,7 +13,6 @@
 
 if TYPE_CHECKING:
     from hickorybeam.clock import Clock
-    from hickorybeam.front.memory import MemoryBudget
     from hickorybeam.front.request import Request
     from hickorybeam.kernel import Kernel
     from hickorybeam.model import EntryVm, ServiceRoute
@@ -44,7 +43,6 @@
     dispatch: Dispatch
     members: Members | None
     once: IdempotentCalls | None
-    memory: MemoryBudget
     draining: bool = False
     # Configuration position and the route table built from it, rebuilt when the position changes.
     _routes: tuple[int, PrefixTable[ServiceRoute]] = field(
--- a/src/hickorybeam/front/directory.py
+++ b/src/hickorybeam/front/directory.py
@@ -57,7 +57,7 @@
 async def idempotency_keys(context: FrontContext, req: Request) -> None:
     """``POST /v1/idempotency-keys``: issue keys; a call with one runs at most once."""
     identity = context.admit(req)
-    raw = await req.body(context.memory, limit=MAX_BODY_BYTES)
+    raw = await req.body(limit=MAX_BODY_BYTES)
     try:
         keys_request = decode_json(raw or b"{}", _KeysRequest)
     except InvalidBytesError as exc:
--- a/src/hickorybeam/front/operators.py
+++ b/src/hickorybeam/front/operators.py
@@ -29,7 +29,7 @@
 async def submit(context: FrontContext, req: Request) -> None:
     """``POST /v1/tickets``: accept a change ticket."""
     context.require_operator(req)
-    raw = await req.body(context.memory, limit=MAX_TICKET_BYTES)
+    raw = await req.body(limit=MAX_TICKET_BYTES)
     try:
         value = decode_json(raw, object)
     except InvalidBytesError as exc:
--- a/src/hickorybeam/front/protocol.py
+++ b/src/hickorybeam/front/protocol.py
@@ -12,13 +12,15 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.front.refusals import raw_refusal
+from hickorybeam.http1.request_parser import HEADER_COST_BYTES
 from hickorybeam.httpserve import HttpProtocol
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
 
-    from hickorybeam.settings import FrontSettings
+    from hickorybeam.policy.memory_budget import MemoryBudget
+    from hickorybeam.settings import FrontSettings, Settings
     from hickorybeam.watchdog import Watchdog
 
 __all__ = ("CallerProtocol", "ConnectionLimits")
@@ -32,6 +34,9 @@
 # Share of the open-file limit for callers' connections. Each may need a connection to a backend
 # server and one to a peer; with no descriptors left for those, running requests would fail.
 CALLERS_FILE_SHARE = 0.3
+# A refused caller may send on for this long. Closed with bytes unread, the connection would be
+# reset, and the refusal may be lost on its way.
+LINGER_MS = 2_000
 
 
 class ConnectionLimits:
@@ -41,17 +46,20 @@
     """
 
     def __init__(
-        self, cfg: FrontSettings, watchdog: Watchdog, count_refusal: Callable[[ErrorKind], None]
+        self,
+        cfg: Settings,
+        watchdog: Watchdog,
+        count_refusal: Callable[[ErrorKind], None],
+        memory: MemoryBudget,
     ) -> None:
-        self.cfg = cfg
+        self.cfg = cfg.front
         self.watchdog = watchdog
         self.count_refusal = count_refusal
+        self.memory = memory
         self.conns_by_address: Counter[str] = Counter()
         self.conns: set[CallerProtocol] = set()
-        max_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        self.max_conns = min(
-            cfg.memory_bytes // IDLE_CONNECTION_BYTES, int(max_files * CALLERS_FILE_SHARE)
-        )
+        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.max_conns = min(memory.limit // IDLE_CONNECTION_BYTES, int(files * CALLERS_FILE_SHARE))
 
     def has_unsent_data(self) -> bool:
         """Return whether any connection has data that its caller has not yet read."""
@@ -71,7 +79,10 @@
         self._limits = limits
         self._address = ""
         self._counted = False
+        self._lingers = False
+        self._holding = limits.memory.hold(self)
         self._head_bytes = 0
+        self._head_cost = 0
         self._in_head = False
         self._refusal_kind: ErrorKind | None = None
         self._lost_callbacks: set[Callable[[], None]] = set()
@@ -88,6 +99,7 @@
         self._counted = True
         limits.conns.add(self)
         limits.conns_by_address[self._address] += 1
+        self._holding.origin = self._address
         enable_keepalive(transport, limits.cfg)
         if len(limits.conns) > limits.max_conns:
             self.refuse(ErrorKind.VM_FULL)
@@ -98,6 +110,7 @@
         """Remove its deadlines and counts, and call back for requests that run on it."""
         super().connection_lost(exc)
         limits = self._limits
+        self._holding.release()
         limits.watchdog.remove(self._receive_deadline)
         limits.watchdog.remove(self._send_deadline)
         if self._counted:
@@ -110,14 +123,14 @@
             callback()
 
     def data_received(self, data: bytes) -> None:
-        """Parse the data unless the connection is closing."""
-        if not self.transport.is_closing():
+        """Parse the data unless the connection is closing; a refused caller's are dropped."""
+        if not self._lingers and not self.transport.is_closing():
             super().data_received(data)
 
     def on_message_begin(self) -> None:
         """Start the time and size limits of a request's head."""
         super().on_message_begin()
-        self._head_bytes = 0
+        self._head_bytes = self._head_cost = 0
         self._in_head = True
         self._limits.watchdog.extend(self._receive_deadline, self._limits.cfg.body_timeout_ms)
 
@@ -129,11 +142,17 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count and add a header."""
         self._count_head_bytes(len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES)
+        self._head_cost += len(name) + len(value) + HEADER_COST_BYTES
+        if not self._holding.resize(self._head_cost):
+            self._refusal_kind = ErrorKind.VM_FULL
+            raise httptools.HttpParserError("no room for the head")
         super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Mark the head as complete."""
         self._in_head = False
+        # From here on it belongs to what each request reserves.
+        self._holding.release()
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
@@ -163,8 +182,23 @@
             # Another response is being written; the refusal would land in the middle of it.
             self.abort()
             return
+        if self._lingers or self.transport.is_closing():
+            return
         self.transport.write(raw_refusal(GatewayError(kind, detail)))
-        self.transport.close()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Send nothing more, and drop what comes until the other end closes."""
+        self._lingers = True
+        self._in_head = False
+        self.headers.clear()
+        self._holding.release()
+        self.transport.write_eof()
+        self._limits.watchdog.extend(self._receive_deadline, LINGER_MS)
+
+    def yield_room(self) -> None:
+        """Refuse the request whose head is being read, as others need the memory."""
+        self.refuse(ErrorKind.VM_FULL)
 
     def close_early(self) -> None:
         """Close after the data written so far, without the end of the response."""
@@ -186,7 +220,9 @@
         self._late_body_callback = callback
 
     def _on_receive_timeout(self) -> None:
-        if self._late_body_callback is not None:
+        if self._lingers:
+            self.abort()
+        elif self._late_body_callback is not None:
             self._late_body_callback()
         elif self._in_head:
             self.refuse(ErrorKind.CALLER_TIMEOUT)
--- a/src/hickorybeam/front/request.py
+++ b/src/hickorybeam/front/request.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, MutableMapping
 
-    from hickorybeam.front.memory import MemoryBudget
+    from hickorybeam.front.memory import RequestMemory
     from hickorybeam.front.protocol import CallerProtocol
 
     Scope = MutableMapping[str, Any]
@@ -24,6 +24,8 @@
 __all__ = ("CallerDisconnectedError", "Request")
 
 NO_BODY_STATUSES = (204, 304)
+# A buffer that grows takes up to an eighth more than it holds.
+GROWTH_SHARE = 8
 # Callers with this version take no chunks.
 OLD_HTTP_VERSION = "1.0"
 
@@ -36,10 +38,20 @@
     """A request and its response.
 
     :param request_id: id made by this VM; one from the caller would not be unique.
+    :param memory: what it holds of the VM's memory.
     """
 
-    def __init__(self, scope: Scope, receive: Receive, send: Send, *, request_id: str) -> None:
+    def __init__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        *,
+        request_id: str,
+        memory: RequestMemory,
+    ) -> None:
         self.id = request_id
+        self.memory = memory
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.raw_path: bytes = scope["raw_path"]
@@ -48,7 +60,6 @@
         self.conn: CallerProtocol = scope["extensions"][CONNECTION_KEY]
         self.client_address: str = scope["client"][0] if scope["client"] else ""
         self.response_started = False
-        self.reserved_bytes = 0
         self.close_connection = False
         self._body_requested = False
         self._takes_chunks = scope["http_version"] != OLD_HTTP_VERSION
@@ -66,7 +77,7 @@
                 return value.decode("latin-1")
         return ""
 
-    async def body(self, memory: MemoryBudget, *, limit: int) -> bytes:
+    async def body(self, *, limit: int) -> bytes:
         """Read the body.
 
         :raises GatewayError: ``BODY_TOO_LARGE``, ``VM_FULL`` or ``CALLER_TIMEOUT``.
@@ -78,28 +89,36 @@
             raise GatewayError(ErrorKind.BODY_TOO_LARGE, f"the limit is {limit} bytes")
         with anyio.CancelScope() as scope:
             self.conn.set_late_body_callback(scope.cancel)
+            self.memory.on_yield = scope.cancel
             try:
-                return await self._read_body(memory, limit)
+                return await self._read_body(limit)
             finally:
+                self.memory.on_yield = None
                 self.conn.set_late_body_callback(None)
-        raise GatewayError(ErrorKind.CALLER_TIMEOUT)
-
-    async def _read_body(self, memory: MemoryBudget, limit: int) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
+        full = self.memory.has_yielded
+        raise GatewayError(ErrorKind.VM_FULL if full else ErrorKind.CALLER_TIMEOUT)
+
+    async def _read_body(self, limit: int) -> bytes:
+        body = bytearray()
+        try:
+            return await self._read_into(body, limit)
+        except BaseException:
+            # The error's traceback would keep the bytes until the garbage collector runs.
+            body.clear()
+            raise
+
+    async def _read_into(self, body: bytearray, limit: int) -> bytes:
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise CallerDisconnectedError
-            chunk: bytes = message.get("body", b"")
-            memory.reserve(len(chunk))
-            self.reserved_bytes += len(chunk)
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit:
+            body += message.get("body", b"")
+            if len(body) > limit:
                 raise GatewayError(ErrorKind.BODY_TOO_LARGE, f"the limit is {limit} bytes")
+            self.memory.read(len(body) + len(body) // GROWTH_SHARE)
             if not message.get("more_body"):
-                return b"".join(chunks)
+                self.memory.finish_reading(len(body))
+                return bytes(body)
 
     async def start_response(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send status and headers."""
--- a/src/hickorybeam/front/routes.py
+++ b/src/hickorybeam/front/routes.py
@@ -74,8 +74,7 @@
         else:
             await req.refuse(GatewayError(ErrorKind.INTERNAL))
     finally:
-        context.memory.release(req.reserved_bytes)
-        req.reserved_bytes = 0
+        req.memory.release()
     context.counters.requests.labels(route_label(context, req), outcome).inc()
 
 
--- a/src/hickorybeam/front/service.py
+++ b/src/hickorybeam/front/service.py
@@ -11,11 +11,12 @@
 
 from hickorybeam.front import routes
 from hickorybeam.front.context import FrontContext
-from hickorybeam.front.memory import MemoryBudget
+from hickorybeam.front.memory import RequestMemory
 from hickorybeam.front.protocol import CallerProtocol, ConnectionLimits
 from hickorybeam.front.request import Request
 from hickorybeam.httpserve import serve_app
 from hickorybeam.kernel import Service
+from hickorybeam.policy.memory_budget import MemoryBudget
 from hickorybeam.ports import (
     CONFIG,
     DISPATCH,
@@ -45,6 +46,7 @@
 # that lists other VMs for this long; a closed port could not redirect them.
 DRAIN_LINGER_MS = 500
 ID_PREFIX_BYTES = 6
+BYTES_PER_MB = 1_000_000
 
 
 class FrontService(Service):
@@ -58,8 +60,10 @@
         self._clock = clock
         self._counters = counters
         self._watchdog = Watchdog(clock, tick_ms=WATCHDOG_TICK_MS)
-        self._connection_limits = ConnectionLimits(cfg.front, self._watchdog, self._count_refusal)
-        self._memory = MemoryBudget(cfg.front.memory_bytes)
+        self._memory = MemoryBudget(memory_limit(cfg), now=clock.now)
+        self._connection_limits = ConnectionLimits(
+            cfg, self._watchdog, self._count_refusal, self._memory
+        )
         self._id_prefix = secrets.token_hex(ID_PREFIX_BYTES)
         self._request_numbers = itertools.count(1)
         self._in_flight = 0
@@ -69,7 +73,7 @@
         in_flight = counters.gauge("requests_in_flight", "Requests being answered")
         in_flight.set_function(lambda: self._in_flight)
         held = counters.gauge("request_memory_bytes", "Memory reserved for requests")
-        held.set_function(lambda: self._memory.used)
+        held.set_function(lambda: self._memory.taken)
 
     @property
     def port(self) -> int:
@@ -92,7 +96,6 @@
             dispatch=kernel.find(DISPATCH, Dispatch),  # type: ignore[type-abstract]
             members=members,
             once=once,
-            memory=self._memory,
         )
 
     async def main(self, started: Started) -> None:
@@ -129,14 +132,16 @@
         return {
             "connections": len(self._connection_limits.conns),
             "in_flight": self._in_flight,
-            "memory_bytes": self._memory.used,
+            "memory_bytes": self._memory.taken,
             "draining": self._context.draining,
         }
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one request as an ASGI app."""
         request_id = f"{self._id_prefix}{next(self._request_numbers):x}"
-        req = Request(scope, receive, send, request_id=request_id)
+        origin = scope["client"][0] if scope["client"] else ""
+        memory = RequestMemory(self._memory, origin)
+        req = Request(scope, receive, send, request_id=request_id, memory=memory)
         self._in_flight += 1
         try:
             await routes.handle_request(self._context, req)
@@ -145,3 +150,9 @@
 
     def _count_refusal(self, kind: ErrorKind) -> None:
         self._counters.refusals.labels(kind.value).inc()
+
+
+def memory_limit(cfg: Settings) -> int:
+    """Return what requests may hold together: as the settings say, within the VM's memory."""
+    of_vm = cfg.vm.memory_mb * BYTES_PER_MB * cfg.intake.request_share
+    return min(cfg.front.memory_bytes, int(of_vm))
