--- a/src/hickorybeam/front/protocol.py
+++ b/src/hickorybeam/front/protocol.py
@@ -12,6 +12,7 @@
 
 from hickorybeam.errors import ErrorKind, GatewayError
 from hickorybeam.front.refusals import raw_refusal
+from hickorybeam.http1.intake import ClosedReason
 from hickorybeam.http1.request_parser import HEADER_COST_BYTES
 from hickorybeam.httpserve import HttpProtocol
 
@@ -21,6 +22,7 @@
 
     from hickorybeam.policy.memory_budget import MemoryBudget
     from hickorybeam.settings import FrontSettings, Settings
+    from hickorybeam.telemetry import Counters
     from hickorybeam.watchdog import Watchdog
 
 __all__ = ("CallerProtocol", "ConnectionLimits")
@@ -34,6 +36,8 @@
 # Share of the open-file limit for callers' connections. Each may need a connection to a backend
 # server and one to a peer; with no descriptors left for those, running requests would fail.
 CALLERS_FILE_SHARE = 0.3
+# How many connections are closed for others at a time, as all are looked at each time.
+CLOSED_SHARE = 1 / 32
 # A refused caller may send on for this long. Closed with bytes unread, the connection would be
 # reset, and the refusal may be lost on its way.
 LINGER_MS = 2_000
@@ -51,6 +55,7 @@
         watchdog: Watchdog,
         count_refusal: Callable[[ErrorKind], None],
         memory: MemoryBudget,
+        counters: Counters,
     ) -> None:
         self.cfg = cfg.front
         self.watchdog = watchdog
@@ -58,8 +63,25 @@
         self.memory = memory
         self.conns_by_address: Counter[str] = Counter()
         self.conns: set[CallerProtocol] = set()
-        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        files = min(cfg.vm.file_descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.max_conns = min(memory.limit // IDLE_CONNECTION_BYTES, int(files * CALLERS_FILE_SHARE))
+        self._closed = counters.counter(
+            "connections_closed", "Connections closed for the sake of others", ("port", "why")
+        )
+
+    def close_idle(self, *, beside: CallerProtocol) -> bool:
+        """Close the connections that have been idle for longest; return whether there were any.
+
+        Those that have never asked for anything go first. If the newest were refused instead,
+        connections that send nothing would keep all others out.
+        """
+        idle = [it for it in self.conns if it.is_idle and it is not beside]
+        idle.sort(key=lambda it: (it.has_asked, it.since_ms))
+        for conn in idle[: max(1, round(self.max_conns * CLOSED_SHARE))]:
+            self._closed.labels("callers", ClosedReason.IDLE).inc()
+            self.conns.discard(conn)
+            conn.abort()
+        return bool(idle)
 
     def has_unsent_data(self) -> bool:
         """Return whether any connection has data that its caller has not yet read."""
@@ -80,6 +102,8 @@
         self._address = ""
         self._counted = False
         self._lingers = False
+        self.has_asked = False
+        self.since_ms = limits.watchdog.now()
         self._holding = limits.memory.hold(self)
         self._head_bytes = 0
         self._head_cost = 0
@@ -101,7 +125,7 @@
         limits.conns_by_address[self._address] += 1
         self._holding.origin = self._address
         enable_keepalive(transport, limits.cfg)
-        if len(limits.conns) > limits.max_conns:
+        if len(limits.conns) > limits.max_conns and not limits.close_idle(beside=self):
             self.refuse(ErrorKind.VM_FULL)
         elif limits.conns_by_address[self._address] > limits.cfg.max_connections_per_address:
             self.refuse(ErrorKind.TOO_MANY_CONNECTIONS)
@@ -131,7 +155,7 @@
         """Start the time and size limits of a request's head."""
         super().on_message_begin()
         self._head_bytes = self._head_cost = 0
-        self._in_head = True
+        self._in_head = self.has_asked = True
         self._limits.watchdog.extend(self._receive_deadline, self._limits.cfg.body_timeout_ms)
 
     def on_url(self, url: bytes) -> None:
@@ -158,6 +182,7 @@
     def on_message_complete(self) -> None:
         """Pause the receive deadline: the caller now waits for the response."""
         super().on_message_complete()
+        self.since_ms = self._limits.watchdog.now()
         self._limits.watchdog.pause(self._receive_deadline)
 
     def pause_writing(self) -> None:
@@ -200,6 +225,12 @@
         """Refuse the request whose head is being read, as others need the memory."""
         self.refuse(ErrorKind.VM_FULL)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is answered on it, and nothing is being sent."""
+        busy = self.cycle is not None and not self.cycle.response_complete
+        return not busy and not self.transport.get_write_buffer_size()
+
     def close_early(self) -> None:
         """Close after the data written so far, without the end of the response."""
         self.transport.close()
--- a/src/hickorybeam/front/service.py
+++ b/src/hickorybeam/front/service.py
@@ -14,7 +14,7 @@
 from hickorybeam.front.memory import RequestMemory
 from hickorybeam.front.protocol import CallerProtocol, ConnectionLimits
 from hickorybeam.front.request import Request
-from hickorybeam.httpserve import serve_app
+from hickorybeam.httpserve import BACKLOG, serve_app
 from hickorybeam.kernel import Service
 from hickorybeam.policy.memory_budget import MemoryBudget
 from hickorybeam.ports import (
@@ -47,6 +47,10 @@
 DRAIN_LINGER_MS = 500
 ID_PREFIX_BYTES = 6
 BYTES_PER_MB = 1_000_000
+# What the kernel keeps of what a connection received, and this process has not read.
+RECEIVE_BYTES = 32_768
+# Connections that wait to be accepted come all at once, before any other can be closed for them.
+BACKLOG_SHARE = 1 / 8
 
 
 class FrontService(Service):
@@ -62,7 +66,7 @@
         self._watchdog = Watchdog(clock, tick_ms=WATCHDOG_TICK_MS)
         self._memory = MemoryBudget(memory_limit(cfg), now=clock.now)
         self._connection_limits = ConnectionLimits(
-            cfg, self._watchdog, self._count_refusal, self._memory
+            cfg, self._watchdog, self._count_refusal, self._memory, counters
         )
         self._id_prefix = secrets.token_hex(ID_PREFIX_BYTES)
         self._request_numbers = itertools.count(1)
@@ -110,6 +114,8 @@
                 port=self._port or vm.http_port,
                 http=protocol,
                 keep_alive_ms=self._cfg.front.idle_ms,
+                backlog=min(BACKLOG, int(vm.file_descriptors * BACKLOG_SHARE)),
+                receive_bytes=RECEIVE_BYTES,
             ) as listener:
                 self._port = listener.port
                 if self._context.members is not None:
--- a/src/hickorybeam/httpserve.py
+++ b/src/hickorybeam/httpserve.py
@@ -9,13 +9,13 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from hickorybeam.sockets import bind_socket, reset_at_close
+from hickorybeam.sockets import bind_socket, bound_unread, reset_at_close
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import AsyncIterator, Callable, Iterator
 
-__all__ = ("CONNECTION_KEY", "HttpProtocol", "Listener", "serve_app")
+__all__ = ("BACKLOG", "CONNECTION_KEY", "HttpProtocol", "Listener", "serve_app")
 
 # Key in the ``extensions`` of an ASGI scope whose value is the connection.
 CONNECTION_KEY = "hickorybeam.connection"
@@ -133,12 +133,16 @@
     port: int = 0,
     http: Callable[..., HttpProtocol] = HttpProtocol,
     keep_alive_ms: int = DEFAULT_KEEP_ALIVE_MS,
+    backlog: int = BACKLOG,
+    receive_bytes: int = 0,
 ) -> AsyncIterator[Listener]:
     """Serve an app until the context exits, then abort every open connection.
 
     :param app: the ASGI app.
     :param http: the protocol class of each connection.
     :param keep_alive_ms: idle timeout of a connection between requests.
+    :param backlog: connections that may wait to be accepted.
+    :param receive_bytes: the kernel's buffer for each connection; 0 for its own choice.
     """
     config = uvicorn.Config(
         app,
@@ -152,11 +156,13 @@
         # Callers connect directly; X-Forwarded-For must not let one choose its address.
         proxy_headers=False,
         date_header=False,
-        backlog=BACKLOG,
+        backlog=backlog,
         timeout_keep_alive=max(1, keep_alive_ms // MS_PER_SECOND),
         timeout_graceful_shutdown=None,
     )
     sock = bind_socket(host, port)
+    if receive_bytes:
+        bound_unread(sock, receive_bytes)
     server = _Server(config)
     listener = Listener(server, host, sock.getsockname()[1])
     async with anyio.create_task_group() as tg:
--- a/src/hickorybeam/peers/channel.py
+++ b/src/hickorybeam/peers/channel.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     import ssl
     from asyncio import BaseTransport
+    from collections.abc import Callable
 
 __all__ = ("AbortableProtocol", "Address", "PeerChannel", "with_pings", "without_pings")
 
@@ -74,11 +75,19 @@
     """
 
     transport: BaseTransport | None = None
+    on_made: Callable[[AbortableProtocol], None] | None = None
 
     def connection_made(self, transport: BaseTransport) -> None:
         """Keep the transport, which grpclib drops on close."""
         self.transport = transport
         super().connection_made(transport)
+        if self.on_made is not None:
+            self.on_made(self)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is open on the connection."""
+        return not self.processor.streams
 
     def abort_if_closing(self) -> None:
         """Abort the connection if its close has not finished."""
--- a/src/hickorybeam/peers/server.py
+++ b/src/hickorybeam/peers/server.py
@@ -13,6 +13,7 @@
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server
 
+from hickorybeam.http1 import ClosedReason
 from hickorybeam.peers.channel import AbortableProtocol, with_pings
 from hickorybeam.peers.codec import MessagePackCodec
 from hickorybeam.peers.wire import (
@@ -28,7 +29,7 @@
 
 if TYPE_CHECKING:
     import ssl
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable
 
 __all__ = ("PeerServer", "RequestHandler")
 
@@ -57,10 +58,23 @@
 
 
 class PeerServer(Server):  # type: ignore[misc]
-    """grpclib's server with the MessagePack codec, on one port."""
+    """grpclib's server with the MessagePack codec, on one port.
 
-    def __init__(self, handler: RequestHandler, *, silent_after_ms: int) -> None:
+    :param max_connections: for more, those without a call are closed, the oldest first.
+    :param on_closed: called with the reason for which a connection was closed.
+    """
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        *,
+        silent_after_ms: int,
+        max_connections: int,
+        on_closed: Callable[[str], None] = lambda why: None,
+    ) -> None:
         self._handler = handler
+        self._max_connections = max_connections
+        self._on_closed = on_closed
         self._protocols: list[AbortableProtocol] = []
         super().__init__([self], codec=MessagePackCodec(), config=with_pings(silent_after_ms))
 
@@ -105,9 +119,21 @@
     def _protocol_factory(self) -> AbortableProtocol:
         base: Any = super()._protocol_factory()
         protocol = AbortableProtocol(base.handler, base.config, base.h2_config)
-        self._protocols.append(protocol)
+        protocol.on_made = self._take
         return protocol
 
+    def _take(self, protocol: AbortableProtocol) -> None:
+        """Keep a new connection, for which an idle one is closed if there are too many."""
+        if len(self._protocols) >= self._max_connections:
+            idle = next((it for it in self._protocols if it.is_idle), None)
+            self._on_closed(ClosedReason.NEW if idle is None else ClosedReason.IDLE)
+            if idle is None:
+                protocol.transport.abort()  # type: ignore[union-attr]
+                return
+            self._protocols.remove(idle)
+            idle.transport.abort()  # type: ignore[union-attr]
+        self._protocols.append(protocol)
+
     async def _ask(self, stream: Any) -> None:
         ask: AskRequest = await stream.recv_message()
         await stream.send_message(await self._handler.on_ask(ask, stream.peer.cert()))
--- a/src/hickorybeam/peers/service.py
+++ b/src/hickorybeam/peers/service.py
@@ -39,6 +39,8 @@
 R = TypeVar("R")
 T = TypeVar("T")
 
+# Share of the file descriptors for connections of other VMs.
+FILE_SHARE = 0.3
 SWEEP_INTERVAL_MS = 500
 DRAIN_POLL_INTERVAL_MS = 20
 # Time for a receiver behind the sender's log position to catch up before it refuses: enough for one
@@ -58,6 +60,9 @@
         self._calls = counters.counter("peer_calls", "Calls to peers", ("topic", "outcome"))
         self._refusals = counters.counter("peer_refusals", "Calls of peers refused", ("kind",))
         self._channels = counters.gauge("peer_channels", "Open channels to peers")
+        self._closed = counters.counter(
+            "peer_connections_closed", "Peers' connections closed for the sake of others", ("why",)
+        )
         self._routes = {
             Address.parse(route.address): Address.parse(route.via) for route in cfg.peers.routes
         }
@@ -78,7 +83,12 @@
         cfg = self._cfg.peers
         tls = client_context(cfg.tls)
         listening_tls = server_context(cfg.tls, self._handshake_refused)
-        server = PeerServer(self, silent_after_ms=cfg.silent_after_ms)
+        server = PeerServer(
+            self,
+            silent_after_ms=cfg.silent_after_ms,
+            max_connections=int(self._cfg.vm.file_descriptors * FILE_SHARE),
+            on_closed=lambda why: self._closed.labels(why).inc(),
+        )
         async with anyio.create_task_group() as tg:
 
             def start(stream: SharedStream) -> None:
--- a/src/hickorybeam/watchdog.py
+++ b/src/hickorybeam/watchdog.py
@@ -51,6 +51,10 @@
     def __len__(self) -> int:
         return len(self._deadlines)
 
+    def now(self) -> int:
+        """Return the time on the deadlines' clock, in ms."""
+        return self._clock.now()
+
     def add(self, limit_ms: int, on_expiry: Callable[[], None]) -> Deadline:
         """Add a deadline; ``on_expiry`` must not block."""
         deadline = Deadline(self._clock.now() + limit_ms, on_expiry)
--- a/tests/front/callers.feature
+++ b/tests/front/callers.feature
@@ -85,8 +85,15 @@
     Then the front refuses one more connection with "too_many_connections"
 
   Scenario: connections cannot use up the file descriptors and memory of running requests
-    # Callers at many addresses hold connections, each address within its own limit.
+    # Callers at many addresses hold connections, each address within its own limit. If the newest
+    # were refused, connections that send nothing would keep ordinary callers out.
     When the front has 8 open connections from each of 3 addresses
+    Then a call from another address is answered, and the front has at most 24 connections
+
+  Scenario: a connection is refused where requests run on all others
+    Given the engine behind the front delays its first token
+    When the front may have 3 connections
+    And 3 callers hold streams open at the front
     Then the front refuses a connection from any address with "vm_full"
 
   Scenario: a connection without a request is closed
--- a/tests/steps/front/callers_steps.py
+++ b/tests/steps/front/callers_steps.py
@@ -285,6 +285,20 @@
     context.call(eventually, lambda: len(context.rig.front._connection_limits.conns) == total)
 
 
+@when("the front may have {count:d} connections")
+def step_max_connections(context, count):
+    context.rig.front._connection_limits.max_conns = count
+
+
+@then("a call from another address is answered, and the front has at most {count:d} connections")
+def step_other_address(context, count):
+    sock = connect(context, "127.0.0.9")
+    sock.sendall(f"{HEAD}content-length: {len(CHAT)}\r\n\r\n".encode() + CHAT)
+    raw = read_all(sock)
+    assert raw.startswith(b"HTTP/1.1 200 "), raw
+    assert len(context.rig.front._connection_limits.conns) <= count
+
+
 @then('the front refuses a connection from any address with "{code}"')
 def step_full(context, code):
     raw = read_all(connect(context))
