bench/soak/crowds: crowds of clients that don't behave, beside kills, restarts and drains

The crowds' clients moved from tests/support to bench/crowd, as both use them; what they send is as before.

--- a/tests/steps/bench/gateway_soak_steps.py
+++ b/tests/steps/bench/gateway_soak_steps.py
@@ -16,7 +16,8 @@
 
 @when("the soak of {name} runs for {seconds:d} s with seed {seed:d} and {faults}")
 def step_named_soak(context, name, seconds, seed, faults):
-    only = [] if faults == "all faults" else [f"--only={faults.split()[-1].strip(chr(34))}"]
+    is_whole = faults in ("all faults", "all crowds")
+    only = [] if is_whole else [f"--only={faults.split()[-1].strip(chr(34))}"]
     run_soak(context, name, [f"--seed={seed}", f"--seconds={seconds}", *only])
 
 
--- a/tests/steps/front/crowds_steps.py
+++ b/tests/steps/front/crowds_steps.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
 from behave import given, then, when
+from bench.crowd import MB, Crowd
 
-from support.crowd import MB, Crowd
 from support.old_crowd import KINDS, ask_old, old_daemon
 
 
--- a/tests/steps/gateway/crowds_steps.py
+++ b/tests/steps/gateway/crowds_steps.py
@@ -2,9 +2,9 @@
 
 import anyio
 from behave import given, then, when
+from bench.crowd import MB, Crowd, payloads
 
-from support.crowd import MB, Crowd, ask, crowded_fleet, terminate
-from support.crowd_kinds import payloads
+from support.crowd import ask, crowded_fleet, terminate
 
 TRICKLED = b"x" * 6
 END_LIMIT_S = 30
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
 import re
 import signal
-import socket
 import tempfile
-import time
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import anyio
+from bench.crowd import BODY_BYTES, END, HEAD_BYTES, SampledProcess, head, sample
 from bench.gateway_cost import start_daemon
 
 from hickorybeam.demo.deployment import free_ports
@@ -26,13 +23,11 @@
     TlsSettings,
     VmSettings,
 )
-from hickorybeam.standins.deployment import HOST, KEYS, REGIONS, first_config
+from hickorybeam.standins.deployment import REGIONS, first_config
 from hickorybeam.standins.keyvalue import serve_store
 from hickorybeam.standins.server import ServerStandIn, serve_server
 
 # What the operator of the scenarios allows.
-BODY_BYTES = 1_048_576
-HEAD_BYTES = 16_384
 LIMITS = {
     "max-header-bytes": HEAD_BYTES,
     "max-body-bytes": BODY_BYTES,
@@ -40,70 +35,8 @@
     "idle-timeout-ms": 30_000,
 }
 PORTS = ("callers", "ready", "directory", "state", "peers")
-MB = 1_000_000
 START_LIMIT_S = 30
 ANSWER_LIMIT_S = 20
-# A crowd that has not sent all by then is held up, and stays as it is.
-SEND_LIMIT_S = 12
-CONNECTS_AT_ONCE = 100
-SAMPLE_S = 0.05
-LISTENING = "0A"
-# What the kernel keeps for a client that reads nothing.
-UNREAD_BYTES = 4_096
-
-
-@dataclass
-class SampledProcess:
-    """A VM's process, and the most that it held."""
-
-    ports: dict[str, int]
-    path: Path
-    memory_mb: float
-    process: object = None
-    most_bytes: int = 0
-    most_files: int = 0
-
-    @property
-    def log(self):
-        return self.path.with_suffix(".log").read_text(errors="replace")
-
-    def sample(self):
-        """Note the memory, with what was received and is not read yet, and the descriptors."""
-        pid = self.process.pid
-        with contextlib.suppress(OSError, ValueError):
-            files = open_files(pid)
-            held = status_bytes(pid, "VmRSS") + unread_bytes(files)
-            self.most_bytes = max(self.most_bytes, held, status_bytes(pid, "VmHWM"))
-            self.most_files = max(self.most_files, len(files))
-
-
-def status_bytes(pid, name):
-    """Return a size from a process's status; ``VmHWM`` is the peak of its resident memory."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith(name + ":"):
-            return int(line.split()[1]) * 1024
-    raise ValueError(name)
-
-
-def open_files(pid):
-    """Return what a process's descriptors lead to, one entry for each."""
-    found = []
-    for link in Path(f"/proc/{pid}/fd").iterdir():
-        with contextlib.suppress(OSError):
-            found.append(os.readlink(link))
-    return found
-
-
-def unread_bytes(files):
-    """Return the bytes that the kernel has received for a process's connections."""
-    inodes = {it[len("socket:[") : -1] for it in files if it.startswith("socket:[")}
-    total = 0
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        fields = line.split()
-        # The queue of a listening socket counts connections.
-        if fields[9] in inodes and fields[3] != LISTENING:
-            total += int(fields[4].partition(":")[2], 16)
-    return total
 
 
 @dataclass
@@ -125,14 +58,6 @@
     servers: dict[str, ServerStandIn] = field(default_factory=dict)
 
 
-async def sample(processes):
-    """Note what processes hold, until cancelled."""
-    while True:
-        for process in processes:
-            process.sample()
-        await anyio.sleep(SAMPLE_S)
-
-
 @asynccontextmanager
 async def crowded_fleet(
     *, memory_mb, file_descriptors, south=False, work_ms=1, slots=8, answer_bytes=0
@@ -208,31 +133,6 @@
             await anyio.sleep(0.1)
 
 
-def head(method, path, *lines, key="small", request_id=None, wait_ms=20_000, version=b"HTTP/1.1"):
-    """Return the head of a request, without its end."""
-    name = request_id or b"%016x" % next_id()
-    return b"\r\n".join(
-        (
-            b"%s %s %s" % (method, path.encode(), version),
-            b"host: " + HOST.encode(),
-            b"x-hickorybeam-request-id: " + name,
-            b"x-hickorybeam-deadline-milliseconds: %d" % wait_ms,
-            b"authorization: Bearer " + KEYS.get(key, key).encode(),
-            *lines,
-        )
-    )
-
-
-def next_id():
-    next_id.last += 1
-    return next_id.last
-
-
-next_id.last = int(time.time()) << 20
-
-END = b"\r\n\r\n"
-
-
 async def ask(vm, path, method, body, *, limit_s=ANSWER_LIMIT_S, port="callers"):
     """Send one ordinary request; return what ``exchange`` does."""
     data = head(method, path, b"content-length: %d" % len(body), b"connection: close") + END + body
@@ -259,92 +159,5 @@
     return 0, b"", 0.0
 
 
-@dataclass
-class CrowdClient(asyncio.Protocol):
-    """One client: sends what it is given, notes what comes, and stays or leaves.
-
-    :param reads: it reads answers.
-    """
-
-    payload: bytes
-    reads: bool = True
-    answer: bytes = b""
-    closed: bool = False
-    reset: bool = False
-    transport: asyncio.Transport = None
-
-    def connection_made(self, transport):
-        self.transport = transport
-        if not self.reads:
-            transport.pause_reading()
-        if self.payload:
-            transport.write(self.payload)
-
-    def data_received(self, data):
-        self.answer = (self.answer + data)[:65_536]
-
-    def connection_lost(self, exc):
-        self.closed, self.reset = True, exc is not None
-
-    @property
-    def has_sent(self):
-        return self.closed or not self.transport.get_write_buffer_size()
-
-    @property
-    def status(self):
-        """The status of the last whole head that came, 0 without one."""
-        last = self.answer.rpartition(b"HTTP/1.1 ")[2] if b"HTTP/1.1 " in self.answer else b""
-        return int(last[:3]) if last[:3].isdigit() else 0
-
-
-class Crowd:
-    """Clients that each do the same at the same time."""
-
-    def __init__(self, port, payloads, *, reads=True, trickle=b""):
-        self._port = port
-        self.clients = [CrowdClient(payload, reads) for payload in payloads]
-        self._trickle = trickle
-
-    async def come(self):
-        """Connect, send, and wait until nothing more of it can be sent."""
-        for i in range(0, len(self.clients), CONNECTS_AT_ONCE):
-            async with anyio.create_task_group() as tg:
-                for client in self.clients[i : i + CONNECTS_AT_ONCE]:
-                    tg.start_soon(self._connect, client)
-        with anyio.move_on_after(SEND_LIMIT_S):
-            while not all(client.has_sent for client in self.clients):
-                await anyio.sleep(SAMPLE_S)
-        for byte in self._trickle:
-            for client in self.clients:
-                if not client.closed:
-                    client.transport.write(bytes((byte,)))
-            await anyio.sleep(10 * SAMPLE_S)
-        await anyio.sleep(10 * SAMPLE_S)
-
-    async def _connect(self, client):
-        loop = asyncio.get_running_loop()
-        try:
-            with anyio.fail_after(SEND_LIMIT_S):
-                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-                sock.setblocking(False)
-                if not client.reads:
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
-                await loop.sock_connect(sock, ("127.0.0.1", self._port))
-                await loop.create_connection(lambda: client, sock=sock)
-        except (OSError, TimeoutError):
-            client.closed = True
-
-    def come_again(self):
-        """Return a crowd of the clients that were closed."""
-        payloads = [it.payload for it in self.clients if it.closed]
-        return Crowd(self._port, payloads)
-
-    def leave(self):
-        """Close all connections."""
-        for client in self.clients:
-            if client.transport is not None:
-                client.transport.abort()
-
-
 def terminate(vm):
     vm.process.send_signal(signal.SIGTERM)
--- a/tests/support/old_crowd.py
+++ b/tests/support/old_crowd.py
@@ -10,12 +10,13 @@
 from pathlib import Path
 
 import anyio
+from bench.crowd import SampledProcess, sample
+from bench.crowd.kinds import CHUNKED, END, SMALL_HEADERS, chunks
 
 from hickorybeam.demo.deployment import free_ports
 from hickorybeam.model import key_digest
 from hickorybeam.standins import engine, platform
-from support.crowd import END, SampledProcess, end, exchange, sample
-from support.crowd_kinds import CHUNKED, SMALL_HEADERS, chunks
+from support.crowd import end, exchange
 
 OPERATOR, KEY = "operator-of-this-test", "key-of-this-test"
 BODY_BYTES = 1_048_576
