http1: what came behind a response that ends with its connection is not started

Seen: a caller with HTTP/1.0 that keeps connections and sends two requests at once: the second began to run as the rest of the first response was sent, and its failure reset the first one midway. Cause:, the next request starts when the caller reads on, also on a connection that is only open until its caller has read the rest. Change: such a connection counts as closing; what came is dropped, as it was before. Both rows of the new scenario in tests/http1/caller_ends.feature failed before (reset after 4.9 of 8 MB).

--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -277,7 +277,8 @@
     @property
     def closing(self) -> bool:
         """Whether the connection is closing: nothing more is parsed or written."""
-        return self._lingers or self._transport is None or self._transport.is_closing()
+        ends = self._lingers or self._closes_when_sent
+        return ends or self._transport is None or self._transport.is_closing()
 
     def write(self, data: bytes) -> None:
         """Write unless the connection is closing."""
@@ -327,6 +328,7 @@
             transport.close()
             return
         self._closes_when_sent = True
+        self._drop_unread()
         transport.set_write_buffer_limits(0)
 
     def end_response(self, *, close: bool) -> None:
--- a/tests/http1/caller_ends.feature
+++ b/tests/http1/caller_ends.feature
@@ -47,3 +47,15 @@
       | uvloop  | 0       | /8000000/ends | half-closes   |
       | asyncio | 0       | /8000000/ends | half-closes   |
       | uvloop  | 1       | /8000000/ends | reads late    |
+
+  # Guards against a request that runs on a connection which ends with the response before it.
+  Scenario Outline: what comes behind a response that ends with its connection is not started
+    Given a server process on <loop> that ends connections whose callers read nothing for 60000 ms
+    When an old caller that keeps connections asks it for "/8000000/ends" and "/0/fails", and reads late
+    Then the caller gets the whole body, and its connection ends in order
+    And the process has logged nothing
+
+    Examples:
+      | loop    |
+      | uvloop  |
+      | asyncio |
--- a/tests/steps/http1/caller_ends_steps.py
+++ b/tests/steps/http1/caller_ends_steps.py
@@ -40,6 +40,20 @@
     context.caller, context.size, context.version = sock, int(target.split("/")[1]), version
 
 
+@when('an old caller that keeps connections asks it for "{first}" and "{second}", and reads late')
+def step_ask_both(context, first, second):
+    sock = socket.socket()
+    context.stack.callback(sock.close)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.settimeout(LIMIT_S)
+    sock.connect((HOST, context.port))
+    for target in (first, second):
+        request = f"GET {target} HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n"
+        sock.sendall(request.encode())
+    time.sleep(LATE_S)
+    context.caller, context.size, context.version = sock, int(first.split("/")[1]), "0"
+
+
 @when("the process {end}")
 def step_end(context, end):
     match end:
