gateway/intake_bounds: connections closed for others are logged by id; bounds are worked out once

A connection that was closed in the middle of a request left no line with its id (closed_for_others now). The largest body was worked out at each check of the limits, which a parser makes for each header.

--- a/src/hickorybeam/gateway/intake_bounds.py
+++ b/src/hickorybeam/gateway/intake_bounds.py
@@ -40,11 +40,17 @@
 
 
 class IntakeBounds:
-    """The budget of one process, and the bounds of its ports."""
+    """The budget of one process, and the bounds of its ports.
+
+    ``largest_body`` is the size of the largest body that there can be room for, and
+    ``max_held_bytes`` what may be held of servers' answers before they are passed on.
+    """
 
     def __init__(self, *, cfg: Settings, clock: Clock, counters: Counters) -> None:
-        memory_bytes = self._memory_bytes = cfg.vm.memory_mb * BYTES_PER_MB
+        memory_bytes = cfg.vm.memory_mb * BYTES_PER_MB
         self.budget = MemoryBudget(int(memory_bytes * cfg.intake.request_share), now=clock.now)
+        self.largest_body = int(self.budget.largest * BODY_SHARE)
+        self.max_held_bytes = min(MAX_HELD_BYTES, int(memory_bytes * HELD_SHARE))
         self._files = min(cfg.vm.file_descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self._max_connections = min(
             int(self._files * cfg.intake.descriptor_share),
@@ -56,16 +62,6 @@
         held = counters.gauge("intake_bytes", "Memory reserved for requests and unread responses")
         held.set_function(lambda: self.budget.taken)
 
-    @property
-    def largest_body(self) -> int:
-        """The size of the largest body that there can be room for."""
-        return int(self.budget.largest * BODY_SHARE)
-
-    @property
-    def max_held_bytes(self) -> int:
-        """What may be held of servers' answers before they are passed on."""
-        return min(MAX_HELD_BYTES, int(self._memory_bytes * HELD_SHARE))
-
     def of_port(self, port: str) -> Intake:
         """Return the bounds of one of the VM's ports."""
         return Intake(
@@ -76,9 +72,11 @@
             on_closed=partial(self._record_closed, port),
         )
 
-    def _record_closed(self, port: str, why: str) -> None:
-        counter = self._closed.labels(port, why)
-        counter.inc()
+    def _record_closed(self, port: str, why: str, request_id: str) -> None:
+        self._closed.labels(port, why).inc()
+        if request_id:
+            logging.info("closed_for_others", extra={"port": port, "requests": request_id})
+            return
         logging.log_every_n_seconds(
             logging.WARNING,
             "closed a connection of port %s (%s) for the sake of others, see connections_closed",
--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -165,7 +165,7 @@
             self.refuse(NO_ROOM)
             return
         if self._unsent_bytes > MAX_UNSENT_BYTES:
-            self.server.intake.on_closed(ClosedReason.UNREAD)
+            self.server.intake.on_closed(ClosedReason.UNREAD, "")
             self._drop_unread()
             self.reset()
             return
@@ -426,8 +426,9 @@
 
     def close_for_others(self) -> None:
         """Close the connection at once, as others need its descriptor."""
-        slow = self._parser.in_request
-        self.server.intake.on_closed(ClosedReason.SLOW if slow else ClosedReason.IDLE)
+        why = ClosedReason.SLOW if self._parser.in_request else ClosedReason.IDLE
+        request_id = self._parser.header(self.server.id_header)
+        self.server.intake.on_closed(why, request_id.decode("latin-1"))
         self.server.conns.discard(self)
         self.abort()
 
--- a/src/hickorybeam/http1/intake.py
+++ b/src/hickorybeam/http1/intake.py
@@ -36,14 +36,15 @@
     :param max_connections: connections that the port may have.
     :param backlog: connections that may wait to be accepted.
     :param receive_bytes: the kernel's buffer for each connection; 0 for its own choice.
-    :param on_closed: called with the reason for which a connection was closed.
+    :param on_closed: called with the reason for which a connection was closed, and the id of the
+        request that was being read on it, empty if none was.
     """
 
     budget: MemoryBudget
     max_connections: int = UNBOUNDED
     backlog: int = BACKLOG
     receive_bytes: int = 0
-    on_closed: Callable[[str], None] = field(default=lambda reason: None)
+    on_closed: Callable[[str, str], None] = field(default=lambda reason, request_id: None)
 
     def apply_to(self, sock: socket.socket) -> None:
         """Bound what the kernel keeps for each connection of a listening socket."""
--- a/src/hickorybeam/http1/server.py
+++ b/src/hickorybeam/http1/server.py
@@ -134,7 +134,7 @@
         :return: ``False`` if none of them can be.
         """
         if len(self.conns) >= self.intake.max_connections and not self._close_some():
-            self.intake.on_closed(ClosedReason.NEW)
+            self.intake.on_closed(ClosedReason.NEW, "")
             return False
         self.conns.add(conn)
         return True
