--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -8,6 +8,7 @@
 import anyio
 import httptools
 
+from hickorybeam.http1.connection_end import ConnectionEnd
 from hickorybeam.http1.head import IncomingRequest, find_header, response_head_bytes
 from hickorybeam.http1.intake import ClosedReason
 from hickorybeam.http1.paced_reader import PacedReader
@@ -32,11 +33,6 @@
 MAX_UNSENT_BYTES = 16_384
 # What a server goes on to send meanwhile: in the kernel's buffer, and in its connection's.
 HELD_UP_BYTES = 196_608
-# A refused caller may send on for this long. Closed with bytes unread, the connection would be
-# reset, and the refusal may be lost on its way.
-LINGER_MS = 2_000
-# So many of the largest bodies are read of it and dropped.
-LINGER_BODIES = 2
 NO_ROOM = 503
 
 
@@ -58,19 +54,17 @@
         self._holding = server.intake.budget.hold(self)
         self._reader = PacedReader(self._feed)
         self._pipelined = PipelinedInput()
-        self._lingers = False
-        self._discarded_bytes = 0
+        self._end = ConnectionEnd(server.clock, server.limits)
         self._has_asked = False
         self._writable = anyio.Event()
         self._writable.set()
         self._stalled_since_ms: int | None = None
-        self._resets = False
-        self._closes_when_sent = False
         self._state_since_ms = server.clock.now()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = transport  # type: ignore[assignment]
+        self._end.attach(transport)  # type: ignore[arg-type]
         if self.server.silent_ms:
             end_if_silent(transport, self.server.silent_ms)
         self._reader.attach(transport)  # type: ignore[arg-type]
@@ -102,15 +96,12 @@
         elif self.response is None:
             self._start_next()
         self._account()
-        if self._closes_when_sent and self._transport is not None:
-            reset_at_close(self._transport, enabled=False)
-            # Closed within this callback, a transport of asyncio would close twice.
-            asyncio.get_running_loop().call_soon(self._transport.close)
+        self._end.record_sent()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, or keep them until the current response is complete."""
-        if self._lingers:
-            self._discard_lingering(len(data))
+        if self._end.lingers:
+            self._end.discard(len(data))
         if self.closing:
             return
         if self._is_busy:
@@ -119,13 +110,6 @@
             self._reader.receive(data)
         self._account()
 
-    def _discard_lingering(self, size: int) -> None:
-        """Count what a refused caller sends on; read no more of one that sends without end."""
-        self._discarded_bytes += size
-        most = LINGER_BODIES * self.server.limits().body_bytes
-        if self._discarded_bytes > most and self._transport is not None:
-            self._transport.pause_reading()
-
     @property
     def _is_busy(self) -> bool:
         """Whether the next request has to wait: a response is not complete, or not yet read.
@@ -138,13 +122,8 @@
         """Reserve the memory that the connection takes, or give way if there is none."""
         if self.closing:
             return
-        size = (
-            self._parser.cost_bytes
-            + self._pipelined.cost_bytes
-            + len(self._reader.unfed)
-            + self._unsent_bytes
-        )
-        if not self._holding.resize(size):
+        received = self._parser.cost_bytes + self._pipelined.cost_bytes + len(self._reader.unfed)
+        if not self._holding.resize(received + self._unsent_bytes):
             self.yield_room()
 
     @property
@@ -163,13 +142,12 @@
         """
         if not self._is_busy:
             self.refuse(NO_ROOM)
-            return
-        if self._unsent_bytes > MAX_UNSENT_BYTES:
+        elif self._unsent_bytes > MAX_UNSENT_BYTES:
             self.server.intake.on_closed(ClosedReason.UNREAD, "")
             self._drop_unread()
             self.reset()
-            return
-        self._drop_input()
+        else:
+            self._drop_input()
 
     def _keep_pipelined(self, data: bytes) -> None:
         """Keep bytes that came before the end of a response, as long as they may be requests.
@@ -177,11 +155,9 @@
         A caller that sends on and on still gets that response, as the last one: what it sent
         after that request is dropped, and none of it has run.
         """
-        if self._pipelined.is_dropped:
-            return
         limits = self.server.limits()
         most = MAX_PIPELINED_BYTES + limits.header_bytes + limits.body_bytes
-        if not self._pipelined.keep_bytes(data, limit=most):
+        if not self._pipelined.is_dropped and not self._pipelined.keep_bytes(data, limit=most):
             self._drop_input()
 
     def _drop_input(self) -> None:
@@ -277,8 +253,7 @@
     @property
     def closing(self) -> bool:
         """Whether the connection is closing: nothing more is parsed or written."""
-        ends = self._lingers or self._closes_when_sent
-        return ends or self._transport is None or self._transport.is_closing()
+        return self._transport is None or self._end.has_begun
 
     def write(self, data: bytes) -> None:
         """Write unless the connection is closing."""
@@ -309,35 +284,17 @@
             await self._writable.wait()
 
     def reset_unless_ended(self) -> None:
-        """Have the connection reset, however it ends, unless the response ends before.
-
-        The end of the connection is all that ends such a response. The kernel closes the
-        connections of a process that is killed in order unless told otherwise beforehand.
-        """
-        self._resets = True
-        if self._transport is not None:
-            reset_at_close(self._transport)
-
-    def _close_when_sent(self) -> None:
-        """Close the connection in order once the kernel has all bytes of the response."""
-        transport = self._transport
-        if transport is None:
-            return
-        if not transport.get_write_buffer_size():
-            reset_at_close(transport, enabled=False)
-            transport.close()
-            return
-        self._closes_when_sent = True
-        self._drop_unread()
-        transport.set_write_buffer_limits(0)
+        """Have the connection reset, however it ends, unless the response ends before."""
+        self._end.reset_unless_ended()
 
     def end_response(self, *, close: bool) -> None:
         """Start the next request, or close the connection."""
         self.response = None
         self._state_since_ms = self.server.clock.now()
         if close:
-            if self._resets:
-                self._close_when_sent()
+            if self._end.resets:
+                self._drop_unread()
+                self._end.close_when_sent()
             else:
                 self._close_in_order()
             return
@@ -371,12 +328,10 @@
         self._drop_unread()
         if self._transport is None or self._transport.is_closing():
             return
-        if not has_unread:
+        if has_unread:
+            self._end.linger()
+        else:
             self._transport.close()
-            return
-        self._lingers = True
-        self._state_since_ms = self.server.clock.now()
-        self._transport.write_eof()
 
     def abort(self) -> None:
         """Abort the connection."""
@@ -386,10 +341,9 @@
 
     def reset(self) -> None:
         """Reset the connection, so that the caller sees an error and no orderly close."""
-        if self._transport is None:
-            return
-        reset_at_close(self._transport)
-        self._transport.abort()
+        if self._transport is not None:
+            reset_at_close(self._transport)
+            self._transport.abort()
 
     def fall_silent(self) -> Callable[[], None]:
         """Read and write nothing any more, and keep the connection open.
@@ -405,7 +359,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or handled."""
         in_request = self._parser.in_request or bool(self._reader.unfed)
-        is_idle = self.response is None and not in_request and not self._lingers
+        is_idle = self.response is None and not in_request and not self._end.lingers
         if is_idle and self._transport is not None:
             self._transport.close()
 
@@ -413,13 +367,12 @@
     def closing_order(self) -> tuple[int, int] | None:
         """What decides which connection is closed first for others; ``None`` for none.
 
-        Those that have never asked for anything go first, then idle ones, then those that have
-        not sent their whole request; each in the order of time.
+        Those that never asked go first, then idle ones, then unfinished requests; each by age.
         """
-        if self._is_busy and not self._lingers:
-            return None
-        if self._lingers:
+        if self._end.lingers:
             return 0, self._state_since_ms
+        if self._is_busy:
+            return None
         if self._parser.in_request:
             return 3, self._state_since_ms
         return (2 if self._has_asked else 1), self._state_since_ms
@@ -434,15 +387,10 @@
 
     def check_timeouts(self, now_ms: int, limits: CallerLimits) -> None:
         """Enforce the timeouts for idling, for sending a request and for reading a response."""
-        if self._lingers:
-            if now_ms - self._state_since_ms > LINGER_MS:
-                self.abort()
-        elif (
-            self._stalled_since_ms is not None
-            and now_ms - self._stalled_since_ms > WRITE_STALL_TIMEOUT_MS
-        ):
+        stalled_ms = 0 if self._stalled_since_ms is None else now_ms - self._stalled_since_ms
+        if self._end.is_overdue(now_ms) or stalled_ms > WRITE_STALL_TIMEOUT_MS:
             self.abort()
-        elif self.response is not None:
+        elif self.response is not None or self._end.lingers:
             return
         elif self._parser.in_request:
             if now_ms - self._state_since_ms > limits.header_ms:
