http1/pool: only what callers may hold up comes through a bounded receive buffer

Suspected: bounded the kernel's buffer of every connection to 64 KiB, also of those to the store and to VMs that tell changes, and a page of some 100 kB from a store 80 ms away takes several round trips then. Change: the pool for requests alone has the bound (128 KiB, as answers come from other regions too); a held-up answer is charged for it. Store, changes, reports and health checks have none: this VM reads them at once. The scenario in tests/platform/store.feature failed before.

--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -58,6 +58,9 @@
 DIRECTORY_TTL_MS = 800
 CONNECT_TIMEOUT_MS = 600
 UNACKED_TIMEOUT_MS = 2_000
+# What the kernel keeps of a response whose caller reads nothing. Only callers hold responses up:
+# what this VM asks for itself, such as a large configuration, is read at once.
+RESPONSE_RECEIVE_BYTES = 131_072
 METRICS_PATH = b"/metrics"
 CHANGES_PREFIX = CHANGES_PATH.encode()
 JSON_HEADERS = ((b"content-type", b"application/json"),)
@@ -113,7 +116,10 @@
         self._gateway = self._cfg.gateway
         self._part_blocks = kernel.find(PART_BLOCKS, PartBlocksService)
         pool = UpstreamPool(
-            self._clock, connect_ms=CONNECT_TIMEOUT_MS, silent_ms=UNACKED_TIMEOUT_MS
+            self._clock,
+            connect_ms=CONNECT_TIMEOUT_MS,
+            silent_ms=UNACKED_TIMEOUT_MS,
+            receive_bytes=RESPONSE_RECEIVE_BYTES,
         )
         pool.on_stray = self._strays.record
         self._handler = RequestHandler(
--- a/src/hickorybeam/http1/pool.py
+++ b/src/hickorybeam/http1/pool.py
@@ -30,8 +30,6 @@
 # For how long after bytes of no request an address is known for them. Kept connections that may
 # hold more of them are closed as idle by then.
 STRAYS_KEPT_MS = 10_000
-# What the kernel keeps for a connection whose response is not read on.
-UNREAD_BYTES = 65_536
 
 
 class ConnectFailedError(Exception):
@@ -48,10 +46,15 @@
 
     :param connect_ms: timeout of opening a connection.
     :param silent_ms: a connection ends when sent bytes stay unacknowledged for this long.
+    :param receive_bytes: the kernel's buffer for each connection; 0 for its own choice. A small one
+        slows a large response down that comes from far away.
     """
 
-    def __init__(self, clock: Clock, *, connect_ms: int, silent_ms: int) -> None:
+    def __init__(
+        self, clock: Clock, *, connect_ms: int, silent_ms: int, receive_bytes: int = 0
+    ) -> None:
         self._clock = clock
+        self._receive_bytes = receive_bytes
         self._connect_ms = connect_ms
         self._silent_ms = silent_ms
         self._idle: dict[Address, list[UpstreamConnection]] = {}
@@ -198,5 +201,6 @@
         conn.on_stray = partial(self._record_stray, address)
         conn.on_lost = partial(self._record_lost, address)
         end_if_silent(transport, self._silent_ms)
-        bound_unread(transport.get_extra_info("socket"), UNREAD_BYTES)
+        if self._receive_bytes:
+            bound_unread(transport.get_extra_info("socket"), self._receive_bytes)
         return conn
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -169,3 +169,10 @@
     Given a key-value store and its client, before which bytes of no call follow a reply
     When the key-value client reads once, and then 3 times without such bytes
     Then it has opened 4 connections
+
+  # Guards against a large configuration that takes longer than it may, from a store that is far away.
+  Scenario: what a VM asks the store for comes through a buffer of the kernel's own choice
+    Given what bounds the kernel's receive buffers is noted
+    And a key-value store and its client
+    When the key-value client has read 1 times
+    Then no receive buffer of its connection is bounded
--- a/tests/steps/platform/platform_steps.py
+++ b/tests/steps/platform/platform_steps.py
@@ -1,13 +1,14 @@
 from __future__ import annotations
 
 import time
+from unittest.mock import patch
 
 import anyio
 import msgspec
 from behave import given, then, when
 
 from hickorybeam.errors import GatewayError
-from hickorybeam.http1 import IncomingRequest, ResponseHead
+from hickorybeam.http1 import IncomingRequest, ResponseHead, pool
 from hickorybeam.model import key_digest
 from hickorybeam.platform import (
     ConfigEntry,
@@ -442,3 +443,16 @@
 @then("the key-value client says that calls {what}")
 def step_client_fails(context, what):
     assert context.client.failing == {"fail": True, "succeed": False}[what]
+
+
+@given("what bounds the kernel's receive buffers is noted")
+def step_note_buffers(context):
+    context.bounded = []
+    noted = patch.object(pool, "bound_unread", lambda sock, size: context.bounded.append(size))
+    context.stack.enter_context(noted)
+
+
+@then("no receive buffer of its connection is bounded")
+def step_unbounded(context):
+    assert context.client._pool.opened
+    assert not context.bounded, context.bounded
