--- a/bench/soak/crowds.py
+++ b/bench/soak/crowds.py
@@ -6,8 +6,8 @@
 the seed, a crowd comes to one port of one VM, stays for a while and leaves; beside it VMs are
 killed, stopped in order, paused and started again, and the store falls silent. Ordinary callers go
 on. Judged are: no VM ends by itself, none holds more than its memory (with what the kernel received
-for it) or its descriptors, refusals as not run are true, orders run once, ordinary answers are
-right, and all VMs serve after a calm span.
+for it) or its descriptors, nothing stays reserved, refusals as not run are true, orders run once,
+ordinary answers are right, and all VMs serve after a calm span.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 
 import anyio
 import fire
+import httpcore
 from bench.crowd import BODY_BYTES, HEAD_BYTES, MB, Crowd, SampledProcess, payloads
 from bench.crowd.kinds import KINDS
 from bench.soak.gateway import FAULTS, PROMISES_NOT_RUN, SERVERS, Soak
@@ -54,6 +55,7 @@
 MOST_SMALL_CHUNK_CLIENTS = 6
 BESIDE = ("kill", "stop", "pause", "store_silent")
 CROWD_SHARE = 0.7
+RESERVED = re.compile(rb"^hickorybeam_intake_bytes (.*)$", re.M)
 REQUEST_ID = re.compile(rb"x-hickorybeam-request-id: ([0-9a-f]+)")
 
 
@@ -136,6 +138,16 @@
             if client.status in PROMISES_NOT_RUN:
                 self.seen.not_run.add(found[0].decode())
 
+    async def _check_recovered(self) -> None:
+        await super()._check_recovered()
+        async with httpcore.AsyncConnectionPool() as pool:
+            for i in range(self.vm_count):
+                port = self._ports[5 * i + PORTS.index("peers")]
+                answer = await pool.request("GET", f"http://127.0.0.1:{port}/metrics")
+                (found,) = RESERVED.findall(answer.content)
+                if float(found):
+                    self.broken(f"vm-{i} has {found.decode()} bytes reserved after a calm span")
+
     def _judge_processes(self) -> None:
         for sampled in self._sampled:
             code = None if sampled.process is None else sampled.process.poll()
--- a/tests/gateway/crowds.feature
+++ b/tests/gateway/crowds.feature
@@ -139,3 +139,20 @@
       | small    | sends twice the limit in chunks of 64 KiB | 413    |
       | nobody's | stops one byte short                      | 401    |
       | nobody's | stops short in chunks of 64 KiB           | 401    |
+
+  # A reservation that some way out does not give back is room that nobody gets any more.
+  Scenario Outline: a crowd that has left has given back all that was reserved for it
+    Given a VM with 96 MB of memory, whose servers answer 900000 bytes
+    When <clients> clients come at once and each <does>
+    And the clients leave
+    Then nothing is reserved any more
+
+    Examples:
+      | clients | does                                                           |
+      | 60      | announces 1 GiB and sends twice the limit                      |
+      | 60      | stops one byte short                                           |
+      | 60      | sends a whole body                                             |
+      | 60      | sends a request and a body behind it that stops one byte short |
+      | 60      | sends a head of many small headers without its end             |
+      | 40      | sends 4000 requests at once and reads nothing                  |
+      | 60      | asks for a large answer and reads nothing                      |
--- a/tests/steps/gateway/crowds_steps.py
+++ b/tests/steps/gateway/crowds_steps.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
+import re
+
 import anyio
 from behave import given, then, when
-from bench.crowd import MB, Crowd, payloads
+from bench.crowd import END, MB, Crowd, payloads
 
-from support.crowd import ask, crowded_fleet, terminate
+from support.crowd import ask, crowded_fleet, exchange, terminate
 
 TRICKLED = b"x" * 6
 END_LIMIT_S = 30
@@ -180,3 +182,27 @@
 def step_got(context, status):
     context.call(answered, context)
     assert set(statuses(context)) == {status}, statuses(context)
+
+
+@when("the clients leave")
+def step_leave(context):
+    for crowd in context.crowds:
+        context.portal.call(crowd.leave)
+
+
+async def reserved_bytes(vm):
+    """Return what a VM has reserved, once that is nothing or after some time."""
+    request = b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close" + END
+    with anyio.move_on_after(END_LIMIT_S):
+        while True:
+            _, text, _ = await exchange(vm.ports["peers"], request)
+            (found,) = re.findall(rb"^hickorybeam_intake_bytes (.*)$", text, re.M)
+            if not float(found):
+                return 0.0
+            await anyio.sleep(0.2)
+    return float(found)
+
+
+@then("nothing is reserved any more")
+def step_nothing_reserved(context):
+    assert not (found := context.call(reserved_bytes, context.vm)), found
