http1/upstream: a response that is read whole is not paused at 64 KiB

Whoever reads a response whole then needs a turn of a busy event loop, and a window that opens again, for each part of it; only a response that waits for its caller has to be bounded. Change: 64 KiB while the receiver takes nothing, 1 MiB as before otherwise. Both halves have a scenario in tests/http1/upstream.feature; the one of whole responses failed before.

--- a/src/hickorybeam/http1/upstream.py
+++ b/src/hickorybeam/http1/upstream.py
@@ -40,8 +40,11 @@
 BODILESS_STATUSES = (204, 304)
 # More pieces of a body are joined, as one of a byte takes far more memory than it holds.
 MAX_PIECES = 64
-# Reading from the socket pauses while more than this is buffered, as the receiver takes no more.
-MAX_BUFFERED_BYTES = 65_536
+# Reading from the socket pauses while more than this is buffered.
+MAX_BUFFERED_BYTES = 1_048_576
+# The same while the receiver takes nothing. A task that only has to be woken takes all at its next
+# turn: paused as early, it would need a turn of a busy event loop for each part of a large body.
+MAX_HELD_UP_BYTES = 65_536
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -102,6 +105,7 @@
         self._may_be_merged = False
         self._reason = b""
         self._ends_at_close = False
+        self._is_held_up = False
         self._forward: Callable[[bytes], bool] | None = None
 
     @property
@@ -182,7 +186,7 @@
             self._fail(f"invalid HTTP: {exc}")
         if len(self._chunks) > MAX_PIECES:
             self._chunks = [b"".join(self._chunks)]
-        if self._buffered > MAX_BUFFERED_BYTES:
+        if self._buffered > (MAX_HELD_UP_BYTES if self._is_held_up else MAX_BUFFERED_BYTES):
             self._reader.block()
         if self._complete:
             if self._reader.unfed:
@@ -433,20 +437,28 @@
                 self._forward = None
                 if self._chunks:
                     if not forward(self._take_chunks()):
-                        await wait_ready()
+                        await self._wait_held_up(wait_ready)
                     continue
                 self._forward = forward
                 await self._wait_for_data()
                 if self._forward is None:
-                    await wait_ready()
+                    await self._wait_held_up(wait_ready)
             self._awaiting_response = False
         finally:
             self._forward = None
 
+    async def _wait_held_up(self, wait_ready: Callable[[], Awaitable[None]]) -> None:
+        """Wait for the receiver, and buffer little meanwhile."""
+        self._is_held_up = True
+        try:
+            await wait_ready()
+        finally:
+            self._is_held_up = False
+
     def _take_chunks(self) -> bytes:
         data = self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
         self._chunks.clear()
-        if self._buffered > MAX_BUFFERED_BYTES:
+        if self._buffered > MAX_HELD_UP_BYTES:
             self._reader.unblock()
         self._buffered = 0
         return data
--- a/tests/http1/upstream.feature
+++ b/tests/http1/upstream.feature
@@ -53,3 +53,18 @@
     When 120000 bytes arrive without chunks, and the other end closes its side
     And the receiver is ready
     Then the response counts as broken
+
+  # Guards against a large response for which the VM itself needs a turn of a busy event loop per part.
+  Scenario: a response that a task reads whole is not paused by its size
+    Given a request was sent on a connection whose response a task reads whole
+    When 16 pieces of 30000 bytes arrive
+    Then reading from the server is not paused
+
+  # Guards against much of a response in memory for each caller that reads nothing.
+  Scenario: little is buffered for a receiver that takes nothing
+    Given a request was sent on a connection whose response is passed on
+    And the receiver is not ready after 1 more piece
+    When 3 pieces of 30000 bytes arrive, each in a turn of its own
+    Then reading from the server is not paused
+    When 2 pieces of 30000 bytes arrive, each in a turn of its own
+    Then reading from the server is paused
--- a/tests/steps/http1/upstream_steps.py
+++ b/tests/steps/http1/upstream_steps.py
@@ -242,3 +242,31 @@
 def step_not_reusable(context):
     assert context.conn.closed
     assert not context.conn.reusable
+
+
+@given("a request was sent on a connection whose response a task reads whole")
+def step_read_whole(context):
+    context.conn, context.transport = UpstreamConnection(), FakeTransport()
+
+    async def start():
+        context.conn.connection_made(context.transport)
+        context.conn.send(b"GET / HTTP/1.1\r\n\r\n")
+        context.conn.data_received(HEAD)
+        await context.conn.read_head()
+
+    context.call(start)
+
+
+@when("{count:d} pieces of {size:d} bytes arrive, each in a turn of its own")
+def step_turns(context, count, size):
+    async def arrive():
+        for _ in range(count):
+            context.conn.data_received(chunk(b"x" * size))
+            await settle()
+
+    context.call(arrive)
+
+
+@then("reading from the server is not paused")
+def step_not_paused(context):
+    assert context.transport.reading
