--- a/src/hickorybeam/gateway/relay.py
+++ b/src/hickorybeam/gateway/relay.py
@@ -60,7 +60,7 @@
 UNACKED_TIMEOUT_MS = 2_000
 # What the kernel keeps of a response whose caller reads nothing. Only callers hold responses up:
 # what this VM asks for itself, such as a large configuration, is read at once.
-RESPONSE_RECEIVE_BYTES = 131_072
+RESPONSE_RECEIVE_BYTES = 65_536
 METRICS_PATH = b"/metrics"
 CHANGES_PREFIX = CHANGES_PATH.encode()
 JSON_HEADERS = ((b"content-type", b"application/json"),)
--- a/src/hickorybeam/http1/caller_connection.py
+++ b/src/hickorybeam/http1/caller_connection.py
@@ -32,7 +32,7 @@
 # What is written beyond this waits until the caller has read.
 MAX_UNSENT_BYTES = 16_384
 # What a server goes on to send meanwhile: in the kernel's buffer, and in its connection's.
-HELD_UP_BYTES = 327_680
+HELD_UP_BYTES = 196_608
 NO_ROOM = 503
 
 
