tests/gateway/crowds: 160 unread large answers on connections that close, known red

Answers that are read whole stand beside the budget, and unsent bytes of a closing connection are not counted.

--- a/bench/crowd/kinds.py
+++ b/bench/crowd/kinds.py
@@ -119,6 +119,9 @@
         return [head(b"GET", path, key=key) + SMALL_HEADERS for _ in range(count)]
     if kind == "asks for a large answer and reads nothing":
         return [head(b"GET", "/look/x", key=key) + END for _ in range(count)]
+    if kind == "asks for a large answer as the last one and reads nothing":
+        last = (b"connection: close",)
+        return [head(b"GET", "/look/x", *last, key=key) + END for _ in range(count)]
     if kind in MANY_AT_ONCE:
         return [(head(b"GET", MANY_AT_ONCE[kind], key=key) + END) * MANY_GETS] * count
     if kind == "sends a request and a body behind it that stops one byte short":
--- a/tests/gateway/crowds.feature
+++ b/tests/gateway/crowds.feature
@@ -89,6 +89,14 @@
       | 900000  |
       | 8000000 |
 
+  # What was written before a connection closes is held until its caller has read it.
+  @known_red
+  Scenario: large answers that nobody reads on connections that close after them
+    Given a VM with 96 MB of memory, whose servers answer 900000 bytes
+    When 160 clients come at once and each asks for a large answer as the last one and reads nothing
+    Then the VM lives and held no more than its memory
+    And an ordinary request is answered after they left
+
   # What an allocator keeps of one crowd counts at the next one.
   Scenario: a crowd that comes again after each refusal
     Given a VM with 96 MB of memory
