--- a/review/engine_2.py
+++ b/review/engine_2.py
@@ -43,6 +43,13 @@
     "cut-share": 0.0,
     "report-share": 0.0,
     "seed": 1,
+    # How its streams are framed: "chunked", or "close" for neither a length nor chunks.
+    "framing": "chunked",
+    # Several processes of one engine listen on its port; the first one registers. 0: now.
+    "workers": 1,
+    "registers": True,
+    "born": 0,
+    "version": "v1",
     "heartbeat-ms": 1_200,
 }
 
@@ -52,7 +59,7 @@
 
     def __init__(self, cfg: dict[str, Any]) -> None:
         self.cfg = {**DEFAULTS, **cfg}
-        self.born = time.time_ns() // 1_000_000
+        self.born = self.cfg["born"] or time.time_ns() // 1_000_000
         self.is_faulty = False
         self.rng = random.Random(self.cfg["seed"])
         # By id: when it began, and when it ended, once it has.
@@ -67,13 +74,17 @@
 
     async def main(self) -> None:
         """Listen, register, and renew the entry until the process ends."""
-        server = await asyncio.start_server(self.serve, "127.0.0.1", self.cfg["port"])
+        server = await asyncio.start_server(
+            self.serve, "127.0.0.1", self.cfg["port"], reuse_port=self.cfg["workers"] > 1
+        )
         self.cfg["port"] = server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGUSR1, self.set_faulty, True)
         loop.add_signal_handler(signal.SIGUSR2, self.set_faulty, False)
         self.note("listens", born=self.born)
         sequence = 0
+        if not self.cfg["registers"]:
+            await asyncio.Event().wait()
         while True:
             sequence += 1
             await self.register(sequence)
@@ -95,7 +106,7 @@
             "service": cfg["service"],
             "address": f"127.0.0.1:{cfg['port']}",
             "zone": cfg["zone"],
-            "version": "v1",
+            "version": cfg["version"],
             "slots": cfg["slots"],
             "state": "ready",
             "cold-remaining-ms": 0,
@@ -124,6 +135,8 @@
                 length = header(head, "content-length")
                 body = await reader.readexactly(int(length)) if length else b""
                 await self.answer(head, body, reader, writer)
+                if writer.is_closing():
+                    return
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -188,26 +201,45 @@
         self.runs[request_id] = (self.runs[request_id][0], time.monotonic())
         self.note("ended", request_id)
 
+    async def write_plain(self, signed: str, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Write a plain answer: what the request's body says, in parts if it comes unframed."""
+        cfg = self.cfg
+        if cfg["framing"] == "chunked":
+            writer.write(plain(200, signed, body))
+            return
+        writer.write(f"HTTP/1.1 200 OK\r\n{signed}Connection: close\r\n\r\n".encode())
+        size = -(-len(body) // cfg["events"])
+        for at in range(0, len(body), size):
+            writer.write(body[at : at + size])
+            await asyncio.sleep(cfg["event-ms"] / 1000)
+        writer.close()
+
     async def run(
         self, head: bytes, body: bytes, signed: str, writer: asyncio.StreamWriter
     ) -> bool:
         """Run one request; return whether its answer is whole."""
         cfg = self.cfg
         await asyncio.sleep(cfg["first-ms"] / 1000)
-        if not head.split(b" ", 2)[1].startswith(b"/plan/"):
-            writer.write(plain(200, signed, b"done: " + body))
+        if not head.split(b" ", 2)[1].startswith((b"/plan/", b"/studio/")):
+            await self.write_plain(signed, body, writer)
             return True
-        kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        is_chunked = cfg["framing"] == "chunked"
+        framing = "Transfer-Encoding: chunked" if is_chunked else "Connection: close"
+        kind = f"Content-Type: text/event-stream\r\n{framing}\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\n{kind}{signed}\r\n".encode())
         first = int(header(head, "last-event-id") or 0) + 1
         cut_at = first + 3 if self.fails("cut-share") else 0
         for number in range(first, cfg["events"] + 1):
             if number == cut_at:
                 return False
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            told = cfg["version"].encode()
+            event = b"id: %d\ndata: piece %d of %s\n\n" % (number, number, told)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event) if is_chunked else event)
             await asyncio.sleep(cfg["event-ms"] / 1000)
-        writer.write(b"0\r\n\r\n")
+        if is_chunked:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
         return True
 
     def load(self) -> str:
--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -318,16 +318,18 @@
         """Start an engine."""
         cfg = {"id": name, "zone": zone, "store": self.served.server.port}
         told = {it.replace("_", "-"): value for it, value in more.items()}
-        engine = Engine({**cfg, **told}, self.folder / f"{name}.engine")
+        engine = Engine({**cfg, **told}, self.folder / f"{len(self.engines)}-{name}.engine")
         self.engines.append(engine)
         engine.start()
         return engine
 
-    async def call(self, vm: str, path: str, key: str, *headers: str, wait_ms: int) -> Call:
+    async def call(
+        self, vm: str, path: str, key: str, *headers: str, wait_ms: int, body: bytes = b""
+    ) -> Call:
         """Send a request to a machine as a client of its own connection."""
         call = Call(f"{len(self.calls) + 1:016x}", vm, time.monotonic())
         self.calls.append(call)
-        data = request("POST", path, call.request_id, key, *headers, wait_ms=wait_ms)
+        data = request("POST", path, call.request_id, key, *headers, wait_ms=wait_ms, body=body)
         limit_s = wait_ms / 1000 + 1
         call.status, call.body, call.whole = await ask(self.vms[vm].port, data, limit_s)
         return call
